Lay out the shared contracts of the thin path

Cause: entry, agent, stand-ins, settings and claims are built side by side and need one set of types before any of them can be compiled against the others.

Ruled out: growing the types out of the first process written; it would have serialised the work and left the other side's needs to be patched in.

Nothing measured yet: there is no behaviour to measure.

--- /dev/null
+++ b/contract/contract.go
@@ -0,0 +1,174 @@
+// Package contract defines what azurelead promises to a caller about one
+// request: the run state that an answer states, the problem codes of refusals,
+// and the identifiers and digests by which answers are matched to requests.
+package contract
+
+import (
+	"encoding/hex"
+	"fmt"
+	"hash"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+)
+
+// RunState states whether a call had an effect at an endpoint.
+type RunState string
+
+const (
+	// NotRun states that no endpoint ran the call and none will.
+	NotRun RunState = "not_run"
+	// MayHaveRun states that the call was handed over and its effect is unknown.
+	MayHaveRun RunState = "may_have_run"
+	// Ran states that the call took effect.
+	Ran RunState = "ran"
+)
+
+// Worse returns the less certain of two states, so that a request that spans
+// several stages never states more than its least certain stage allows.
+func (s RunState) Worse(other RunState) RunState {
+	if s == MayHaveRun || other == MayHaveRun {
+		return MayHaveRun
+	}
+	if s == Ran || other == Ran {
+		return Ran
+	}
+	return NotRun
+}
+
+// RequestID names one caller's request.
+type RequestID string
+
+// NewRequestID returns a fresh random request id.
+func NewRequestID() RequestID { return RequestID(uuid.NewString()) }
+
+// AttemptID names one attempt to run one stage of a request on one endpoint.
+type AttemptID string
+
+// NewAttemptID returns a fresh random attempt id.
+func NewAttemptID() AttemptID { return AttemptID(uuid.NewString()) }
+
+// BootID names one life of one process. It changes with every start.
+type BootID string
+
+// NewBootID returns a fresh random boot id.
+func NewBootID() BootID { return BootID(uuid.NewString()) }
+
+// Code is a stable, machine-readable reason for a refusal.
+type Code string
+
+// The codes of problem documents. They never change meaning.
+const (
+	CodeBadRequest       Code = "bad_request"
+	CodeBodyTooLarge     Code = "body_too_large"
+	CodeUnauthenticated  Code = "unauthenticated"
+	CodeUnknownPipeline  Code = "unknown_pipeline"
+	CodeDeadlineRequired Code = "deadline_required"
+	CodeBadDeadline      Code = "bad_deadline"
+	CodeKeyRequired      Code = "idempotency_key_required"
+	CodeBadKey           Code = "bad_idempotency_key"
+	CodeKeyReused        Code = "idempotency_key_reused"
+	CodeOverloaded       Code = "overloaded"
+	CodeDeadlineTooShort Code = "deadline_too_short"
+	CodeDeadlineExceeded Code = "deadline_exceeded"
+	CodeNoEndpoint       Code = "no_endpoint"
+	CodeEndpointFailed   Code = "endpoint_failed"
+	CodeRejected         Code = "rejected_by_endpoint"
+	CodeSuspectRequest   Code = "suspect_request"
+	CodeClaimUnavailable Code = "claim_store_unavailable"
+	CodeOutcomeUnknown   Code = "outcome_unknown"
+	CodeInProgress       Code = "in_progress"
+	CodeShuttingDown     Code = "shutting_down"
+	CodeDataCentreOut    Code = "data_centre_out"
+	CodeWrongBoot        Code = "wrong_boot"
+	CodeDuplicateAttempt Code = "duplicate_attempt"
+	CodeCancelled        Code = "cancelled"
+	CodeSettingsMissing  Code = "settings_missing"
+	CodeFenced           Code = "fenced"
+	CodeInternal         Code = "internal"
+)
+
+// statusOf gives the HTTP status of each code; codes that are absent map to 500.
+var statusOf = map[Code]int{
+	CodeBadRequest:       http.StatusBadRequest,
+	CodeBodyTooLarge:     http.StatusRequestEntityTooLarge,
+	CodeUnauthenticated:  http.StatusUnauthorized,
+	CodeUnknownPipeline:  http.StatusNotFound,
+	CodeDeadlineRequired: http.StatusBadRequest,
+	CodeBadDeadline:      http.StatusBadRequest,
+	CodeKeyRequired:      http.StatusBadRequest,
+	CodeBadKey:           http.StatusBadRequest,
+	CodeKeyReused:        http.StatusUnprocessableEntity,
+	CodeOverloaded:       http.StatusServiceUnavailable,
+	CodeDeadlineTooShort: http.StatusServiceUnavailable,
+	CodeDeadlineExceeded: http.StatusGatewayTimeout,
+	CodeNoEndpoint:       http.StatusServiceUnavailable,
+	CodeEndpointFailed:   http.StatusBadGateway,
+	CodeRejected:         http.StatusUnprocessableEntity,
+	CodeSuspectRequest:   http.StatusUnprocessableEntity,
+	CodeClaimUnavailable: http.StatusServiceUnavailable,
+	CodeOutcomeUnknown:   http.StatusConflict,
+	CodeInProgress:       http.StatusConflict,
+	CodeShuttingDown:     http.StatusServiceUnavailable,
+	CodeDataCentreOut:    http.StatusServiceUnavailable,
+	CodeCancelled:        499,
+	CodeSettingsMissing:  http.StatusServiceUnavailable,
+}
+
+// Problem is a refusal or failure in the form of RFC 9457, with azurelead's
+// extension members. Problem implements error.
+type Problem struct {
+	Type      string    `json:"type"`
+	Title     string    `json:"title"`
+	Status    int       `json:"status"`
+	Detail    string    `json:"detail,omitempty"`
+	Code      Code      `json:"code"`
+	Run       RunState  `json:"run"`
+	RequestID RequestID `json:"request_id,omitempty"`
+	Stage     string    `json:"stage,omitempty"`
+	// RetryAfterMS is when to ask again, in milliseconds; 0 means that asking
+	// again unchanged does not help.
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+}
+
+// NewProblem returns a problem with the status that belongs to the code.
+func NewProblem(code Code, run RunState, format string, args ...any) *Problem {
+	status, ok := statusOf[code]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+	return &Problem{
+		Type:   "urn:azurelead:problem:" + string(code),
+		Title:  http.StatusText(status),
+		Status: status,
+		Detail: fmt.Sprintf(format, args...),
+		Code:   code,
+		Run:    run,
+	}
+}
+
+// After sets the time to come back and returns p.
+func (p *Problem) After(d time.Duration) *Problem {
+	p.RetryAfterMS = max(d.Milliseconds(), 1)
+	return p
+}
+
+// Error implements error.
+func (p *Problem) Error() string {
+	return fmt.Sprintf("%s (%s): %s", p.Code, p.Run, p.Detail)
+}
+
+// Digest accumulates the digest of an answer's chunks in order. The digest
+// guards against cut or crossed answers, not against forgery.
+type Digest struct{ h hash.Hash64 }
+
+// NewDigest returns an empty digest.
+func NewDigest() *Digest { return &Digest{h: xxhash.New()} }
+
+// Add appends the bytes of one chunk.
+func (d *Digest) Add(chunk string) { _, _ = d.h.Write([]byte(chunk)) }
+
+// String returns the digest as 16 hexadecimal digits.
+func (d *Digest) String() string { return hex.EncodeToString(d.h.Sum(nil)) }
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,89 @@
+// Package telemetry sets up what operators see of a process: structured logs,
+// metrics on an operators' port, and traces exported by OTLP over HTTP.
+package telemetry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/http/pprof"
+	"os"
+	"sync/atomic"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/zeebo/errs"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	"go.opentelemetry.io/otel/sdk/trace"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("telemetry")
+
+// NewLogger returns a logger that writes JSON lines to standard error.
+func NewLogger(level slog.Level) *slog.Logger {
+	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+}
+
+// NewRegistry returns a metrics registry with the process and Go collectors.
+func NewRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
+// Readiness tells the balancer whether this process takes new work.
+type Readiness struct{ ready atomic.Bool }
+
+// Set changes the state.
+func (r *Readiness) Set(ready bool) { r.ready.Store(ready) }
+
+// Ready reports the state.
+func (r *Readiness) Ready() bool { return r.ready.Load() }
+
+func (r *Readiness) serve(w http.ResponseWriter, _ *http.Request) {
+	if !r.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// OperatorsHandler serves /metrics, /healthz, /readyz and, when asked for, pprof.
+func OperatorsHandler(reg *prometheus.Registry, ready *Readiness, profiling bool) http.Handler {
+	m := mux.NewRouter()
+	m.Handle("/metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	m.HandleFunc("/readyz", ready.serve)
+	if profiling {
+		m.HandleFunc("/debug/pprof/profile", pprof.Profile)
+		m.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
+	}
+	return m
+}
+
+// SetupTracing installs the global tracer provider and the W3C propagator.
+// Without an exporter address, spans are created only to carry their context.
+// The returned function flushes and stops the exporter.
+func SetupTracing(ctx context.Context, service, otlpURL string) (func(context.Context) error, error) {
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	if otlpURL == "" {
+		return func(context.Context) error { return nil }, nil
+	}
+	exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(otlpURL))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	provider := trace.NewTracerProvider(
+		trace.WithBatcher(exporter),
+		trace.WithResource(resource.NewSchemaless(attribute.String("service.name", service))),
+	)
+	otel.SetTracerProvider(provider)
+	return provider.Shutdown, nil
+}
