Play claims against lost answers, late writes and dying writers

Cause: the ledger had no test. Ruled out: holding a mutex while the layout is read; a caller's patience did not bound the wait, and virtual time stood still in the test (seen as a hang of the property test). Change: property test in virtual time (rapid seed 1) of callers, entries, writers, lost answers, stale reads, late writes and crashes at each step.

--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -17,7 +17,9 @@
 	metrics *metrics
 	wg      sync.WaitGroup
 
-	mu     sync.Mutex
+	// turn is held while the members below are read or written. It is a
+	// channel, since reading the layout may outlast a caller's patience.
+	turn   chan struct{}
 	closed bool
 	shards []*shard
 }
@@ -31,17 +33,17 @@
 func NewLedger(o Options) *Ledger {
 	o = o.withDefaults()
 	m := newMetrics(o.Metrics)
-	return &Ledger{options: o, guard: newGuard(o, m), metrics: m}
+	return &Ledger{options: o, guard: newGuard(o, m), metrics: m, turn: make(chan struct{}, 1)}
 }
 
 // Close refuses further operations and waits for the updates under way.
 func (l *Ledger) Close() {
-	l.mu.Lock()
+	l.turn <- struct{}{}
 	l.closed = true
 	for _, s := range l.shards {
 		s.close()
 	}
-	l.mu.Unlock()
+	<-l.turn
 	l.wg.Wait()
 }
 
@@ -104,8 +106,12 @@
 
 // shardCount returns the number of shards, reading the layout at first use.
 func (l *Ledger) shardCount(ctx context.Context) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	select {
+	case l.turn <- struct{}{}:
+		defer func() { <-l.turn }()
+	case <-ctx.Done():
+		return 0, notSent.Wrap(ctx.Err())
+	}
 	if l.closed {
 		return 0, notSent.New("the ledger is closed")
 	}
@@ -117,7 +123,7 @@
 	return len(l.shards), nil
 }
 
-// open reads the layout, or creates it. It runs under the ledger's lock:
+// open reads the layout, or creates it. It runs in the ledger's turn:
 // nothing can be decided before it.
 func (l *Ledger) open(ctx context.Context) error {
 	key := l.options.Prefix + "/layout"
--- /dev/null
+++ b/claim/property_test.go
@@ -0,0 +1,111 @@
+package claim
+
+import (
+	"flag"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/azurelead/azurelead/platform"
+)
+
+// The property test draws the same cases in every run, unless a seed is given.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+// event is a change of faults, or the crash of a writer at a step.
+type event struct {
+	At     time.Duration
+	Faults platform.Faults
+	Crash  string
+	Step   Step
+}
+
+type scenario struct {
+	Seed    uint64
+	Scripts []script
+	Events  []event
+}
+
+func millis(from, to int) *rapid.Generator[time.Duration] {
+	return rapid.Map(rapid.IntRange(from, to), func(n int) time.Duration { return time.Duration(n) * time.Millisecond })
+}
+
+var drawScript = rapid.Custom(func(t *rapid.T) script {
+	return script{
+		Start:    millis(0, 4000).Draw(t, "start"),
+		Think:    millis(0, 500).Draw(t, "think"),
+		Work:     millis(0, 500).Draw(t, "work"),
+		Key:      rapid.IntRange(0, testKeys-1).Draw(t, "key"),
+		Entry:    rapid.IntRange(0, 2).Draw(t, "entry"),
+		End:      rapid.IntRange(0, 2).Draw(t, "end"),
+		Patience: millis(20, 3000).Draw(t, "patience"),
+	}
+})
+
+var drawEvent = rapid.Custom(func(t *rapid.T) event {
+	return event{
+		At: millis(0, 4000).Draw(t, "at"),
+		Faults: platform.Faults{
+			Down:             rapid.IntRange(0, 4).Draw(t, "down") == 0,
+			Delay:            millis(0, 600).Draw(t, "delay"),
+			LateWrites:       true,
+			LoseProbability:  rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(t, "lose"),
+			StaleProbability: rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(t, "stale"),
+		},
+		Crash: rapid.SampledFrom([]string{"", "w1", "w2"}).Draw(t, "crash"),
+		Step:  rapid.SampledFrom(Steps).Draw(t, "step"),
+	}
+})
+
+const testKeys = 3
+
+// TestClaimedCallsRunAtMostOnce plays random callers against several entries
+// and writers while answers of the store are lost, reads are stale, writes
+// take effect after their caller gave up, messages come late and writers die
+// at every step. No key may run twice, no acknowledged outcome be lost, and
+// no claim stay with an attempt that was given up.
+func TestClaimedCallsRunAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		sc := scenario{
+			Seed:    rapid.Uint64().Draw(rt, "seed"),
+			Scripts: rapid.SliceOfN(drawScript, 1, 16).Draw(rt, "scripts"),
+			Events:  rapid.SliceOfN(drawEvent, 0, 6).Draw(rt, "events"),
+		}
+		var broken []string
+		synctest.Test(t, func(*testing.T) { broken = sc.play() })
+		if len(broken) > 0 {
+			rt.Fatal(broken)
+		}
+	})
+}
+
+func (sc scenario) play() []string {
+	store := platform.NewMemory(platform.MemoryOptions{Seed: sc.Seed})
+	f := newFleet(sc.Seed, Options{Store: store, Shards: 2, SegmentBytes: 300})
+	var wg sync.WaitGroup
+	for n, s := range sc.Scripts {
+		wg.Go(func() { f.run(n, s) })
+	}
+	for _, e := range sc.Events {
+		wg.Go(func() {
+			time.Sleep(e.At)
+			store.SetFaults(e.Faults)
+			if e.Crash != "" {
+				f.crash(e.Crash, e.Step)
+			}
+		})
+	}
+	wg.Wait()
+	f.mu.Lock()
+	f.lossy = false
+	f.mu.Unlock()
+	store.SetFaults(platform.Faults{})
+	time.Sleep(time.Minute)
+	broken := f.check(testKeys)
+	f.close()
+	synctest.Wait()
+	return broken
+}
