Keep a sealed segment that another writer's head names

Cause: two writers sealed the same version of the head; the loser compared whole references, whose clocks differed, and deleted the winner's segment. Ruled out: comparing versions of the object; the name alone tells it. A stale read also let the collector judge by an old head; it now waits for a later one.

--- a/claim/write.go
+++ b/claim/write.go
@@ -71,20 +71,22 @@
 }
 
 // collect deletes the objects that the head does not name and, its version
-// having moved on, never will. What a crash or a failed delete leaves behind
-// is never read again.
+// having moved on since they were written, never will. What a crash or a
+// failed delete leaves behind is never read again.
 func (s *shard) collect(ctx context.Context) {
-	if s.stale {
-		return
-	}
-	live := map[segmentRef]bool{}
+	live := map[string]bool{}
 	for _, ref := range s.head.doc.Sealed {
-		live[ref] = true
+		live[ref.key(s.name)] = true
 	}
+	var later []segmentRef
 	for _, ref := range s.garbage {
-		if !live[ref] {
-			_ = s.guard.delete(ctx, ref.key(s.name), ref.Version)
+		if s.stale || s.head.version <= ref.From {
+			later = append(later, ref)
+			continue
+		}
+		if key := ref.key(s.name); !live[key] {
+			_ = s.guard.delete(ctx, key, ref.Version)
 		}
 	}
-	s.garbage = nil
+	s.garbage = later
 }
