Mark requests that crash endpoints; link.Suspect gains Epoch

Cause: a request that crashes each endpoint that runs it, sent again by its caller, loses endpoint after endpoint. Ruled out: adding counts of peers (not idempotent), the later of two expiries (echoes keep a mark alive for ever), clearing without an epoch (an older mark from a peer undoes it).

--- a/link/messages.go
+++ b/link/messages.go
@@ -49,8 +49,11 @@
 
 // Suspect is a request that was in flight when an endpoint crashed.
 type Suspect struct {
-	// Digest is of organisation, pipeline and body.
+	// Digest is of organisation, pipeline, body and stage.
 	Digest string `json:"digest"`
+	// Epoch grows with each good run of the request, and overrules all counts
+	// of lower epochs.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// Strikes counts crashes with the request in flight.
 	Strikes int `json:"strikes"`
 	// Proven counts crashes with the request alone in flight.
