--- a/link/messages.go
+++ b/link/messages.go
@@ -194,6 +194,9 @@
 
 // SettingsResult answers SettingsParams; Delta is a settings.Delta in JSON.
 type SettingsResult struct {
-	Version Version         `json:"version"`
-	Delta   json.RawMessage `json:"delta,omitempty"`
+	Version Version `json:"version"`
+	// AgeMS is how long ago, in milliseconds, the answering side last knew
+	// Version to be the latest accepted; -1 if it never did.
+	AgeMS int64           `json:"age_ms"`
+	Delta json.RawMessage `json:"delta,omitempty"`
 }
--- /dev/null
+++ b/settings/accept.go
@@ -0,0 +1,294 @@
+package settings
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/azurelead/azurelead/platform"
+)
+
+// maxAcceptTries bounds how often one change is tried against rivals and a
+// failing store before its outcome is reported.
+const maxAcceptTries = 24
+
+// collectEvery is after how many versions an accepted change also collects
+// objects that nobody refers to.
+const collectEvery = 32
+
+// AcceptState is how a change ended.
+type AcceptState string
+
+// The states of changes.
+const (
+	// Accepted: the change is in the manifest and stays in force.
+	Accepted AcceptState = "accepted"
+	// Unchanged: the settings already are as wanted; nothing was written.
+	Unchanged AcceptState = "unchanged"
+	// Clashed: others changed the same paths since the base version.
+	Clashed AcceptState = "conflict"
+	// Refused: the change does not make a valid document.
+	Refused AcceptState = "invalid"
+	// NotAccepted: the store could not be reached, and the change is in force
+	// nowhere and never will be.
+	NotAccepted AcceptState = "not_accepted"
+	// Unsettled: the accepting write was sent and its answer lost. The same
+	// change id settles it later.
+	Unsettled AcceptState = "unknown"
+)
+
+// Clash is a path that others changed since the base version.
+type Clash struct {
+	Path string `json:"path"`
+	// Current is the value in force, Wanted the one that was refused.
+	Current string `json:"current"`
+	Wanted  string `json:"wanted"`
+}
+
+// Outcome is how a change ended.
+type Outcome struct {
+	State AcceptState `json:"state"`
+	// Version is the change's version if it was accepted, otherwise the
+	// version that it was compared with.
+	Version Version  `json:"version"`
+	ID      ChangeID `json:"change_id"`
+	Edits   []Edit   `json:"edits,omitempty"`
+	Clashes []Clash  `json:"clashes,omitempty"`
+	// Err says why, unless the change was accepted.
+	Err error `json:"-"`
+}
+
+// EditFunc changes a document that it may modify, and returns it.
+type EditFunc func(Document) (Document, error)
+
+// Accept brings a change into force. Base is the version that the edit was
+// made against; 0 means the latest. Changes of others since then are kept: an
+// edit of other values is rebased, one of the same values is refused with the
+// path. Calling Accept again with the same change id never applies the change
+// twice while the manifest remembers it, and settles an Unsettled one.
+func Accept(ctx context.Context, store platform.Store, base Version, edit EditFunc, id ChangeID, author string) Outcome {
+	a := acceptor{store: store, base: base, edit: edit, id: id, author: author}
+	return a.run(ctx)
+}
+
+// Plan returns what Accept would do now, without writing.
+func Plan(ctx context.Context, store platform.Store, base Version, edit EditFunc) Outcome {
+	a := acceptor{store: store, base: base, edit: edit, dry: true}
+	return a.run(ctx)
+}
+
+// acceptor brings one change into force.
+type acceptor struct {
+	store  platform.Store
+	base   Version
+	edit   EditFunc
+	id     ChangeID
+	author string
+	dry    bool
+
+	held *Stored
+	// sent is the version that an accepting write without an answer would
+	// have made; 0 if there is none.
+	sent Version
+}
+
+func (a *acceptor) run(ctx context.Context) Outcome {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval = 20*time.Millisecond, 2*time.Second
+	var err error
+	for range maxAcceptTries {
+		var out Outcome
+		if out, err = a.try(ctx); err == nil {
+			out.ID = a.id
+			return out
+		}
+		if !sleep(ctx, retry.NextBackOff()) {
+			break
+		}
+	}
+	if a.sent > 0 {
+		return Outcome{State: Unsettled, ID: a.id, Err: err}
+	}
+	return Outcome{State: NotAccepted, ID: a.id, Err: err}
+}
+
+// try runs one round against the manifest as read now. An error means that
+// another round may help.
+func (a *acceptor) try(ctx context.Context) (Outcome, error) {
+	s, err := Load(ctx, a.store, a.held)
+	if err != nil {
+		return Outcome{}, err
+	}
+	a.held = s
+	if c, ok := s.Manifest.change(a.id); ok && !a.dry {
+		return Outcome{State: Accepted, Version: c.Version}, nil
+	}
+	if a.sent > 0 && s.Manifest.floor() >= a.sent {
+		// The history no longer tells whether the lost answer was a yes.
+		return Outcome{State: Unsettled, Version: s.Manifest.Version, Err: Corrupt.New("change %s is older than the history", a.id)}, nil
+	}
+	if a.base == 0 {
+		a.base = s.Manifest.Version
+	}
+	if a.base > s.Manifest.Version {
+		return Outcome{}, platform.Unavailable.New("the store shows version %d, older than %d", s.Manifest.Version, a.base)
+	}
+	out, merged, err := a.merge(ctx, s)
+	if err != nil || out.State != "" || a.dry {
+		out.Version = s.Manifest.Version
+		return a.planned(out), err
+	}
+	return a.write(ctx, s, out, merged)
+}
+
+// planned marks a change that would be accepted.
+func (a *acceptor) planned(out Outcome) Outcome {
+	if out.State == "" && a.dry {
+		out.State = Accepted
+	}
+	return out
+}
+
+// merge applies the change to the version in force. The outcome's state is
+// empty if the merged document may be written.
+func (a *acceptor) merge(ctx context.Context, s *Stored) (Outcome, Document, error) {
+	base, err := s.At(ctx, a.store, a.base)
+	if Outdated.Has(err) {
+		return Outcome{State: Clashed, Err: err}, Document{}, nil
+	}
+	if err != nil {
+		return Outcome{}, Document{}, err
+	}
+	edits, err := a.wanted(base)
+	if err != nil {
+		return Outcome{State: Refused, Err: err}, Document{}, nil
+	}
+	current, err := s.Document()
+	if err != nil {
+		return Outcome{State: Refused, Err: err}, Document{}, nil
+	}
+	edits, clashes := reconcile(edits, Diff(base, current))
+	if len(clashes) > 0 {
+		return Outcome{State: Clashed, Clashes: clashes, Err: Invalid.New("%s was changed since version %d", clashes[0].Path, a.base)}, Document{}, nil
+	}
+	if len(edits) == 0 {
+		return Outcome{State: Unchanged}, Document{}, nil
+	}
+	merged, err := applyEdits(current, edits)
+	if err != nil {
+		return Outcome{State: Refused, Edits: edits, Err: err}, Document{}, nil
+	}
+	return Outcome{Edits: edits}, merged, nil
+}
+
+// wanted returns the edits that the operator asks for.
+func (a *acceptor) wanted(base Document) ([]Edit, error) {
+	mine, err := documentOf(treeOf(base)) // the edit may modify its argument
+	if err != nil {
+		return nil, err
+	}
+	if mine, err = a.edit(mine); err != nil {
+		return nil, err
+	}
+	if err := Validate(mine); err != nil {
+		return nil, err
+	}
+	return Diff(base, mine), nil
+}
+
+// reconcile drops the edits that others already made alike, and returns those
+// that clash with what others made.
+func reconcile(mine, theirs []Edit) (left []Edit, clashes []Clash) {
+	for _, e := range mine {
+		done := false
+		for _, t := range theirs {
+			if e.same(t) {
+				done = true
+			} else if e.clashes(t) {
+				clashes = append(clashes, Clash{Path: joinPath(t.Path), Current: orAbsent(t.To), Wanted: orAbsent(e.To)})
+			}
+		}
+		if !done {
+			left = append(left, e)
+		}
+	}
+	return left, clashes
+}
+
+func applyEdits(d Document, edits []Edit) (Document, error) {
+	tree := treeOf(d).(map[string]any)
+	for _, e := range edits {
+		e.set(tree)
+	}
+	merged, err := documentOf(tree)
+	if err != nil {
+		return Document{}, err
+	}
+	return merged, Validate(merged)
+}
+
+// write stores the changed objects and then the manifest, whose conditional
+// update is the acceptance.
+func (a *acceptor) write(ctx context.Context, s *Stored, out Outcome, merged Document) (Outcome, error) {
+	next, err := a.writeObjects(ctx, s, merged)
+	if err != nil {
+		return Outcome{}, err
+	}
+	_, err = a.store.Put(ctx, ManifestKey, encode(next), s.store)
+	if platform.Conflict.Has(err) || platform.RateLimited.Has(err) {
+		return Outcome{}, err // the next round reads who won, which may be this change
+	}
+	if err != nil {
+		a.sent = max(a.sent, next.Version) // its answer may be lost
+		return Outcome{}, err
+	}
+	a.collect(ctx, next)
+	out.State, out.Version = Accepted, next.Version
+	return out, nil
+}
+
+// writeObjects stores what changed under keys of the version to be, and
+// returns the manifest that refers to it.
+func (a *acceptor) writeObjects(ctx context.Context, s *Stored, merged Document) (Manifest, error) {
+	want, err := split(merged)
+	if err != nil {
+		return Manifest{}, err
+	}
+	changed := refs{}
+	for n, value := range want {
+		if bytes.Equal(value, s.values[n]) {
+			continue
+		}
+		r := newRef(s.Manifest.Version+1, value)
+		if err := putOnce(ctx, a.store, objectKey(n, r), value); err != nil {
+			return Manifest{}, err
+		}
+		changed[n] = r
+	}
+	for n := range s.Manifest.Objects {
+		if _, ok := want[n]; !ok {
+			changed[n] = ""
+		}
+	}
+	return s.Manifest.next(a.id, a.author, changed), nil
+}
+
+// putOnce creates an object whose key names its content. One that exists is
+// the same one.
+func putOnce(ctx context.Context, store platform.Store, key string, value []byte) error {
+	_, err := store.Put(ctx, key, value, 0)
+	if platform.Conflict.Has(err) {
+		return nil
+	}
+	return err
+}
+
+// collect now and then removes what nobody refers to. Its failure is left to
+// the next change.
+func (a *acceptor) collect(ctx context.Context, m Manifest) {
+	if m.Version%collectEvery == 0 {
+		_, _ = Collect(ctx, a.store, m)
+	}
+}
--- /dev/null
+++ b/settings/accept_test.go
@@ -0,0 +1,274 @@
+package settings
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/azurelead/azurelead/platform"
+)
+
+func put(t testing.TB, store platform.Store, base Version, id ChangeID, edit EditFunc) Outcome {
+	t.Helper()
+	out := Accept(t.Context(), store, base, edit, id, "test")
+	if out.State != Accepted {
+		t.Fatalf("change %s: %s %v", id, out.State, out.Err)
+	}
+	return out
+}
+
+func replaceWith(d Document) EditFunc { return func(Document) (Document, error) { return d, nil } }
+
+func setOut(dc string, out bool) EditFunc {
+	return func(d Document) (Document, error) {
+		c := d.DataCentres[dc]
+		c.Out = out
+		d.DataCentres[dc] = c
+		return d, nil
+	}
+}
+
+func setWeight(org string, w int) EditFunc {
+	return func(d Document) (Document, error) {
+		o := d.Organisations[org]
+		o.Weight = w
+		d.Organisations[org] = o
+		return d, nil
+	}
+}
+
+func setPriority(p int) EditFunc {
+	return func(d Document) (Document, error) { d.Request.Priority = &p; return d, nil }
+}
+
+func fleet(organisations int) Document {
+	d := Document{
+		Pipelines:     map[string]Pipeline{"p": {Stages: []Stage{{Name: "s", Kind: "encode", Pool: "x"}}}},
+		Organisations: map[string]Organisation{},
+		DataCentres:   map[string]DataCentre{"a": {Region: "r"}, "b": {Region: "r"}},
+	}
+	for i := range organisations {
+		name := fmt.Sprintf("o%d", i)
+		d.Organisations[name] = Organisation{TokenSHA256: []string{TokenDigest(name)}}
+	}
+	return d
+}
+
+func TestOverlappingEditsAreRefusedWithThePath(t *testing.T) {
+	store := platform.NewMemory(platform.MemoryOptions{})
+	base := put(t, store, 0, "first", replaceWith(fleet(2))).Version
+	put(t, store, base, "a", setPriority(3))
+	put(t, store, base, "b", setOut("a", true))
+	out := Accept(t.Context(), store, base, setPriority(4), "c", "test")
+	want := []Clash{{Path: "request.priority", Current: "3", Wanted: "4"}}
+	if diff := cmp.Diff(want, out.Clashes); out.State != Clashed || diff != "" {
+		t.Fatalf("%s: %s", out.State, diff)
+	}
+	// An object removed by one and changed by the other clashes as well.
+	drop := func(d Document) (Document, error) { delete(d.DataCentres, "a"); return d, nil }
+	if out := Accept(t.Context(), store, base, drop, "d", "test"); out.State != Clashed {
+		t.Fatalf("removal of a changed object: %s", out.State)
+	}
+	s, err := Load(t.Context(), store, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := s.Snapshot()
+	if err != nil || !got.Out("a") || got.Request("o0", "p", "s").Priority != 3 {
+		t.Fatalf("an accepted change is missing: %v %+v", err, got.Document)
+	}
+}
+
+func TestALostAnswerIsSettledByReading(t *testing.T) {
+	store := platform.NewMemory(platform.MemoryOptions{})
+	put(t, store, 0, "first", replaceWith(fleet(1)))
+	lossy := &hooked{Store: store, putManifest: func() error {
+		store.SetFaults(platform.Faults{Down: true})
+		return platform.Unavailable.New("answer lost, and the store gone")
+	}}
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if out := Accept(ctx, lossy, 0, setWeight("o0", 7), "w", "test"); out.State != Unsettled {
+		t.Fatalf("outcome %s, want unknown", out.State)
+	}
+	store.SetFaults(platform.Faults{})
+	put(t, store, 0, "other", setWeight("o0", 8))
+	if out := put(t, store, 0, "w", setWeight("o0", 7)); out.Version != 2 {
+		t.Fatalf("settled at version %d, want 2", out.Version)
+	}
+	s, _ := Load(t.Context(), store, nil)
+	if d, _ := s.Document(); d.Organisations["o0"].Weight != 8 {
+		t.Fatal("the settled change was applied again")
+	}
+}
+
+// hooked calls putManifest after each write of the manifest took effect.
+type hooked struct {
+	platform.Store
+	putManifest func() error
+}
+
+func (h *hooked) Put(ctx context.Context, key string, value json.RawMessage, ifVersion uint64) (uint64, error) {
+	v, err := h.Store.Put(ctx, key, value, ifVersion)
+	if err == nil && key == ManifestKey {
+		err = h.putManifest()
+	}
+	return v, err
+}
+
+// impatient gives each call a random time, often less than the store's delay,
+// so that writes land after their caller gave up.
+type impatient struct {
+	platform.Store
+	rng *rand.Rand
+}
+
+func (p *impatient) patience(ctx context.Context) (context.Context, context.CancelFunc) {
+	time.Sleep(time.Duration(p.rng.IntN(30_000)) * time.Microsecond)
+	return context.WithTimeout(ctx, time.Duration(5+p.rng.IntN(20))*time.Millisecond)
+}
+
+func (p *impatient) Put(ctx context.Context, key string, value json.RawMessage, ifVersion uint64) (uint64, error) {
+	ctx, cancel := p.patience(ctx)
+	defer cancel()
+	return p.Store.Put(ctx, key, value, ifVersion)
+}
+
+func (p *impatient) Get(ctx context.Context, key string) (platform.Object, error) {
+	ctx, cancel := p.patience(ctx)
+	defer cancel()
+	return p.Store.Get(ctx, key)
+}
+
+// TestRacingOperators races operators over a store that loses answers, applies
+// writes late and serves stale reads. Every change that was accepted is in the
+// manifest exactly once and its value in force until a later accepted change
+// of the same path; every change that was refused is nowhere.
+func TestRacingOperators(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		operators := rapid.IntRange(2, 4).Draw(rt, "operators")
+		var err error
+		synctest.Test(t, func(t *testing.T) { err = race(t, seed, operators) })
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+func race(t *testing.T, seed uint64, operators int) error {
+	store := platform.NewMemory(platform.MemoryOptions{Seed: seed})
+	put(t, store, 0, "first", replaceWith(fleet(operators)))
+	put(t, store, 0, "second", setOut("a", true)) // a stale read still finds a tree
+	store.SetFaults(platform.Faults{
+		Delay: 10 * time.Millisecond, LateWrites: true, LoseProbability: 0.2, StaleProbability: 0.2})
+	results := make([][]Outcome, operators)
+	var wg sync.WaitGroup
+	for i := range operators {
+		wg.Go(func() {
+			own := &impatient{Store: store, rng: rand.New(rand.NewPCG(seed, uint64(i)))}
+			results[i] = operate(t.Context(), own, i)
+		})
+	}
+	wg.Wait()
+	time.Sleep(time.Second) // late writes land
+	store.SetFaults(platform.Faults{})
+	s, err := Load(t.Context(), store, nil)
+	if err != nil {
+		return err
+	}
+	return judge(s, results)
+}
+
+func operate(ctx context.Context, store platform.Store, i int) []Outcome {
+	var outs []Outcome
+	for k := 1; k <= 4; k++ {
+		edit := setWeight(fmt.Sprintf("o%d", i), k)
+		if k%2 == 0 {
+			edit = setPriority(i)
+		}
+		ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+		outs = append(outs, Accept(ctx, store, 0, edit, ChangeID(fmt.Sprintf("%d-%d", i, k)), "test"))
+		cancel()
+	}
+	return outs
+}
+
+func judge(s *Stored, results [][]Outcome) error {
+	at := map[ChangeID]Version{}
+	for i, c := range s.Manifest.Changes {
+		if _, twice := at[c.ID]; twice || c.Version != Version(i+1) {
+			return fmt.Errorf("change %s: version %d at place %d, twice %v", c.ID, c.Version, i, twice)
+		}
+		at[c.ID] = c.Version
+	}
+	d, err := s.Document()
+	if err != nil {
+		return err
+	}
+	for i, outs := range results {
+		weight := 0
+		for k, out := range outs {
+			v, in := at[out.ID]
+			if in != (out.State == Accepted) && out.State != Unsettled || in && out.State == Accepted && v != out.Version {
+				return fmt.Errorf("change %s: %s version %d, in manifest %v version %d", out.ID, out.State, out.Version, in, v)
+			}
+			if in && k%2 == 0 {
+				weight = k + 1
+			}
+		}
+		if got := d.Organisations[fmt.Sprintf("o%d", i)].Weight; got != weight {
+			return fmt.Errorf("weight of o%d is %d, want %d: an accepted change was reverted", i, got, weight)
+		}
+	}
+	return nil
+}
+
+func TestCollectionSparesWritersAndHistory(t *testing.T) {
+	store := platform.NewMemory(platform.MemoryOptions{})
+	put(t, store, 0, "first", replaceWith(fleet(2)))
+	before, _ := Load(t.Context(), store, nil)
+	// A rival collects between this operator's objects and its manifest.
+	racing := &collecting{Store: store}
+	if out := Accept(t.Context(), racing, 0, setWeight("o0", 5), "w", "test"); out.State != Accepted {
+		t.Fatal(out.State, out.Err)
+	}
+	for k := range maxHistory + 40 {
+		put(t, store, 0, ChangeID(fmt.Sprint(k)), setWeight("o1", k+1))
+	}
+	s, err := Load(t.Context(), store, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.At(t.Context(), store, s.Manifest.floor()); err != nil {
+		t.Fatalf("oldest version of the history: %v", err)
+	}
+	if _, err := s.At(t.Context(), store, before.Manifest.Version); !Outdated.Has(err) {
+		t.Fatalf("version before the history: %v", err)
+	}
+	n, err := Collect(t.Context(), store, s.Manifest)
+	all, _ := store.List(t.Context(), objectsPrefix)
+	if err != nil || len(all) > len(s.Manifest.live()) {
+		t.Fatalf("%d deleted, %d left of %d live: %v", n, len(all), len(s.Manifest.live()), err)
+	}
+}
+
+// collecting collects with the manifest in force before each of its writes.
+type collecting struct{ platform.Store }
+
+func (c *collecting) Put(ctx context.Context, key string, value json.RawMessage, ifVersion uint64) (uint64, error) {
+	if m, _, err := readManifest(ctx, c.Store); err == nil {
+		if _, err := Collect(ctx, c.Store, m); err != nil {
+			return 0, err
+		}
+	}
+	return c.Store.Put(ctx, key, value, ifVersion)
+}
--- /dev/null
+++ b/settings/delta.go
@@ -0,0 +1,129 @@
+package settings
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+)
+
+// Delta is what a process that holds version From needs to hold version To.
+// From 0 is the whole tree.
+type Delta struct {
+	From Version `json:"from"`
+	To   Version `json:"to"`
+	// Store is the store's own version of the manifest of To, from which the
+	// receiver can watch on.
+	Store uint64 `json:"store"`
+	// Root is the digest of all references of To. What the receiver ends up
+	// with has to fit it.
+	Root    string                 `json:"root"`
+	Changed map[ObjectName]Content `json:"changed,omitempty"`
+	Removed []ObjectName           `json:"removed,omitempty"`
+}
+
+// Content is an object's reference and value.
+type Content struct {
+	Ref   Ref             `json:"ref"`
+	Value json.RawMessage `json:"value"`
+}
+
+// replica is one version as a process holds it. Replicas are immutable.
+type replica struct {
+	snapshot *Snapshot
+	refs     refs
+	values   parts
+	root     string
+	// store is the store's version of the manifest.
+	store uint64
+	// removed are objects that are gone, with a version at or above that of
+	// their removal; it is complete for versions from floor on.
+	removed map[ObjectName]Version
+	floor   Version
+}
+
+func (r *replica) version() Version {
+	if r == nil || r.snapshot == nil {
+		return 0
+	}
+	return r.snapshot.Version
+}
+
+// since returns the delta from version have to the replica's own.
+func (r *replica) since(have Version) Delta {
+	d := Delta{From: have, To: r.version(), Store: r.store, Root: r.root, Changed: map[ObjectName]Content{}}
+	if have < r.floor {
+		d.From = 0
+	}
+	for n, ref := range r.refs {
+		if ref.version() > d.From {
+			d.Changed[n] = Content{Ref: ref, Value: r.values[n]}
+		}
+	}
+	for n, v := range r.removed {
+		if d.From > 0 && v > d.From {
+			d.Removed = append(d.Removed, n)
+		}
+	}
+	slices.Sort(d.Removed)
+	return d
+}
+
+// apply returns the replica after the delta, or an error of class Corrupt when
+// the result does not fit the digests that the delta carries.
+func (r *replica) apply(d Delta) (*replica, error) {
+	next := r.basis(d)
+	doc := next.snapshot.Document
+	for _, n := range d.Removed {
+		next.drop(n, d.To)
+		doc.remove(n)
+	}
+	for n, c := range d.Changed {
+		if !c.Ref.fits(c.Value) {
+			return nil, Corrupt.New("object %s does not fit its digest", n)
+		}
+		if err := doc.put(n, c.Value); err != nil {
+			return nil, err
+		}
+		next.refs[n], next.values[n] = c.Ref, c.Value
+		delete(next.removed, n)
+	}
+	if root := next.refs.root(d.To); root != d.Root {
+		return nil, Corrupt.New("version %d does not fit its digest", d.To)
+	}
+	next.snapshot = &Snapshot{Version: d.To, Document: doc}
+	next.root, next.store = d.Root, d.Store
+	next.trim()
+	return next, nil
+}
+
+// basis copies what the delta builds on.
+func (r *replica) basis(d Delta) *replica {
+	if d.From == 0 || r == nil {
+		return &replica{snapshot: &Snapshot{}, refs: refs{}, values: parts{}, removed: map[ObjectName]Version{}, floor: d.To}
+	}
+	return &replica{
+		snapshot: &Snapshot{Document: r.snapshot.Document.shallow()},
+		refs:     maps.Clone(r.refs),
+		values:   maps.Clone(r.values),
+		removed:  maps.Clone(r.removed),
+		floor:    r.floor,
+	}
+}
+
+func (r *replica) drop(n ObjectName, at Version) {
+	delete(r.refs, n)
+	delete(r.values, n)
+	r.removed[n] = at
+}
+
+// trim forgets the oldest removals beyond maxHistory; peers that are further
+// behind get the whole tree.
+func (r *replica) trim() {
+	for len(r.removed) > maxHistory {
+		oldest := slices.MinFunc(sortedKeys(r.removed), func(a, b ObjectName) int {
+			return int(r.removed[a]) - int(r.removed[b])
+		})
+		r.floor = max(r.floor, r.removed[oldest])
+		delete(r.removed, oldest)
+	}
+}
--- /dev/null
+++ b/settings/fetch.go
@@ -0,0 +1,83 @@
+package settings
+
+import (
+	"context"
+
+	"github.com/azurelead/azurelead/platform"
+)
+
+// maxSingleGets is up to how many objects are read one by one. Above it, one
+// listing costs the store less than that many calls.
+const maxSingleGets = 16
+
+// readManifest returns the manifest and the store's version of it. A store
+// without settings holds version 0.
+func readManifest(ctx context.Context, store platform.Store) (Manifest, uint64, error) {
+	o, err := store.Get(ctx, ManifestKey)
+	if platform.NotFound.Has(err) {
+		return Manifest{Objects: refs{}}, 0, nil
+	}
+	if err != nil {
+		return Manifest{}, 0, err
+	}
+	m, err := decodeManifest(o.Value)
+	return m, o.Version, err
+}
+
+// fetchValues returns the values of wanted, taking those that have the same
+// reference in held from there. An error of class platform.NotFound means that
+// an object was collected since: its manifest is outdated and has to be read
+// again.
+func fetchValues(ctx context.Context, store platform.Store, wanted, held refs, values parts) (parts, error) {
+	out := parts{}
+	var missing []ObjectName
+	for n, r := range wanted {
+		if held[n] == r {
+			out[n] = values[n]
+			continue
+		}
+		missing = append(missing, n)
+	}
+	var listed map[string]platform.Object
+	if len(missing) > maxSingleGets {
+		var err error
+		if listed, err = listObjects(ctx, store); err != nil {
+			return nil, err
+		}
+	}
+	for _, n := range missing {
+		value, err := fetchValue(ctx, store, listed, n, wanted[n])
+		if err != nil {
+			return nil, err
+		}
+		out[n] = value
+	}
+	return out, nil
+}
+
+func listObjects(ctx context.Context, store platform.Store) (map[string]platform.Object, error) {
+	all, err := store.List(ctx, objectsPrefix)
+	if err != nil {
+		return nil, err
+	}
+	out := make(map[string]platform.Object, len(all))
+	for _, o := range all {
+		out[o.Key] = o
+	}
+	return out, nil
+}
+
+func fetchValue(ctx context.Context, store platform.Store, listed map[string]platform.Object, n ObjectName, r Ref) ([]byte, error) {
+	key := objectKey(n, r)
+	o, ok := listed[key]
+	if !ok {
+		var err error
+		if o, err = store.Get(ctx, key); err != nil {
+			return nil, err
+		}
+	}
+	if !r.fits(o.Value) {
+		return nil, Corrupt.New("stored object %s does not fit its digest", key)
+	}
+	return o.Value, nil
+}
--- /dev/null
+++ b/settings/metrics.go
@@ -0,0 +1,41 @@
+package settings
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics count what a follower does.
+type metrics struct {
+	version   prometheus.Gauge
+	installed prometheus.Counter
+	outdated  prometheus.Counter
+	refused   prometheus.Counter
+	asked     *prometheus.CounterVec
+	watched   *prometheus.CounterVec
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		version: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "azurelead_settings_version", Help: "Settings version in force."}),
+		installed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "azurelead_settings_installed_total", Help: "Newer versions put in force."}),
+		outdated: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "azurelead_settings_outdated_total", Help: "Offers of a version that is not newer, ignored."}),
+		refused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "azurelead_settings_refused_total", Help: "Offers refused because they do not decode or fit their digest."}),
+		asked: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "azurelead_settings_asked_total", Help: "Questions to peers by outcome."}, []string{"outcome"}),
+		watched: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "azurelead_settings_watched_total", Help: "Watches of the store by outcome."}, []string{"outcome"}),
+	}
+	if r != nil {
+		r.MustRegister(m.version, m.installed, m.outdated, m.refused, m.asked, m.watched)
+	}
+	return m
+}
+
+func outcome(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "ok"
+}
--- /dev/null
+++ b/settings/parse.go
@@ -0,0 +1,185 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Parse reads a document that an operator wrote in YAML or JSON. Keys that do
+// not exist are refused with their path, since a misspelt override would
+// otherwise silently inherit. All faults are reported at once, as Faults in an
+// error of class Invalid.
+func Parse(text io.Reader) (Document, error) {
+	var root yaml.Node
+	dec := yaml.NewDecoder(text)
+	if err := dec.Decode(&root); err != nil {
+		return Document{}, parseError(err)
+	}
+	var next yaml.Node
+	if err := dec.Decode(&next); !errors.Is(err, io.EOF) {
+		return Document{}, Faults{{Path: "document", Message: "must be the only one in the text"}}.asError()
+	}
+	c := checker{}
+	c.check(nil, root.Content[0], reflect.TypeFor[Document]())
+	var d Document
+	if err := root.Decode(&d); err != nil {
+		return Document{}, c.orElse(err)
+	}
+	// Rules are checked beside unknown keys, so that both come at once.
+	return d, append(c.faults, check(d)...).asError()
+}
+
+// orElse returns the faults found, or err if the decoder alone refused.
+func (c *checker) orElse(err error) error {
+	if len(c.faults) > 0 {
+		return c.faults.asError()
+	}
+	return parseError(err)
+}
+
+// Format writes the document as YAML that Parse reads back.
+func Format(d Document) ([]byte, error) {
+	out, err := yaml.Marshal(d)
+	return out, Invalid.Wrap(err)
+}
+
+func parseError(err error) error {
+	if errors.Is(err, io.EOF) {
+		// An empty text would otherwise remove every setting.
+		return Faults{{Path: "document", Message: "is empty"}}.asError()
+	}
+	return Faults{{Path: "document", Message: err.Error()}}.asError()
+}
+
+// checker walks a text beside the types that it has to fit and collects every
+// fault with its path, which the decoder's own errors lack.
+type checker struct{ faults Faults }
+
+func (c *checker) fault(path []string, n *yaml.Node, format string, args ...any) {
+	c.faults = append(c.faults, Fault{Path: joinPath(path), Line: n.Line, Message: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) check(path []string, n *yaml.Node, t reflect.Type) {
+	if t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if n.Kind == yaml.AliasNode || n.Anchor != "" {
+		// Nested aliases make a short text of unbounded size.
+		c.fault(path, n, "anchors and aliases are not supported")
+		return
+	}
+	switch t.Kind() {
+	case reflect.Struct, reflect.Map:
+		c.checkMapping(path, n, t)
+	case reflect.Slice:
+		c.checkSequence(path, n, t)
+	default:
+		c.checkScalar(path, n, t)
+	}
+}
+
+func (c *checker) checkMapping(path []string, n *yaml.Node, t reflect.Type) {
+	if n.Kind != yaml.MappingNode {
+		if !isNull(n) {
+			c.fault(path, n, "must be a mapping")
+		}
+		return
+	}
+	seen := map[string]bool{}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		key := n.Content[i]
+		at := append(path[:len(path):len(path)], key.Value)
+		if seen[key.Value] {
+			c.fault(at, key, "is given twice")
+			continue
+		}
+		seen[key.Value] = true
+		c.checkMember(at, key, n.Content[i+1], t)
+	}
+}
+
+func (c *checker) checkMember(at []string, key, value *yaml.Node, t reflect.Type) {
+	if key.Kind != yaml.ScalarNode || key.Anchor != "" {
+		c.fault(at, key, "keys must be plain words")
+		return
+	}
+	if t.Kind() == reflect.Map {
+		c.check(at, value, t.Elem())
+		return
+	}
+	member, ok := fieldOf(t, key.Value)
+	if !ok {
+		c.fault(at, key, "unknown key; known here: %s", strings.Join(keysOf(t), ", "))
+		return
+	}
+	c.check(at, value, member)
+}
+
+func (c *checker) checkSequence(path []string, n *yaml.Node, t reflect.Type) {
+	if n.Kind != yaml.SequenceNode {
+		if !isNull(n) {
+			c.fault(path, n, "must be a list")
+		}
+		return
+	}
+	for i, item := range n.Content {
+		c.check(append(path[:len(path):len(path)], strconv.Itoa(i)), item, t.Elem())
+	}
+}
+
+func (c *checker) checkScalar(path []string, n *yaml.Node, t reflect.Type) {
+	if n.Kind != yaml.ScalarNode {
+		c.fault(path, n, "must be a single value")
+		return
+	}
+	if isNull(n) {
+		c.fault(path, n, "has no value; leave the key out to inherit")
+		return
+	}
+	if err := n.Decode(reflect.New(t).Interface()); err != nil {
+		c.fault(path, n, "%q is not %s", n.Value, wanted(t))
+	}
+}
+
+// wanted describes a type to the operator.
+func wanted(t reflect.Type) string {
+	switch {
+	case t == reflect.TypeFor[Duration]():
+		return "a duration such as 4s or 250ms"
+	case t.Kind() == reflect.Bool:
+		return "true or false"
+	case t.Kind() == reflect.Int:
+		return "a whole number"
+	}
+	return "a text"
+}
+
+func isNull(n *yaml.Node) bool { return n.Kind == yaml.ScalarNode && n.Tag == "!!null" }
+
+func fieldOf(t reflect.Type, key string) (reflect.Type, bool) {
+	for i := range t.NumField() {
+		if yamlKey(t.Field(i)) == key {
+			return t.Field(i).Type, true
+		}
+	}
+	return nil, false
+}
+
+func keysOf(t reflect.Type) []string {
+	keys := make([]string, t.NumField())
+	for i := range keys {
+		keys[i] = yamlKey(t.Field(i))
+	}
+	return keys
+}
+
+func yamlKey(f reflect.StructField) string {
+	key, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	return key
+}
--- a/settings/resolve.go
+++ b/settings/resolve.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"strings"
 	"time"
 )
 
@@ -16,77 +17,167 @@
 	defaultQueueLimit   = 16
 )
 
+// defaultRequest and defaultEndpoint are the level above the fleet's own. They
+// set every member.
+var (
+	defaultRequest = RequestOverrides{
+		MaxDeadline:  new(Duration(defaultMaxDeadline)),
+		RetryPercent: new(defaultRetryPercent),
+		Hedge:        new(false),
+		Priority:     new(0),
+		MaxTokens:    new(defaultMaxTokens),
+		MaxBodyBytes: new(defaultMaxBodyBytes),
+	}
+	defaultEndpoint = EndpointOverrides{
+		ColdLimit:   new(defaultColdLimit),
+		MaxLimit:    new(defaultMaxLimit),
+		RampAnswers: new(defaultRampAnswers),
+		QueueLimit:  new(defaultQueueLimit),
+		ChecksFence: new(false),
+	}
+)
+
+// Level is a place in the tree that may set a value, written as the path of
+// the node, such as "organisations.acme"; "fleet" and "default" stand above.
+type Level string
+
+// The levels above all named nodes.
+const (
+	DefaultLevel Level = "default"
+	FleetLevel   Level = "fleet"
+)
+
+// Value is one resolved value with the level that it comes from.
+type Value struct {
+	Name  string `json:"name"`
+	Value any    `json:"value"`
+	Level Level  `json:"level"`
+}
+
+// trace records where each value comes from. A nil trace records nothing, so
+// that requests pay for resolution only.
+type trace struct{ values []Value }
+
+func (t *trace) note(name string, value any, at Level) {
+	if t == nil {
+		return
+	}
+	for i := range t.values {
+		if t.values[i].Name == name {
+			t.values[i] = Value{Name: name, Value: value, Level: at}
+			return
+		}
+	}
+	t.values = append(t.values, Value{Name: name, Value: value, Level: at})
+}
+
 // Request resolves the settings of a stage for an organisation. The level
 // closest to the stage wins: organisation's stage, organisation's pipeline,
 // organisation, pipeline's stage, pipeline, fleet.
 func (s *Snapshot) Request(organisation, pipelineName, stage string) RequestSettings {
-	out := RequestSettings{
-		MaxDeadline:  defaultMaxDeadline,
-		RetryPercent: defaultRetryPercent,
-		MaxTokens:    defaultMaxTokens,
-		MaxBodyBytes: defaultMaxBodyBytes,
-	}
-	for _, o := range s.requestLevels(organisation, pipelineName, stage) {
-		o.applyTo(&out)
-	}
-	return out
+	return s.request(organisation, pipelineName, stage, nil)
+}
+
+// ExplainRequest returns what Request resolves, each value with its level.
+func (s *Snapshot) ExplainRequest(organisation, pipelineName, stage string) []Value {
+	t := &trace{}
+	s.request(organisation, pipelineName, stage, t)
+	return t.values
 }
 
-func (s *Snapshot) requestLevels(organisation, pipelineName, stage string) []RequestOverrides {
+func (s *Snapshot) request(organisation, pipelineName, stage string, t *trace) RequestSettings {
 	d := &s.Document
-	levels := []RequestOverrides{d.Request}
 	p := d.Pipelines[pipelineName]
-	levels = append(levels, p.Request)
+	o := d.Organisations[organisation]
+	op := o.Pipelines[pipelineName]
+	var out RequestSettings
+	defaultRequest.applyTo(&out, t, func() Level { return DefaultLevel })
+	d.Request.applyTo(&out, t, func() Level { return FleetLevel })
+	p.Request.applyTo(&out, t, pathLevel("pipelines", pipelineName))
+	if st, ok := p.Stage(stage); ok {
+		st.Request.applyTo(&out, t, pathLevel("pipelines", pipelineName, "stages", stage))
+	}
+	o.Request.applyTo(&out, t, pathLevel("organisations", organisation))
+	op.Request.applyTo(&out, t, pathLevel("organisations", organisation, "pipelines", pipelineName))
+	op.Stages[stage].applyTo(&out, t, pathLevel("organisations", organisation, "pipelines", pipelineName, "stages", stage))
+	return out
+}
+
+// Stage returns the stage of that name.
+func (p Pipeline) Stage(name string) (Stage, bool) {
 	for _, st := range p.Stages {
-		if st.Name == stage {
-			levels = append(levels, st.Request)
+		if st.Name == name {
+			return st, true
 		}
 	}
-	o := d.Organisations[organisation]
-	op := o.Pipelines[pipelineName]
-	return append(levels, o.Request, op.Request, op.Stages[stage])
+	return Stage{}, false
 }
 
-func (o RequestOverrides) applyTo(r *RequestSettings) {
+func (o RequestOverrides) applyTo(r *RequestSettings, t *trace, at func() Level) {
 	if o.MaxDeadline != nil {
 		r.MaxDeadline = time.Duration(*o.MaxDeadline)
+		noteAt(t, "max_deadline", *o.MaxDeadline, at)
 	}
-	override(&r.RetryPercent, o.RetryPercent)
-	override(&r.Hedge, o.Hedge)
-	override(&r.Priority, o.Priority)
-	override(&r.MaxTokens, o.MaxTokens)
-	override(&r.MaxBodyBytes, o.MaxBodyBytes)
+	override(&r.RetryPercent, o.RetryPercent, t, "retry_percent", at)
+	override(&r.Hedge, o.Hedge, t, "hedge", at)
+	override(&r.Priority, o.Priority, t, "priority", at)
+	override(&r.MaxTokens, o.MaxTokens, t, "max_tokens", at)
+	override(&r.MaxBodyBytes, o.MaxBodyBytes, t, "max_body_bytes", at)
 }
 
-// Endpoint resolves the settings of one endpoint.
+// Endpoint resolves the settings of one endpoint. The level closest to the
+// endpoint wins: endpoint, pool, data centre, fleet.
 func (s *Snapshot) Endpoint(dataCentre, pool, endpoint string) EndpointSettings {
-	out := EndpointSettings{
-		ColdLimit:   defaultColdLimit,
-		MaxLimit:    defaultMaxLimit,
-		RampAnswers: defaultRampAnswers,
-		QueueLimit:  defaultQueueLimit,
-	}
+	return s.endpoint(dataCentre, pool, endpoint, nil)
+}
+
+// ExplainEndpoint returns what Endpoint resolves, each value with its level.
+func (s *Snapshot) ExplainEndpoint(dataCentre, pool, endpoint string) []Value {
+	t := &trace{}
+	s.endpoint(dataCentre, pool, endpoint, t)
+	return t.values
+}
+
+func (s *Snapshot) endpoint(dataCentre, pool, endpoint string, t *trace) EndpointSettings {
 	dc := s.Document.DataCentres[dataCentre]
 	p := dc.Pools[pool]
-	for _, o := range []EndpointOverrides{s.Document.Endpoint, dc.Endpoint, p.Endpoint, p.Endpoints[endpoint]} {
-		o.applyTo(&out)
-	}
+	var out EndpointSettings
+	defaultEndpoint.applyTo(&out, t, func() Level { return DefaultLevel })
+	s.Document.Endpoint.applyTo(&out, t, func() Level { return FleetLevel })
+	dc.Endpoint.applyTo(&out, t, pathLevel("data_centres", dataCentre))
+	p.Endpoint.applyTo(&out, t, pathLevel("data_centres", dataCentre, "pools", pool))
+	p.Endpoints[endpoint].applyTo(&out, t, pathLevel("data_centres", dataCentre, "pools", pool, "endpoints", endpoint))
 	return out
 }
 
-func (o EndpointOverrides) applyTo(e *EndpointSettings) {
-	override(&e.ColdLimit, o.ColdLimit)
-	override(&e.MaxLimit, o.MaxLimit)
-	override(&e.RampAnswers, o.RampAnswers)
-	override(&e.QueueLimit, o.QueueLimit)
-	override(&e.ChecksFence, o.ChecksFence)
+func (o EndpointOverrides) applyTo(e *EndpointSettings, t *trace, at func() Level) {
+	override(&e.ColdLimit, o.ColdLimit, t, "cold_limit", at)
+	override(&e.MaxLimit, o.MaxLimit, t, "max_limit", at)
+	override(&e.RampAnswers, o.RampAnswers, t, "ramp_answers", at)
+	override(&e.QueueLimit, o.QueueLimit, t, "queue_limit", at)
+	override(&e.ChecksFence, o.ChecksFence, t, "checks_fence", at)
 }
 
 // Out reports whether the data centre is taken out.
 func (s *Snapshot) Out(dataCentre string) bool { return s.Document.DataCentres[dataCentre].Out }
 
-func override[T any](dst *T, v *T) {
-	if v != nil {
-		*dst = *v
+func override[T any](dst *T, v *T, t *trace, name string, at func() Level) {
+	if v == nil {
+		return
+	}
+	*dst = *v
+	noteAt(t, name, *v, at)
+}
+
+func noteAt(t *trace, name string, value any, at func() Level) {
+	if t != nil {
+		t.note(name, value, at())
 	}
 }
+
+func pathLevel(keys ...string) func() Level {
+	return func() Level { return Level(joinPath(keys)) }
+}
+
+// joinPath writes a path of keys with dots, as faults and clashes show it.
+func joinPath(keys []string) string { return strings.Join(keys, ".") }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -94,7 +94,7 @@
 // OrganisationPipeline overrides a pipeline for one organisation.
 type OrganisationPipeline struct {
 	Request RequestOverrides            `json:"request,omitzero" yaml:"request,omitempty"`
-	Stages  map[string]RequestOverrides `json:"stages,omitempty" yaml:"stages,omitempty"`
+	Stages  map[string]RequestOverrides `json:"stages,omitempty" yaml:"stages,omitempty" validate:"dive"`
 }
 
 // Organisation is one customer.
@@ -104,13 +104,13 @@
 	// Weight is its share where organisations compete; 0 counts as 1.
 	Weight    int                             `json:"weight,omitempty" yaml:"weight,omitempty" validate:"min=0,max=1000"`
 	Request   RequestOverrides                `json:"request,omitzero" yaml:"request,omitempty"`
-	Pipelines map[string]OrganisationPipeline `json:"pipelines,omitempty" yaml:"pipelines,omitempty"`
+	Pipelines map[string]OrganisationPipeline `json:"pipelines,omitempty" yaml:"pipelines,omitempty" validate:"dive"`
 }
 
 // Pool overrides endpoint settings for the endpoints of one pool in one data centre.
 type Pool struct {
 	Endpoint  EndpointOverrides            `json:"endpoint,omitzero" yaml:"endpoint,omitempty"`
-	Endpoints map[string]EndpointOverrides `json:"endpoints,omitempty" yaml:"endpoints,omitempty"`
+	Endpoints map[string]EndpointOverrides `json:"endpoints,omitempty" yaml:"endpoints,omitempty" validate:"dive"`
 }
 
 // DataCentre is one data centre.
@@ -119,7 +119,7 @@
 	// Out takes the data centre out of service: it gets no new work.
 	Out      bool              `json:"out,omitempty" yaml:"out,omitempty"`
 	Endpoint EndpointOverrides `json:"endpoint,omitzero" yaml:"endpoint,omitempty"`
-	Pools    map[string]Pool   `json:"pools,omitempty" yaml:"pools,omitempty"`
+	Pools    map[string]Pool   `json:"pools,omitempty" yaml:"pools,omitempty" validate:"dive"`
 }
 
 // Document is the whole tree.
@@ -135,4 +135,6 @@
 type Snapshot struct {
 	Version  Version
 	Document Document
+
+	tokens tokenIndex
 }
--- /dev/null
+++ b/settings/snapshot.go
@@ -0,0 +1,85 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/binary"
+	"encoding/hex"
+	"sync"
+
+	"github.com/azurelead/azurelead/contract"
+)
+
+// tokenIndex finds the organisation of a bearer token. Digests are grouped by
+// their first bytes; the rest is compared in constant time.
+type tokenIndex struct {
+	once sync.Once
+	by   map[uint64][]tokenEntry
+}
+
+type tokenEntry struct {
+	digest       [sha256.Size]byte
+	organisation string
+}
+
+// Pipeline returns the declared pipeline if the organisation exists and the
+// pipeline is declared.
+func (s *Snapshot) Pipeline(organisation, name string) (Pipeline, bool) {
+	if _, ok := s.Document.Organisations[organisation]; !ok {
+		return Pipeline{}, false
+	}
+	p, ok := s.Document.Pipelines[name]
+	return p, ok
+}
+
+// OrganisationOf returns the organisation that the bearer token belongs to.
+func (s *Snapshot) OrganisationOf(bearerToken string) (string, bool) {
+	s.tokens.once.Do(s.indexTokens)
+	digest := sha256.Sum256([]byte(bearerToken))
+	for _, e := range s.tokens.by[binary.BigEndian.Uint64(digest[:])] {
+		if subtle.ConstantTimeCompare(e.digest[:], digest[:]) == 1 {
+			return e.organisation, true
+		}
+	}
+	return "", false
+}
+
+func (s *Snapshot) indexTokens() {
+	s.tokens.by = make(map[uint64][]tokenEntry, len(s.Document.Organisations))
+	for name, o := range s.Document.Organisations {
+		for _, t := range o.TokenSHA256 {
+			s.indexToken(name, t)
+		}
+	}
+}
+
+func (s *Snapshot) indexToken(organisation, hexDigest string) {
+	raw, err := hex.DecodeString(hexDigest)
+	if err != nil || len(raw) != sha256.Size {
+		return // refused by Validate; a snapshot made by hand may still hold it
+	}
+	e := tokenEntry{digest: [sha256.Size]byte(raw), organisation: organisation}
+	key := binary.BigEndian.Uint64(raw)
+	s.tokens.by[key] = append(s.tokens.by[key], e)
+}
+
+// DeniedOut returns the refusal of new work for a data centre that is taken
+// out, or nil when it takes work.
+func (s *Snapshot) DeniedOut(dataCentre string) *contract.Problem {
+	if !s.Out(dataCentre) {
+		return nil
+	}
+	return contract.NewProblem(contract.CodeDataCentreOut, contract.NotRun,
+		"data centre %s is taken out (settings version %d)", dataCentre, s.Version)
+}
+
+// WeightOf returns the organisation's share where organisations compete.
+func (s *Snapshot) WeightOf(organisation string) int {
+	return max(s.Document.Organisations[organisation].Weight, 1)
+}
+
+// TokenDigest returns the digest under which a bearer token is declared.
+func TokenDigest(bearerToken string) string {
+	digest := sha256.Sum256([]byte(bearerToken))
+	return hex.EncodeToString(digest[:])
+}
--- /dev/null
+++ b/settings/stored.go
@@ -0,0 +1,98 @@
+package settings
+
+import (
+	"context"
+
+	"github.com/zeebo/errs"
+
+	"github.com/azurelead/azurelead/platform"
+)
+
+// Outdated is the class of errors about versions that the history no longer holds.
+var Outdated = errs.Class("settings version outdated")
+
+// Stored is the tree as read from the store.
+type Stored struct {
+	Manifest Manifest
+	values   parts
+	// store is the store's version of the manifest.
+	store uint64
+}
+
+// Load reads the tree. Objects that held already has are not read again; held
+// may be nil.
+func Load(ctx context.Context, store platform.Store, held *Stored) (*Stored, error) {
+	m, version, err := readManifest(ctx, store)
+	if err != nil {
+		return nil, err
+	}
+	if held == nil {
+		held = &Stored{}
+	}
+	values, err := fetchValues(ctx, store, m.Objects, held.Manifest.Objects, held.values)
+	if err != nil {
+		return nil, err
+	}
+	return &Stored{Manifest: m, values: values, store: version}, nil
+}
+
+// Document returns the tree in force.
+func (s *Stored) Document() (Document, error) { return s.values.document() }
+
+// Snapshot returns the tree in force with its version.
+func (s *Stored) Snapshot() (*Snapshot, error) {
+	d, err := s.Document()
+	return &Snapshot{Version: s.Manifest.Version, Document: d}, err
+}
+
+// At returns the tree of an earlier version, or an error of class Outdated if
+// the history does not reach it.
+func (s *Stored) At(ctx context.Context, store platform.Store, v Version) (Document, error) {
+	wanted, ok := s.Manifest.at(v)
+	if !ok {
+		return Document{}, Outdated.New("version %d is not within the history, %d to %d", v, s.Manifest.floor(), s.Manifest.Version)
+	}
+	values, err := fetchValues(ctx, store, wanted, s.Manifest.Objects, s.values)
+	if err != nil {
+		return Document{}, err
+	}
+	return values.document()
+}
+
+func (p parts) document() (Document, error) {
+	var d Document
+	for n, value := range p {
+		if err := d.put(n, value); err != nil {
+			return Document{}, err
+		}
+	}
+	return d, nil
+}
+
+// Collect deletes the objects that neither manifest m nor its history refers
+// to, and returns how many.
+//
+// It cannot take an object that an operator is about to accept: objects are
+// written under the version to be, which is above m's until m is no longer
+// the latest. An object written for a version up to m's that m does not
+// refer to lost its race, and no later manifest can bring it back. A reader
+// that is so slow that its manifest fell out of the history misses an object
+// and starts over from the manifest.
+func Collect(ctx context.Context, store platform.Store, m Manifest) (int, error) {
+	all, err := store.List(ctx, objectsPrefix)
+	if err != nil {
+		return 0, err
+	}
+	live := m.live()
+	deleted := 0
+	for _, o := range all {
+		if live[o.Key] || refOf(o.Key).version() > m.Version {
+			continue
+		}
+		if err := store.Delete(ctx, o.Key, o.Version); err != nil && !platform.NotFound.Has(err) {
+			return deleted, err
+		}
+		deleted++
+	}
+	return deleted, nil
+}
--- /dev/null
+++ b/settings/tree.go
@@ -0,0 +1,135 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"reflect"
+	"slices"
+)
+
+// atomicDepth is the depth of the objects of the tree, such as
+// organisations.acme: one of them appears and goes as a whole.
+const atomicDepth = 2
+
+// Edit is the change of one value of the tree.
+type Edit struct {
+	Path []string `json:"path"`
+	// From and To are the values before and after; empty ones are absent.
+	From json.RawMessage `json:"from,omitempty"`
+	To   json.RawMessage `json:"to,omitempty"`
+
+	to any
+}
+
+// String returns the edit as one line.
+func (e Edit) String() string {
+	return joinPath(e.Path) + ": " + orAbsent(e.From) + " -> " + orAbsent(e.To)
+}
+
+func orAbsent(raw json.RawMessage) string {
+	if len(raw) == 0 {
+		return "(absent)"
+	}
+	return string(raw)
+}
+
+// Diff returns the edits that lead from one document to another, by path.
+func Diff(from, to Document) []Edit {
+	return diffTrees(nil, treeOf(from), treeOf(to), nil)
+}
+
+// treeOf returns the document as nested maps, lists and plain values.
+func treeOf(d Document) any {
+	raw, err := json.Marshal(d)
+	if err != nil {
+		panic("settings: a document cannot be encoded: " + err.Error())
+	}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.UseNumber()
+	var tree any
+	if err := dec.Decode(&tree); err != nil {
+		panic("settings: an encoded document cannot be decoded: " + err.Error())
+	}
+	return tree
+}
+
+func documentOf(tree any) (Document, error) {
+	raw, err := json.Marshal(tree)
+	if err != nil {
+		return Document{}, Invalid.Wrap(err)
+	}
+	var d Document
+	err = decodeStored(raw, &d)
+	return d, err
+}
+
+// diffTrees appends the edits below path. Lists count as one value, since
+// their order carries meaning.
+func diffTrees(path []string, from, to any, edits []Edit) []Edit {
+	a, aMap := from.(map[string]any)
+	b, bMap := to.(map[string]any)
+	absent := from == nil || to == nil
+	if (aMap || from == nil) && (bMap || to == nil) && !(absent && len(path) == atomicDepth) {
+		for _, k := range unionKeys(a, b) {
+			edits = diffTrees(under(path, k), a[k], b[k], edits)
+		}
+		return edits
+	}
+	if reflect.DeepEqual(from, to) {
+		return edits
+	}
+	return append(edits, Edit{Path: path, From: encode(from), To: encode(to), to: to})
+}
+
+func unionKeys(a, b map[string]any) []string {
+	keys := append(sortedKeys(a), sortedKeys(b)...)
+	slices.Sort(keys)
+	return slices.Compact(keys)
+}
+
+func encode(v any) json.RawMessage {
+	if v == nil {
+		return nil
+	}
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic("settings: a value cannot be encoded: " + err.Error())
+	}
+	return raw
+}
+
+// clashes reports whether two edits touch the same value, or one a value
+// within the other's.
+func (e Edit) clashes(other Edit) bool {
+	n := min(len(e.Path), len(other.Path))
+	return slices.Equal(e.Path[:n], other.Path[:n])
+}
+
+// same reports whether both edits lead to the same value.
+func (e Edit) same(other Edit) bool {
+	return slices.Equal(e.Path, other.Path) && bytes.Equal(e.To, other.To)
+}
+
+// set applies the edit to the tree, and drops mappings that it leaves empty.
+func (e Edit) set(tree map[string]any) { setPath(tree, e.Path, e.to) }
+
+func setPath(node map[string]any, path []string, to any) {
+	key := path[0]
+	if len(path) == 1 {
+		if to == nil {
+			delete(node, key)
+			return
+		}
+		node[key] = to
+		return
+	}
+	child, ok := node[key].(map[string]any)
+	if !ok {
+		child = map[string]any{}
+		node[key] = child
+	}
+	setPath(child, path[1:], to)
+	if len(child) == 0 {
+		delete(node, key)
+	}
+}
