Prove that a follower never goes back

Ruled out: asserting on timing; the tests offer versions in any order, run in synctest bubbles and judge documents, not speed. Change: property test of offers in any order with damaged deltas, start during an outage, an answer read after a pause, a store put back, choice of watchers. Not measured.

--- /dev/null
+++ b/settings/follower_test.go
@@ -0,0 +1,215 @@
+package settings
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/platform"
+)
+
+// chain is a row of accepted versions with what can be offered of each.
+type chain struct {
+	store     *platform.Memory
+	manifests []platform.Object
+	documents []Document
+	peers     []*Follower // peers[i] holds version i+1
+}
+
+// newChain accepts n changes, one of each kind in turn: values change, an
+// organisation comes and goes.
+func newChain(t testing.TB, n int) *chain {
+	c := &chain{store: platform.NewMemory(platform.MemoryOptions{})}
+	for i := range n {
+		edit := setWeight("o0", i+1)
+		switch {
+		case i == 0:
+			edit = replaceWith(fleet(2))
+		case i%3 == 0:
+			edit = func(d Document) (Document, error) { delete(d.Organisations, "o1"); return d, nil }
+		case i%3 == 2:
+			edit = func(d Document) (Document, error) {
+				d.Organisations["o1"] = Organisation{TokenSHA256: []string{TokenDigest("o1")}, Weight: i}
+				return d, nil
+			}
+		}
+		put(t, c.store, 0, ChangeID(fmt.Sprint(i)), edit)
+		o, err := c.store.Get(t.Context(), ManifestKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := NewFollower(FollowerOptions{Store: c.store})
+		if err := f.watch(t.Context(), time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+		c.manifests, c.peers = append(c.manifests, o), append(c.peers, f)
+		c.documents = append(c.documents, f.Current().Document)
+	}
+	return c
+}
+
+// TestVersionNeverGoesBack offers a follower old and new versions by peers and
+// watches in any order, some of them damaged. The version only grows, and what
+// is served is always exactly the accepted document of that version.
+func TestVersionNeverGoesBack(t *testing.T) {
+	const n = 12
+	c := newChain(t, n)
+	rapid.Check(t, func(rt *rapid.T) {
+		f := NewFollower(FollowerOptions{Store: c.store})
+		last := Version(0)
+		for range rapid.IntRange(1, 30).Draw(rt, "offers") {
+			i := rapid.IntRange(0, n-1).Draw(rt, "version")
+			switch rapid.IntRange(0, 2).Draw(rt, "by") {
+			case 0:
+				have := rapid.SampledFrom([]Version{0, f.Version()}).Draw(rt, "have")
+				_ = f.take(c.peers[i].Changes(have), time.Now())
+			case 1:
+				_ = f.takeManifest(t.Context(), c.manifests[i], time.Now())
+			case 2:
+				res := c.peers[i].Changes(f.Version())
+				res.Delta = damage(rt, res.Delta)
+				_ = f.take(res, time.Now())
+			}
+			v := f.Version()
+			if v < last {
+				rt.Fatalf("version went from %d back to %d", last, v)
+			}
+			last = v
+			if v == 0 {
+				continue
+			}
+			if diff := cmp.Diff(c.documents[v-1], f.Current().Document); diff != "" {
+				rt.Fatalf("version %d is not what was accepted: %s", v, diff)
+			}
+		}
+	})
+}
+
+// damage drops or alters one object of a delta.
+func damage(rt *rapid.T, raw json.RawMessage) json.RawMessage {
+	var d Delta
+	if json.Unmarshal(raw, &d) != nil || len(d.Changed) == 0 {
+		return raw
+	}
+	n := rapid.SampledFrom(sortedKeys(d.Changed)).Draw(rt, "object")
+	if rapid.Bool().Draw(rt, "drop") {
+		delete(d.Changed, n)
+	} else {
+		d.Changed[n] = Content{Ref: d.Changed[n].Ref, Value: json.RawMessage(`{}`)}
+	}
+	return encode(d)
+}
+
+// TestStartDuringOutage starts a process while the store is down. It takes the
+// highest version among its peers, whichever speaks first, and does not take
+// a peer's word for fresh that had none itself.
+func TestStartDuringOutage(t *testing.T) {
+	c := newChain(t, 5)
+	synctest.Test(t, func(t *testing.T) {
+		c.store.SetFaults(platform.Faults{Down: true})
+		ctx, cancel := context.WithCancel(t.Context())
+		f := NewFollower(FollowerOptions{Store: c.store})
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		for _, i := range []int{1, 4, 2} {
+			f.Saw(c.peers[i].Version(), func(_ context.Context, have Version) (link.SettingsResult, error) {
+				res := c.peers[i].Changes(have)
+				res.AgeMS = -1
+				return res, nil
+			})
+		}
+		synctest.Wait()
+		if f.Version() != 5 {
+			t.Errorf("took version %d, want the peers' highest 5", f.Version())
+		}
+		if f.Fresh(time.Hour) {
+			t.Error("fresh without anyone's word")
+		}
+		c.store.SetFaults(platform.Faults{})
+		time.Sleep(maxRetry + defaultWatchBound + time.Second)
+		if !f.Fresh(defaultWatchBound + time.Second) {
+			t.Errorf("age is %s after the store came back", f.Age())
+		}
+		cancel()
+		<-done
+	})
+}
+
+// TestAnAnswerReadAfterAPauseIsOld pauses a process between its question and
+// its reading of the answer: the age in the answer counts from the question.
+func TestAnAnswerReadAfterAPauseIsOld(t *testing.T) {
+	c := newChain(t, 2)
+	synctest.Test(t, func(t *testing.T) {
+		const pause = 40 * time.Second
+		f := NewFollower(FollowerOptions{Ask: func(_ context.Context, have Version) (link.SettingsResult, error) {
+			res := c.peers[1].Changes(have)
+			res.AgeMS = 200
+			time.Sleep(pause) // the answer lies in a buffer
+			return res, nil
+		}})
+		if f.Age() != math.MaxInt64 {
+			t.Fatalf("age is %s before the first word", f.Age())
+		}
+		if err := f.Renew(t.Context(), time.Second); !Unknown.Has(err) {
+			t.Fatalf("a renewal with an old answer passed: %v", err)
+		}
+		if f.Age() < pause {
+			t.Fatalf("age is %s after a pause of %s", f.Age(), pause)
+		}
+	})
+}
+
+// TestAStoreThatWentBackConfirmsNothing puts an older manifest in the store.
+func TestAStoreThatWentBackConfirmsNothing(t *testing.T) {
+	c := newChain(t, 4)
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFollower(FollowerOptions{Store: c.store})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(time.Second)
+		if _, err := c.store.Put(ctx, ManifestKey, c.manifests[1].Value, c.manifests[3].Version); err != nil {
+			t.Fatal(err)
+		}
+		before := c.store.Calls()
+		time.Sleep(time.Minute)
+		if f.Version() != 4 || f.Fresh(30*time.Second) {
+			t.Errorf("version %d, age %s", f.Version(), f.Age())
+		}
+		if watches := c.store.Calls().Watches - before.Watches; watches > 15 {
+			t.Errorf("%d watches in a minute", watches)
+		}
+		cancel()
+		<-done
+	})
+}
+
+// TestFewProcessesWatch chooses among the instances of a data centre.
+func TestFewProcessesWatch(t *testing.T) {
+	names := []string{"n0", "n1", "n2", "n3", "n4", "n5", "n6"}
+	watching := func(names []string) (chosen []string) {
+		for _, n := range names {
+			f := NewFollower(FollowerOptions{Instance: n, Candidates: func() []string { return names }})
+			if f.watches() {
+				chosen = append(chosen, n)
+			}
+		}
+		return chosen
+	}
+	first := watching(names)
+	if len(first) != defaultWatchers {
+		t.Fatalf("%v watch", first)
+	}
+	after := watching(without(names, first[0]))
+	if len(after) != defaultWatchers || len(without(after, first[1])) != 1 {
+		t.Fatalf("%v watched; after the first left, %v", first, after)
+	}
+}
