--- a/settings/follower.go
+++ b/settings/follower.go
@@ -20,7 +20,7 @@
 const maxOffers = 4
 
 // Fetch asks one peer for the changes above have.
-type Fetch func(ctx context.Context, have Version) (link.SettingsResult, error)
+type Fetch = func(ctx context.Context, have Version) (link.SettingsResult, error)
 
 // FollowerOptions configure a Follower. The zero value of each duration means
 // its default.
@@ -118,18 +118,15 @@
 }
 
 // Changes answers a peer that holds version have.
-func (f *Follower) Changes(have Version) link.SettingsResult {
+func (f *Follower) Changes(have Version) (link.SettingsResult, error) {
 	r := f.current.Load()
 	res := link.SettingsResult{Version: r.version(), AgeMS: ageMS(f.Age())}
 	if res.Version <= have {
-		return res
+		return res, nil
 	}
 	raw, err := json.Marshal(r.since(have))
-	if err != nil {
-		panic("settings: a replica cannot be encoded: " + err.Error())
-	}
 	res.Delta = raw
-	return res
+	return res, Corrupt.Wrap(err)
 }
 
 // ageMS rounds up, so that an age never shrinks on its way; -1 is unknown.
--- a/settings/follower_test.go
+++ b/settings/follower_test.go
@@ -56,6 +56,14 @@
 	return c
 }
 
+func (c *chain) offer(i int, have Version) link.SettingsResult {
+	res, err := c.peers[i].Changes(have)
+	if err != nil {
+		panic(err)
+	}
+	return res
+}
+
 // TestVersionNeverGoesBack offers a follower old and new versions by peers and
 // watches in any order, some of them damaged. The version only grows, and what
 // is served is always exactly the accepted document of that version.
@@ -70,11 +78,11 @@
 			switch rapid.IntRange(0, 2).Draw(rt, "by") {
 			case 0:
 				have := rapid.SampledFrom([]Version{0, f.Version()}).Draw(rt, "have")
-				_ = f.take(c.peers[i].Changes(have), time.Now())
+				_ = f.take(c.offer(i, have), time.Now())
 			case 1:
 				_ = f.takeManifest(t.Context(), c.manifests[i], time.Now())
 			case 2:
-				res := c.peers[i].Changes(f.Version())
+				res := c.offer(i, f.Version())
 				res.Delta = damage(rt, res.Delta)
 				_ = f.take(res, time.Now())
 			}
@@ -121,7 +129,7 @@
 		go func() { defer close(done); f.Run(ctx) }()
 		for _, i := range []int{1, 4, 2} {
 			f.Saw(c.peers[i].Version(), func(_ context.Context, have Version) (link.SettingsResult, error) {
-				res := c.peers[i].Changes(have)
+				res := c.offer(i, have)
 				res.AgeMS = -1
 				return res, nil
 			})
@@ -150,7 +158,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const pause = 40 * time.Second
 		f := NewFollower(FollowerOptions{Ask: func(_ context.Context, have Version) (link.SettingsResult, error) {
-			res := c.peers[1].Changes(have)
+			res := c.offer(1, have)
 			res.AgeMS = 200
 			time.Sleep(pause) // the answer lies in a buffer
 			return res, nil
