Add the operators' commands

Ruled out: commands that need a running entry (the store alone is enough, also when every process of ours is gone); apply without a base (a file that was edited for an hour would undo what others changed meanwhile): the version line that get prints is the base.

Change: package operator, cmd/azurelead with one list of commands.

Not measured: nothing here is on a hot path.

--- /dev/null
+++ b/cmd/azurelead/main.go
@@ -0,0 +1,20 @@
+// Command azurelead holds the operators' commands.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/azurelead/azurelead/operator"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	commands := operator.Commands(operator.Options{})
+	code := operator.Run(ctx, operator.Root(commands...), os.Args, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/operator/output.go
@@ -0,0 +1,93 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/azurelead/azurelead/settings"
+)
+
+// The formats of answers.
+const (
+	formatText = "text"
+	formatJSON = "json"
+)
+
+// printer writes lines for people and keeps the first error.
+type printer struct {
+	w   io.Writer
+	err error
+}
+
+func (p *printer) line(format string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.w, format+"\n", args...)
+	}
+}
+
+// write answers with v as JSON or with what text prints.
+func write(c *cli.Command, v any, text func(*printer)) error {
+	out := c.Root().Writer
+	if c.String(flagOutput) == formatJSON {
+		enc := json.NewEncoder(out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	p := &printer{w: out}
+	text(p)
+	return p.err
+}
+
+// changeAnswer is what commands that change settings answer with.
+type changeAnswer struct {
+	settings.Outcome
+	DryRun bool   `json:"dry_run,omitempty"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// report writes the outcome of a change and turns it into the exit code.
+func (s *session) report(out settings.Outcome, dry bool) error {
+	a := changeAnswer{Outcome: out, DryRun: dry}
+	if out.Err != nil {
+		a.Detail = out.Err.Error()
+	}
+	err := write(s.c, a, a.print)
+	if err != nil {
+		return err
+	}
+	return outcomeError(out)
+}
+
+func (a changeAnswer) print(p *printer) {
+	for _, e := range a.Edits {
+		p.line("%s", e)
+	}
+	for _, c := range a.Clashes {
+		p.line("conflict at %s: %s is in force, %s was wanted", c.Path, c.Current, c.Wanted)
+	}
+	switch {
+	case a.State == settings.Accepted && a.DryRun:
+		p.line("would be accepted on version %d", a.Version)
+	case a.State == settings.Accepted:
+		p.line("accepted as version %d (change %s)", a.Version, a.ID)
+	case a.State == settings.Unchanged:
+		p.line("nothing to change on version %d", a.Version)
+	}
+}
+
+func outcomeError(out settings.Outcome) error {
+	switch out.State {
+	case settings.Accepted, settings.Unchanged:
+		return nil
+	case settings.Clashed:
+		return exitWith(ExitConflict, fmt.Errorf("not accepted: %w", out.Err))
+	case settings.Refused:
+		return exitWith(ExitInvalid, fmt.Errorf("not accepted: %w", out.Err))
+	case settings.NotAccepted:
+		return exitWith(ExitUnavailable, fmt.Errorf("not accepted, nothing changed: %w", out.Err))
+	}
+	return exitWith(ExitUnknown, fmt.Errorf("may be in force; settle it with --%s %s: %w", flagChangeID, out.ID, out.Err))
+}
--- /dev/null
+++ b/operator/settings.go
@@ -0,0 +1,267 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/azurelead/azurelead/settings"
+)
+
+// Flags of the settings commands.
+const (
+	flagOrganisation = "organisation"
+	flagPipeline     = "pipeline"
+	flagStage        = "stage"
+	flagDataCentre   = "data-centre"
+	flagPool         = "pool"
+	flagEndpoint     = "endpoint"
+	flagAt           = "at"
+	flagFrom         = "from"
+	flagTo           = "to"
+	flagLimit        = "limit"
+
+	defaultLimit = 20
+)
+
+func settingsCommand(o Options) *cli.Command {
+	return &cli.Command{
+		Name: "settings", Usage: "read and change the fleet's settings", Description: exitHelp,
+		Commands: []*cli.Command{getCommand(o), applyCommand(o), diffCommand(o), historyCommand(o)},
+	}
+}
+
+func getCommand(o Options) *cli.Command {
+	return &cli.Command{
+		Name: "get", Usage: "show the settings, or resolved values with the level that each comes from",
+		Description: "Without a selector the whole tree is shown, in the form that apply reads.\n" +
+			"With --organisation and --pipeline the request settings of each stage are resolved,\n" +
+			"with --data-centre and --pool those of endpoints.\n\n" + exitHelp,
+		Flags: append(commonFlags(),
+			&cli.StringFlag{Name: flagOrganisation, Usage: "resolve for this organisation, by `NAME`"},
+			&cli.StringFlag{Name: flagPipeline, Usage: "resolve for this pipeline, by `NAME`"},
+			&cli.StringFlag{Name: flagStage, Usage: "resolve for this stage only, by `NAME`"},
+			&cli.StringFlag{Name: flagDataCentre, Usage: "resolve for this data centre, by `NAME`"},
+			&cli.StringFlag{Name: flagPool, Usage: "resolve for this pool, by `NAME`"},
+			&cli.StringFlag{Name: flagEndpoint, Usage: "resolve for this endpoint, by `NAME`"},
+			&cli.Uint64Flag{Name: flagAt, Usage: "show an earlier `VERSION`; 0 is the latest"},
+		),
+		Action: o.with(getSettings),
+	}
+}
+
+func applyCommand(o Options) *cli.Command {
+	return &cli.Command{
+		Name: "apply", Usage: "bring a file of settings into force",
+		Description: "The file is the whole tree, as get shows it. Its first line names the version that it was made\n" +
+			"from (--base if it does not): what others changed since is kept, and the change is refused\n" +
+			"where both touched the same value.\n\n" + exitHelp,
+		Flags:  append(changeFlags(), fileFlag(true)),
+		Action: o.with(applySettings),
+	}
+}
+
+func diffCommand(o Options) *cli.Command {
+	return &cli.Command{
+		Name: "diff", Usage: "show the differences between two versions, or between the latest and a file",
+		Description: exitHelp,
+		Flags: append(commonFlags(), fileFlag(false),
+			&cli.Uint64Flag{Name: flagFrom, Usage: "earlier `VERSION`; 0 is the latest"},
+			&cli.Uint64Flag{Name: flagTo, Usage: "later `VERSION`; 0 is the latest"},
+		),
+		Action: o.with(diffSettings),
+	}
+}
+
+func historyCommand(o Options) *cli.Command {
+	return &cli.Command{
+		Name: "history", Usage: "list the latest accepted changes, newest first", Description: exitHelp,
+		Flags: append(commonFlags(),
+			&cli.IntFlag{Name: flagLimit, Usage: "list at most this `NUMBER` of changes", Value: defaultLimit},
+		),
+		Action: o.with(showHistory),
+	}
+}
+
+func fileFlag(required bool) cli.Flag {
+	return &cli.StringFlag{Name: flagFile, Aliases: []string{"f"}, Required: required,
+		Usage: "`FILE` with the whole tree in YAML or JSON; - is the standard input"}
+}
+
+// document returns the tree at a version; 0 is the latest.
+func (s *session) document(ctx context.Context, at settings.Version) (*settings.Snapshot, error) {
+	stored, err := settings.Load(ctx, s.platform, nil)
+	if err != nil {
+		return nil, err
+	}
+	if at == 0 {
+		return stored.Snapshot()
+	}
+	d, err := stored.At(ctx, s.platform, at)
+	if settings.Outdated.Has(err) {
+		return nil, usage("%s", err)
+	}
+	return &settings.Snapshot{Version: at, Document: d}, err
+}
+
+func getSettings(ctx context.Context, s *session) error {
+	snapshot, err := s.document(ctx, s.c.Uint64(flagAt))
+	if err != nil {
+		return err
+	}
+	scopes, err := s.resolve(snapshot)
+	if err != nil {
+		return err
+	}
+	if scopes != nil {
+		return write(s.c, scopes, func(p *printer) { printScopes(p, scopes) })
+	}
+	text, err := settings.Format(snapshot.Document)
+	if err != nil {
+		return err
+	}
+	return write(s.c, treeAnswer{Version: snapshot.Version, Document: snapshot.Document}, func(p *printer) {
+		p.line("%s%d", versionLine, snapshot.Version)
+		p.line("%s", bytes.TrimSpace(text))
+	})
+}
+
+// treeAnswer is the whole tree with its version.
+type treeAnswer struct {
+	Version  settings.Version  `json:"version"`
+	Document settings.Document `json:"document"`
+}
+
+// scope is what one level of the tree resolves to.
+type scope struct {
+	Of     string           `json:"of"`
+	Values []settings.Value `json:"values"`
+}
+
+// resolve returns the scopes that the selectors name, or nil without selectors.
+func (s *session) resolve(snapshot *settings.Snapshot) ([]scope, error) {
+	if dc := s.c.String(flagDataCentre); dc != "" {
+		pool, endpoint := s.c.String(flagPool), s.c.String(flagEndpoint)
+		return []scope{{Of: dc + "/" + pool + "/" + endpoint, Values: snapshot.ExplainEndpoint(dc, pool, endpoint)}}, nil
+	}
+	organisation, name := s.c.String(flagOrganisation), s.c.String(flagPipeline)
+	if organisation == "" && name == "" {
+		return nil, nil
+	}
+	p, ok := snapshot.Pipeline(organisation, name)
+	if !ok {
+		return nil, usage("flags --%s %q and --%s %q: no such pair; both have to exist in the settings",
+			flagOrganisation, organisation, flagPipeline, name)
+	}
+	var out []scope
+	for _, st := range p.Stages {
+		if only := s.c.String(flagStage); only != "" && only != st.Name {
+			continue
+		}
+		out = append(out, scope{Of: name + "/" + st.Name, Values: snapshot.ExplainRequest(organisation, name, st.Name)})
+	}
+	if out == nil {
+		return nil, usage("flag --%s %q: pipeline %s has no such stage", flagStage, s.c.String(flagStage), name)
+	}
+	return out, nil
+}
+
+func printScopes(p *printer, scopes []scope) {
+	for _, sc := range scopes {
+		p.line("%s", sc.Of)
+		for _, v := range sc.Values {
+			p.line("  %-15s %-10s from %s", v.Name, textOf(v.Value), v.Level)
+		}
+	}
+}
+
+func textOf(v any) any {
+	if d, ok := v.(settings.Duration); ok {
+		return time.Duration(d)
+	}
+	return v
+}
+
+func applySettings(ctx context.Context, s *session) error {
+	d, base, err := s.readFile()
+	if err != nil {
+		return err
+	}
+	if !s.c.IsSet(flagBase) {
+		s.base = base
+	}
+	return s.change(ctx, func(settings.Document) (settings.Document, error) { return d, nil })
+}
+
+// versionLine is how get marks the version of a tree, so that a file which is
+// edited and applied keeps what others changed meanwhile.
+const versionLine = "# version "
+
+// readFile reads the file of the command, and the version that its first line
+// names; 0 if it names none.
+func (s *session) readFile() (settings.Document, settings.Version, error) {
+	text, err := s.readText()
+	if err != nil {
+		return settings.Document{}, 0, usage("flag --%s: %s", flagFile, err)
+	}
+	first, _, _ := strings.Cut(string(text), "\n")
+	base, _ := strconv.ParseUint(strings.TrimPrefix(first, versionLine), 10, 64)
+	d, err := settings.Parse(bytes.NewReader(text))
+	return d, base, err
+}
+
+func (s *session) readText() ([]byte, error) {
+	if name := s.c.String(flagFile); name != "-" {
+		return os.ReadFile(name)
+	}
+	return io.ReadAll(s.c.Root().Reader)
+}
+
+// diffAnswer is the difference between two trees.
+type diffAnswer struct {
+	From  settings.Version `json:"from"`
+	To    settings.Version `json:"to,omitempty"`
+	Edits []settings.Edit  `json:"edits"`
+}
+
+func diffSettings(ctx context.Context, s *session) error {
+	from, err := s.document(ctx, s.c.Uint64(flagFrom))
+	if err != nil {
+		return err
+	}
+	to := &settings.Snapshot{}
+	if s.c.String(flagFile) != "" {
+		to.Document, _, err = s.readFile()
+	} else {
+		to, err = s.document(ctx, s.c.Uint64(flagTo))
+	}
+	if err != nil {
+		return err
+	}
+	a := diffAnswer{From: from.Version, To: to.Version, Edits: settings.Diff(from.Document, to.Document)}
+	return write(s.c, a, func(p *printer) {
+		for _, e := range a.Edits {
+			p.line("%s", e)
+		}
+	})
+}
+
+func showHistory(ctx context.Context, s *session) error {
+	stored, err := settings.Load(ctx, s.platform, nil)
+	if err != nil {
+		return err
+	}
+	changes := stored.History()
+	changes = changes[:min(len(changes), max(s.c.Int(flagLimit), 0))]
+	return write(s.c, changes, func(p *printer) {
+		for _, c := range changes {
+			p.line("%d  %s  %s  %s  %s", c.Version, c.At.Format(time.RFC3339), c.Author, c.ID, c.Objects())
+		}
+	})
+}
--- a/settings/manifest.go
+++ b/settings/manifest.go
@@ -27,6 +27,9 @@
 	Before map[ObjectName]Ref `json:"before"`
 }
 
+// Objects returns the objects that the change touched.
+func (c Change) Objects() []ObjectName { return sortedKeys(c.Before) }
+
 // Manifest names the objects of the version in force. Its conditional update
 // is the acceptance of a change.
 type Manifest struct {
--- a/settings/stored.go
+++ b/settings/stored.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/zeebo/errs"
 
@@ -45,6 +46,13 @@
 	return &Snapshot{Version: s.Manifest.Version, Document: d}, err
 }
 
+// History returns the latest changes, newest first.
+func (s *Stored) History() []Change {
+	changes := slices.Clone(s.Manifest.Changes)
+	slices.Reverse(changes)
+	return changes
+}
+
 // At returns the tree of an earlier version, or an error of class Outdated if
 // the history does not reach it.
 func (s *Stored) At(ctx context.Context, store platform.Store, v Version) (Document, error) {
