--- a/settings/follower_test.go
+++ b/settings/follower_test.go
@@ -75,7 +75,7 @@
 		last := Version(0)
 		for range rapid.IntRange(1, 30).Draw(rt, "offers") {
 			i := rapid.IntRange(0, n-1).Draw(rt, "version")
-			switch rapid.IntRange(0, 2).Draw(rt, "by") {
+			switch rapid.IntRange(0, 3).Draw(rt, "by") {
 			case 0:
 				have := rapid.SampledFrom([]Version{0, f.Version()}).Draw(rt, "have")
 				_ = f.take(c.offer(i, have), time.Now())
@@ -85,6 +85,8 @@
 				res := c.offer(i, f.Version())
 				res.Delta = damage(rt, res.Delta)
 				_ = f.take(res, time.Now())
+			case 3: // an answer that was read while a newer one came into force
+				_ = f.install(c.peers[i].current.Load().since(0))
 			}
 			v := f.Version()
 			if v < last {
