Add orders to engines: plan, guard, carrier and doer

Ruled out: a doer that remembers its plan (a successor would have to find it again; the plan is a pure function of the agents' reports instead), and carrying an order out at once (a disrupting one drains first, and the number is checked again after the drain).

Change: package order. The guard of a restarted agent refuses until it has read the lease's generation; the holder's reports carry its number, so a successor's first look at an engine shuts its predecessor out there.

Seen failing, one change each: the comparison of fencing numbers removed, the learned number dropped, the second check after the drain removed, the floor of bearing copies removed, a saturated cold copy counted as bearing. Not wired to the daemons yet.

--- /dev/null
+++ b/order/order_test.go
@@ -0,0 +1,178 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/lease"
+	"github.com/azurelead/azurelead/platform"
+)
+
+const agentBoot = contract.BootID("boot-1")
+
+// fakeEngine ignores fencing numbers and records what it was told.
+type fakeEngine struct {
+	serving Target
+	applied []uint64
+}
+
+func (e *fakeEngine) Apply(_ context.Context, o Order) *contract.Problem {
+	e.applied = append(e.applied, o.Fence)
+	e.serving = o.Target
+	return nil
+}
+
+func (e *fakeEngine) Serving(context.Context) (Target, error) { return e.serving, nil }
+
+// fakeDrainer drains for a fixed time.
+type fakeDrainer struct{ takes time.Duration }
+
+func (d *fakeDrainer) Drain(ctx context.Context) error {
+	select {
+	case <-time.After(d.takes):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+func (d *fakeDrainer) Resume()                           {}
+func (d *fakeDrainer) Occupancy() (int, int, bool, bool) { return 0, 1, false, false }
+
+// storeFence reads the generation like an agent does; a set error stands for
+// the store being down.
+type storeFence struct {
+	generation uint64
+	err        error
+}
+
+func (s *storeFence) Generation(context.Context) (uint64, error) { return s.generation, s.err }
+
+func newTestCarrier(e Engine, drain time.Duration, source FenceSource) *Carrier {
+	return NewCarrier(CarrierOptions{
+		Instance: "engine-1", AgentBoot: agentBoot, Guard: NewGuard(source),
+		Engine: e, Drainer: &fakeDrainer{takes: drain}, Timeout: time.Minute,
+	})
+}
+
+func testOrder(fence uint64, version string) Order {
+	return Order{ID: "o", Fence: fence, Instance: "engine-1", AgentBoot: agentBoot, Kind: LoadModel, Target: Target{Model: "m", Version: version}}
+}
+
+func codeOf(p *contract.Problem) contract.Code {
+	if p == nil {
+		return ""
+	}
+	return p.Code
+}
+
+func TestRestartedAgentRefusesUntilItKnowsTheHighestNumber(t *testing.T) {
+	source := &storeFence{generation: 5, err: errors.New("store down")}
+	e := &fakeEngine{}
+	c := newTestCarrier(e, 0, source)
+	var got []contract.Code
+	got = append(got, codeOf(c.Accept(t.Context(), testOrder(5, "2"))))
+	source.err = nil
+	got = append(got, codeOf(c.Accept(t.Context(), testOrder(4, "2"))))
+	got = append(got, codeOf(c.Accept(t.Context(), testOrder(5, "2"))))
+	c.Wait()
+	earlier := testOrder(6, "3")
+	earlier.AgentBoot = "boot-0"
+	got = append(got, codeOf(c.Accept(t.Context(), earlier)))
+	want := []contract.Code{contract.CodeClaimUnavailable, contract.CodeFenced, "", contract.CodeWrongBoot}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatal(diff)
+	}
+	if diff := cmp.Diff([]uint64{5}, e.applied); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// TestSuccessorStopsAnOrderThatStillDrains elects a successor while an order
+// of the former holder waits for its drain: the order must not reach an
+// engine that ignores fencing numbers.
+func TestSuccessorStopsAnOrderThatStillDrains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &fakeEngine{}
+		c := newTestCarrier(e, 10*time.Second, &storeFence{generation: 1})
+		if p := c.Accept(t.Context(), testOrder(1, "2")); p != nil {
+			t.Fatal(p)
+		}
+		time.Sleep(time.Second)
+		r, p := c.Report(t.Context(), 2)
+		if p != nil || !r.busy() {
+			t.Fatalf("report to the successor: %+v, %v", r, p)
+		}
+		c.Wait()
+		if len(e.applied) != 0 {
+			t.Fatalf("orders applied: %v", e.applied)
+		}
+		if r, _ := c.Report(t.Context(), 2); r.busy() {
+			t.Fatal("the carrier stays busy")
+		}
+	})
+}
+
+// carrierAgents reaches carriers directly.
+type carrierAgents struct {
+	carriers map[string]*Carrier
+	// beforeOrder runs between the holder's check of its lease and the
+	// arrival of its order, where a pause can fall.
+	beforeOrder func()
+}
+
+func (a *carrierAgents) Report(ctx context.Context, i platform.Instance, fence uint64) (Report, *contract.Problem) {
+	return a.carriers[i.Name].Report(ctx, fence)
+}
+
+func (a *carrierAgents) Order(ctx context.Context, i platform.Instance, o Order) *contract.Problem {
+	if a.beforeOrder != nil {
+		hook := a.beforeOrder
+		a.beforeOrder = nil
+		hook()
+	}
+	return a.carriers[i.Name].Accept(ctx, o)
+}
+
+// TestFrozenHolderOrdersNothing freezes a holder between the check of its
+// lease and the arrival of its order, past its term. Its successor has rolled
+// the engine to a newer version by then; the late order must have no effect.
+func TestFrozenHolderOrdersNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platform.NewMemory(platform.MemoryOptions{})
+		e := &fakeEngine{}
+		carrier := newTestCarrier(e, 0, LeaseFence{Store: store, Key: "lease"})
+		agents := &carrierAgents{carriers: map[string]*Carrier{"engine-1": carrier}}
+		version := "2"
+		newDoer := func(holder contract.BootID) *Doer {
+			return NewDoer(DoerOptions{
+				Lease:  lease.New(lease.Options{Store: store, Key: "lease", Holder: holder, Term: 10 * time.Second, Margin: 2 * time.Second}),
+				Agents: agents, MaxLoads: 1, Interval: time.Second, CallTimeout: time.Second,
+				Wanted: func(context.Context) ([]Group, uint64, error) {
+					g := Group{Instances: []platform.Instance{{Name: "engine-1"}}, Wishes: []Wish{wish("m", version, 1)}}
+					return []Group{g}, 1, nil
+				},
+			})
+		}
+		frozen, rival := newDoer("a"), newDoer("b")
+		agents.beforeOrder = func() {
+			version = "3"
+			for range 15 {
+				time.Sleep(time.Second)
+				rival.Round(t.Context())
+				carrier.Wait()
+			}
+		}
+		frozen.Round(t.Context())
+		carrier.Wait()
+		frozen.Round(t.Context())
+		if diff := cmp.Diff([]uint64{2}, e.applied); diff != "" {
+			t.Fatalf("fencing numbers applied (-want +got):\n%s", diff)
+		}
+	})
+}
--- /dev/null
+++ b/order/plan_test.go
@@ -0,0 +1,136 @@
+package order
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// The property tests draw the same cases in every run, unless a seed is given.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func engine(n int, model, version string) Report {
+	return Report{Instance: fmt.Sprintf("engine-%d", n), Serving: Target{Model: model, Version: version}, Limit: 8}
+}
+
+func wish(model, version string, copies int) Wish {
+	return Wish{Target: Target{Model: model, Version: version}, MinCopies: copies}
+}
+
+func TestPlan(t *testing.T) {
+	tests := []struct {
+		name string
+		in   Input
+		want []Kind
+	}{
+		{"nothing to do", Input{Loads: 4, Wishes: []Wish{wish("m", "1", 1)}, Engines: []Report{engine(1, "m", "1")}}, nil},
+		{"empty engine loads", Input{Loads: 4, Wishes: []Wish{wish("m", "1", 1)}, Engines: []Report{engine(1, "", "")}}, []Kind{LoadModel}},
+		{"no load allowed", Input{Loads: 0, Wishes: []Wish{wish("m", "1", 1)}, Engines: []Report{engine(1, "", "")}}, nil},
+		{"one copy of three at a time", Input{Loads: 4, Wishes: []Wish{wish("m", "2", 3)},
+			Engines: []Report{engine(1, "m", "1"), engine(2, "m", "1"), engine(3, "m", "1")}}, []Kind{LoadModel}},
+		{"a saturated cold successor bears no load yet", Input{Loads: 4, Wishes: []Wish{wish("m", "2", 3)},
+			Engines: []Report{{Instance: "n", Serving: Target{Model: "m", Version: "2"}, Cold: true, InFlight: 1, Limit: 1},
+				engine(2, "m", "1"), engine(3, "m", "1")}}, nil},
+		{"only engine of the pool", Input{Loads: 4, Wishes: []Wish{wish("m", "2", 1)}, Engines: []Report{engine(1, "m", "1")}}, []Kind{LoadModel}},
+		{"missing adapter", Input{Loads: 4, Wishes: []Wish{{Target: Target{Model: "m", Adapters: []string{"a"}}, MinCopies: 1}},
+			Engines: []Report{engine(1, "m", "")}}, []Kind{LoadAdapter}},
+		{"demand above target", Input{Loads: 4, Wishes: []Wish{{Target: Target{Model: "m"}, MinCopies: 1, MaxCopies: 2, TargetUtilisation: 50}},
+			Engines: []Report{{Instance: "a", Serving: Target{Model: "m"}, InFlight: 6, Limit: 8}, engine(2, "", ""), engine(3, "", "")}}, []Kind{LoadModel}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var got []Kind
+			for _, o := range Plan(tc.in) {
+				got = append(got, o.Kind)
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Fatal(diff)
+			}
+		})
+	}
+}
+
+// TestRollOutKeepsCopiesAndEnds rolls a pool from one version to another in
+// random conditions: never is more than one wanted copy missing, the loads
+// stay within their limit, the roll-out ends, and afterwards nothing moves.
+func TestRollOutKeepsCopiesAndEnds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		copies := rapid.IntRange(2, 6).Draw(rt, "copies")
+		spare := rapid.IntRange(0, 3).Draw(rt, "spare")
+		loads := rapid.IntRange(1, 4).Draw(rt, "loads")
+		var engines []Report
+		for n := range copies {
+			engines = append(engines, engine(n, "m", "1"))
+		}
+		for n := range spare {
+			engines = append(engines, engine(copies+n, "", ""))
+		}
+		wishes := []Wish{wish("m", "2", copies)}
+		for range 200 {
+			orders := Plan(Input{Wishes: wishes, Engines: engines, Loads: loads - countBusy(engines)})
+			start(engines, orders)
+			if countBusy(engines) > loads {
+				rt.Fatalf("%d loads at once, %d allowed", countBusy(engines), loads)
+			}
+			if b := countBearing(engines, "m"); b < copies-1 {
+				rt.Fatalf("%d copies bear load, %d wanted", b, copies)
+			}
+			step(rt, engines)
+		}
+		if servedBy(engines, "2") < copies {
+			rt.Fatalf("the roll-out did not end: %+v", engines)
+		}
+		if orders := Plan(Input{Wishes: wishes, Engines: engines, Loads: loads}); len(orders) != 0 {
+			rt.Fatalf("orders after the end: %+v", orders)
+		}
+	})
+}
+
+func start(engines []Report, orders []Order) {
+	for _, o := range orders {
+		for i := range engines {
+			if engines[i].Instance == o.Instance {
+				target := o.Target
+				engines[i].Becoming = &target
+			}
+		}
+	}
+}
+
+// step lets random engines finish their loads, turn cold and saturated, or warm.
+func step(rt *rapid.T, engines []Report) {
+	for i := range engines {
+		e := &engines[i]
+		switch {
+		case e.busy() && rapid.Bool().Draw(rt, "loaded"):
+			*e = Report{Instance: e.Instance, Serving: *e.Becoming, Cold: true, InFlight: 1, Limit: 1}
+		case e.Cold && rapid.Bool().Draw(rt, "warm"):
+			e.Cold, e.InFlight, e.Limit = false, 0, 8
+		}
+	}
+}
+
+func countBusy(engines []Report) int { return busyCount([][]Report{engines}) }
+
+func countBearing(engines []Report, model string) int {
+	n := 0
+	for _, e := range engines {
+		if e.Serving.Model == model && e.bears() {
+			n++
+		}
+	}
+	return n
+}
+
+func servedBy(engines []Report, version string) int {
+	n := 0
+	for _, e := range engines {
+		if e.Serving.Version == version {
+			n++
+		}
+	}
+	return n
+}
