Add the stand-ins and the drivers of endpoints

Cause: entry and agent need outside systems to work against, and drivers that state truthfully whether a failed call ran. Ruled out: treating every broken connection as a crash, since a cut connection between two living processes would count against innocent requests; a probe of the boot id decides, and silence alone is not death. Change: package standin with azurelead-standin (platform, engine, pool, service), endpoint drivers Engine, Pool and Service, docs/PROTOCOLS.md, a fuzz target for the engine's event stream. Conclusion: the thin path can be assembled against these.

--- /dev/null
+++ b/endpoint/endpoint_test.go
@@ -0,0 +1,172 @@
+package endpoint_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/endpoint"
+	"github.com/azurelead/azurelead/pipeline"
+	"github.com/azurelead/azurelead/standin"
+)
+
+const tokens = 40
+
+func newEngine(t *testing.T, o standin.EngineOptions) (*standin.Engine, *endpoint.Engine) {
+	t.Helper()
+	e := standin.NewEngine(o)
+	server := httptest.NewServer(e.Handler())
+	t.Cleanup(server.Close)
+	driver, err := endpoint.NewEngine(endpoint.Options{URL: server.URL})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(driver.Close)
+	return e, driver
+}
+
+func newService(t *testing.T, o standin.ServiceOptions) (*standin.Service, *endpoint.Service) {
+	t.Helper()
+	s := standin.NewService(o)
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.Close)
+	driver, err := endpoint.NewService(endpoint.Options{URL: server.URL})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(driver.Close)
+	return s, driver
+}
+
+func generate(prompt string) endpoint.Call {
+	return endpoint.Call{
+		Attempt: contract.NewAttemptID(),
+		Input:   pipeline.Input{Prompt: prompt, MaxTokens: tokens},
+	}
+}
+
+func book(reference string) endpoint.Call {
+	body, _ := json.Marshal(map[string]string{"reference": reference})
+	return endpoint.Call{
+		Attempt: contract.NewAttemptID(),
+		Input:   pipeline.Input{Operation: "book", Body: body},
+	}
+}
+
+func collect(into *[]string) func(string) {
+	return func(token string) { *into = append(*into, token) }
+}
+
+func TestEngineAnswersWhole(t *testing.T) {
+	e, driver := newEngine(t, standin.EngineOptions{})
+	call := generate("which anode fits the 300 litre tank?")
+	var got []string
+	r := driver.Run(t.Context(), call, collect(&got))
+	if r.Problem != nil {
+		t.Fatal(r.Problem)
+	}
+	if diff := cmp.Diff(standin.AnswerTokens(call.Input.Prompt, tokens), got); diff != "" {
+		t.Fatal(diff)
+	}
+	if r.Usage.GeneratedTokens != len(got) || r.Usage.PromptTokens == 0 {
+		t.Fatalf("usage: %+v", r.Usage)
+	}
+	if n := e.RunsOfAttempt(string(call.Attempt)); n != 1 {
+		t.Fatalf("the attempt ran %d times", n)
+	}
+}
+
+// TestCutStreamIsResumed fails when a resume repeats or skips a token, or
+// runs the call anew.
+func TestCutStreamIsResumed(t *testing.T) {
+	e, driver := newEngine(t, standin.EngineOptions{})
+	e.SetFaults(standin.EngineFaults{CutNext: 1, CutAfter: 7})
+	call := generate("how is the thermostat reset?")
+	var got []string
+	r := driver.Run(t.Context(), call, collect(&got))
+	if r.Problem != nil {
+		t.Fatal(r.Problem)
+	}
+	if diff := cmp.Diff(standin.AnswerTokens(call.Input.Prompt, tokens), got); diff != "" {
+		t.Fatal(diff)
+	}
+	if n := e.RunsOfAttempt(string(call.Attempt)); n != 1 {
+		t.Fatalf("the attempt ran %d times", n)
+	}
+}
+
+func TestCrashMidCallIsToldApartFromACut(t *testing.T) {
+	_, driver := newEngine(t, standin.EngineOptions{DownFor: time.Minute})
+	r := driver.Run(t.Context(), generate("poison "+standin.CrashMarker), func(string) {})
+	if r.Problem == nil || r.Problem.Run != contract.MayHaveRun || !r.Crashed {
+		t.Fatalf("crash: %+v, %v", r, r.Problem)
+	}
+	s, service := newService(t, standin.ServiceOptions{})
+	s.SetFaults(standin.StationFaults{FailAfterNext: 1})
+	r = service.Run(t.Context(), book("cut"), nil)
+	if r.Problem == nil || r.Problem.Run != contract.MayHaveRun || r.Crashed {
+		t.Fatalf("cut: %+v, %v", r, r.Problem)
+	}
+	if n := s.RunsOfReference("cut"); n != 1 {
+		t.Fatalf("the call ran %d times", n)
+	}
+}
+
+// TestRunStateIsTrue brings about each failure of a service call, and compares
+// what the driver states with what the service counted.
+func TestRunStateIsTrue(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults standin.StationFaults
+		run    contract.RunState
+		code   contract.Code
+		ran    int
+	}{
+		{"refused", standin.StationFaults{RefuseNext: 1}, contract.NotRun, contract.CodeOverloaded, 0},
+		{"lost before", standin.StationFaults{FailBeforeNext: 1}, contract.MayHaveRun, contract.CodeEndpointFailed, 0},
+		{"lost after", standin.StationFaults{FailAfterNext: 1}, contract.MayHaveRun, contract.CodeEndpointFailed, 1},
+		{"error", standin.StationFaults{FailAll: true}, contract.MayHaveRun, contract.CodeEndpointFailed, 1},
+		{"hangs", standin.StationFaults{HangNext: 1}, contract.MayHaveRun, contract.CodeDeadlineExceeded, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, driver := newService(t, standin.ServiceOptions{})
+			s.SetFaults(c.faults)
+			ctx := t.Context()
+			if c.faults.HangNext > 0 {
+				bounded, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+				defer cancel()
+				ctx = bounded
+			}
+			r := driver.Run(ctx, book(c.name), nil)
+			if r.Problem == nil || r.Problem.Run != c.run || r.Problem.Code != c.code {
+				t.Fatalf("problem: %v", r.Problem)
+			}
+			if n := s.RunsOfReference(c.name); n != c.ran {
+				t.Fatalf("the call ran %d times, not %d", n, c.ran)
+			}
+		})
+	}
+}
+
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	_ = ln.Close()
+	driver, err := endpoint.NewService(endpoint.Options{URL: "http://" + addr})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := driver.Run(t.Context(), book("x"), nil)
+	if r.Problem == nil || r.Problem.Run != contract.NotRun || r.Crashed {
+		t.Fatalf("refused connection: %+v, %v", r, r.Problem)
+	}
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,171 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/azurelead/azurelead/platform"
+)
+
+// PlatformOptions configure a Platform.
+type PlatformOptions struct {
+	Seed   uint64
+	Faults platform.Faults
+}
+
+// Platform is the stand-in for the platform's object API and list of
+// instances. It serves a platform.Memory over HTTP.
+type Platform struct {
+	*host
+	memory *platform.Memory
+}
+
+// NewPlatform returns an empty platform.
+func NewPlatform(o PlatformOptions) *Platform {
+	p := &Platform{
+		host:   newHost(0),
+		memory: platform.NewMemory(platform.MemoryOptions{Seed: o.Seed, Faults: o.Faults}),
+	}
+	p.handler = p.routes()
+	return p
+}
+
+// Memory returns the store behind the stand-in, to set its faults and read
+// its counts.
+func (p *Platform) Memory() *platform.Memory { return p.memory }
+
+func (p *Platform) routes() http.Handler {
+	m := mux.NewRouter().SkipClean(true)
+	object := platform.PathObjects + "/{key:.+}"
+	m.HandleFunc(object, p.get).Methods(http.MethodGet)
+	m.HandleFunc(object, p.put).Methods(http.MethodPut)
+	m.HandleFunc(object, p.remove).Methods(http.MethodDelete)
+	m.HandleFunc(platform.PathObjects, p.list).Methods(http.MethodGet)
+	m.HandleFunc(platform.PathInstances, p.instances).Methods(http.MethodGet)
+	m.HandleFunc("/control/instances", p.setInstances).Methods(http.MethodPut)
+	m.HandleFunc("/control/faults", p.setFaults).Methods(http.MethodPost)
+	m.HandleFunc("/control/stats", p.stats).Methods(http.MethodGet)
+	return m
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	if query.Has(platform.ParamAfter) {
+		p.watch(w, r)
+		return
+	}
+	o, err := p.memory.Get(r.Context(), mux.Vars(r)["key"])
+	p.answer(w, o, err)
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	after, ok := number(w, r, platform.ParamAfter)
+	if !ok {
+		return
+	}
+	ctx := r.Context()
+	if r.URL.Query().Has(platform.ParamWaitMS) {
+		wait, ok := number(w, r, platform.ParamWaitMS)
+		if !ok {
+			return
+		}
+		bounded, cancel := context.WithTimeout(ctx, time.Duration(wait)*time.Millisecond)
+		defer cancel()
+		ctx = bounded
+	}
+	o, err := p.memory.Watch(ctx, mux.Vars(r)["key"], after)
+	if err != nil && ctx.Err() != nil {
+		err = platform.NoChange.Wrap(err)
+	}
+	p.answer(w, o, err)
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	version, ok := number(w, r, platform.ParamIfVersion)
+	if !ok {
+		return
+	}
+	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	if err != nil {
+		drop(w)
+		return
+	}
+	if len(value) <= platform.MaxValueBytes && !json.Valid(value) {
+		writeJSON(w, http.StatusBadRequest, platform.ErrorAnswer{Error: "the value is not JSON"})
+		return
+	}
+	next, err := p.memory.Put(r.Context(), mux.Vars(r)["key"], value, version)
+	p.answer(w, platform.VersionAnswer{Version: next}, err)
+}
+
+func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
+	version, ok := number(w, r, platform.ParamIfVersion)
+	if !ok {
+		return
+	}
+	err := p.memory.Delete(r.Context(), mux.Vars(r)["key"], version)
+	p.answer(w, struct{}{}, err)
+}
+
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	found, err := p.memory.List(r.Context(), r.URL.Query().Get(platform.ParamPrefix))
+	p.answer(w, platform.ObjectsAnswer{Objects: found}, err)
+}
+
+func (p *Platform) instances(w http.ResponseWriter, r *http.Request) {
+	found, err := p.memory.Instances(r.Context())
+	p.answer(w, platform.InstancesAnswer{Instances: found}, err)
+}
+
+// answer tells of a call's outcome; a lost answer drops the connection.
+func (p *Platform) answer(w http.ResponseWriter, v any, err error) {
+	status := platform.StatusOf(err)
+	switch {
+	case platform.AnswerLost.Has(err):
+		drop(w)
+	case err == nil:
+		writeJSON(w, status, v)
+	case status == http.StatusNoContent:
+		w.WriteHeader(status)
+	default:
+		writeJSON(w, status, platform.ErrorAnswer{Error: err.Error()})
+	}
+}
+
+func (p *Platform) setInstances(w http.ResponseWriter, r *http.Request) {
+	var list platform.InstancesAnswer
+	if !readJSON(w, r, &list) {
+		return
+	}
+	p.memory.SetInstances(list.Instances)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f platform.Faults
+	if !readJSON(w, r, &f) {
+		return
+	}
+	p.memory.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) stats(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, p.memory.Calls())
+}
+
+// number reads a query parameter, or refuses the call.
+func number(w http.ResponseWriter, r *http.Request, name string) (uint64, bool) {
+	n, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 63)
+	if err != nil {
+		writeJSON(w, http.StatusBadRequest, platform.ErrorAnswer{Error: name + " is not a number"})
+		return 0, false
+	}
+	return n, true
+}
