Add membership: the table of agents and each entry's subset

Cause: the platform's list lags, and links must not grow as entries times agents.

Ruled out: plain rendezvous subsets (no bound on an agent's links); one round of stable matching with a bound of 1.25 of the mean, which left agents of a 380 x 1,100 group without any link (min 0, max 7, mean 5.5 in the benchmark).

Change: table that lets link state correct the list; stable matching in two rounds, the first of which gives each agent 0.75 of the mean.

--- /dev/null
+++ b/membership/subset_test.go
@@ -0,0 +1,90 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func names(prefix string, n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("%s%d", prefix, i)
+	}
+	return out
+}
+
+// spread returns the lowest and highest number of links of an agent.
+func spread(entries, agents []string, size int) (low, high, perEntry int) {
+	count := make(map[string]int)
+	for _, e := range entries {
+		s := Subset(e, entries, agents, size)
+		perEntry = max(perEntry, len(s))
+		for _, a := range s {
+			count[a]++
+		}
+	}
+	low = len(entries)
+	for _, a := range agents {
+		low, high = min(low, count[a]), max(high, count[a])
+	}
+	return low, high, perEntry
+}
+
+func TestSubsetIsBoundedAndChangesLittle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := names("entry-", rapid.IntRange(1, 12).Draw(t, "entries"))
+		agents := names("agent-", rapid.IntRange(2, 30).Draw(t, "agents"))
+		size := rapid.IntRange(1, 6).Draw(t, "size")
+		k := linksPerEntry(len(entries), len(agents), size)
+		low, high, perEntry := spread(entries, agents, size)
+		if floor := int(float64(len(entries)*k) / float64(len(agents)) * loadFloor); low < floor-1 {
+			t.Fatalf("an agent has %d links, floor %d", low, floor)
+		}
+		bound := int(float64(len(entries)*k)/float64(len(agents))*loadSlack) + 1
+		if k < len(agents) && high > bound {
+			t.Fatalf("an agent has %d links, bound %d", high, bound)
+		}
+		if perEntry > k {
+			t.Fatalf("an entry has %d links, wanted %d", perEntry, k)
+		}
+	})
+}
+
+// An agent that leaves moves the links it had and few others.
+func TestSubsetMovesFewLinksWhenAnAgentLeaves(t *testing.T) {
+	entries, agents := names("entry-", 40), names("agent-", 100)
+	rest := agents[1:]
+	moved := 0
+	for _, e := range entries {
+		before := Subset(e, entries, agents, 8)
+		for _, a := range Subset(e, entries, rest, 8) {
+			if !slices.Contains(before, a) {
+				moved++
+			}
+		}
+	}
+	had := 40 * 8 / 100
+	if limit := 10 * had; moved > limit {
+		t.Fatalf("%d links moved, the agent that left had about %d, limit %d", moved, had, limit)
+	}
+}
+
+// BenchmarkSubsetAtTarget measures the spread at the size of the target.
+func BenchmarkSubsetAtTarget(b *testing.B) {
+	entries, agents := names("entry-", 380), names("agent-", 1100)
+	for b.Loop() {
+		Subset(entries[0], entries, agents, 16)
+	}
+	m := match(withSelf(entries[0], entries), agents, linksPerEntry(380, 1100, 16))
+	count := make([]int, len(agents))
+	for _, links := range m.settled {
+		for a := range links {
+			count[a]++
+		}
+	}
+	b.ReportMetric(float64(slices.Min(count)), "links-min")
+	b.ReportMetric(float64(slices.Max(count)), "links-max")
+}
--- /dev/null
+++ b/membership/table.go
@@ -0,0 +1,150 @@
+// Package membership keeps an entry's view of the live agents. The platform's
+// list of instances lags, so what links say at once (up, leaving, suspected)
+// corrects it; the list only seeds and prunes.
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/azurelead/azurelead/platform"
+)
+
+// EntryPool is the pool under which the platform lists entries themselves.
+// Entries that are listed share out their links to agents evenly.
+const EntryPool = "entry"
+
+// member is what the table knows of one agent.
+type member struct {
+	instance       platform.Instance
+	listed         bool
+	up             bool
+	leaving        bool
+	suspectedUntil time.Time
+}
+
+// Table merges the platform's list with what links say. It is safe for
+// concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	members map[string]*member
+	entries []string
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{members: make(map[string]*member)} }
+
+// Update takes a list from the platform. An instance that is missing from the
+// list stays while a link to it is up: an empty or stale list cuts no work.
+func (t *Table) Update(list []platform.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.members {
+		m.listed = false
+	}
+	t.entries = t.entries[:0]
+	for _, in := range list {
+		t.add(in)
+	}
+	for name, m := range t.members {
+		if !m.listed && !m.up {
+			delete(t.members, name)
+		}
+	}
+}
+
+func (t *Table) add(in platform.Instance) {
+	if in.Pool == EntryPool {
+		if in.State == platform.Live {
+			t.entries = append(t.entries, in.Name)
+		}
+		return
+	}
+	m := t.members[in.Name]
+	if m == nil || m.instance.Agent != in.Agent {
+		m = &member{}
+		t.members[in.Name] = m
+	}
+	m.instance = in
+	m.listed = true
+}
+
+// Up records a link to the agent; it clears every mark, because the agent that
+// answered is alive now.
+func (t *Table) Up(name string) {
+	t.mark(name, func(m *member) {
+		m.up, m.leaving, m.suspectedUntil = true, false, time.Time{}
+	})
+}
+
+// Down records the loss of the link to the agent and suspects it until then.
+func (t *Table) Down(name string, until time.Time) {
+	t.mark(name, func(m *member) { m.up, m.suspectedUntil = false, until })
+}
+
+// Leaving records that the agent said that it leaves.
+func (t *Table) Leaving(name string) {
+	t.mark(name, func(m *member) { m.leaving = true })
+}
+
+func (t *Table) mark(name string, change func(*member)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.members[name]; m != nil {
+		change(m)
+	}
+}
+
+// Live returns the agents to hold links to, ordered by name. Agents that only
+// the list calls leaving are out too; suspected ones stay, so that their links
+// are tried again.
+func (t *Table) Live() []platform.Instance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []platform.Instance
+	for _, m := range t.members {
+		if m.leaving || m.instance.State == platform.Leaving {
+			continue
+		}
+		out = append(out, m.instance)
+	}
+	slices.SortFunc(out, func(a, b platform.Instance) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Suspected reports whether the agent lost its link recently.
+func (t *Table) Suspected(name string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.members[name]
+	return m != nil && now.Before(m.suspectedUntil)
+}
+
+// Group is the agents of one pool in one data centre.
+type Group struct{ Pool, DataCentre string }
+
+// Targets returns the agents that the entry self keeps links to: a subset of
+// about size for every pool in every data centre.
+func (t *Table) Targets(self string, size int) []platform.Instance {
+	live := t.Live()
+	t.mu.Lock()
+	entries := slices.Clone(t.entries)
+	t.mu.Unlock()
+	groups := make(map[Group][]string)
+	byName := make(map[string]platform.Instance, len(live))
+	for _, in := range live {
+		g := Group{Pool: in.Pool, DataCentre: in.DataCentre}
+		groups[g] = append(groups[g], in.Name)
+		byName[in.Name] = in
+	}
+	var out []platform.Instance
+	for _, agents := range groups {
+		for _, name := range Subset(self, entries, agents, size) {
+			out = append(out, byName[name])
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.Instance) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
