Lay out the API of links

Cause: the entry is written against package link at the same time as it. Ruled out: a reconnecting client; a pool owns redial and jitter, so that a link stays one connection with one peer boot.

--- /dev/null
+++ b/link/options.go
@@ -0,0 +1,154 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Errors of calls. They tell the caller what the peer can have seen.
+var (
+	// Error is the class of the package's other errors.
+	Error = errs.Class("link")
+	// NotSent is for calls of which no byte was written: the peer never sees them.
+	NotSent = errs.Class("link: not sent")
+	// Lost is for calls that were written before the link failed: the peer may
+	// have seen them, and only Settle or Attach on a new link can tell.
+	Lost = errs.Class("link: lost")
+	// Refused is for calls that the peer answered with a JSON-RPC error.
+	Refused = errs.Class("link: refused")
+)
+
+// Defaults of links.
+const (
+	DefaultPingInterval  = 2 * time.Second
+	DefaultSilenceBound  = 500 * time.Millisecond
+	DefaultDialTimeout   = time.Second
+	DefaultWriteTimeout  = 2 * time.Second
+	DefaultFlushInterval = time.Millisecond
+	// DefaultMaxFrameBytes bounds one message of a peer.
+	DefaultMaxFrameBytes = 24 << 20
+	// DefaultMaxPendingBytes bounds what waits to be written on one link, and
+	// the chunks of one attempt that its caller has not taken yet.
+	DefaultMaxPendingBytes = 32 << 20
+)
+
+// Gossip is what a process learns from its peers: settings versions and
+// suspect requests travel on handshakes, pings and results.
+type Gossip interface {
+	// Version returns the highest settings version in force here.
+	Version() Version
+	// Saw reports the version that a peer has; fetch asks that peer for the
+	// changes above have. Saw runs on its own goroutine, once at a time per link.
+	Saw(v Version, fetch func(ctx context.Context, have Version) (SettingsResult, error))
+	// Changes answers a peer that has the version have.
+	Changes(have Version) (SettingsResult, error)
+	// Suspects returns the marks to pass on.
+	Suspects() []Suspect
+	// Merge takes a peer's marks in.
+	Merge(marks []Suspect)
+}
+
+// NoGossip spreads nothing.
+type NoGossip struct{}
+
+// Version implements Gossip.
+func (NoGossip) Version() Version { return 0 }
+
+// Saw implements Gossip.
+func (NoGossip) Saw(Version, func(context.Context, Version) (SettingsResult, error)) {}
+
+// Changes implements Gossip.
+func (NoGossip) Changes(Version) (SettingsResult, error) { return SettingsResult{}, nil }
+
+// Suspects implements Gossip.
+func (NoGossip) Suspects() []Suspect { return nil }
+
+// Merge implements Gossip.
+func (NoGossip) Merge([]Suspect) {}
+
+// ClientOptions sets up the entry's side of links. Zero members take defaults.
+type ClientOptions struct {
+	Hello HelloParams
+	// TLS is nil for plain links.
+	TLS *tls.Config
+	// PingInterval is how often a quiet link is pinged.
+	PingInterval time.Duration
+	// SilenceBound is how long a link with an outstanding call may stay without
+	// a byte before a new link is tried against it.
+	SilenceBound time.Duration
+	DialTimeout  time.Duration
+	WriteTimeout time.Duration
+	// MaxFrameBytes bounds one message of the peer.
+	MaxFrameBytes int
+	// MaxPendingBytes bounds what waits for a slow peer or a slow caller.
+	MaxPendingBytes int
+	Gossip          Gossip
+	Logger          *slog.Logger
+	// Metrics may be shared by all links of a process; nil counts nothing.
+	Metrics *Metrics
+}
+
+func (o *ClientOptions) setDefaults() {
+	setDefault(&o.PingInterval, DefaultPingInterval)
+	setDefault(&o.SilenceBound, DefaultSilenceBound)
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&o.MaxFrameBytes, DefaultMaxFrameBytes)
+	setDefault(&o.MaxPendingBytes, DefaultMaxPendingBytes)
+	if o.Gossip == nil {
+		o.Gossip = NoGossip{}
+	}
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	if o.Metrics == nil {
+		o.Metrics = NewMetrics(nil)
+	}
+}
+
+// ServerOptions sets up the agent's side of links. Zero members take defaults.
+type ServerOptions struct {
+	// TLS is nil for plain links.
+	TLS          *tls.Config
+	WriteTimeout time.Duration
+	// FlushInterval is how long chunks are gathered while a link is busy.
+	FlushInterval time.Duration
+	// IdleBound closes a link on which the peer has sent nothing for so long.
+	IdleBound       time.Duration
+	MaxFrameBytes   int
+	MaxPendingBytes int
+	Gossip          Gossip
+	Logger          *slog.Logger
+	Metrics         *Metrics
+}
+
+// defaultIdleBound is several ping intervals.
+const defaultIdleBound = 10 * DefaultPingInterval
+
+func (o *ServerOptions) setDefaults() {
+	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&o.FlushInterval, DefaultFlushInterval)
+	setDefault(&o.IdleBound, defaultIdleBound)
+	setDefault(&o.MaxFrameBytes, DefaultMaxFrameBytes)
+	setDefault(&o.MaxPendingBytes, DefaultMaxPendingBytes)
+	if o.Gossip == nil {
+		o.Gossip = NoGossip{}
+	}
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	if o.Metrics == nil {
+		o.Metrics = NewMetrics(nil)
+	}
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
