Add the entry: callers' interface, stages, claims, links

Cause: the thin path needs the process that takes callers' requests.

Ruled out: a goroutine and buffer per joined caller; callers keep a position in one token buffer instead, so that a slow one costs no memory.

Nothing measured yet.

--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/pipeline"
+)
+
+// maxRecoveries bounds how often one attempt is followed to a new link.
+const maxRecoveries = 4
+
+// attempt is one call of one agent, over as many links as it takes.
+type attempt struct {
+	s      *stageRun
+	p      *peer
+	params link.RunParams
+	tokens *tokenBuffer
+	fault  error // why a chunk was refused
+	cancel context.CancelFunc
+}
+
+// try runs one attempt of the stage on p. Its result's Run is true to what is known.
+func (s *stageRun) try(ctx context.Context, p *peer, kind string, id contract.AttemptID, tokens *tokenBuffer) link.RunResult {
+	s.e.m.attempts.WithLabelValues(s.stage.Pool, kind).Inc()
+	s.e.pause.Check(ctx, time.Now())
+	l := p.begin()
+	if l == nil {
+		return unsent("no link to " + p.instance.Name)
+	}
+	if s.boot != "" && l.Peer().AgentBoot != s.boot {
+		p.end()
+		return unsent(p.instance.Name + " has restarted")
+	}
+	defer p.end()
+	tctx, span := startSpan(s.ctx, "attempt", trace.SpanKindClient,
+		attribute.String("azurelead.agent", p.instance.Name), attribute.String("azurelead.attempt", string(id)))
+	defer span.End()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a := &attempt{s: s, p: p, tokens: tokens, cancel: cancel, params: s.params(ctx, l, id, traceParent(tctx))}
+	res := a.verify(a.run(ctx, l))
+	s.e.o.Suspects.Merge(res.Suspects)
+	s.e.m.cost(s.req.Organisation, s.req.PipelineName, s.stage.Name, res.Usage, res.Code == "")
+	if res.Code != "" {
+		span.SetStatus(codes.Error, string(res.Code))
+	}
+	return res
+}
+
+func (s *stageRun) params(ctx context.Context, l Link, id contract.AttemptID, parent string) link.RunParams {
+	verdict, _ := s.e.o.Suspects.Verdict(s.f.digest)
+	deadline, ok := ctx.Deadline()
+	left := s.budget
+	if ok {
+		left = time.Until(deadline)
+	}
+	p := link.RunParams{
+		Attempt:      id,
+		AgentBoot:    l.Peer().AgentBoot,
+		Request:      s.req.ID,
+		Organisation: s.req.Organisation,
+		Pipeline:     s.req.PipelineName,
+		Stage:        s.stage.Name,
+		BudgetUS:     max(left.Microseconds(), 1),
+		TraceParent:  parent,
+		Settings:     s.e.o.Settings.Current().Version,
+		Repeatable:   !s.stage.Once,
+		Digest:       s.f.digest,
+		Alone:        verdict == Alone,
+		Priority:     s.set.Priority,
+		Input:        s.input,
+	}
+	if s.stage.Once {
+		p.Key = s.req.Key
+	}
+	return p
+}
+
+// run hands the attempt over and follows it when its link is lost.
+func (a *attempt) run(ctx context.Context, l Link) link.RunResult {
+	res, err := l.Run(ctx, a.params, a.take)
+	for range maxRecoveries {
+		if !link.Lost.Has(err) || ctx.Err() != nil {
+			break
+		}
+		l, res, err = a.recover(ctx, l)
+		if l == nil {
+			break
+		}
+	}
+	return a.conclude(ctx, res, err)
+}
+
+// take puts a chunk into the buffer. A chunk that does not fit ends the attempt.
+func (a *attempt) take(c link.Chunk) {
+	if a.fault != nil {
+		return
+	}
+	if c.Attempt != a.params.Attempt {
+		a.fault = Error.New("chunk of another attempt")
+	} else {
+		a.fault = a.tokens.put(c)
+	}
+	if a.fault != nil {
+		a.cancel()
+	}
+}
+
+// conclude turns the end of a call into a result.
+func (a *attempt) conclude(ctx context.Context, res link.RunResult, err error) link.RunResult {
+	switch {
+	case a.fault != nil:
+		return failed(contract.MayHaveRun, "the answer was damaged: "+a.fault.Error())
+	case err == nil:
+		return res
+	case link.NotSent.Has(err):
+		return unsent(err.Error())
+	case ctx.Err() != nil:
+		return link.RunResult{Run: contract.MayHaveRun, Code: contract.CodeDeadlineExceeded, Detail: "no answer within the stage's share of the deadline"}
+	}
+	return failed(contract.MayHaveRun, "the link was lost and the attempt could not be asked for")
+}
+
+// recover asks for the attempt over a new link. It returns no link when the
+// result is final, with err set if the attempt's fate is unknown.
+func (a *attempt) recover(ctx context.Context, old Link) (Link, link.RunResult, error) {
+	wctx, cancel := context.WithTimeout(ctx, a.s.e.o.RecoverBound)
+	defer cancel()
+	l := a.p.await(wctx, old, a.params.AgentBoot)
+	if l == nil {
+		a.s.e.m.recovered.WithLabelValues("no-link").Inc()
+		return nil, link.RunResult{}, link.Lost.New("no new link to the same boot")
+	}
+	st, err := l.Settle(wctx, link.SettleParams{Attempt: a.params.Attempt, AgentBoot: a.params.AgentBoot})
+	if err != nil {
+		a.s.e.m.recovered.WithLabelValues("lost-again").Inc()
+		return l, link.RunResult{}, link.Lost.Wrap(err)
+	}
+	a.s.e.m.recovered.WithLabelValues(string(st.State)).Inc()
+	switch st.State {
+	case link.AttemptClosed:
+		return nil, failed(contract.NotRun, "the link was lost before the attempt arrived"), nil
+	case link.AttemptRunning, link.AttemptFinished:
+		res, err := l.Attach(ctx, link.AttachParams{Attempt: a.params.Attempt, AgentBoot: a.params.AgentBoot, From: a.tokens.count()}, a.take)
+		return l, res, err
+	}
+	return nil, link.RunResult{}, link.Lost.New("the agent does not know the attempt")
+}
+
+// verify refuses a result of another attempt, and an answer that is not whole.
+func (a *attempt) verify(res link.RunResult) link.RunResult {
+	if res.Code != "" {
+		return res
+	}
+	if res.Attempt != a.params.Attempt {
+		return failed(contract.MayHaveRun, "the result is of another attempt")
+	}
+	if a.s.stage.Kind != pipeline.Generate {
+		return res
+	}
+	if err := a.tokens.check(res.Count, res.Digest); err != nil {
+		bad := failed(contract.Ran, "the answer is not whole: "+err.Error())
+		bad.Usage = res.Usage
+		return bad
+	}
+	res.Output.Text = a.tokens.text()
+	return res
+}
+
+func failed(run contract.RunState, detail string) link.RunResult {
+	return link.RunResult{Run: run, Code: contract.CodeEndpointFailed, Detail: detail}
+}
+
+// unsent is the result of a call of which no byte left this process.
+func unsent(detail string) link.RunResult {
+	return link.RunResult{Run: contract.NotRun, Code: contract.CodeNoEndpoint, Detail: detail}
+}
--- /dev/null
+++ b/entry/baselines.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+)
+
+// RoundRobin is a baseline that takes the candidates in turn.
+type RoundRobin struct{ next atomic.Uint64 }
+
+// Choose implements Chooser.
+func (r *RoundRobin) Choose(_ Query, candidates []Candidate) int {
+	return int(r.next.Add(1) % uint64(len(candidates)))
+}
+
+// LeastInFlight is a baseline that takes the candidate with the fewest of this
+// entry's own calls in flight.
+type LeastInFlight struct{}
+
+// Choose implements Chooser.
+func (LeastInFlight) Choose(_ Query, candidates []Candidate) int {
+	best := rand.IntN(len(candidates))
+	for i, c := range candidates {
+		if c.Own < candidates[best].Own {
+			best = i
+		}
+	}
+	return best
+}
+
+// PlainTwoChoices is a baseline that takes the better of two random candidates
+// by this entry's own calls in flight.
+type PlainTwoChoices struct{}
+
+// Choose implements Chooser.
+func (PlainTwoChoices) Choose(_ Query, candidates []Candidate) int {
+	return twoChoices(rand.IntN, candidates, func(a, b Candidate) bool { return a.Own < b.Own })
+}
+
+// Random is a baseline that takes any candidate.
+type Random struct{}
+
+// Choose implements Chooser.
+func (Random) Choose(_ Query, candidates []Candidate) int { return rand.IntN(len(candidates)) }
+
+// ChooserByName returns the chooser of a name, or nil.
+func ChooserByName(name string) Chooser {
+	switch name {
+	case "finish-time":
+		return NewFinishTime()
+	case "round-robin":
+		return &RoundRobin{}
+	case "least-in-flight":
+		return LeastInFlight{}
+	case "two-choices":
+		return PlainTwoChoices{}
+	case "random":
+		return Random{}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/chooser.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/membership"
+)
+
+// Candidate is one eligible endpoint as the chooser sees it.
+type Candidate struct {
+	Name string
+	// Load is the load on the agent's latest reply.
+	Load link.Load
+	// Since is how many calls this entry has sent since that reply.
+	Since int
+	// Own is how many calls of this entry are in flight there.
+	Own int
+	// Local is set when the endpoint is in the entry's data centre.
+	Local bool
+}
+
+// Query is what the choice is made for.
+type Query struct {
+	// Affinity is the digest whose home endpoint is preferred; empty for none.
+	Affinity string
+}
+
+// Chooser picks one of the candidates, of which there is at least one.
+type Chooser interface {
+	Choose(q Query, candidates []Candidate) int
+}
+
+const (
+	// remotePenalty is the round trip to another data centre.
+	remotePenalty = time.Millisecond
+	// affinitySaving is the share of a call's time that a cached prefix saves.
+	affinitySaving = 0.3
+	// defaultServiceTime stands in for the time of a call before the first report.
+	defaultServiceTime = 10 * time.Millisecond
+)
+
+// Predict returns when a call that is sent now would finish at c.
+func Predict(c Candidate) time.Duration {
+	service := time.Duration(c.Load.ServiceUS) * time.Microsecond
+	if service <= 0 {
+		service = defaultServiceTime
+	}
+	finish := service
+	if !c.Local {
+		finish += remotePenalty
+	}
+	limit := max(c.Load.Limit, 1)
+	excess := c.Load.InFlight + c.Since + 1 - limit
+	if excess <= 0 {
+		return finish
+	}
+	queue := time.Duration(c.Load.QueueUS) * time.Microsecond
+	return finish + max(queue, service*time.Duration(excess)/time.Duration(limit))
+}
+
+// FinishTime chooses the better of two random candidates by predicted finish
+// time. A call with affinity goes to its home endpoint while the prefix saved
+// there outweighs the home's longer queue.
+type FinishTime struct{ intN func(int) int }
+
+// NewFinishTime returns a FinishTime.
+func NewFinishTime() *FinishTime { return &FinishTime{intN: rand.IntN} }
+
+// Choose implements Chooser.
+func (f *FinishTime) Choose(q Query, candidates []Candidate) int {
+	best := twoChoices(f.intN, candidates, func(a, b Candidate) bool { return Predict(a) < Predict(b) })
+	if q.Affinity == "" {
+		return best
+	}
+	home := homeOf(q.Affinity, candidates)
+	saving := time.Duration(affinitySaving * float64(Predict(Candidate{Load: link.Load{ServiceUS: candidates[home].Load.ServiceUS}, Local: true})))
+	if Predict(candidates[home])-saving <= Predict(candidates[best]) {
+		return home
+	}
+	return best
+}
+
+// homeOf returns the candidate with the highest rendezvous weight, which is
+// the same for every entry that sees the same candidates.
+func homeOf(digest string, candidates []Candidate) int {
+	home, high := 0, uint64(0)
+	for i, c := range candidates {
+		if w := membership.Weight(digest, c.Name); w >= high {
+			home, high = i, w
+		}
+	}
+	return home
+}
+
+func twoChoices(intN func(int) int, candidates []Candidate, less func(a, b Candidate) bool) int {
+	n := len(candidates)
+	if n == 1 {
+		return 0
+	}
+	i := intN(n)
+	j := intN(n - 1)
+	if j >= i {
+		j++
+	}
+	if less(candidates[j], candidates[i]) {
+		return j
+	}
+	return i
+}
--- /dev/null
+++ b/entry/http.go
@@ -0,0 +1,197 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/settings"
+)
+
+// RunsPath is the route on which callers start runs.
+const RunsPath = "/v1/pipelines/{pipeline}/runs"
+
+func (e *Entry) routes() http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc(RunsPath, e.serveRun).Methods(http.MethodPost)
+	return m
+}
+
+// serveRun answers one caller.
+func (e *Entry) serveRun(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	id := contract.NewRequestID()
+	w.Header().Set("Azurelead-Request-Id", string(id))
+	if !e.begin() {
+		e.refuse(w, started, &Request{ID: id}, shuttingDown())
+		return
+	}
+	defer e.working.Done()
+	e.m.inFlight.Inc()
+	defer e.m.inFlight.Dec()
+	req := &Request{ID: id}
+	snap, problem := e.accept(req, r, started)
+	if problem != nil {
+		e.refuse(w, started, req, problem)
+		return
+	}
+	parent := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := startSpan(parent, "request", trace.SpanKindServer)
+	defer span.End()
+	f, joined, problem := e.fly(ctx, snap, req)
+	if problem != nil {
+		e.refuse(w, started, req, problem)
+		return
+	}
+	defer e.flights.leave(f)
+	c := &caller{e: e, w: w, req: req, f: f, joined: joined, started: started}
+	wait, cancel := context.WithDeadline(r.Context(), req.Deadline)
+	defer cancel()
+	if req.Body.Stream {
+		c.stream(wait)
+		return
+	}
+	c.answer(wait)
+}
+
+func shuttingDown() *contract.Problem {
+	return contract.NewProblem(contract.CodeShuttingDown, contract.NotRun, "this entry is shutting down").After(retryAfterBusy)
+}
+
+// accept checks everything that needs no endpoint, the cheapest first.
+func (e *Entry) accept(req *Request, r *http.Request, now time.Time) (*settings.Snapshot, *contract.Problem) {
+	snap := e.o.Settings.Current()
+	if snap == nil {
+		return nil, contract.NewProblem(contract.CodeSettingsMissing, contract.NotRun, "this entry has no settings yet").After(retryAfterFailure)
+	}
+	var problem *contract.Problem
+	if req.Organisation, problem = e.auth.organisation(snap, r.Header); problem != nil {
+		return nil, problem
+	}
+	req.Weight = snap.Document.Organisations[req.Organisation].Weight
+	name := mux.Vars(r)["pipeline"]
+	p, ok := snap.Document.Pipelines[name]
+	if !ok {
+		return nil, contract.NewProblem(contract.CodeUnknownPipeline, contract.NotRun, "there is no pipeline of that name")
+	}
+	req.PipelineName, req.Pipeline = name, p
+	set := snap.Request(req.Organisation, name, "")
+	left, problem := parseDeadline(r.Header, set.MaxDeadline)
+	if problem != nil {
+		return nil, problem
+	}
+	req.Deadline = now.Add(left)
+	req.Key = r.Header.Get(HeaderKey)
+	if problem = checkKey(p, req.Key); problem != nil {
+		return nil, problem
+	}
+	if req.Body, problem = DecodeBody(r.Body, set.MaxBodyBytes); problem != nil {
+		return nil, problem
+	}
+	req.Digest = requestDigest(req.Organisation, name, req.Body)
+	return snap, checkBody(p, req.Body)
+}
+
+// fly joins a run of the same request, or starts one.
+func (e *Entry) fly(ctx context.Context, snap *settings.Snapshot, req *Request) (*flight, bool, *contract.Problem) {
+	key := e.joinKey(req)
+	if f := e.flights.join(key, req.Deadline); f != nil {
+		return e.joined(f, req)
+	}
+	if problem := e.admit(req); problem != nil {
+		return nil, false, problem
+	}
+	f, isNew := e.flights.start(newFlight(context.WithoutCancel(ctx), key, req.Digest, req.Deadline))
+	if !isNew {
+		e.shares.Leave(req.Organisation)
+		return e.joined(f, req)
+	}
+	run := &run{e: e, f: f, req: req, snap: snap, trace: context.WithoutCancel(ctx)}
+	e.background(func(context.Context) {
+		defer e.shares.Leave(req.Organisation)
+		run.execute()
+	})
+	return f, false, nil
+}
+
+func (e *Entry) joined(f *flight, req *Request) (*flight, bool, *contract.Problem) {
+	if f.digest != req.Digest {
+		e.flights.leave(f)
+		return nil, false, contract.NewProblem(contract.CodeKeyReused, contract.NotRun, "the idempotency key is in use for another body")
+	}
+	e.m.joined.WithLabelValues(req.Organisation, req.PipelineName).Inc()
+	return f, true, nil
+}
+
+// joinKey is what requests share that are joined. Where a stage may not be
+// repeated only the idempotency key tells two orders from one sent twice.
+func (e *Entry) joinKey(req *Request) string {
+	prefix := req.Organisation + "\x00" + req.PipelineName + "\x00"
+	switch {
+	case once(req.Pipeline):
+		return prefix + "key\x00" + req.Key
+	case e.o.NoJoin:
+		return prefix + "request\x00" + string(req.ID)
+	}
+	return prefix + "digest\x00" + req.Digest
+}
+
+// admit decides at once whether a new run may start.
+func (e *Entry) admit(req *Request) *contract.Problem {
+	if verdict, d := e.o.Suspects.Verdict(req.Digest); verdict == Banned {
+		return contract.NewProblem(contract.CodeSuspectRequest, contract.NotRun, "the request crashed endpoints").After(d)
+	}
+	ok := e.shares.Enter(time.Now(), req.Organisation, req.Weight)
+	if ok || e.o.NoShares {
+		return nil
+	}
+	return contract.NewProblem(contract.CodeOverloaded, contract.NotRun, "the organisation's share of this entry is in use").After(retryAfterBusy)
+}
+
+// refuse writes a problem as the whole answer.
+func (e *Entry) refuse(w http.ResponseWriter, started time.Time, req *Request, p *contract.Problem) {
+	writeProblem(w, req.ID, p, nil)
+	e.counted(req, p, started)
+}
+
+// counted records the end of a request.
+func (e *Entry) counted(req *Request, p *contract.Problem, started time.Time) {
+	if p == nil {
+		e.m.requests.WithLabelValues(req.Organisation, req.PipelineName, "ok", string(contract.Ran)).Inc()
+		return
+	}
+	e.m.requests.WithLabelValues(req.Organisation, req.PipelineName, string(p.Code), string(p.Run)).Inc()
+	e.m.refusal.Observe(time.Since(started).Seconds())
+}
+
+// writeProblem writes a problem document. The problem may be shared by joined
+// callers, so that it is copied before the request's id goes in.
+func writeProblem(w http.ResponseWriter, id contract.RequestID, p *contract.Problem, stages []StageReport) {
+	own := *p
+	own.RequestID = id
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	if own.RetryAfterMS > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(float64(own.RetryAfterMS)/1000))))
+	}
+	w.WriteHeader(own.Status)
+	_ = json.NewEncoder(w).Encode(ProblemReport{Problem: &own, Stages: stages})
+}
+
+// deadlineProblem is the answer to a caller whose own deadline has passed
+// while the run goes on for others or is being stopped.
+func deadlineProblem(ctx context.Context, run contract.RunState) *contract.Problem {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return contract.NewProblem(contract.CodeDeadlineExceeded, run, "the deadline passed").After(retryAfterFailure)
+	}
+	return contract.NewProblem(contract.CodeCancelled, run, "the caller has left")
+}
--- /dev/null
+++ b/entry/once.go
@@ -0,0 +1,244 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/azurelead/azurelead/claim"
+	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/pipeline"
+)
+
+const (
+	// onceCandidates is how many agents a claim names.
+	onceCandidates = 3
+	// onceGrace is how long after its budget the result of a claimed call is
+	// still awaited, so that its outcome is recorded.
+	onceGrace = 2 * time.Second
+	// finishBound bounds how long a caller waits for the record of its outcome.
+	finishBound = 500 * time.Millisecond
+	// finishTries and finishPause bound the tries to record an outcome afterwards.
+	finishTries = 10
+	finishPause = time.Second
+	// claimTries bounds how often a request claims again after it has proved
+	// that an earlier holder's call never ran.
+	claimTries = 2
+)
+
+// executeOnce runs a stage that may not be repeated: it is claimed before it is
+// sent, and handed to another agent only after the one before has proved that
+// it did not run. A call that was handed over goes on when its callers leave.
+func (s *stageRun) executeOnce() link.RunResult {
+	if s.e.o.Claims == nil {
+		return refusedOnce(contract.CodeClaimUnavailable, "this entry has no claim store")
+	}
+	for range claimTries {
+		peers, req := s.claimRequest()
+		d, err := s.acquire(req)
+		if err != nil {
+			return refusedOnce(contract.CodeClaimUnavailable, "the call could not be claimed")
+		}
+		switch d.State {
+		case claim.Granted:
+			return s.runClaimed(req, peers)
+		case claim.Finished:
+			return s.replay(d.Outcome)
+		case claim.KeyReused:
+			return refusedOnce(contract.CodeKeyReused, "the idempotency key was used for another call")
+		}
+		res, again := s.settleHeld(req, d)
+		if !again {
+			return res
+		}
+	}
+	return unknownOutcome(contract.CodeInProgress, "the key is being used by another request")
+}
+
+// acquire asks for the claim within the stage's budget.
+func (s *stageRun) acquire(req claim.Request) (claim.Decision, error) {
+	ctx, cancel := context.WithTimeout(s.f.ctx, s.budget)
+	defer cancel()
+	return s.e.o.Claims.Acquire(ctx, req)
+}
+
+// claimRequest picks the agents that the call may go to, in order.
+func (s *stageRun) claimRequest() ([]*peer, claim.Request) {
+	req := claim.Request{
+		Organisation: s.req.Organisation,
+		Key:          s.req.Key + "/" + s.stage.Name,
+		Fingerprint:  s.f.digest + "/" + s.stage.Name,
+		Attempt:      contract.NewAttemptID(),
+	}
+	var peers []*peer
+	tried := make(map[string]bool)
+	for range onceCandidates {
+		ps, candidates := s.e.eligible(s.stage.Pool, tried)
+		if len(candidates) == 0 {
+			break
+		}
+		p := ps[s.e.o.Chooser.Choose(Query{}, candidates)]
+		tried[p.instance.Name] = true
+		l := p.current()
+		if l == nil {
+			continue
+		}
+		peers = append(peers, p)
+		req.Candidates = append(req.Candidates, claim.Candidate{
+			Agent: p.instance.Name, Addr: p.instance.Agent, Boot: l.Peer().AgentBoot,
+		})
+	}
+	return peers, req
+}
+
+// runClaimed hands the claimed call to its candidates in turn.
+func (s *stageRun) runClaimed(req claim.Request, peers []*peer) link.RunResult {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.f.ctx), s.f.left()+onceGrace)
+	defer cancel()
+	res := refusedOnce(contract.CodeNoEndpoint, "pool "+s.stage.Pool+" has no endpoint for new work")
+	s.note(func(r *StageReport) { r.Run = contract.MayHaveRun })
+	for i, p := range peers {
+		if s.f.ctx.Err() != nil {
+			break
+		}
+		s.boot = req.Candidates[i].Boot
+		s.note(func(r *StageReport) { r.Attempts++; r.Endpoint = p.instance.Name })
+		res = s.settle(s.try(ctx, p, kindOf(i), req.Attempt, newTokenBuffer()))
+		if res.Code == "" || res.Run != contract.NotRun {
+			return s.finish(ctx, req, res)
+		}
+		if !retryable(res.Code) {
+			break
+		}
+	}
+	s.note(func(r *StageReport) { r.Run = contract.NotRun })
+	s.e.background(func(ctx context.Context) {
+		s.e.repeat(ctx, func(ctx context.Context) error { return s.e.o.Claims.Release(ctx, req) })
+	})
+	return res
+}
+
+func kindOf(i int) string {
+	if i == 0 {
+		return "first"
+	}
+	return "redirect"
+}
+
+// finish records the outcome before the caller hears of it. When the store
+// does not answer, the record is tried again in the background; until then a
+// repeated request learns the outcome from the agent.
+func (s *stageRun) finish(ctx context.Context, req claim.Request, res link.RunResult) link.RunResult {
+	s.note(func(r *StageReport) { r.Run = res.Run })
+	o := claim.Outcome{Run: res.Run, Code: res.Code, Detail: res.Detail, Body: res.Output.Body}
+	s.record(ctx, req, o)
+	if res.Run == contract.MayHaveRun {
+		res.Code = contract.CodeOutcomeUnknown
+	}
+	return res
+}
+
+func (s *stageRun) record(ctx context.Context, req claim.Request, o claim.Outcome) {
+	fctx, cancel := context.WithTimeout(ctx, finishBound)
+	defer cancel()
+	if s.e.o.Claims.Finish(fctx, req, o) == nil {
+		return
+	}
+	s.e.background(func(ctx context.Context) {
+		s.e.repeat(ctx, func(ctx context.Context) error { return s.e.o.Claims.Finish(ctx, req, o) })
+	})
+}
+
+// replay answers with the outcome of an earlier request.
+func (s *stageRun) replay(o *claim.Outcome) link.RunResult {
+	s.note(func(r *StageReport) { r.Replayed = true })
+	if o.Run == contract.MayHaveRun {
+		return unknownOutcome(contract.CodeOutcomeUnknown, "an earlier request with this key may have run")
+	}
+	return link.RunResult{Run: o.Run, Code: o.Code, Detail: o.Detail, Output: pipeline.Output{Body: o.Body}}
+}
+
+// settleHeld asks the agents of another holder what became of its call. Where
+// all prove that it never ran and never will, the claim is freed and may be
+// asked for again.
+func (s *stageRun) settleHeld(req claim.Request, d claim.Decision) (res link.RunResult, again bool) {
+	ctx, cancel := context.WithTimeout(s.f.ctx, s.budget)
+	defer cancel()
+	held := req
+	held.Attempt, held.Candidates = d.Attempt, d.Candidates
+	proved := len(d.Candidates) > 0
+	running := false
+	for _, c := range d.Candidates {
+		st, err := s.settleAt(ctx, c, d.Attempt)
+		switch {
+		case err != nil || st.State == link.AttemptUnknown:
+			proved = false
+		case st.State == link.AttemptRunning:
+			running = true
+		case st.State == link.AttemptFinished && st.Result != nil && st.Result.Run != contract.NotRun:
+			return s.adopt(ctx, held, *st.Result), false
+		}
+	}
+	if running {
+		return unknownOutcome(contract.CodeInProgress, "an earlier request with this key is running"), false
+	}
+	if !proved {
+		return unknownOutcome(contract.CodeOutcomeUnknown, "an earlier request with this key may have run"), false
+	}
+	if err := s.e.o.Claims.Release(ctx, held); err != nil {
+		return refusedOnce(contract.CodeClaimUnavailable, "the claim of an earlier call could not be freed"), false
+	}
+	return link.RunResult{}, true
+}
+
+// adopt records the outcome that the holder did not record, and replays it.
+func (s *stageRun) adopt(ctx context.Context, held claim.Request, res link.RunResult) link.RunResult {
+	o := claim.Outcome{Run: res.Run, Code: res.Code, Detail: res.Detail, Body: res.Output.Body}
+	s.record(context.WithoutCancel(ctx), held, o)
+	return s.replay(&o)
+}
+
+// settleAt asks one agent. An agent of another boot remembers nothing.
+func (s *stageRun) settleAt(ctx context.Context, c claim.Candidate, id contract.AttemptID) (link.SettleResult, error) {
+	l, done, err := s.e.linkTo(ctx, c)
+	if err != nil {
+		return link.SettleResult{}, err
+	}
+	defer done()
+	if l.Peer().AgentBoot != c.Boot {
+		return link.SettleResult{State: link.AttemptUnknown}, nil
+	}
+	return l.Settle(ctx, link.SettleParams{Attempt: id, AgentBoot: c.Boot})
+}
+
+// linkTo returns a link to an agent, the entry's own or one for this call.
+func (e *Entry) linkTo(ctx context.Context, c claim.Candidate) (Link, func(), error) {
+	if p := e.fleet.byName(c.Agent); p != nil && p.instance.Agent == c.Addr {
+		if l := p.current(); l != nil {
+			return l, func() {}, nil
+		}
+	}
+	l, err := e.o.Dial(ctx, c.Addr)
+	if err != nil {
+		return nil, nil, err
+	}
+	return l, func() { _ = l.Close() }, nil
+}
+
+// repeat tries f until it succeeds, for a bounded number of times.
+func (e *Entry) repeat(ctx context.Context, f func(context.Context) error) {
+	for range finishTries {
+		if f(ctx) == nil {
+			return
+		}
+		sleep(ctx, finishPause)
+	}
+}
+
+func refusedOnce(code contract.Code, detail string) link.RunResult {
+	return link.RunResult{Run: contract.NotRun, Code: code, Detail: detail}
+}
+
+func unknownOutcome(code contract.Code, detail string) link.RunResult {
+	return link.RunResult{Run: contract.MayHaveRun, Code: code, Detail: detail}
+}
--- /dev/null
+++ b/entry/peer.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/platform"
+)
+
+// peer is one agent that the entry holds a link to, over the lives of the
+// link and of the agent.
+type peer struct {
+	instance platform.Instance
+	stop     context.CancelFunc
+
+	mu      sync.Mutex
+	link    Link
+	changed chan struct{} // closed and replaced when link changes
+	leaving bool
+	retired bool // no longer wanted: closes when idle
+	own     int
+	since   int
+	load    link.Load
+}
+
+func newPeer(in platform.Instance, stop context.CancelFunc) *peer {
+	return &peer{instance: in, stop: stop, changed: make(chan struct{})}
+}
+
+// set installs a new link, or nil when it was lost.
+func (p *peer) set(l Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.link = l
+	if l != nil {
+		p.leaving = false
+		p.load = l.Load()
+		p.since = 0
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *peer) setLeaving() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = true
+}
+
+// retire makes the peer close its link once its calls have ended.
+func (p *peer) retire() {
+	p.mu.Lock()
+	p.retired = true
+	idle := p.own == 0
+	p.mu.Unlock()
+	if idle {
+		p.stop()
+	}
+}
+
+// current returns the link, or nil while there is none.
+func (p *peer) current() Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.link
+}
+
+// candidate returns the peer as choosers see it, and false when it may not get
+// new work.
+func (p *peer) candidate(dataCentre string) (Candidate, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link == nil || p.leaving || p.retired {
+		return Candidate{}, false
+	}
+	load := p.link.Load()
+	if load != p.load {
+		p.load, p.since = load, 0
+	}
+	if load.Leaving || load.Out {
+		return Candidate{}, false
+	}
+	return Candidate{
+		Name:  p.instance.Name,
+		Load:  load,
+		Since: p.since,
+		Own:   p.own,
+		Local: p.instance.DataCentre == dataCentre,
+	}, true
+}
+
+// begin counts a call in flight and returns the link for it, or nil.
+func (p *peer) begin() Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link == nil {
+		return nil
+	}
+	p.own++
+	p.since++
+	return p.link
+}
+
+// end uncounts a call.
+func (p *peer) end() {
+	p.mu.Lock()
+	p.own--
+	done := p.retired && p.own == 0
+	p.mu.Unlock()
+	if done {
+		p.stop()
+	}
+}
+
+// await returns a link to the given boot of the agent other than old. It
+// returns nil when ctx ends first or another boot has taken its place.
+func (p *peer) await(ctx context.Context, old Link, boot contract.BootID) Link {
+	for {
+		p.mu.Lock()
+		l, changed := p.link, p.changed
+		p.mu.Unlock()
+		if l != nil && l != old {
+			if l.Peer().AgentBoot != boot {
+				return nil
+			}
+			return l
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/entry/shares.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// sharesMin is the lowest capacity that pressure cuts an entry down to.
+	sharesMin = 4
+	// sharesCut is the factor by which a sign of overload lowers the capacity.
+	sharesCut = 0.9
+	// sharesCutEvery is the shortest time between two cuts, about the time in
+	// which a cut shows.
+	sharesCutEvery = 100 * time.Millisecond
+	// sharesActive is how long an organisation without requests keeps its share.
+	sharesActive = time.Second
+	// sharesUnlimited is the capacity before the first sign of overload.
+	sharesUnlimited = 1 << 20
+)
+
+// orgShare is the state of one organisation.
+type orgShare struct {
+	weight   int
+	inFlight int
+	last     time.Time
+}
+
+// Shares divides an entry's concurrency between organisations by weight. The
+// capacity follows signs of overload by additive increase and multiplicative
+// decrease. While there is room everybody may use it; when it is full, only
+// organisations below their share start new requests.
+type Shares struct {
+	mu       sync.Mutex
+	capacity float64
+	total    int
+	orgs     map[string]*orgShare
+	cutAt    time.Time
+}
+
+// NewShares returns shares with an unlimited capacity.
+func NewShares() *Shares {
+	return &Shares{capacity: sharesUnlimited, orgs: make(map[string]*orgShare)}
+}
+
+// Enter starts a request of an organisation, and reports whether it may run.
+func (s *Shares) Enter(now time.Time, organisation string, weight int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.org(organisation, weight)
+	o.last = now
+	if float64(s.total) >= s.capacity && float64(o.inFlight) >= s.share(now, o) {
+		return false
+	}
+	o.inFlight++
+	s.total++
+	return true
+}
+
+func (s *Shares) org(organisation string, weight int) *orgShare {
+	o := s.orgs[organisation]
+	if o == nil {
+		o = &orgShare{}
+		s.orgs[organisation] = o
+	}
+	o.weight = max(weight, 1)
+	return o
+}
+
+// share is the part of the capacity that o may always use; at least one.
+func (s *Shares) share(now time.Time, o *orgShare) float64 {
+	sum := 0
+	for name, other := range s.orgs {
+		idle := other.inFlight == 0 && now.Sub(other.last) > sharesActive
+		if idle {
+			delete(s.orgs, name)
+			continue
+		}
+		sum += other.weight
+	}
+	return max(s.capacity*float64(o.weight)/float64(max(sum, 1)), 1)
+}
+
+// Leave ends a request that entered.
+func (s *Shares) Leave(organisation string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.total--
+	if o := s.orgs[organisation]; o != nil {
+		o.inFlight--
+	}
+}
+
+// Overloaded takes a sign of overload.
+func (s *Shares) Overloaded(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.cutAt) < sharesCutEvery {
+		return
+	}
+	s.cutAt = now
+	s.capacity = max(min(s.capacity, float64(s.total))*sharesCut, sharesMin)
+}
+
+// Finished takes a good end of a request.
+func (s *Shares) Finished() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.capacity = min(s.capacity+1/max(s.capacity, 1), sharesUnlimited)
+}
+
+// Total returns the requests in flight and the capacity.
+func (s *Shares) Total() (inFlight int, capacity float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.total, s.capacity
+}
--- /dev/null
+++ b/entry/stage.go
@@ -0,0 +1,215 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/pipeline"
+	"github.com/azurelead/azurelead/settings"
+)
+
+// maxRedirects bounds how often one stage moves on from an agent that refused
+// an attempt as not run. Redirects cost no endpoint time, so that the retry
+// budget does not pay for them.
+const maxRedirects = 2
+
+// stageRun is one stage of one run.
+type stageRun struct {
+	*run
+	index  int
+	stage  settings.Stage
+	set    settings.RequestSettings
+	budget time.Duration
+	ctx    context.Context
+	span   trace.Span
+	report StageReport
+	tried  map[string]bool
+	input  pipeline.Input
+	tokens *tokenBuffer
+	// boot is the agent boot that a claimed call is meant for.
+	boot contract.BootID
+}
+
+func (r *run) newStage(i int, st settings.Stage, budget time.Duration) *stageRun {
+	set := r.snap.Request(r.req.Organisation, r.req.PipelineName, st.Name)
+	maxTokens := set.MaxTokens
+	if r.req.Body.MaxTokens > 0 {
+		maxTokens = min(maxTokens, r.req.Body.MaxTokens)
+	}
+	s := &stageRun{
+		run:    r,
+		index:  i,
+		stage:  st,
+		set:    set,
+		budget: budget,
+		report: StageReport{Stage: st.Name, Kind: st.Kind, Run: contract.NotRun},
+		tried:  make(map[string]bool),
+		input:  stageInput(st, r.req.Body, maxTokens, &r.carry),
+		tokens: newTokenBuffer(),
+	}
+	if st.Kind == pipeline.Generate && lastGenerate(r.req.Pipeline) == i {
+		s.tokens = r.f.answer
+	}
+	s.ctx, s.span = startSpan(r.trace, "stage "+st.Name, trace.SpanKindInternal, attribute.String("azurelead.pool", st.Pool))
+	r.f.setReport(i, s.report)
+	return s
+}
+
+func lastGenerate(p settings.Pipeline) int {
+	last := -1
+	for i, st := range p.Stages {
+		if st.Kind == pipeline.Generate {
+			last = i
+		}
+	}
+	return last
+}
+
+// note changes the stage's report where callers can see it.
+func (s *stageRun) note(change func(*StageReport)) {
+	change(&s.report)
+	s.f.setReport(s.index, s.report)
+}
+
+// execute runs the stage to its final result.
+func (s *stageRun) execute() link.RunResult {
+	if s.stage.Once {
+		return s.executeOnce()
+	}
+	ctx, cancel := context.WithTimeout(s.f.ctx, s.budget)
+	defer cancel()
+	return s.executeRepeatable(ctx)
+}
+
+// executeRepeatable tries endpoints until one answers, or until neither
+// budget, time nor endpoints are left. It never waits between tries.
+func (s *stageRun) executeRepeatable(ctx context.Context) link.RunResult {
+	budget := s.e.budgets.of(s.stage.Pool)
+	budget.Earn(s.set.RetryPercent)
+	kind := "first"
+	for {
+		p, refused := s.pick()
+		if refused != nil {
+			return s.lastOr(*refused)
+		}
+		res := s.tryHedged(ctx, p, kind)
+		if res.Code == "" || ctx.Err() != nil || !retryable(res.Code) {
+			return res
+		}
+		s.tried[p.instance.Name] = true
+		s.note(func(r *StageReport) { r.Code, r.Run = res.Code, r.Run.Worse(res.Run) })
+		if kind = s.nextKind(res, budget); kind == "" {
+			return res
+		}
+	}
+}
+
+// nextKind decides whether another attempt follows the failed res, and pays
+// for it. It returns "" when the stage ends with res.
+func (s *stageRun) nextKind(res link.RunResult, budget *RetryBudget) string {
+	if redirectable(res) {
+		if s.report.Redirects >= maxRedirects {
+			return ""
+		}
+		s.note(func(r *StageReport) { r.Redirects++ })
+		return "redirect"
+	}
+	if !s.e.o.UnboundedRetries && !budget.Spend() {
+		return ""
+	}
+	s.note(func(r *StageReport) { r.Retries++ })
+	return "retry"
+}
+
+// lastOr keeps the code of the last attempt when no further endpoint is left,
+// since it tells more than the lack of another.
+func (s *stageRun) lastOr(refused link.RunResult) link.RunResult {
+	refused.Run = s.report.Run
+	if s.report.Code != "" && refused.Code == contract.CodeNoEndpoint {
+		refused.Code = s.report.Code
+		refused.Detail = "no further endpoint after the last failure"
+	}
+	return refused
+}
+
+// pick chooses an endpoint that has not been tried.
+func (s *stageRun) pick() (*peer, *link.RunResult) {
+	if verdict, d := s.e.o.Suspects.Verdict(s.f.digest); verdict == Banned {
+		return nil, &link.RunResult{
+			Run: contract.NotRun, Code: contract.CodeSuspectRequest,
+			Detail: "the request crashed endpoints", RetryAfterMS: d.Milliseconds(),
+		}
+	}
+	peers, candidates := s.e.eligible(s.stage.Pool, s.tried)
+	if len(candidates) == 0 {
+		return nil, &link.RunResult{
+			Run: contract.NotRun, Code: contract.CodeNoEndpoint,
+			Detail: "pool " + s.stage.Pool + " has no endpoint for new work",
+		}
+	}
+	return peers[s.e.o.Chooser.Choose(s.query(), candidates)], nil
+}
+
+func (s *stageRun) query() Query {
+	if s.stage.Kind != pipeline.Generate {
+		return Query{}
+	}
+	return Query{Affinity: s.f.digest}
+}
+
+// retryable reports whether another endpoint may do better.
+func retryable(code contract.Code) bool {
+	switch code {
+	case contract.CodeOverloaded, contract.CodeNoEndpoint, contract.CodeEndpointFailed,
+		contract.CodeShuttingDown, contract.CodeDataCentreOut, contract.CodeWrongBoot,
+		contract.CodeSettingsMissing, contract.CodeInternal:
+		return true
+	}
+	return false
+}
+
+// redirectable reports whether the attempt was refused before any endpoint
+// spent time on it.
+func redirectable(res link.RunResult) bool {
+	if res.Run != contract.NotRun {
+		return false
+	}
+	switch res.Code {
+	case contract.CodeOverloaded, contract.CodeNoEndpoint, contract.CodeShuttingDown,
+		contract.CodeDataCentreOut, contract.CodeWrongBoot, contract.CodeSettingsMissing:
+		return true
+	}
+	return false
+}
+
+// eligible returns the peers of a pool that may get new work, beside their
+// candidates. Agents that lost a link a moment ago come in only when no other is left.
+func (e *Entry) eligible(pool string, tried map[string]bool) ([]*peer, []Candidate) {
+	now := time.Now()
+	snap := e.o.Settings.Current()
+	var peers, doubtful []*peer
+	var candidates, doubtfulCandidates []Candidate
+	for _, p := range e.fleet.pool(pool) {
+		if tried[p.instance.Name] || snap.Out(p.instance.DataCentre) {
+			continue
+		}
+		c, ok := p.candidate(e.o.DataCentre)
+		if !ok {
+			continue
+		}
+		if e.fleet.table.Suspected(p.instance.Name, now) {
+			doubtful, doubtfulCandidates = append(doubtful, p), append(doubtfulCandidates, c)
+			continue
+		}
+		peers, candidates = append(peers, p), append(candidates, c)
+	}
+	if len(peers) == 0 {
+		return doubtful, doubtfulCandidates
+	}
+	return peers, candidates
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -21,7 +21,7 @@
 	instance       platform.Instance
 	listed         bool
 	up             bool
-	leaving        bool
+	leavingUntil   time.Time
 	suspectedUntil time.Time
 }
 
@@ -71,12 +71,9 @@
 	m.listed = true
 }
 
-// Up records a link to the agent; it clears every mark, because the agent that
-// answered is alive now.
+// Up records a link to the agent, which clears its suspicion.
 func (t *Table) Up(name string) {
-	t.mark(name, func(m *member) {
-		m.up, m.leaving, m.suspectedUntil = true, false, time.Time{}
-	})
+	t.mark(name, func(m *member) { m.up, m.suspectedUntil = true, time.Time{} })
 }
 
 // Down records the loss of the link to the agent and suspects it until then.
@@ -84,9 +81,10 @@
 	t.mark(name, func(m *member) { m.up, m.suspectedUntil = false, until })
 }
 
-// Leaving records that the agent said that it leaves.
-func (t *Table) Leaving(name string) {
-	t.mark(name, func(m *member) { m.leaving = true })
+// Leaving records that the agent said that it leaves. The mark ends at until,
+// because an agent of the same name may take its place while the list lags.
+func (t *Table) Leaving(name string, until time.Time) {
+	t.mark(name, func(m *member) { m.leavingUntil = until })
 }
 
 func (t *Table) mark(name string, change func(*member)) {
@@ -100,12 +98,12 @@
 // Live returns the agents to hold links to, ordered by name. Agents that only
 // the list calls leaving are out too; suspected ones stay, so that their links
 // are tried again.
-func (t *Table) Live() []platform.Instance {
+func (t *Table) Live(now time.Time) []platform.Instance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []platform.Instance
 	for _, m := range t.members {
-		if m.leaving || m.instance.State == platform.Leaving {
+		if now.Before(m.leavingUntil) || m.instance.State == platform.Leaving {
 			continue
 		}
 		out = append(out, m.instance)
@@ -127,8 +125,8 @@
 
 // Targets returns the agents that the entry self keeps links to: a subset of
 // about size for every pool in every data centre.
-func (t *Table) Targets(self string, size int) []platform.Instance {
-	live := t.Live()
+func (t *Table) Targets(now time.Time, self string, size int) []platform.Instance {
+	live := t.Live(now)
 	t.mu.Lock()
 	entries := slices.Clone(t.entries)
 	t.mu.Unlock()
