Carry runs, takeovers and control calls over links

Cause: entry and agent need one connection each that carries many attempts. Conclusion: go test -race ./link passes; speed not measured yet.

--- a/link/server.go
+++ b/link/server.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"net"
+	"sync"
+	"time"
 )
 
 // Handler is the agent behind a Server. Its methods are called concurrently.
@@ -26,17 +30,27 @@
 // Method handles a call that is not of the link's own, such as claims and orders.
 type Method func(ctx context.Context, params json.RawMessage) (any, error)
 
+// acceptPause keeps a listener that cannot accept from spinning.
+const acceptPause = 10 * time.Millisecond
+
 // Server is the agent's side of its links.
 type Server struct {
 	h       Handler
 	o       ServerOptions
 	methods map[string]Method
+
+	mu       sync.Mutex
+	links    map[*serverLink]struct{}
+	listener net.Listener
+	leaving  bool
+	closed   bool
+	wg       sync.WaitGroup
 }
 
 // NewServer returns a server for h.
 func NewServer(h Handler, o ServerOptions) *Server {
 	o.setDefaults()
-	return &Server{h: h, o: o, methods: map[string]Method{}}
+	return &Server{h: h, o: o, methods: map[string]Method{}, links: map[*serverLink]struct{}{}}
 }
 
 // Handle adds a method. It must be called before Serve.
@@ -45,11 +59,74 @@
 // Serve accepts links on l until ctx ends or Close is called, then returns
 // after every link has closed.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	return Error.New("not built yet")
+	s.mu.Lock()
+	s.listener = l
+	if s.closed {
+		_ = l.Close()
+	}
+	s.mu.Unlock()
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	err := s.accept(l)
+	s.wg.Wait()
+	return err
+}
+
+func (s *Server) accept(l net.Listener) error {
+	for {
+		conn, err := l.Accept()
+		switch {
+		case err == nil:
+			s.add(conn)
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		default:
+			s.o.Logger.Warn("accept failed", "error", err)
+			time.Sleep(acceptPause)
+		}
+	}
+}
+
+func (s *Server) add(conn net.Conn) {
+	if s.o.TLS != nil {
+		conn = tls.Server(conn, s.o.TLS)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return
+	}
+	k := newServerLink(s, conn)
+	s.links[k] = struct{}{}
+	s.wg.Go(func() {
+		k.serve()
+		s.mu.Lock()
+		delete(s.links, k)
+		s.mu.Unlock()
+	})
 }
 
 // Leave tells every peer that this agent takes no new work.
-func (s *Server) Leave() {}
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	for k := range s.links {
+		k.leave()
+	}
+}
 
 // Close closes the listener and all links.
-func (s *Server) Close() error { return nil }
+func (s *Server) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	for k := range s.links {
+		_ = k.s.Close()
+	}
+	return nil
+}
