Shut links down without cutting a call; messages.go gains AgeMS

Cause: a run that is sent while the agent's leaving word is on its way would meet a closed connection, and its effect would be unknown. Ruled out: a fixed linger after the word, which a slow peer outlasts. Change: leaving is a call that the peer answers once no run can follow on the link; Shutdown waits for that and for all replies. SettleParams.AgeMS lets an agent that has forgotten attempts tell young ids from old ones (additive). Seen to fail: with the check of left in hand taken out, TestShutdownCutsNoCall reports calls that were lost.

--- a/link/client.go
+++ b/link/client.go
@@ -30,9 +30,14 @@
 
 	leaving     chan struct{}
 	leavingOnce sync.Once
-	done        chan struct{}
-	stop        context.CancelFunc
-	wg          sync.WaitGroup
+	// handover is read-locked while a run is checked against left and sent, so
+	// that after the agent's leaving word is answered no run follows it.
+	handover sync.RWMutex
+	left     atomic.Bool
+
+	done chan struct{}
+	stop context.CancelFunc
+	wg   sync.WaitGroup
 
 	mu     sync.Mutex
 	closed bool
@@ -149,7 +154,20 @@
 	})
 }
 
-func (c *Client) sayLeaving() { c.leavingOnce.Do(func() { close(c.leaving) }) }
+func (c *Client) sayLeaving() {
+	c.left.Store(true)
+	c.leavingOnce.Do(func() { close(c.leaving) })
+}
+
+// acknowledgeLeaving answers once no run can follow on this link.
+func (c *Client) acknowledgeLeaving(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	c.handover.Lock()
+	c.sayLeaving()
+	c.handover.Unlock()
+	if !r.Notif {
+		_ = conn.Reply(ctx, r.ID, struct{}{})
+	}
+}
 
 // Peer returns what the agent said in the handshake.
 func (c *Client) Peer() HelloResult { return c.peer }
@@ -233,7 +251,7 @@
 func (h clientHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
 	switch r.Method {
 	case MethodLeaving:
-		h.c.sayLeaving()
+		go h.c.acknowledgeLeaving(ctx, conn, r)
 	case MethodSettings:
 		go answerSettings(ctx, conn, r, h.c.o.Gossip)
 	default:
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -308,3 +308,43 @@
 		t.Errorf("limit %d, want 7", got)
 	}
 }
+
+// A planned stop must cut no call: callers keep sending until they are told,
+// and each of their calls is either answered or surely not sent.
+func TestShutdownCutsNoCall(t *testing.T) {
+	f := &fakeAgent{run: func(_ context.Context, _ RunParams, emit func(string)) RunResult {
+		time.Sleep(time.Millisecond)
+		emit("x")
+		return RunResult{Run: contract.Ran, Count: 1}
+	}}
+	s, addr := startServer(t, f, ServerOptions{})
+	var wg sync.WaitGroup
+	warm := make(chan struct{}, 400)
+	for range 4 {
+		c := dial(t, addr, ClientOptions{})
+		for range 8 {
+			wg.Go(func() {
+				for {
+					_, err := c.Run(context.Background(), RunParams{Attempt: contract.NewAttemptID()}, nil)
+					if err != nil {
+						if !NotSent.Has(err) {
+							t.Errorf("cut by a planned stop: %v", err)
+						}
+						return
+					}
+					select {
+					case warm <- struct{}{}:
+					default:
+					}
+				}
+			})
+		}
+	}
+	for range cap(warm) / 2 {
+		<-warm
+	}
+	if err := s.Shutdown(context.Background()); err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+}
--- a/link/messages.go
+++ b/link/messages.go
@@ -158,6 +158,10 @@
 type SettleParams struct {
 	Attempt   contract.AttemptID `json:"attempt"`
 	AgentBoot contract.BootID    `json:"agent_boot"`
+	// AgeMS is an upper bound of the time since the attempt id was made, by the
+	// asker's monotonic clock, in milliseconds; 0 is unknown. An agent that has
+	// forgotten attempts says "closed" only for ids that are younger than those.
+	AgeMS int64 `json:"age_ms,omitempty"`
 }
 
 // SettleResult answers SettleParams. Result is set for finished attempts.
--- a/link/run.go
+++ b/link/run.go
@@ -118,12 +118,22 @@
 	defer c.forget(id, r)
 	c.outstanding.Add(1)
 	defer c.outstanding.Add(-1)
-	if err := c.s.send(&outMessage{ID: string(id), Method: method, Params: params}); err != nil {
+	if err := c.hand(&outMessage{ID: string(id), Method: method, Params: params}); err != nil {
 		return RunResult{}, NotSent.Wrap(err)
 	}
 	return c.await(ctx, id, r, onChunk)
 }
 
+// hand sends a call of the data path, but no run to an agent that is leaving.
+func (c *Client) hand(m *outMessage) error {
+	c.handover.RLock()
+	defer c.handover.RUnlock()
+	if m.Method == MethodRun && c.left.Load() {
+		return Error.New("agent %s is leaving", c.peer.Agent)
+	}
+	return c.s.send(m)
+}
+
 func (c *Client) await(ctx context.Context, id contract.AttemptID, r *run, onChunk func(Chunk)) (RunResult, error) {
 	for {
 		select {
--- a/link/server.go
+++ b/link/server.go
@@ -8,6 +8,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/zeebo/errs"
 )
 
 // Handler is the agent behind a Server. Its methods are called concurrently.
@@ -44,7 +46,12 @@
 	listener net.Listener
 	leaving  bool
 	closed   bool
-	wg       sync.WaitGroup
+	// busy counts calls of the data path that are not answered yet, and
+	// leaving words that are not acknowledged yet.
+	busy int
+	// idle is closed when busy falls to 0 while a shutdown waits.
+	idle chan struct{}
+	wg   sync.WaitGroup
 }
 
 // NewServer returns a server for h.
@@ -107,13 +114,55 @@
 	})
 }
 
-// Leave tells every peer that this agent takes no new work.
+// Leave tells every peer that this agent takes no new work. The list of
+// instances lags, so the word on the link goes first.
 func (s *Server) Leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.leaving {
+		return
+	}
 	s.leaving = true
 	for k := range s.links {
-		k.leave()
+		s.busy++
+		go k.leave()
+	}
+}
+
+// Shutdown waits until every peer has acknowledged the leaving word and every
+// call is answered, then closes. When ctx ends first it closes at once.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Leave()
+	s.mu.Lock()
+	idle := make(chan struct{})
+	if s.busy == 0 {
+		close(idle)
+	} else {
+		s.idle = idle
+	}
+	s.mu.Unlock()
+	var err error
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		err = Error.New("shutdown cut calls short: %w", ctx.Err())
+	}
+	return errs.Combine(err, s.Close())
+}
+
+func (s *Server) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy++
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy--
+	if s.busy == 0 && s.idle != nil {
+		close(s.idle)
+		s.idle = nil
 	}
 }
 
--- a/link/server_link.go
+++ b/link/server_link.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"sync/atomic"
+	"time"
 
 	fastjson "github.com/segmentio/encoding/json"
 	"github.com/sourcegraph/jsonrpc2"
@@ -47,15 +48,20 @@
 	k.chunks.loop(k.rpc.DisconnectNotify())
 }
 
-// leave tells the peer that no new work is taken.
+// leaveBound is how long a peer may take to acknowledge the leaving word.
+const leaveBound = 2 * time.Second
+
+// leave tells the peer that no new work is taken. Once the peer has answered,
+// no run follows on this link.
 func (k *serverLink) leave() {
-	go func() {
-		select {
-		case <-k.ready:
-			_ = k.rpc.Notify(k.ctx, MethodLeaving, struct{}{})
-		case <-k.ctx.Done():
-		}
-	}()
+	defer k.srv.end()
+	ctx, cancel := context.WithTimeout(k.ctx, leaveBound)
+	defer cancel()
+	select {
+	case <-k.ready:
+		_ = k.rpc.Call(ctx, MethodLeaving, struct{}{}, nil)
+	case <-ctx.Done():
+	}
 }
 
 // route takes runs, takeovers and cancellations; all else is jsonrpc2's.
@@ -95,7 +101,11 @@
 		return Error.New("run of attempt %q under the id %q", p.Attempt, id)
 	}
 	k.heard(p.Settings, nil)
-	go func() { k.reply(id, k.srv.h.Run(k.ctx, p, k.emitter(id, 0))) }()
+	k.srv.begin()
+	go func() {
+		defer k.srv.end()
+		k.reply(id, k.srv.h.Run(k.ctx, p, k.emitter(id, 0)))
+	}()
 	return nil
 }
 
@@ -107,7 +117,11 @@
 	if p.Attempt != id {
 		return Error.New("attach to attempt %q under the id %q", p.Attempt, id)
 	}
-	go func() { k.reply(id, k.srv.h.Attach(k.ctx, p, k.emitter(id, p.From))) }()
+	k.srv.begin()
+	go func() {
+		defer k.srv.end()
+		k.reply(id, k.srv.h.Attach(k.ctx, p, k.emitter(id, p.From)))
+	}()
 	return nil
 }
 
