Add the agent: admission, attempts that run at most once, takeover

Cause: one place beside each endpoint has to hold its limit against all entries, and to say truthfully what ran. Ruled out: limits kept at the entries, which add up; forgetting attempt ids by time alone, after which a settle could call a finished booking closed. Change: package agent with a pure limiter, a fair bounded queue, a table of attempts with tombstones and a horizon of what it has forgotten, detection of pauses, probes of the endpoint, crash reports.

--- /dev/null
+++ b/agent/options.go
@@ -0,0 +1,120 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/endpoint"
+	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/pipeline"
+	"github.com/azurelead/azurelead/settings"
+)
+
+// Defaults of Options.
+const (
+	DefaultProbeInterval = time.Second
+	DefaultReportLag     = 500 * time.Millisecond
+	DefaultForeignBound  = 30 * time.Second
+	DefaultOrphanGrace   = 2 * time.Second
+	DefaultCancelLinger  = 100 * time.Millisecond
+	DefaultPauseBound    = time.Second
+)
+
+// Judgement is what may be done with a request.
+type Judgement int
+
+// The judgements of requests.
+const (
+	// Allow runs the request like any other.
+	Allow Judgement = iota
+	// Isolate runs it while nothing else runs on the endpoint.
+	Isolate
+	// Refuse does not run it.
+	Refuse
+)
+
+// Suspects knows the requests that were in flight when endpoints crashed.
+type Suspects interface {
+	// Judge tells what may be done with the request of the digest.
+	Judge(digest string) Judgement
+	// Crashed reports the requests in flight at one crash.
+	Crashed(digests []string)
+	// Cleared reports a request that ran well.
+	Cleared(digest string)
+}
+
+// noSuspects suspects nothing.
+type noSuspects struct{}
+
+func (noSuspects) Judge(string) Judgement { return Allow }
+func (noSuspects) Crashed([]string)       {}
+func (noSuspects) Cleared(string)         {}
+
+// Options sets up an Agent. Zero members take defaults.
+type Options struct {
+	// Name is the agent's name in the list of instances.
+	Name string
+	// EndpointName is the endpoint's name in the settings; Name by default.
+	EndpointName string
+	Pool         string
+	Kind         pipeline.Kind
+	DataCentre   string
+	// Boot names this life of the agent; a fresh one by default.
+	Boot     contract.BootID
+	Endpoint endpoint.Endpoint
+	Settings settings.Source
+	// Refresh renews what the process knows of the settings after a pause; nil
+	// waits for the next word of a peer instead.
+	Refresh  func(ctx context.Context) error
+	Gossip   link.Gossip
+	Suspects Suspects
+	// ProbeInterval is how often the endpoint is asked for its health.
+	ProbeInterval time.Duration
+	// ReportLag is how far the endpoint's report of its load may lag.
+	ReportLag time.Duration
+	// ForeignBound is when calls of a former agent have surely ended.
+	ForeignBound time.Duration
+	// OrphanGrace is how long an attempt that may be repeated runs on after the
+	// last link that waited for it was lost.
+	OrphanGrace time.Duration
+	// CancelLinger is how long a call that was cut short keeps its slot, since
+	// the endpoint learns of it later.
+	CancelLinger time.Duration
+	// PauseBound is the gap in the process's own ticks that counts as a pause.
+	PauseBound time.Duration
+	Logger     *slog.Logger
+	Registerer prometheus.Registerer
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.EndpointName, o.Name)
+	setDefault(&o.ProbeInterval, DefaultProbeInterval)
+	setDefault(&o.ReportLag, DefaultReportLag)
+	setDefault(&o.ForeignBound, DefaultForeignBound)
+	setDefault(&o.OrphanGrace, DefaultOrphanGrace)
+	setDefault(&o.CancelLinger, DefaultCancelLinger)
+	setDefault(&o.PauseBound, DefaultPauseBound)
+	if o.Boot == "" {
+		o.Boot = contract.NewBootID()
+	}
+	if o.Gossip == nil {
+		o.Gossip = link.NoGossip{}
+	}
+	if o.Suspects == nil {
+		o.Suspects = noSuspects{}
+	}
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
--- /dev/null
+++ b/agent/run.go
@@ -0,0 +1,236 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/endpoint"
+	"github.com/azurelead/azurelead/link"
+)
+
+// Causes of ended attempts.
+var (
+	errCancelled = errors.New("cancelled by the entry")
+	errOrphaned  = errors.New("no link waits for it")
+)
+
+// Hello implements link.Handler.
+func (a *Agent) Hello(link.HelloParams) (link.HelloResult, error) {
+	return link.HelloResult{
+		Agent:      a.o.Name,
+		AgentBoot:  a.o.Boot,
+		Endpoint:   a.o.EndpointName,
+		Pool:       a.o.Pool,
+		Kind:       a.o.Kind,
+		DataCentre: a.o.DataCentre,
+		Load:       a.Load(),
+	}, nil
+}
+
+// Load implements link.Handler.
+func (a *Agent) Load() link.Load { return a.admission.load() }
+
+// Run implements link.Handler. ctx is the link's: when it ends, the attempt
+// runs on for those that take it over.
+func (a *Agent) Run(ctx context.Context, p link.RunParams, emit func(string)) link.RunResult {
+	if p.AgentBoot != a.o.Boot {
+		// Meant for an earlier boot, which may have run it under this id; this
+		// boot never does.
+		return a.refused(p.Attempt, &refusal{code: contract.CodeWrongBoot, detail: "attempt is meant for another boot"})
+	}
+	run, cancel := context.WithCancelCause(a.base)
+	defer cancel(nil)
+	run, stop := context.WithTimeout(run, time.Duration(p.BudgetUS)*time.Microsecond)
+	defer stop()
+	t := newAttempt(p.Attempt, p.Digest, !p.Repeatable, cancel)
+	if kind := a.attempts.begin(t); kind != kindNew {
+		return a.repeated(p.Attempt, kind)
+	}
+	lost := context.AfterFunc(ctx, func() { a.orphan(t, p.Repeatable) })
+	defer lost()
+	r := a.run(run, t, p, emit)
+	a.attempts.finish(t, r)
+	a.metrics.ended(r)
+	return r
+}
+
+// repeated answers an attempt id that is not new.
+func (a *Agent) repeated(id contract.AttemptID, kind entryKind) link.RunResult {
+	a.metrics.duplicates.Inc()
+	if kind == kindClosed {
+		return a.refused(id, &refusal{code: contract.CodeCancelled, detail: "attempt was closed before it came"})
+	}
+	return link.RunResult{
+		Attempt: id, Run: contract.MayHaveRun, Code: contract.CodeDuplicateAttempt,
+		Detail: "attempt came before", Load: a.Load(),
+	}
+}
+
+func (a *Agent) refused(id contract.AttemptID, r *refusal) link.RunResult {
+	return link.RunResult{
+		Attempt: id, Run: contract.NotRun, Code: r.code, Detail: r.detail,
+		RetryAfterMS: r.after.Milliseconds(), Load: a.Load(),
+	}
+}
+
+// run admits the attempt and hands it to the endpoint.
+func (a *Agent) run(ctx context.Context, t *attempt, p link.RunParams, emit func(string)) link.RunResult {
+	span := startSpan(ctx, p)
+	defer span.End()
+	w, r := a.admit(ctx, p)
+	if r != nil {
+		span.SetAttributes(attribute.String("azurelead.refused", string(r.code)))
+		return a.refused(t.id, r)
+	}
+	if !t.hand(ctx) {
+		a.admission.release(w)
+		return a.refused(t.id, endedEarly(ctx))
+	}
+	began := time.Now()
+	first := time.Duration(0)
+	res := a.o.Endpoint.Run(ctx, call(p), func(token string) {
+		if first == 0 {
+			first = time.Since(began)
+		}
+		t.add(token)
+		emit(token)
+	})
+	took := time.Since(began)
+	a.giveBack(ctx, w, res, first, took)
+	a.judge(t, res)
+	span.SetAttributes(attribute.Int64("azurelead.endpoint_us", took.Microseconds()))
+	return a.result(t, res, took)
+}
+
+// admit decides whether the attempt may run now.
+func (a *Agent) admit(ctx context.Context, p link.RunParams) (*waiter, *refusal) {
+	now := time.Now()
+	if a.pause.isStale(now) {
+		// What is read after a pause may have waited in buffers for as long.
+		return nil, &refusal{contract.CodeOverloaded, "agent was paused", minRetryAfter}
+	}
+	a.follow()
+	judgement := a.o.Suspects.Judge(p.Digest)
+	if judgement == Refuse {
+		return nil, &refusal{code: contract.CodeSuspectRequest, detail: "request has crashed endpoints"}
+	}
+	deadline, _ := ctx.Deadline()
+	w := &waiter{
+		organisation: p.Organisation,
+		weight:       a.weight(p.Organisation),
+		priority:     p.Priority,
+		alone:        p.Alone || judgement == Isolate,
+		deadline:     deadline,
+	}
+	if r := a.admission.acquire(ctx, w); r != nil {
+		return nil, r
+	}
+	if a.pause.isStale(time.Now()) {
+		// The pause fell between the grant and here.
+		a.admission.release(w)
+		return nil, &refusal{contract.CodeOverloaded, "agent was paused", minRetryAfter}
+	}
+	return w, nil
+}
+
+func (a *Agent) weight(organisation string) int {
+	s := a.o.Settings.Current()
+	if s == nil {
+		return 1
+	}
+	return max(s.Document.Organisations[organisation].Weight, 1)
+}
+
+func call(p link.RunParams) endpoint.Call {
+	return endpoint.Call{Attempt: p.Attempt, Priority: p.Priority, Input: p.Input}
+}
+
+// giveBack returns the slot. The endpoint learns later that a call was cut
+// short, so that call keeps its slot a little longer.
+func (a *Agent) giveBack(ctx context.Context, w *waiter, res endpoint.Result, first, took time.Duration) {
+	latency := took
+	if first > 0 {
+		latency = first
+	}
+	a.admission.answered(res.Problem == nil, latency, took)
+	a.noteCold()
+	if ctx.Err() == nil {
+		a.admission.release(w)
+		return
+	}
+	a.wg.Go(func() {
+		select {
+		case <-a.base.Done():
+		case <-time.After(a.o.CancelLinger):
+		}
+		a.admission.release(w)
+	})
+}
+
+// judge reports crashes and good runs. All that was in flight at a crash is
+// reported once, by whichever call finds it first.
+func (a *Agent) judge(t *attempt, res endpoint.Result) {
+	if !res.Crashed {
+		if res.Problem == nil {
+			a.o.Suspects.Cleared(t.digest)
+		}
+		return
+	}
+	a.admission.turnCold(ColdCrash)
+	a.noteCold()
+	var digests []string
+	if t.strike() {
+		digests = append(digests, t.digest)
+	}
+	for _, other := range a.attempts.list() {
+		if other != t && other.wasHanded() && other.strike() {
+			digests = append(digests, other.digest)
+		}
+	}
+	if len(digests) > 0 {
+		a.metrics.crashes.Inc()
+		a.o.Logger.Warn("endpoint crashed", "endpoint", a.o.EndpointName, "in_flight", len(digests))
+		a.o.Suspects.Crashed(digests)
+	}
+}
+
+func (a *Agent) result(t *attempt, res endpoint.Result, took time.Duration) link.RunResult {
+	r := link.RunResult{Attempt: t.id, Run: contract.Ran, Output: res.Output, Usage: res.Usage}
+	r.Count, r.Digest = t.digestOf()
+	if r.Usage.EndpointUS == 0 {
+		r.Usage.EndpointUS = took.Microseconds()
+	}
+	if res.Problem != nil {
+		r.Run, r.Code, r.Detail = res.Problem.Run, res.Problem.Code, res.Problem.Detail
+		r.RetryAfterMS = res.Problem.RetryAfterMS
+	}
+	if res.Crashed {
+		r.Suspects = a.o.Gossip.Suspects()
+	}
+	r.Load = a.Load()
+	return r
+}
+
+// tracer is resolved once; it follows the global provider.
+var tracer = otel.Tracer("github.com/azurelead/azurelead/agent")
+
+func startSpan(ctx context.Context, p link.RunParams) trace.Span {
+	if p.TraceParent != "" {
+		ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{"traceparent": p.TraceParent})
+	}
+	_, span := tracer.Start(ctx, "agent "+p.Stage, trace.WithSpanKind(trace.SpanKindServer))
+	if span.IsRecording() {
+		span.SetAttributes(
+			attribute.String("azurelead.attempt", string(p.Attempt)),
+			attribute.String("azurelead.organisation", p.Organisation),
+			attribute.String("azurelead.pipeline", p.Pipeline))
+	}
+	return span
+}
