--- /dev/null
+++ b/load/fleet.go
@@ -0,0 +1,78 @@
+package load
+
+import "time"
+
+// FleetSpec is the shape of the fleet that a run starts in its own process.
+type FleetSpec struct {
+	DataCentres int `yaml:"data_centres" json:"data_centres" validate:"min=1,max=18"`
+	Entries     int `yaml:"entries" json:"entries" validate:"min=1,max=16"`
+	// Engines, Encoders, Retrievers, Rerankers and Services are counts in each
+	// data centre.
+	Engines    int `yaml:"engines" json:"engines" validate:"min=1,max=64"`
+	Encoders   int `yaml:"encoders" json:"encoders" validate:"min=1,max=64"`
+	Retrievers int `yaml:"retrievers" json:"retrievers" validate:"min=1,max=64"`
+	Rerankers  int `yaml:"rerankers" json:"rerankers" validate:"min=1,max=64"`
+	Services   int `yaml:"services" json:"services" validate:"min=1,max=64"`
+	// Batch is how many sequences an engine runs together.
+	Batch       int           `yaml:"batch" json:"batch" validate:"min=1,max=256"`
+	Step        time.Duration `yaml:"step" json:"step_ns" validate:"gt=0"`
+	PerSequence time.Duration `yaml:"per_sequence" json:"per_sequence_ns" validate:"gte=0"`
+	Prefill     time.Duration `yaml:"prefill" json:"prefill_ns" validate:"gte=0"`
+	// PoolTime and PoolSlots are those of encoders, retrievers and rerankers.
+	PoolTime     time.Duration `yaml:"pool_time" json:"pool_time_ns" validate:"gt=0"`
+	PoolSlots    int           `yaml:"pool_slots" json:"pool_slots" validate:"min=1"`
+	ServiceTime  time.Duration `yaml:"service_time" json:"service_time_ns" validate:"gt=0"`
+	ServiceSlots int           `yaml:"service_slots" json:"service_slots" validate:"min=1"`
+	// Spread makes endpoints differ: they take up to so much longer, as a share.
+	Spread float64 `yaml:"spread" json:"spread" validate:"gte=0,lte=10"`
+	// ColdLimit, ColdAnswers and ColdSlowdown are the engines' cold start; a
+	// limit of 0 starts them warm.
+	ColdLimit    int     `yaml:"cold_limit" json:"cold_limit" validate:"min=0"`
+	ColdAnswers  int     `yaml:"cold_answers" json:"cold_answers" validate:"min=0"`
+	ColdSlowdown float64 `yaml:"cold_slowdown" json:"cold_slowdown" validate:"gte=0"`
+	// DownFor is how long a crashed endpoint stays away.
+	DownFor time.Duration `yaml:"down_for" json:"down_for_ns" validate:"gte=0"`
+}
+
+// Defaults of FleetSpec: four data centres with twelve engines in all.
+const (
+	defaultDataCentres  = 4
+	defaultEntries      = 3
+	defaultEngines      = 3
+	defaultServices     = 2
+	defaultBatch        = 8
+	defaultStep         = 10 * time.Millisecond
+	defaultPerSequence  = time.Millisecond
+	defaultPrefill      = 20 * time.Microsecond
+	defaultPoolTime     = 10 * time.Millisecond
+	defaultPoolSlots    = 8
+	defaultServiceTime  = 20 * time.Millisecond
+	defaultServiceSlots = 8
+	defaultDownFor      = time.Second
+)
+
+func (f *FleetSpec) setDefaults() {
+	setDefault(&f.DataCentres, defaultDataCentres)
+	setDefault(&f.Entries, defaultEntries)
+	setDefault(&f.Engines, defaultEngines)
+	setDefault(&f.Encoders, 1)
+	setDefault(&f.Retrievers, 1)
+	setDefault(&f.Rerankers, 1)
+	setDefault(&f.Services, defaultServices)
+	setDefault(&f.Batch, defaultBatch)
+	setDefault(&f.Step, defaultStep)
+	setDefault(&f.PerSequence, defaultPerSequence)
+	setDefault(&f.Prefill, defaultPrefill)
+	setDefault(&f.PoolTime, defaultPoolTime)
+	setDefault(&f.PoolSlots, defaultPoolSlots)
+	setDefault(&f.ServiceTime, defaultServiceTime)
+	setDefault(&f.ServiceSlots, defaultServiceSlots)
+	setDefault(&f.DownFor, defaultDownFor)
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
--- /dev/null
+++ b/load/summary.go
@@ -0,0 +1,221 @@
+package load
+
+import (
+	"sort"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/azurelead/azurelead/contract"
+)
+
+const (
+	// longest is the longest time that histograms tell apart.
+	longest = 10 * time.Minute
+	// digits are the significant digits of histograms.
+	digits = 3
+	// slot is the width of the timeline's steps.
+	slot = time.Second
+)
+
+// Report is what one run measured.
+type Report struct {
+	Scenario Scenario `json:"scenario"`
+	// Policy names the policies under which the fleet ran.
+	Policy string `json:"policy"`
+	// Seconds is the measured time.
+	Seconds float64       `json:"seconds"`
+	Total   ClassReport   `json:"total"`
+	Classes []ClassReport `json:"classes"`
+	// Organisations are reported as classes are.
+	Organisations []ClassReport `json:"organisations"`
+	Stages        []StageCost   `json:"stages"`
+	// Refusals are the times to answer a refusal.
+	Refusals Times   `json:"refusals"`
+	Codes    []Count `json:"codes"`
+	Timeline []Slot  `json:"timeline"`
+	Truth    Truth   `json:"truth"`
+}
+
+// ClassReport is the service that one class or organisation had.
+type ClassReport struct {
+	Name     string `json:"name"`
+	Requests int    `json:"requests"`
+	Whole    int    `json:"whole"`
+	Late     int    `json:"late"`
+	Refused  int    `json:"refused"`
+	Broken   int    `json:"broken"`
+	Joined   int    `json:"joined"`
+	// Attainment is the share answered whole within the deadline.
+	Attainment float64 `json:"attainment"`
+	// Goodput is whole answers per second.
+	Goodput float64 `json:"goodput"`
+	// Latency is of whole answers in time, FirstToken of streams.
+	Latency    Times `json:"latency"`
+	FirstToken Times `json:"first_token"`
+}
+
+// Times are quantiles of durations, in microseconds.
+type Times struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50_us"`
+	P95   int64 `json:"p95_us"`
+	P99   int64 `json:"p99_us"`
+	Max   int64 `json:"max_us"`
+}
+
+// Slot is one step of the timeline, by time of arrival.
+type Slot struct {
+	Second   int `json:"second"`
+	Requests int `json:"requests"`
+	Whole    int `json:"whole"`
+	Refused  int `json:"refused"`
+	Lost     int `json:"lost"` // late or broken
+}
+
+// Count is how often a code came.
+type Count struct {
+	Code contract.Code     `json:"code"`
+	Run  contract.RunState `json:"run"`
+	N    int               `json:"n"`
+}
+
+// Summarise makes the report of a run.
+func Summarise(s Scenario, policy string, samples []Sample, truth Truth) Report {
+	r := Report{
+		Scenario: s, Policy: policy, Seconds: s.Duration.Seconds(),
+		Stages: costs(samples), Codes: codes(samples), Timeline: timeline(s, samples), Truth: truth,
+	}
+	r.Total = classReport("all", samples, r.Seconds)
+	r.Classes = grouped(samples, r.Seconds, func(s Sample) string { return s.Class })
+	r.Organisations = grouped(samples, r.Seconds, func(s Sample) string { return s.Organisation })
+	var refusals []time.Duration
+	for _, s := range samples {
+		if s.Outcome == Refused {
+			refusals = append(refusals, s.Latency)
+		}
+	}
+	r.Refusals = timesOf(refusals)
+	return r
+}
+
+// Class returns the report of a class, or an empty one.
+func (r Report) Class(name string) ClassReport {
+	for _, c := range r.Classes {
+		if c.Name == name {
+			return c
+		}
+	}
+	return ClassReport{Name: name}
+}
+
+func grouped(samples []Sample, seconds float64, key func(Sample) string) []ClassReport {
+	groups := make(map[string][]Sample)
+	for _, s := range samples {
+		groups[key(s)] = append(groups[key(s)], s)
+	}
+	var out []ClassReport
+	for name, g := range groups {
+		out = append(out, classReport(name, g, seconds))
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+func classReport(name string, samples []Sample, seconds float64) ClassReport {
+	c := ClassReport{Name: name, Requests: len(samples)}
+	var latencies, first []time.Duration
+	for _, s := range samples {
+		switch s.Outcome {
+		case Whole:
+			c.Whole++
+			latencies = append(latencies, s.Latency)
+		case Late:
+			c.Late++
+		case Refused:
+			c.Refused++
+		default:
+			c.Broken++
+		}
+		if s.Joined {
+			c.Joined++
+		}
+		if s.FirstToken > 0 {
+			first = append(first, s.FirstToken)
+		}
+	}
+	c.Attainment = share(c.Whole, c.Requests)
+	c.Goodput = float64(c.Whole) / seconds
+	c.Latency, c.FirstToken = timesOf(latencies), timesOf(first)
+	return c
+}
+
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+func timesOf(durations []time.Duration) Times {
+	us := make([]int64, len(durations))
+	for i, d := range durations {
+		us[i] = d.Microseconds()
+	}
+	return timesOfMicroseconds(us)
+}
+
+func timesOfMicroseconds(us []int64) Times {
+	h := hdrhistogram.New(1, longest.Microseconds(), digits)
+	for _, v := range us {
+		_ = h.RecordValue(min(max(v, 1), longest.Microseconds()))
+	}
+	return Times{
+		Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P95: h.ValueAtQuantile(95),
+		P99: h.ValueAtQuantile(99), Max: h.Max(),
+	}
+}
+
+func timeline(s Scenario, samples []Sample) []Slot {
+	slots := make([]Slot, int((s.Duration+slot-1)/slot))
+	for i := range slots {
+		slots[i].Second = i
+	}
+	for _, sample := range samples {
+		i := int(sample.At / slot)
+		if i < 0 || i >= len(slots) {
+			continue
+		}
+		slots[i].Requests++
+		switch sample.Outcome {
+		case Whole:
+			slots[i].Whole++
+		case Refused:
+			slots[i].Refused++
+		default:
+			slots[i].Lost++
+		}
+	}
+	return slots
+}
+
+func codes(samples []Sample) []Count {
+	counts := make(map[Count]int)
+	for _, s := range samples {
+		if s.Outcome == Refused {
+			counts[Count{Code: s.Code, Run: s.Run}]++
+		}
+	}
+	var out []Count
+	for c, n := range counts {
+		c.N = n
+		out = append(out, c)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].N != out[j].N {
+			return out[i].N > out[j].N
+		}
+		return out[i].Code < out[j].Code
+	})
+	return out
+}
