--- /dev/null
+++ b/agent/gossip.go
@@ -0,0 +1,63 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/settings"
+)
+
+// Marks is the table of suspect requests as links spread it.
+type Marks interface {
+	// Suspects returns the marks to pass on.
+	Suspects() []link.Suspect
+	// Merge takes a peer's marks in.
+	Merge(marks []link.Suspect)
+}
+
+// Spread is the link.Gossip of a process: it joins the follower of the
+// settings with the table of suspects.
+type Spread struct {
+	Follower *settings.Follower
+	Marks    Marks
+}
+
+var _ link.Gossip = Spread{}
+
+// Version implements link.Gossip.
+func (s Spread) Version() link.Version { return s.Follower.Version() }
+
+// Saw implements link.Gossip.
+func (s Spread) Saw(v link.Version, fetch func(context.Context, link.Version) (link.SettingsResult, error)) {
+	s.Follower.Saw(v, fetch)
+}
+
+// Changes implements link.Gossip.
+func (s Spread) Changes(have link.Version) (link.SettingsResult, error) {
+	return s.Follower.Changes(have), nil
+}
+
+// Suspects implements link.Gossip.
+func (s Spread) Suspects() []link.Suspect {
+	if s.Marks == nil {
+		return nil
+	}
+	return s.Marks.Suspects()
+}
+
+// Merge implements link.Gossip.
+func (s Spread) Merge(marks []link.Suspect) {
+	if s.Marks != nil {
+		s.Marks.Merge(marks)
+	}
+}
+
+// renewAge is how old a peer's knowledge of the settings may be when it is
+// asked after a pause.
+const renewAge = 3 * time.Second
+
+// Renew returns an Options.Refresh that has the settings confirmed anew.
+func Renew(f *settings.Follower) func(context.Context) error {
+	return func(ctx context.Context) error { return f.Renew(ctx, renewAge) }
+}
--- /dev/null
+++ b/agent/node.go
@@ -0,0 +1,94 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/azurelead/azurelead/link"
+)
+
+// DefaultDrain bounds a planned stop: after it, what still runs is cut.
+const DefaultDrain = 60 * time.Second
+
+// Node is an agent together with the links on which entries reach it.
+type Node struct {
+	agent  *Agent
+	server *link.Server
+	drain  time.Duration
+	// onLeave is called when the node begins to leave.
+	onLeave func()
+}
+
+// NodeOptions sets up a Node.
+type NodeOptions struct {
+	Agent Options
+	Links link.ServerOptions
+	// Drain bounds a planned stop; DefaultDrain by default.
+	Drain time.Duration
+	// OnLeave is called when the node begins to leave, so that readiness goes
+	// first. It may be nil.
+	OnLeave func()
+}
+
+// NewNode returns a node that does not listen yet.
+func NewNode(o NodeOptions) (*Node, error) {
+	setDefault(&o.Drain, DefaultDrain)
+	if o.OnLeave == nil {
+		o.OnLeave = func() {}
+	}
+	if o.Links.Gossip == nil {
+		o.Links.Gossip = o.Agent.Gossip
+	}
+	if o.Links.Logger == nil {
+		o.Links.Logger = o.Agent.Logger
+	}
+	a, err := New(o.Agent)
+	if err != nil {
+		return nil, err
+	}
+	return &Node{agent: a, server: link.NewServer(a, o.Links), drain: o.Drain, onLeave: o.OnLeave}, nil
+}
+
+// Agent returns the node's agent.
+func (n *Node) Agent() *Agent { return n.agent }
+
+// Handle adds a method of the links, such as claims and orders. It must be
+// called before Serve.
+func (n *Node) Handle(method string, m link.Method) { n.server.Handle(method, m) }
+
+// Ask asks any one linked entry for the settings above have.
+func (n *Node) Ask(ctx context.Context, have link.Version) (link.SettingsResult, error) {
+	return n.server.Ask(ctx, have)
+}
+
+// Leave refuses new work for good and tells all peers.
+func (n *Node) Leave() {
+	n.onLeave()
+	n.agent.Leave()
+	n.server.Leave()
+}
+
+// Serve serves links on l until ctx ends. It then refuses new work, tells the
+// peers, waits until all that runs is answered, and closes.
+func (n *Node) Serve(ctx context.Context, l net.Listener) error {
+	served := make(chan error, 1)
+	go func() { served <- n.server.Serve(context.Background(), l) }()
+	defer n.agent.Close()
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+	}
+	n.Leave()
+	stop, cancel := context.WithTimeout(context.Background(), n.drain)
+	defer cancel()
+	err := n.server.Shutdown(stop)
+	if err != nil {
+		// What still runs must end before the links do.
+		n.agent.close()
+	}
+	return errs.Combine(err, <-served)
+}
--- a/link/server.go
+++ b/link/server.go
@@ -129,6 +129,23 @@
 	}
 }
 
+// Ask asks any one linked peer for the settings above have.
+func (s *Server) Ask(ctx context.Context, have Version) (SettingsResult, error) {
+	s.mu.Lock()
+	var peer *serverLink
+	for k := range s.links {
+		if k.greeted.Load() {
+			peer = k
+			break
+		}
+	}
+	s.mu.Unlock()
+	if peer == nil {
+		return SettingsResult{}, NotSent.New("no peer is linked")
+	}
+	return peer.ask(ctx, have)
+}
+
 // Shutdown waits until every peer has acknowledged the leaving word and every
 // call is answered, then closes. When ctx ends first it closes at once.
 func (s *Server) Shutdown(ctx context.Context) error {
--- a/link/server_link.go
+++ b/link/server_link.go
@@ -154,11 +154,14 @@
 
 func (k *serverLink) saw(v Version) {
 	defer k.fetching.Store(false)
-	k.srv.o.Gossip.Saw(v, func(ctx context.Context, have Version) (SettingsResult, error) {
-		var r SettingsResult
-		err := k.rpc.Call(ctx, MethodSettings, SettingsParams{Have: have}, &r)
-		return r, Error.Wrap(err)
-	})
+	k.srv.o.Gossip.Saw(v, k.ask)
+}
+
+// ask asks the peer for the settings above have.
+func (k *serverLink) ask(ctx context.Context, have Version) (SettingsResult, error) {
+	var r SettingsResult
+	err := k.rpc.Call(ctx, MethodSettings, SettingsParams{Have: have}, &r)
+	return r, Error.Wrap(err)
 }
 
 // serverHandler serves the control calls of one link.
