--- a/agent/gossip.go
+++ b/agent/gossip.go
@@ -35,7 +35,7 @@
 
 // Changes implements link.Gossip.
 func (s Spread) Changes(have link.Version) (link.SettingsResult, error) {
-	return s.Follower.Changes(have), nil
+	return s.Follower.Changes(have)
 }
 
 // Suspects implements link.Gossip.
