Prove the entry against fake agents: cuts, claims, joins, retries

Cause: the entry compiled but nothing had brought about the failures that it is meant for.

Ruled out: waiting for the assembled processes; the Link interface lets a fake agent cut a run before, within and after it, lose a settlement, and restart.

Change: fakes and tests. Found and mended on the way: a settlement that was not sent kept its error class inside the "lost" error and would have been read as "the run was not sent", a false not_run; await waited for a new link though the old one was alive and had lost only one call's tokens.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -22,6 +22,7 @@
 	p      *peer
 	params link.RunParams
 	tokens *tokenBuffer
+	made   time.Time
 	fault  error // why a chunk was refused
 	cancel context.CancelFunc
 }
@@ -44,7 +45,7 @@
 	defer span.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	a := &attempt{s: s, p: p, tokens: tokens, cancel: cancel, params: s.params(ctx, l, id, traceParent(tctx))}
+	a := &attempt{s: s, p: p, made: s.started, tokens: tokens, cancel: cancel, params: s.params(ctx, l, id, traceParent(tctx))}
 	res := a.verify(a.run(ctx, l))
 	s.e.o.Suspects.Merge(res.Suspects)
 	s.e.m.cost(s.req.Organisation, s.req.PipelineName, s.stage.Name, res.Usage, res.Code == "")
@@ -90,8 +91,8 @@
 		if !link.Lost.Has(err) || ctx.Err() != nil {
 			break
 		}
-		l, res, err = a.recover(ctx, l)
-		if l == nil {
+		var final bool
+		if res, final, err = a.recover(ctx); final {
 			break
 		}
 	}
@@ -128,32 +129,41 @@
 	return failed(contract.MayHaveRun, "the link was lost and the attempt could not be asked for")
 }
 
-// recover asks for the attempt over a new link. It returns no link when the
-// result is final, with err set if the attempt's fate is unknown.
-func (a *attempt) recover(ctx context.Context, old Link) (Link, link.RunResult, error) {
+// recover asks for the attempt over a new link. It is final when asking again
+// does not help; err is then set if the attempt's fate stays unknown.
+func (a *attempt) recover(ctx context.Context) (res link.RunResult, final bool, err error) {
 	wctx, cancel := context.WithTimeout(ctx, a.s.e.o.RecoverBound)
 	defer cancel()
-	l := a.p.await(wctx, old, a.params.AgentBoot)
+	l := a.p.await(wctx, a.params.AgentBoot)
 	if l == nil {
 		a.s.e.m.recovered.WithLabelValues("no-link").Inc()
-		return nil, link.RunResult{}, link.Lost.New("no new link to the same boot")
+		return res, true, link.Lost.New("no new link to the same boot")
 	}
-	st, err := l.Settle(wctx, link.SettleParams{Attempt: a.params.Attempt, AgentBoot: a.params.AgentBoot})
+	st, err := l.Settle(wctx, link.SettleParams{
+		Attempt: a.params.Attempt, AgentBoot: a.params.AgentBoot, AgeMS: time.Since(a.made).Milliseconds() + 1,
+	})
 	if err != nil {
 		a.s.e.m.recovered.WithLabelValues("lost-again").Inc()
-		return l, link.RunResult{}, link.Lost.Wrap(err)
+		return res, false, unsettled(err)
 	}
 	a.s.e.m.recovered.WithLabelValues(string(st.State)).Inc()
 	switch st.State {
 	case link.AttemptClosed:
-		return nil, failed(contract.NotRun, "the link was lost before the attempt arrived"), nil
+		return failed(contract.NotRun, "the link was lost before the attempt arrived"), true, nil
 	case link.AttemptRunning, link.AttemptFinished:
-		res, err := l.Attach(ctx, link.AttachParams{Attempt: a.params.Attempt, AgentBoot: a.params.AgentBoot, From: a.tokens.count()}, a.take)
-		return l, res, err
+		res, err = l.Attach(ctx, link.AttachParams{Attempt: a.params.Attempt, AgentBoot: a.params.AgentBoot, From: a.tokens.count()}, a.take)
+		if link.NotSent.Has(err) {
+			err = unsettled(err)
+		}
+		return res, err == nil, err
 	}
-	return nil, link.RunResult{}, link.Lost.New("the agent does not know the attempt")
+	return res, true, link.Lost.New("the agent does not know the attempt")
 }
 
+// unsettled is the error of a settlement that failed. It drops the class of
+// err: that the question was not sent says nothing of the attempt, which was.
+func unsettled(err error) error { return link.Lost.New("%v", err) }
+
 // verify refuses a result of another attempt, and an answer that is not whole.
 func (a *attempt) verify(res link.RunResult) link.RunResult {
 	if res.Code != "" {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,9 +13,6 @@
 	firstLinksBound = 2 * time.Second
 	// firstLinksPoll is how often the start looks for them.
 	firstLinksPoll = 5 * time.Millisecond
-	// balancerLag is how long the balancer may still send requests after
-	// readiness went off.
-	balancerLag = 200 * time.Millisecond
 )
 
 // Entry serves callers. New starts it; Shutdown stops it gracefully.
@@ -113,7 +110,7 @@
 // after every request in progress has ended, or when ctx ends.
 func (e *Entry) Shutdown(ctx context.Context) error {
 	e.o.Readiness.Set(false)
-	sleep(ctx, balancerLag)
+	sleep(ctx, e.o.BalancerLag)
 	e.work.Lock()
 	e.leaving.Store(true)
 	e.work.Unlock()
--- /dev/null
+++ b/entry/fake_test.go
@@ -0,0 +1,402 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/azurelead/azurelead/claim"
+	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/pipeline"
+	"github.com/azurelead/azurelead/platform"
+	"github.com/azurelead/azurelead/settings"
+)
+
+// cut is where a fake link fails during a run.
+type cut int
+
+const (
+	cutNone    cut = iota
+	cutBefore      // the run never arrives
+	cutMidway      // half of the tokens arrive
+	cutAfter       // the run ends, its result is lost
+	cutUnsent      // the link refuses to send
+	cutSettles     // cutAfter, and the next settlement is not sent either
+	cutReboots     // cutAfter, and the agent restarts
+)
+
+// fakeAgent is an agent with its endpoint, behind the Link interface.
+type fakeAgent struct {
+	in   platform.Instance
+	work func(ctx context.Context, p link.RunParams) link.RunResult
+	gate chan struct{} // when set, runs wait for a value
+	mu   sync.Mutex
+	boot contract.BootID
+	cuts *cuts
+	runs map[contract.AttemptID]int
+	seen map[contract.AttemptID]link.RunResult
+	shut map[contract.AttemptID]bool
+	up   *fakeLink
+	mute int // settlements that fail unsent
+}
+
+func (a *fakeAgent) total() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, c := range a.runs {
+		n += c
+	}
+	return n
+}
+
+func (a *fakeAgent) dial() *fakeLink {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.up = &fakeLink{a: a, boot: a.boot, done: make(chan struct{}), leaving: make(chan struct{})}
+	return a.up
+}
+
+func (a *fakeAgent) reboot() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.boot = contract.NewBootID()
+	a.seen, a.shut = map[contract.AttemptID]link.RunResult{}, map[contract.AttemptID]bool{}
+}
+
+// cuts are the faults of the next runs of one pool.
+type cuts struct {
+	mu   sync.Mutex
+	next []cut
+}
+
+func (c *cuts) take() cut {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.next) == 0 {
+		return cutNone
+	}
+	first := c.next[0]
+	c.next = c.next[1:]
+	return first
+}
+
+// fakeLink is one link to a fakeAgent.
+type fakeLink struct {
+	a             *fakeAgent
+	boot          contract.BootID
+	once          sync.Once
+	done, leaving chan struct{}
+}
+
+func (l *fakeLink) Peer() link.HelloResult {
+	return link.HelloResult{Agent: l.a.in.Name, AgentBoot: l.boot, Pool: l.a.in.Pool}
+}
+func (l *fakeLink) Load() link.Load          { return link.Load{Limit: 64, ServiceUS: 1000} }
+func (l *fakeLink) Leaving() <-chan struct{} { return l.leaving }
+func (l *fakeLink) Done() <-chan struct{}    { return l.done }
+func (l *fakeLink) Close() error             { l.once.Do(func() { close(l.done) }); return nil }
+
+func (l *fakeLink) Run(ctx context.Context, p link.RunParams, onChunk func(link.Chunk)) (link.RunResult, error) {
+	c := l.a.cuts.take()
+	switch c {
+	case cutUnsent:
+		_ = l.Close()
+		return link.RunResult{}, link.NotSent.New("cut")
+	case cutBefore:
+		_ = l.Close()
+		return link.RunResult{}, link.Lost.New("cut")
+	}
+	if l.a.gate != nil {
+		select {
+		case <-l.a.gate:
+		case <-ctx.Done():
+			return link.RunResult{}, ctx.Err()
+		}
+	}
+	res, words := l.a.run(ctx, p)
+	if c == cutMidway {
+		words = words[:len(words)/2]
+	}
+	if len(words) > 0 {
+		onChunk(link.Chunk{Attempt: p.Attempt, Tokens: words})
+	}
+	if c == cutNone {
+		return res, nil
+	}
+	if c == cutReboots {
+		l.a.reboot()
+	}
+	if c == cutSettles {
+		l.a.mu.Lock()
+		l.a.mute = 1
+		l.a.mu.Unlock()
+	}
+	_ = l.Close()
+	return link.RunResult{}, link.Lost.New("cut")
+}
+
+func (a *fakeAgent) run(ctx context.Context, p link.RunParams) (link.RunResult, []string) {
+	a.mu.Lock()
+	if a.shut[p.Attempt] || p.AgentBoot != a.boot {
+		a.mu.Unlock()
+		return link.RunResult{Attempt: p.Attempt, Run: contract.NotRun, Code: contract.CodeWrongBoot}, nil
+	}
+	a.runs[p.Attempt]++
+	a.mu.Unlock()
+	res := a.work(ctx, p)
+	res.Attempt = p.Attempt
+	a.mu.Lock()
+	a.seen[p.Attempt] = res
+	a.mu.Unlock()
+	return res, splitWords(res.Output.Text)
+}
+
+func splitWords(s string) []string {
+	if s == "" {
+		return nil
+	}
+	return strings.SplitAfter(s, " ")
+}
+
+func (l *fakeLink) Attach(_ context.Context, p link.AttachParams, onChunk func(link.Chunk)) (link.RunResult, error) {
+	l.a.mu.Lock()
+	defer l.a.mu.Unlock()
+	res := l.a.seen[p.Attempt]
+	if words := splitWords(res.Output.Text); p.From < len(words) {
+		onChunk(link.Chunk{Attempt: p.Attempt, First: p.From, Tokens: words[p.From:]})
+	}
+	return res, nil
+}
+
+func (l *fakeLink) Settle(_ context.Context, p link.SettleParams) (link.SettleResult, error) {
+	l.a.mu.Lock()
+	defer l.a.mu.Unlock()
+	if l.a.mute > 0 {
+		l.a.mute--
+		return link.SettleResult{}, link.NotSent.New("cut")
+	}
+	if p.AgentBoot != l.a.boot {
+		return link.SettleResult{State: link.AttemptUnknown}, nil
+	}
+	if res, ok := l.a.seen[p.Attempt]; ok {
+		return link.SettleResult{State: link.AttemptFinished, Result: &res}, nil
+	}
+	l.a.shut[p.Attempt] = true
+	return link.SettleResult{State: link.AttemptClosed}, nil
+}
+
+// fakeClaims keeps claims in memory.
+type fakeClaims struct {
+	mu       sync.Mutex
+	down     bool
+	noFinish bool
+	held     map[string]claim.Request
+	done     map[string]claim.Outcome
+}
+
+func (f *fakeClaims) Acquire(_ context.Context, r claim.Request) (claim.Decision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return claim.Decision{}, claim.Unavailable.New("down")
+	}
+	k := r.Organisation + r.Key
+	h, ok := f.held[k]
+	switch o, finished := f.done[k]; {
+	case ok && h.Fingerprint != r.Fingerprint:
+		return claim.Decision{State: claim.KeyReused}, nil
+	case finished:
+		return claim.Decision{State: claim.Finished, Outcome: &o}, nil
+	case ok:
+		return claim.Decision{State: claim.Held, Attempt: h.Attempt, Candidates: h.Candidates}, nil
+	}
+	f.held[k] = r
+	return claim.Decision{State: claim.Granted, Attempt: r.Attempt}, nil
+}
+
+func (f *fakeClaims) Finish(_ context.Context, r claim.Request, o claim.Outcome) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.noFinish {
+		return claim.Unavailable.New("down")
+	}
+	f.done[r.Organisation+r.Key] = o
+	return nil
+}
+
+func (f *fakeClaims) Release(_ context.Context, r claim.Request) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k := r.Organisation + r.Key; f.held[k].Attempt == r.Attempt {
+		delete(f.held, k)
+	}
+	return nil
+}
+
+// world is an entry with two agents for each pool.
+type world struct {
+	t      *testing.T
+	e      *Entry
+	agents []*fakeAgent
+	claims *fakeClaims
+	doc    settings.Document
+	source *settings.Fixed
+}
+
+const token = "secret"
+
+func (w *world) Instances(context.Context) ([]platform.Instance, error) {
+	var out []platform.Instance
+	for _, a := range w.agents {
+		out = append(out, a.in)
+	}
+	return out, nil
+}
+
+func testDocument() settings.Document {
+	sum := sha256.Sum256([]byte(token))
+	stage := func(k pipeline.Kind) settings.Stage { return settings.Stage{Name: string(k), Kind: k, Pool: string(k)} }
+	book := settings.Stage{Name: "book", Kind: pipeline.Service, Pool: "service", Operation: "book", Once: true}
+	return settings.Document{
+		Pipelines: map[string]settings.Pipeline{
+			"ask":  {Stages: []settings.Stage{stage(pipeline.Encode), stage(pipeline.Generate)}},
+			"book": {Stages: []settings.Stage{book}},
+			"tell": {Stages: []settings.Stage{book, stage(pipeline.Generate)}},
+		},
+		Organisations: map[string]settings.Organisation{"org": {TokenSHA256: []string{hex.EncodeToString(sum[:])}}},
+	}
+}
+
+func newWorld(t *testing.T, change func(w *world, o *Options)) *world {
+	t.Helper()
+	w := &world{t: t, doc: testDocument(), claims: &fakeClaims{held: map[string]claim.Request{}, done: map[string]claim.Outcome{}}}
+	for _, k := range []pipeline.Kind{pipeline.Encode, pipeline.Generate, pipeline.Service} {
+		for _, n := range []string{"-1", "-2"} {
+			w.agents = append(w.agents, newFakeAgent(string(k)+n, k))
+		}
+	}
+	w.source = settings.NewFixed(&settings.Snapshot{Version: 1, Document: w.doc})
+	o := Options{Name: "entry", BalancerLag: time.Millisecond, Settings: w.source, Directory: w, Claims: w.claims, Dial: func(_ context.Context, addr string) (Link, error) {
+		return w.agent(addr).dial(), nil
+	}}
+	if change != nil {
+		change(w, &o)
+	}
+	e, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.e = e
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		if err := e.Shutdown(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	for !e.o.Readiness.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	return w
+}
+
+func newFakeAgent(name string, k pipeline.Kind) *fakeAgent {
+	a := &fakeAgent{in: platform.Instance{Name: name, Pool: string(k), Kind: k, Agent: name, State: platform.Live}, work: fakeWork, cuts: &cuts{}}
+	a.runs = map[contract.AttemptID]int{}
+	a.reboot()
+	return a
+}
+
+func fakeWork(_ context.Context, p link.RunParams) link.RunResult {
+	res := link.RunResult{Run: contract.Ran}
+	switch p.Stage {
+	case "generate":
+		res.Output.Text = "open the valve and wait for " + p.Input.Prompt
+		words := splitWords(res.Output.Text)
+		res.Count, res.Digest = len(words), digestOf(words)
+	case "book":
+		res.Output.Body = json.RawMessage(`{"booked":true}`)
+	}
+	return res
+}
+
+func (w *world) agent(name string) *fakeAgent {
+	for _, a := range w.agents {
+		if a.in.Name == name {
+			return a
+		}
+	}
+	return nil
+}
+
+// runs counts what ran at a pool's endpoints.
+func (w *world) runs(pool string) int {
+	n := 0
+	for _, a := range w.agents {
+		if a.in.Pool == pool {
+			n += a.total()
+		}
+	}
+	return n
+}
+
+// cut makes the next runs of a pool fail.
+func (w *world) cut(pool string, next ...cut) {
+	shared := &cuts{next: next}
+	w.each(pool, func(a *fakeAgent) { a.cuts = shared })
+}
+
+// each changes the agents of a pool.
+func (w *world) each(pool string, change func(a *fakeAgent)) {
+	for _, a := range w.agents {
+		if a.in.Pool == pool {
+			a.mu.Lock()
+			change(a)
+			a.mu.Unlock()
+		}
+	}
+}
+
+// ask is one caller's request.
+type ask struct {
+	pipeline, body, key string
+	deadline            string
+	token               string
+}
+
+func (w *world) post(ctx context.Context, q ask) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, "/v1/pipelines/"+q.pipeline+"/runs", strings.NewReader(q.body)).WithContext(ctx)
+	if q.deadline == "" {
+		q.deadline = "20000"
+	}
+	if q.token == "" {
+		q.token = token
+	}
+	r.Header.Set(HeaderDeadline, strings.TrimPrefix(q.deadline, "-"))
+	if q.deadline == "none" {
+		r.Header.Del(HeaderDeadline)
+	}
+	r.Header.Set(HeaderKey, q.key)
+	r.Header.Set("Authorization", "Bearer "+q.token)
+	rec := httptest.NewRecorder()
+	w.e.Handler().ServeHTTP(rec, r)
+	return rec
+}
+
+func decode[T any](t *testing.T, rec *httptest.ResponseRecorder) T {
+	t.Helper()
+	var v T
+	if err := json.Unmarshal(rec.Body.Bytes(), &v); err != nil {
+		t.Fatalf("status %d, body %q: %v", rec.Code, rec.Body, err)
+	}
+	return v
+}
--- a/entry/once.go
+++ b/entry/once.go
@@ -18,9 +18,6 @@
 	onceGrace = 2 * time.Second
 	// finishBound bounds how long a caller waits for the record of its outcome.
 	finishBound = 500 * time.Millisecond
-	// finishTries and finishPause bound the tries to record an outcome afterwards.
-	finishTries = 10
-	finishPause = time.Second
 	// claimTries bounds how often a request claims again after it has proved
 	// that an earlier holder's call never ran.
 	claimTries = 2
@@ -112,12 +109,18 @@
 		}
 	}
 	s.note(func(r *StageReport) { r.Run = contract.NotRun })
-	s.e.background(func(ctx context.Context) {
-		s.e.repeat(ctx, func(ctx context.Context) error { return s.e.o.Claims.Release(ctx, req) })
-	})
+	s.e.background(func(ctx context.Context) { s.release(ctx, req) })
 	return res
 }
 
+// release gives up the claim of a call that never ran. Where that fails, the
+// claim stays held until its agents are asked.
+func (s *stageRun) release(ctx context.Context, req claim.Request) {
+	ctx, cancel := context.WithTimeout(ctx, finishBound)
+	defer cancel()
+	_ = s.e.o.Claims.Release(ctx, req)
+}
+
 func kindOf(i int) string {
 	if i == 0 {
 		return "first"
@@ -125,9 +128,8 @@
 	return "redirect"
 }
 
-// finish records the outcome before the caller hears of it. When the store
-// does not answer, the record is tried again in the background; until then a
-// repeated request learns the outcome from the agent.
+// finish records the outcome before the caller hears of it. Until the store
+// has taken the record, a repeated request learns the outcome from the agent.
 func (s *stageRun) finish(ctx context.Context, req claim.Request, res link.RunResult) link.RunResult {
 	s.note(func(r *StageReport) { r.Run = res.Run })
 	o := claim.Outcome{Run: res.Run, Code: res.Code, Detail: res.Detail, Body: res.Output.Body}
@@ -139,14 +141,9 @@
 }
 
 func (s *stageRun) record(ctx context.Context, req claim.Request, o claim.Outcome) {
-	fctx, cancel := context.WithTimeout(ctx, finishBound)
+	ctx, cancel := context.WithTimeout(ctx, finishBound)
 	defer cancel()
-	if s.e.o.Claims.Finish(fctx, req, o) == nil {
-		return
-	}
-	s.e.background(func(ctx context.Context) {
-		s.e.repeat(ctx, func(ctx context.Context) error { return s.e.o.Claims.Finish(ctx, req, o) })
-	})
+	_ = s.e.o.Claims.Finish(ctx, req, o)
 }
 
 // replay answers with the outcome of an earlier request.
@@ -225,16 +222,6 @@
 	return l, func() { _ = l.Close() }, nil
 }
 
-// repeat tries f until it succeeds, for a bounded number of times.
-func (e *Entry) repeat(ctx context.Context, f func(context.Context) error) {
-	for range finishTries {
-		if f(ctx) == nil {
-			return
-		}
-		sleep(ctx, finishPause)
-	}
-}
-
 func refusedOnce(code contract.Code, detail string) link.RunResult {
 	return link.RunResult{Run: contract.NotRun, Code: code, Detail: detail}
 }
--- a/entry/options.go
+++ b/entry/options.go
@@ -80,6 +80,7 @@
 	DefaultSubsetSize   = 4
 	DefaultRefreshEvery = 5 * time.Second
 	DefaultRecoverBound = 500 * time.Millisecond
+	DefaultBalancerLag  = 200 * time.Millisecond
 )
 
 // Options sets up an Entry. Zero members take defaults; Settings, Directory
@@ -105,6 +106,9 @@
 	RefreshEvery time.Duration
 	// RecoverBound is how long a lost attempt waits for a new link.
 	RecoverBound time.Duration
+	// BalancerLag is how long the balancer may still send requests after
+	// readiness went off.
+	BalancerLag time.Duration
 	// NoJoin runs every request by itself, as a baseline.
 	NoJoin bool
 	// NoShares turns the organisations' shares off, as a baseline.
@@ -122,6 +126,7 @@
 	setDefault(&o.SubsetSize, DefaultSubsetSize)
 	setDefault(&o.RefreshEvery, DefaultRefreshEvery)
 	setDefault(&o.RecoverBound, DefaultRecoverBound)
+	setDefault(&o.BalancerLag, DefaultBalancerLag)
 	if o.Suspects == nil {
 		o.Suspects = noSuspects{}
 	}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -114,14 +114,15 @@
 	}
 }
 
-// await returns a link to the given boot of the agent other than old. It
-// returns nil when ctx ends first or another boot has taken its place.
-func (p *peer) await(ctx context.Context, old Link, boot contract.BootID) Link {
+// await returns a link to the given boot of the agent: the one that is
+// up, if only a call on it failed, or the one that replaces it. It returns nil when ctx ends first or
+// another boot has taken its place.
+func (p *peer) await(ctx context.Context, boot contract.BootID) Link {
 	for {
 		p.mu.Lock()
 		l, changed := p.link, p.changed
 		p.mu.Unlock()
-		if l != nil && l != old {
+		if l != nil && !isDone(l) {
 			if l.Peer().AgentBoot != boot {
 				return nil
 			}
@@ -134,3 +135,12 @@
 		}
 	}
 }
+
+func isDone(l Link) bool {
+	select {
+	case <-l.Done():
+		return true
+	default:
+		return false
+	}
+}
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -25,12 +25,14 @@
 	stage  settings.Stage
 	set    settings.RequestSettings
 	budget time.Duration
-	ctx    context.Context
-	span   trace.Span
-	report StageReport
-	tried  map[string]bool
-	input  pipeline.Input
-	tokens *tokenBuffer
+	// started bounds the age of every attempt id of the stage.
+	started time.Time
+	ctx     context.Context
+	span    trace.Span
+	report  StageReport
+	tried   map[string]bool
+	input   pipeline.Input
+	tokens  *tokenBuffer
 	// boot is the agent boot that a claimed call is meant for.
 	boot contract.BootID
 }
@@ -42,15 +44,16 @@
 		maxTokens = min(maxTokens, r.req.Body.MaxTokens)
 	}
 	s := &stageRun{
-		run:    r,
-		index:  i,
-		stage:  st,
-		set:    set,
-		budget: budget,
-		report: StageReport{Stage: st.Name, Kind: st.Kind, Run: contract.NotRun},
-		tried:  make(map[string]bool),
-		input:  stageInput(st, r.req.Body, maxTokens, &r.carry),
-		tokens: newTokenBuffer(),
+		run:     r,
+		index:   i,
+		stage:   st,
+		set:     set,
+		budget:  budget,
+		started: time.Now(),
+		report:  StageReport{Stage: st.Name, Kind: st.Kind, Run: contract.NotRun},
+		tried:   make(map[string]bool),
+		input:   stageInput(st, r.req.Body, maxTokens, &r.carry),
+		tokens:  newTokenBuffer(),
 	}
 	if st.Kind == pipeline.Generate && lastGenerate(r.req.Pipeline) == i {
 		s.tokens = r.f.answer
