--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	o         Options
 	m         *metrics
 	fleet     *fleet
+	calls     *calls
 	auth      authenticator
 	flights   *flights
 	shares    *Shares
@@ -55,6 +56,7 @@
 	}
 	e.fleet = newFleet(&e.o, e.m)
 	e.pause = NewPauseGuard(time.Now(), e.renew)
+	e.calls = newCalls(e.fleet, e.o.Dial)
 	e.handler = e.routes()
 	e.loops.Go(func() { e.fleet.run(ctx) })
 	e.loops.Go(func() { e.pause.Run(ctx) })
@@ -127,5 +129,6 @@
 	}
 	e.stop()
 	e.loops.Wait()
+	e.calls.close()
 	return err
 }
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -105,6 +105,8 @@
 func (l *fakeLink) Done() <-chan struct{}    { return l.done }
 func (l *fakeLink) Close() error             { l.once.Do(func() { close(l.done) }); return nil }
 
+func (l *fakeLink) Call(context.Context, string, any, any) error { return link.Refused.New("none") }
+
 func (l *fakeLink) Run(ctx context.Context, p link.RunParams, onChunk func(link.Chunk)) (link.RunResult, error) {
 	c := l.a.cuts.take()
 	switch c {
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -42,6 +42,7 @@
 	mu     sync.RWMutex
 	peers  map[string]*peer
 	pools  map[string][]*peer
+	byAddr map[string]*peer
 	listOK bool
 }
 
@@ -53,7 +54,6 @@
 		table: membership.NewTable(),
 		dials: rate.NewLimiter(redialsPerSecond, redialBurst),
 		peers: make(map[string]*peer),
-		pools: make(map[string][]*peer),
 	}
 }
 
@@ -120,11 +120,12 @@
 
 // index rebuilds the pools; f.mu is held.
 func (f *fleet) index() {
-	pools := make(map[string][]*peer)
+	f.pools = make(map[string][]*peer)
+	f.byAddr = make(map[string]*peer)
 	for _, p := range f.peers {
-		pools[p.instance.Pool] = append(pools[p.instance.Pool], p)
+		f.pools[p.instance.Pool] = append(f.pools[p.instance.Pool], p)
+		f.byAddr[p.instance.Agent] = p
 	}
-	f.pools = pools
 }
 
 func (f *fleet) keep(ctx context.Context, in platform.Instance) *peer {
@@ -203,11 +204,27 @@
 	return up, len(f.peers)
 }
 
-// byName returns the peer of an agent, or nil.
-func (f *fleet) byName(name string) *peer {
+// linkAt returns the link to the agent at addr, or nil.
+func (f *fleet) linkAt(addr string) Link {
+	f.mu.RLock()
+	p := f.byAddr[addr]
+	f.mu.RUnlock()
+	if p == nil {
+		return nil
+	}
+	return p.current()
+}
+
+// any returns some link that is up, or nil.
+func (f *fleet) any() Link {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	return f.peers[name]
+	for _, p := range f.peers {
+		if l := p.current(); l != nil {
+			return l
+		}
+	}
+	return nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/entry/once.go
+++ b/entry/once.go
@@ -197,31 +197,16 @@
 
 // settleAt asks one agent. An agent of another boot remembers nothing.
 func (s *stageRun) settleAt(ctx context.Context, c claim.Candidate, id contract.AttemptID) (link.SettleResult, error) {
-	l, done, err := s.e.linkTo(ctx, c)
+	l, err := s.e.calls.linkTo(ctx, c.Addr)
 	if err != nil {
 		return link.SettleResult{}, err
 	}
-	defer done()
 	if l.Peer().AgentBoot != c.Boot {
 		return link.SettleResult{State: link.AttemptUnknown}, nil
 	}
 	return l.Settle(ctx, link.SettleParams{Attempt: id, AgentBoot: c.Boot})
 }
 
-// linkTo returns a link to an agent, the entry's own or one for this call.
-func (e *Entry) linkTo(ctx context.Context, c claim.Candidate) (Link, func(), error) {
-	if p := e.fleet.byName(c.Agent); p != nil && p.instance.Agent == c.Addr {
-		if l := p.current(); l != nil {
-			return l, func() {}, nil
-		}
-	}
-	l, err := e.o.Dial(ctx, c.Addr)
-	if err != nil {
-		return nil, nil, err
-	}
-	return l, func() { _ = l.Close() }, nil
-}
-
 func refusedOnce(code contract.Code, detail string) link.RunResult {
 	return link.RunResult{Run: contract.NotRun, Code: code, Detail: detail}
 }
--- a/entry/options.go
+++ b/entry/options.go
@@ -25,6 +25,7 @@
 	Run(ctx context.Context, p link.RunParams, onChunk func(link.Chunk)) (link.RunResult, error)
 	Attach(ctx context.Context, p link.AttachParams, onChunk func(link.Chunk)) (link.RunResult, error)
 	Settle(ctx context.Context, p link.SettleParams) (link.SettleResult, error)
+	Call(ctx context.Context, method string, params, result any) error
 	Leaving() <-chan struct{}
 	Done() <-chan struct{}
 	Close() error
--- a/membership/table.go
+++ b/membership/table.go
@@ -30,7 +30,7 @@
 type Table struct {
 	mu      sync.Mutex
 	members map[string]*member
-	entries []string
+	entries []platform.Instance
 }
 
 // NewTable returns an empty table.
@@ -58,7 +58,7 @@
 func (t *Table) add(in platform.Instance) {
 	if in.Pool == EntryPool {
 		if in.State == platform.Live {
-			t.entries = append(t.entries, in.Name)
+			t.entries = append(t.entries, in)
 		}
 		return
 	}
@@ -120,6 +120,20 @@
 	return m != nil && now.Before(m.suspectedUntil)
 }
 
+// Entries returns the names of the listed entries in a data centre, or in all
+// when none is named.
+func (t *Table) Entries(dataCentre string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for _, in := range t.entries {
+		if dataCentre == "" || in.DataCentre == dataCentre {
+			out = append(out, in.Name)
+		}
+	}
+	return out
+}
+
 // Group is the agents of one pool in one data centre.
 type Group struct{ Pool, DataCentre string }
 
@@ -127,9 +141,7 @@
 // about size for every pool in every data centre.
 func (t *Table) Targets(now time.Time, self string, size int) []platform.Instance {
 	live := t.Live(now)
-	t.mu.Lock()
-	entries := slices.Clone(t.entries)
-	t.mu.Unlock()
+	entries := t.Entries("")
 	groups := make(map[Group][]string)
 	byName := make(map[string]platform.Instance, len(live))
 	for _, in := range live {
