--- a/entry/options.go
+++ b/entry/options.go
@@ -25,6 +25,7 @@
 	Run(ctx context.Context, p link.RunParams, onChunk func(link.Chunk)) (link.RunResult, error)
 	Attach(ctx context.Context, p link.AttachParams, onChunk func(link.Chunk)) (link.RunResult, error)
 	Settle(ctx context.Context, p link.SettleParams) (link.SettleResult, error)
+	Call(ctx context.Context, method string, params, result any) error
 	Leaving() <-chan struct{}
 	Done() <-chan struct{}
 	Close() error
@@ -80,6 +81,7 @@
 	DefaultSubsetSize   = 4
 	DefaultRefreshEvery = 5 * time.Second
 	DefaultRecoverBound = 500 * time.Millisecond
+	DefaultBalancerLag  = 200 * time.Millisecond
 )
 
 // Options sets up an Entry. Zero members take defaults; Settings, Directory
@@ -105,6 +107,9 @@
 	RefreshEvery time.Duration
 	// RecoverBound is how long a lost attempt waits for a new link.
 	RecoverBound time.Duration
+	// BalancerLag is how long the balancer may still send requests after
+	// readiness went off.
+	BalancerLag time.Duration
 	// NoJoin runs every request by itself, as a baseline.
 	NoJoin bool
 	// NoShares turns the organisations' shares off, as a baseline.
@@ -122,6 +127,7 @@
 	setDefault(&o.SubsetSize, DefaultSubsetSize)
 	setDefault(&o.RefreshEvery, DefaultRefreshEvery)
 	setDefault(&o.RecoverBound, DefaultRecoverBound)
+	setDefault(&o.BalancerLag, DefaultBalancerLag)
 	if o.Suspects == nil {
 		o.Suspects = noSuspects{}
 	}
