Move the agent's process out of its command into package agentdaemon

Cause: the demo runs agents inside its own process, and the command held all of the wiring; the entry already has the same split (entrydaemon).

Ruled out: a copy of the wiring in the demo.

Change: Config with Check, New, Serve and Run; the command keeps its flags and environment. No behaviour changes; the listener opens before the parts start.

--- /dev/null
+++ b/agentdaemon/daemon.go
@@ -0,0 +1,220 @@
+// Package agentdaemon assembles an agent process from its process settings:
+// the agent with its links, the settings follower, the endpoint's driver and
+// the operators' listener. The command is a thin shell around it, and the demo
+// runs it inside its own process.
+package agentdaemon
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/azurelead/azurelead/agent"
+	"github.com/azurelead/azurelead/certs"
+	"github.com/azurelead/azurelead/endpoint"
+	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/pipeline"
+	"github.com/azurelead/azurelead/platform"
+	"github.com/azurelead/azurelead/settings"
+	"github.com/azurelead/azurelead/telemetry"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("agent daemon")
+
+const (
+	// memoryLimit makes the collector work harder before the 32 MB that an idle
+	// agent may hold are reached.
+	memoryLimit = 24 << 20
+	// headerTimeout bounds what a stranger may hold on the operators' port.
+	headerTimeout = 5 * time.Second
+)
+
+// TuneMemory bounds the heap of a process that runs nothing but this daemon,
+// unless the operator has set a limit of his own.
+func TuneMemory() {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memoryLimit)
+	}
+}
+
+// Daemon is an agent process.
+type Daemon struct {
+	c        Config
+	logger   *slog.Logger
+	registry *prometheus.Registry
+	ready    telemetry.Readiness
+	platform *platform.Client
+	follower *settings.Follower
+	node     *agent.Node
+
+	listener  net.Listener
+	operators net.Listener
+	flush     func(context.Context) error
+}
+
+// Run runs an agent process until ctx ends, then stops it gracefully. It
+// prints "listening" and the links' address once entries can reach it.
+func Run(ctx context.Context, c Config, out io.Writer, logger *slog.Logger) error {
+	d, err := New(c, logger)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(out, "listening %s\n", d.Addr()); err != nil {
+		return Error.Wrap(err)
+	}
+	if d.operators != nil {
+		if _, err := fmt.Fprintf(out, "operators %s\n", d.operators.Addr()); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return d.Serve(ctx)
+}
+
+// New returns a daemon that listens but does not serve yet.
+func New(c Config, logger *slog.Logger) (*Daemon, error) {
+	if err := c.Check(); err != nil {
+		return nil, err
+	}
+	d := &Daemon{c: c, logger: logger, registry: telemetry.NewRegistry()}
+	for _, step := range []func() error{d.openPlatform, d.openNode, d.listen} {
+		if err := step(); err != nil {
+			return nil, Error.Wrap(err)
+		}
+	}
+	return d, nil
+}
+
+// Addr returns the links' address.
+func (d *Daemon) Addr() string { return d.listener.Addr().String() }
+
+// Agent returns the agent inside.
+func (d *Daemon) Agent() *agent.Agent { return d.node.Agent() }
+
+func (d *Daemon) openPlatform() error {
+	var err error
+	d.flush, err = telemetry.SetupTracing(context.Background(), "azurelead-agent", d.c.OTLP)
+	if err != nil {
+		return err
+	}
+	d.platform, err = platform.NewClient(platform.ClientOptions{URL: d.c.Platform, Registerer: d.registry})
+	if err != nil {
+		return err
+	}
+	// Agents never watch the store: they hear of settings on their links.
+	d.follower = settings.NewFollower(settings.FollowerOptions{
+		Store: d.platform, Instance: d.c.Name, Candidates: func() []string { return nil },
+		Ask: func(ctx context.Context, have settings.Version) (link.SettingsResult, error) {
+			return d.node.Ask(ctx, have)
+		},
+		Logger: d.logger, Registerer: d.registry,
+	})
+	return nil
+}
+
+func (d *Daemon) openNode() error {
+	driver, err := newDriver(d.c)
+	if err != nil {
+		return err
+	}
+	config, err := linkTLS(d.c)
+	if err != nil {
+		return err
+	}
+	d.node, err = agent.NewNode(agent.NodeOptions{
+		Agent: agent.Options{
+			Name: d.c.Name, Pool: d.c.Pool, Kind: d.c.Kind, DataCentre: d.c.DataCentre,
+			Endpoint: driver, Settings: d.follower, Refresh: agent.Renew(d.follower),
+			Gossip: agent.Spread{Follower: d.follower}, ProbeInterval: d.c.ProbeInterval, ReportLag: d.c.ReportLag,
+			Logger: d.logger, Registerer: d.registry,
+		},
+		Links:   link.ServerOptions{TLS: config, IdleBound: d.c.IdleBound, Metrics: link.NewMetrics(d.registry)},
+		Drain:   d.c.Drain,
+		OnLeave: func() { d.ready.Set(false) },
+	})
+	return err
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.listener, err = net.Listen("tcp", d.c.Listen); err != nil {
+		return err
+	}
+	if d.c.Operators != "" {
+		d.operators, err = net.Listen("tcp", d.c.Operators)
+	}
+	return err
+}
+
+func newDriver(c Config) (endpoint.Endpoint, error) {
+	o := endpoint.Options{URL: c.Endpoint}
+	switch c.Kind {
+	case pipeline.Generate:
+		return endpoint.NewEngine(o)
+	case pipeline.Service:
+		return endpoint.NewService(o)
+	}
+	return endpoint.NewPool(c.Kind, o)
+}
+
+func linkTLS(c Config) (*tls.Config, error) {
+	if c.Plain {
+		return nil, nil
+	}
+	identity, err := certs.Load(certs.Options{Cert: c.TLSCert, Key: c.TLSKey, CA: c.TLSCA})
+	if err != nil {
+		return nil, err
+	}
+	return identity.Server(), nil
+}
+
+// Serve serves until ctx ends and then stops gracefully.
+func (d *Daemon) Serve(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	var g errgroup.Group
+	g.Go(func() error { d.follower.Run(background); return nil })
+	g.Go(func() error {
+		agent.FollowList(background, d.platform, d.c.Name, d.c.ListInterval, d.logger, d.node.Leave)
+		return nil
+	})
+	if d.operators != nil {
+		d.serveOperators(background, &g)
+	}
+	g.Go(func() error {
+		defer stop()
+		return d.node.Serve(ctx, d.listener)
+	})
+	d.ready.Set(true)
+	err := g.Wait()
+	return errs.Combine(Error.Wrap(err), d.flush(context.Background()))
+}
+
+// serveOperators serves metrics, health and profiles until background ends.
+func (d *Daemon) serveOperators(background context.Context, g *errgroup.Group) {
+	s := &http.Server{
+		Handler:           telemetry.OperatorsHandler(d.registry, &d.ready, d.c.Pprof),
+		ReadHeaderTimeout: headerTimeout,
+	}
+	g.Go(func() error {
+		if err := s.Serve(d.operators); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-background.Done()
+		return s.Close()
+	})
+}
