Add the entry's daemon and command

Cause: the thin path needs an entry as a process, and the demo one inside its own.

Ruled out: assembling in the command itself; the demo and the integration tests would have had to repeat it.

Change: package entrydaemon (configuration with all faults reported at once, assembly, graceful stop) and cmd/azurelead-entry.

Not run yet with real agents.

--- /dev/null
+++ b/cmd/azurelead-entry/main.go
@@ -0,0 +1,86 @@
+// Command azurelead-entry takes callers' requests and runs their pipelines on
+// the fleet's agents.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/azurelead/azurelead/entry"
+	"github.com/azurelead/azurelead/entrydaemon"
+	"github.com/azurelead/azurelead/telemetry"
+)
+
+// The exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "azurelead-entry:", err)
+		os.Exit(exitUsage)
+	}
+}
+
+func command() *cli.Command {
+	var c entrydaemon.Config
+	return &cli.Command{
+		Name:  "azurelead-entry",
+		Usage: "take callers' requests and run their pipelines on the fleet's agents",
+		Description: "Prints \"listening\" and the callers' address when it takes requests. Exits with 0 after a\n" +
+			"graceful stop (SIGTERM or SIGINT), 1 after a failure, 2 after bad flags or values.",
+		Flags:           flags(&c),
+		HideHelpCommand: true,
+		OnUsageError:    func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err },
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if cmd.Args().Present() {
+				return fmt.Errorf("argument %q: none is allowed", cmd.Args().First())
+			}
+			return run(ctx, c)
+		},
+	}
+}
+
+func run(ctx context.Context, c entrydaemon.Config) error {
+	if err := c.Check(); err != nil {
+		return err
+	}
+	if err := entrydaemon.Run(ctx, c, os.Stdout, telemetry.NewLogger(slog.LevelInfo)); err != nil {
+		fmt.Fprintln(os.Stderr, "azurelead-entry:", err)
+		os.Exit(exitFailed)
+	}
+	return nil
+}
+
+func flags(c *entrydaemon.Config) []cli.Flag {
+	text := func(name, env, usage, value string, to *string) cli.Flag {
+		return &cli.StringFlag{Name: name, Usage: usage, Value: value, Destination: to, Sources: cli.EnvVars("AZURELEAD_" + env)}
+	}
+	return []cli.Flag{
+		text("listen", "LISTEN", "callers' IP address and port", "127.0.0.1:8080", &c.Listen),
+		text("operators", "OPERATORS", "operators' IP address and port: metrics, health, status", "127.0.0.1:8081", &c.Operators),
+		text("platform", "PLATFORM", "URL of the platform's object API", "http://127.0.0.1:9000", &c.Platform),
+		text("name", "NAME", "name of this instance", "", &c.Name),
+		text("data-centre", "DATA_CENTRE", "data centre of this instance", "", &c.DataCentre),
+		text("otlp", "OTLP", "URL that traces are exported to by OTLP over HTTP", "", &c.OTLP),
+		text("tls-cert", "TLS_CERT", "PEM file of the callers' listener's certificate", "", &c.TLSCert),
+		text("tls-key", "TLS_KEY", "PEM file of its key", "", &c.TLSKey),
+		text("link-cert", "LINK_CERT", "PEM file of the certificate for links to agents", "", &c.LinkCert),
+		text("link-key", "LINK_KEY", "PEM file of its key", "", &c.LinkKey),
+		text("link-ca", "LINK_CA", "PEM file of the authorities for agents' certificates", "", &c.LinkCA),
+		text("chooser", "CHOOSER", fmt.Sprintf("policy that picks endpoints: one of %v", entry.ChooserNames), "finish-time", &c.Chooser),
+		&cli.IntFlag{Name: "subset", Usage: "agents of each pool and data centre to hold links to", Value: entry.DefaultSubsetSize,
+			Destination: &c.Subset, Sources: cli.EnvVars("AZURELEAD_SUBSET")},
+		&cli.BoolFlag{Name: "pprof", Usage: "serve profiles on the operators' port", Destination: &c.Pprof, Sources: cli.EnvVars("AZURELEAD_PPROF")},
+	}
+}
--- a/entry/baselines.go
+++ b/entry/baselines.go
@@ -43,6 +43,9 @@
 // Choose implements Chooser.
 func (Random) Choose(_ Query, candidates []Candidate) int { return rand.IntN(len(candidates)) }
 
+// ChooserNames lists the names of choosers, the default first.
+var ChooserNames = []string{"finish-time", "round-robin", "least-in-flight", "two-choices", "random"}
+
 // ChooserByName returns the chooser of a name, or nil.
 func ChooserByName(name string) Chooser {
 	switch name {
--- /dev/null
+++ b/entrydaemon/config.go
@@ -0,0 +1,102 @@
+// Package entrydaemon assembles an entry process from its process settings:
+// the entry itself, the settings follower, the claim ledger, the callers' and
+// the operators' listeners. The command is a thin shell around it, and the
+// demo runs it inside its own process.
+package entrydaemon
+
+import (
+	"net/netip"
+	"net/url"
+	"strconv"
+
+	"github.com/zeebo/errs"
+
+	"github.com/azurelead/azurelead/entry"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("entry daemon")
+
+// Config is what an entry process learns from flags and environment.
+type Config struct {
+	// Listen is the callers' address, Operators the operators'.
+	Listen    string
+	Operators string
+	// Platform is the URL of the platform's object API.
+	Platform   string
+	Name       string
+	DataCentre string
+	// OTLP is the URL that traces are exported to; empty for none.
+	OTLP  string
+	Pprof bool
+	// TLSCert and TLSKey secure the callers' listener; empty for plain HTTP.
+	TLSCert string
+	TLSKey  string
+	// LinkCert, LinkKey and LinkCA secure the links to agents, mutually; empty
+	// for plain links.
+	LinkCert string
+	LinkKey  string
+	LinkCA   string
+	// Chooser names the policy that picks endpoints.
+	Chooser string
+	// Subset is how many agents of each pool and data centre are linked.
+	Subset int
+}
+
+// Check returns all the faults of the configuration at once.
+func (c *Config) Check() error {
+	var g errs.Group
+	g.Add(checkAddress("listen", c.Listen))
+	g.Add(checkAddress("operators", c.Operators))
+	g.Add(checkURL("platform", c.Platform, true))
+	g.Add(checkURL("otlp", c.OTLP, false))
+	g.Add(checkName("name", c.Name))
+	g.Add(checkName("data-centre", c.DataCentre))
+	if (c.TLSCert == "") != (c.TLSKey == "") {
+		g.Add(errs.New("--tls-cert and --tls-key: both or none must be set"))
+	}
+	set := 0
+	for _, v := range []string{c.LinkCert, c.LinkKey, c.LinkCA} {
+		if v != "" {
+			set++
+		}
+	}
+	if set != 0 && set != 3 {
+		g.Add(errs.New("--link-cert, --link-key and --link-ca: all or none must be set"))
+	}
+	if entry.ChooserByName(c.Chooser) == nil {
+		g.Add(errs.New("--chooser %q: must be one of %v", c.Chooser, entry.ChooserNames))
+	}
+	if c.Subset < 1 {
+		g.Add(errs.New("--subset %d: must be 1 or more", c.Subset))
+	}
+	return g.Err()
+}
+
+func checkAddress(flag, v string) error {
+	if _, err := netip.ParseAddrPort(v); err != nil {
+		return errs.New("--%s %q: must be an IP address and port, as in 127.0.0.1:8080", flag, v)
+	}
+	return nil
+}
+
+func checkURL(flag, v string, required bool) error {
+	if v == "" && !required {
+		return nil
+	}
+	u, err := url.Parse(v)
+	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+		return errs.New("--%s %q: must be an http or https URL", flag, v)
+	}
+	return nil
+}
+
+// maxNameBytes bounds names, which go into metrics and messages.
+const maxNameBytes = 128
+
+func checkName(flag, v string) error {
+	if v == "" || len(v) > maxNameBytes {
+		return errs.New("--%s %s: must have 1 to %d bytes", flag, strconv.Quote(v), maxNameBytes)
+	}
+	return nil
+}
