--- a/cmd/azurelead-entry/main.go
+++ b/cmd/azurelead-entry/main.go
@@ -81,6 +81,7 @@
 		text("chooser", "CHOOSER", fmt.Sprintf("policy that picks endpoints: one of %v", entry.ChooserNames), "finish-time", &c.Chooser),
 		&cli.IntFlag{Name: "subset", Usage: "agents of each pool and data centre to hold links to", Value: entry.DefaultSubsetSize,
 			Destination: &c.Subset, Sources: cli.EnvVars("AZURELEAD_SUBSET")},
+		&cli.BoolFlag{Name: "plain", Usage: "allow callers and links without TLS", Destination: &c.Plain, Sources: cli.EnvVars("AZURELEAD_PLAIN")},
 		&cli.BoolFlag{Name: "pprof", Usage: "serve profiles on the operators' port", Destination: &c.Pprof, Sources: cli.EnvVars("AZURELEAD_PPROF")},
 	}
 }
--- a/entrydaemon/config.go
+++ b/entrydaemon/config.go
@@ -29,11 +29,12 @@
 	// OTLP is the URL that traces are exported to; empty for none.
 	OTLP  string
 	Pprof bool
-	// TLSCert and TLSKey secure the callers' listener; empty for plain HTTP.
+	// Plain allows callers and links without TLS.
+	Plain bool
+	// TLSCert and TLSKey secure the callers' listener.
 	TLSCert string
 	TLSKey  string
-	// LinkCert, LinkKey and LinkCA secure the links to agents, mutually; empty
-	// for plain links.
+	// LinkCert, LinkKey and LinkCA secure the links to agents, mutually.
 	LinkCert string
 	LinkKey  string
 	LinkCA   string
@@ -52,18 +53,8 @@
 	g.Add(checkURL("otlp", c.OTLP, false))
 	g.Add(checkName("name", c.Name))
 	g.Add(checkName("data-centre", c.DataCentre))
-	if (c.TLSCert == "") != (c.TLSKey == "") {
-		g.Add(errs.New("--tls-cert and --tls-key: both or none must be set"))
-	}
-	set := 0
-	for _, v := range []string{c.LinkCert, c.LinkKey, c.LinkCA} {
-		if v != "" {
-			set++
-		}
-	}
-	if set != 0 && set != 3 {
-		g.Add(errs.New("--link-cert, --link-key and --link-ca: all or none must be set"))
-	}
+	g.Add(c.checkTLS("callers", "tls-cert and --tls-key", c.TLSCert, c.TLSKey))
+	g.Add(c.checkTLS("links", "link-cert, --link-key and --link-ca", c.LinkCert, c.LinkKey, c.LinkCA))
 	if entry.ChooserByName(c.Chooser) == nil {
 		g.Add(errs.New("--chooser %q: must be one of %v", c.Chooser, entry.ChooserNames))
 	}
@@ -73,6 +64,23 @@
 	return g.Err()
 }
 
+// checkTLS wants all the files of a certificate, or none and --plain.
+func (c *Config) checkTLS(who, flags string, files ...string) error {
+	set := 0
+	for _, f := range files {
+		if f != "" {
+			set++
+		}
+	}
+	switch {
+	case set == len(files), set == 0 && c.Plain:
+		return nil
+	case set == 0:
+		return errs.New("--%s: must be set, or --plain to allow %s without TLS", flags, who)
+	}
+	return errs.New("--%s: all or none must be set", flags)
+}
+
 func checkAddress(flag, v string) error {
 	if _, err := netip.ParseAddrPort(v); err != nil {
 		return errs.New("--%s %q: must be an IP address and port, as in 127.0.0.1:8080", flag, v)
