--- a/agent/agent.go
+++ b/agent/agent.go
@@ -48,6 +48,7 @@
 	l := newLimiter(limits, reports, now.Add(o.ReportLag), now.Add(o.ForeignBound))
 	a.admission = newAdmission(l, queueLimit, time.Now)
 	a.metrics = newMetrics(o.Registerer, a.Load)
+	a.turns.Store(int64(l.turns))
 	a.follow()
 	a.wg.Go(a.tickLoop)
 	a.wg.Go(a.probeLoop)
--- /dev/null
+++ b/link/bench_test.go
@@ -0,0 +1,61 @@
+package link
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/pipeline"
+)
+
+// BenchmarkRun measures one small call over loopback.
+func BenchmarkRun(b *testing.B) {
+	f := &fakeAgent{run: func(_ context.Context, p RunParams, _ func(string)) RunResult {
+		return RunResult{Run: contract.Ran, Output: pipeline.Output{Text: p.Input.Text}}
+	}}
+	_, addr := startServer(b, f, ServerOptions{})
+	c := dial(b, addr, ClientOptions{})
+	p := RunParams{Request: contract.NewRequestID(), Organisation: "org", Pipeline: "answers", Stage: "encode"}
+	p.Input.Text = "How do I reset the thermal cut-out?"
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Attempt = contract.NewAttemptID()
+		if _, err := c.Run(context.Background(), p, nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkTokens measures tokens from many streams over one link: a token is
+// emitted at an agent and taken by the caller of Run, both in this process.
+func BenchmarkTokens(b *testing.B) {
+	const streams = 64
+	f := &fakeAgent{run: func(_ context.Context, p RunParams, emit func(string)) RunResult {
+		n := p.Input.MaxTokens
+		for i := range n {
+			emit(" token")
+			if i%8 == 7 {
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
+		return RunResult{Run: contract.Ran, Count: n}
+	}}
+	_, addr := startServer(b, f, ServerOptions{})
+	c := dial(b, addr, ClientOptions{})
+	b.ReportAllocs()
+	b.ResetTimer()
+	var wg sync.WaitGroup
+	for range streams {
+		wg.Go(func() {
+			p := RunParams{Attempt: contract.NewAttemptID()}
+			p.Input.MaxTokens = b.N / streams
+			if _, err := c.Run(context.Background(), p, func(Chunk) {}); err != nil {
+				b.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "tokens/s")
+}
