Add the demo: the whole path in one process, and the callers' client

Ruled out: a special in-process transport; the demo starts the same daemons as the commands do and talks to them over loopback TCP.

Change: packages client and demo; agents serve claims (MethodClaim) for the entries of the fleet.

--- a/agentdaemon/daemon.go
+++ b/agentdaemon/daemon.go
@@ -22,6 +22,7 @@
 
 	"github.com/azurelead/azurelead/agent"
 	"github.com/azurelead/azurelead/certs"
+	"github.com/azurelead/azurelead/claim"
 	"github.com/azurelead/azurelead/endpoint"
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/pipeline"
@@ -58,6 +59,7 @@
 	platform *platform.Client
 	follower *settings.Follower
 	node     *agent.Node
+	ledger   *claim.Ledger
 
 	listener  net.Listener
 	operators net.Listener
@@ -143,7 +145,13 @@
 		Drain:   d.c.Drain,
 		OnLeave: func() { d.ready.Set(false) },
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	// Entries send their claims to the shard's usual writer, which may be any agent.
+	d.ledger = claim.NewLedger(claim.Options{Store: d.platform, Metrics: d.registry})
+	d.node.Handle(link.MethodClaim, claim.NewWriter(d.ledger).Handle)
+	return nil
 }
 
 func (d *Daemon) listen() error {
@@ -198,6 +206,7 @@
 	})
 	d.ready.Set(true)
 	err := g.Wait()
+	d.ledger.Close()
 	return errs.Combine(Error.Wrap(err), d.flush(context.Background()))
 }
 
--- a/cmd/azurelead/main.go
+++ b/cmd/azurelead/main.go
@@ -7,13 +7,14 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/azurelead/azurelead/demo"
 	"github.com/azurelead/azurelead/operator"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	commands := operator.Commands(operator.Options{})
+	commands := append(operator.Commands(operator.Options{}), demo.Command())
 	code := operator.Run(ctx, operator.Root(commands...), os.Args, os.Stderr)
 	stop()
 	os.Exit(code)
