Test the entry's policies; isolate pipelines; bound slow callers

Cause: the policies had no tests of their own, and reading them found faults.

Ruled out: a budget that starts full (retries above a tenth for the first hundreds of requests); a server-wide read timeout (it ends the context of every answer that takes longer).

Change: retry budget with a small overdraft that earns half until repaid; shares for each pipeline, so that one overloaded stage takes no room from others; estimates of generate stages by order of magnitude of their tokens; deadlines on reading a body and on a caller who takes nothing; wasted work of runs that end late; spread of the times to come back. Property tests with a fixed seed and a fuzz target for bodies.

Conclusion: policies hold as stated; not yet measured under load.

--- a/entry/budget.go
+++ b/entry/budget.go
@@ -2,12 +2,18 @@
 
 import "sync"
 
-// retryBurst bounds the retries that a pool may save up.
-const retryBurst = 10
+const (
+	// retryBurst bounds the retries that a pool may save up.
+	retryBurst = 10
+	// retryOverdraft is how many retries may be made before they are earned, so
+	// that a quiet pool has some too.
+	retryOverdraft = 2
+)
 
 // RetryBudget pays for the retries and hedges of one pool: each first attempt
-// earns a share of a token, each retry costs one. When every attempt at a pool
-// fails, retries stay below that share of the first attempts.
+// earns a share of a token, each retry costs one. While the budget is overdrawn
+// attempts earn half, so that retries stay below their share of the first
+// attempts as soon as there are a few, also when every attempt fails.
 type RetryBudget struct {
 	mu     sync.Mutex
 	tokens float64
@@ -17,18 +23,22 @@
 func (b *RetryBudget) Earn(percent int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+float64(percent)/100, retryBurst)
+	credit := float64(percent) / 100
+	if b.tokens < 0 {
+		credit /= 2
+	}
+	b.tokens = min(b.tokens+credit, retryBurst)
 }
 
-// Spend takes one token, and reports whether there was one.
+// Spend takes one token, and reports whether it may.
 func (b *RetryBudget) Spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	const almostOne = 1 - 1e-9
-	if b.tokens < almostOne {
+	const rounding = 1e-9
+	if b.tokens-1 < -retryOverdraft-rounding {
 		return false
 	}
-	b.tokens = max(b.tokens-1, 0)
+	b.tokens--
 	return true
 }
 
--- a/entry/deadline.go
+++ b/entry/deadline.go
@@ -52,8 +52,12 @@
 	return p
 }
 
-// stageKey names a stage whose durations are alike.
-type stageKey struct{ pipeline, stage string }
+// stageKey names stages whose durations are alike.
+type stageKey struct {
+	pipeline, stage string
+	// size is the binary order of magnitude of the tokens that may be generated.
+	size int
+}
 
 // latencies keeps an estimator for every stage.
 type latencies struct {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,7 +23,7 @@
 	calls     *calls
 	auth      authenticator
 	flights   *flights
-	shares    *Shares
+	shares    *pipelineShares
 	latencies *latencies
 	budgets   *budgets
 	pause     *PauseGuard
@@ -48,7 +48,7 @@
 		o:         o,
 		m:         newMetrics(o.Registry),
 		flights:   newFlights(),
-		shares:    NewShares(),
+		shares:    newPipelineShares(),
 		latencies: newLatencies(),
 		budgets:   newBudgets(),
 		ctx:       ctx,
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -16,7 +17,10 @@
 	"github.com/azurelead/azurelead/link"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204")
+	goleak.VerifyTestMain(m)
+}
 
 const question = `{"question":"no hot water"}`
 
@@ -61,7 +65,6 @@
 	for _, c := range []cut{cutNone, cutBefore, cutMidway, cutAfter, cutUnsent, cutSettles} {
 		t.Run(fmt.Sprint(c), func(t *testing.T) {
 			w := newWorld(t, nil)
-			w.e.budgets.of("generate").tokens = 1
 			w.cut("generate", c)
 			rec := w.post(t.Context(), ask{pipeline: "ask", body: `{"question":"no hot water","stream":true}`})
 			checkStream(t, rec, "no hot water")
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -72,7 +72,7 @@
 		return 0
 	}
 	now := time.Now()
-	q := s.e.latencies.of(stageKey{s.req.PipelineName, s.stage.Name}, now).Quantile(now, hedgeQuantile)
+	q := s.e.latencies.of(s.key(s.stage), now).Quantile(now, hedgeQuantile)
 	if q == 0 {
 		return 0
 	}
--- a/entry/http.go
+++ b/entry/http.go
@@ -20,6 +20,14 @@
 // RunsPath is the route on which callers start runs.
 const RunsPath = "/v1/pipelines/{pipeline}/runs"
 
+const (
+	// bodyTimeout bounds the reading of a body.
+	bodyTimeout = 10 * time.Second
+	// writeGrace is how long after its deadline a caller may still take its
+	// answer; one that takes nothing would hold up a graceful shutdown.
+	writeGrace = 5 * time.Second
+)
+
 func (e *Entry) routes() http.Handler {
 	m := mux.NewRouter()
 	m.HandleFunc(RunsPath, e.serveRun).Methods(http.MethodPost)
@@ -38,8 +46,12 @@
 	defer e.working.Done()
 	e.m.inFlight.Inc()
 	defer e.m.inFlight.Dec()
-	req := &Request{ID: id}
+	req := &Request{ID: id, Deadline: started}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(started.Add(bodyTimeout))
 	snap, problem := e.accept(req, r, started)
+	_ = control.SetReadDeadline(time.Time{})
+	_ = control.SetWriteDeadline(req.Deadline.Add(writeGrace))
 	if problem != nil {
 		e.refuse(w, started, req, problem)
 		return
@@ -112,12 +124,12 @@
 	}
 	f, isNew := e.flights.start(newFlight(context.WithoutCancel(ctx), key, req.Digest, req.Deadline))
 	if !isNew {
-		e.shares.Leave(req.Organisation)
+		e.shares.of(req.PipelineName).Leave(req.Organisation)
 		return e.joined(f, req)
 	}
 	run := &run{e: e, f: f, req: req, snap: snap, trace: context.WithoutCancel(ctx)}
 	e.background(func(context.Context) {
-		defer e.shares.Leave(req.Organisation)
+		defer e.shares.of(req.PipelineName).Leave(req.Organisation)
 		run.execute()
 	})
 	return f, false, nil
@@ -150,7 +162,7 @@
 	if verdict, d := e.o.Suspects.Verdict(req.Digest); verdict == Banned {
 		return contract.NewProblem(contract.CodeSuspectRequest, contract.NotRun, "the request crashed endpoints").After(d)
 	}
-	ok := e.shares.Enter(time.Now(), req.Organisation, req.Weight)
+	ok := e.shares.of(req.PipelineName).Enter(time.Now(), req.Organisation, req.Weight)
 	if ok || e.o.NoShares {
 		return nil
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -59,9 +59,17 @@
 			m.tokens.WithLabelValues(organisation, pipelineName, stage, t.kind).Add(float64(t.n))
 		}
 	}
-	seconds := (time.Duration(u.EndpointUS) * time.Microsecond).Seconds()
-	m.endpoint.WithLabelValues(organisation, pipelineName, stage).Add(seconds)
+	m.endpoint.WithLabelValues(organisation, pipelineName, stage).Add(endpointSeconds(u))
 	if !good {
-		m.wasted.WithLabelValues(organisation, pipelineName, stage).Add(seconds)
+		m.waste(organisation, pipelineName, stage, u)
 	}
 }
+
+// waste adds endpoint time that answered nobody.
+func (m *metrics) waste(organisation, pipelineName, stage string, u pipeline.Usage) {
+	m.wasted.WithLabelValues(organisation, pipelineName, stage).Add(endpointSeconds(u))
+}
+
+func endpointSeconds(u pipeline.Usage) float64 {
+	return (time.Duration(u.EndpointUS) * time.Microsecond).Seconds()
+}
--- /dev/null
+++ b/entry/policy_test.go
@@ -0,0 +1,198 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/link"
+)
+
+// However first attempts and failures are mixed, retries stay within their
+// share of the first attempts and what may be overdrawn. Where every attempt
+// fails, they stay within the share alone once there are a few.
+func TestRetryBudgetBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b RetryBudget
+		percent := rapid.IntRange(0, 100).Draw(t, "percent")
+		least := rapid.IntRange(0, 1).Draw(t, "least failures")
+		firsts, retries := 0, 0
+		for _, failures := range rapid.SliceOfN(rapid.IntRange(least, 5), 1, 400).Draw(t, "failures") {
+			b.Earn(percent)
+			firsts++
+			for range failures {
+				if b.Spend() {
+					retries++
+				}
+			}
+		}
+		share := float64(firsts*percent) / 100
+		if float64(retries) > share+retryOverdraft+1e-6 {
+			t.Fatalf("%d retries for %d first attempts at %d%%", retries, firsts, percent)
+		}
+		if allFail := least > 0 && share > 2*retryOverdraft+1; allFail && float64(retries) > share {
+			t.Fatalf("%d retries for %d first attempts at %d%%, which all failed", retries, firsts, percent)
+		}
+	})
+}
+
+// Each stage gets no more than what is left, the later ones keep their usual
+// time where there is enough, and only what cannot finish is refused.
+func TestSplitDeadline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ms := rapid.IntRange(0, 4000)
+		left := time.Duration(ms.Draw(t, "left")) * time.Millisecond
+		var stages []StageTimes
+		var fast, usual time.Duration
+		for range rapid.IntRange(1, 6).Draw(t, "stages") {
+			s := StageTimes{Fast: time.Duration(ms.Draw(t, "fast")) * time.Millisecond}
+			s.Usual = s.Fast + time.Duration(ms.Draw(t, "more"))*time.Millisecond
+			stages = append(stages, s)
+			fast, usual = fast+s.Fast, usual+s.Usual
+		}
+		p := SplitDeadline(left, stages)
+		if p.Feasible != (left > 0 && fast <= left) {
+			t.Fatalf("feasible %t with %s left of %s", p.Feasible, left, fast)
+		}
+		if p.Budget > left || p.Budget < 0 {
+			t.Fatalf("budget %s of %s", p.Budget, left)
+		}
+		if later := usual - stages[0].Usual; usual <= left && left-p.Budget > later {
+			t.Fatalf("budget %s leaves more than %s of %s to the later stages", p.Budget, later, left)
+		}
+	})
+}
+
+// A large organisation's burst fills what is free, but never keeps a small one
+// below its share from starting.
+func TestSharesKeepRoomForTheSmall(t *testing.T) {
+	now := time.Unix(0, 0)
+	s := NewShares()
+	for range 40 {
+		s.Enter(now, "large", 1)
+	}
+	s.Overloaded(now) // capacity 36
+	for range 4 {
+		s.Leave("large")
+	}
+	if s.Enter(now, "large", 1) {
+		t.Error("the large one started a request above the capacity")
+	}
+	admitted := 0
+	for range 30 {
+		if s.Enter(now, "small", 1) {
+			admitted++
+		}
+	}
+	if admitted != 18 {
+		t.Errorf("the small one got %d of 18", admitted)
+	}
+	if s.Enter(now, "large", 1) {
+		t.Error("the large one started a request above its share")
+	}
+}
+
+// Calls of one digest go home from every entry, until home's queue costs more
+// than the cached prefix saves.
+func TestAffinityIsBoundedByLoad(t *testing.T) {
+	free := link.Load{Limit: 4, ServiceUS: 100_000}
+	candidates := []Candidate{{Name: "a", Load: free}, {Name: "b", Load: free}, {Name: "c", Load: free}}
+	q := Query{Affinity: "digest"}
+	home := NewFinishTime().Choose(q, candidates)
+	for range 50 {
+		if got := NewFinishTime().Choose(q, candidates); got != home {
+			t.Fatalf("went to %d, home is %d", got, home)
+		}
+	}
+	candidates[home].Load.InFlight = 8
+	for range 50 {
+		if got := NewFinishTime().Choose(q, candidates); got == home {
+			t.Fatal("went home though the queue there is longer than the saving")
+		}
+	}
+}
+
+// An estimate follows a stage that has become slow, and forgets what is old.
+func TestLatencyForgets(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := NewLatency(now)
+	for range 100 {
+		l.Record(now, 100*time.Millisecond)
+	}
+	if q := l.Quantile(now, usualQuantile); q < 90*time.Millisecond || q > 110*time.Millisecond {
+		t.Errorf("median %s", q)
+	}
+	if q := l.Quantile(now.Add(time.Minute), usualQuantile); q != 0 {
+		t.Errorf("median %s after a minute without samples", q)
+	}
+}
+
+// After a gap the guard renews before it lets anything pass, and only once.
+func TestPauseRenewsFirst(t *testing.T) {
+	now := time.Now()
+	renewed := 0
+	g := NewPauseGuard(now.Add(-time.Hour), func(context.Context) error { renewed++; return errors.New("store down") })
+	g.Check(t.Context(), now)
+	g.Check(t.Context(), now.Add(time.Millisecond))
+	if renewed != 1 || g.Count() != 1 {
+		t.Fatalf("%d renewals, %d pauses", renewed, g.Count())
+	}
+}
+
+// A reader never gets a token that differs from, or skips, an earlier one.
+func TestTokenBufferNeverMixes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newTokenBuffer()
+		want := rapid.SliceOfN(rapid.StringN(1, 3, -1), 1, 20).Draw(t, "tokens")
+		sent := 0
+		for range rapid.IntRange(1, 30).Draw(t, "chunks") {
+			first := rapid.IntRange(0, len(want)).Draw(t, "first")
+			last := rapid.IntRange(first, len(want)).Draw(t, "last")
+			err := b.put(link.Chunk{First: first, Tokens: want[first:last]})
+			if (err != nil) != (first > sent) {
+				t.Fatalf("chunk at %d after %d: %v", first, sent, err)
+			}
+			if err == nil {
+				sent = max(sent, last)
+			}
+		}
+		got, _, _ := b.next(0)
+		if strings.Join(got, "|") != strings.Join(want[:sent], "|") {
+			t.Fatalf("got %q of %q", got, want)
+		}
+		if sent > 0 && b.put(link.Chunk{Tokens: []string{want[0] + "x"}}) == nil {
+			t.Fatal("a different token was taken")
+		}
+	})
+}
+
+func FuzzDecodeBody(f *testing.F) {
+	for _, seed := range []string{
+		question, booking, `{"question":"q","stream":true,"max_tokens":3}`, `{"question":`, `[]`, `null`,
+		`{"question":1}`, `{"max_tokens":-1}`, `{"max_tokens":1e99}`, `{"colour":1}`, question + question,
+		`{"action":{"a":[1,2,{"b":"\ud800"}]}}`, "\xff\xfe", `{"question":"q"} x`, "",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		const limit = 256
+		b, p := DecodeBody(strings.NewReader(string(raw)), limit)
+		if p != nil {
+			if p.Run != contract.NotRun || p.Status < 400 || p.Status > 499 {
+				t.Fatalf("refusal %+v", p)
+			}
+			return
+		}
+		if len(raw) > limit || b.MaxTokens < 0 {
+			t.Fatalf("accepted %d bytes as %+v", len(raw), b)
+		}
+		if requestDigest("o", "p", b) == requestDigest("o2", "p", b) {
+			t.Fatal("two organisations share a digest")
+		}
+	})
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/bits"
+	"math/rand/v2"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -38,11 +40,23 @@
 			return
 		}
 	}
-	r.e.shares.Finished()
+	r.e.shares.of(r.req.PipelineName).Finished()
 	r.e.o.Suspects.Cleared(r.f.digest)
+	r.countLate()
 	r.f.finish(nil)
 }
 
+// countLate counts the work of a run that ended after its last deadline.
+func (r *run) countLate() {
+	if r.f.left() > 0 {
+		return
+	}
+	reports, _ := r.f.snapshot()
+	for _, rep := range reports {
+		r.e.m.waste(r.req.Organisation, r.req.PipelineName, rep.Stage, rep.Usage)
+	}
+}
+
 // complete adds to a problem what the request as a whole states.
 func (r *run) complete(p *contract.Problem) *contract.Problem {
 	reports, _ := r.f.snapshot()
@@ -79,7 +93,7 @@
 		return r.refusal(st, res)
 	}
 	if !s.report.Replayed {
-		r.e.latencies.of(stageKey{r.req.PipelineName, st.Name}, started).Record(time.Now(), took)
+		r.e.latencies.of(r.key(st), started).Record(time.Now(), took)
 	}
 	r.carry.take(st.Kind, res.Output)
 	if st.Kind == pipeline.Service {
@@ -88,13 +102,31 @@
 	return nil
 }
 
+// key names the durations that this run's stage is expected to be like.
+func (r *run) key(st settings.Stage) stageKey {
+	k := stageKey{pipeline: r.req.PipelineName, stage: st.Name}
+	if st.Kind == pipeline.Generate {
+		k.size = bits.Len(uint(r.maxTokens(st)))
+	}
+	return k
+}
+
+// maxTokens bounds the tokens of a generate stage.
+func (r *run) maxTokens(st settings.Stage) int {
+	n := r.snap.Request(r.req.Organisation, r.req.PipelineName, st.Name).MaxTokens
+	if r.req.Body.MaxTokens > 0 {
+		n = min(n, r.req.Body.MaxTokens)
+	}
+	return n
+}
+
 // plan splits what is left between the stages from i on, and refuses what
 // cannot finish any more.
 func (r *run) plan(i int) (Plan, *contract.Problem) {
 	now := time.Now()
 	var remaining []StageTimes
 	for _, st := range r.req.Pipeline.Stages[i:] {
-		remaining = append(remaining, r.e.latencies.times(stageKey{r.req.PipelineName, st.Name}, now))
+		remaining = append(remaining, r.e.latencies.times(r.key(st), now))
 	}
 	left := r.f.left()
 	plan := SplitDeadline(left, remaining)
@@ -120,7 +152,7 @@
 		}
 	}
 	if code == contract.CodeOverloaded {
-		r.e.shares.Overloaded(time.Now())
+		r.e.shares.of(r.req.PipelineName).Overloaded(time.Now())
 	}
 	p := contract.NewProblem(code, res.Run, "stage %q: %s", st.Name, res.Detail)
 	p.Stage = st.Name
@@ -137,11 +169,17 @@
 )
 
 // retryAfter is when a caller may come back after a problem; 0 when coming
-// back unchanged does not help.
+// back unchanged does not help. The time is spread, so that callers who were
+// refused together do not come back together.
 func retryAfter(code contract.Code, hintMS int64) time.Duration {
-	if hintMS > 0 {
-		return time.Duration(hintMS) * time.Millisecond
+	d := time.Duration(hintMS) * time.Millisecond
+	if d <= 0 {
+		d = usualRetryAfter(code)
 	}
+	return d + rand.N(d/2+1)
+}
+
+func usualRetryAfter(code contract.Code) time.Duration {
 	switch code {
 	case contract.CodeOverloaded:
 		return retryAfterBusy
--- a/entry/shares.go
+++ b/entry/shares.go
@@ -115,3 +115,35 @@
 	defer s.mu.Unlock()
 	return s.total, s.capacity
 }
+
+// pipelineShares keeps the shares of each pipeline, so that one whose stage is
+// overloaded takes nothing from the others.
+type pipelineShares struct {
+	mu    sync.Mutex
+	named map[string]*Shares
+}
+
+func newPipelineShares() *pipelineShares { return &pipelineShares{named: make(map[string]*Shares)} }
+
+func (p *pipelineShares) of(pipeline string) *Shares {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.named[pipeline]
+	if s == nil {
+		s = NewShares()
+		p.named[pipeline] = s
+	}
+	return s
+}
+
+// total sums the requests in flight.
+func (p *pipelineShares) total() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, s := range p.named {
+		inFlight, _ := s.Total()
+		n += inFlight
+	}
+	return n
+}
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -39,10 +39,6 @@
 
 func (r *run) newStage(i int, st settings.Stage, budget time.Duration) *stageRun {
 	set := r.snap.Request(r.req.Organisation, r.req.PipelineName, st.Name)
-	maxTokens := set.MaxTokens
-	if r.req.Body.MaxTokens > 0 {
-		maxTokens = min(maxTokens, r.req.Body.MaxTokens)
-	}
 	s := &stageRun{
 		run:     r,
 		index:   i,
@@ -52,7 +48,7 @@
 		started: time.Now(),
 		report:  StageReport{Stage: st.Name, Kind: st.Kind, Run: contract.NotRun},
 		tried:   make(map[string]bool),
-		input:   stageInput(st, r.req.Body, maxTokens, &r.carry),
+		input:   stageInput(st, r.req.Body, r.maxTokens(st), &r.carry),
 		tokens:  newTokenBuffer(),
 	}
 	if st.Kind == pipeline.Generate && lastGenerate(r.req.Pipeline) == i {
--- a/entry/status.go
+++ b/entry/status.go
@@ -34,21 +34,18 @@
 	Leaving    bool             `json:"leaving"`
 	Settings   settings.Version `json:"settings"`
 	InFlight   int              `json:"in_flight"`
-	Capacity   float64          `json:"capacity"`
 	Pauses     int              `json:"pauses"`
 	Agents     []AgentStatus    `json:"agents"`
 }
 
 // Status returns the state of the entry.
 func (e *Entry) Status() Status {
-	inFlight, capacity := e.shares.Total()
 	s := Status{
 		Name:       e.o.Name,
 		DataCentre: e.o.DataCentre,
 		Ready:      e.o.Readiness.Ready(),
 		Leaving:    e.leaving.Load(),
-		InFlight:   inFlight,
-		Capacity:   capacity,
+		InFlight:   e.shares.total(),
 		Pauses:     e.pause.Count(),
 		Agents:     e.fleet.status(),
 	}
--- a/entrydaemon/daemon.go
+++ b/entrydaemon/daemon.go
@@ -26,10 +26,13 @@
 const (
 	// drainBound bounds the end of requests in progress at a stop.
 	drainBound = 60 * time.Second
-	// headerTimeout bounds the reading of a caller's headers, readTimeout of
-	// its whole request.
+	// headerTimeout bounds the reading of a caller's headers; the entry bounds
+	// the rest of a request, since a bound here would cut long answers.
 	headerTimeout = 5 * time.Second
-	readTimeout   = 30 * time.Second
+	// writeTimeout holds until the entry sets a request's own bound.
+	writeTimeout = 30 * time.Second
+	// idleTimeout bounds an unused connection of a caller.
+	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds a caller's headers.
 	maxHeaderBytes = 16 << 10
 	// renewAge is how old the settings may be after a pause without a renewal.
@@ -197,7 +200,8 @@
 	s := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		WriteTimeout:      writeTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(d.log.Handler(), slog.LevelDebug),
 	}
--- a/membership/subset_test.go
+++ b/membership/subset_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -8,6 +9,11 @@
 	"pgregory.net/rapid"
 )
 
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204")
+	m.Run()
+}
+
 func names(prefix string, n int) []string {
 	out := make([]string, n)
 	for i := range out {
