--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -246,7 +246,7 @@
 
 // world is an entry with two agents for each pool.
 type world struct {
-	t      *testing.T
+	t      testing.TB
 	e      *Entry
 	agents []*fakeAgent
 	claims *fakeClaims
@@ -278,7 +278,7 @@
 	}
 }
 
-func newWorld(t *testing.T, change func(w *world, o *Options)) *world {
+func newWorld(t testing.TB, change func(w *world, o *Options)) *world {
 	t.Helper()
 	w := &world{t: t, doc: testDocument(), claims: &fakeClaims{held: map[string]claim.Request{}, done: map[string]claim.Outcome{}}}
 	for _, k := range []pipeline.Kind{pipeline.Encode, pipeline.Generate, pipeline.Service} {
