--- a/agentdaemon/daemon.go
+++ b/agentdaemon/daemon.go
@@ -73,14 +73,14 @@
 	if err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(out, "listening %s\n", d.Addr()); err != nil {
-		return Error.Wrap(err)
-	}
 	if d.operators != nil {
 		if _, err := fmt.Fprintf(out, "operators %s\n", d.operators.Addr()); err != nil {
 			return Error.Wrap(err)
 		}
 	}
+	if _, err := fmt.Fprintf(out, "listening %s\n", d.Addr()); err != nil {
+		return Error.Wrap(err)
+	}
 	return d.Serve(ctx)
 }
 
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -40,6 +40,8 @@
 	readyPoll = 10 * time.Millisecond
 	// serviceTime is how long pools and services take for one call.
 	serviceTime = 3 * time.Millisecond
+	// reportLag is how far the stand-ins' load reports lag at most.
+	reportLag = 50 * time.Millisecond
 )
 
 //go:embed settings.yaml
@@ -163,7 +165,7 @@
 	d, err := agentdaemon.New(agentdaemon.Config{
 		Name: name, Pool: p.pool, Kind: p.kind, DataCentre: dc,
 		Endpoint: "http://" + addr, Platform: f.url, Listen: anyPort, Plain: true,
-		Drain: agent.DefaultDrain, ProbeInterval: agent.DefaultProbeInterval, ReportLag: agent.DefaultReportLag,
+		Drain: agent.DefaultDrain, ProbeInterval: agent.DefaultProbeInterval, ReportLag: reportLag,
 		ListInterval: agent.DefaultListInterval, IdleBound: 10 * link.DefaultPingInterval,
 	}, f.log)
 	if err != nil {
--- a/entrydaemon/daemon.go
+++ b/entrydaemon/daemon.go
@@ -60,13 +60,14 @@
 }
 
 // Run runs an entry process until ctx ends, then stops it gracefully. It
-// prints "listening" and the callers' address once it takes requests.
+// prints "operators" and that address, then "listening" and the callers'
+// address once it takes requests.
 func Run(ctx context.Context, c Config, out io.Writer, log *slog.Logger) error {
 	d, err := Start(c, log)
 	if err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(out, "listening %s\n", d.Addr()); err != nil {
+	if _, err := fmt.Fprintf(out, "operators %s\nlistening %s\n", d.OperatorsAddr(), d.Addr()); err != nil {
 		return Error.Wrap(err)
 	}
 	<-ctx.Done()
--- /dev/null
+++ b/itest/process_test.go
@@ -0,0 +1,112 @@
+package itest
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// patience bounds every wait for something that must happen. It is no
+// measure of speed: reaching it means that it did not happen.
+const patience = 30 * time.Second
+
+// binDir holds the programs, built once for the whole package.
+var binDir string
+
+func TestMain(m *testing.M) {
+	os.Exit(runWithPrograms(m))
+}
+
+func runWithPrograms(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "azurelead-itest")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	binDir = dir
+	return m.Run()
+}
+
+// process is one running program.
+type process struct {
+	name      string
+	cmd       *exec.Cmd
+	addr      string // what it printed after "listening"
+	operators string // what it printed after "operators"
+	stderr    bytes.Buffer
+	done      chan struct{}
+	err       error
+	stopping  sync.Mutex
+}
+
+// startProcess runs a program and returns once it listens.
+func startProcess(name, program string, args ...string) (*process, error) {
+	p := &process{name: name, cmd: exec.Command(filepath.Join(binDir, program), args...), done: make(chan struct{})}
+	p.cmd.Stderr = &p.stderr
+	stdout, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	listening := make(chan struct{})
+	go p.follow(bufio.NewScanner(stdout), listening)
+	select {
+	case <-listening:
+		return p, nil
+	case <-p.done:
+		return nil, fmt.Errorf("%s ended before it listened: %v\n%s", name, p.err, p.stderr.String())
+	case <-time.After(patience):
+		p.kill()
+		return nil, fmt.Errorf("%s does not listen", name)
+	}
+}
+
+// follow reads the program's output to its end and then its exit status.
+func (p *process) follow(lines *bufio.Scanner, listening chan<- struct{}) {
+	for lines.Scan() {
+		word, rest, _ := strings.Cut(lines.Text(), " ")
+		switch word {
+		case "operators":
+			p.operators = rest
+		case "listening":
+			p.addr = rest
+			close(listening)
+		}
+	}
+	p.err = p.cmd.Wait()
+	close(p.done)
+}
+
+func (p *process) signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// kill ends the program at once, also when it is frozen.
+func (p *process) kill() {
+	_ = p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// wait returns the program's exit error once it has ended.
+func (p *process) wait() error {
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(patience):
+		return fmt.Errorf("%s does not end", p.name)
+	}
+}
--- /dev/null
+++ b/itest/script_test.go
@@ -0,0 +1,306 @@
+package itest
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/azurelead/azurelead/pipeline"
+	"github.com/azurelead/azurelead/platform"
+)
+
+// The commands of the scenario language, besides those of testscript:
+//
+//	start NAME PROGRAM ARGS...        starts a program; NAME is set to its address,
+//	                                  NAME_ops to its operators' address
+//	agent NAME POOL KIND DC ENDPOINT [FLAGS...]  starts an agent without TLS; needs $platform
+//	entry NAME DC [FLAGS...]          starts an entry without TLS; needs $platform
+//	list NAME POOL KIND DC ADDR [STATE]  puts an instance into the platform's list
+//	proxy NAME ADDR                   puts a fault-injecting proxy in front of ADDR
+//	fault NAME cut|silence|latency MS|latency-up MS|restore
+//	signal NAME freeze|thaw|kill|term
+//	ended NAME                        waits for the end and wants exit status 0
+//	control ADDR JSON                 posts faults to a stand-in
+//	stat ADDR FIELD OP N              compares a number of a stand-in's statistics now
+//	await ADDR FIELD OP N             waits until the comparison holds
+//	ready NAME                        waits until the process is ready
+//	await-ok PROGRAM ARGS...          runs a program until it exits with 0
+func scriptCommands() map[string]func(*testscript.TestScript, bool, []string) {
+	return map[string]func(*testscript.TestScript, bool, []string){
+		"start":    cmdStart,
+		"agent":    cmdAgent,
+		"entry":    cmdEntry,
+		"list":     cmdList,
+		"proxy":    cmdProxy,
+		"fault":    cmdFault,
+		"signal":   cmdSignal,
+		"ended":    cmdEnded,
+		"control":  cmdControl,
+		"stat":     cmdStat,
+		"await":    cmdAwait,
+		"ready":    cmdReady,
+		"await-ok": cmdAwaitOK,
+	}
+}
+
+// world is what one scenario has running.
+type world struct {
+	processes map[string]*process
+	proxies   map[string]*faultProxy
+	instances []platform.Instance
+}
+
+type worldKey struct{}
+
+func worldOf(ts *testscript.TestScript) *world { return ts.Value(worldKey{}).(*world) }
+
+func (w *world) close() {
+	for _, p := range w.processes {
+		p.kill()
+	}
+	for _, p := range w.proxies {
+		p.close()
+	}
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/script",
+		Cmds:                scriptCommands(),
+		RequireExplicitExec: true,
+		Setup: func(e *testscript.Env) error {
+			w := &world{processes: map[string]*process{}, proxies: map[string]*faultProxy{}}
+			e.Values[worldKey{}] = w
+			e.Defer(w.close)
+			e.Setenv("PATH", binDir)
+			return nil
+		},
+	})
+}
+
+func need(ts *testscript.TestScript, neg bool, args []string, n int, usage string) {
+	if neg || len(args) < n {
+		ts.Fatalf("usage: %s", usage)
+	}
+}
+
+func start(ts *testscript.TestScript, name, program string, args ...string) {
+	p, err := startProcess(name, program, args...)
+	ts.Check(err)
+	worldOf(ts).processes[name] = p
+	ts.Setenv(name, p.addr)
+	ts.Setenv(name+"_ops", p.operators)
+}
+
+func cmdStart(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "start NAME PROGRAM ARGS...")
+	start(ts, args[0], args[1], args[2:]...)
+}
+
+func cmdAgent(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 5, "agent NAME POOL KIND DC ENDPOINT [FLAGS...]")
+	start(ts, args[0], "azurelead-agent", append([]string{
+		"--name", args[0], "--pool", args[1], "--kind", args[2], "--data-centre", args[3],
+		"--endpoint", "http://" + args[4], "--platform", "http://" + ts.Getenv("platform"),
+		"--operators", "127.0.0.1:0", "--plain", "--report-lag", "50ms",
+	}, args[5:]...)...)
+}
+
+func cmdEntry(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "entry NAME DC [FLAGS...]")
+	start(ts, args[0], "azurelead-entry", append([]string{
+		"--name", args[0], "--data-centre", args[1], "--platform", "http://" + ts.Getenv("platform"),
+		"--listen", "127.0.0.1:0", "--operators", "127.0.0.1:0", "--plain",
+	}, args[2:]...)...)
+}
+
+func cmdList(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 5, "list NAME POOL KIND DC ADDR [STATE]")
+	i := platform.Instance{
+		Name: args[0], Pool: args[1], Kind: pipeline.Kind(args[2]), DataCentre: args[3], Agent: args[4], State: platform.Live,
+	}
+	if len(args) > 5 {
+		i.State = platform.InstanceState(args[5])
+	}
+	w := worldOf(ts)
+	kept := w.instances[:0:0]
+	for _, o := range w.instances {
+		if o.Name != i.Name {
+			kept = append(kept, o)
+		}
+	}
+	w.instances = append(kept, i)
+	body, err := json.Marshal(platform.InstancesAnswer{Instances: w.instances})
+	ts.Check(err)
+	send(ts, http.MethodPut, ts.Getenv("platform"), "/control/instances", string(body))
+}
+
+func cmdProxy(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "proxy NAME ADDR")
+	p, err := newProxy(args[0], args[1])
+	ts.Check(err)
+	worldOf(ts).proxies[args[0]] = p
+	ts.Setenv(args[0], p.proxy.Listen)
+}
+
+func cmdFault(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "fault NAME FAULT [ARGS...]")
+	p, ok := worldOf(ts).proxies[args[0]]
+	if !ok {
+		ts.Fatalf("no proxy %s", args[0])
+	}
+	ts.Check(p.apply(args[1], args[2:]...))
+}
+
+var signals = map[string]syscall.Signal{
+	"freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT, "kill": syscall.SIGKILL, "term": syscall.SIGTERM,
+}
+
+func processOf(ts *testscript.TestScript, name string) *process {
+	p, ok := worldOf(ts).processes[name]
+	if !ok {
+		ts.Fatalf("no process %s", name)
+	}
+	return p
+}
+
+func cmdSignal(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "signal NAME freeze|thaw|kill|term")
+	s, ok := signals[args[1]]
+	if !ok {
+		ts.Fatalf("signal %s is not known", args[1])
+	}
+	p := processOf(ts, args[0])
+	ts.Check(p.signal(s))
+	if s == syscall.SIGKILL {
+		<-p.done
+	}
+}
+
+func cmdEnded(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "ended NAME")
+	p := processOf(ts, args[0])
+	if err := p.wait(); err != nil {
+		ts.Fatalf("%s: %v\n%s", args[0], err, p.stderr.String())
+	}
+}
+
+func send(ts *testscript.TestScript, method, addr, path, body string) {
+	req, err := http.NewRequest(method, "http://"+addr+path, strings.NewReader(body))
+	ts.Check(err)
+	resp, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		text, _ := io.ReadAll(resp.Body)
+		ts.Fatalf("%s %s: %s: %s", method, path, resp.Status, text)
+	}
+}
+
+func cmdControl(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "control ADDR JSON")
+	send(ts, http.MethodPost, args[0], "/control/faults", args[1])
+}
+
+// statOf reads a number of a stand-in's statistics; FIELD is a path with dots.
+func statOf(addr, field string) (float64, error) {
+	resp, err := http.Get("http://" + addr + "/control/stats")
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	var value any
+	if err := json.NewDecoder(resp.Body).Decode(&value); err != nil {
+		return 0, err
+	}
+	for _, name := range strings.Split(field, ".") {
+		object, ok := value.(map[string]any)
+		if !ok {
+			return 0, fmt.Errorf("no field %s", field)
+		}
+		value = object[name]
+	}
+	n, ok := value.(float64)
+	if !ok {
+		return 0, fmt.Errorf("field %s is %v", field, value)
+	}
+	return n, nil
+}
+
+func compare(got float64, op string, want float64) bool {
+	switch op {
+	case "==":
+		return got == want
+	case "<=":
+		return got <= want
+	case ">=":
+		return got >= want
+	}
+	return false
+}
+
+func checkStat(args []string) error {
+	want, err := strconv.ParseFloat(args[3], 64)
+	if err != nil {
+		return err
+	}
+	got, err := statOf(args[0], args[1])
+	if err != nil {
+		return err
+	}
+	if !compare(got, args[2], want) {
+		return fmt.Errorf("%s is %v, want %s %v", args[1], got, args[2], want)
+	}
+	return nil
+}
+
+func cmdStat(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 4, "stat ADDR FIELD OP N")
+	ts.Check(checkStat(args))
+}
+
+// eventually repeats check until it holds or patience is at its end.
+func eventually(check func() error) error {
+	deadline := time.Now().Add(patience)
+	for {
+		err := check()
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 4, "await ADDR FIELD OP N")
+	ts.Check(eventually(func() error { return checkStat(args) }))
+}
+
+func cmdReady(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "ready NAME")
+	url := "http://" + processOf(ts, args[0]).operators + "/readyz"
+	ts.Check(eventually(func() error {
+		resp, err := http.Get(url)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("%s: %s", args[0], resp.Status)
+		}
+		return nil
+	}))
+}
+
+func cmdAwaitOK(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "await-ok PROGRAM ARGS...")
+	ts.Check(eventually(func() error { return ts.Exec(args[0], args[1:]...) }))
+}
--- a/operator/exit.go
+++ b/operator/exit.go
@@ -22,6 +22,7 @@
 	ExitConflict    = 4 // others changed the same values; nothing was changed
 	ExitUnavailable = 5 // the platform cannot be reached; nothing was changed
 	ExitUnknown     = 6 // the change may be in force; repeat it with its change id
+	ExitRefused     = 7 // an entry refused or failed the request; its problem is printed
 )
 
 // exitHelp is the part of the help that documents the codes.
@@ -32,7 +33,8 @@
   3  the settings are not valid; nothing was changed
   4  others changed the same values; nothing was changed
   5  the platform cannot be reached; nothing was changed
-  6  the change may be in force; repeat the command with --change-id to settle it`
+  6  the change may be in force; repeat the command with --change-id to settle it
+  7  an entry refused or failed the request; its problem document is printed`
 
 // exitError carries the exit code of a failure.
 type exitError struct {
