Bring engines to the wanted models: orders wired into agents

Package order decided, but nothing carried orders out.

Ruled out: a doer in every agent of engines (1,100 readers of one lease object); three candidates chosen by rendezvous hashing try for it. Letting entries find out by failure which engine serves which model; replies carry the model.

Found by the scenario: with a dead engine still listed, the roll-out waited for ever, since one copy fewer than wanted had to bear load and there were not as many engines left. The table test 'more copies wanted than engines are left' failed first; the floor is now bound to the engines at hand.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -22,6 +22,9 @@
 // minRetryAfter is the least time after which a refused caller may come back.
 const minRetryAfter = 5 * time.Millisecond
 
+// changeRetryAfter is when to come back to an endpoint that carries out an order.
+const changeRetryAfter = time.Second
+
 // serviceWeight is the weight of a new answer in the mean service time.
 const serviceWeight = 0.2
 
@@ -29,6 +32,8 @@
 type gate struct {
 	leaving bool
 	out     bool
+	// changing is set while the endpoint is drained for an order.
+	changing bool
 }
 
 // admission holds the endpoint's limit against all entries together: it is the
@@ -44,6 +49,8 @@
 	alone      bool
 	service    time.Duration
 	gate       gate
+	// model is what the endpoint serves; empty means any.
+	model string
 }
 
 func newAdmission(l *limiter, queueLimit int, now func() time.Time) *admission {
@@ -215,6 +222,8 @@
 		return &refusal{code: contract.CodeShuttingDown, detail: "agent takes no new work"}
 	case g.out:
 		return &refusal{code: contract.CodeDataCentreOut, detail: "data centre is taken out"}
+	case g.changing:
+		return &refusal{contract.CodeOverloaded, "endpoint carries out an order", changeRetryAfter}
 	}
 	return nil
 }
@@ -224,8 +233,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
+	limit := a.limiter.allowed(now)
+	if a.gate.changing {
+		limit = 0
+	}
 	return link.Load{
-		Limit:     a.limiter.allowed(now),
+		Limit:     limit,
+		Model:     a.model,
 		InFlight:  a.running + a.queue.len(),
 		QueueUS:   a.waitLocked(now).Microseconds(),
 		ServiceUS: a.service.Microseconds(),
@@ -235,6 +249,12 @@
 	}
 }
 
+func (a *admission) setModel(model string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.model = model
+}
+
 // poke hands out slots that time alone has freed.
 func (a *admission) poke() {
 	a.mu.Lock()
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,6 +8,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/azurelead/azurelead/contract"
 	"github.com/azurelead/azurelead/endpoint"
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/settings"
@@ -55,6 +56,9 @@
 	return a, nil
 }
 
+// Boot names this life of the agent.
+func (a *Agent) Boot() contract.BootID { return a.o.Boot }
+
 // Close ends every attempt and stops the agent. A planned stop calls Leave and
 // shuts the links down first.
 func (a *Agent) Close() {
--- a/agent/limiter.go
+++ b/agent/limiter.go
@@ -40,6 +40,7 @@
 	ColdLatency ColdReason = "latency"
 	ColdProbe   ColdReason = "probe"
 	ColdCrash   ColdReason = "crash"
+	ColdOrder   ColdReason = "order"
 )
 
 // limiter decides how many calls the endpoint may run at once. It is pure: its
--- a/agentdaemon/daemon.go
+++ b/agentdaemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/azurelead/azurelead/claim"
 	"github.com/azurelead/azurelead/endpoint"
 	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/order"
 	"github.com/azurelead/azurelead/pipeline"
 	"github.com/azurelead/azurelead/platform"
 	"github.com/azurelead/azurelead/settings"
@@ -61,6 +62,12 @@
 	node     *agent.Node
 	ledger   *claim.Ledger
 
+	// The parts for orders, which only the agents of engines have.
+	engine  *endpoint.Engine
+	carrier *order.Carrier
+	doer    *order.Doer
+	links   *order.Links
+
 	listener  net.Listener
 	operators net.Listener
 	flush     func(context.Context) error
@@ -130,7 +137,7 @@
 	if err != nil {
 		return err
 	}
-	config, err := linkTLS(d.c)
+	identity, err := linkIdentity(d.c)
 	if err != nil {
 		return err
 	}
@@ -141,7 +148,7 @@
 			Gossip: agent.Spread{Follower: d.follower}, ProbeInterval: d.c.ProbeInterval, ReportLag: d.c.ReportLag,
 			Logger: d.logger, Registerer: d.registry,
 		},
-		Links:   link.ServerOptions{TLS: config, IdleBound: d.c.IdleBound, Metrics: link.NewMetrics(d.registry)},
+		Links:   link.ServerOptions{TLS: serverTLS(identity), IdleBound: d.c.IdleBound, Metrics: link.NewMetrics(d.registry)},
 		Drain:   d.c.Drain,
 		OnLeave: func() { d.ready.Set(false) },
 	})
@@ -151,6 +158,14 @@
 	// Entries send their claims to the shard's usual writer, which may be any agent.
 	d.ledger = claim.NewLedger(claim.Options{Store: d.platform, Metrics: d.registry})
 	d.node.Handle(link.MethodClaim, claim.NewWriter(d.ledger).Handle)
+	if engine, ok := driver.(*endpoint.Engine); ok {
+		d.engine = engine
+		d.openOrders(engine, link.ClientOptions{
+			Hello:  link.HelloParams{Entry: d.c.Name, EntryBoot: d.node.Agent().Boot(), DataCentre: d.c.DataCentre},
+			TLS:    clientTLS(identity),
+			Logger: d.logger,
+		})
+	}
 	return nil
 }
 
@@ -176,15 +191,26 @@
 	return endpoint.NewPool(c.Kind, o)
 }
 
-func linkTLS(c Config) (*tls.Config, error) {
+// linkIdentity returns the identity on links, or nil when they are plain.
+func linkIdentity(c Config) (*certs.Identity, error) {
 	if c.Plain {
 		return nil, nil
 	}
-	identity, err := certs.Load(certs.Options{Cert: c.TLSCert, Key: c.TLSKey, CA: c.TLSCA})
-	if err != nil {
-		return nil, err
+	return certs.Load(certs.Options{Cert: c.TLSCert, Key: c.TLSKey, CA: c.TLSCA})
+}
+
+func serverTLS(i *certs.Identity) *tls.Config {
+	if i == nil {
+		return nil
+	}
+	return i.Server()
+}
+
+func clientTLS(i *certs.Identity) *tls.Config {
+	if i == nil {
+		return nil
 	}
-	return identity.Server(), nil
+	return i.Client()
 }
 
 // Serve serves until ctx ends and then stops gracefully.
@@ -197,6 +223,9 @@
 		agent.FollowList(background, d.platform, d.c.Name, d.c.ListInterval, d.logger, d.node.Leave)
 		return nil
 	})
+	if d.engine != nil {
+		g.Go(func() error { d.runOrders(background, d.engine); return nil })
+	}
 	if d.operators != nil {
 		d.serveOperators(background, &g)
 	}
--- /dev/null
+++ b/agentdaemon/orders.go
@@ -0,0 +1,143 @@
+package agentdaemon
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"github.com/azurelead/azurelead/endpoint"
+	"github.com/azurelead/azurelead/lease"
+	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/order"
+	"github.com/azurelead/azurelead/pipeline"
+	"github.com/azurelead/azurelead/platform"
+)
+
+const (
+	// ordersLease is the key of the lease under which orders are issued.
+	ordersLease = "leases/orders"
+	// leaseTerm and leaseMargin bound the time without a doer after one died.
+	leaseTerm   = 12 * time.Second
+	leaseMargin = 2 * time.Second
+	// orderInterval is the time between two rounds of the doer.
+	orderInterval = 3 * time.Second
+	// orderCallTimeout bounds one call of an agent by the doer.
+	orderCallTimeout = 2 * time.Second
+	// orderTimeout bounds one order with its drain and load.
+	orderTimeout = 10 * time.Minute
+	// doerCandidates is how many agents try for the lease, so that the calls
+	// to the store do not grow with the fleet.
+	doerCandidates = 3
+)
+
+// openOrders sets up the agent's part in orders: carrying them out for its own
+// engine, and issuing them when it holds the lease.
+func (d *Daemon) openOrders(driver *endpoint.Engine, links link.ClientOptions) {
+	d.carrier = order.NewCarrier(order.CarrierOptions{
+		Instance: d.c.Name, AgentBoot: d.node.Agent().Boot(),
+		Guard:  order.NewGuard(order.LeaseFence{Store: d.platform, Key: ordersLease}),
+		Engine: order.HTTPEngine{Driver: driver}, Drainer: d.node.Agent(), Timeout: orderTimeout,
+	})
+	d.node.Handle(link.MethodOrder, d.carrier.Handle)
+	d.links = &order.Links{Options: links}
+	d.doer = order.NewDoer(order.DoerOptions{
+		Lease: lease.New(lease.Options{
+			Store: d.platform, Key: ordersLease, Holder: d.node.Agent().Boot(), Term: leaseTerm, Margin: leaseMargin,
+		}),
+		Agents: d.links, Wanted: d.wanted, CallTimeout: orderCallTimeout,
+		Registerer: d.registry, Logger: d.logger,
+	})
+}
+
+// runOrders issues orders while this agent is one of the candidates, and keeps
+// entries informed of the model that its engine serves.
+func (d *Daemon) runOrders(ctx context.Context, driver *endpoint.Engine) {
+	t := time.NewTicker(orderInterval)
+	defer t.Stop()
+	defer d.links.Close()
+	for {
+		d.noteModel(ctx, driver)
+		if d.isCandidate(ctx) {
+			d.doer.Round(ctx)
+		} else {
+			d.doer.Stop()
+		}
+		select {
+		case <-ctx.Done():
+			d.doer.Stop()
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (d *Daemon) noteModel(ctx context.Context, driver *endpoint.Engine) {
+	ctx, cancel := context.WithTimeout(ctx, orderCallTimeout)
+	defer cancel()
+	if s, err := driver.Serving(ctx); err == nil {
+		d.node.Agent().SetModel(s.Model)
+	}
+}
+
+// isCandidate reports whether this agent is one of the few that try for the
+// lease. Without any wish in the settings there is nothing to order.
+func (d *Daemon) isCandidate(ctx context.Context) bool {
+	if !d.hasWishes() {
+		return false
+	}
+	list, err := d.platform.Instances(ctx)
+	if err != nil {
+		return d.doer.Holding() // a holder goes on while its term stands
+	}
+	return slices.Contains(doers(list), d.c.Name)
+}
+
+func (d *Daemon) hasWishes() bool {
+	s := d.follower.Current()
+	if s == nil {
+		return false
+	}
+	for _, c := range s.Document.DataCentres {
+		for _, p := range c.Pools {
+			if len(p.Models) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// doers returns the candidates among the engines' agents.
+func doers(list []platform.Instance) []string {
+	var names []string
+	for _, i := range list {
+		if i.Kind == pipeline.Generate && i.State == platform.Live {
+			names = append(names, i.Name)
+		}
+	}
+	var chosen []string
+	for len(names) > 0 && len(chosen) < doerCandidates {
+		name := rendezvous.New(names, xxhash.Sum64String).Lookup(ordersLease)
+		chosen = append(chosen, name)
+		names = slices.DeleteFunc(names, func(n string) bool { return n == name })
+	}
+	return chosen
+}
+
+// wanted gives the doer what the settings ask for.
+func (d *Daemon) wanted(ctx context.Context) (order.Demand, error) {
+	s := d.follower.Current()
+	if s == nil {
+		return order.Demand{}, Error.New("no settings yet")
+	}
+	list, err := d.platform.Instances(ctx)
+	if err != nil {
+		return order.Demand{}, err
+	}
+	return order.Demand{
+		Groups: order.GroupsOf(s, list), MaxLoads: max(s.Document.MaxLoads, 1), Settings: s.Version,
+	}, nil
+}
--- a/entry/once.go
+++ b/entry/once.go
@@ -70,7 +70,7 @@
 	var peers []*peer
 	tried := make(map[string]bool)
 	for range onceCandidates {
-		ps, candidates := s.e.eligible(s.stage.Pool, tried)
+		ps, candidates := s.e.eligible(s.stage.Pool, s.stage.Model, tried)
 		if len(candidates) == 0 {
 			break
 		}
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -144,7 +144,7 @@
 			Detail: "the request crashed endpoints", RetryAfterMS: d.Milliseconds(),
 		}
 	}
-	peers, candidates := s.e.eligible(s.stage.Pool, s.tried)
+	peers, candidates := s.e.eligible(s.stage.Pool, s.stage.Model, s.tried)
 	if len(candidates) == 0 {
 		return nil, &link.RunResult{
 			Run: contract.NotRun, Code: contract.CodeNoEndpoint,
@@ -186,9 +186,14 @@
 	return false
 }
 
+// serves reports whether the endpoint serves the model, as far as is known.
+func serves(c Candidate, model string) bool {
+	return model == "" || c.Load.Model == "" || c.Load.Model == model
+}
+
 // eligible returns the peers of a pool that may get new work, beside their
 // candidates. Agents that lost a link a moment ago come in only when no other is left.
-func (e *Entry) eligible(pool string, tried map[string]bool) ([]*peer, []Candidate) {
+func (e *Entry) eligible(pool, model string, tried map[string]bool) ([]*peer, []Candidate) {
 	now := time.Now()
 	snap := e.o.Settings.Current()
 	var peers, doubtful []*peer
@@ -198,7 +203,7 @@
 			continue
 		}
 		c, ok := p.candidate(e.o.DataCentre)
-		if !ok {
+		if !ok || !serves(c, model) {
 			continue
 		}
 		if e.fleet.table.Suspected(p.instance.Name, now) {
--- a/link/messages.go
+++ b/link/messages.go
@@ -36,6 +36,8 @@
 	QueueUS int64 `json:"queue_us"`
 	// ServiceUS is the recent mean time of one call, in microseconds.
 	ServiceUS int64 `json:"service_us"`
+	// Model is the model that the endpoint serves; empty means any.
+	Model string `json:"model,omitempty"`
 	// Cold is set while the limit still grows from the cold limit.
 	Cold bool `json:"cold,omitempty"`
 	// Leaving is set once the agent or its endpoint refuses new work for good.
--- a/order/doer.go
+++ b/order/doer.go
@@ -25,19 +25,24 @@
 	Wishes    []Wish
 }
 
-// Wanted gives the groups that the settings describe, with their version.
-type Wanted func(ctx context.Context) (groups []Group, settings uint64, err error)
+// Demand is what the settings ask for.
+type Demand struct {
+	Groups []Group
+	// MaxLoads bounds the loads in progress in the whole fleet, so that they
+	// stay under the weight store's rate.
+	MaxLoads int
+	// Settings is the version that the demand is of.
+	Settings uint64
+}
+
+// Wanted gives the demand of the settings in force.
+type Wanted func(ctx context.Context) (Demand, error)
 
 // DoerOptions configures a Doer.
 type DoerOptions struct {
 	Lease  *lease.Lease
 	Agents Agents
 	Wanted Wanted
-	// MaxLoads bounds the loads in progress in the whole fleet, so that they
-	// stay under the weight store's rate.
-	MaxLoads int
-	// Interval is the time between two rounds.
-	Interval time.Duration
 	// CallTimeout bounds one call of an agent.
 	CallTimeout time.Duration
 	Registerer  prometheus.Registerer
@@ -66,7 +71,7 @@
 	return m
 }
 
-// Doer issues orders while it holds the lease.
+// Doer issues orders while it holds the lease. One goroutine uses it.
 type Doer struct {
 	o       DoerOptions
 	m       *doerMetrics
@@ -81,25 +86,15 @@
 	return &Doer{o: o, m: newDoerMetrics(o.Registerer)}
 }
 
-// Run holds rounds until ctx ends, then gives the lease up.
-func (d *Doer) Run(ctx context.Context) {
-	ticker := time.NewTicker(d.o.Interval)
-	defer ticker.Stop()
-	for {
-		d.Round(ctx)
-		select {
-		case <-ctx.Done():
-			d.release()
-			return
-		case <-ticker.C:
-		}
-	}
-}
+// Holding reports whether the last round held the lease.
+func (d *Doer) Holding() bool { return d.holding }
 
-func (d *Doer) release() {
+// Stop gives the lease up, if it is held.
+func (d *Doer) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), d.o.CallTimeout)
 	defer cancel()
-	_ = d.o.Lease.Release(ctx)
+	_ = d.o.Lease.Release(ctx) // after a failure the lease lapses
+	d.note(false, 0)
 }
 
 // Round renews or tries for the lease and, when this process holds it, issues
@@ -111,16 +106,16 @@
 	if !ok {
 		return
 	}
-	groups, settings, err := d.o.Wanted(ctx)
+	demand, err := d.o.Wanted(ctx)
 	if err != nil {
 		return
 	}
-	reports := d.reports(ctx, groups, fence)
-	loads := d.o.MaxLoads - busyCount(reports)
-	for i, g := range groups {
+	reports := d.reports(ctx, demand.Groups, fence)
+	loads := demand.MaxLoads - busyCount(reports)
+	for i, g := range demand.Groups {
 		orders := Plan(Input{Wishes: g.Wishes, Engines: reports[i], Loads: loads})
 		loads -= len(orders)
-		d.issue(ctx, g, orders, settings)
+		d.issue(ctx, g, orders, demand.Settings)
 	}
 }
 
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -152,10 +152,10 @@
 		newDoer := func(holder contract.BootID) *Doer {
 			return NewDoer(DoerOptions{
 				Lease:  lease.New(lease.Options{Store: store, Key: "lease", Holder: holder, Term: 10 * time.Second, Margin: 2 * time.Second}),
-				Agents: agents, MaxLoads: 1, Interval: time.Second, CallTimeout: time.Second,
-				Wanted: func(context.Context) ([]Group, uint64, error) {
+				Agents: agents, CallTimeout: time.Second,
+				Wanted: func(context.Context) (Demand, error) {
 					g := Group{Instances: []platform.Instance{{Name: "engine-1"}}, Wishes: []Wish{wish("m", version, 1)}}
-					return []Group{g}, 1, nil
+					return Demand{Groups: []Group{g}, MaxLoads: 1, Settings: 1}, nil
 				},
 			})
 		}
--- a/order/plan.go
+++ b/order/plan.go
@@ -221,6 +221,8 @@
 			bearing++
 		}
 	}
+	// Engines that are gone must not hold up the others for ever.
+	wanted = min(wanted, len(p.in.Engines))
 	return bearing >= max(wanted-1, 1)
 }
 
--- a/order/plan_test.go
+++ b/order/plan_test.go
@@ -35,6 +35,8 @@
 			Engines: []Report{{Instance: "n", Serving: Target{Model: "m", Version: "2"}, Cold: true, InFlight: 1, Limit: 1},
 				engine(2, "m", "1"), engine(3, "m", "1")}}, nil},
 		{"only engine of the pool", Input{Loads: 4, Wishes: []Wish{wish("m", "2", 1)}, Engines: []Report{engine(1, "m", "1")}}, []Kind{LoadModel}},
+		{"more copies wanted than engines are left", Input{Loads: 4, Wishes: []Wish{wish("m", "2", 3)},
+			Engines: []Report{engine(1, "m", "1"), engine(2, "m", "1")}}, []Kind{LoadModel}},
 		{"missing adapter", Input{Loads: 4, Wishes: []Wish{{Target: Target{Model: "m", Adapters: []string{"a"}}, MinCopies: 1}},
 			Engines: []Report{engine(1, "m", "")}}, []Kind{LoadAdapter}},
 		{"demand above target", Input{Loads: 4, Wishes: []Wish{{Target: Target{Model: "m"}, MinCopies: 1, MaxCopies: 2, TargetUtilisation: 50}},
--- /dev/null
+++ b/order/remote.go
@@ -0,0 +1,113 @@
+package order
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/platform"
+)
+
+// Message is what the holder of the lease sends to an agent with
+// link.MethodOrder: an order, or without one the request for a report.
+type Message struct {
+	Fence uint64 `json:"fence"`
+	Order *Order `json:"order,omitempty"`
+}
+
+// Reply answers a Message.
+type Reply struct {
+	Report  *Report           `json:"report,omitempty"`
+	Problem *contract.Problem `json:"problem,omitempty"`
+}
+
+// Handle serves link.MethodOrder.
+func (c *Carrier) Handle(ctx context.Context, params json.RawMessage) (any, error) {
+	var m Message
+	if err := json.Unmarshal(params, &m); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if m.Order != nil {
+		return Reply{Problem: c.Accept(ctx, *m.Order)}, nil
+	}
+	r, p := c.Report(ctx, m.Fence)
+	if p != nil {
+		return Reply{Problem: p}, nil
+	}
+	return Reply{Report: &r}, nil
+}
+
+// Links reaches agents over links that it opens when they are first needed.
+type Links struct {
+	// Options are those of the links.
+	Options link.ClientOptions
+
+	mu    sync.Mutex
+	byKey map[string]*link.Client
+}
+
+// Report implements Agents.
+func (l *Links) Report(ctx context.Context, i platform.Instance, fence uint64) (Report, *contract.Problem) {
+	reply, p := l.call(ctx, i, Message{Fence: fence})
+	if p != nil {
+		return Report{}, p
+	}
+	if reply.Report == nil {
+		return Report{}, contract.NewProblem(contract.CodeInternal, contract.NotRun, "%s sent no report", i.Name)
+	}
+	return *reply.Report, nil
+}
+
+// Order implements Agents.
+func (l *Links) Order(ctx context.Context, i platform.Instance, o Order) *contract.Problem {
+	_, p := l.call(ctx, i, Message{Fence: o.Fence, Order: &o})
+	return p
+}
+
+// Close closes all links.
+func (l *Links) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.byKey {
+		_ = c.Close()
+	}
+	l.byKey = nil
+}
+
+func (l *Links) call(ctx context.Context, i platform.Instance, m Message) (Reply, *contract.Problem) {
+	c, err := l.client(ctx, i)
+	if err != nil {
+		return Reply{}, contract.NewProblem(contract.CodeNoEndpoint, contract.NotRun, "%s: %v", i.Name, err)
+	}
+	var reply Reply
+	if err := c.Call(ctx, link.MethodOrder, m, &reply); err != nil {
+		return Reply{}, contract.NewProblem(contract.CodeOutcomeUnknown, contract.MayHaveRun, "%s: %v", i.Name, err)
+	}
+	return reply, reply.Problem
+}
+
+// client returns an open link to the instance, dialling anew after a loss.
+func (l *Links) client(ctx context.Context, i platform.Instance) (*link.Client, error) {
+	key := i.Name + "@" + i.Agent
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c, ok := l.byKey[key]; ok {
+		select {
+		case <-c.Done():
+			delete(l.byKey, key)
+		default:
+			return c, nil
+		}
+	}
+	c, err := link.Dial(ctx, i.Agent, l.Options)
+	if err != nil {
+		return nil, err
+	}
+	if l.byKey == nil {
+		l.byKey = make(map[string]*link.Client)
+	}
+	l.byKey[key] = c
+	return c, nil
+}
--- a/settings/objects.go
+++ b/settings/objects.go
@@ -94,11 +94,12 @@
 type fleetPart struct {
 	Request  RequestOverrides  `json:"request,omitzero"`
 	Endpoint EndpointOverrides `json:"endpoint,omitzero"`
+	MaxLoads int               `json:"max_loads,omitempty"`
 }
 
 func split(d Document) (parts, error) {
 	out := parts{}
-	if err := out.add(fleetName, fleetPart{Request: d.Request, Endpoint: d.Endpoint}); err != nil {
+	if err := out.add(fleetName, fleetPart{Request: d.Request, Endpoint: d.Endpoint, MaxLoads: d.MaxLoads}); err != nil {
 		return nil, err
 	}
 	for name, p := range d.Pipelines {
@@ -135,7 +136,7 @@
 	case fleetKind:
 		var f fleetPart
 		err := decodeStored(raw, &f)
-		d.Request, d.Endpoint = f.Request, f.Endpoint
+		d.Request, d.Endpoint, d.MaxLoads = f.Request, f.Endpoint, f.MaxLoads
 		return err
 	case pipelineKind:
 		return putInto(&d.Pipelines, name, raw)
--- a/settings/parse_test.go
+++ b/settings/parse_test.go
@@ -54,7 +54,7 @@
       - {name: a, kind: encode, pool: x, once: true}
 `
 	shape := []Fault{
-		{Path: "requests", Line: 2, Message: "unknown key; known here: request, endpoint, pipelines, organisations, data_centres"},
+		{Path: "requests", Line: 2, Message: "unknown key; known here: request, endpoint, max_loads, pipelines, organisations, data_centres"},
 		{Path: "request.max_deadline", Line: 3, Message: `"soon" is not a duration such as 4s or 250ms`},
 	}
 	if diff := cmp.Diff(shape, []Fault(faultsOf(t, text))); diff != "" {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -107,8 +107,27 @@
 	Pipelines map[string]OrganisationPipeline `json:"pipelines,omitempty" yaml:"pipelines,omitempty" validate:"dive"`
 }
 
+// ModelWish is a model that engines of a pool shall serve.
+type ModelWish struct {
+	Model    string   `json:"model" yaml:"model" validate:"required"`
+	Version  string   `json:"version,omitempty" yaml:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty" yaml:"adapters,omitempty" validate:"dive,required"`
+	// Role is what part of generation the engines do; empty means all of it.
+	Role string `json:"role,omitempty" yaml:"role,omitempty" validate:"omitempty,oneof=prefill decode"`
+	// MinCopies and MaxCopies bound the number of engines; a MaxCopies of 0 is no bound.
+	MinCopies int `json:"min_copies" yaml:"min_copies" validate:"min=0,max=4096"`
+	MaxCopies int `json:"max_copies,omitempty" yaml:"max_copies,omitempty" validate:"min=0,max=4096"`
+	// TargetUtilisation is the share of the copies' slots that may be in use
+	// before another copy is loaded, in percent; 0 keeps MinCopies. A high
+	// value saves cost, a low one saves waiting.
+	TargetUtilisation int `json:"target_utilisation,omitempty" yaml:"target_utilisation,omitempty" validate:"min=0,max=100"`
+}
+
 // Pool overrides endpoint settings for the endpoints of one pool in one data centre.
 type Pool struct {
+	// Models are the models that the pool's engines shall serve. Without any,
+	// no order is given to the pool's engines.
+	Models    []ModelWish                  `json:"models,omitempty" yaml:"models,omitempty" validate:"dive"`
 	Endpoint  EndpointOverrides            `json:"endpoint,omitzero" yaml:"endpoint,omitempty"`
 	Endpoints map[string]EndpointOverrides `json:"endpoints,omitempty" yaml:"endpoints,omitempty" validate:"dive"`
 }
@@ -124,8 +143,11 @@
 
 // Document is the whole tree.
 type Document struct {
-	Request       RequestOverrides        `json:"request,omitzero" yaml:"request,omitempty"`
-	Endpoint      EndpointOverrides       `json:"endpoint,omitzero" yaml:"endpoint,omitempty"`
+	Request  RequestOverrides  `json:"request,omitzero" yaml:"request,omitempty"`
+	Endpoint EndpointOverrides `json:"endpoint,omitzero" yaml:"endpoint,omitempty"`
+	// MaxLoads bounds the models being loaded in the whole fleet at once, so
+	// that they stay under the weight store's rate; 0 counts as 1.
+	MaxLoads      int                     `json:"max_loads,omitempty" yaml:"max_loads,omitempty" validate:"min=0,max=1000"`
 	Pipelines     map[string]Pipeline     `json:"pipelines,omitempty" yaml:"pipelines,omitempty" validate:"dive"`
 	Organisations map[string]Organisation `json:"organisations,omitempty" yaml:"organisations,omitempty" validate:"dive"`
 	DataCentres   map[string]DataCentre   `json:"data_centres,omitempty" yaml:"data_centres,omitempty" validate:"dive"`
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -183,6 +184,7 @@
 			at := under(path, "pools", pool)
 			v.name(at...)
 			v.limits(under(at, "endpoint"), dc, pool, "")
+			v.models(at, p.Models)
 			for e := range p.Endpoints {
 				v.name(under(at, "endpoints", e)...)
 				v.limits(under(at, "endpoints", e), dc, pool, e)
@@ -191,6 +193,23 @@
 	}
 }
 
+// models checks the wished models of a pool.
+func (v *validation) models(path []string, wishes []ModelWish) {
+	type wished struct{ model, version, role string }
+	seen := make(map[wished]bool)
+	for i, w := range wishes {
+		at := under(path, "models", strconv.Itoa(i))
+		if w.MaxCopies > 0 && w.MinCopies > w.MaxCopies {
+			v.faults.add(under(at, "min_copies"), "%d is above max_copies %d", w.MinCopies, w.MaxCopies)
+		}
+		key := wished{w.Model, w.Version, w.Role}
+		if seen[key] {
+			v.faults.add(at, "the model, version and role are listed twice")
+		}
+		seen[key] = true
+	}
+}
+
 // limits checks the resolved limits at one level, since the two of them may
 // come from different levels.
 func (v *validation) limits(path []string, dc, pool, endpoint string) {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -89,11 +89,11 @@
 		host:     newHost(o.DownFor),
 		options:  o,
 		warmth:   newWarmth(o.ColdStart),
-		orders:   newOrders(o.ChecksFence, o.LoadTime),
 		attempts: newRuns(),
 		load:     lagged[Load]{lag: o.LoadLag},
 		known:    known,
 	}
+	e.orders = newOrders(o.ChecksFence, o.LoadTime, e.warmth.chill)
 	e.batch = newBatch(o.Pace, o.BatchSize, o.CacheBlocks, e.slowdown)
 	e.reborn = e.restart
 	e.handler = e.routes()
@@ -104,6 +104,7 @@
 	m := mux.NewRouter()
 	m.HandleFunc("/v1/completions", e.complete).Methods(http.MethodPost)
 	m.HandleFunc("/orders", e.orders.serve).Methods(http.MethodPost)
+	m.HandleFunc("/orders", e.orders.report).Methods(http.MethodGet)
 	m.HandleFunc("/healthz", e.health).Methods(http.MethodGet)
 	m.HandleFunc("/load", e.reportLoad).Methods(http.MethodGet)
 	m.HandleFunc("/control/faults", e.postFaults).Methods(http.MethodPost)
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -32,22 +33,46 @@
 	Refused  int    `json:"refused"`
 	Highest  uint64 `json:"highest"`
 	// Stale counts accepted orders with a number below the highest.
-	Stale int `json:"stale"`
-	// State holds the last accepted value of each kind.
-	State map[OrderKind]string `json:"state"`
+	Stale   int     `json:"stale"`
+	Serving Serving `json:"serving"`
+}
+
+// Serving is what an engine serves.
+type Serving struct {
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters"`
+	Role     string   `json:"role"`
+}
+
+// apply changes what is served. Another model comes without adapters.
+func (s *Serving) apply(o Order) {
+	switch o.Kind {
+	case LoadModel:
+		*s = Serving{Model: o.Value, Role: s.Role}
+	case SetVersion:
+		s.Version = o.Value
+	case LoadAdapter:
+		s.Adapters = append(slices.Clone(s.Adapters), o.Value)
+	case ChangeRole:
+		s.Role = o.Value
+	}
 }
 
 // orders takes an engine's orders, with or without a check of their number.
 type orders struct {
 	checks   bool
 	loadTime time.Duration
+	// loaded runs after each load of a model or version, which leaves an
+	// engine cold.
+	loaded func()
 
 	mu    sync.Mutex
 	stats OrderStats
 }
 
-func newOrders(checks bool, loadTime time.Duration) *orders {
-	return &orders{checks: checks, loadTime: loadTime, stats: OrderStats{State: map[OrderKind]string{}}}
+func newOrders(checks bool, loadTime time.Duration, loaded func()) *orders {
+	return &orders{checks: checks, loadTime: loadTime, loaded: loaded}
 }
 
 // take accepts or refuses one order.
@@ -64,19 +89,19 @@
 	}
 	o.stats.Accepted++
 	o.stats.Highest = max(o.stats.Highest, order.Fence)
-	o.stats.State[order.Kind] = order.Value
+	o.stats.Serving.apply(order)
 	return true
 }
 
 func (o *orders) snapshot() OrderStats {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := o.stats
-	s.State = make(map[OrderKind]string, len(o.stats.State))
-	for k, v := range o.stats.State {
-		s.State[k] = v
-	}
-	return s
+	return o.stats
+}
+
+// report answers what the engine serves.
+func (o *orders) report(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, o.snapshot().Serving)
 }
 
 func (o *orders) serve(w http.ResponseWriter, r *http.Request) {
@@ -91,5 +116,8 @@
 	if order.Kind != ChangeRole && pause(r.Context(), o.loadTime) != nil {
 		return
 	}
+	if order.Kind == LoadModel || order.Kind == SetVersion {
+		o.loaded()
+	}
 	writeJSON(w, http.StatusOK, o.snapshot())
 }
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -145,7 +145,7 @@
 
 func TestOrdersWithAndWithoutFence(t *testing.T) {
 	for _, checks := range []bool{true, false} {
-		o := newOrders(checks, 0)
+		o := newOrders(checks, 0, func() {})
 		o.take(Order{Kind: SetVersion, Value: "new", Fence: 7})
 		if taken := o.take(Order{Kind: SetVersion, Value: "old", Fence: 6}); taken == checks {
 			t.Fatalf("checks %v: an old order was taken: %v", checks, taken)
