Keep starved peers' links longer; size the agent's runtime

Cause: with 3,000 streams over 6 agents on a machine under load the agents' memory limit of 24 MB held the collector at half of the processor, and links to live agents were dropped as dead. Ruled out: a higher memory limit, which only moves the cliff. Change: no memory limit, two processors for the agent; a silent link is dropped at once if a new one answers or is refused, else after three bounds.

--- a/agentdaemon/daemon.go
+++ b/agentdaemon/daemon.go
@@ -13,7 +13,7 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
+	"runtime"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -35,18 +35,20 @@
 var Error = errs.Class("agent daemon")
 
 const (
-	// memoryLimit makes the collector work harder before the 32 MB that an idle
-	// agent may hold are reached.
-	memoryLimit = 24 << 20
+	// processors is how many threads run Go code at once: more of them wake each
+	// other up for the short steps of a call without gaining time.
+	processors = 2
 	// headerTimeout bounds what a stranger may hold on the operators' port.
 	headerTimeout = 5 * time.Second
 )
 
-// TuneMemory bounds the heap of a process that runs nothing but this daemon,
-// unless the operator has set a limit of his own.
-func TuneMemory() {
-	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimit)
+// Tune fits the runtime to the small slot of an agent, in a process that runs
+// nothing but this daemon, unless the operator has set GOMAXPROCS. It sets no
+// limit of memory: below the live heap of a busy agent the collector would take
+// half of the processor time.
+func Tune() {
+	if os.Getenv("GOMAXPROCS") == "" {
+		runtime.GOMAXPROCS(min(processors, runtime.NumCPU()))
 	}
 }
 
--- a/link/silence.go
+++ b/link/silence.go
@@ -2,11 +2,18 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 )
 
-// silenceTicks is how many times the watch looks within one silence bound.
-const silenceTicks = 4
+const (
+	// silenceTicks is how many times the watch looks within one silence bound.
+	silenceTicks = 4
+	// dropBounds is after how many silence bounds a link is dropped although no
+	// new one answers: the peer may be starved rather than dead.
+	dropBounds = 3
+)
 
 // verdict is what the watch does with a link.
 type verdict int
@@ -35,8 +42,8 @@
 }
 
 // step takes what was seen since the last tick: whether bytes came, and
-// whether a call is outstanding. A dropped link is one that stayed silent for
-// twice the bound; between the two bounds a new link is tried against it.
+// whether a call is outstanding. After one bound a new link is tried against
+// the silent one.
 func (s *silence) step(reads uint64, outstanding bool) verdict {
 	if reads != s.reads {
 		s.reads, s.idle, s.silent = reads, 0, 0
@@ -53,7 +60,7 @@
 	}
 	s.silent++
 	switch {
-	case s.silent >= 2*silenceTicks:
+	case s.silent >= dropBounds*silenceTicks:
 		return verdictDrop
 	case s.silent >= silenceTicks:
 		return verdictProbe
@@ -69,15 +76,15 @@
 	t := time.NewTicker(c.o.SilenceBound / silenceTicks)
 	defer t.Stop()
 	probing := false
-	won := make(chan bool, 1)
+	probed := make(chan probeResult, 1)
 	for {
 		select {
 		case <-c.done:
 			return
-		case answered := <-won:
+		case result := <-probed:
 			probing = false
-			if answered && c.s.reads.Load() == s.reads {
-				c.drop("silent", Error.New("silent while a new link to %s answers", c.addr))
+			if result != probeNothing && c.s.reads.Load() == s.reads {
+				c.drop(string(result), Error.New("silent, and a new link to %s is %s", c.addr, result))
 				return
 			}
 		case <-t.C:
@@ -88,7 +95,7 @@
 				if !probing {
 					probing = true
 					c.o.Metrics.suspicions.Inc()
-					c.wg.Go(func() { won <- c.probe() })
+					c.wg.Go(func() { probed <- c.probe() })
 				}
 			case verdictDrop:
 				c.drop("dead", Error.New("silent, and no new link to %s answers", c.addr))
@@ -116,17 +123,35 @@
 	c.heard(r.Load, r.Settings, r.Suspects)
 }
 
-// probe reports whether a new link to the same agent answers.
-func (c *Client) probe() bool {
+// probeResult is what a new link to the same agent tells of the silent one.
+type probeResult string
+
+const (
+	// probeNothing: the new link is silent as well.
+	probeNothing probeResult = ""
+	// probeAnswered: only the old connection is silent.
+	probeAnswered probeResult = "answered"
+	// probeRefused: nobody listens there any more.
+	probeRefused probeResult = "refused"
+)
+
+// probe tries a new link to the same agent.
+func (c *Client) probe() probeResult {
 	ctx, cancel := context.WithTimeout(context.Background(), c.o.SilenceBound)
 	defer cancel()
 	o := c.o
 	o.DialTimeout = c.o.SilenceBound
 	conn, err := dialConn(ctx, c.addr, o.TLS)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return probeRefused
+	}
 	if err != nil {
-		return false
+		return probeNothing
 	}
 	p := newClient(conn, c.addr, o)
 	defer func() { _ = p.Close() }()
-	return p.hello(ctx) == nil
+	if p.hello(ctx) != nil {
+		return probeNothing
+	}
+	return probeAnswered
 }
