Refuse a stale entry's calls at an agent that wakes from a pause: a peer that is behind vouches for nothing

Cause: TestOutDataCentreRefusesAStaleEntry froze an agent, took its data centre out and thawed it: it ran 20 of 20 later calls. Its renewal had asked a peer of version 0, whose zero AgeMS read as fresh. Ruled out: asking only entries with settings; any zero value would still vouch. Change: AgeMS 0 is unknown (link/messages.go), and only a peer with the same version confirms it. itest: command in-force, the test with a client that never learns as the stale entry. Seen to fail before (20 calls ran, endpoint's count 21 instead of 1), passes now.

--- a/itest/script_test.go
+++ b/itest/script_test.go
@@ -33,6 +33,7 @@
 //	await ADDR FIELD OP N             waits until the comparison holds
 //	ready NAME                        waits until the process is ready
 //	await-ok PROGRAM ARGS...          runs a program until it exits with 0
+//	in-force NAME VERSION             waits until a process has that settings version or a later one
 func scriptCommands() map[string]func(*testscript.TestScript, bool, []string) {
 	return map[string]func(*testscript.TestScript, bool, []string){
 		"start":    cmdStart,
@@ -48,6 +49,7 @@
 		"await":    cmdAwait,
 		"ready":    cmdReady,
 		"await-ok": cmdAwaitOK,
+		"in-force": cmdInForce,
 	}
 }
 
--- /dev/null
+++ b/itest/settings_test.go
@@ -0,0 +1,183 @@
+package itest
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/pipeline"
+	"github.com/azurelead/azurelead/platform"
+	"github.com/azurelead/azurelead/settings"
+)
+
+// cmdInForce waits until a process has a settings version, or a later one, in
+// force: in-force NAME VERSION
+func cmdInForce(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "in-force NAME VERSION")
+	want, err := strconv.ParseUint(args[1], 10, 64)
+	ts.Check(err)
+	p := processOf(ts, args[0])
+	ts.Check(eventually(func() error {
+		got, err := versionOf(p)
+		if err == nil && got < want {
+			err = fmt.Errorf("%s has settings version %d, want %d", args[0], got, want)
+		}
+		return err
+	}))
+}
+
+// versionOf reads the settings version from a process's metrics.
+func versionOf(p *process) (settings.Version, error) {
+	resp, err := http.Get("http://" + p.operators + "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		if v, ok := strings.CutPrefix(lines.Text(), "azurelead_settings_version "); ok {
+			return strconv.ParseUint(v, 10, 64)
+		}
+	}
+	return 0, fmt.Errorf("%s shows no settings version", p.name)
+}
+
+// agentUnderTest is one agent with its encoder, both real processes.
+type agentUnderTest struct {
+	t        *testing.T
+	store    *platform.Client
+	encoder  *process
+	agent    *process
+	platform *process
+}
+
+func startAgentUnderTest(t *testing.T) *agentUnderTest {
+	a := &agentUnderTest{t: t}
+	a.platform = a.start("azurelead-standin", "platform", "--listen", "127.0.0.1:0")
+	a.encoder = a.start("azurelead-standin", "pool", "--listen", "127.0.0.1:0")
+	store, err := platform.NewClient(platform.ClientOptions{URL: "http://" + a.platform.addr})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	a.store = store
+	a.setOut("first", false)
+	a.agent = a.start("azurelead-agent", "--name", "enc", "--pool", "encoders", "--kind", "encode",
+		"--data-centre", "north", "--endpoint", "http://"+a.encoder.addr, "--platform", "http://"+a.platform.addr,
+		"--operators", "127.0.0.1:0", "--plain", "--report-lag", "50ms")
+	return a
+}
+
+func (a *agentUnderTest) start(program string, args ...string) *process {
+	a.t.Helper()
+	p, err := startProcess(program, program, args...)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.t.Cleanup(p.kill)
+	return p
+}
+
+func (a *agentUnderTest) setOut(id settings.ChangeID, out bool) {
+	a.t.Helper()
+	edit := func(d settings.Document) (settings.Document, error) {
+		d.DataCentres = map[string]settings.DataCentre{"north": {Region: "r", Out: out}}
+		return d, nil
+	}
+	if o := settings.Accept(a.t.Context(), a.store, 0, edit, id, "test"); o.State != settings.Accepted {
+		a.t.Fatal(o.State, o.Err)
+	}
+}
+
+// ran is the endpoint's own count of calls.
+func (a *agentUnderTest) ran() float64 {
+	a.t.Helper()
+	n, err := statOf(a.encoder.addr, "attempts.total")
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return n
+}
+
+// stubborn is an entry that learns nothing: neither of settings nor of refusals.
+func (a *agentUnderTest) stubborn() *link.Client {
+	a.t.Helper()
+	c, err := link.Dial(a.t.Context(), a.agent.addr, link.ClientOptions{
+		Hello:        link.HelloParams{Entry: "stubborn", EntryBoot: contract.NewBootID(), DataCentre: "south"},
+		SilenceBound: 2 * patience, PingInterval: 2 * patience,
+	})
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func send1(ctx context.Context, c *link.Client) (link.RunResult, error) {
+	return c.Run(ctx, link.RunParams{
+		Attempt: contract.NewAttemptID(), AgentBoot: c.Peer().AgentBoot, Request: contract.NewRequestID(),
+		Organisation: "o", Pipeline: "p", Stage: "encode", BudgetUS: patience.Microseconds(),
+		Repeatable: true, Input: pipeline.Input{Text: "question"},
+	}, nil)
+}
+
+// TestOutDataCentreRefusesAStaleEntry takes the data centre out while the agent
+// is frozen and an entry that never learns keeps sending. Neither the calls
+// that waited in the agent's buffers nor later ones reach the endpoint, and
+// each is refused as not run.
+func TestOutDataCentreRefusesAStaleEntry(t *testing.T) {
+	a := startAgentUnderTest(t)
+	c := a.stubborn()
+	if err := eventually(func() error {
+		res, err := send1(t.Context(), c)
+		if err == nil && res.Code != "" {
+			err = fmt.Errorf("refused: %s %s", res.Code, res.Detail)
+		}
+		return err
+	}); err != nil {
+		t.Fatal(err)
+	}
+	before := a.ran()
+	if err := a.agent.signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	a.setOut("out", true)
+	results := make([]link.RunResult, 20)
+	var sent sync.WaitGroup
+	for i := range results {
+		sent.Go(func() { results[i], _ = send1(t.Context(), c) })
+	}
+	time.Sleep(3 * time.Second) // well beyond the gap that the agent takes for a pause
+	if err := a.agent.signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	sent.Wait()
+	for range 20 {
+		res, err := send1(t.Context(), c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		results = append(results, res)
+	}
+	for i, res := range results {
+		if res.Run != contract.NotRun || res.Code == "" {
+			t.Errorf("call %d: %q %s", i, res.Code, res.Run)
+		}
+	}
+	if last := results[len(results)-1].Code; last != contract.CodeDataCentreOut {
+		t.Errorf("last refusal is %s", last)
+	}
+	if after := a.ran(); after != before {
+		t.Errorf("endpoint counts %v calls, %v before the data centre was taken out", after, before)
+	}
+}
--- a/link/messages.go
+++ b/link/messages.go
@@ -200,7 +200,7 @@
 type SettingsResult struct {
 	Version Version `json:"version"`
 	// AgeMS is how long ago, in milliseconds, the answering side last knew
-	// Version to be the latest accepted; -1 if it never did.
-	AgeMS int64           `json:"age_ms"`
+	// Version to be the latest accepted; 0 if it never did.
+	AgeMS int64           `json:"age_ms,omitempty"`
 	Delta json.RawMessage `json:"delta,omitempty"`
 }
--- a/settings/follower.go
+++ b/settings/follower.go
@@ -131,10 +131,10 @@
 	return res, Corrupt.Wrap(err)
 }
 
-// ageMS rounds up, so that an age never shrinks on its way; -1 is unknown.
+// ageMS rounds up, so that an age never shrinks on its way; 0 is unknown.
 func ageMS(age time.Duration) int64 {
 	if age == math.MaxInt64 {
-		return -1
+		return 0
 	}
 	return age.Milliseconds() + 1
 }
@@ -185,7 +185,8 @@
 			return err
 		}
 	}
-	if res.AgeMS >= 0 {
+	// A peer that holds an older version vouches for nothing.
+	if res.AgeMS > 0 && res.Version == f.Version() {
 		f.confirm(res.Version, asked.Add(-time.Duration(res.AgeMS)*time.Millisecond))
 	}
 	return nil
--- a/settings/follower_test.go
+++ b/settings/follower_test.go
@@ -132,7 +132,7 @@
 		for _, i := range []int{1, 4, 2} {
 			f.Saw(c.peers[i].Version(), func(_ context.Context, have Version) (link.SettingsResult, error) {
 				res := c.offer(i, have)
-				res.AgeMS = -1
+				res.AgeMS = 0
 				return res, nil
 			})
 		}
@@ -223,3 +223,22 @@
 		t.Fatalf("%v watched; after the first left, %v", first, after)
 	}
 }
+
+// TestAPeerThatIsBehindVouchesForNothing: its word of the latest accepted
+// version contradicts what is in force here.
+func TestAPeerThatIsBehindVouchesForNothing(t *testing.T) {
+	c := newChain(t, 3)
+	f := NewFollower(FollowerOptions{})
+	if err := f.take(c.offer(2, 0), time.Now().Add(-time.Hour)); err != nil {
+		t.Fatal(err)
+	}
+	before := f.Age()
+	for _, res := range []link.SettingsResult{{}, {Version: 2, AgeMS: 1}, {Version: 3}} {
+		if err := f.take(res, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if f.Age() < before {
+		t.Fatalf("age fell from %s to %s", before, f.Age())
+	}
+}
