Prove the entry under lost platform, refusals, crossing, stops and bursts

Change: proofs in virtual time; the capacity grows slowly after a cut and faster the longer none was needed, and a cut takes a twentieth.

--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -46,6 +46,8 @@
 	shut map[contract.AttemptID]bool
 	up   *fakeLink
 	mute int // settlements that fail unsent
+	// crossed makes runs answer with the id of another attempt.
+	crossed bool
 }
 
 func (a *fakeAgent) total() int {
@@ -125,6 +127,9 @@
 		}
 	}
 	res, words := l.a.run(ctx, p)
+	if l.a.crossed {
+		res.Attempt, p.Attempt = "another", "another"
+	}
 	if c == cutMidway {
 		words = words[:len(words)/2]
 	}
@@ -293,6 +298,7 @@
 	if change != nil {
 		change(w, &o)
 	}
+	w.source.Set(&settings.Snapshot{Version: 1, Document: w.doc})
 	e, err := New(o)
 	if err != nil {
 		t.Fatal(err)
--- a/entry/run.go
+++ b/entry/run.go
@@ -40,7 +40,7 @@
 			return
 		}
 	}
-	r.e.shares.of(r.req.PipelineName).Finished()
+	r.e.shares.of(r.req.PipelineName).Finished(time.Now())
 	r.e.o.Suspects.Cleared(r.f.digest)
 	r.countLate()
 	r.f.finish(nil)
--- a/entry/shares.go
+++ b/entry/shares.go
@@ -9,10 +9,14 @@
 	// sharesMin is the lowest capacity that pressure cuts an entry down to.
 	sharesMin = 4
 	// sharesCut is the factor by which a sign of overload lowers the capacity.
-	sharesCut = 0.9
+	sharesCut = 0.95
 	// sharesCutEvery is the shortest time between two cuts, about the time in
 	// which a cut shows.
 	sharesCutEvery = 100 * time.Millisecond
+	// sharesCalm without a cut makes the capacity grow by one for as many good
+	// answers as it holds; sharesMaxCalm bounds the growth at its square of that.
+	sharesCalm    = 5 * time.Second
+	sharesMaxCalm = 3
 	// sharesActive is how long an organisation without requests keeps its share.
 	sharesActive = time.Second
 	// sharesUnlimited is the capacity before the first sign of overload.
@@ -102,11 +106,14 @@
 	s.capacity = max(min(s.capacity, float64(s.total))*sharesCut, sharesMin)
 }
 
-// Finished takes a good end of a request.
-func (s *Shares) Finished() {
+// Finished takes a good end of a request. The capacity grows slowly after a
+// cut and faster the longer none was needed: it stays below the limit that was
+// found, and still follows a fleet that has grown.
+func (s *Shares) Finished(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.capacity = min(s.capacity+1/max(s.capacity, 1), sharesUnlimited)
+	calm := min(now.Sub(s.cutAt).Seconds()/sharesCalm.Seconds(), sharesMaxCalm)
+	s.capacity = min(s.capacity+calm*calm/max(s.capacity, 1), sharesUnlimited)
 }
 
 // Total returns the requests in flight and the capacity.
