--- /dev/null
+++ b/load/apply.go
@@ -0,0 +1,120 @@
+package load
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/azurelead/azurelead/platform"
+	"github.com/azurelead/azurelead/settings"
+	"github.com/azurelead/azurelead/standin"
+)
+
+// readyPoll is how often a start looks for the links of an entry.
+const readyPoll = 5 * time.Millisecond
+
+// Apply implements Fleet.
+func (b *Bench) Apply(_ context.Context, e Event) error {
+	switch e.Do {
+	case Out, In:
+		return b.setOut(e.DataCentre, e.Do == Out)
+	case StoreDown, StoreUp:
+		b.memory.SetFaults(platform.Faults{Down: e.Do == StoreDown})
+		return nil
+	}
+	hit := 0
+	for _, m := range b.members {
+		if e.Pool != "" && e.Pool != m.instance.Pool || e.DataCentre != "" && e.DataCentre != m.instance.DataCentre {
+			continue
+		}
+		if e.Count > 0 && hit >= e.Count {
+			break
+		}
+		hit++
+		m.apply(e)
+	}
+	if hit == 0 {
+		return Error.New("no endpoint in pool %q of data centre %q", e.Pool, e.DataCentre)
+	}
+	return nil
+}
+
+// apply brings a fault of one endpoint about.
+func (m *member) apply(e Event) {
+	if m.engine != nil {
+		m.engine.SetFaults(standin.EngineFaults{
+			Slow: slowOf(e), FailAll: e.Do == Fail, Chill: e.Do == Chill, Crash: e.Do == Crash,
+		})
+		return
+	}
+	m.station.SetFaults(standin.StationFaults{
+		Slow: slowOf(e), FailAll: e.Do == Fail, Chill: e.Do == Chill, Crash: e.Do == Crash,
+	})
+}
+
+func slowOf(e Event) float64 {
+	if e.Do != Slow {
+		return 0
+	}
+	return e.Factor
+}
+
+// setOut accepts a change of the settings that takes a data centre out or in.
+func (b *Bench) setOut(name string, out bool) error {
+	old := b.settings.Current()
+	dc, ok := old.Document.DataCentres[name]
+	if !ok {
+		return Error.New("no data centre %q", name)
+	}
+	dc.Out = out
+	document := old.Document
+	document.DataCentres = maps.Clone(document.DataCentres)
+	document.DataCentres[name] = dc
+	b.settings.Set(&settings.Snapshot{Version: old.Version + 1, Document: document})
+	return nil
+}
+
+// Truth implements Fleet.
+func (b *Bench) Truth() Truth {
+	var t Truth
+	for _, m := range b.members {
+		if m.engine != nil {
+			t.addEngine(m.engine.Stats())
+			continue
+		}
+		t.addStation(m.station.Stats())
+	}
+	calls := b.memory.Calls()
+	t.PlatformReads, t.PlatformWrites = calls.Reads(), calls.Writes()
+	return t
+}
+
+func (t *Truth) addEngine(s standin.EngineStats) {
+	t.GeneratedTokens += s.Tokens.Generated
+	t.CancelledTokens += s.Tokens.Cancelled
+	t.PromptTokens += s.Tokens.Prompt
+	t.CachedTokens += s.Tokens.Cached
+	t.Crashes += s.Crashes
+	t.Refused += s.Refused
+}
+
+func (t *Truth) addStation(s standin.StationStats) {
+	t.Crashes += s.Crashes
+	t.Refused += s.Refused
+	t.RepeatedReferences += s.References.Repeated
+	t.ServiceRuns += int(s.References.Total)
+}
+
+// waitReady waits until the entry would be given requests by the balancer.
+func waitReady(ctx context.Context, ready func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, benchReady)
+	defer cancel()
+	for !ready() {
+		select {
+		case <-time.After(readyPoll):
+		case <-ctx.Done():
+			return Error.New("an entry did not become ready within %s", benchReady)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/load/remote.go
@@ -0,0 +1,101 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/azurelead/azurelead/standin"
+)
+
+// control is the control page of one stand-in of a running fleet.
+type control struct{ pool, url string }
+
+// Remote is a running fleet that is reached by its URLs.
+type Remote struct {
+	entries  []string
+	tokens   map[string]string
+	controls []control
+}
+
+var _ Fleet = (*Remote)(nil)
+
+// NewRemote returns a fleet of entries; controls are pool=URL of stand-ins.
+func NewRemote(entries []string, tokens map[string]string, controls []string) (*Remote, error) {
+	r := &Remote{tokens: tokens}
+	for _, e := range entries {
+		r.entries = append(r.entries, strings.TrimSuffix(e, "/"))
+	}
+	for _, c := range controls {
+		pool, url, ok := strings.Cut(c, "=")
+		if !ok {
+			return nil, Error.New("--control %q is not pool=URL", c)
+		}
+		r.controls = append(r.controls, control{pool: pool, url: strings.TrimSuffix(url, "/")})
+	}
+	return r, nil
+}
+
+// Entries implements Fleet.
+func (r *Remote) Entries() []string { return r.entries }
+
+// Tokens implements Fleet.
+func (r *Remote) Tokens() map[string]string { return r.tokens }
+
+// Truth implements Fleet. A running fleet's stand-ins are asked by their own
+// control pages, not here.
+func (r *Remote) Truth() Truth { return Truth{} }
+
+// Apply implements Fleet. It brings about what control pages can: a data
+// centre is taken out by the operators' command.
+func (r *Remote) Apply(ctx context.Context, e Event) error {
+	switch e.Do {
+	case Out, In, StoreDown, StoreUp:
+		return Error.New("%s is not for a running fleet", e.Do)
+	}
+	hit := 0
+	for _, c := range r.controls {
+		if e.Pool != "" && e.Pool != c.pool || e.Count > 0 && hit >= e.Count {
+			continue
+		}
+		hit++
+		if err := post(ctx, c.url+"/control/faults", faultsOf(e)); err != nil {
+			return err
+		}
+	}
+	if hit == 0 {
+		return Error.New("no --control for pool %q", e.Pool)
+	}
+	return nil
+}
+
+// faultsOf makes the faults of an event. Engines take the same members.
+func faultsOf(e Event) standin.StationFaults {
+	return standin.StationFaults{
+		Slow: slowOf(e), FailAll: e.Do == Fail, Chill: e.Do == Chill, Crash: e.Do == Crash,
+	}
+}
+
+func post(ctx context.Context, url string, v any) error {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxEventBytes))
+	if resp.StatusCode >= http.StatusBadRequest {
+		return Error.New("%s: status %d", url, resp.StatusCode)
+	}
+	return nil
+}
