--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,9 +13,6 @@
 	firstLinksBound = 2 * time.Second
 	// firstLinksPoll is how often the start looks for them.
 	firstLinksPoll = 5 * time.Millisecond
-	// balancerLag is how long the balancer may still send requests after
-	// readiness went off.
-	balancerLag = 200 * time.Millisecond
 )
 
 // Entry serves callers. New starts it; Shutdown stops it gracefully.
@@ -23,9 +20,10 @@
 	o         Options
 	m         *metrics
 	fleet     *fleet
+	calls     *calls
 	auth      authenticator
 	flights   *flights
-	shares    *Shares
+	shares    *pipelineShares
 	latencies *latencies
 	budgets   *budgets
 	pause     *PauseGuard
@@ -50,7 +48,7 @@
 		o:         o,
 		m:         newMetrics(o.Registry),
 		flights:   newFlights(),
-		shares:    NewShares(),
+		shares:    newPipelineShares(),
 		latencies: newLatencies(),
 		budgets:   newBudgets(),
 		ctx:       ctx,
@@ -58,6 +56,7 @@
 	}
 	e.fleet = newFleet(&e.o, e.m)
 	e.pause = NewPauseGuard(time.Now(), e.renew)
+	e.calls = newCalls(e.fleet, e.o.Dial)
 	e.handler = e.routes()
 	e.loops.Go(func() { e.fleet.run(ctx) })
 	e.loops.Go(func() { e.pause.Run(ctx) })
@@ -113,7 +112,7 @@
 // after every request in progress has ended, or when ctx ends.
 func (e *Entry) Shutdown(ctx context.Context) error {
 	e.o.Readiness.Set(false)
-	sleep(ctx, balancerLag)
+	sleep(ctx, e.o.BalancerLag)
 	e.work.Lock()
 	e.leaving.Store(true)
 	e.work.Unlock()
@@ -130,5 +129,6 @@
 	}
 	e.stop()
 	e.loops.Wait()
+	e.calls.close()
 	return err
 }
--- a/entry/shares.go
+++ b/entry/shares.go
@@ -9,10 +9,14 @@
 	// sharesMin is the lowest capacity that pressure cuts an entry down to.
 	sharesMin = 4
 	// sharesCut is the factor by which a sign of overload lowers the capacity.
-	sharesCut = 0.9
+	sharesCut = 0.95
 	// sharesCutEvery is the shortest time between two cuts, about the time in
 	// which a cut shows.
 	sharesCutEvery = 100 * time.Millisecond
+	// sharesCalm without a cut makes the capacity grow by one for as many good
+	// answers as it holds; sharesMaxCalm bounds the growth at its square of that.
+	sharesCalm    = 5 * time.Second
+	sharesMaxCalm = 3
 	// sharesActive is how long an organisation without requests keeps its share.
 	sharesActive = time.Second
 	// sharesUnlimited is the capacity before the first sign of overload.
@@ -102,11 +106,14 @@
 	s.capacity = max(min(s.capacity, float64(s.total))*sharesCut, sharesMin)
 }
 
-// Finished takes a good end of a request.
-func (s *Shares) Finished() {
+// Finished takes a good end of a request. The capacity grows slowly after a
+// cut and faster the longer none was needed: it stays below the limit that was
+// found, and still follows a fleet that has grown.
+func (s *Shares) Finished(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.capacity = min(s.capacity+1/max(s.capacity, 1), sharesUnlimited)
+	calm := min(now.Sub(s.cutAt).Seconds()/sharesCalm.Seconds(), sharesMaxCalm)
+	s.capacity = min(s.capacity+calm*calm/max(s.capacity, 1), sharesUnlimited)
 }
 
 // Total returns the requests in flight and the capacity.
@@ -115,3 +122,35 @@
 	defer s.mu.Unlock()
 	return s.total, s.capacity
 }
+
+// pipelineShares keeps the shares of each pipeline, so that one whose stage is
+// overloaded takes nothing from the others.
+type pipelineShares struct {
+	mu    sync.Mutex
+	named map[string]*Shares
+}
+
+func newPipelineShares() *pipelineShares { return &pipelineShares{named: make(map[string]*Shares)} }
+
+func (p *pipelineShares) of(pipeline string) *Shares {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.named[pipeline]
+	if s == nil {
+		s = NewShares()
+		p.named[pipeline] = s
+	}
+	return s
+}
+
+// total sums the requests in flight.
+func (p *pipelineShares) total() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, s := range p.named {
+		inFlight, _ := s.Total()
+		n += inFlight
+	}
+	return n
+}
