--- a/claim/guard.go
+++ b/claim/guard.go
@@ -137,7 +137,7 @@
 
 // settled reports whether the store answered: the effect of the call is known.
 func settled(err error) bool {
-	return platform.Conflict.Has(err) || platform.NotFound.Has(err)
+	return platform.Conflict.Has(err) || platform.NotFound.Has(err) || platform.TooLarge.Has(err)
 }
 
 // untouched reports whether a failed call certainly had no effect.
--- a/claim/plan.go
+++ b/claim/plan.go
@@ -55,8 +55,8 @@
 func (p *plan) add(t transition) {
 	if t.changed {
 		p.head.put(t.next)
-		p.changed = true
 	}
+	p.changed = p.changed || t.changed || t.confirm
 	p.settled = p.settled && t.settles()
 	p.touched = append(p.touched, t.changed)
 	p.results = append(p.results, result{decision: t.decision, err: t.err})
--- a/claim/record.go
+++ b/claim/record.go
@@ -68,8 +68,11 @@
 
 // transition is the effect of one operation on a record.
 type transition struct {
-	next     Record
-	changed  bool
+	next    Record
+	changed bool
+	// confirm asks for a conditional update although the record stays as it
+	// is, because a wrong answer from a stale read would lose an outcome.
+	confirm  bool
 	decision Decision
 	err      error
 }
@@ -98,7 +101,7 @@
 func (r Record) finish(q Request, o Outcome) transition {
 	switch {
 	case r.Attempt != q.Attempt:
-		return transition{next: r, err: NotHolder.New("attempt %s does not hold the claim", q.Attempt)}
+		return transition{next: r, confirm: true, err: NotHolder.New("attempt %s does not hold the claim", q.Attempt)}
 	case r.finished():
 		return transition{next: r}
 	}
--- a/claim/route.go
+++ b/claim/route.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -45,17 +47,16 @@
 // rank returns the live agents of the highest weights for the shard.
 func rank(shard int, live []Candidate) []Candidate {
 	byName := make(map[string]Candidate, len(live))
-	names := make([]string, 0, len(live))
 	for _, c := range live {
 		byName[c.Agent] = c
-		names = append(names, c.Agent)
 	}
-	table := rendezvous.New(names, xxhash.Sum64String)
+	key := "claims/" + strconv.Itoa(shard)
 	var chosen []Candidate
-	for len(chosen) < min(writersTried, len(byName)) {
-		name := table.Lookup("claims/" + strconv.Itoa(shard))
-		table.Remove(name)
+	for len(byName) > 0 && len(chosen) < writersTried {
+		names := slices.Collect(maps.Keys(byName))
+		name := rendezvous.New(names, xxhash.Sum64String).Lookup(key)
 		chosen = append(chosen, byName[name])
+		delete(byName, name)
 	}
 	return chosen
 }
