Wait for a link's connection before asking its peer for settings

Ruled out: storing the connection before its reader starts; the library starts its reader in the constructor.

Change: ask waits for ready, as leave does already.

--- a/itest/process_test.go
+++ b/itest/process_test.go
@@ -8,7 +8,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -50,7 +49,6 @@
 	stderr    bytes.Buffer
 	done      chan struct{}
 	err       error
-	stopping  sync.Mutex
 }
 
 // startProcess runs a program and returns once it listens.
--- a/link/server_link.go
+++ b/link/server_link.go
@@ -159,6 +159,11 @@
 
 // ask asks the peer for the settings above have.
 func (k *serverLink) ask(ctx context.Context, have Version) (SettingsResult, error) {
+	select {
+	case <-k.ready: // the peer's first message may come before rpc is set
+	case <-ctx.Done():
+		return SettingsResult{}, Error.Wrap(ctx.Err())
+	}
 	var r SettingsResult
 	err := k.rpc.Call(ctx, MethodSettings, SettingsParams{Have: have}, &r)
 	return r, Error.Wrap(err)
