--- /dev/null
+++ b/cmd/azurelead/main.go
@@ -0,0 +1,21 @@
+// Command azurelead holds the operators' commands.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/azurelead/azurelead/demo"
+	"github.com/azurelead/azurelead/operator"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	commands := append(operator.Commands(operator.Options{}), operator.AskCommand(), demo.Command())
+	code := operator.Run(ctx, operator.Root(commands...), os.Args, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- a/link/messages.go
+++ b/link/messages.go
@@ -36,6 +36,8 @@
 	QueueUS int64 `json:"queue_us"`
 	// ServiceUS is the recent mean time of one call, in microseconds.
 	ServiceUS int64 `json:"service_us"`
+	// Model is the model that the endpoint serves; empty means any.
+	Model string `json:"model,omitempty"`
 	// Cold is set while the limit still grows from the cold limit.
 	Cold bool `json:"cold,omitempty"`
 	// Leaving is set once the agent or its endpoint refuses new work for good.
@@ -161,6 +163,10 @@
 type SettleParams struct {
 	Attempt   contract.AttemptID `json:"attempt"`
 	AgentBoot contract.BootID    `json:"agent_boot"`
+	// AgeMS is an upper bound of the time since the attempt id was made, by the
+	// asker's monotonic clock, in milliseconds; 0 is unknown. An agent that has
+	// forgotten attempts says "closed" only for ids that are younger than those.
+	AgeMS int64 `json:"age_ms,omitempty"`
 }
 
 // SettleResult answers SettleParams. Result is set for finished attempts.
@@ -197,6 +203,9 @@
 
 // SettingsResult answers SettingsParams; Delta is a settings.Delta in JSON.
 type SettingsResult struct {
-	Version Version         `json:"version"`
-	Delta   json.RawMessage `json:"delta,omitempty"`
+	Version Version `json:"version"`
+	// AgeMS is how long ago, in milliseconds, the answering side last knew
+	// Version to be the latest accepted; 0 if it never did.
+	AgeMS int64           `json:"age_ms,omitempty"`
+	Delta json.RawMessage `json:"delta,omitempty"`
 }
--- /dev/null
+++ b/link/silence.go
@@ -0,0 +1,157 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+)
+
+const (
+	// silenceTicks is how many times the watch looks within one silence bound.
+	silenceTicks = 4
+	// dropBounds is after how many silence bounds a link is dropped although no
+	// new one answers: the peer may be starved rather than dead.
+	dropBounds = 3
+)
+
+// verdict is what the watch does with a link.
+type verdict int
+
+const (
+	verdictKeep verdict = iota
+	verdictPing
+	verdictProbe
+	verdictDrop
+)
+
+// silence decides when a link is suspected. It counts the ticks of its own
+// process, so that a process that was paused does not take its own pause for
+// the peer's silence.
+type silence struct {
+	pingTicks int
+	reads     uint64
+	// idle and silent count ticks without a byte, without and with an
+	// outstanding call.
+	idle, silent int
+}
+
+func newSilence(bound, ping time.Duration) *silence {
+	tick := bound / silenceTicks
+	return &silence{pingTicks: max(int(ping/tick), 1)}
+}
+
+// step takes what was seen since the last tick: whether bytes came, and
+// whether a call is outstanding. After one bound a new link is tried against
+// the silent one.
+func (s *silence) step(reads uint64, outstanding bool) verdict {
+	if reads != s.reads {
+		s.reads, s.idle, s.silent = reads, 0, 0
+		return verdictKeep
+	}
+	if !outstanding {
+		s.silent = 0
+		s.idle++
+		if s.idle < s.pingTicks {
+			return verdictKeep
+		}
+		s.idle = 0
+		return verdictPing
+	}
+	s.silent++
+	switch {
+	case s.silent >= dropBounds*silenceTicks:
+		return verdictDrop
+	case s.silent >= silenceTicks:
+		return verdictProbe
+	case s.silent == silenceTicks/2:
+		return verdictPing
+	}
+	return verdictKeep
+}
+
+// watch pings the link and drops it when it has gone silent.
+func (c *Client) watch() {
+	s := newSilence(c.o.SilenceBound, c.o.PingInterval)
+	t := time.NewTicker(c.o.SilenceBound / silenceTicks)
+	defer t.Stop()
+	probing := false
+	probed := make(chan probeResult, 1)
+	for {
+		select {
+		case <-c.done:
+			return
+		case result := <-probed:
+			probing = false
+			if result != probeNothing && c.s.reads.Load() == s.reads {
+				c.drop(string(result), Error.New("silent, and a new link to %s is %s", c.addr, result))
+				return
+			}
+		case <-t.C:
+			switch s.step(c.s.reads.Load(), c.outstanding.Load() > 0) {
+			case verdictPing:
+				c.wg.Go(c.ping)
+			case verdictProbe:
+				if !probing {
+					probing = true
+					c.o.Metrics.suspicions.Inc()
+					c.wg.Go(func() { probed <- c.probe() })
+				}
+			case verdictDrop:
+				c.drop("dead", Error.New("silent, and no new link to %s answers", c.addr))
+				return
+			}
+		}
+	}
+}
+
+func (c *Client) drop(reason string, err error) {
+	c.o.Metrics.dropped.WithLabelValues(reason).Inc()
+	c.o.Logger.Warn("link dropped", "agent", c.peer.Agent, "addr", c.addr, "reason", reason)
+	c.s.fail(err)
+}
+
+// ping carries what spreads by word of mouth.
+func (c *Client) ping() {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*c.o.SilenceBound)
+	defer cancel()
+	var r PingResult
+	p := PingParams{Settings: c.o.Gossip.Version(), Suspects: c.o.Gossip.Suspects()}
+	if err := c.Call(ctx, MethodPing, p, &r); err != nil {
+		return
+	}
+	c.heard(r.Load, r.Settings, r.Suspects)
+}
+
+// probeResult is what a new link to the same agent tells of the silent one.
+type probeResult string
+
+const (
+	// probeNothing: the new link is silent as well.
+	probeNothing probeResult = ""
+	// probeAnswered: only the old connection is silent.
+	probeAnswered probeResult = "answered"
+	// probeRefused: nobody listens there any more.
+	probeRefused probeResult = "refused"
+)
+
+// probe tries a new link to the same agent.
+func (c *Client) probe() probeResult {
+	ctx, cancel := context.WithTimeout(context.Background(), c.o.SilenceBound)
+	defer cancel()
+	o := c.o
+	o.DialTimeout = c.o.SilenceBound
+	conn, err := dialConn(ctx, c.addr, o.TLS)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return probeRefused
+	}
+	if err != nil {
+		return probeNothing
+	}
+	p := newClient(conn, c.addr, o)
+	defer func() { _ = p.Close() }()
+	if p.hello(ctx) != nil {
+		return probeNothing
+	}
+	return probeAnswered
+}
