Act on suspects in both daemons; entry and link digests name the stage

Cause: the table of suspects was wired nowhere, and marks went by the whole request: a good run of its encode stage would clear what it did to an engine. Ruled out: marks by request with the stage beside them (more state, same meaning). Entry, agent and link tests pass unchanged. Change: entry names marks by digest and stage, hedges no suspect, and both daemons share one table with their links (agentdaemon, entrydaemon: adapters).

--- a/agentdaemon/daemon.go
+++ b/agentdaemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/azurelead/azurelead/pipeline"
 	"github.com/azurelead/azurelead/platform"
 	"github.com/azurelead/azurelead/settings"
+	"github.com/azurelead/azurelead/suspect"
 	"github.com/azurelead/azurelead/telemetry"
 )
 
@@ -143,11 +144,13 @@
 	if err != nil {
 		return err
 	}
+	marks := suspect.New(suspect.Options{Metrics: d.registry})
 	d.node, err = agent.NewNode(agent.NodeOptions{
 		Agent: agent.Options{
 			Name: d.c.Name, Pool: d.c.Pool, Kind: d.c.Kind, DataCentre: d.c.DataCentre,
 			Endpoint: driver, Settings: d.follower, Refresh: agent.Renew(d.follower),
-			Gossip: agent.Spread{Follower: d.follower}, ProbeInterval: d.c.ProbeInterval, ReportLag: d.c.ReportLag,
+			Gossip: agent.Spread{Follower: d.follower, Marks: marks}, Suspects: suspects{marks},
+			ProbeInterval: d.c.ProbeInterval, ReportLag: d.c.ReportLag,
 			Logger: d.logger, Registerer: d.registry,
 		},
 		Links:   link.ServerOptions{TLS: serverTLS(identity), IdleBound: d.c.IdleBound, Metrics: link.NewMetrics(d.registry)},
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -56,7 +56,7 @@
 }
 
 func (s *stageRun) params(ctx context.Context, l Link, id contract.AttemptID, parent string) link.RunParams {
-	verdict, _ := s.e.o.Suspects.Verdict(s.f.digest)
+	verdict, _ := s.e.o.Suspects.Verdict(s.suspectDigest())
 	deadline, ok := ctx.Deadline()
 	left := s.budget
 	if ok {
@@ -73,7 +73,7 @@
 		TraceParent:  parent,
 		Settings:     s.e.o.Settings.Current().Version,
 		Repeatable:   !s.stage.Once,
-		Digest:       s.f.digest,
+		Digest:       s.suspectDigest(),
 		Alone:        verdict == Alone,
 		Priority:     s.set.Priority,
 		Input:        s.input,
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -71,6 +71,9 @@
 	if !s.set.Hedge || s.stage.Kind == pipeline.Generate {
 		return 0
 	}
+	if verdict, _ := s.e.o.Suspects.Verdict(s.suspectDigest()); verdict != Innocent {
+		return 0 // a second copy may crash a second endpoint
+	}
 	now := time.Now()
 	q := s.e.latencies.of(s.key(s.stage), now).Quantile(now, hedgeQuantile)
 	if q == 0 {
--- a/entry/http.go
+++ b/entry/http.go
@@ -159,8 +159,10 @@
 
 // admit decides at once whether a new run may start.
 func (e *Entry) admit(req *Request) *contract.Problem {
-	if verdict, d := e.o.Suspects.Verdict(req.Digest); verdict == Banned {
-		return contract.NewProblem(contract.CodeSuspectRequest, contract.NotRun, "the request crashed endpoints").After(d)
+	for _, st := range req.Pipeline.Stages {
+		if verdict, d := e.o.Suspects.Verdict(suspectDigest(req.Digest, st.Name)); verdict == Banned {
+			return contract.NewProblem(contract.CodeSuspectRequest, contract.NotRun, "the request crashed endpoints").After(d)
+		}
 	}
 	ok := e.shares.of(req.PipelineName).Enter(time.Now(), req.Organisation, req.Weight)
 	if ok || e.o.NoShares {
--- a/entry/run.go
+++ b/entry/run.go
@@ -41,7 +41,9 @@
 		}
 	}
 	r.e.shares.of(r.req.PipelineName).Finished(time.Now())
-	r.e.o.Suspects.Cleared(r.f.digest)
+	for _, st := range r.req.Pipeline.Stages {
+		r.e.o.Suspects.Cleared(suspectDigest(r.f.digest, st.Name))
+	}
 	r.countLate()
 	r.f.finish(nil)
 }
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -136,9 +136,15 @@
 	return refused
 }
 
+// suspectDigest is what marks of crashes name the stage's call by. A good run of
+// one stage must not clear what the same request did to another's endpoints.
+func (s *stageRun) suspectDigest() string { return suspectDigest(s.f.digest, s.stage.Name) }
+
+func suspectDigest(digest, stage string) string { return digest + "/" + stage }
+
 // pick chooses an endpoint that has not been tried.
 func (s *stageRun) pick() (*peer, *link.RunResult) {
-	if verdict, d := s.e.o.Suspects.Verdict(s.f.digest); verdict == Banned {
+	if verdict, d := s.e.o.Suspects.Verdict(s.suspectDigest()); verdict == Banned {
 		return nil, &link.RunResult{
 			Run: contract.NotRun, Code: contract.CodeSuspectRequest,
 			Detail: "the request crashed endpoints", RetryAfterMS: d.Milliseconds(),
--- a/entrydaemon/daemon.go
+++ b/entrydaemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/platform"
 	"github.com/azurelead/azurelead/settings"
+	"github.com/azurelead/azurelead/suspect"
 	"github.com/azurelead/azurelead/telemetry"
 )
 
@@ -49,6 +50,7 @@
 	follower *settings.Follower
 	ledger   *claim.Ledger
 	claims   *claim.Forwarder
+	marks    *suspect.Table
 	entry    *entry.Entry
 
 	listener  net.Listener
@@ -119,6 +121,7 @@
 		Logger:     d.log,
 		Registerer: d.reg,
 	})
+	d.marks = suspect.New(suspect.Options{Metrics: d.reg})
 	d.ledger = claim.NewLedger(claim.Options{Store: d.store, Metrics: d.reg})
 	d.claims = claim.NewForwarder(claim.ForwarderOptions{
 		Ledger:  d.ledger,
@@ -143,7 +146,7 @@
 	o := link.ClientOptions{
 		Hello:   link.HelloParams{Entry: d.c.Name, EntryBoot: contract.NewBootID(), DataCentre: d.c.DataCentre},
 		TLS:     linkTLS,
-		Gossip:  gossip{d.follower},
+		Gossip:  gossip{d.follower, d.marks},
 		Logger:  d.log,
 		Metrics: link.NewMetrics(d.reg),
 	}
@@ -154,6 +157,7 @@
 		Directory:  d.store,
 		Dial:       entry.LinkDialer(o),
 		Claims:     d.claims,
+		Suspects:   suspects{d.marks},
 		Chooser:    entry.ChooserByName(d.c.Chooser),
 		Renew:      func(ctx context.Context) error { return d.follower.Renew(ctx, renewAge) },
 		SubsetSize: d.c.Subset,
--- a/entrydaemon/gossip.go
+++ b/entrydaemon/gossip.go
@@ -5,10 +5,15 @@
 
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/settings"
+	"github.com/azurelead/azurelead/suspect"
 )
 
-// gossip passes on over links what the process knows of the settings.
-type gossip struct{ f *settings.Follower }
+// gossip passes on over links what the process knows of the settings and of
+// requests that crash endpoints.
+type gossip struct {
+	f     *settings.Follower
+	marks *suspect.Table
+}
 
 // Version implements link.Gossip.
 func (g gossip) Version() link.Version { return g.f.Version() }
@@ -24,7 +29,7 @@
 }
 
 // Suspects implements link.Gossip.
-func (gossip) Suspects() []link.Suspect { return nil }
+func (g gossip) Suspects() []link.Suspect { return g.marks.Suspects() }
 
 // Merge implements link.Gossip.
-func (gossip) Merge([]link.Suspect) {}
+func (g gossip) Merge(marks []link.Suspect) { g.marks.Merge(marks) }
--- a/link/messages.go
+++ b/link/messages.go
@@ -101,7 +101,7 @@
 	Repeatable bool `json:"repeatable"`
 	// Key is the caller's idempotency key, for calls that are not repeatable.
 	Key string `json:"key,omitempty"`
-	// Digest is of organisation, pipeline and body, to recognise suspects.
+	// Digest is of organisation, pipeline, body and stage, to recognise suspects.
 	Digest string `json:"digest"`
 	// Alone asks that nothing else runs beside the attempt.
 	Alone    bool           `json:"alone,omitempty"`
