--- a/itest/script_test.go
+++ b/itest/script_test.go
@@ -34,6 +34,7 @@
 //	ready NAME                        waits until the process is ready
 //	await-ok PROGRAM ARGS...          runs a program until it exits with 0
 //	in-force NAME VERSION             waits until a process has that settings version or a later one
+//	note VARIABLE ADDR FIELD          keeps a number of a stand-in's statistics
 func scriptCommands() map[string]func(*testscript.TestScript, bool, []string) {
 	return map[string]func(*testscript.TestScript, bool, []string){
 		"start":    cmdStart,
@@ -50,6 +51,7 @@
 		"ready":    cmdReady,
 		"await-ok": cmdAwaitOK,
 		"in-force": cmdInForce,
+		"note":     cmdNote,
 	}
 }
 
--- a/itest/settings_test.go
+++ b/itest/settings_test.go
@@ -37,6 +37,15 @@
 	}))
 }
 
+// cmdNote keeps a number of a stand-in's statistics for later comparisons:
+// note VARIABLE ADDR FIELD
+func cmdNote(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 3, "note VARIABLE ADDR FIELD")
+	n, err := statOf(args[1], args[2])
+	ts.Check(err)
+	ts.Setenv(args[0], strconv.FormatFloat(n, 'f', -1, 64))
+}
+
 // versionOf reads the settings version from a process's metrics.
 func versionOf(p *process) (settings.Version, error) {
 	resp, err := http.Get("http://" + p.operators + "/metrics")
