Join suspects with links, entries and agents; one verdict type

Cause: package suspect landed; entry and agent each had an interface and an enum of their own for the same three verdicts.

Ruled out: adapters between three enums.

Change: package gossip carries settings versions and marks on links for both daemons (agent.Spread and the entry's own copy are gone); suspect.Verdict is the one type. The agent's refusal of a suspect now says for how long. Tests of agent, entry, suspect and claim pass.

--- a/agent/options.go
+++ b/agent/options.go
@@ -12,6 +12,7 @@
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/pipeline"
 	"github.com/azurelead/azurelead/settings"
+	"github.com/azurelead/azurelead/suspect"
 )
 
 // Defaults of Options.
@@ -24,23 +25,11 @@
 	DefaultPauseBound    = time.Second
 )
 
-// Judgement is what may be done with a request.
-type Judgement int
-
-// The judgements of requests.
-const (
-	// Allow runs the request like any other.
-	Allow Judgement = iota
-	// Isolate runs it while nothing else runs on the endpoint.
-	Isolate
-	// Refuse does not run it.
-	Refuse
-)
-
 // Suspects knows the requests that were in flight when endpoints crashed.
 type Suspects interface {
-	// Judge tells what may be done with the request of the digest.
-	Judge(digest string) Judgement
+	// Verdict tells what may be done with the request of the digest, and how
+	// much longer that stands.
+	Verdict(digest string) (suspect.Verdict, time.Duration)
 	// Crashed reports the requests in flight at one crash.
 	Crashed(digests []string)
 	// Cleared reports a request that ran well.
@@ -50,9 +39,9 @@
 // noSuspects suspects nothing.
 type noSuspects struct{}
 
-func (noSuspects) Judge(string) Judgement { return Allow }
-func (noSuspects) Crashed([]string)       {}
-func (noSuspects) Cleared(string)         {}
+func (noSuspects) Verdict(string) (suspect.Verdict, time.Duration) { return suspect.Allowed, 0 }
+func (noSuspects) Crashed([]string)                                {}
+func (noSuspects) Cleared(string)                                  {}
 
 // Options sets up an Agent. Zero members take defaults.
 type Options struct {
--- a/agent/run.go
+++ b/agent/run.go
@@ -13,6 +13,7 @@
 	"github.com/azurelead/azurelead/contract"
 	"github.com/azurelead/azurelead/endpoint"
 	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/suspect"
 )
 
 // Causes of ended attempts.
@@ -117,16 +118,16 @@
 		return nil, &refusal{contract.CodeOverloaded, "agent was paused", minRetryAfter}
 	}
 	a.follow()
-	judgement := a.o.Suspects.Judge(p.Digest)
-	if judgement == Refuse {
-		return nil, &refusal{code: contract.CodeSuspectRequest, detail: "request has crashed endpoints"}
+	verdict, stands := a.o.Suspects.Verdict(p.Digest)
+	if verdict == suspect.Refused {
+		return nil, &refusal{contract.CodeSuspectRequest, "request has crashed endpoints", stands}
 	}
 	deadline, _ := ctx.Deadline()
 	w := &waiter{
 		organisation: p.Organisation,
 		weight:       a.weight(p.Organisation),
 		priority:     p.Priority,
-		alone:        p.Alone || judgement == Isolate,
+		alone:        p.Alone || verdict == suspect.Alone,
 		deadline:     deadline,
 	}
 	if r := a.admission.acquire(ctx, w); r != nil {
--- a/agentdaemon/daemon.go
+++ b/agentdaemon/daemon.go
@@ -24,11 +24,13 @@
 	"github.com/azurelead/azurelead/certs"
 	"github.com/azurelead/azurelead/claim"
 	"github.com/azurelead/azurelead/endpoint"
+	"github.com/azurelead/azurelead/gossip"
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/order"
 	"github.com/azurelead/azurelead/pipeline"
 	"github.com/azurelead/azurelead/platform"
 	"github.com/azurelead/azurelead/settings"
+	"github.com/azurelead/azurelead/suspect"
 	"github.com/azurelead/azurelead/telemetry"
 )
 
@@ -61,6 +63,7 @@
 	ready    telemetry.Readiness
 	platform *platform.Client
 	follower *settings.Follower
+	suspects *suspect.Table
 	node     *agent.Node
 	ledger   *claim.Ledger
 
@@ -143,11 +146,12 @@
 	if err != nil {
 		return err
 	}
+	d.suspects = suspect.New(suspect.Options{Metrics: d.registry})
 	d.node, err = agent.NewNode(agent.NodeOptions{
 		Agent: agent.Options{
 			Name: d.c.Name, Pool: d.c.Pool, Kind: d.c.Kind, DataCentre: d.c.DataCentre,
 			Endpoint: driver, Settings: d.follower, Refresh: agent.Renew(d.follower),
-			Gossip: agent.Spread{Follower: d.follower}, ProbeInterval: d.c.ProbeInterval, ReportLag: d.c.ReportLag,
+			Gossip: gossip.Spread{Follower: d.follower, Marks: d.suspects}, Suspects: d.suspects, ProbeInterval: d.c.ProbeInterval, ReportLag: d.c.ReportLag,
 			Logger: d.logger, Registerer: d.registry,
 		},
 		Links:   link.ServerOptions{TLS: serverTLS(identity), IdleBound: d.c.IdleBound, Metrics: link.NewMetrics(d.registry)},
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/azurelead/azurelead/contract"
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/pipeline"
+	"github.com/azurelead/azurelead/suspect"
 )
 
 // maxRecoveries bounds how often one attempt is followed to a new link.
@@ -74,7 +75,7 @@
 		Settings:     s.e.o.Settings.Current().Version,
 		Repeatable:   !s.stage.Once,
 		Digest:       s.f.digest,
-		Alone:        verdict == Alone,
+		Alone:        verdict == suspect.Alone,
 		Priority:     s.set.Priority,
 		Input:        s.input,
 	}
--- a/entry/http.go
+++ b/entry/http.go
@@ -15,6 +15,7 @@
 
 	"github.com/azurelead/azurelead/contract"
 	"github.com/azurelead/azurelead/settings"
+	"github.com/azurelead/azurelead/suspect"
 )
 
 // RunsPath is the route on which callers start runs.
@@ -159,7 +160,7 @@
 
 // admit decides at once whether a new run may start.
 func (e *Entry) admit(req *Request) *contract.Problem {
-	if verdict, d := e.o.Suspects.Verdict(req.Digest); verdict == Banned {
+	if verdict, d := e.o.Suspects.Verdict(req.Digest); verdict == suspect.Refused {
 		return contract.NewProblem(contract.CodeSuspectRequest, contract.NotRun, "the request crashed endpoints").After(d)
 	}
 	ok := e.shares.of(req.PipelineName).Enter(time.Now(), req.Organisation, req.Weight)
--- a/entry/options.go
+++ b/entry/options.go
@@ -12,6 +12,7 @@
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/platform"
 	"github.com/azurelead/azurelead/settings"
+	"github.com/azurelead/azurelead/suspect"
 	"github.com/azurelead/azurelead/telemetry"
 )
 
@@ -47,23 +48,10 @@
 	}
 }
 
-// Verdict is what is known of a request that may crash endpoints.
-type Verdict int
-
-// The verdicts on requests.
-const (
-	// Innocent requests run beside others.
-	Innocent Verdict = iota
-	// Alone requests were in flight at a crash and run on an endpoint alone.
-	Alone
-	// Banned requests crashed endpoints twice and are refused.
-	Banned
-)
-
 // Suspects keeps the marks of requests that were in flight at crashes.
 type Suspects interface {
 	// Verdict returns the verdict on a digest and how long it still stands.
-	Verdict(digest string) (Verdict, time.Duration)
+	Verdict(digest string) (suspect.Verdict, time.Duration)
 	// Merge takes in the marks that an agent reported.
 	Merge(marks []link.Suspect)
 	// Cleared records a good run of a request.
@@ -72,9 +60,9 @@
 
 type noSuspects struct{}
 
-func (noSuspects) Verdict(string) (Verdict, time.Duration) { return Innocent, 0 }
-func (noSuspects) Merge([]link.Suspect)                    {}
-func (noSuspects) Cleared(string)                          {}
+func (noSuspects) Verdict(string) (suspect.Verdict, time.Duration) { return suspect.Allowed, 0 }
+func (noSuspects) Merge([]link.Suspect)                            {}
+func (noSuspects) Cleared(string)                                  {}
 
 // Defaults of Options.
 const (
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -11,6 +11,7 @@
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/pipeline"
 	"github.com/azurelead/azurelead/settings"
+	"github.com/azurelead/azurelead/suspect"
 )
 
 // maxRedirects bounds how often one stage moves on from an agent that refused
@@ -138,7 +139,7 @@
 
 // pick chooses an endpoint that has not been tried.
 func (s *stageRun) pick() (*peer, *link.RunResult) {
-	if verdict, d := s.e.o.Suspects.Verdict(s.f.digest); verdict == Banned {
+	if verdict, d := s.e.o.Suspects.Verdict(s.f.digest); verdict == suspect.Refused {
 		return nil, &link.RunResult{
 			Run: contract.NotRun, Code: contract.CodeSuspectRequest,
 			Detail: "the request crashed endpoints", RetryAfterMS: d.Milliseconds(),
--- a/entrydaemon/daemon.go
+++ b/entrydaemon/daemon.go
@@ -17,9 +17,11 @@
 	"github.com/azurelead/azurelead/claim"
 	"github.com/azurelead/azurelead/contract"
 	"github.com/azurelead/azurelead/entry"
+	"github.com/azurelead/azurelead/gossip"
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/platform"
 	"github.com/azurelead/azurelead/settings"
+	"github.com/azurelead/azurelead/suspect"
 	"github.com/azurelead/azurelead/telemetry"
 )
 
@@ -49,6 +51,7 @@
 	follower *settings.Follower
 	ledger   *claim.Ledger
 	claims   *claim.Forwarder
+	suspects *suspect.Table
 	entry    *entry.Entry
 
 	listener  net.Listener
@@ -140,10 +143,11 @@
 	if err != nil {
 		return err
 	}
+	d.suspects = suspect.New(suspect.Options{Metrics: d.reg})
 	o := link.ClientOptions{
 		Hello:   link.HelloParams{Entry: d.c.Name, EntryBoot: contract.NewBootID(), DataCentre: d.c.DataCentre},
 		TLS:     linkTLS,
-		Gossip:  gossip{d.follower},
+		Gossip:  gossip.Spread{Follower: d.follower, Marks: d.suspects},
 		Logger:  d.log,
 		Metrics: link.NewMetrics(d.reg),
 	}
@@ -154,6 +158,7 @@
 		Directory:  d.store,
 		Dial:       entry.LinkDialer(o),
 		Claims:     d.claims,
+		Suspects:   d.suspects,
 		Chooser:    entry.ChooserByName(d.c.Chooser),
 		Renew:      func(ctx context.Context) error { return d.follower.Renew(ctx, renewAge) },
 		SubsetSize: d.c.Subset,
--- a/agent/gossip.go
+++ b/gossip/gossip.go
@@ -1,8 +1,9 @@
-package agent
+// Package gossip joins what a process spreads on its links: the version of the
+// settings and the marks of requests that crash endpoints.
+package gossip
 
 import (
 	"context"
-	"time"
 
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/settings"
@@ -16,8 +17,7 @@
 	Merge(marks []link.Suspect)
 }
 
-// Spread is the link.Gossip of a process: it joins the follower of the
-// settings with the table of suspects.
+// Spread is the link.Gossip of a process. Marks may be nil.
 type Spread struct {
 	Follower *settings.Follower
 	Marks    Marks
@@ -52,12 +52,3 @@
 		s.Marks.Merge(marks)
 	}
 }
-
-// renewAge is how old a peer's knowledge of the settings may be when it is
-// asked after a pause.
-const renewAge = 3 * time.Second
-
-// Renew returns an Options.Refresh that has the settings confirmed anew.
-func Renew(f *settings.Follower) func(context.Context) error {
-	return func(ctx context.Context) error { return f.Renew(ctx, renewAge) }
-}
--- a/settings/dissemination_test.go
+++ b/settings/dissemination_test.go
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
-	"github.com/azurelead/azurelead/agent"
 	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/gossip"
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/operator"
 	"github.com/azurelead/azurelead/pipeline"
@@ -157,7 +157,7 @@
 			return srv.Ask(ctx, have)
 		},
 	})
-	srv = link.NewServer(idle{name}, link.ServerOptions{Gossip: agent.Spread{Follower: f}})
+	srv = link.NewServer(idle{name}, link.ServerOptions{Gossip: gossip.Spread{Follower: f}})
 	running.Go(func() { _ = srv.Serve(ctx, l) })
 	running.Go(func() { f.Run(ctx); store.Close() })
 	c.followers = append(c.followers, f)
@@ -171,7 +171,7 @@
 		Store: store, Instance: name, Candidates: func() []string { return names }})
 	o := link.ClientOptions{
 		Hello:  link.HelloParams{Entry: name, EntryBoot: contract.BootID(name)},
-		Gossip: agent.Spread{Follower: f},
+		Gossip: gossip.Spread{Follower: f},
 	}
 	for _, addr := range addrs {
 		running.Go(func() { keepLink(ctx, addr, o) })
