--- a/entrydaemon/daemon.go
+++ b/entrydaemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/azurelead/azurelead/claim"
 	"github.com/azurelead/azurelead/contract"
 	"github.com/azurelead/azurelead/entry"
+	"github.com/azurelead/azurelead/gossip"
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/platform"
 	"github.com/azurelead/azurelead/settings"
@@ -50,7 +51,7 @@
 	follower *settings.Follower
 	ledger   *claim.Ledger
 	claims   *claim.Forwarder
-	marks    *suspect.Table
+	suspects *suspect.Table
 	entry    *entry.Entry
 
 	listener  net.Listener
@@ -121,7 +122,6 @@
 		Logger:     d.log,
 		Registerer: d.reg,
 	})
-	d.marks = suspect.New(suspect.Options{Metrics: d.reg})
 	d.ledger = claim.NewLedger(claim.Options{Store: d.store, Metrics: d.reg})
 	d.claims = claim.NewForwarder(claim.ForwarderOptions{
 		Ledger:  d.ledger,
@@ -143,10 +143,11 @@
 	if err != nil {
 		return err
 	}
+	d.suspects = suspect.New(suspect.Options{Metrics: d.reg})
 	o := link.ClientOptions{
 		Hello:   link.HelloParams{Entry: d.c.Name, EntryBoot: contract.NewBootID(), DataCentre: d.c.DataCentre},
 		TLS:     linkTLS,
-		Gossip:  gossip{d.follower, d.marks},
+		Gossip:  gossip.Spread{Follower: d.follower, Marks: d.suspects},
 		Logger:  d.log,
 		Metrics: link.NewMetrics(d.reg),
 	}
@@ -157,7 +158,7 @@
 		Directory:  d.store,
 		Dial:       entry.LinkDialer(o),
 		Claims:     d.claims,
-		Suspects:   suspects{d.marks},
+		Suspects:   d.suspects,
 		Chooser:    entry.ChooserByName(d.c.Chooser),
 		Renew:      func(ctx context.Context) error { return d.follower.Renew(ctx, renewAge) },
 		SubsetSize: d.c.Subset,
