Prove by real processes that bookings run at most once

Change: TestBookingsRunAtMostOnce strikes every 80 ms of a booking with seven failures (entry killed or frozen, agents killed or frozen, links cut, store answers lost, store down), repeats through a second entry, thaws, and repeats through the first; the services' count is the witness.

--- /dev/null
+++ b/itest/once_test.go
@@ -0,0 +1,342 @@
+package itest
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/azurelead/azurelead/client"
+	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/entry"
+	"github.com/azurelead/azurelead/pipeline"
+	"github.com/azurelead/azurelead/platform"
+	"github.com/azurelead/azurelead/settings"
+)
+
+// Delays that stretch a booking over about 0.6 s, so that a strike at each
+// stepOfOnce falls between two of its steps.
+const (
+	stepOfOnce     = 80 * time.Millisecond
+	lengthOfOnce   = 720 * time.Millisecond
+	linkDelayMS    = "40"
+	platformDelay  = 30 * time.Millisecond
+	bookingTime    = "150ms"
+	onceDeadline   = 3 * time.Second
+	settledWithin  = 4 * time.Second // longer than any call that was under way may last
+	hotflowToken   = "hotflow-token"
+	hotflowTokenID = "ec3a8e4675d3c4e4f660942cdc8c4b4d1b29cca5736d52fb747b7c138fbc1866"
+)
+
+// site is a platform with services, engines, agents and entries, each a process.
+type site struct {
+	t         *testing.T
+	platform  *process
+	store     *platform.Client
+	instances []platform.Instance
+	endpoints []*process
+	agents    []*process
+	proxies   []*faultProxy
+	entries   []*process
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t}
+	s.platform = s.start("azurelead-standin", "platform", "--listen", "127.0.0.1:0")
+	store, err := platform.NewClient(platform.ClientOptions{URL: "http://" + s.platform.addr})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	s.store = store
+	edit := func(d settings.Document) (settings.Document, error) {
+		d.Pipelines = map[string]settings.Pipeline{
+			"visit": {Stages: []settings.Stage{{Name: "book", Kind: pipeline.Service, Pool: "bookings", Operation: "book", Once: true}}},
+			"guide": {Stages: []settings.Stage{{Name: "generate", Kind: pipeline.Generate, Pool: "engines"}}},
+		}
+		d.Organisations = map[string]settings.Organisation{"hotflow": {TokenSHA256: []string{hotflowTokenID}}}
+		d.DataCentres = map[string]settings.DataCentre{"north": {Region: "r"}}
+		return d, nil
+	}
+	if o := settings.Accept(t.Context(), s.store, 0, edit, "first", "test"); o.State != settings.Accepted {
+		t.Fatal(o.State, o.Err)
+	}
+	return s
+}
+
+func (s *site) start(program string, args ...string) *process {
+	s.t.Helper()
+	p, err := startProcess(program, program, args...)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(p.kill)
+	return p
+}
+
+// addEndpoint starts an endpoint with its agent behind a proxy.
+func (s *site) addEndpoint(kind pipeline.Kind, pool string, args ...string) {
+	s.t.Helper()
+	e := s.start("azurelead-standin", args...)
+	name := fmt.Sprintf("%s%d", pool, len(s.agents))
+	a := s.startAgent(name, kind, pool, e.addr)
+	p, err := newProxy(name, a.addr)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(p.close)
+	s.endpoints, s.agents, s.proxies = append(s.endpoints, e), append(s.agents, a), append(s.proxies, p)
+	s.instances = append(s.instances, platform.Instance{
+		Name: name, Pool: pool, Kind: kind, DataCentre: "north", Agent: p.proxy.Listen, State: platform.Live,
+	})
+	body, err := json.Marshal(platform.InstancesAnswer{Instances: s.instances})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.send(http.MethodPut, s.platform.addr, "/control/instances", string(body))
+}
+
+func (s *site) startAgent(name string, kind pipeline.Kind, pool, endpointAddr string) *process {
+	s.t.Helper()
+	return s.start("azurelead-agent", "--name", name, "--pool", pool, "--kind", string(kind), "--data-centre", "north",
+		"--endpoint", "http://"+endpointAddr, "--platform", "http://"+s.platform.addr, "--plain", "--report-lag", "50ms")
+}
+
+func (s *site) addEntry(name string) *process {
+	s.t.Helper()
+	p := s.start("azurelead-entry", "--name", name, "--data-centre", "north", "--platform", "http://"+s.platform.addr,
+		"--listen", "127.0.0.1:0", "--operators", "127.0.0.1:0", "--plain")
+	if err := eventually(func() error {
+		resp, err := http.Get("http://" + p.operators + "/readyz")
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("%s: %s", name, resp.Status)
+		}
+		return nil
+	}); err != nil {
+		s.t.Fatal(err)
+	}
+	return p
+}
+
+func (s *site) send(method, addr, path, body string) {
+	s.t.Helper()
+	req, err := http.NewRequest(method, "http://"+addr+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		s.t.Fatalf("%s %s: %s", method, path, resp.Status)
+	}
+}
+
+func (s *site) platformFaults(f platform.Faults) {
+	s.t.Helper()
+	body, err := json.Marshal(f)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.send(http.MethodPost, s.platform.addr, "/control/faults", string(body))
+}
+
+// total sums a number over the statistics of all endpoints.
+func (s *site) total(field string) int {
+	s.t.Helper()
+	sum := 0.0
+	for _, e := range s.endpoints {
+		n, err := statOf(e.addr, field)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		sum += n
+	}
+	return int(sum)
+}
+
+// answered is what one caller was told; the zero Run is no answer at all.
+type answered struct {
+	Run  contract.RunState
+	Code contract.Code
+}
+
+func (s *site) book(e *process, key string) answered {
+	ctx, cancel := context.WithTimeout(context.Background(), onceDeadline+time.Second)
+	defer cancel()
+	c := client.Client{URL: "http://" + e.addr, HTTP: &http.Client{}}
+	defer c.HTTP.CloseIdleConnections()
+	a, err := c.Ask(ctx, client.Request{
+		Token: hotflowToken, Pipeline: "visit", Key: key, Deadline: onceDeadline,
+		Body: entry.Body{Action: json.RawMessage(`{"reference":"` + key + `"}`)},
+	}, nil)
+	return answerOf(a.Run, err)
+}
+
+func answerOf(run contract.RunState, err error) answered {
+	var p *contract.Problem
+	if errors.As(err, &p) {
+		return answered{p.Run, p.Code}
+	}
+	if err != nil {
+		return answered{}
+	}
+	return answered{Run: run}
+}
+
+// repeat sends the booking again until an answer says for good what became of
+// it, and returns that answer.
+func (s *site) repeat(e *process, key string) (last answered) {
+	for range 8 {
+		last = s.book(e, key)
+		if last.Run == contract.Ran || last.Code == contract.CodeOutcomeUnknown {
+			return last
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return last
+}
+
+// strike is a failure at some moment of a booking, and its repair.
+type strike struct {
+	name   string
+	hit    func(*site)
+	repair func(*site)
+}
+
+func signalAll(sig syscall.Signal, of func(*site) []*process) func(*site) {
+	return func(s *site) {
+		for _, p := range of(s) {
+			_ = p.signal(sig)
+		}
+	}
+}
+
+func firstEntry(s *site) []*process { return s.entries[:1] }
+func allAgents(s *site) []*process  { return s.agents }
+
+var strikes = []strike{
+	{"entry killed", func(s *site) { s.entries[0].kill() }, func(s *site) { s.entries[0] = s.addEntry("entry1") }},
+	{"entry frozen", signalAll(syscall.SIGSTOP, firstEntry), signalAll(syscall.SIGCONT, firstEntry)},
+	{"agents frozen", func(s *site) {
+		signalAll(syscall.SIGSTOP, allAgents)(s)
+		time.AfterFunc(2*time.Second, func() { signalAll(syscall.SIGCONT, allAgents)(s) })
+	}, func(*site) {}},
+	{"agents killed", func(s *site) {
+		for _, a := range s.agents {
+			a.kill()
+		}
+		s.restartAgents()
+	}, func(*site) {}},
+	{"links cut", func(s *site) {
+		for _, p := range s.proxies {
+			_ = p.apply("cut")
+		}
+		time.AfterFunc(300*time.Millisecond, func() {
+			for _, p := range s.proxies {
+				_ = p.apply("restore")
+			}
+		})
+	}, func(*site) {}},
+	{"store answers lost", func(s *site) {
+		s.platformFaults(platform.Faults{Delay: platformDelay, LoseNext: 3, LateWrites: true})
+	}, func(s *site) { s.platformFaults(platform.Faults{Delay: platformDelay}) }},
+	{"store down", func(s *site) { s.platformFaults(platform.Faults{Down: true}) },
+		func(s *site) { s.platformFaults(platform.Faults{Delay: platformDelay}) }},
+}
+
+// restartAgents starts all agents anew at new addresses behind their proxies.
+func (s *site) restartAgents() {
+	for i, in := range s.instances {
+		s.agents[i] = s.startAgent(in.Name, in.Kind, in.Pool, s.endpoints[i].addr)
+		s.proxies[i].proxy.Stop()
+		s.proxies[i].proxy.Upstream = s.agents[i].addr
+		if err := s.proxies[i].proxy.Start(); err != nil {
+			s.t.Error(err)
+		}
+	}
+}
+
+// TestBookingsRunAtMostOnce strikes at every moment of a booking, lets the
+// caller send it again through another entry, and thaws or repairs what was
+// struck. The services' own count is the witness: no booking runs twice, one
+// that is said to have run did, and one of which all that is said is "not run"
+// did not.
+func TestBookingsRunAtMostOnce(t *testing.T) {
+	for _, k := range strikes {
+		t.Run(k.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			for range 2 {
+				s.addEndpoint(pipeline.Service, "bookings", "service", "--listen", "127.0.0.1:0", "--service-time", bookingTime)
+			}
+			for _, p := range s.proxies {
+				if err := errors.Join(p.apply("latency", linkDelayMS), p.apply("latency-up", linkDelayMS)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			s.entries = []*process{s.addEntry("entry1"), s.addEntry("entry2")}
+			s.platformFaults(platform.Faults{Delay: platformDelay})
+			for at := time.Duration(0); at < lengthOfOnce; at += stepOfOnce {
+				s.strikeOnce(k, at)
+			}
+		})
+	}
+}
+
+func (s *site) strikeOnce(k strike, at time.Duration) {
+	key := fmt.Sprintf("booking-%d", at.Milliseconds())
+	before := s.total("references.total")
+	answers := make([]answered, 3)
+	var sent sync.WaitGroup
+	first := s.entries[0]
+	sent.Go(func() { answers[0] = s.book(first, key) })
+	time.Sleep(at)
+	k.hit(s)
+	answers[1] = s.repeat(s.entries[1], key)
+	k.repair(s)
+	sent.Wait()
+	answers[2] = s.repeat(s.entries[0], key)
+	s.settle()
+	s.judge(fmt.Sprintf("%s after %s", k.name, at), answers, s.total("references.total")-before)
+}
+
+// settle waits until nothing that was under way can still reach a service.
+func (s *site) settle() {
+	last, since := s.total("references.total"), time.Now()
+	for time.Since(since) < settledWithin/4 {
+		time.Sleep(50 * time.Millisecond)
+		if n := s.total("references.total"); n != last {
+			last, since = n, time.Now()
+		}
+	}
+}
+
+func (s *site) judge(what string, answers []answered, runs int) {
+	s.t.Logf("%s: runs %d, answers %v", what, runs, answers)
+	if runs > 1 {
+		s.t.Errorf("%s: ran %d times, answers %v", what, runs, answers)
+	}
+	said := map[contract.RunState]bool{}
+	for _, a := range answers {
+		said[a.Run] = true
+	}
+	if said[contract.Ran] && runs == 0 {
+		s.t.Errorf("%s: did not run, answers %v", what, answers)
+	}
+	if runs > 0 && !said[contract.Ran] && !said[contract.MayHaveRun] {
+		s.t.Errorf("%s: ran, answers %v", what, answers)
+	}
+}
