Prove points 2, 4, 5, 7 and 8 with real processes

Ruled out: sleeping for what a stand-in can count; the endpoints' own counts are the witnesses. Change: itest.fleet and six tests: cold limit with bursts, two entries and a replaced agent; a delayed run after its tombstone; streams over cut, silent and slow links; leaving endpoints; planned stops; not run under faults.

--- /dev/null
+++ b/itest/fleet_test.go
@@ -0,0 +1,166 @@
+package itest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/azurelead/azurelead/client"
+	"github.com/azurelead/azurelead/entry"
+	"github.com/azurelead/azurelead/pipeline"
+	"github.com/azurelead/azurelead/platform"
+	"github.com/azurelead/azurelead/standin"
+)
+
+const fleetToken = "hotflow-token"
+
+// fleet is a set of real processes around one platform.
+type fleet struct {
+	t         *testing.T
+	platform  string
+	instances []platform.Instance
+}
+
+// newFleet starts a platform with the settings.
+func newFleet(t *testing.T, text string, platformFlags ...string) *fleet {
+	t.Helper()
+	f := &fleet{t: t}
+	f.platform = f.start("platform", "azurelead-standin", append([]string{"platform"}, platformFlags...)...).addr
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	text += `
+organisations:
+  hotflow: {token_sha256: [ec3a8e4675d3c4e4f660942cdc8c4b4d1b29cca5736d52fb747b7c138fbc1866]}
+data_centres: {north: {}}
+`
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	apply := exec.Command(filepath.Join(binDir, "azurelead"), "settings", "apply", "--platform", "http://"+f.platform, "--file", file)
+	if out, err := apply.CombinedOutput(); err != nil {
+		t.Fatalf("settings: %v\n%s", err, out)
+	}
+	return f
+}
+
+func (f *fleet) start(name, program string, args ...string) *process {
+	f.t.Helper()
+	p, err := startProcess(name, program, args...)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() {
+		p.kill()
+		if f.t.Failed() {
+			f.t.Logf("%s:\n%s", name, p.stderr.String())
+		}
+	})
+	return p
+}
+
+// agent starts an agent before an endpoint and lists it at addr, or at its own
+// address if addr is empty.
+func (f *fleet) agent(name, pool string, kind pipeline.Kind, endpoint string, flags ...string) *process {
+	f.t.Helper()
+	p := f.start(name, "azurelead-agent", append([]string{
+		"--name", name, "--pool", pool, "--kind", string(kind), "--data-centre", "north",
+		"--endpoint", "http://" + endpoint, "--platform", "http://" + f.platform,
+		"--operators", "127.0.0.1:0", "--plain", "--report-lag", "50ms",
+	}, flags...)...)
+	f.list(platform.Instance{Name: name, Pool: pool, Kind: kind, Agent: p.addr, State: platform.Live})
+	return p
+}
+
+// list puts an instance into the platform's list in place of its former entry.
+func (f *fleet) list(i platform.Instance) {
+	f.t.Helper()
+	i.DataCentre = "north"
+	f.instances = slices.DeleteFunc(f.instances, func(o platform.Instance) bool { return o.Name == i.Name })
+	f.instances = append(f.instances, i)
+	body, err := json.Marshal(platform.InstancesAnswer{Instances: f.instances})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.send(http.MethodPut, f.platform, "/control/instances", body)
+}
+
+func (f *fleet) send(method, addr, path string, body []byte) {
+	f.t.Helper()
+	r, err := http.NewRequest(method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		f.t.Fatalf("%s: %s", path, resp.Status)
+	}
+}
+
+// entry starts an entry; await waits until it answers.
+func (f *fleet) entry(name string) *process {
+	f.t.Helper()
+	return f.start(name, "azurelead-entry", "--name", name, "--data-centre", "north",
+		"--platform", "http://"+f.platform, "--listen", "127.0.0.1:0", "--operators", "127.0.0.1:0", "--plain")
+}
+
+// await waits until the entry answers a request of the pipeline.
+func (f *fleet) await(e *process, pipelineName string, body entry.Body) {
+	f.t.Helper()
+	if err := eventually(func() error {
+		_, err := f.ask(e, pipelineName, body, nil)
+		return err
+	}); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) ask(e *process, pipelineName string, body entry.Body, token func(string)) (entry.Answer, error) {
+	c := client.Client{URL: "http://" + e.addr}
+	return c.Ask(context.Background(), client.Request{
+		Token: fleetToken, Pipeline: pipelineName, Deadline: 20 * time.Second, Body: body,
+	}, token)
+}
+
+// stat reads a number of a stand-in's statistics.
+func (f *fleet) stat(addr, field string) float64 {
+	f.t.Helper()
+	n, err := statOf(addr, field)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return n
+}
+
+// awaitStat waits until a statistic has reached at least n.
+func (f *fleet) awaitStat(addr, field, n string) {
+	f.t.Helper()
+	if err := eventually(func() error { return checkStat([]string{addr, field, ">=", n}) }); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// runsOf asks a stand-in how often the call of the reference ran.
+func (f *fleet) runsOf(addr, reference string) int {
+	f.t.Helper()
+	resp, err := http.Get("http://" + addr + "/control/runs?reference=" + url.QueryEscape(reference))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var a standin.RunsAnswer
+	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+		f.t.Fatal(err)
+	}
+	return a.Runs
+}
--- /dev/null
+++ b/itest/holds_test.go
@@ -0,0 +1,322 @@
+package itest
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/entry"
+	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/pipeline"
+	"github.com/azurelead/azurelead/platform"
+	"github.com/azurelead/azurelead/standin"
+)
+
+const statusSettings = `
+request: {max_deadline: 30s}
+endpoint: {cold_limit: 3, max_limit: 32, ramp_answers: 1, queue_limit: 64}
+pipelines:
+  status: {stages: [{name: status, kind: service, pool: stock, operation: status}]}
+`
+
+const chatSettings = `
+request: {max_deadline: 30s, max_tokens: 400}
+endpoint: {cold_limit: 16, max_limit: 32}
+pipelines:
+  chat: {stages: [{name: answer, kind: generate, pool: engines}]}
+`
+
+func action(reference string) entry.Body {
+	raw, _ := json.Marshal(map[string]string{"reference": reference})
+	return entry.Body{Action: raw}
+}
+
+// Point 2: bursts through two entries, with the agent frozen and replaced while
+// its calls still run, never bring a cold endpoint above its declared limit.
+// The endpoint itself counts, and crashes above it.
+func TestColdEndpointIsNeverAboveItsLimit(t *testing.T) {
+	f := newFleet(t, statusSettings)
+	stock := f.start("stock", "azurelead-standin", "service", "--service-time", "300ms",
+		"--cold-limit", "3", "--cold-answers", "1000000").addr
+	agent := f.agent("s1", "stock", pipeline.Service, stock)
+	entries := []*process{f.entry("entry1"), f.entry("entry2")}
+	for i, e := range entries {
+		f.await(e, "status", action(fmt.Sprint("await", i)))
+	}
+	var answered atomic.Int64
+	var wg sync.WaitGroup
+	burst := func(name string) {
+		for i := range 16 {
+			wg.Go(func() {
+				if _, err := f.ask(entries[i%2], "status", action(fmt.Sprint(name, i)), nil); err == nil {
+					answered.Add(1)
+				}
+			})
+		}
+	}
+	burst("first")
+	f.awaitStat(stock, "attempts.total", "6")
+	if err := agent.signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	f.agent("s1", "stock", pipeline.Service, stock)
+	for i, e := range entries {
+		f.await(e, "status", action(fmt.Sprint("back", i)))
+	}
+	burst("second")
+	wg.Wait()
+	if peak, crashes := f.stat(stock, "cold_peak"), f.stat(stock, "crashes"); peak > 3 || crashes > 0 {
+		t.Errorf("cold endpoint ran %v at once and crashed %v times, declared limit 3", peak, crashes)
+	}
+	if answered.Load() < 16 {
+		t.Errorf("only %d of 32 answered: the limit must not stop service", answered.Load())
+	}
+}
+
+// Point 5: a run that is delayed on its way is closed over another link; when
+// it comes at last it must not run, so that "not run" stays true. The
+// endpoint's count is the witness.
+func TestDelayedRunNeverRuns(t *testing.T) {
+	f := newFleet(t, statusSettings)
+	stock := f.start("stock", "azurelead-standin", "service").addr
+	agent := f.agent("s1", "stock", pipeline.Service, stock)
+	slow, err := newProxy("slow-"+t.Name(), agent.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slow.close()
+	ctx := context.Background()
+	patient := link.ClientOptions{SilenceBound: patience}
+	late, err := link.Dial(ctx, slow.proxy.Listen, patient)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer late.Close()
+	direct, err := link.Dial(ctx, agent.addr, patient)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer direct.Close()
+	if err := slow.apply("latency-up", "700"); err != nil {
+		t.Fatal(err)
+	}
+	p := link.RunParams{Attempt: contract.NewAttemptID(), BudgetUS: patience.Microseconds()}
+	p.Input = pipeline.Input{Operation: "book", Body: json.RawMessage(`{"reference":"late"}`)}
+	result := make(chan link.RunResult, 1)
+	go func() {
+		r, err := late.Run(ctx, p, nil)
+		if err != nil {
+			t.Error(err)
+		}
+		result <- r
+	}()
+	time.Sleep(100 * time.Millisecond)
+	settled, err := direct.Settle(ctx, link.SettleParams{Attempt: p.Attempt})
+	if err != nil || settled.State != link.AttemptClosed {
+		t.Fatalf("settled as %+v, %v", settled, err)
+	}
+	if r := <-result; r.Run != contract.NotRun {
+		t.Errorf("the late run ended as %+v", r)
+	}
+	if n := f.stat(stock, "references.total"); n != 0 {
+		t.Errorf("the endpoint ran it %v times after it was called not run", n)
+	}
+}
+
+// streams asks for n streams at once and checks that each caller gets the
+// whole answer to its own question.
+func streams(f *fleet, wg *sync.WaitGroup, e *process, name string, n int) {
+	for i := range n {
+		wg.Go(func() {
+			question := fmt.Sprint(name, " ", i)
+			var got strings.Builder
+			_, err := f.ask(e, "chat", entry.Body{Question: question, Stream: true}, func(s string) { got.WriteString(s) })
+			want := standin.AnswerText("Question: "+question+"\nAnswer:", 400)
+			if err != nil || got.String() != want {
+				f.t.Errorf("%s: %v, %d of %d bytes, own answer: %v", question, err, got.Len(), len(want), strings.HasPrefix(want, got.String()))
+			}
+		})
+	}
+}
+
+// Point 4: streams whose link is cut, falls silent, is cut again and answers
+// late still reach each caller whole.
+func TestStreamsOutliveTheirLinks(t *testing.T) {
+	f := newFleet(t, chatSettings)
+	engine := f.start("engine", "azurelead-standin", "engine", "--step", "10ms", "--batch", "32").addr
+	agent := f.agent("e1", "engines", pipeline.Generate, engine)
+	wire, err := newProxy("wire-"+t.Name(), agent.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer wire.close()
+	f.list(platform.Instance{Name: "e1", Pool: "engines", Kind: pipeline.Generate, Agent: wire.proxy.Listen, State: platform.Live})
+	e := f.entry("entry1")
+	f.await(e, "chat", entry.Body{Question: "warm", MaxTokens: 1})
+	var wg sync.WaitGroup
+	streams(f, &wg, e, "whole", 8)
+	for i, fault := range [][]string{{"cut"}, {"silence"}, {"cut"}, {"silence"}, {"latency", "50"}} {
+		f.awaitStat(engine, "tokens.generated", fmt.Sprint(300*(i+1)))
+		for _, step := range [][]string{fault, {"restore"}} {
+			if err := wire.apply(step[0], step[1:]...); err != nil {
+				t.Fatal(err)
+			}
+			if step[0] == "latency" {
+				break
+			}
+		}
+	}
+	wg.Wait()
+}
+
+// Point 7: an endpoint that the list calls leaving, and one whose agent stops,
+// get no new work after their word, though the entries' list lags for good.
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	f := newFleet(t, statusSettings)
+	start := func(name string) (addr string, agent *process) {
+		addr = f.start(name, "azurelead-standin", "service", "--service-time", "5ms").addr
+		return addr, f.agent("agent-"+name, "stock", pipeline.Service, addr, "--list-interval", "50ms")
+	}
+	first, _ := start("first")
+	second, stops := start("second")
+	third, _ := start("third")
+	e := f.entry("entry1")
+	f.await(e, "status", action("await"))
+	asked := 0
+	askSome := func() {
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		for range 60 {
+			asked++
+			reference := fmt.Sprint(asked)
+			wg.Go(func() {
+				if _, err := f.ask(e, "status", action(reference), nil); err != nil {
+					t.Errorf("request %s: %v", reference, err)
+				}
+			})
+		}
+	}
+	if err := eventually(func() error {
+		askSome()
+		if f.stat(first, "attempts.total") == 0 || f.stat(second, "attempts.total") == 0 {
+			return errors.New("an endpoint gets no work while it is live")
+		}
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	leaving := f.instances[0]
+	leaving.State = platform.Leaving
+	f.list(leaving)
+	if err := stops.signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := stops.wait(); err != nil {
+		t.Errorf("planned stop: %v", err)
+	}
+	time.Sleep(time.Second)
+	before := f.stat(first, "attempts.total") + f.stat(second, "attempts.total")
+	rest := f.stat(third, "attempts.total")
+	askSome()
+	if after := f.stat(first, "attempts.total") + f.stat(second, "attempts.total"); after != before {
+		t.Errorf("leaving endpoints got %v calls after a second", after-before)
+	}
+	if got := f.stat(third, "attempts.total") - rest; got != 60 {
+		t.Errorf("the endpoint that stays got %v of 60 calls", got)
+	}
+}
+
+// Point 8: agents and an entry that are told to stop while streams run cut none
+// of them, and end with status 0.
+func TestPlannedStopsCutNoStream(t *testing.T) {
+	f := newFleet(t, chatSettings)
+	var agents []*process
+	for i := range 2 {
+		engine := f.start(fmt.Sprint("engine", i), "azurelead-standin", "engine", "--step", "8ms", "--batch", "32").addr
+		agents = append(agents, f.agent(fmt.Sprint("e", i), "engines", pipeline.Generate, engine))
+	}
+	entries := []*process{f.entry("entry1"), f.entry("entry2")}
+	for _, e := range entries {
+		f.await(e, "chat", entry.Body{Question: "warm " + e.name, MaxTokens: 1})
+	}
+	var wg sync.WaitGroup
+	streams(f, &wg, entries[0], "old entry", 6)
+	streams(f, &wg, entries[1], "new entry", 6)
+	time.Sleep(500 * time.Millisecond)
+	for _, p := range []*process{agents[0], entries[0]} {
+		if err := p.signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	streams(f, &wg, entries[1], "after the word", 4)
+	wg.Wait()
+	for _, p := range []*process{agents[0], entries[0]} {
+		if err := p.wait(); err != nil {
+			t.Errorf("%s: %v\n%s", p.name, err, p.stderr.String())
+		}
+	}
+}
+
+// Point 1 and 5 together: under cuts and silence of one endpoint's wire no
+// call runs more than it was told, and a refusal as not run ran nowhere.
+func TestNotRunIsTrueUnderFaults(t *testing.T) {
+	f := newFleet(t, statusSettings)
+	stock := f.start("stock", "azurelead-standin", "service", "--service-time", "5ms").addr
+	agent := f.agent("s1", "stock", pipeline.Service, stock)
+	wire, err := newProxy("wire-"+t.Name(), agent.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer wire.close()
+	f.list(platform.Instance{Name: "s1", Pool: "stock", Kind: pipeline.Service, Agent: wire.proxy.Listen, State: platform.Live})
+	e := f.entry("entry1")
+	f.await(e, "status", action("await"))
+	var wg sync.WaitGroup
+	var refused sync.Map
+	stop := make(chan struct{})
+	for w := range 8 {
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				reference := fmt.Sprint("ref-", w, "-", i)
+				_, err := f.ask(e, "status", action(reference), nil)
+				var p *contract.Problem
+				if errors.As(err, &p) && p.Run == contract.NotRun {
+					refused.Store(reference, p)
+				}
+			}
+		})
+	}
+	for i := range 6 {
+		time.Sleep(200 * time.Millisecond)
+		if err := wire.apply([]string{"cut", "silence"}[i%2]); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+		if err := wire.apply("restore"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(stop)
+	wg.Wait()
+	time.Sleep(300 * time.Millisecond)
+	refused.Range(func(reference, p any) bool {
+		if n := f.runsOf(stock, reference.(string)); n != 0 {
+			t.Errorf("%s was refused as not run (%v) and ran %d times", reference, p, n)
+		}
+		return true
+	})
+}
