--- a/link/messages.go
+++ b/link/messages.go
@@ -36,6 +36,8 @@
 	QueueUS int64 `json:"queue_us"`
 	// ServiceUS is the recent mean time of one call, in microseconds.
 	ServiceUS int64 `json:"service_us"`
+	// Model is the model that the endpoint serves; empty means any.
+	Model string `json:"model,omitempty"`
 	// Cold is set while the limit still grows from the cold limit.
 	Cold bool `json:"cold,omitempty"`
 	// Leaving is set once the agent or its endpoint refuses new work for good.
@@ -49,8 +51,11 @@
 
 // Suspect is a request that was in flight when an endpoint crashed.
 type Suspect struct {
-	// Digest is of organisation, pipeline and body.
+	// Digest is of organisation, pipeline, body and stage.
 	Digest string `json:"digest"`
+	// Epoch grows with each good run of the request, and overrules all counts
+	// of lower epochs.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// Strikes counts crashes with the request in flight.
 	Strikes int `json:"strikes"`
 	// Proven counts crashes with the request alone in flight.
@@ -200,7 +205,7 @@
 type SettingsResult struct {
 	Version Version `json:"version"`
 	// AgeMS is how long ago, in milliseconds, the answering side last knew
-	// Version to be the latest accepted; -1 if it never did.
-	AgeMS int64           `json:"age_ms"`
+	// Version to be the latest accepted; 0 if it never did.
+	AgeMS int64           `json:"age_ms,omitempty"`
 	Delta json.RawMessage `json:"delta,omitempty"`
 }
