--- a/settings/dissemination_test.go
+++ b/settings/dissemination_test.go
@@ -28,6 +28,7 @@
 	memory    *platform.Memory
 	followers []*settings.Follower
 	instances []platform.Instance
+	links     atomic.Int64
 	linkBytes atomic.Int64 // of all links, counted once
 	httpBytes atomic.Int64 // of all calls to the platform
 	// cut ends every call of the daemons to the platform, now and from now on.
@@ -173,6 +174,7 @@
 		Hello:  link.HelloParams{Entry: name, EntryBoot: contract.BootID(name)},
 		Gossip: agent.Spread{Follower: f},
 	}
+	c.links.Add(int64(len(addrs)))
 	for _, addr := range addrs {
 		running.Go(func() { keepLink(ctx, addr, o) })
 	}
@@ -305,7 +307,7 @@
 		time.Sleep(5 * time.Second)
 		c.measureIdle(b)
 		for i, name := range []string{"s/first", "s/second", "s/store-lost"} {
-			links, calls := c.linkBytes.Load(), c.memory.Calls()
+			links, http, calls := c.linkBytes.Load(), c.httpBytes.Load(), c.memory.Calls()
 			if i == 2 {
 				c.cut()
 			}
@@ -316,8 +318,8 @@
 			}
 			c.inForce(b, out.Version)
 			b.ReportMetric(time.Since(start).Seconds(), name)
-			b.Logf("%s: %d link bytes, %d store reads, %d store writes", name, c.linkBytes.Load()-links,
-				c.memory.Calls().Reads()-calls.Reads(), c.memory.Calls().Writes()-calls.Writes())
+			b.Logf("%s: %d bytes of links, %d of store calls, %d store reads, %d store writes", name,
+				c.linkBytes.Load()-links, c.httpBytes.Load()-http, c.memory.Calls().Reads()-calls.Reads(), c.memory.Calls().Writes()-calls.Writes())
 		}
 		c.stop()
 	}
@@ -330,6 +332,7 @@
 	time.Sleep(window)
 	daemons, seconds := float64(len(c.followers)), window.Seconds()
 	b.ReportMetric(float64(c.linkBytes.Load()-links)*2/daemons/seconds, "link-B/s/daemon")
+	b.ReportMetric(float64(c.linkBytes.Load()-links)/float64(c.links.Load())/seconds, "B/s/link")
 	b.ReportMetric(float64(c.httpBytes.Load()-http)/daemons/seconds, "store-B/s/daemon")
 	b.ReportMetric(float64(c.memory.Calls().Reads()-calls.Reads())/seconds, "store-reads/s")
 	b.ReportMetric((processorTime()-cpu).Seconds()/daemons/seconds*100, "%core/daemon")
--- a/settings/follow.go
+++ b/settings/follow.go
@@ -23,8 +23,8 @@
 const (
 	defaultWatchers    = 2
 	defaultWatchBound  = 5 * time.Second
-	defaultAskAfter    = 5 * time.Second
-	defaultRepairAfter = 15 * time.Second
+	defaultAskAfter    = 7 * time.Second
+	defaultRepairAfter = 20 * time.Second
 	peerTimeout        = 3 * time.Second
 	watchMargin        = 2 * time.Second
 	firstRetry         = 200 * time.Millisecond
