Send a request's mark with each run; link.RunParams gains Suspects

Ruled out: adding counts when merging (not idempotent); carrying all marks. Change: an attempt carries its own mark, the agent merges it before it judges; the gauge of marks tells refused ones apart.

--- a/agent/run.go
+++ b/agent/run.go
@@ -118,6 +118,7 @@
 		return nil, &refusal{contract.CodeOverloaded, "agent was paused", minRetryAfter}
 	}
 	a.follow()
+	a.o.Gossip.Merge(p.Suspects)
 	verdict, stands := a.o.Suspects.Verdict(p.Digest)
 	if verdict == suspect.Refused {
 		return nil, &refusal{contract.CodeSuspectRequest, "request has crashed endpoints", stands}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -75,6 +75,7 @@
 		Settings:     s.e.o.Settings.Current().Version,
 		Repeatable:   !s.stage.Once,
 		Digest:       s.suspectDigest(),
+		Suspects:     s.e.o.Suspects.Mark(s.suspectDigest()),
 		Alone:        verdict == suspect.Alone,
 		Priority:     s.set.Priority,
 		Input:        s.input,
--- a/entry/options.go
+++ b/entry/options.go
@@ -54,6 +54,8 @@
 	Verdict(digest string) (suspect.Verdict, time.Duration)
 	// Merge takes in the marks that an agent reported.
 	Merge(marks []link.Suspect)
+	// Mark returns the mark of a digest, if there is one, to go with an attempt.
+	Mark(digest string) []link.Suspect
 	// Cleared records a good run of a request.
 	Cleared(digest string)
 }
@@ -62,6 +64,7 @@
 
 func (noSuspects) Verdict(string) (suspect.Verdict, time.Duration) { return suspect.Allowed, 0 }
 func (noSuspects) Merge([]link.Suspect)                            {}
+func (noSuspects) Mark(string) []link.Suspect                      { return nil }
 func (noSuspects) Cleared(string)                                  {}
 
 // Defaults of Options.
--- a/link/messages.go
+++ b/link/messages.go
@@ -103,6 +103,9 @@
 	Key string `json:"key,omitempty"`
 	// Digest is of organisation, pipeline, body and stage, to recognise suspects.
 	Digest string `json:"digest"`
+	// Suspects is what the entry knows of Digest, so that an agent that has not
+	// heard of earlier crashes counts on from there.
+	Suspects []Suspect `json:"suspects,omitempty"`
 	// Alone asks that nothing else runs beside the attempt.
 	Alone    bool           `json:"alone,omitempty"`
 	Priority int            `json:"priority,omitempty"`
--- a/suspect/metrics.go
+++ b/suspect/metrics.go
@@ -1,20 +1,20 @@
 package suspect
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
 
 // metrics counts crashes and what follows from them.
 type metrics struct {
-	marks   prometheus.Gauge
 	crashes prometheus.Counter
 	cleared prometheus.Counter
 	refused prometheus.Counter
 }
 
-func newMetrics(reg prometheus.Registerer) *metrics {
+func newMetrics(reg prometheus.Registerer, t *Table) *metrics {
 	m := &metrics{
-		marks: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "azurelead_suspect_marks", Help: "Requests marked for having been in flight at a crash.",
-		}),
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "azurelead_suspect_crashes_total", Help: "Requests in flight at crashes seen by this process.",
 		}),
@@ -26,7 +26,27 @@
 		}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.marks, m.crashes, m.cleared, m.refused)
+		reg.MustRegister(m.crashes, m.cleared, m.refused, t.gauge("alone", Alone), t.gauge("refused", Refused))
 	}
 	return m
 }
+
+// gauge counts the marks of one verdict when it is read.
+func (t *Table) gauge(label string, v Verdict) prometheus.GaugeFunc {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "azurelead_suspect_marks", Help: "Marked requests by what may be done with them.",
+		ConstLabels: prometheus.Labels{"verdict": label},
+	}, func() float64 { return float64(t.count(v)) })
+}
+
+func (t *Table) count(v Verdict) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n, now := 0, time.Now()
+	for _, m := range t.marks.Values() {
+		if m.verdict(now) == v {
+			n++
+		}
+	}
+	return n
+}
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -99,7 +99,9 @@
 	if err != nil {
 		panic(err) // the capacity is positive
 	}
-	return &Table{o: o, m: newMetrics(o.Metrics), marks: marks}
+	t := &Table{o: o, marks: marks}
+	t.m = newMetrics(o.Metrics, t)
+	return t
 }
 
 // Verdict returns what may be done with the request and how much longer that stands.
@@ -190,6 +192,18 @@
 	return append(out, t.message(digests[t.turn%len(digests)], now)...)
 }
 
+// Mark returns the mark of one request, or nothing. It goes with each run of
+// the request: an agent that counted a crash from nothing would hide the
+// earlier ones, since merging does not add.
+func (t *Table) Mark(digest string) []link.Suspect {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.marks.Contains(digest) {
+		return nil
+	}
+	return t.message(digest, time.Now())
+}
+
 func (t *Table) message(digest string, now time.Time) []link.Suspect {
 	m, _ := t.marks.Peek(digest)
 	if !now.Before(m.expires) {
@@ -204,7 +218,6 @@
 	if t.marks.Len() > t.o.Capacity {
 		t.evict()
 	}
-	t.m.marks.Set(float64(t.marks.Len()))
 }
 
 // evict drops the oldest mark that proves nothing, so that the neighbours of
@@ -227,5 +240,4 @@
 			t.marks.Remove(d)
 		}
 	}
-	t.m.marks.Set(float64(t.marks.Len()))
 }
--- a/suspect/table_test.go
+++ b/suspect/table_test.go
@@ -175,7 +175,7 @@
 			inFlight = append(inFlight, "neighbour")
 		}
 		agent := New(Options{})
-		agent.Merge(e.Suspects())
+		agent.Merge(e.Mark("crasher"))
 		agent.Crashed(inFlight)
 		e.Merge(agent.Suspects())
 	}
