--- a/cmd/azurelead/main.go
+++ b/cmd/azurelead/main.go
@@ -14,7 +14,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	commands := append(operator.Commands(operator.Options{}), operator.AskCommand(), demo.Command())
+	commands := append(operator.Commands(operator.Options{}), operator.AskCommand(), operator.CertificateCommand(), demo.Command())
 	code := operator.Run(ctx, operator.Root(commands...), os.Args, os.Stderr)
 	stop()
 	os.Exit(code)
