--- a/agent/admission.go
+++ b/agent/admission.go
@@ -40,13 +40,10 @@
 	limiter    *limiter
 	queue      *queue
 	queueLimit int
-	// finishInTime refuses a call that has to wait unless a usual one would
-	// also finish in time, rather than only start.
-	finishInTime bool
-	running      int
-	alone        bool
-	service      time.Duration
-	gate         gate
+	running    int
+	alone      bool
+	service    time.Duration
+	gate       gate
 }
 
 func newAdmission(l *limiter, queueLimit int, now func() time.Time) *admission {
@@ -100,12 +97,8 @@
 	if a.queue.len() >= a.queueLimit && !a.freeLocked(now) {
 		return &refusal{contract.CodeOverloaded, "queue is full", max(wait, minRetryAfter)}
 	}
-	need := wait
-	if a.finishInTime && wait > 0 {
-		need += a.service
-	}
-	if left := w.deadline.Sub(now); need >= left {
-		return &refusal{contract.CodeOverloaded, "cannot start in time", max(need-left, minRetryAfter)}
+	if left := w.deadline.Sub(now); wait >= left {
+		return &refusal{contract.CodeOverloaded, "cannot start in time", max(wait-left, minRetryAfter)}
 	}
 	w.granted = make(chan grant, 1)
 	a.queue.push(w)
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -47,7 +47,6 @@
 	now := time.Now()
 	l := newLimiter(limits, reports, now.Add(o.ReportLag), now.Add(o.ForeignBound))
 	a.admission = newAdmission(l, queueLimit, time.Now)
-	a.admission.finishInTime = o.FinishInTime
 	a.metrics = newMetrics(o.Registerer, a.Load)
 	a.turns.Store(int64(l.turns))
 	a.follow()
--- a/agent/options.go
+++ b/agent/options.go
@@ -84,9 +84,6 @@
 	// CancelLinger is how long a call that was cut short keeps its slot, since
 	// the endpoint learns of it later.
 	CancelLinger time.Duration
-	// FinishInTime refuses a call that has to wait unless a usual one would
-	// also finish within its budget, rather than only start.
-	FinishInTime bool
 	// PauseBound is the gap in the process's own ticks that counts as a pause.
 	PauseBound time.Duration
 	Logger     *slog.Logger
--- a/load/policy.go
+++ b/load/policy.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/azurelead/azurelead/agent"
 	"github.com/azurelead/azurelead/entry"
 	"github.com/azurelead/azurelead/link"
 )
@@ -18,8 +17,6 @@
 	Chooser func() entry.Chooser
 	// Entry changes an entry's options.
 	Entry func(*entry.Options)
-	// Agent changes an agent's options.
-	Agent func(*agent.Options)
 	// RetryPercent, above 0, replaces the retry budget.
 	RetryPercent int
 	// FixedLimit replaces the agents' adaptive limits by the endpoints' slots
@@ -54,11 +51,6 @@
 			Entry: func(o *entry.Options) { o.NoShares = true }},
 		{Name: "no-join", Why: "ours, but the same question runs once for each device", Chooser: chooser("finish-time"),
 			Entry: func(o *entry.Options) { o.NoJoin = true }},
-		{Name: "shared", Why: "ours, but emptier endpoints are taken for faster", Chooser: chooser("shared-finish-time")},
-		{Name: "finish-in-time", Why: "ours, but agents refuse what would only start in time", Chooser: chooser("finish-time"),
-			Agent: func(o *agent.Options) { o.FinishInTime = true }},
-		{Name: "shared+finish-in-time", Why: "both of these", Chooser: chooser("shared-finish-time"),
-			Agent: func(o *agent.Options) { o.FinishInTime = true }},
 		{Name: "hedge", Why: "ours with hedges", Chooser: chooser("finish-time"), Hedge: true},
 		{Name: "no-affinity", Why: "ours without prefix affinity", Chooser: func() entry.Chooser {
 			return withoutAffinity{entry.NewFinishTime()}
