--- a/load/apply.go
+++ b/load/apply.go
@@ -5,12 +5,14 @@
 	"maps"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/azurelead/azurelead/platform"
 	"github.com/azurelead/azurelead/settings"
 	"github.com/azurelead/azurelead/standin"
 )
 
-// readyPoll is how often a start looks for the links of an entry.
+// readyPoll is how often a start looks whether a part is ready.
 const readyPoll = 5 * time.Millisecond
 
 // Apply implements Fleet.
@@ -84,11 +86,34 @@
 		}
 		t.addStation(m.station.Stats())
 	}
+	t.ColdTurns = make(map[string]int)
+	for _, r := range b.registries {
+		addCounter(t.ColdTurns, r, coldMetric)
+	}
 	calls := b.memory.Calls()
 	t.PlatformReads, t.PlatformWrites = calls.Reads(), calls.Writes()
 	return t
 }
 
+// coldMetric counts how often an agent took its endpoint for cold.
+const coldMetric = "azurelead_agent_cold_total"
+
+// addCounter adds a counter with one label to the sums by that label.
+func addCounter(sums map[string]int, r *prometheus.Registry, name string) {
+	families, err := r.Gather()
+	if err != nil {
+		return
+	}
+	for _, f := range families {
+		if f.GetName() != name {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			sums[m.GetLabel()[0].GetValue()] += int(m.GetCounter().GetValue())
+		}
+	}
+}
+
 func (t *Truth) addEngine(s standin.EngineStats) {
 	t.GeneratedTokens += s.Tokens.Generated
 	t.CancelledTokens += s.Tokens.Cancelled
@@ -105,15 +130,15 @@
 	t.ServiceRuns += int(s.References.Total)
 }
 
-// waitReady waits until the entry would be given requests by the balancer.
-func waitReady(ctx context.Context, ready func() bool) error {
+// waitFor waits until a part of a fresh bench is ready.
+func waitFor(ctx context.Context, what string, ready func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, benchReady)
 	defer cancel()
 	for !ready() {
 		select {
 		case <-time.After(readyPoll):
 		case <-ctx.Done():
-			return Error.New("an entry did not become ready within %s", benchReady)
+			return Error.New("%s: not ready within %s", what, benchReady)
 		}
 	}
 	return nil
--- a/load/bench.go
+++ b/load/bench.go
@@ -9,6 +9,9 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/azurelead/azurelead/agent"
 	"github.com/azurelead/azurelead/claim"
 	"github.com/azurelead/azurelead/entry"
 	"github.com/azurelead/azurelead/link"
@@ -17,7 +20,7 @@
 	"github.com/azurelead/azurelead/telemetry"
 )
 
-// benchReady bounds the wait for all links of a fresh bench.
+// benchReady bounds the wait for each part of a fresh bench.
 const benchReady = 10 * time.Second
 
 // Bench is a whole fleet in this process: the platform's store, stand-ins for
@@ -33,8 +36,11 @@
 	work     sync.WaitGroup
 
 	members []*member
-	entries []string
-	closers []func()
+	agents  []*agent.Agent
+	// registries hold the agents' metrics.
+	registries []*prometheus.Registry
+	entries    []string
+	closers    []func()
 }
 
 var _ Fleet = (*Bench)(nil)
@@ -91,7 +97,18 @@
 		}
 	}
 	b.memory.SetInstances(list)
-	return nil
+	return waitFor(b.ctx, "agents", b.agentsOpen)
+}
+
+// agentsOpen reports whether every agent admits calls: a fresh one waits until
+// no call of an earlier agent can run at its endpoint.
+func (b *Bench) agentsOpen() bool {
+	for _, a := range b.agents {
+		if a.Load().Limit == 0 {
+			return false
+		}
+	}
+	return true
 }
 
 func (b *Bench) startEntries() error {
@@ -124,7 +141,7 @@
 		return Error.Wrap(err)
 	}
 	b.closers = append(b.closers, func() { shutdown(e) })
-	if err := waitReady(b.ctx, ready.Ready); err != nil {
+	if err := waitFor(b.ctx, name, ready.Ready); err != nil {
 		return err
 	}
 	return b.listen(e.Handler())
--- a/load/command.go
+++ b/load/command.go
@@ -40,6 +40,7 @@
 		&cli.Uint64Flag{Name: "seed", Usage: "replaces the scenario's seed"},
 		&cli.FloatFlag{Name: "rate", Usage: "replaces the scenario's requests per second"},
 		&cli.DurationFlag{Name: "duration", Usage: "replaces the scenario's duration"},
+		&cli.DurationFlag{Name: "warm-up", Usage: "replaces the scenario's warm-up"},
 	}
 }
 
@@ -58,6 +59,9 @@
 	if c.IsSet("duration") {
 		s.Duration = c.Duration("duration")
 	}
+	if c.IsSet("warm-up") {
+		s.WarmUp = c.Duration("warm-up")
+	}
 	if s.Rate <= 0 || s.Duration <= 0 {
 		return s, Error.New("--rate %v and --duration %v have to be above 0", s.Rate, s.Duration)
 	}
--- a/load/compare.go
+++ b/load/compare.go
@@ -80,7 +80,7 @@
 		{"endpoint s per answer", func(r Report) float64 { return perAnswer(r, endpointSeconds(r)) }},
 		{"engine tokens per answer", func(r Report) float64 { return perAnswer(r, generated(r)) }},
 		{"wasted endpoint %", wasted},
-		{"retries % of calls", retried},
+		{"retries %, worst stage", retried},
 	}
 }
 
@@ -116,12 +116,12 @@
 	return 100 * lost / all
 }
 
-// retried is retries per first attempt of a stage, in per cent.
+// retried is retries per first attempt of the stage with the most of them, in
+// per cent.
 func retried(r Report) float64 {
-	calls, retries := 0, 0
+	most := 0.0
 	for _, s := range r.Stages {
-		calls += s.Calls
-		retries += s.Retries
+		most = max(most, 100*share(s.Retries, s.Calls))
 	}
-	return 100 * share(retries, calls)
+	return most
 }
--- a/load/member.go
+++ b/load/member.go
@@ -7,6 +7,8 @@
 	"net"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/azurelead/azurelead/agent"
 	"github.com/azurelead/azurelead/endpoint"
 	"github.com/azurelead/azurelead/link"
@@ -148,14 +150,19 @@
 
 // startAgent starts the agent of an endpoint and returns its address.
 func (b *Bench) startAgent(in platform.Instance, driver endpoint.Endpoint) (string, error) {
-	a, err := agent.New(agent.Options{
-		Name: in.Name, Pool: in.Pool, Kind: in.Kind, DataCentre: in.DataCentre,
+	registry := prometheus.NewRegistry()
+	b.registries = append(b.registries, registry)
+	o := agent.Options{
+		Registerer: registry,
+		Name:       in.Name, Pool: in.Pool, Kind: in.Kind, DataCentre: in.DataCentre,
 		Endpoint: driver, Settings: b.settings,
-	})
+	}
+	a, err := agent.New(o)
 	if err != nil {
 		return "", Error.Wrap(err)
 	}
 	b.closers = append(b.closers, a.Close)
+	b.agents = append(b.agents, a)
 	links := link.NewServer(a, link.ServerOptions{})
 	return b.serve(links.Serve)
 }
--- a/load/print.go
+++ b/load/print.go
@@ -30,9 +30,9 @@
 			s.Hedges, s.EndpointSeconds, s.WastedSeconds, s.PromptTokens, s.CachedTokens, s.GeneratedTokens, s.WastedTokens)
 	}
 	p.line("")
-	p.line("SERVICE OVER TIME\tasked\twhole\trefused\tlost\t")
+	p.line("SERVICE OVER TIME\tasked\twhole\trefused\tlost\tretries\t")
 	for _, s := range r.Timeline {
-		p.line("second %d\t%d\t%d\t%d\t%d\t", s.Second, s.Requests, s.Whole, s.Refused, s.Lost)
+		p.line("second %d\t%d\t%d\t%d\t%d\t%d\t", s.Second, s.Requests, s.Whole, s.Refused, s.Lost, s.Retries)
 	}
 	p.line("")
 	p.line("refusals: %d, p50 %.1f ms, p99 %.1f ms", r.Refusals.Count,
@@ -68,6 +68,7 @@
 func (p *printer) truth(t Truth) {
 	p.line("stand-ins: %d tokens generated, %d of them for calls that were cut short, %d of %d prompt tokens cached, %d crashes",
 		t.GeneratedTokens, t.CancelledTokens, t.CachedTokens, t.PromptTokens, t.Crashes)
+	p.line("endpoints taken for cold, by reason: %v", t.ColdTurns)
 	p.line("services: %d runs, %d references run more than once", t.ServiceRuns, t.RepeatedReferences)
 	p.line("platform: %d reads, %d writes", t.PlatformReads, t.PlatformWrites)
 }
--- a/load/summary.go
+++ b/load/summary.go
@@ -71,6 +71,7 @@
 	Whole    int `json:"whole"`
 	Refused  int `json:"refused"`
 	Lost     int `json:"lost"` // late or broken
+	Retries  int `json:"retries"`
 }
 
 // Count is how often a code came.
@@ -187,6 +188,9 @@
 			continue
 		}
 		slots[i].Requests++
+		for _, stage := range sample.Stages {
+			slots[i].Retries += stage.Retries
+		}
 		switch sample.Outcome {
 		case Whole:
 			slots[i].Whole++
--- a/load/tree.go
+++ b/load/tree.go
@@ -89,7 +89,7 @@
 	limit, queue := slots, 2*slots
 	if p.FixedLimit > 0 {
 		limit = slots * p.FixedLimit
-		cold, queue = limit, 0
+		cold = limit
 	}
 	return settings.Pool{Endpoint: settings.EndpointOverrides{
 		ColdLimit: &cold, MaxLimit: &limit, RampAnswers: &ramp, QueueLimit: &queue,
