--- a/cmd/azurelead/main.go
+++ b/cmd/azurelead/main.go
@@ -8,13 +8,14 @@
 	"syscall"
 
 	"github.com/azurelead/azurelead/demo"
+	"github.com/azurelead/azurelead/load"
 	"github.com/azurelead/azurelead/operator"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	commands := append(operator.Commands(operator.Options{}), operator.AskCommand(), demo.Command())
+	commands := append(operator.Commands(operator.Options{}), operator.AskCommand(), demo.Command(), load.Command())
 	code := operator.Run(ctx, operator.Root(commands...), os.Args, os.Stderr)
 	stop()
 	os.Exit(code)
--- a/load/apply.go
+++ b/load/apply.go
@@ -78,15 +78,19 @@
 
 // Truth implements Fleet.
 func (b *Bench) Truth() Truth {
-	var t Truth
+	t := Truth{ColdTurns: make(map[string]int)}
+	runs := make(map[string]int)
 	for _, m := range b.members {
 		if m.engine != nil {
 			t.addEngine(m.engine.Stats())
 			continue
 		}
 		t.addStation(m.station.Stats())
+		for reference, n := range m.station.References() {
+			runs[reference] += n
+		}
 	}
-	t.ColdTurns = make(map[string]int)
+	t.addRuns(runs)
 	for _, r := range b.registries {
 		addCounter(t.ColdTurns, r, coldMetric)
 	}
@@ -126,8 +130,16 @@
 func (t *Truth) addStation(s standin.StationStats) {
 	t.Crashes += s.Crashes
 	t.Refused += s.Refused
-	t.RepeatedReferences += s.References.Repeated
-	t.ServiceRuns += int(s.References.Total)
+}
+
+// addRuns counts the runs of bookings over all services together.
+func (t *Truth) addRuns(runs map[string]int) {
+	for _, n := range runs {
+		t.ServiceRuns += n
+		if n > 1 {
+			t.RepeatedReferences++
+		}
+	}
 }
 
 // waitFor waits until a part of a fresh bench is ready.
--- a/load/member.go
+++ b/load/member.go
@@ -28,6 +28,7 @@
 type station interface {
 	SetFaults(f standin.StationFaults)
 	Stats() standin.StationStats
+	References() map[string]int
 }
 
 // server is a stand-in that can serve.
--- a/standin/runs.go
+++ b/standin/runs.go
@@ -1,6 +1,9 @@
 package standin
 
-import "sync"
+import (
+	"maps"
+	"sync"
+)
 
 // runs counts how often each call ran, by the id that its caller gave.
 type runs struct {
@@ -29,6 +32,13 @@
 	return r.byID[id]
 }
 
+// all returns the runs of every id.
+func (r *runs) all() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.byID)
+}
+
 // RunCounts sums up the runs of calls.
 type RunCounts struct {
 	Total int64 `json:"total"`
--- a/standin/station.go
+++ b/standin/station.go
@@ -141,6 +141,9 @@
 // RunsOfReference returns how often a service call with the reference ran here.
 func (s *station) RunsOfReference(reference string) int { return s.references.of(reference) }
 
+// References returns how often each service call ran here, by its reference.
+func (s *station) References() map[string]int { return s.references.all() }
+
 // work passes one call through the station; run makes the answer.
 func (s *station) work(w http.ResponseWriter, r *http.Request, run func() any) {
 	fault := s.faults.draw()
