--- a/itest/script_test.go
+++ b/itest/script_test.go
@@ -33,6 +33,8 @@
 //	await ADDR FIELD OP N             waits until the comparison holds
 //	ready NAME                        waits until the process is ready
 //	await-ok PROGRAM ARGS...          runs a program until it exits with 0
+//	in-force NAME VERSION             waits until a process has that settings version or a later one
+//	note VARIABLE ADDR FIELD          keeps a number of a stand-in's statistics
 func scriptCommands() map[string]func(*testscript.TestScript, bool, []string) {
 	return map[string]func(*testscript.TestScript, bool, []string){
 		"start":    cmdStart,
@@ -48,6 +50,8 @@
 		"await":    cmdAwait,
 		"ready":    cmdReady,
 		"await-ok": cmdAwaitOK,
+		"in-force": cmdInForce,
+		"note":     cmdNote,
 	}
 }
 
