Read answers in one place; client checks whole documents too

Cause: the load command had its own reader of streams beside the client's, and the client returned a document whose text did not match its digest. Ruled out: keeping refusals as bare problems, since their stages and costs were lost to callers. Change: client.Refusal wraps the problem with its stages (errors.As still finds *contract.Problem); Ask checks the digest of documents; load uses the client. The cut document was seen accepted without the new check.

--- a/client/client.go
+++ b/client/client.go
@@ -19,9 +19,16 @@
 )
 
 // Error is the class of failures to reach an entry or to read its answer. A
-// refusal by the entry is a *contract.Problem instead.
+// refusal by the entry is a *Refusal instead, which wraps a *contract.Problem.
 var Error = errs.Class("client")
 
+// Refusal is the entry's word that there is no answer, with the stages that
+// were run before it.
+type Refusal struct{ entry.ProblemReport }
+
+// Unwrap returns the problem.
+func (r *Refusal) Unwrap() error { return r.Problem }
+
 // maxEventBytes bounds one line of a stream.
 const maxEventBytes = 1 << 20
 
@@ -65,6 +72,11 @@
 	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
 		return entry.Answer{}, Error.Wrap(err)
 	}
+	d := contract.NewDigest()
+	d.Add(a.Answer)
+	if a.Digest != d.String() {
+		return entry.Answer{}, Error.New("the answer is not whole: its digest differs")
+	}
 	return a, nil
 }
 
@@ -100,7 +112,7 @@
 	if err := json.NewDecoder(r).Decode(&p); err != nil || p.Problem == nil {
 		return Error.New("the entry answered no problem document: %v", err)
 	}
-	return p.Problem
+	return &Refusal{ProblemReport: p}
 }
 
 // stream reads the server-sent events of one answer.
--- a/load/question.go
+++ b/load/question.go
@@ -40,16 +40,13 @@
 }
 
 // body makes the body of an arrival's request.
-func body(s Scenario, a Arrival) ([]byte, error) {
+func body(s Scenario, a Arrival) (entry.Body, error) {
 	c := s.Classes[a.Class]
 	b := entry.Body{Question: question(c, a.Question), Stream: c.Stream, MaxTokens: c.MaxTokens}
-	if c.Action {
-		raw, err := json.Marshal(action{Reference: reference(s, a), Item: words[a.Number%len(words)]})
-		if err != nil {
-			return nil, Error.Wrap(err)
-		}
-		b.Action = raw
+	if !c.Action {
+		return b, nil
 	}
-	raw, err := json.Marshal(b)
-	return raw, Error.Wrap(err)
+	raw, err := json.Marshal(action{Reference: reference(s, a), Item: words[a.Number%len(words)]})
+	b.Action = raw
+	return b, Error.Wrap(err)
 }
--- a/load/remote.go
+++ b/load/remote.go
@@ -11,6 +11,9 @@
 	"github.com/azurelead/azurelead/standin"
 )
 
+// maxControlBytes bounds what is read of a control page's answer.
+const maxControlBytes = 64 << 10
+
 // control is the control page of one stand-in of a running fleet.
 type control struct{ pool, url string }
 
@@ -93,7 +96,7 @@
 		return Error.Wrap(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxEventBytes))
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxControlBytes))
 	if resp.StatusCode >= http.StatusBadRequest {
 		return Error.New("%s: status %d", url, resp.StatusCode)
 	}
--- a/load/sample.go
+++ b/load/sample.go
@@ -33,7 +33,6 @@
 	Latency    time.Duration       `json:"latency_ns"`
 	FirstToken time.Duration       `json:"first_token_ns,omitempty"`
 	Outcome    Outcome             `json:"outcome"`
-	Status     int                 `json:"status,omitempty"`
 	Code       contract.Code       `json:"code,omitempty"`
 	Run        contract.RunState   `json:"run,omitempty"`
 	Joined     bool                `json:"joined,omitempty"`
--- a/load/sender.go
+++ b/load/sender.go
@@ -1,15 +1,13 @@
 package load
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
+	"errors"
 	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/client"
 	"github.com/azurelead/azurelead/entry"
 )
 
@@ -17,10 +15,6 @@
 	// patience is how long after its deadline a caller still listens, to tell a
 	// late answer from none.
 	patience = 2 * time.Second
-	// maxAnswerBytes bounds one answer.
-	maxAnswerBytes = 16 << 20
-	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 4 << 20
 	// senderConnections is how many idle connections are kept to each entry.
 	senderConnections = 512
 )
@@ -47,91 +41,56 @@
 		Class: c.Name, Organisation: a.Organisation, At: a.At - s.scenario.WarmUp,
 		Deadline: c.Deadline, Outcome: Broken,
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.Deadline+patience)
-	defer cancel()
-	r, err := s.request(ctx, a, &out)
+	request, err := s.request(a)
 	if err != nil {
 		out.Detail = err.Error()
 		return out
 	}
+	out.Reference = request.Key
+	ctx, cancel := context.WithTimeout(ctx, c.Deadline+patience)
+	defer cancel()
+	caller := client.Client{URL: s.entries[a.Number%len(s.entries)], HTTP: s.http}
 	started := time.Now()
-	resp, err := s.http.Do(r)
-	if err != nil {
-		out.Latency, out.Detail = time.Since(started), err.Error()
-		return out
-	}
-	defer func() { _ = resp.Body.Close() }()
-	out.Status = resp.StatusCode
-	s.read(resp, &out, started, c.Stream)
+	answer, err := caller.Ask(ctx, request, func(string) {
+		if out.FirstToken == 0 {
+			out.FirstToken = time.Since(started)
+		}
+	})
 	out.Latency = time.Since(started)
-	if out.Outcome == Whole && out.Latency > c.Deadline {
-		out.Outcome = Late
-	}
+	out.ended(answer, err)
 	return out
 }
 
-func (s *sender) request(ctx context.Context, a Arrival, out *Sample) (*http.Request, error) {
+func (s *sender) request(a Arrival) (client.Request, error) {
 	c := s.scenario.Classes[a.Class]
-	raw, err := body(s.scenario, a)
-	if err != nil {
-		return nil, err
-	}
-	url := s.entries[a.Number%len(s.entries)] + "/v1/pipelines/" + c.Pipeline + "/runs"
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	r.Header.Set("Authorization", "Bearer "+s.tokens[a.Organisation])
-	r.Header.Set(entry.HeaderDeadline, strconv.FormatInt(c.Deadline.Milliseconds(), 10))
+	b, err := body(s.scenario, a)
+	r := client.Request{Token: s.tokens[a.Organisation], Pipeline: c.Pipeline, Deadline: c.Deadline, Body: b}
 	if c.Action {
-		out.Reference = reference(s.scenario, a)
-		r.Header.Set(entry.HeaderKey, out.Reference)
+		r.Key = reference(s.scenario, a)
 	}
-	return r, nil
+	return r, err
 }
 
-// read takes the answer in whatever form it comes.
-func (s *sender) read(resp *http.Response, out *Sample, started time.Time, stream bool) {
+// ended takes the end of a request: the client has checked that an answer is
+// whole.
+func (o *Sample) ended(a entry.Answer, err error) {
+	var refusal *client.Refusal
 	switch {
-	case resp.StatusCode != http.StatusOK:
-		var p entry.ProblemReport
-		if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&p); err != nil || p.Problem == nil {
-			out.Detail = "no problem document"
-			return
-		}
-		out.refused(p)
-	case stream:
-		out.readStream(resp.Body, started)
+	case errors.As(err, &refusal):
+		o.Outcome = Refused
+		o.Code, o.Run, o.Detail = refusal.Code, refusal.Run, refusal.Detail
+		o.Request, o.Stages = refusal.RequestID, refusal.Stages
+	case err != nil:
+		o.Detail = err.Error()
+	case !o.own(a.Results):
+		o.Detail = "the answer is that of another request"
 	default:
-		var a entry.Answer
-		if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&a); err != nil {
-			out.Detail = err.Error()
-			return
-		}
-		d := contract.NewDigest()
-		d.Add(a.Answer)
-		out.answered(a, d.String(), a.Count)
+		o.Outcome = Whole
+		o.Run, o.Request, o.Stages, o.Joined = a.Run, a.RequestID, a.Stages, a.Joined
 	}
-}
-
-func (o *Sample) refused(p entry.ProblemReport) {
-	o.Outcome = Refused
-	o.Code, o.Run, o.Detail, o.Request = p.Code, p.Run, p.Detail, p.RequestID
-	o.Stages = p.Stages
-}
-
-// answered checks the closing word of an answer against what came.
-func (o *Sample) answered(a entry.Answer, digest string, count int) {
-	o.Stages, o.Joined, o.Run, o.Request = a.Stages, a.Joined, a.Run, a.RequestID
-	if a.Digest != digest || a.Count != count {
-		o.Detail = "count or digest differ from the tokens that came"
-		return
-	}
-	if !o.own(a.Results) {
-		o.Detail = "the answer is that of another request"
-		return
+	if o.Outcome == Whole && o.Latency > o.Deadline {
+		o.Outcome = Late
 	}
-	o.Outcome = Whole
 }
 
 // own reports whether the services' results name this request.
