Renew from peer and store at once; log changes of state; check selectors

Cause: an agent that woke beside a frozen entry asked it first and spent the whole bound of its renewal waiting, then went on with the old settings. Ruled out: a longer bound (work waits meanwhile); the store first (it may be down while peers know). Change: Renew asks both, the first good answer wins. Seen to fail before: TestRenewDoesNotWaitForASilentPeer (version 1, deadline exceeded). Passes now, also under -race.

--- a/operator/command.go
+++ b/operator/command.go
@@ -142,6 +142,13 @@
 	return nil
 }
 
+func checkCount(n int) error {
+	if n < 1 {
+		return fmt.Errorf("%d is not allowed; give a number above 0", n)
+	}
+	return nil
+}
+
 func checkOneOf(allowed ...string) func(string) error {
 	return func(v string) error {
 		if slices.Contains(allowed, v) {
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -70,6 +70,8 @@
 		{[]string{"status"}, []string{"AZURELEAD_TIMEOUT", `"soon"`}},
 		{[]string{"status", "--loud"}, []string{"-loud", "--help"}},
 		{[]string{"settings", "get", "--organisation", "acme", "--pipeline", "x"}, []string{"--pipeline", `"x"`}},
+		{[]string{"settings", "get", "--pool", "engines"}, []string{"--pool", `"engines"`, "--data-centre"}},
+		{[]string{"settings", "history", "--limit", "0"}, []string{"limit", "0", "above 0"}},
 		{[]string{"datacentre", "out", "west"}, []string{"NAME", `"west"`, "east-1"}},
 		{[]string{"datacentre", "out"}, []string{"NAME", "exactly one"}},
 		{[]string{"datacentre", "away"}, []string{`"away"`, "out, in"}},
--- a/operator/settings.go
+++ b/operator/settings.go
@@ -83,7 +83,7 @@
 	return &cli.Command{
 		Name: "history", Usage: "list the latest accepted changes, newest first", Description: exitHelp,
 		Flags: append(commonFlags(),
-			&cli.IntFlag{Name: flagLimit, Usage: "list at most this `NUMBER` of changes", Value: defaultLimit},
+			&cli.IntFlag{Name: flagLimit, Usage: "list at most this `NUMBER` of changes", Value: defaultLimit, Validator: checkCount},
 		),
 		Action: o.with(showHistory),
 	}
@@ -144,8 +144,29 @@
 	Values []settings.Value `json:"values"`
 }
 
+// needs lists the selectors that mean nothing without another.
+var needs = [][2]string{
+	{flagPool, flagDataCentre}, {flagEndpoint, flagPool},
+	{flagOrganisation, flagPipeline}, {flagPipeline, flagOrganisation}, {flagStage, flagPipeline},
+}
+
+func (s *session) checkSelectors() error {
+	for _, n := range needs {
+		if s.c.IsSet(n[0]) && !s.c.IsSet(n[1]) {
+			return usage("flag --%s %q: allowed only together with --%s", n[0], s.c.String(n[0]), n[1])
+		}
+	}
+	if s.c.IsSet(flagDataCentre) && s.c.IsSet(flagPipeline) {
+		return usage("flag --%s %q: not allowed together with --%s", flagDataCentre, s.c.String(flagDataCentre), flagPipeline)
+	}
+	return nil
+}
+
 // resolve returns the scopes that the selectors name, or nil without selectors.
 func (s *session) resolve(snapshot *settings.Snapshot) ([]scope, error) {
+	if err := s.checkSelectors(); err != nil {
+		return nil, err
+	}
 	if dc := s.c.String(flagDataCentre); dc != "" {
 		pool, endpoint := s.c.String(flagPool), s.c.String(flagEndpoint)
 		return []scope{{Of: dc + "/" + pool + "/" + endpoint, Values: snapshot.ExplainEndpoint(dc, pool, endpoint)}}, nil
@@ -258,7 +279,7 @@
 		return err
 	}
 	changes := stored.History()
-	changes = changes[:min(len(changes), max(s.c.Int(flagLimit), 0))]
+	changes = changes[:min(len(changes), s.c.Int(flagLimit))]
 	return write(s.c, changes, func(p *printer) {
 		for _, c := range changes {
 			p.line("%d  %s  %s  %s  %s", c.Version, c.At.Format(time.RFC3339), c.Author, c.ID, c.Objects())
--- a/settings/follow.go
+++ b/settings/follow.go
@@ -131,7 +131,9 @@
 		if budget.Wait(ctx) != nil {
 			return
 		}
-		if err := f.watch(ctx, bound); err != nil {
+		err := f.watch(ctx, bound)
+		f.noteStore(ctx, err)
+		if err != nil {
 			sleep(ctx, retry.NextBackOff())
 			continue
 		}
@@ -139,6 +141,15 @@
 	}
 }
 
+// noteStore logs when the store is lost and when it is back.
+func (f *Follower) noteStore(ctx context.Context, err error) {
+	if ctx.Err() != nil || f.storeLost == (err != nil) {
+		return
+	}
+	f.storeLost = err != nil
+	f.o.Logger.Warn("settings store", "reachable", err == nil, "version", f.Version(), "error", err)
+}
+
 // watchBound returns how long to watch now, and whether to watch at all.
 func (f *Follower) watchBound() (time.Duration, bool) {
 	if f.watches() {
@@ -254,20 +265,27 @@
 	return d, nil
 }
 
-// Renew confirms the version in force now, or gets a newer one: from a peer,
-// else from the store. A process that wakes from a pause calls it before it
-// acts on anything that it read before.
+// Renew confirms the version in force now, or gets a newer one: from a peer
+// that confirmed it at most maxAge ago, or from the store, whichever answers
+// first, since the peer may be frozen or the store down. A process that wakes
+// from a pause calls it before it acts on anything that it read before.
 func (f *Follower) Renew(ctx context.Context, maxAge time.Duration) error {
-	if f.o.Ask != nil && f.ask(ctx, f.o.Ask) && f.Fresh(maxAge) {
-		return nil
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ways := []func() bool{
+		func() bool { return f.o.Ask != nil && f.ask(ctx, f.o.Ask) && f.Fresh(maxAge) },
+		func() bool { return f.o.Store != nil && f.watch(ctx, time.Millisecond) == nil },
 	}
-	if f.o.Store == nil {
-		return Unknown.New("no peer has a fresh version")
+	renewed := make(chan bool, len(ways))
+	for _, way := range ways {
+		go func() { renewed <- way() }()
 	}
-	if err := f.watch(ctx, time.Millisecond); err != nil {
-		return Unknown.Wrap(err)
+	for range ways {
+		if <-renewed {
+			return nil
+		}
 	}
-	return nil
+	return Unknown.New("neither a fresh peer nor the store answers")
 }
 
 func (r *replica) storeVersion() uint64 {
--- a/settings/follower.go
+++ b/settings/follower.go
@@ -57,6 +57,10 @@
 
 	current atomic.Pointer[replica]
 	wake    chan struct{}
+	// storeLost belongs to followStore.
+	storeLost bool
+	// refused is the version that was refused last.
+	refused atomic.Uint64
 
 	mu sync.Mutex
 	// offers are newer versions that peers named, best first.
@@ -194,15 +198,28 @@
 
 // install puts a delta in force unless it leads to an older version.
 func (f *Follower) install(d Delta) error {
-	if changed, err := f.swap(d); err != nil || !changed {
+	changed, err := f.swap(d)
+	if err != nil {
+		f.noteRefused(d.To, err)
 		return err
 	}
+	if !changed {
+		return nil
+	}
+	f.o.Logger.Info("settings in force", "version", d.To)
 	if f.o.OnChange != nil {
 		f.o.OnChange()
 	}
 	return nil
 }
 
+// noteRefused logs the first refusal of each version; peers offer it again and again.
+func (f *Follower) noteRefused(v Version, err error) {
+	if f.refused.Swap(v) != v {
+		f.o.Logger.Warn("settings refused", "version", v, "error", err)
+	}
+}
+
 func (f *Follower) swap(d Delta) (changed bool, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/settings/follower_test.go
+++ b/settings/follower_test.go
@@ -242,3 +242,23 @@
 		t.Fatalf("age fell from %s to %s", before, f.Age())
 	}
 }
+
+// TestRenewDoesNotWaitForASilentPeer wakes from a pause beside a peer that is
+// frozen still. The store alone has to renew, within the bound of the caller.
+func TestRenewDoesNotWaitForASilentPeer(t *testing.T) {
+	c := newChain(t, 2)
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFollower(FollowerOptions{Store: c.store, Ask: func(ctx context.Context, _ Version) (link.SettingsResult, error) {
+			<-ctx.Done()
+			return link.SettingsResult{}, ctx.Err()
+		}})
+		if err := f.take(c.offer(0, 0), time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		if err := f.Renew(ctx, time.Second); err != nil || f.Version() != 2 {
+			t.Fatalf("version %d, %v", f.Version(), err)
+		}
+	})
+}
