--- a/itest/settings_test.go
+++ b/itest/settings_test.go
@@ -118,12 +118,25 @@
 	return n
 }
 
+// silent is a peer that never answers questions about settings, as one that
+// is frozen itself.
+type silent struct {
+	link.NoGossip
+	ended <-chan struct{}
+}
+
+// Changes implements link.Gossip.
+func (s silent) Changes(link.Version) (link.SettingsResult, error) {
+	<-s.ended
+	return link.SettingsResult{}, nil
+}
+
 // stubborn is an entry that learns nothing: neither of settings nor of refusals.
-func (a *agentUnderTest) stubborn() *link.Client {
+func (a *agentUnderTest) stubborn(g link.Gossip) *link.Client {
 	a.t.Helper()
 	c, err := link.Dial(a.t.Context(), a.agent.addr, link.ClientOptions{
-		Hello:        link.HelloParams{Entry: "stubborn", EntryBoot: contract.NewBootID(), DataCentre: "south"},
-		SilenceBound: 2 * patience, PingInterval: 2 * patience,
+		Hello:  link.HelloParams{Entry: "stubborn", EntryBoot: contract.NewBootID(), DataCentre: "south"},
+		Gossip: g, SilenceBound: 2 * patience, PingInterval: 2 * patience,
 	})
 	if err != nil {
 		a.t.Fatal(err)
@@ -145,8 +158,13 @@
 // that waited in the agent's buffers nor later ones reach the endpoint, and
 // each is refused as not run.
 func TestOutDataCentreRefusesAStaleEntry(t *testing.T) {
+	t.Run("ignorant", func(t *testing.T) { outWhileFrozen(t, link.NoGossip{}) })
+	t.Run("silent", func(t *testing.T) { outWhileFrozen(t, silent{ended: t.Context().Done()}) })
+}
+
+func outWhileFrozen(t *testing.T, peer link.Gossip) {
 	a := startAgentUnderTest(t)
-	c := a.stubborn()
+	c := a.stubborn(peer)
 	if err := eventually(func() error {
 		res, err := send1(t.Context(), c)
 		if err == nil && res.Code != "" {
