--- a/agent/admission.go
+++ b/agent/admission.go
@@ -25,6 +25,9 @@
 // changeRetryAfter is when to come back to an endpoint that carries out an order.
 const changeRetryAfter = time.Second
 
+// retryAfterDown is when a caller may ask again for an endpoint that is down.
+const retryAfterDown = time.Second
+
 // serviceWeight is the weight of a new answer in the mean service time.
 const serviceWeight = 0.2
 
@@ -98,6 +101,9 @@
 	if r := a.gate.refusal(); r != nil {
 		return r
 	}
+	if a.limiter.down {
+		return endpointDown()
+	}
 	now := a.now()
 	a.expireLocked(now)
 	wait := a.waitLocked(now)
@@ -178,6 +184,28 @@
 	a.dispatchLocked()
 }
 
+// endpointDown refuses at once: an endpoint that fails every call quickly must
+// not draw more of them by looking idle.
+func endpointDown() *refusal {
+	return &refusal{contract.CodeNoEndpoint, "endpoint does not answer", retryAfterDown}
+}
+
+// setDown takes the endpoint for dead until its next report. What waits is
+// refused, so that it runs elsewhere. It reports whether this was news.
+func (a *admission) setDown() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.limiter.down {
+		return false
+	}
+	a.limiter.turnCold(ColdCrash)
+	a.limiter.down = true
+	for _, w := range a.queue.drain() {
+		w.granted <- grant{endpointDown()}
+	}
+	return true
+}
+
 // turnCold takes the endpoint for cold.
 func (a *admission) turnCold(why ColdReason) {
 	a.mu.Lock()
@@ -185,6 +213,13 @@
 	a.limiter.turnCold(why)
 }
 
+// isDown reports whether nobody listens at the endpoint's address.
+func (a *admission) isDown() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.limiter.down
+}
+
 // health takes the endpoint's report.
 func (a *admission) health(h endpoint.Health, err error) {
 	a.mu.Lock()
@@ -246,6 +281,7 @@
 		Cold:      a.limiter.cold,
 		Leaving:   a.gate.leaving,
 		Out:       a.gate.out,
+		Down:      a.limiter.down,
 	}
 }
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -26,6 +28,8 @@
 	metrics   *metrics
 	version   atomic.Uint64
 	turns     atomic.Int64
+	// probeNow asks for a probe ahead of its time.
+	probeNow chan struct{}
 
 	// base ends when the agent is closed, and with it every attempt.
 	base  context.Context
@@ -41,7 +45,7 @@
 	if o.Endpoint == nil || o.Settings == nil {
 		return nil, Error.New("endpoint and settings are needed")
 	}
-	a := &Agent{o: o, attempts: newAttempts(time.Now), pause: newPause(o.PauseBound, time.Now())}
+	a := &Agent{o: o, probeNow: make(chan struct{}, 1), attempts: newAttempts(time.Now), pause: newPause(o.PauseBound, time.Now())}
 	a.base, a.close = context.WithCancel(context.Background())
 	limits, queueLimit, _ := a.limits(o.Settings.Current())
 	_, reports := o.Endpoint.(endpoint.Prober)
@@ -142,19 +146,20 @@
 		select {
 		case <-a.base.Done():
 			return
+		case <-a.probeNow:
 		case <-time.After(a.probePause()):
 		}
 	}
 }
 
 // foreignProbes is how many probes fit into the lag of reports while calls of
-// a former agent may still run.
+// a former agent may still run, or while the endpoint is down.
 const foreignProbes = 4
 
 func (a *Agent) probePause() time.Duration {
 	_, _, foreign := a.admission.coldTurns()
 	switch {
-	case foreign:
+	case foreign, a.admission.isDown():
 		return min(a.o.ProbeInterval, a.o.ReportLag/foreignProbes)
 	case a.Load().Cold:
 		return min(a.o.ProbeInterval, a.o.ReportLag)
@@ -170,14 +175,34 @@
 	if a.base.Err() != nil {
 		return failed
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		a.endpointDied()
+	}
+	wasDown := a.admission.isDown()
 	a.admission.health(h, err)
 	a.noteCold()
+	if wasDown && err == nil {
+		a.o.OnState()
+	}
 	if (err != nil) != failed {
 		a.o.Logger.Warn("endpoint reachable", "endpoint", a.o.EndpointName, "reachable", err == nil, "error", err)
 	}
 	return err != nil
 }
 
+// endpointDied refuses new work until the endpoint reports again.
+func (a *Agent) endpointDied() {
+	if _, ok := a.o.Endpoint.(endpoint.Prober); !ok || !a.admission.setDown() {
+		return
+	}
+	a.noteCold()
+	a.o.OnState()
+	select {
+	case a.probeNow <- struct{}{}:
+	default:
+	}
+}
+
 // noteCold counts and logs that the endpoint was taken for cold again.
 func (a *Agent) noteCold() {
 	turns, why, _ := a.admission.coldTurns()
--- a/agent/limiter.go
+++ b/agent/limiter.go
@@ -56,6 +56,8 @@
 	declared int
 	word     bool
 	boot     contract.BootID
+	// down is set while nobody listens at the endpoint's address.
+	down bool
 
 	usual   time.Duration
 	answers int
@@ -90,6 +92,9 @@
 
 // allowed returns how many own calls may run at once.
 func (m *limiter) allowed(now time.Time) int {
+	if m.down {
+		return 0
+	}
 	if m.foreign > 0 && !now.Before(m.foreignUntil) {
 		m.foreign = 0
 	}
@@ -166,6 +171,7 @@
 		}
 		return
 	}
+	m.down = false
 	fresh := m.boot != "" && h.Boot != m.boot
 	newlyCold := h.Cold && !m.word
 	m.boot, m.declared, m.word = h.Boot, h.ColdLimit, h.Cold
--- a/agent/node.go
+++ b/agent/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -16,7 +17,7 @@
 // Node is an agent together with the links on which entries reach it.
 type Node struct {
 	agent  *Agent
-	server *link.Server
+	server atomic.Pointer[link.Server]
 	drain  time.Duration
 	// onLeave is called when the node begins to leave.
 	onLeave func()
@@ -45,11 +46,20 @@
 	if o.Links.Logger == nil {
 		o.Links.Logger = o.Agent.Logger
 	}
-	a, err := New(o.Agent)
-	if err != nil {
+	n := &Node{drain: o.Drain, onLeave: o.OnLeave}
+	// The agent has no links yet when it is made, so that its first states can
+	// go unsaid.
+	o.Agent.OnState = func() {
+		if s := n.server.Load(); s != nil {
+			s.Spread()
+		}
+	}
+	var err error
+	if n.agent, err = New(o.Agent); err != nil {
 		return nil, err
 	}
-	return &Node{agent: a, server: link.NewServer(a, o.Links), drain: o.Drain, onLeave: o.OnLeave}, nil
+	n.server.Store(link.NewServer(n.agent, o.Links))
+	return n, nil
 }
 
 // Agent returns the node's agent.
@@ -57,25 +67,25 @@
 
 // Handle adds a method of the links, such as claims and orders. It must be
 // called before Serve.
-func (n *Node) Handle(method string, m link.Method) { n.server.Handle(method, m) }
+func (n *Node) Handle(method string, m link.Method) { n.server.Load().Handle(method, m) }
 
 // Ask asks any one linked entry for the settings above have.
 func (n *Node) Ask(ctx context.Context, have link.Version) (link.SettingsResult, error) {
-	return n.server.Ask(ctx, have)
+	return n.server.Load().Ask(ctx, have)
 }
 
 // Leave refuses new work for good and tells all peers.
 func (n *Node) Leave() {
 	n.onLeave()
 	n.agent.Leave()
-	n.server.Leave()
+	n.server.Load().Leave()
 }
 
 // Serve serves links on l until ctx ends. It then refuses new work, tells the
 // peers, waits until all that runs is answered, and closes.
 func (n *Node) Serve(ctx context.Context, l net.Listener) error {
 	served := make(chan error, 1)
-	go func() { served <- n.server.Serve(context.Background(), l) }()
+	go func() { served <- n.server.Load().Serve(context.Background(), l) }()
 	defer n.agent.Close()
 	select {
 	case err := <-served:
@@ -85,7 +95,7 @@
 	n.Leave()
 	stop, cancel := context.WithTimeout(context.Background(), n.drain)
 	defer cancel()
-	err := n.server.Shutdown(stop)
+	err := n.server.Load().Shutdown(stop)
 	if err != nil {
 		// What still runs must end before the links do.
 		n.agent.close()
--- a/agent/options.go
+++ b/agent/options.go
@@ -75,6 +75,9 @@
 	CancelLinger time.Duration
 	// PauseBound is the gap in the process's own ticks that counts as a pause.
 	PauseBound time.Duration
+	// OnState is called after a change that the peers should hear of at once:
+	// the endpoint died or came back, or a request was marked. It must not block.
+	OnState    func()
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
 }
@@ -96,6 +99,9 @@
 	if o.Suspects == nil {
 		o.Suspects = noSuspects{}
 	}
+	if o.OnState == nil {
+		o.OnState = func() {}
+	}
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
--- a/agent/run.go
+++ b/agent/run.go
@@ -182,10 +182,12 @@
 		if res.Problem == nil {
 			a.o.Suspects.Cleared(t.digest)
 		}
+		if neverReached(res) {
+			a.endpointDied()
+		}
 		return
 	}
-	a.admission.turnCold(ColdCrash)
-	a.noteCold()
+	a.endpointDied()
 	var digests []string
 	if t.strike() {
 		digests = append(digests, t.digest)
@@ -199,9 +201,16 @@
 		a.metrics.crashes.Inc()
 		a.o.Logger.Warn("endpoint crashed", "endpoint", a.o.EndpointName, "in_flight", len(digests))
 		a.o.Suspects.Crashed(digests)
+		a.o.OnState()
 	}
 }
 
+// neverReached reports whether the endpoint could not be reached for the call.
+func neverReached(res endpoint.Result) bool {
+	p := res.Problem
+	return p != nil && p.Run == contract.NotRun && p.Code == contract.CodeEndpointFailed
+}
+
 func (a *Agent) result(t *attempt, res endpoint.Result, took time.Duration) link.RunResult {
 	r := link.RunResult{Attempt: t.id, Run: contract.Ran, Output: res.Output, Usage: res.Usage}
 	r.Count, r.Digest = t.digestOf()
@@ -211,6 +220,10 @@
 	if res.Problem != nil {
 		r.Run, r.Code, r.Detail = res.Problem.Run, res.Problem.Code, res.Problem.Detail
 		r.RetryAfterMS = res.Problem.RetryAfterMS
+		if neverReached(res) {
+			// For the entry this is one endpoint fewer, not a failed try.
+			r.Code = contract.CodeNoEndpoint
+		}
 	}
 	if res.Crashed {
 		r.Suspects = a.o.Gossip.Suspects()
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -13,6 +13,8 @@
 type Marks interface {
 	// Suspects returns the marks to pass on.
 	Suspects() []link.Suspect
+	// Mark returns the request's mark, or nil if it has none.
+	Mark(digest string) *link.Suspect
 	// Merge takes a peer's marks in.
 	Merge(marks []link.Suspect)
 }
@@ -46,6 +48,14 @@
 	return s.Marks.Suspects()
 }
 
+// Mark implements link.Marker.
+func (s Spread) Mark(digest string) *link.Suspect {
+	if s.Marks == nil {
+		return nil
+	}
+	return s.Marks.Mark(digest)
+}
+
 // Merge implements link.Gossip.
 func (s Spread) Merge(marks []link.Suspect) {
 	if s.Marks != nil {
--- a/itest/holds_test.go
+++ b/itest/holds_test.go
@@ -18,6 +18,7 @@
 	"github.com/azurelead/azurelead/pipeline"
 	"github.com/azurelead/azurelead/platform"
 	"github.com/azurelead/azurelead/standin"
+	"github.com/azurelead/azurelead/suspect"
 )
 
 const statusSettings = `
@@ -330,3 +331,43 @@
 		return true
 	})
 }
+
+// A request that crashes every engine that runs it, sent again and again
+// through two entries, loses a bounded number of engines; the streams of its
+// neighbours reach their callers whole.
+func TestCrashingRequestLosesFewEndpoints(t *testing.T) {
+	f := newFleet(t, strings.Replace(chatSettings, "max_tokens", "retry_percent: 100, max_tokens", 1))
+	var engines []string
+	for i := range 6 {
+		engines = append(engines, f.start(fmt.Sprint("engine", i), "azurelead-standin", "engine",
+			"--step", "5ms", "--batch", "32", "--down-for", "300ms").addr)
+		f.agent(fmt.Sprint("e", i), "engines", pipeline.Generate, engines[i])
+	}
+	entries := []*process{f.entry("entry1"), f.entry("entry2")}
+	for _, e := range entries {
+		f.await(e, "chat", entry.Body{Question: "warm " + e.name, MaxTokens: 1})
+	}
+	var neighbours sync.WaitGroup
+	streams(f, &neighbours, entries[0], "neighbour", 6)
+	last := contract.Code("")
+	for i := range 10 {
+		_, err := f.ask(entries[i%2], "chat", entry.Body{Question: standin.CrashMarker}, nil)
+		var p *contract.Problem
+		if !errors.As(err, &p) {
+			t.Fatalf("the crashing request ended with %v", err)
+		}
+		last = p.Code
+	}
+	neighbours.Wait()
+	lost := 0.0
+	for _, addr := range engines {
+		f.awaitStat(addr, "crashes", "0") // it may be down still
+		lost += f.stat(addr, "crashes")
+	}
+	if lost == 0 || lost > suspect.MaxLost {
+		t.Errorf("%v engines lost, want at least 1 and at most %d", lost, suspect.MaxLost)
+	}
+	if last != contract.CodeSuspectRequest {
+		t.Errorf("sent for the tenth time it ended with %q, want a refusal as suspect", last)
+	}
+}
--- a/link/messages.go
+++ b/link/messages.go
@@ -20,7 +20,8 @@
 	MethodSettle   = "settle" // asks for, and may close, attempts
 	MethodAttach   = "attach" // takes over a running attempt on a new link
 	MethodPing     = "ping"
-	MethodLeaving  = "leaving"  // notification, either side
+	MethodLeaving  = "leaving"  // agent to entry; answered once no run can follow
+	MethodState    = "state"    // notification with a PingResult, agent to entry
 	MethodSettings = "settings" // either side
 	MethodClaim    = "claim"
 	MethodOrder    = "order"
@@ -44,6 +45,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Out is set while the agent's data centre is taken out.
 	Out bool `json:"out,omitempty"`
+	// Down is set while nobody listens at the endpoint's address.
+	Down bool `json:"down,omitempty"`
 }
 
 // Free returns how many more calls the endpoint can take now.
@@ -103,6 +106,9 @@
 	Key string `json:"key,omitempty"`
 	// Digest is of organisation, pipeline and body, to recognise suspects.
 	Digest string `json:"digest"`
+	// Mark is what the entry knows of the digest, so that the agent counts a
+	// crash on top of those seen elsewhere.
+	Mark *Suspect `json:"mark,omitempty"`
 	// Alone asks that nothing else runs beside the attempt.
 	Alone    bool           `json:"alone,omitempty"`
 	Priority int            `json:"priority,omitempty"`
--- a/link/options.go
+++ b/link/options.go
@@ -52,6 +52,12 @@
 	Merge(marks []Suspect)
 }
 
+// Marker is a Gossip that knows the mark of one request.
+type Marker interface {
+	// Mark returns the request's mark, or nil if it has none.
+	Mark(digest string) *Suspect
+}
+
 // NoGossip spreads nothing.
 type NoGossip struct{}
 
--- a/link/run.go
+++ b/link/run.go
@@ -97,6 +97,9 @@
 		p.AgentBoot = c.peer.AgentBoot
 	}
 	p.Settings = c.o.Gossip.Version()
+	if m, ok := c.o.Gossip.(Marker); ok {
+		p.Mark = m.Mark(p.Digest)
+	}
 	return c.data(ctx, MethodRun, p.Attempt, 0, p, onChunk)
 }
 
@@ -186,8 +189,11 @@
 
 // route takes chunks and results; all else is jsonrpc2's.
 func (c *Client) route(e *envelope) (bool, error) {
-	if e.Method == MethodChunks {
+	switch e.Method {
+	case MethodChunks:
 		return true, c.routeChunks(e)
+	case MethodState:
+		return true, c.routeState(e)
 	}
 	id, ok := e.stringID()
 	if !ok || e.Method != "" {
@@ -215,6 +221,15 @@
 	return nil
 }
 
+func (c *Client) routeState(e *envelope) error {
+	var r PingResult
+	if err := fastjson.Unmarshal(e.Params, &r); err != nil {
+		return Error.Wrap(err)
+	}
+	c.heard(r.Load, r.Settings, r.Suspects)
+	return nil
+}
+
 func (c *Client) routeResult(id contract.AttemptID, e *envelope) error {
 	r := c.waiting(id)
 	if r == nil {
--- a/link/server.go
+++ b/link/server.go
@@ -129,6 +129,17 @@
 	}
 }
 
+// Spread tells every peer the load, the settings version and the marks at once.
+func (s *Server) Spread() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.links {
+		if k.greeted.Load() {
+			go k.spread()
+		}
+	}
+}
+
 // Ask asks any one linked peer for the settings above have.
 func (s *Server) Ask(ctx context.Context, have Version) (SettingsResult, error) {
 	s.mu.Lock()
--- a/link/server_link.go
+++ b/link/server_link.go
@@ -100,7 +100,11 @@
 	if p.Attempt != id {
 		return Error.New("run of attempt %q under the id %q", p.Attempt, id)
 	}
-	k.heard(p.Settings, nil)
+	var marks []Suspect
+	if p.Mark != nil {
+		marks = []Suspect{*p.Mark}
+	}
+	k.heard(p.Settings, marks)
 	k.srv.begin()
 	go func() {
 		defer k.srv.end()
@@ -214,10 +218,17 @@
 
 func (k *serverLink) ping(p PingParams) (PingResult, error) {
 	k.heard(p.Settings, p.Suspects)
+	return k.state(), nil
+}
+
+func (k *serverLink) state() PingResult {
 	g := k.srv.o.Gossip
-	return PingResult{Settings: g.Version(), Load: k.srv.h.Load(), Suspects: g.Suspects()}, nil
+	return PingResult{Settings: g.Version(), Load: k.srv.h.Load(), Suspects: g.Suspects()}
 }
 
+// spread tells the peer the state. A failed send means a failed link.
+func (k *serverLink) spread() { _ = k.s.send(&outMessage{Method: MethodState, Params: k.state()}) }
+
 func answerSettings(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request, g Gossip) {
 	answer(ctx, conn, r, func(p SettingsParams) (SettingsResult, error) { return g.Changes(p.Have) })
 }
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -167,6 +167,20 @@
 	}
 }
 
+// Mark returns the request's mark, or nil if it has none.
+func (t *Table) Mark(digest string) *link.Suspect {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.marks.Peek(digest); !ok {
+		return nil
+	}
+	found := t.message(digest, time.Now())
+	if len(found) == 0 {
+		return nil
+	}
+	return &found[0]
+}
+
 // Suspects returns the marks to pass on: those that changed lately, and one
 // of the others in turn.
 func (t *Table) Suspects() []link.Suspect {
