--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -7,6 +7,7 @@
 	"github.com/azurelead/azurelead/contract"
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/pipeline"
+	"github.com/azurelead/azurelead/suspect"
 )
 
 // hedgeMin is the shortest wait before a hedge.
@@ -71,6 +72,9 @@
 	if !s.set.Hedge || s.stage.Kind == pipeline.Generate {
 		return 0
 	}
+	if verdict, _ := s.e.o.Suspects.Verdict(s.suspectDigest()); verdict != suspect.Allowed {
+		return 0 // a second copy may crash a second endpoint
+	}
 	now := time.Now()
 	q := s.e.latencies.of(s.key(s.stage), now).Quantile(now, hedgeQuantile)
 	if q == 0 {
