--- a/entry/stage.go
+++ b/entry/stage.go
@@ -11,6 +11,7 @@
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/pipeline"
 	"github.com/azurelead/azurelead/settings"
+	"github.com/azurelead/azurelead/suspect"
 )
 
 // maxRedirects bounds how often one stage moves on from an agent that refused
@@ -162,7 +163,7 @@
 
 // pick chooses an endpoint that has not been tried.
 func (s *stageRun) pick() (*peer, *link.RunResult) {
-	if verdict, d := s.e.o.Suspects.Verdict(s.suspectDigest()); verdict == Banned {
+	if verdict, d := s.e.o.Suspects.Verdict(s.suspectDigest()); verdict == suspect.Refused {
 		return nil, &link.RunResult{
 			Run: contract.NotRun, Code: contract.CodeSuspectRequest,
 			Detail: "the request crashed endpoints", RetryAfterMS: d.Milliseconds(),
