--- a/suspect/table.go
+++ b/suspect/table.go
@@ -169,6 +169,20 @@
 	}
 }
 
+// Mark returns the request's mark, or nil if it has none.
+func (t *Table) Mark(digest string) *link.Suspect {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.marks.Peek(digest); !ok {
+		return nil
+	}
+	found := t.message(digest, time.Now())
+	if len(found) == 0 {
+		return nil
+	}
+	return &found[0]
+}
+
 // Suspects returns the marks to pass on: those that changed lately, and one
 // of the others in turn.
 func (t *Table) Suspects() []link.Suspect {
@@ -192,18 +206,6 @@
 	return append(out, t.message(digests[t.turn%len(digests)], now)...)
 }
 
-// Mark returns the mark of one request, or nothing. It goes with each run of
-// the request: an agent that counted a crash from nothing would hide the
-// earlier ones, since merging does not add.
-func (t *Table) Mark(digest string) []link.Suspect {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.marks.Contains(digest) {
-		return nil
-	}
-	return t.message(digest, time.Now())
-}
-
 func (t *Table) message(digest string, now time.Time) []link.Suspect {
 	m, _ := t.marks.Peek(digest)
 	if !now.Before(m.expires) {
