Send a claim at once after a quiet time

Ruled out: a shorter window (the store's writes at the peak would grow with it); answering the caller before the outcome is recorded (a repeat would then be told 'may have run' after a crash of the entry, where it is now replayed).

Change: the window is the least time between two updates of a shard; an operation after a quiet time goes at once. The greatest rate of updates is as before, 1/window for each shard.

--- a/claim/options.go
+++ b/claim/options.go
@@ -17,7 +17,8 @@
 	// all others take the number from the store, since two processes that
 	// differ in it could grant one key twice.
 	Shards int
-	// Window is how long an update of a shard gathers operations.
+	// Window is the least time between two updates of a shard: an operation
+	// after a quiet time is sent at once, those that follow are gathered.
 	Window time.Duration
 	// Wait bounds one operation, store calls included.
 	Wait time.Duration
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -29,6 +29,9 @@
 	wg      *sync.WaitGroup
 
 	// The rest belongs to the goroutine that runs updates.
+
+	// updatedAt is when the last update began.
+	updatedAt time.Time
 	head *head
 	// readAt is when the call was sent that showed head to be current.
 	readAt time.Time
@@ -99,7 +102,8 @@
 func (s *shard) run() {
 	defer s.wg.Done()
 	for {
-		time.Sleep(s.options.Window)
+		time.Sleep(s.options.Window - time.Since(s.updatedAt))
+		s.updatedAt = time.Now()
 		group := s.take()
 		if len(group) == 0 {
 			return
