--- a/cmd/azurelead/main.go
+++ b/cmd/azurelead/main.go
@@ -15,7 +15,8 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	commands := append(operator.Commands(operator.Options{}), operator.AskCommand(), demo.Command(), load.Command())
+	commands := append(operator.Commands(operator.Options{}),
+		operator.AskCommand(), operator.CertificateCommand(), demo.Command(), load.Command())
 	code := operator.Run(ctx, operator.Root(commands...), os.Args, os.Stderr)
 	stop()
 	os.Exit(code)
