Rejoin within seconds: shorter retries and watches

Ruled out: retries without jitter; the store would meet all of them at once. Change: retries up to 6 s before jitter, watches of 3 s (a watcher's age then stays under 6 s, and peers are not asked needlessly).

--- a/settings/follow.go
+++ b/settings/follow.go
@@ -22,13 +22,13 @@
 // Defaults of FollowerOptions, and the bounds of retries.
 const (
 	defaultWatchers    = 2
-	defaultWatchBound  = 5 * time.Second
+	defaultWatchBound  = 3 * time.Second
 	defaultAskAfter    = 7 * time.Second
 	defaultRepairAfter = 20 * time.Second
 	peerTimeout        = 3 * time.Second
 	watchMargin        = 2 * time.Second
 	firstRetry         = 200 * time.Millisecond
-	maxRetry           = 15 * time.Second
+	maxRetry           = 6 * time.Second
 	storeCallsPerSec   = 2
 	storeCallsBurst    = 8
 )
