--- a/agent/admission.go
+++ b/agent/admission.go
@@ -206,6 +206,13 @@
 	return true
 }
 
+// doubt holds new calls back until the next report.
+func (a *admission) doubt() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.limiter.doubted = true
+}
+
 // turnCold takes the endpoint for cold.
 func (a *admission) turnCold(why ColdReason) {
 	a.mu.Lock()
--- a/agent/limiter.go
+++ b/agent/limiter.go
@@ -58,6 +58,8 @@
 	boot     contract.BootID
 	// down is set while nobody listens at the endpoint's address.
 	down bool
+	// doubted is set from a sign of a restart to the next report.
+	doubted bool
 
 	usual   time.Duration
 	answers int
@@ -92,7 +94,7 @@
 
 // allowed returns how many own calls may run at once.
 func (m *limiter) allowed(now time.Time) int {
-	if m.down {
+	if m.down || m.doubted {
 		return 0
 	}
 	if m.foreign > 0 && !now.Before(m.foreignUntil) {
@@ -165,6 +167,7 @@
 // health takes the endpoint's own report, or the failure to get one. own is
 // how many own calls run now.
 func (m *limiter) health(now time.Time, h endpoint.Health, err error, own int) {
+	m.doubted = false
 	if err != nil {
 		if m.reason != ColdProbe || m.current > m.coldLimit() {
 			m.turnCold(ColdProbe)
--- a/itest/holds_test.go
+++ b/itest/holds_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -371,3 +372,42 @@
 		t.Errorf("sent for the tenth time it ended with %q, want a refusal as suspect", last)
 	}
 }
+
+// Point 2, without warning: a warm endpoint that restarts while nothing runs is
+// cold for the burst that follows, though no probe is due. The endpoint counts.
+func TestSilentRestartIsTakenForCold(t *testing.T) {
+	f := newFleet(t, statusSettings)
+	stock := f.start("stock", "azurelead-standin", "service", "--service-time", "20ms", "--down-for", "50ms",
+		"--cold-limit", "3", "--cold-answers", "30").addr
+	agent := f.agent("s1", "stock", pipeline.Service, stock, "--probe-interval", "5s", "--report-lag", "200ms")
+	l, err := link.Dial(context.Background(), agent.addr, link.ClientOptions{SilenceBound: patience})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	burst := func(n int) {
+		var wg sync.WaitGroup
+		for range n {
+			wg.Go(func() {
+				p := link.RunParams{Attempt: contract.NewAttemptID(), BudgetUS: patience.Microseconds(), Repeatable: true}
+				p.Input = pipeline.Input{Operation: "status", Body: json.RawMessage(`{}`)}
+				if _, err := l.Run(context.Background(), p, nil); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+	}
+	if err := eventually(func() error {
+		burst(60)
+		return checkStat([]string{stock, "peak", ">=", "10"})
+	}); err != nil {
+		t.Fatalf("never warm: %v", err)
+	}
+	f.send(http.MethodPost, stock, "/control/faults", []byte(`{"crash":true}`))
+	f.awaitStat(stock, "crashes", "1")
+	burst(60)
+	if peak, crashes := f.stat(stock, "cold_peak"), f.stat(stock, "crashes"); peak > 3 || crashes > 1 {
+		t.Errorf("after a restart the cold endpoint ran %v at once and crashed %v times more, declared limit 3", peak, crashes-1)
+	}
+}
