Measure a ping and an idle link

Cause: docs/CAPACITY.md needs slopes. Ruled out: a library for reading counters, which brings another module. Change: BenchmarkPing and BenchmarkIdleLinks.

--- a/link/bench_test.go
+++ b/link/bench_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/azurelead/azurelead/contract"
 	"github.com/azurelead/azurelead/pipeline"
 )
@@ -59,3 +63,57 @@
 	wg.Wait()
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "tokens/s")
 }
+
+// BenchmarkPing measures what one ping costs both sides together, and the bytes
+// it puts on the wire.
+func BenchmarkPing(b *testing.B) {
+	reg := prometheus.NewRegistry()
+	metrics := NewMetrics(reg)
+	_, addr := startServer(b, &fakeAgent{}, ServerOptions{})
+	c := dial(b, addr, ClientOptions{Metrics: metrics})
+	before := wireBytes(b, reg)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.ping()
+	}
+	b.ReportMetric((wireBytes(b, reg)-before)/float64(b.N), "wire-B/op")
+}
+
+// wireBytes sums up what the client's link has read and written.
+func wireBytes(b *testing.B, reg *prometheus.Registry) float64 {
+	b.Helper()
+	families, err := reg.Gather()
+	if err != nil {
+		b.Fatal(err)
+	}
+	sum := 0.0
+	for _, f := range families {
+		if strings.HasSuffix(f.GetName(), "_bytes_total") {
+			sum += f.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	return sum
+}
+
+// BenchmarkIdleLinks measures the memory of an idle link, both sides together.
+func BenchmarkIdleLinks(b *testing.B) {
+	const links = 500
+	_, addr := startServer(b, &fakeAgent{}, ServerOptions{})
+	used := func() float64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapInuse + m.StackInuse)
+	}
+	for b.Loop() {
+		before := used()
+		open := make([]*Client, links)
+		for i := range open {
+			open[i] = dial(b, addr, ClientOptions{})
+		}
+		b.ReportMetric((used()-before)/links, "B/link")
+		for _, c := range open {
+			_ = c.Close()
+		}
+	}
+}
