--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -150,7 +150,7 @@
 	a.s.e.m.recovered.WithLabelValues(string(st.State)).Inc()
 	switch st.State {
 	case link.AttemptClosed:
-		return failed(contract.NotRun, "the link was lost before the attempt arrived"), true, nil
+		return unsent("the link was lost before the attempt arrived"), true, nil
 	case link.AttemptRunning, link.AttemptFinished:
 		res, err = l.Attach(ctx, link.AttachParams{Attempt: a.params.Attempt, AgentBoot: a.params.AgentBoot, From: a.tokens.count()}, a.take)
 		if link.NotSent.Has(err) {
@@ -189,7 +189,7 @@
 	return link.RunResult{Run: run, Code: contract.CodeEndpointFailed, Detail: detail}
 }
 
-// unsent is the result of a call of which no byte left this process.
+// unsent is the result of a call that surely never reached the agent.
 func unsent(detail string) link.RunResult {
 	return link.RunResult{Run: contract.NotRun, Code: contract.CodeNoEndpoint, Detail: detail}
 }
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -112,6 +112,33 @@
 	}
 }
 
+// A pool whose every link broke a moment ago is waited for, since a redial takes
+// milliseconds; one that stays away is refused at once.
+func TestBrokenLinksAreWaitedForBriefly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, nil)
+		w.unreachable.Store(true)
+		for _, a := range w.agents {
+			_ = a.up.Close()
+		}
+		synctest.Wait()
+		time.AfterFunc(100*time.Millisecond, func() { w.unreachable.Store(false) })
+		if rec := w.post(t.Context(), ask{pipeline: "ask", body: question}); rec.Code != http.StatusOK {
+			t.Errorf("asked while links were redialled: %s", rec.Body)
+		}
+		w.unreachable.Store(true)
+		for _, a := range w.agents {
+			_ = a.up.Close()
+		}
+		time.Sleep(DefaultRecoverBound)
+		started := time.Now()
+		p := decode[ProblemReport](t, w.post(t.Context(), ask{pipeline: "ask", body: question}))
+		if p.Code != contract.CodeNoEndpoint || p.Run != contract.NotRun || time.Since(started) != 0 {
+			t.Errorf("after %s: %+v", time.Since(started), p.Problem)
+		}
+	})
+}
+
 func (w *world) takeOut() {
 	doc := w.doc
 	doc.DataCentres = map[string]settings.DataCentre{"": {Out: true}}
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -44,6 +44,8 @@
 	pools  map[string][]*peer
 	byAddr map[string]*peer
 	listOK bool
+	// linkUp is closed and replaced when a link comes up.
+	linkUp chan struct{}
 }
 
 func newFleet(o *Options, m *metrics) *fleet {
@@ -54,6 +56,8 @@
 		table: membership.NewTable(),
 		dials: rate.NewLimiter(redialsPerSecond, redialBurst),
 		peers: make(map[string]*peer),
+
+		linkUp: make(chan struct{}),
 	}
 }
 
@@ -164,6 +168,7 @@
 	name := p.instance.Name
 	f.table.Up(name)
 	p.set(l)
+	f.announce()
 	f.m.links.Inc()
 	leaving := l.Leaving()
 	for open := true; open; {
@@ -185,6 +190,21 @@
 	f.table.Down(name, time.Now().Add(suspectedFor))
 }
 
+// announce wakes those who wait for a link.
+func (f *fleet) announce() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.linkUp)
+	f.linkUp = make(chan struct{})
+}
+
+// nextLink returns a channel that is closed when the next link comes up.
+func (f *fleet) nextLink() <-chan struct{} {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.linkUp
+}
+
 // pool returns the peers of a pool.
 func (f *fleet) pool(name string) []*peer {
 	f.mu.RLock()
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -56,7 +56,7 @@
 // sendHedge starts the second attempt if another endpoint and the budget allow.
 func (s *stageRun) sendHedge(ctx context.Context, first *peer, results chan<- link.RunResult) bool {
 	s.tried[first.instance.Name] = true
-	other, refused := s.pick()
+	other, refused := s.pick(ctx)
 	budget := s.e.budgets.of(s.stage.Pool)
 	if refused != nil || !budget.Spend() {
 		delete(s.tried, first.instance.Name)
--- a/entry/once.go
+++ b/entry/once.go
@@ -69,8 +69,10 @@
 	}
 	var peers []*peer
 	tried := make(map[string]bool)
+	ctx, cancel := context.WithTimeout(s.f.ctx, s.budget)
+	defer cancel()
 	for range onceCandidates {
-		ps, candidates := s.e.eligible(s.stage.Pool, s.stage.Model, tried)
+		ps, candidates := s.e.awaitEligible(ctx, s.stage.Pool, s.stage.Model, tried)
 		if len(candidates) == 0 {
 			break
 		}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/platform"
@@ -19,6 +20,7 @@
 	changed chan struct{} // closed and replaced when link changes
 	leaving bool
 	retired bool // no longer wanted: closes when idle
+	lostAt  time.Time
 	own     int
 	since   int
 	load    link.Load
@@ -33,6 +35,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.link = l
+	if l == nil {
+		p.lostAt = time.Now()
+	}
 	if l != nil {
 		p.leaving = false
 		p.load = l.Load()
@@ -90,6 +95,17 @@
 	}, true
 }
 
+// hope returns until when a link that was lost a moment ago may still come
+// back; zero when there is nothing to wait for.
+func (p *peer) hope(bound time.Duration) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link != nil || p.leaving || p.retired || p.lostAt.IsZero() {
+		return time.Time{}
+	}
+	return p.lostAt.Add(bound)
+}
+
 // begin counts a call in flight and returns the link for it, or nil.
 func (p *peer) begin() Link {
 	p.mu.Lock()
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -32,6 +32,7 @@
 	span    trace.Span
 	report  StageReport
 	tried   map[string]bool
+	spared  map[string]bool // had their one more chance
 	input   pipeline.Input
 	tokens  *tokenBuffer
 	// boot is the agent boot that a claimed call is meant for.
@@ -49,6 +50,7 @@
 		started: time.Now(),
 		report:  StageReport{Stage: st.Name, Kind: st.Kind, Run: contract.NotRun},
 		tried:   make(map[string]bool),
+		spared:  make(map[string]bool),
 		input:   stageInput(st, r.req.Body, r.maxTokens(st), &r.carry),
 		tokens:  newTokenBuffer(),
 	}
@@ -111,7 +113,7 @@
 	budget.Earn(s.set.RetryPercent)
 	kind := "first"
 	for {
-		p, refused := s.pick()
+		p, refused := s.pick(ctx)
 		if refused != nil {
 			return s.lastOr(*refused)
 		}
@@ -119,7 +121,7 @@
 		if res.Code == "" || ctx.Err() != nil || !retryable(res.Code) {
 			return res
 		}
-		s.tried[p.instance.Name] = true
+		s.exclude(p, res)
 		s.note(func(r *StageReport) { r.Code, r.Run = res.Code, r.Run.Worse(res.Run) })
 		if kind = s.nextKind(res, budget); kind == "" {
 			return res
@@ -144,6 +146,18 @@
 	return "retry"
 }
 
+// exclude keeps a stage from an endpoint that failed it. Where only the link
+// failed and the attempt never ran, the endpoint gets one more chance: it may
+// be the only one of its pool.
+func (s *stageRun) exclude(p *peer, res link.RunResult) {
+	name := p.instance.Name
+	if linkFailed := res.Code == contract.CodeNoEndpoint && res.Run == contract.NotRun; linkFailed && !s.spared[name] {
+		s.spared[name] = true
+		return
+	}
+	s.tried[name] = true
+}
+
 // lastOr keeps the code of the last attempt when no further endpoint is left,
 // since it tells more than the lack of another.
 func (s *stageRun) lastOr(refused link.RunResult) link.RunResult {
@@ -162,14 +176,14 @@
 func suspectDigest(digest, stage string) string { return digest + "/" + stage }
 
 // pick chooses an endpoint that has not been tried.
-func (s *stageRun) pick() (*peer, *link.RunResult) {
+func (s *stageRun) pick(ctx context.Context) (*peer, *link.RunResult) {
 	if verdict, d := s.e.o.Suspects.Verdict(s.suspectDigest()); verdict == suspect.Refused {
 		return nil, &link.RunResult{
 			Run: contract.NotRun, Code: contract.CodeSuspectRequest,
 			Detail: "the request crashed endpoints", RetryAfterMS: d.Milliseconds(),
 		}
 	}
-	peers, candidates := s.e.eligible(s.stage.Pool, s.stage.Model, s.tried)
+	peers, candidates := s.e.awaitEligible(ctx, s.stage.Pool, s.stage.Model, s.tried)
 	if len(candidates) == 0 {
 		return nil, &link.RunResult{
 			Run: contract.NotRun, Code: contract.CodeNoEndpoint,
@@ -210,35 +224,3 @@
 	}
 	return false
 }
-
-// serves reports whether the endpoint serves the model, as far as is known.
-func serves(c Candidate, model string) bool {
-	return model == "" || c.Load.Model == "" || c.Load.Model == model
-}
-
-// eligible returns the peers of a pool that may get new work, beside their
-// candidates. Agents that lost a link a moment ago come in only when no other is left.
-func (e *Entry) eligible(pool, model string, tried map[string]bool) ([]*peer, []Candidate) {
-	now := time.Now()
-	snap := e.o.Settings.Current()
-	var peers, doubtful []*peer
-	var candidates, doubtfulCandidates []Candidate
-	for _, p := range e.fleet.pool(pool) {
-		if tried[p.instance.Name] || snap.Out(p.instance.DataCentre) {
-			continue
-		}
-		c, ok := p.candidate(e.o.DataCentre)
-		if !ok || !serves(c, model) {
-			continue
-		}
-		if e.fleet.table.Suspected(p.instance.Name, now) {
-			doubtful, doubtfulCandidates = append(doubtful, p), append(doubtfulCandidates, c)
-			continue
-		}
-		peers, candidates = append(peers, p), append(candidates, c)
-	}
-	if len(peers) == 0 {
-		return doubtful, doubtfulCandidates
-	}
-	return peers, candidates
-}
