--- a/claim/shard.go
+++ b/claim/shard.go
@@ -32,7 +32,7 @@
 
 	// updatedAt is when the last update began.
 	updatedAt time.Time
-	head *head
+	head      *head
 	// readAt is when the call was sent that showed head to be current.
 	readAt time.Time
 	// clockAt is up to when head's clock accounts for this writer's time.
--- a/itest/fleet_test.go
+++ b/itest/fleet_test.go
@@ -108,10 +108,10 @@
 }
 
 // entry starts an entry; await waits until it answers.
-func (f *fleet) entry(name string) *process {
+func (f *fleet) entry(name string, flags ...string) *process {
 	f.t.Helper()
-	return f.start(name, "azurelead-entry", "--name", name, "--data-centre", "north",
-		"--platform", "http://"+f.platform, "--listen", "127.0.0.1:0", "--operators", "127.0.0.1:0", "--plain")
+	return f.start(name, "azurelead-entry", append([]string{"--name", name, "--data-centre", "north",
+		"--platform", "http://" + f.platform, "--listen", "127.0.0.1:0", "--operators", "127.0.0.1:0", "--plain"}, flags...)...)
 }
 
 // await waits until the entry answers a request of the pipeline.
