Run the scenarios anew when a daemon's source has changed

Cause: the programs are built by a child process, which the go command's cache of test results does not see. With a changed entry, go test ./itest answered 'ok (cached)'.

Change: each test looks at all sources of the module before it starts a process.

Seen now: with the traceparent cut from the call over the link, TestEachHopHasItsSpan fails ('spans: , want agent answer < ...'); restored, it passes; unchanged, it is cached.

--- a/itest/process_test.go
+++ b/itest/process_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -24,6 +26,21 @@
 	os.Exit(runWithPrograms(m))
 }
 
+// noteSources looks at every source file of the module. The programs are built
+// by a child process, which the go command's cache of test results does not
+// see; a file that was looked at in a test and has changed since makes it run anew.
+var noteSources = sync.OnceValue(func() error {
+	return filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return err
+		}
+		if name := d.Name(); strings.HasSuffix(name, ".go") || name == "go.mod" || strings.HasSuffix(name, ".yaml") {
+			_, err = os.Stat(path)
+		}
+		return err
+	})
+})
+
 func runWithPrograms(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "azurelead-itest")
 	if err != nil {
@@ -53,6 +70,9 @@
 
 // startProcess runs a program and returns once it listens.
 func startProcess(name, program string, args ...string) (*process, error) {
+	if err := noteSources(); err != nil {
+		return nil, err
+	}
 	p := &process{name: name, cmd: exec.Command(filepath.Join(binDir, program), args...), done: make(chan struct{})}
 	p.cmd.Stderr = &p.stderr
 	stdout, err := p.cmd.StdoutPipe()
