Push what changed, ping quiet links every 10 s; entry and its daemon gain Tell

Ruled out: a slower ping without a push, which leaves settings and the state of endpoints 10 s behind on each hop. Change: followers push a new version over their links at once (OnChange), agents push their endpoint's state; pings go by the time since the last news of the peer, not since the last byte; idle bound 30 s, below the tombstones' 2 minutes.

--- a/agent/node.go
+++ b/agent/node.go
@@ -74,6 +74,9 @@
 	return n.server.Load().Ask(ctx, have)
 }
 
+// Tell passes load, settings version and marks on to all peers at once.
+func (n *Node) Tell() { n.server.Load().Spread() }
+
 // Leave refuses new work for good and tells all peers.
 func (n *Node) Leave() {
 	n.onLeave()
--- a/agent/probe.go
+++ b/agent/probe.go
@@ -58,10 +58,10 @@
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		a.endpointDied()
 	}
-	wasDown := a.admission.isDown()
+	before := a.Load().Limit
 	a.admission.health(h, err)
 	a.noteCold()
-	if wasDown && err == nil {
+	if after := a.Load().Limit; (before == 0) != (after == 0) {
 		a.o.OnState()
 	}
 	if (err != nil) != failed {
--- a/agentdaemon/daemon.go
+++ b/agentdaemon/daemon.go
@@ -132,7 +132,8 @@
 		Ask: func(ctx context.Context, have settings.Version) (link.SettingsResult, error) {
 			return d.node.Ask(ctx, have)
 		},
-		Logger: d.logger, Registerer: d.registry,
+		OnChange: func() { d.node.Tell() },
+		Logger:   d.logger, Registerer: d.registry,
 	})
 	return nil
 }
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -107,6 +107,15 @@
 	return l.Call(ctx, method, params, result)
 }
 
+// Tell passes the settings version on to all linked agents at once.
+func (e *Entry) Tell() {
+	for _, l := range e.fleet.links() {
+		if t, ok := l.(interface{ Tell() }); ok {
+			t.Tell()
+		}
+	}
+}
+
 // AskSettings asks some linked agent for the settings changes above have. It
 // is a settings.Fetch.
 func (e *Entry) AskSettings(ctx context.Context, have link.Version) (link.SettingsResult, error) {
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -215,6 +215,19 @@
 	return p.current()
 }
 
+// links returns all links that are up.
+func (f *fleet) links() []Link {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var out []Link
+	for _, p := range f.peers {
+		if l := p.current(); l != nil {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
 // any returns some link that is up, or nil.
 func (f *fleet) any() Link {
 	f.mu.RLock()
--- a/link/client.go
+++ b/link/client.go
@@ -27,6 +27,8 @@
 	settings    atomic.Uint64
 	fetching    atomic.Bool
 	outstanding atomic.Int64
+	// news counts the messages that told the peer's state.
+	news atomic.Uint64
 
 	leaving     chan struct{}
 	leavingOnce sync.Once
@@ -131,6 +133,7 @@
 
 // heard takes in what came with a reply.
 func (c *Client) heard(l Load, v Version, marks []Suspect) {
+	c.news.Add(1)
 	c.load.Store(&l)
 	if l.Leaving {
 		c.sayLeaving()
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -256,37 +255,32 @@
 	}
 }
 
-// The watch must not take a busy or idle link for a silent one.
+// The watch must not take a busy or idle link for a silent one, and must hear
+// of the peer's state whatever else the link carries. Ticks: "b" brought bytes
+// and news, "r" bytes alone, "." nothing; "B", "R" and "-" with a call outstanding.
 func TestSilenceVerdicts(t *testing.T) {
-	const bytes, none = true, false
-	type tick struct {
-		bytes, outstanding bool
-	}
-	for name, tc := range map[string]struct {
-		ticks []tick
-		want  []verdict
-	}{
-		"answered":       {[]tick{{bytes, true}, {none, true}, {bytes, true}}, []verdict{verdictKeep, verdictKeep, verdictKeep}},
-		"idle is pinged": {[]tick{{none, false}, {none, false}, {none, false}}, []verdict{verdictKeep, verdictKeep, verdictPing}},
-		"silent": {
-			slices.Repeat([]tick{{none, true}}, 12),
-			slices.Concat([]verdict{verdictKeep, verdictPing, verdictKeep}, slices.Repeat([]verdict{verdictProbe}, 8), []verdict{verdictDrop}),
-		},
-		"idle time is not silence": {
-			[]tick{{none, false}, {none, false}, {none, true}, {none, true}},
-			[]verdict{verdictKeep, verdictKeep, verdictKeep, verdictPing},
-		},
+	letters := map[verdict]byte{verdictKeep: 'k', verdictPing: 'p', verdictProbe: 'n', verdictDrop: 'd'}
+	for name, tc := range map[string]struct{ ticks, want string }{
+		"answered":                 {"B-B-B", "kkkkk"},
+		"idle is pinged":           {"b...b...", "kkkpkkkp"},
+		"questions are no news":    {"brrrrrr", "kkkpkkp"},
+		"a long stream is pinged":  {"BRRRRRR", "kkkpkkp"},
+		"silent":                   {"B" + strings.Repeat("-", 12), "kkpknnnnnnnnd"},
+		"idle time is not silence": {"b..--B", "kkkppk"},
 	} {
 		s := newSilence(400*time.Millisecond, 300*time.Millisecond)
-		var got []verdict
-		reads := uint64(0)
+		var got []byte
+		var reads, news uint64
 		for _, k := range tc.ticks {
-			if k.bytes {
+			if strings.ContainsRune("bBrR", k) {
 				reads++
 			}
-			got = append(got, s.step(reads, k.outstanding))
+			if strings.ContainsRune("bB", k) {
+				news++
+			}
+			got = append(got, letters[s.step(reads, news, strings.ContainsRune("BR-", k))])
 		}
-		if diff := cmp.Diff(tc.want, got); diff != "" {
+		if diff := cmp.Diff(tc.want, string(got)); diff != "" {
 			t.Errorf("%s: %s", name, diff)
 		}
 	}
--- a/link/options.go
+++ b/link/options.go
@@ -24,7 +24,12 @@
 
 // Defaults of links.
 const (
-	DefaultPingInterval  = 2 * time.Second
+	// DefaultPingInterval is long, since what has to be heard at once is pushed;
+	// it bounds how old the load of a quiet agent may be.
+	DefaultPingInterval = 10 * time.Second
+	// DefaultIdleBound also bounds how long a message can be under way on a link,
+	// which agents' tombstones have to outlast.
+	DefaultIdleBound     = 3 * DefaultPingInterval
 	DefaultSilenceBound  = 500 * time.Millisecond
 	DefaultDialTimeout   = time.Second
 	DefaultWriteTimeout  = 2 * time.Second
@@ -132,13 +137,10 @@
 	Metrics         *Metrics
 }
 
-// defaultIdleBound is several ping intervals.
-const defaultIdleBound = 10 * DefaultPingInterval
-
 func (o *ServerOptions) setDefaults() {
 	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&o.FlushInterval, DefaultFlushInterval)
-	setDefault(&o.IdleBound, defaultIdleBound)
+	setDefault(&o.IdleBound, DefaultIdleBound)
 	setDefault(&o.MaxFrameBytes, DefaultMaxFrameBytes)
 	setDefault(&o.MaxPendingBytes, DefaultMaxPendingBytes)
 	if o.Gossip == nil {
--- a/link/silence.go
+++ b/link/silence.go
@@ -31,9 +31,10 @@
 type silence struct {
 	pingTicks int
 	reads     uint64
-	// idle and silent count ticks without a byte, without and with an
-	// outstanding call.
-	idle, silent int
+	news      uint64
+	// deaf counts ticks without news of the peer, silent those without a byte
+	// while a call is outstanding.
+	deaf, silent int
 }
 
 func newSilence(bound, ping time.Duration) *silence {
@@ -41,30 +42,26 @@
 	return &silence{pingTicks: max(int(ping/tick), 1)}
 }
 
-// step takes what was seen since the last tick: whether bytes came, and
-// whether a call is outstanding. After one bound a new link is tried against
-// the silent one.
-func (s *silence) step(reads uint64, outstanding bool) verdict {
-	if reads != s.reads {
-		s.reads, s.idle, s.silent = reads, 0, 0
-		return verdictKeep
-	}
-	if !outstanding {
-		s.silent = 0
-		s.idle++
-		if s.idle < s.pingTicks {
-			return verdictKeep
-		}
-		s.idle = 0
-		return verdictPing
+// step takes what was seen since the last tick: reads that brought bytes,
+// messages that told the peer's state, and whether a call is outstanding. After
+// one bound of silence a new link is tried against the silent one. Bytes alone
+// do not put a ping off: the peer's own questions tell nothing of its state.
+func (s *silence) step(reads, news uint64, outstanding bool) verdict {
+	s.deaf++
+	if news != s.news {
+		s.news, s.deaf = news, 0
 	}
 	s.silent++
+	if reads != s.reads || !outstanding {
+		s.reads, s.silent = reads, 0
+	}
 	switch {
 	case s.silent >= dropBounds*silenceTicks:
 		return verdictDrop
 	case s.silent >= silenceTicks:
 		return verdictProbe
-	case s.silent == silenceTicks/2:
+	case s.silent == silenceTicks/2, s.deaf >= s.pingTicks:
+		s.deaf = 0
 		return verdictPing
 	}
 	return verdictKeep
@@ -88,7 +85,7 @@
 				return
 			}
 		case <-t.C:
-			switch s.step(c.s.reads.Load(), c.outstanding.Load() > 0) {
+			switch s.step(c.s.reads.Load(), c.news.Load(), c.outstanding.Load() > 0) {
 			case verdictPing:
 				c.wg.Go(c.ping)
 			case verdictProbe:
@@ -111,6 +108,9 @@
 	c.s.fail(err)
 }
 
+// Tell passes settings version and marks on to the peer at once.
+func (c *Client) Tell() { go c.ping() }
+
 // ping carries what spreads by word of mouth.
 func (c *Client) ping() {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*c.o.SilenceBound)
