--- a/itest/once_test.go
+++ b/itest/once_test.go
@@ -234,12 +234,11 @@
 		signalAll(syscall.SIGSTOP, allAgents)(s)
 		time.AfterFunc(2*time.Second, func() { signalAll(syscall.SIGCONT, allAgents)(s) })
 	}, func(*site) {}},
-	{"agents killed", func(s *site) {
-		for _, a := range s.agents {
-			a.kill()
-		}
-		s.restartAgents()
-	}, func(*site) {}},
+	{"agents killed", killAgents, func(*site) {}},
+	{"entry and agents killed", func(s *site) {
+		s.entries[0].kill()
+		killAgents(s)
+	}, func(s *site) { s.entries[0] = s.addEntry("entry1") }},
 	{"links cut", func(s *site) {
 		for _, p := range s.proxies {
 			_ = p.apply("cut")
@@ -257,6 +256,14 @@
 		func(s *site) { s.platformFaults(platform.Faults{Delay: platformDelay}) }},
 }
 
+// killAgents kills all agents and starts their successors, which remember nothing.
+func killAgents(s *site) {
+	for _, a := range s.agents {
+		a.kill()
+	}
+	s.restartAgents()
+}
+
 // restartAgents starts all agents anew at new addresses behind their proxies.
 func (s *site) restartAgents() {
 	for i, in := range s.instances {
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -99,7 +99,9 @@
 	if err != nil {
 		panic(err) // the capacity is positive
 	}
-	return &Table{o: o, m: newMetrics(o.Metrics), marks: marks}
+	t := &Table{o: o, marks: marks}
+	t.m = newMetrics(o.Metrics, t)
+	return t
 }
 
 // Verdict returns what may be done with the request and how much longer that stands.
@@ -218,7 +220,6 @@
 	if t.marks.Len() > t.o.Capacity {
 		t.evict()
 	}
-	t.m.marks.Set(float64(t.marks.Len()))
 }
 
 // evict drops the oldest mark that proves nothing, so that the neighbours of
@@ -241,5 +242,4 @@
 			t.marks.Remove(d)
 		}
 	}
-	t.m.marks.Set(float64(t.marks.Len()))
 }
