--- a/entry/run.go
+++ b/entry/run.go
@@ -108,18 +108,17 @@
 func (r *run) key(st settings.Stage) stageKey {
 	k := stageKey{pipeline: r.req.PipelineName, stage: st.Name}
 	if st.Kind == pipeline.Generate {
-		k.size = bits.Len(uint(r.maxTokens(st)))
+		k.size = bits.Len(uint(r.maxTokens(r.snap.Request(r.req.Organisation, r.req.PipelineName, st.Name))))
 	}
 	return k
 }
 
 // maxTokens bounds the tokens of a generate stage.
-func (r *run) maxTokens(st settings.Stage) int {
-	n := r.snap.Request(r.req.Organisation, r.req.PipelineName, st.Name).MaxTokens
+func (r *run) maxTokens(set settings.RequestSettings) int {
 	if r.req.Body.MaxTokens > 0 {
-		n = min(n, r.req.Body.MaxTokens)
+		return min(set.MaxTokens, r.req.Body.MaxTokens)
 	}
-	return n
+	return set.MaxTokens
 }
 
 // plan splits what is left between the stages from i on, and refuses what
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -51,7 +51,7 @@
 		report:  StageReport{Stage: st.Name, Kind: st.Kind, Run: contract.NotRun},
 		tried:   make(map[string]bool),
 		spared:  make(map[string]bool),
-		input:   stageInput(st, r.req.Body, r.maxTokens(st), &r.carry),
+		input:   stageInput(st, r.req.Body, r.maxTokens(set), &r.carry),
 		tokens:  newTokenBuffer(),
 	}
 	if st.Kind == pipeline.Generate && lastGenerate(r.req.Pipeline) == i {
