Read the list of instances only when it has changed

Ruled out: a list of our own in the object API (another copy to keep true); longer intervals (an entry would hear of new agents later).

--- a/agent/listed.go
+++ b/agent/listed.go
@@ -16,20 +16,18 @@
 // FollowList calls leave once the platform's list says that the instance of
 // the name is leaving, and returns then or when ctx ends. The list lags and may
 // be down; the agent serves on meanwhile.
-func FollowList(ctx context.Context, d platform.Directory, name string, every time.Duration, l *slog.Logger, leave func()) {
+func FollowList(ctx context.Context, d platform.InstanceReader, name string, every time.Duration, l *slog.Logger, leave func()) {
 	setDefault(&every, DefaultListInterval)
 	t := time.NewTicker(every)
 	defer t.Stop()
 	for {
-		instances, err := d.Instances(ctx)
+		i, err := d.Instance(ctx, name)
 		if err != nil {
-			l.Debug("list of instances not read", "error", err)
+			l.Debug("own instance not read from the list", "error", err)
 		}
-		for _, i := range instances {
-			if i.Name == name && i.State == platform.Leaving {
-				leave()
-				return
-			}
+		if err == nil && i.State == platform.Leaving {
+			leave()
+			return
 		}
 		select {
 		case <-ctx.Done():
--- a/agentdaemon/daemon.go
+++ b/agentdaemon/daemon.go
@@ -71,7 +71,9 @@
 	engine  *endpoint.Engine
 	carrier *order.Carrier
 	doer    *order.Doer
-	links   *order.Links
+	// candidates belongs to the goroutine of runOrders.
+	candidates candidates
+	links      *order.Links
 
 	listener  net.Listener
 	operators net.Listener
--- a/agentdaemon/orders.go
+++ b/agentdaemon/orders.go
@@ -28,6 +28,9 @@
 	orderCallTimeout = 2 * time.Second
 	// orderTimeout bounds one order with its drain and load.
 	orderTimeout = 10 * time.Minute
+	// candidatesAge is how long the choice of candidates stands, since every
+	// agent of an engine reads the platform's list for it.
+	candidatesAge = 30 * time.Second
 	// doerCandidates is how many agents try for the lease, so that the calls
 	// to the store do not grow with the fleet.
 	doerCandidates = 3
@@ -88,11 +91,32 @@
 	if !d.hasWishes() {
 		return false
 	}
+	if time.Since(d.candidates.readAt) > candidatesAge || !d.candidates.listed {
+		d.readCandidates(ctx)
+	}
+	return slices.Contains(d.candidates.names, d.c.Name)
+}
+
+// candidates are the agents that try for the lease, as last read.
+type candidates struct {
+	names []string
+	// listed is set once the list contains this instance.
+	listed bool
+	readAt time.Time
+}
+
+// readCandidates keeps the former candidates while the list cannot be read: a
+// holder goes on while its term stands.
+func (d *Daemon) readCandidates(ctx context.Context) {
 	list, err := d.platform.Instances(ctx)
 	if err != nil {
-		return d.doer.Holding() // a holder goes on while its term stands
+		return
+	}
+	d.candidates = candidates{
+		names:  doers(list),
+		listed: slices.ContainsFunc(list, func(i platform.Instance) bool { return i.Name == d.c.Name }),
+		readAt: time.Now(),
 	}
-	return slices.Contains(doers(list), d.c.Name)
 }
 
 func (d *Daemon) hasWishes() bool {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -119,8 +119,17 @@
 }
 
 func (p *Platform) instances(w http.ResponseWriter, r *http.Request) {
+	if name := r.URL.Query().Get(platform.ParamName); name != "" {
+		found, err := p.memory.Instance(r.Context(), name)
+		p.answer(w, platform.InstancesAnswer{Instances: []platform.Instance{found}}, err)
+		return
+	}
 	found, err := p.memory.Instances(r.Context())
-	p.answer(w, platform.InstancesAnswer{Instances: found}, err)
+	if err != nil {
+		p.answer(w, nil, err)
+		return
+	}
+	writeTagged(w, r, platform.InstancesAnswer{Instances: found})
 }
 
 // answer tells of a call's outcome; a lost answer drops the connection.
