--- a/itest/fleet_test.go
+++ b/itest/fleet_test.go
@@ -43,13 +43,19 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	apply := exec.Command(filepath.Join(binDir, "azurelead"), "settings", "apply", "--platform", "http://"+f.platform, "--file", file)
-	if out, err := apply.CombinedOutput(); err != nil {
-		t.Fatalf("settings: %v\n%s", err, out)
-	}
+	f.operate("settings", "apply", "--file", file)
 	return f
 }
 
+// operate runs a command of the operators.
+func (f *fleet) operate(args ...string) {
+	f.t.Helper()
+	c := exec.Command(filepath.Join(binDir, "azurelead"), append(args, "--platform", "http://"+f.platform)...)
+	if out, err := c.CombinedOutput(); err != nil {
+		f.t.Fatalf("%v: %v\n%s", args, err, out)
+	}
+}
+
 func (f *fleet) start(name, program string, args ...string) *process {
 	f.t.Helper()
 	p, err := startProcess(name, program, args...)
--- a/itest/holds_test.go
+++ b/itest/holds_test.go
@@ -412,3 +412,54 @@
 		t.Errorf("after a restart the cold endpoint ran %v at once and crashed %v times more, declared limit 3", peak, crashes-1)
 	}
 }
+
+// Point 3, at the agent: what lay in a frozen agent's buffers while its data
+// centre was taken out must not run when it wakes. The endpoint counts.
+func TestThawedAgentRunsNothingOld(t *testing.T) {
+	f := newFleet(t, statusSettings)
+	stock := f.start("stock", "azurelead-standin", "service").addr
+	agent := f.agent("s1", "stock", pipeline.Service, stock)
+	l, err := link.Dial(context.Background(), agent.addr, link.ClientOptions{SilenceBound: patience})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	run := func() link.RunResult {
+		p := link.RunParams{Attempt: contract.NewAttemptID(), BudgetUS: patience.Microseconds(), Repeatable: true}
+		p.Input = pipeline.Input{Operation: "status", Body: json.RawMessage(`{"reference":"x"}`)}
+		r, err := l.Run(context.Background(), p, nil)
+		if err != nil {
+			t.Error(err)
+		}
+		return r
+	}
+	if err := eventually(func() error {
+		if r := run(); r.Run != contract.Ran {
+			return fmt.Errorf("before: %+v", r)
+		}
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	before := f.stat(stock, "attempts.total")
+	if err := agent.signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	f.operate("datacentre", "out", "north")
+	results := make(chan link.RunResult, 20)
+	for range cap(results) {
+		go func() { results <- run() }()
+	}
+	time.Sleep(2 * time.Second)
+	if err := agent.signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	for range cap(results) {
+		if r := <-results; r.Run != contract.NotRun {
+			t.Errorf("read after the pause: %s %s", r.Run, r.Code)
+		}
+	}
+	if after := f.stat(stock, "attempts.total"); after != before {
+		t.Errorf("the endpoint ran %v old calls", after-before)
+	}
+}
--- a/link/options.go
+++ b/link/options.go
@@ -73,7 +73,9 @@
 func (NoGossip) Saw(Version, func(context.Context, Version) (SettingsResult, error)) {}
 
 // Changes implements Gossip.
-func (NoGossip) Changes(Version) (SettingsResult, error) { return SettingsResult{}, nil }
+func (NoGossip) Changes(Version) (SettingsResult, error) {
+	return SettingsResult{AgeMS: -1}, nil // it confirms nothing
+}
 
 // Suspects implements Gossip.
 func (NoGossip) Suspects() []Suspect { return nil }
