--- a/agent/run.go
+++ b/agent/run.go
@@ -188,15 +188,7 @@
 		return
 	}
 	a.endpointDied()
-	var digests []string
-	if t.strike() {
-		digests = append(digests, t.digest)
-	}
-	for _, other := range a.attempts.list() {
-		if other != t && other.wasHanded() && other.strike() {
-			digests = append(digests, other.digest)
-		}
-	}
+	digests := a.blame(t)
 	if len(digests) > 0 {
 		a.metrics.crashes.Inc()
 		a.o.Logger.Warn("endpoint crashed", "endpoint", a.o.EndpointName, "in_flight", len(digests))
@@ -205,6 +197,24 @@
 	}
 }
 
+// blame returns what was in flight at the crash that ended t, or nothing if it
+// was blamed before. Calls that end together take turns, so that none of them
+// is blamed as if it had been alone.
+func (a *Agent) blame(t *attempt) []string {
+	a.blaming.Lock()
+	defer a.blaming.Unlock()
+	if !t.strike() {
+		return nil
+	}
+	digests := []string{t.digest}
+	for _, other := range a.attempts.list() {
+		if other != t && other.wasHanded() && other.strike() {
+			digests = append(digests, other.digest)
+		}
+	}
+	return digests
+}
+
 // neverReached reports whether the endpoint could not be reached for the call.
 func neverReached(res endpoint.Result) bool {
 	p := res.Problem
