--- a/itest/holds_test.go
+++ b/itest/holds_test.go
@@ -41,6 +41,37 @@
 	return entry.Body{Action: raw}
 }
 
+// dialAgent opens a link that takes nothing for silence.
+func dialAgent(t *testing.T, addr string) *link.Client {
+	t.Helper()
+	l, err := link.Dial(context.Background(), addr, link.ClientOptions{SilenceBound: patience})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// runStatus runs one fresh attempt of a service call.
+func runStatus(l *link.Client) (link.RunResult, error) {
+	p := link.RunParams{Attempt: contract.NewAttemptID(), BudgetUS: patience.Microseconds(), Repeatable: true}
+	p.Input = pipeline.Input{Operation: "status", Body: json.RawMessage(`{"reference":"x"}`)}
+	return l.Run(context.Background(), p, nil)
+}
+
+// wire lists an agent behind a fault-injecting proxy.
+func (f *fleet) wire(i platform.Instance, agent *process) *faultProxy {
+	f.t.Helper()
+	w, err := newProxy(i.Name+"-"+f.t.Name(), agent.addr)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(w.close)
+	i.Agent, i.State = w.proxy.Listen, platform.Live
+	f.list(i)
+	return w
+}
+
 // Point 2: bursts through two entries, and over links to an agent that takes a
 // frozen one's place while its calls still run, never bring a cold endpoint
 // above its declared limit. The endpoint itself counts, and crashes above it.
@@ -69,16 +100,10 @@
 	f.awaitStat(stock, "in_flight", "3")
 	next := f.agent("s1", "stock", pipeline.Service, stock)
 	for range 2 {
-		l, err := link.Dial(context.Background(), next.addr, link.ClientOptions{SilenceBound: patience})
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
+		l := dialAgent(t, next.addr)
 		for range 6 {
 			wg.Go(func() {
-				p := link.RunParams{Attempt: contract.NewAttemptID(), BudgetUS: patience.Microseconds(), Repeatable: true}
-				p.Input = pipeline.Input{Operation: "status", Body: json.RawMessage(`{}`)}
-				if r, err := l.Run(context.Background(), p, nil); err == nil && r.Run == contract.Ran {
+				if r, err := runStatus(l); err == nil && r.Run == contract.Ran {
 					answered.Add(1)
 				}
 			})
@@ -100,23 +125,9 @@
 	f := newFleet(t, statusSettings)
 	stock := f.start("stock", "azurelead-standin", "service").addr
 	agent := f.agent("s1", "stock", pipeline.Service, stock)
-	slow, err := newProxy("slow-"+t.Name(), agent.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer slow.close()
+	slow := f.wire(f.instances[0], agent)
 	ctx := context.Background()
-	patient := link.ClientOptions{SilenceBound: patience}
-	late, err := link.Dial(ctx, slow.proxy.Listen, patient)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer late.Close()
-	direct, err := link.Dial(ctx, agent.addr, patient)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer direct.Close()
+	late, direct := dialAgent(t, slow.proxy.Listen), dialAgent(t, agent.addr)
 	if err := slow.apply("latency-up", "3000"); err != nil {
 		t.Fatal(err)
 	}
@@ -165,12 +176,7 @@
 	f := newFleet(t, chatSettings)
 	engine := f.start("engine", "azurelead-standin", "engine", "--step", "10ms", "--batch", "32").addr
 	agent := f.agent("e1", "engines", pipeline.Generate, engine)
-	wire, err := newProxy("wire-"+t.Name(), agent.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer wire.close()
-	f.list(platform.Instance{Name: "e1", Pool: "engines", Kind: pipeline.Generate, Agent: wire.proxy.Listen, State: platform.Live})
+	wire := f.wire(f.instances[0], agent)
 	e := f.entry("entry1")
 	f.await(e, "chat", entry.Body{Question: "warm", MaxTokens: 1})
 	var wg sync.WaitGroup
@@ -284,12 +290,7 @@
 	f := newFleet(t, statusSettings)
 	stock := f.start("stock", "azurelead-standin", "service", "--service-time", "5ms").addr
 	agent := f.agent("s1", "stock", pipeline.Service, stock)
-	wire, err := newProxy("wire-"+t.Name(), agent.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer wire.close()
-	f.list(platform.Instance{Name: "s1", Pool: "stock", Kind: pipeline.Service, Agent: wire.proxy.Listen, State: platform.Live})
+	wire := f.wire(f.instances[0], agent)
 	e := f.entry("entry1")
 	f.await(e, "status", action("await"))
 	var wg sync.WaitGroup
@@ -380,18 +381,12 @@
 	stock := f.start("stock", "azurelead-standin", "service", "--service-time", "20ms", "--down-for", "50ms",
 		"--cold-limit", "3", "--cold-answers", "30").addr
 	agent := f.agent("s1", "stock", pipeline.Service, stock, "--probe-interval", "5s", "--report-lag", "200ms")
-	l, err := link.Dial(context.Background(), agent.addr, link.ClientOptions{SilenceBound: patience})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
+	l := dialAgent(t, agent.addr)
 	burst := func(n int) {
 		var wg sync.WaitGroup
 		for range n {
 			wg.Go(func() {
-				p := link.RunParams{Attempt: contract.NewAttemptID(), BudgetUS: patience.Microseconds(), Repeatable: true}
-				p.Input = pipeline.Input{Operation: "status", Body: json.RawMessage(`{}`)}
-				if _, err := l.Run(context.Background(), p, nil); err != nil {
+				if _, err := runStatus(l); err != nil {
 					t.Error(err)
 				}
 			})
@@ -419,15 +414,9 @@
 	f := newFleet(t, statusSettings)
 	stock := f.start("stock", "azurelead-standin", "service").addr
 	agent := f.agent("s1", "stock", pipeline.Service, stock)
-	l, err := link.Dial(context.Background(), agent.addr, link.ClientOptions{SilenceBound: patience})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
+	l := dialAgent(t, agent.addr)
 	run := func() link.RunResult {
-		p := link.RunParams{Attempt: contract.NewAttemptID(), BudgetUS: patience.Microseconds(), Repeatable: true}
-		p.Input = pipeline.Input{Operation: "status", Body: json.RawMessage(`{"reference":"x"}`)}
-		r, err := l.Run(context.Background(), p, nil)
+		r, err := runStatus(l)
 		if err != nil {
 			t.Error(err)
 		}
