--- a/link/server.go
+++ b/link/server.go
@@ -40,7 +40,6 @@
 	h       Handler
 	o       ServerOptions
 	methods map[string]Method
-	workers *workers
 
 	mu       sync.Mutex
 	links    map[*serverLink]struct{}
@@ -58,7 +57,7 @@
 // NewServer returns a server for h.
 func NewServer(h Handler, o ServerOptions) *Server {
 	o.setDefaults()
-	return &Server{h: h, o: o, methods: map[string]Method{}, workers: newWorkers(), links: map[*serverLink]struct{}{}}
+	return &Server{h: h, o: o, methods: map[string]Method{}, links: map[*serverLink]struct{}{}}
 }
 
 // Handle adds a method. It must be called before Serve.
@@ -200,7 +199,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	s.workers.close()
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
--- a/link/server_link.go
+++ b/link/server_link.go
@@ -106,10 +106,10 @@
 	}
 	k.heard(p.Settings, marks)
 	k.srv.begin()
-	k.srv.workers.run(func() {
+	go func() {
 		defer k.srv.end()
 		k.reply(id, k.srv.h.Run(k.ctx, p, k.emitter(id, 0)))
-	})
+	}()
 	return nil
 }
 
