Keep "not run" true for callers who are answered before the run ends

Cause: a caller whose deadline passed while a claim was asked for was told "not run" from the stages so far, and the booking then ran for another caller with the same key, or in the moment before the run was cancelled.

Ruled out: waiting with the answer until the run is cancelled (an answer held back); telling everybody "may have run" (then nobody could come back simply).

Change: the last caller's answer seals the run, so that nothing is handed over after it; a caller who leaves others behind is told "may have run". A stage's state no longer falls back to "not run" for a moment between its last attempt and its end.

Measured: TestNotRunStaysTrueForJoinedCallers fails without the change (seen by mutation) and passes with it; go test -count=20 of entry, membership and entrydaemon passed before this change, once and with -race after it.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -47,8 +47,12 @@
 		return c.f.failure(), reports, results
 	default:
 	}
-	reports, results := c.f.snapshot()
-	return deadlineProblem(ctx, requestRun(c.req.Pipeline, reports)), reports, results
+	reports, results, final := c.f.giveUp()
+	run := requestRun(c.req.Pipeline, reports)
+	if !final {
+		run = run.Worse(contract.MayHaveRun) // the run goes on for others
+	}
+	return deadlineProblem(ctx, run), reports, results
 }
 
 // whole makes the answer; text is left out of streams.
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -260,6 +260,31 @@
 	})
 }
 
+// A caller whose deadline passes while the claim is asked for is not told "not
+// run" when another caller with the same key still waits for the booking.
+func TestNotRunStaysTrueForJoinedCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, nil)
+		w.claims.slow = 2 * time.Second
+		book := ask{pipeline: "book", body: booking, key: "job-7"}
+		var recs [2]*httptest.ResponseRecorder
+		var wg sync.WaitGroup
+		for i, deadline := range []string{"1000", "4000"} {
+			q := book
+			q.deadline = deadline
+			wg.Go(func() { recs[i] = w.post(t.Context(), q) })
+			synctest.Wait()
+		}
+		wg.Wait()
+		for _, rec := range recs {
+			checkBooking(t, rec, w.runs("service"))
+		}
+		if recs[1].Code != http.StatusOK {
+			t.Errorf("the second caller got %s", recs[1].Body)
+		}
+	})
+}
+
 // capacity limits how many calls an agent runs at once.
 func capacity(limit int, service time.Duration) func(context.Context, link.RunParams) link.RunResult {
 	slots := make(chan struct{}, limit)
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -211,11 +211,13 @@
 	mu       sync.Mutex
 	down     bool
 	noFinish bool
+	slow     time.Duration
 	held     map[string]claim.Request
 	done     map[string]claim.Outcome
 }
 
 func (f *fakeClaims) Acquire(_ context.Context, r claim.Request) (claim.Decision, error) {
+	time.Sleep(f.slow)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -21,6 +21,7 @@
 
 	mu       sync.Mutex
 	waiters  int
+	sealed   bool // its last caller was answered: nothing more is handed over
 	deadline time.Time
 	reports  []StageReport
 	results  []ServiceResult
@@ -94,6 +95,29 @@
 	f.reports[i] = r
 }
 
+// handOver records that stage i may run from now on. It reports false when the
+// last caller was answered before: what that answer says must stay true.
+func (f *flight) handOver(i int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.sealed {
+		return false
+	}
+	f.reports[i].Run = contract.MayHaveRun
+	return true
+}
+
+// giveUp returns the stages so far for a caller who is answered before the run
+// ends. For the last caller they are final; else others may have more run.
+func (f *flight) giveUp() (reports []StageReport, results []ServiceResult, final bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.waiters <= 1 {
+		f.sealed = true
+	}
+	return slices.Clone(f.reports), slices.Clone(f.results), f.sealed
+}
+
 func (f *flight) addResult(r ServiceResult) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -137,6 +161,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.sealed {
+		return nil
+	}
 	f.waiters++
 	if deadline.After(f.deadline) {
 		f.deadline = deadline
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -17,11 +17,13 @@
 // on another endpoint once the first has taken longer than most. The first
 // good answer wins and the other attempt is cancelled. Generate stages are not
 // hedged: their tokens are shown as they come.
-func (s *stageRun) tryHedged(ctx context.Context, p *peer, kind string) link.RunResult {
+func (s *stageRun) tryHedged(ctx context.Context, p *peer, kind string) (res link.RunResult) {
 	s.note(func(r *StageReport) { r.Attempts++; r.Endpoint = p.instance.Name })
 	settled := s.report.Run
-	s.note(func(r *StageReport) { r.Run = contract.MayHaveRun })
-	defer func() { s.note(func(r *StageReport) { r.Run = settled }) }()
+	if !s.handOver() {
+		return refused(contract.CodeCancelled, "the last caller was answered")
+	}
+	defer func() { s.note(func(r *StageReport) { r.Run = settled.Worse(res.Run) }) }()
 	wait := s.hedgeWait()
 	if wait == 0 || kind != "first" {
 		s.tokens.restart()
@@ -56,9 +58,9 @@
 // sendHedge starts the second attempt if another endpoint and the budget allow.
 func (s *stageRun) sendHedge(ctx context.Context, first *peer, results chan<- link.RunResult) bool {
 	s.tried[first.instance.Name] = true
-	other, refused := s.pick(ctx)
+	other, none := s.pick(ctx)
 	budget := s.e.budgets.of(s.stage.Pool)
-	if refused != nil || !budget.Spend() {
+	if none != nil || !budget.Spend() {
 		delete(s.tried, first.instance.Name)
 		return false
 	}
--- a/entry/once.go
+++ b/entry/once.go
@@ -28,13 +28,13 @@
 // it did not run. A call that was handed over goes on when its callers leave.
 func (s *stageRun) executeOnce() link.RunResult {
 	if s.e.o.Claims == nil {
-		return refusedOnce(contract.CodeClaimUnavailable, "this entry has no claim store")
+		return refused(contract.CodeClaimUnavailable, "this entry has no claim store")
 	}
 	for range claimTries {
 		peers, req := s.claimRequest()
 		d, err := s.acquire(req)
 		if err != nil {
-			return refusedOnce(contract.CodeClaimUnavailable, "the call could not be claimed")
+			return refused(contract.CodeClaimUnavailable, "the call could not be claimed")
 		}
 		switch d.State {
 		case claim.Granted:
@@ -42,7 +42,7 @@
 		case claim.Finished:
 			return s.replay(d.Outcome)
 		case claim.KeyReused:
-			return refusedOnce(contract.CodeKeyReused, "the idempotency key was used for another call")
+			return refused(contract.CodeKeyReused, "the idempotency key was used for another call")
 		}
 		res, again := s.settleHeld(req, d)
 		if !again {
@@ -94,10 +94,10 @@
 func (s *stageRun) runClaimed(req claim.Request, peers []*peer) link.RunResult {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.f.ctx), s.f.left()+onceGrace)
 	defer cancel()
-	res := refusedOnce(contract.CodeNoEndpoint, "pool "+s.stage.Pool+" has no endpoint for new work")
-	s.note(func(r *StageReport) { r.Run = contract.MayHaveRun })
+	res := refused(contract.CodeNoEndpoint, "pool "+s.stage.Pool+" has no endpoint for new work")
+	handed := s.handOver()
 	for i, p := range peers {
-		if s.f.ctx.Err() != nil {
+		if !handed || s.f.ctx.Err() != nil {
 			break
 		}
 		s.boot = req.Candidates[i].Boot
@@ -185,7 +185,7 @@
 		return unknownOutcome(contract.CodeOutcomeUnknown, "an earlier request with this key may have run"), false
 	}
 	if err := s.e.o.Claims.Release(ctx, held); err != nil {
-		return refusedOnce(contract.CodeClaimUnavailable, "the claim of an earlier call could not be freed"), false
+		return refused(contract.CodeClaimUnavailable, "the claim of an earlier call could not be freed"), false
 	}
 	return link.RunResult{}, true
 }
@@ -207,7 +207,7 @@
 	return l.Settle(ctx, link.SettleParams{Attempt: id, AgentBoot: c.Boot})
 }
 
-func refusedOnce(code contract.Code, detail string) link.RunResult {
+func refused(code contract.Code, detail string) link.RunResult {
 	return link.RunResult{Run: contract.NotRun, Code: code, Detail: detail}
 }
 
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -78,6 +78,16 @@
 	s.f.setReport(s.index, s.report)
 }
 
+// handOver marks the stage as one that may have run, before it is sent. It
+// reports false when nothing may be sent any more.
+func (s *stageRun) handOver() bool {
+	if !s.f.handOver(s.index) {
+		return false
+	}
+	s.report.Run = contract.MayHaveRun
+	return true
+}
+
 // execute runs the stage to its final result. A repeatable stage whose share
 // of the deadline ran out starts again if a caller with a later deadline has
 // joined meanwhile and its own share allows it.
