Bound what an entry reads of the list; link within the region

Cause: at the target's size a list of 1,480 instances (about 266 KB) every five seconds is 53 KB a second, where 2 KB a second are allowed for control; and each entry linked to all regions.

Ruled out: a fixed longer interval (a lost agent's successor would wait for it).

Change: the time between readings grows with the list, and is cut short when a link is lost; targets stay in the region where it serves the pool. An instance that the list has lost stays while its link is up (tested now).

Open: link pings of idle links (every two seconds each) exceed that budget too at size; their interval is the link package's and bound to the agent's idle bound.

--- a/entry/calls.go
+++ b/entry/calls.go
@@ -142,4 +142,6 @@
 
 // Entries returns the names of the entries that the platform lists in a data
 // centre.
-func (e *Entry) Entries(dataCentre string) []string { return e.fleet.table.Entries(dataCentre) }
+func (e *Entry) Entries(dataCentre string) []string {
+	return e.fleet.table.Entries(func(dc string) bool { return dc == dataCentre })
+}
--- /dev/null
+++ b/entry/fake_claims_test.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/azurelead/azurelead/claim"
+)
+
+// fakeClaims keeps claims in memory.
+type fakeClaims struct {
+	mu       sync.Mutex
+	down     bool
+	noFinish bool
+	slow     time.Duration
+	held     map[string]claim.Request
+	done     map[string]claim.Outcome
+}
+
+func (f *fakeClaims) Acquire(_ context.Context, r claim.Request) (claim.Decision, error) {
+	time.Sleep(f.slow)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return claim.Decision{}, claim.Unavailable.New("down")
+	}
+	k := r.Organisation + r.Key
+	h, ok := f.held[k]
+	switch o, finished := f.done[k]; {
+	case ok && h.Fingerprint != r.Fingerprint:
+		return claim.Decision{State: claim.KeyReused}, nil
+	case finished:
+		return claim.Decision{State: claim.Finished, Outcome: &o}, nil
+	case ok:
+		return claim.Decision{State: claim.Held, Attempt: h.Attempt, Candidates: h.Candidates}, nil
+	}
+	f.held[k] = r
+	return claim.Decision{State: claim.Granted, Attempt: r.Attempt}, nil
+}
+
+func (f *fakeClaims) Finish(_ context.Context, r claim.Request, o claim.Outcome) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.noFinish {
+		return claim.Unavailable.New("down")
+	}
+	f.done[r.Organisation+r.Key] = o
+	return nil
+}
+
+func (f *fakeClaims) Release(_ context.Context, r claim.Request) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k := r.Organisation + r.Key; f.held[k].Attempt == r.Attempt {
+		delete(f.held, k)
+	}
+	return nil
+}
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -26,6 +26,10 @@
 	suspectedFor = time.Second
 	// leavingFor is how long an agent that said that it leaves is not dialled.
 	leavingFor = 10 * time.Second
+	// listBytesPerSecond bounds the reading of the list, and instanceBytes is
+	// about the length of one instance in it.
+	listBytesPerSecond = 1000
+	instanceBytes      = 180
 	// refreshTimeout bounds one read of the platform's list.
 	refreshTimeout = 2 * time.Second
 )
@@ -44,6 +48,8 @@
 	pools  map[string][]*peer
 	byAddr map[string]*peer
 	listOK bool
+	// lost has an element once a link was lost since the last reading.
+	lost chan struct{}
 	// linkUp is closed and replaced when a link comes up.
 	linkUp chan struct{}
 }
@@ -57,6 +63,7 @@
 		dials: rate.NewLimiter(redialsPerSecond, redialBurst),
 		peers: make(map[string]*peer),
 
+		lost:   make(chan struct{}, 1),
 		linkUp: make(chan struct{}),
 	}
 }
@@ -64,27 +71,57 @@
 // run follows the platform's list until ctx ends, then waits for the keepers.
 func (f *fleet) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		f.refresh(ctx)
-		jitter := time.Duration(rand.Int64N(int64(f.o.RefreshEvery)/4 + 1))
-		sleep(ctx, f.o.RefreshEvery-f.o.RefreshEvery/8+jitter)
+		instances := f.refresh(ctx)
+		f.pauseBetweenLists(ctx, instances)
 	}
 	f.keepers.Wait()
 }
 
+// pauseBetweenLists waits before the next reading of a list of n instances: as
+// long as keeps the bytes read below listBytesPerSecond, but only RefreshEvery
+// once a link was lost, since its agent may have been replaced.
+func (f *fleet) pauseBetweenLists(ctx context.Context, n int) {
+	least := f.o.RefreshEvery - f.o.RefreshEvery/8 + rand.N(f.o.RefreshEvery/4+1)
+	sleep(ctx, least)
+	rest := time.Duration(n)*instanceBytes*time.Second/listBytesPerSecond - least
+	if rest <= 0 {
+		return
+	}
+	t := time.NewTimer(rest)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-f.lost:
+	}
+}
+
+// near selects the data centres of the entry's own region.
+func (f *fleet) near() func(dataCentre string) bool {
+	snap := f.o.Settings.Current()
+	if snap == nil {
+		return func(string) bool { return true }
+	}
+	centres := snap.Document.DataCentres
+	own := centres[f.o.DataCentre].Region
+	return func(dataCentre string) bool { return centres[dataCentre].Region == own }
+}
+
 // refresh reads the list once. When the platform does not answer, the last
 // list stays and links alone correct it.
-func (f *fleet) refresh(ctx context.Context) {
+func (f *fleet) refresh(ctx context.Context) (instances int) {
 	rctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	list, err := f.o.Directory.Instances(rctx)
 	if ctx.Err() != nil {
-		return
+		return 0
 	}
 	f.noteList(err)
 	if err == nil {
 		f.table.Update(list)
 	}
 	f.reconcile(ctx)
+	return len(list)
 }
 
 func (f *fleet) noteList(err error) {
@@ -103,7 +140,7 @@
 // reconcile starts a keeper for each wanted agent and retires the others.
 func (f *fleet) reconcile(ctx context.Context) {
 	wanted := make(map[string]platform.Instance)
-	for _, in := range f.table.Targets(time.Now(), f.o.Name, f.o.SubsetSize) {
+	for _, in := range f.table.Targets(time.Now(), f.o.Name, f.o.SubsetSize, f.near()) {
 		wanted[in.Name] = in
 	}
 	f.mu.Lock()
@@ -188,6 +225,10 @@
 	p.set(nil)
 	f.m.links.Dec()
 	f.table.Down(name, time.Now().Add(suspectedFor))
+	select {
+	case f.lost <- struct{}{}:
+	default:
+	}
 }
 
 // announce wakes those who wait for a link.
--- a/membership/subset_test.go
+++ b/membership/subset_test.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/azurelead/azurelead/platform"
 )
 
 func TestMain(m *testing.M) {
@@ -78,6 +81,35 @@
 	}
 }
 
+// An entry links to the agents of its region, and to others only for pools that
+// have none there. A list that has lost an instance cuts no link that is up.
+func TestTargetsStayInTheRegion(t *testing.T) {
+	table := NewTable()
+	list := []platform.Instance{
+		{Name: "a", Pool: "engines", DataCentre: "north"},
+		{Name: "b", Pool: "engines", DataCentre: "far"},
+		{Name: "c", Pool: "stock", DataCentre: "far"},
+	}
+	table.Update(list)
+	table.Up("a")
+	table.Update(list[1:])
+	near := func(dataCentre string) bool { return dataCentre == "north" }
+	targets := func() (names string) {
+		for _, in := range table.Targets(time.Now(), "entry", 4, near) {
+			names += in.Name
+		}
+		return names
+	}
+	if got := targets(); got != "ac" {
+		t.Errorf("linked to %q, want a and c", got)
+	}
+	table.Down("a", time.Now())
+	table.Update(list[1:])
+	if got := targets(); got != "bc" {
+		t.Errorf("linked to %q after a has gone, want b and c", got)
+	}
+}
+
 // BenchmarkSubsetAtTarget measures the spread at the size of the target.
 func BenchmarkSubsetAtTarget(b *testing.B) {
 	entries, agents := names("entry-", 380), names("agent-", 1100)
--- a/membership/table.go
+++ b/membership/table.go
@@ -120,15 +120,15 @@
 	return m != nil && now.Before(m.suspectedUntil)
 }
 
-// Entries returns the names of the listed entries in a data centre, or in all
-// when none is named.
-func (t *Table) Entries(dataCentre string) []string {
+// Entries returns the names of the listed entries in the data centres that in
+// selects.
+func (t *Table) Entries(in func(dataCentre string) bool) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []string
-	for _, in := range t.entries {
-		if dataCentre == "" || in.DataCentre == dataCentre {
-			out = append(out, in.Name)
+	for _, e := range t.entries {
+		if in(e.DataCentre) {
+			out = append(out, e.Name)
 		}
 	}
 	return out
@@ -138,13 +138,13 @@
 type Group struct{ Pool, DataCentre string }
 
 // Targets returns the agents that the entry self keeps links to: a subset of
-// about size for every pool in every data centre.
-func (t *Table) Targets(now time.Time, self string, size int) []platform.Instance {
-	live := t.Live(now)
-	entries := t.Entries("")
+// about size for every pool in every data centre that near selects. A pool
+// without a live agent in those is reached elsewhere.
+func (t *Table) Targets(now time.Time, self string, size int, near func(dataCentre string) bool) []platform.Instance {
+	entries := t.Entries(near)
 	groups := make(map[Group][]string)
-	byName := make(map[string]platform.Instance, len(live))
-	for _, in := range live {
+	byName := make(map[string]platform.Instance)
+	for _, in := range reachable(t.Live(now), near) {
 		g := Group{Pool: in.Pool, DataCentre: in.DataCentre}
 		groups[g] = append(groups[g], in.Name)
 		byName[in.Name] = in
@@ -158,3 +158,16 @@
 	slices.SortFunc(out, func(a, b platform.Instance) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
+
+// reachable drops the far agents of each pool that has near ones.
+func reachable(live []platform.Instance, near func(dataCentre string) bool) []platform.Instance {
+	hasNear := make(map[string]bool)
+	for _, in := range live {
+		if near(in.DataCentre) {
+			hasNear[in.Pool] = true
+		}
+	}
+	return slices.DeleteFunc(live, func(in platform.Instance) bool {
+		return hasNear[in.Pool] && !near(in.DataCentre)
+	})
+}
