--- a/claim/options.go
+++ b/claim/options.go
@@ -17,8 +17,9 @@
 	// all others take the number from the store, since two processes that
 	// differ in it could grant one key twice.
 	Shards int
-	// Window is the least time between two updates of a shard: an operation
-	// after a quiet time is sent at once, those that follow are gathered.
+	// Window is the mean time between two updates of a busy shard. After a quiet
+	// time a few operations are sent at once, so that a booking and its outcome
+	// do not wait; those that follow are gathered.
 	Window time.Duration
 	// Wait bounds one operation, store calls included.
 	Wait time.Duration
@@ -86,6 +87,7 @@
 	maxCommitTries  = 6
 	segmentReaders  = 8
 	cachedSegments  = 4
+	updateBurst     = 4
 	retryPause      = 5 * time.Millisecond
 )
 
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -10,6 +10,7 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/azurelead/azurelead/platform"
 )
@@ -27,12 +28,12 @@
 	running bool
 	closed  bool
 	wg      *sync.WaitGroup
+	// pace spaces updates by the window.
+	pace *rate.Limiter
 
 	// The rest belongs to the goroutine that runs updates.
 
-	// updatedAt is when the last update began.
-	updatedAt time.Time
-	head      *head
+	head *head
 	// readAt is when the call was sent that showed head to be current.
 	readAt time.Time
 	// clockAt is up to when head's clock accounts for this writer's time.
@@ -55,6 +56,7 @@
 		guard:    g,
 		metrics:  m,
 		wg:       wg,
+		pace:     rate.NewLimiter(rate.Every(o.Window), updateBurst),
 		head:     newHead(),
 		stale:    true,
 		index:    newIndex(),
@@ -101,12 +103,11 @@
 
 func (s *shard) run() {
 	defer s.wg.Done()
-	for {
-		time.Sleep(s.options.Window - time.Since(s.updatedAt))
-		s.updatedAt = time.Now()
+	for s.waiting() {
+		time.Sleep(s.pace.Reserve().Delay())
 		group := s.take()
 		if len(group) == 0 {
-			return
+			continue // all were withdrawn
 		}
 		s.hook(StepGathered)
 		s.commit(context.Background(), group)
@@ -115,7 +116,15 @@
 	}
 }
 
-// take returns the next group, or nil after marking the shard idle.
+// waiting reports whether operations wait, and marks the shard idle if not.
+func (s *shard) waiting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running = len(s.queue) > 0
+	return s.running
+}
+
+// take returns the next group.
 func (s *shard) take() []*operation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -126,7 +135,6 @@
 	}
 	group := s.queue[:n:n]
 	s.queue = s.queue[n:]
-	s.running = n > 0
 	return group
 }
 
