--- a/agentdaemon/daemon.go
+++ b/agentdaemon/daemon.go
@@ -71,7 +71,9 @@
 	engine  *endpoint.Engine
 	carrier *order.Carrier
 	doer    *order.Doer
-	links   *order.Links
+	// candidates belongs to the goroutine of runOrders.
+	candidates candidates
+	links      *order.Links
 
 	listener  net.Listener
 	operators net.Listener
@@ -132,7 +134,8 @@
 		Ask: func(ctx context.Context, have settings.Version) (link.SettingsResult, error) {
 			return d.node.Ask(ctx, have)
 		},
-		Logger: d.logger, Registerer: d.registry,
+		OnChange: func() { d.node.Tell() },
+		Logger:   d.logger, Registerer: d.registry,
 	})
 	return nil
 }
