Compare a roll-out's attainment with a still fleet

Ruled out: the in-process bench of package load, whose agents carry out no orders.

Change: BenchmarkRollOut in itest: 4 engines with an agent each, open load at a fixed rate, 25 s still and 25 s during the change of a version, 2 s a load. capacity follows the targets' new parameter.

--- a/capacity/slopes_test.go
+++ b/capacity/slopes_test.go
@@ -48,6 +48,9 @@
 // subsetSize is the entry's default.
 const subsetSize = 4
 
+// inFirstRegion selects the data centres of one of the target's five regions.
+func inFirstRegion(dataCentre string) bool { return dataCentre < "dc-04" }
+
 // BenchmarkTargets chooses an entry's links at the target's size, and reports
 // how many there are.
 func BenchmarkTargets(b *testing.B) {
@@ -55,7 +58,7 @@
 	var targets []platform.Instance
 	for b.Loop() {
 		table.Update(list)
-		targets = table.Targets(time.Now(), "entry-001", subsetSize)
+		targets = table.Targets(time.Now(), "entry-001", subsetSize, inFirstRegion)
 	}
 	report(b, "links/entry", float64(len(targets)))
 	report(b, "ns", float64(b.Elapsed().Nanoseconds())/float64(b.N))
--- a/itest/fleet_test.go
+++ b/itest/fleet_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -24,27 +25,36 @@
 
 // fleet is a set of real processes around one platform.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	platform  string
 	instances []platform.Instance
 }
 
 // newFleet starts a platform with the settings.
-func newFleet(t *testing.T, text string, platformFlags ...string) *fleet {
+func newFleet(t testing.TB, text string, platformFlags ...string) *fleet {
 	t.Helper()
 	f := &fleet{t: t}
 	f.platform = f.start("platform", "azurelead-standin", append([]string{"platform"}, platformFlags...)...).addr
-	file := filepath.Join(t.TempDir(), "settings.yaml")
+	f.apply(text)
+	return f
+}
+
+// apply brings settings into force, with the organisation of the tests and, if
+// they name no data centre, with one.
+func (f *fleet) apply(text string) {
+	f.t.Helper()
 	text += `
 organisations:
   hotflow: {token_sha256: [ec3a8e4675d3c4e4f660942cdc8c4b4d1b29cca5736d52fb747b7c138fbc1866]}
-data_centres: {north: {}}
 `
+	if !strings.Contains(text, "data_centres:") {
+		text += "data_centres: {north: {}}\n"
+	}
+	file := filepath.Join(f.t.TempDir(), "settings.yaml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
+		f.t.Fatal(err)
 	}
 	f.operate("settings", "apply", "--file", file)
-	return f
 }
 
 // operate runs a command of the operators.
--- /dev/null
+++ b/itest/rollout_test.go
@@ -0,0 +1,90 @@
+package itest
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/azurelead/azurelead/client"
+	"github.com/azurelead/azurelead/entry"
+	"github.com/azurelead/azurelead/pipeline"
+)
+
+const rollOutSettings = `
+request: {max_deadline: 30s, max_tokens: 40}
+endpoint: {cold_limit: 2, max_limit: 16, ramp_answers: 2}
+max_loads: 1
+pipelines:
+  chat: {stages: [{name: answer, kind: generate, pool: engines, model: helper}]}
+`
+
+// modelsIn makes settings that wish for a version of the model.
+func modelsIn(version string) string {
+	return rollOutSettings + `
+data_centres:
+  north: {pools: {engines: {models: [{model: helper, version: ` + version + `, min_copies: 4}]}}}
+`
+}
+
+// openLoad sends requests at a fixed rate, whether earlier ones are answered
+// or not, and returns the share answered whole within their deadline.
+func openLoad(b *testing.B, f *fleet, e *process, name string, perSecond int, length time.Duration) float64 {
+	b.Helper()
+	const deadline = 2 * time.Second
+	c := client.Client{URL: "http://" + e.addr}
+	var whole atomic.Int64
+	var wg sync.WaitGroup
+	n := int(length.Seconds()) * perSecond
+	for i := range n {
+		time.Sleep(time.Second / time.Duration(perSecond))
+		wg.Go(func() {
+			started := time.Now()
+			_, err := c.Ask(b.Context(), client.Request{
+				Token: fleetToken, Pipeline: "chat", Deadline: deadline,
+				Body: entry.Body{Question: fmt.Sprint(name, " ", i), MaxTokens: 40},
+			}, nil)
+			if err == nil && time.Since(started) <= deadline {
+				whole.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return float64(whole.Load()) / float64(n)
+}
+
+// BenchmarkRollOut compares the attainment of a fleet whose engines change to
+// another version with that of the same fleet at rest, in the same run.
+func BenchmarkRollOut(b *testing.B) {
+	for _, perSecond := range []int{30, 60} {
+		b.Run(fmt.Sprint(perSecond), func(b *testing.B) { rollOut(b, perSecond) })
+	}
+}
+
+func rollOut(b *testing.B, perSecond int) {
+	for range b.N {
+		f := newFleet(b, modelsIn("v1"))
+		var engines []string
+		for i := range 4 {
+			engine := f.start(fmt.Sprint("engine", i), "azurelead-standin", "engine", "--step", "10ms", "--batch", "16",
+				"--cold-limit", "2", "--cold-answers", "8", "--load-time", "2s").addr
+			engines = append(engines, engine)
+			f.agent(fmt.Sprint("e", i), "engines", pipeline.Generate, engine)
+		}
+		e := f.entry("entry1")
+		for _, addr := range engines {
+			f.awaitStat(addr, "orders.accepted", "2")
+		}
+		f.await(e, "chat", entry.Body{Question: "warm", MaxTokens: 1})
+		openLoad(b, f, e, "ramp", perSecond, 8*time.Second)
+		still := openLoad(b, f, e, "still", perSecond, 25*time.Second)
+		f.apply(modelsIn("v2"))
+		rolling := openLoad(b, f, e, "rolling", perSecond, 25*time.Second)
+		for _, addr := range engines {
+			f.awaitStat(addr, "orders.accepted", "4")
+		}
+		b.ReportMetric(100*still, "%still")
+		b.ReportMetric(100*rolling, "%rolling")
+	}
+}
