--- a/link/client.go
+++ b/link/client.go
@@ -125,7 +125,7 @@
 	c.mu.Unlock()
 	err := Lost.Wrap(c.Err())
 	for _, r := range runs {
-		r.end(nil, err)
+		r.fail(err)
 	}
 	c.o.Metrics.open.Dec()
 	close(c.done)
--- a/link/options.go
+++ b/link/options.go
@@ -36,7 +36,8 @@
 	DefaultFlushInterval = time.Millisecond
 	// DefaultMaxFrameBytes bounds one message of a peer.
 	DefaultMaxFrameBytes = 24 << 20
-	// DefaultMaxPendingBytes bounds what waits to be written on one link.
+	// DefaultMaxPendingBytes bounds what waits to be written on one link, and
+	// the chunks of one attempt that its caller has not taken yet.
 	DefaultMaxPendingBytes = 32 << 20
 )
 
@@ -96,7 +97,7 @@
 	WriteTimeout time.Duration
 	// MaxFrameBytes bounds one message of the peer.
 	MaxFrameBytes int
-	// MaxPendingBytes bounds what waits for a slow peer.
+	// MaxPendingBytes bounds what waits for a slow peer or a slow caller.
 	MaxPendingBytes int
 	Gossip          Gossip
 	Logger          *slog.Logger
--- a/link/run.go
+++ b/link/run.go
@@ -11,61 +11,84 @@
 
 // run is one attempt that a caller waits for on this link.
 type run struct {
-	done chan struct{}
+	signal chan struct{}
+	limit  int
 
-	mu      sync.Mutex
-	onChunk func(Chunk)
-	next    int
-	ended   bool
-	result  *RunResult
-	err     error
+	mu     sync.Mutex
+	next   int
+	bytes  int
+	queue  []Chunk
+	result *RunResult
+	err    error
 }
 
-func newRun(from int, onChunk func(Chunk)) *run {
-	return &run{done: make(chan struct{}), next: from, onChunk: onChunk}
+func newRun(from, limit int) *run {
+	return &run{signal: make(chan struct{}, 1), next: from, limit: limit}
 }
 
-// end closes the run with its result or error. Only the first end counts.
-func (r *run) end(res *RunResult, err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.ended {
-		return
+func (r *run) wake() {
+	select {
+	case r.signal <- struct{}{}:
+	default:
 	}
-	r.ended, r.result, r.err = true, res, err
-	close(r.done)
 }
 
-// add hands a chunk on. Tokens that were seen before are dropped; a gap means
-// that the peer lost some, so the attempt must be taken over anew. The caller's
-// function runs under the lock, so that none runs after the run has ended.
-func (r *run) add(c Chunk) {
+func (r *run) fail(err error) {
 	r.mu.Lock()
-	gap := c.First > r.next
-	if !gap && !r.ended {
-		r.handOnLocked(c)
+	if r.err == nil && r.result == nil {
+		r.err = err
 	}
 	r.mu.Unlock()
-	if gap {
-		r.end(nil, Lost.New("tokens before token %d are missing", c.First))
-	}
+	r.wake()
+}
+
+func (r *run) finish(res *RunResult) {
+	r.mu.Lock()
+	r.result = res
+	r.mu.Unlock()
+	r.wake()
 }
 
-func (r *run) handOnLocked(c Chunk) {
+// add queues a chunk. Tokens that were seen before are dropped; a gap means
+// that the peer lost some, so the attempt must be taken over anew.
+func (r *run) add(c Chunk) {
+	r.mu.Lock()
+	defer r.wake()
+	defer r.mu.Unlock()
+	if r.err != nil || r.result != nil {
+		return
+	}
+	if c.First > r.next {
+		r.err = Lost.New("tokens %d to %d are missing", r.next, c.First-1)
+		return
+	}
 	seen := r.next - c.First
 	if seen >= len(c.Tokens) {
 		return
 	}
 	c.Tokens, c.First = c.Tokens[seen:], r.next
-	r.next += len(c.Tokens)
-	if r.onChunk != nil {
-		r.onChunk(c)
+	for _, t := range c.Tokens {
+		r.bytes += len(t)
+	}
+	if r.bytes > r.limit {
+		r.err = Lost.New("caller takes no tokens: %d bytes wait", r.bytes)
+		return
 	}
+	r.next += len(c.Tokens)
+	r.queue = append(r.queue, c)
 }
 
-// Run runs one attempt. onChunk is called with consecutive chunks, the first of
-// which starts at token 0, and not any more once Run has returned. It runs on
-// the goroutine that reads the link, so it must not block. RunParams.AgentBoot is set from the handshake
+// take returns what has come, in order: chunks first, then the end.
+func (r *run) take() (chunks []Chunk, res *RunResult, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	chunks, r.queue, r.bytes = r.queue, nil, 0
+	return chunks, r.result, r.err
+}
+
+// Run runs one attempt. onChunk is called on the caller's goroutine, with
+// consecutive chunks, the first of which starts at token 0; a slow onChunk
+// delays only its own attempt. RunParams.AgentBoot is set from the handshake
 // when empty. Errors are of class NotSent or Lost, or ctx's error when ctx
 // ended first (the attempt is then cancelled at the agent, its effect
 // unknown). The caller checks Count and Digest of the result.
@@ -91,7 +114,7 @@
 
 // data makes one call of the data path, matched on the attempt id.
 func (c *Client) data(ctx context.Context, method string, id contract.AttemptID, from int, params any, onChunk func(Chunk)) (RunResult, error) {
-	r := newRun(from, onChunk)
+	r := newRun(from, c.o.MaxPendingBytes)
 	if err := c.register(id, r); err != nil {
 		return RunResult{}, err
 	}
@@ -101,7 +124,7 @@
 	if err := c.hand(&outMessage{ID: string(id), Method: method, Params: params}); err != nil {
 		return RunResult{}, NotSent.Wrap(err)
 	}
-	return c.await(ctx, id, r)
+	return c.await(ctx, id, r, onChunk)
 }
 
 // hand sends a call of the data path, but no run to an agent that is leaving.
@@ -114,17 +137,27 @@
 	return c.s.send(m)
 }
 
-func (c *Client) await(ctx context.Context, id contract.AttemptID, r *run) (RunResult, error) {
-	select {
-	case <-r.done:
-	case <-ctx.Done():
-		r.end(nil, ctx.Err())
-		c.Cancel(id)
-	}
-	if r.err != nil {
-		return RunResult{}, r.err
+func (c *Client) await(ctx context.Context, id contract.AttemptID, r *run, onChunk func(Chunk)) (RunResult, error) {
+	for {
+		select {
+		case <-ctx.Done():
+			c.Cancel(id)
+			return RunResult{}, ctx.Err()
+		case <-r.signal:
+		}
+		chunks, res, err := r.take()
+		for _, ch := range chunks {
+			if onChunk != nil {
+				onChunk(ch)
+			}
+		}
+		if err != nil {
+			return RunResult{}, err
+		}
+		if res != nil {
+			return *res, nil
+		}
 	}
-	return *r.result, nil
 }
 
 func (c *Client) register(id contract.AttemptID, r *run) error {
@@ -204,7 +237,7 @@
 		return nil
 	}
 	if e.Error != nil {
-		r.end(nil, Lost.New("%s", e.Error.Message))
+		r.fail(Lost.New("%s", e.Error.Message))
 		return nil
 	}
 	var res RunResult
@@ -215,9 +248,9 @@
 	if res.Attempt != id {
 		// A result that names another attempt must reach nobody.
 		c.o.Metrics.late.Inc()
-		r.end(nil, Lost.New("result names attempt %q", res.Attempt))
+		r.fail(Lost.New("result names attempt %q", res.Attempt))
 		return nil
 	}
-	r.end(&res, nil)
+	r.finish(&res)
 	return nil
 }
