--- a/capacity/slopes_test.go
+++ b/capacity/slopes_test.go
@@ -45,8 +45,11 @@
 	return out
 }
 
-// subsetSize is the entry's default.
-const subsetSize = 4
+// subsetSize and farSubsetSize are the entry's defaults.
+const (
+	subsetSize    = 4
+	farSubsetSize = 1
+)
 
 // inFirstRegion selects the data centres of one of the target's five regions.
 func inFirstRegion(dataCentre string) bool { return dataCentre < "dc-04" }
@@ -58,7 +61,9 @@
 	var targets []platform.Instance
 	for b.Loop() {
 		table.Update(list)
-		targets = table.Targets(time.Now(), "entry-001", subsetSize, inFirstRegion)
+		targets = table.Targets(time.Now(), membership.Reach{
+			Self: "entry-001", DataCentre: "dc-01", Near: inFirstRegion, Size: subsetSize, FarSize: farSubsetSize,
+		})
 	}
 	report(b, "links/entry", float64(len(targets)))
 	report(b, "ns", float64(b.Elapsed().Nanoseconds())/float64(b.N))
--- a/cmd/azurelead-entry/main.go
+++ b/cmd/azurelead-entry/main.go
@@ -79,7 +79,7 @@
 		text("link-key", "LINK_KEY", "PEM file of its key", "", &c.LinkKey),
 		text("link-ca", "LINK_CA", "PEM file of the authorities for agents' certificates", "", &c.LinkCA),
 		text("chooser", "CHOOSER", fmt.Sprintf("policy that picks endpoints: one of %v", entry.ChooserNames), "finish-time", &c.Chooser),
-		&cli.IntFlag{Name: "subset", Usage: "agents of each pool and data centre to hold links to", Value: entry.DefaultSubsetSize,
+		&cli.IntFlag{Name: "subset", Usage: "agents of each pool in the own data centre to hold links to", Value: entry.DefaultSubsetSize,
 			Destination: &c.Subset, Sources: cli.EnvVars("AZURELEAD_SUBSET")},
 		&cli.BoolFlag{Name: "plain", Usage: "allow callers and links without TLS", Destination: &c.Plain, Sources: cli.EnvVars("AZURELEAD_PLAIN")},
 		&cli.BoolFlag{Name: "pprof", Usage: "serve profiles on the operators' port", Destination: &c.Pprof, Sources: cli.EnvVars("AZURELEAD_PPROF")},
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -96,6 +96,13 @@
 	}
 }
 
+// reach is what the entry links to under the settings in force.
+func (f *fleet) reach() membership.Reach {
+	return membership.Reach{
+		Self: f.o.Name, DataCentre: f.o.DataCentre, Near: f.near(), Size: f.o.SubsetSize, FarSize: f.o.FarSubsetSize,
+	}
+}
+
 // near selects the data centres of the entry's own region.
 func (f *fleet) near() func(dataCentre string) bool {
 	snap := f.o.Settings.Current()
@@ -140,7 +147,7 @@
 // reconcile starts a keeper for each wanted agent and retires the others.
 func (f *fleet) reconcile(ctx context.Context) {
 	wanted := make(map[string]platform.Instance)
-	for _, in := range f.table.Targets(time.Now(), f.o.Name, f.o.SubsetSize, f.near()) {
+	for _, in := range f.table.Targets(time.Now(), f.reach()) {
 		wanted[in.Name] = in
 	}
 	f.mu.Lock()
--- a/entry/options.go
+++ b/entry/options.go
@@ -67,6 +67,7 @@
 // Defaults of Options.
 const (
 	DefaultSubsetSize   = 4
+	DefaultFarSubset    = 1
 	DefaultRefreshEvery = 5 * time.Second
 	DefaultRecoverBound = 500 * time.Millisecond
 	DefaultBalancerLag  = 200 * time.Millisecond
@@ -88,9 +89,12 @@
 	Chooser Chooser
 	// Renew brings the settings up to date after a pause of the process.
 	Renew func(ctx context.Context) error
-	// SubsetSize is how many agents of each pool in each data centre the entry
+	// SubsetSize is how many agents of each pool in its own data centre the entry
 	// keeps links to.
 	SubsetSize int
+	// FarSubsetSize is how many in each other data centre of its region. More
+	// are linked where there are too few entries to reach every agent.
+	FarSubsetSize int
 	// RefreshEvery is how often the platform's list is read.
 	RefreshEvery time.Duration
 	// RecoverBound is how long a lost attempt waits for a new link.
@@ -113,6 +117,7 @@
 
 func (o *Options) setDefaults() {
 	setDefault(&o.SubsetSize, DefaultSubsetSize)
+	setDefault(&o.FarSubsetSize, DefaultFarSubset)
 	setDefault(&o.RefreshEvery, DefaultRefreshEvery)
 	setDefault(&o.RecoverBound, DefaultRecoverBound)
 	setDefault(&o.BalancerLag, DefaultBalancerLag)
--- a/membership/subset_test.go
+++ b/membership/subset_test.go
@@ -95,7 +95,7 @@
 	table.Update(list[1:])
 	near := func(dataCentre string) bool { return dataCentre == "north" }
 	targets := func() (names string) {
-		for _, in := range table.Targets(time.Now(), "entry", 4, near) {
+		for _, in := range table.Targets(time.Now(), Reach{Self: "entry", DataCentre: "north", Near: near, Size: 4, FarSize: 1}) {
 			names += in.Name
 		}
 		return names
@@ -110,6 +110,51 @@
 	}
 }
 
+// TestRegionSharesItsAgents computes the links of all entries of one region at
+// the target's size: every agent has links from two entries at least, in its own
+// data centre and from others, and no entry has more than 150 links.
+func TestRegionSharesItsAgents(t *testing.T) {
+	table := NewTable()
+	var list []platform.Instance
+	for dc := range 4 {
+		name := fmt.Sprint("dc", dc)
+		for i := range 61 {
+			list = append(list, platform.Instance{Name: fmt.Sprint(name, "-agent", i), Pool: fmt.Sprint("pool", i%15), DataCentre: name, State: platform.Live})
+		}
+		for i := range 21 {
+			list = append(list, platform.Instance{Name: fmt.Sprint(name, "-entry", i), Pool: EntryPool, DataCentre: name, State: platform.Live})
+		}
+	}
+	table.Update(list)
+	type side struct {
+		agent string
+		local bool
+	}
+	links := map[side]int{}
+	for _, e := range list {
+		if e.Pool != EntryPool {
+			continue
+		}
+		targets := table.Targets(time.Now(), Reach{
+			Self: e.Name, DataCentre: e.DataCentre, Near: func(string) bool { return true }, Size: 4, FarSize: 1,
+		})
+		if len(targets) > 150 {
+			t.Fatalf("%s has %d links", e.Name, len(targets))
+		}
+		for _, in := range targets {
+			links[side{in.Name, in.DataCentre == e.DataCentre}]++
+		}
+	}
+	for _, a := range list {
+		if a.Pool == EntryPool {
+			continue
+		}
+		if near, far := links[side{a.Name, true}], links[side{a.Name, false}]; near < 2 || far < 2 {
+			t.Errorf("%s has links from %d entries of its own data centre and %d others", a.Name, near, far)
+		}
+	}
+}
+
 // BenchmarkSubsetAtTarget measures the spread at the size of the target.
 func BenchmarkSubsetAtTarget(b *testing.B) {
 	entries, agents := names("entry-", 380), names("agent-", 1100)
--- a/membership/table.go
+++ b/membership/table.go
@@ -137,21 +137,39 @@
 // Group is the agents of one pool in one data centre.
 type Group struct{ Pool, DataCentre string }
 
-// Targets returns the agents that the entry self keeps links to: a subset of
-// about size for every pool in every data centre that near selects. A pool
-// without a live agent in those is reached elsewhere.
-func (t *Table) Targets(now time.Time, self string, size int, near func(dataCentre string) bool) []platform.Instance {
-	entries := t.Entries(near)
+// Reach is what an entry links to.
+type Reach struct {
+	Self       string
+	DataCentre string
+	// Near selects the data centres of the entry's region, its own included.
+	Near func(dataCentre string) bool
+	// Size is how many agents of each pool in the own data centre, FarSize in
+	// each other one.
+	Size    int
+	FarSize int
+}
+
+// Targets returns the agents that an entry keeps links to: a subset for every
+// pool in every data centre of the region. A pool without a live agent there is
+// reached elsewhere. The entries of a data centre share its agents evenly among
+// themselves, and so do all others of the region.
+func (t *Table) Targets(now time.Time, r Reach) []platform.Instance {
+	local := t.Entries(func(dc string) bool { return dc == r.DataCentre })
 	groups := make(map[Group][]string)
 	byName := make(map[string]platform.Instance)
-	for _, in := range reachable(t.Live(now), near) {
+	for _, in := range reachable(t.Live(now), r.Near) {
 		g := Group{Pool: in.Pool, DataCentre: in.DataCentre}
 		groups[g] = append(groups[g], in.Name)
 		byName[in.Name] = in
 	}
 	var out []platform.Instance
-	for _, agents := range groups {
-		for _, name := range Subset(self, entries, agents, size) {
+	for g, agents := range groups {
+		entries, size := local, r.Size
+		if g.DataCentre != r.DataCentre {
+			entries = t.Entries(func(dc string) bool { return r.Near(dc) && dc != g.DataCentre })
+			size = r.FarSize
+		}
+		for _, name := range Subset(r.Self, entries, agents, size) {
 			out = append(out, byName[name])
 		}
 	}
