Take the references out of the manifest: watchers read the latest changes only

Cause: each change cost the 36 watchers 1.65 MB, since the manifest held the reference of every object; at 1,100 organisations a watcher alone would have spent 2 KB/s on it. Ruled out: fewer watchers (one that hangs on a silent connection must not delay a data centre); a shorter history alone (the references are the larger part). First try: with After lists in the history the manifest stayed at 33 kB, because the change that created the fleet was listed; changes of more than 64 objects list none now. Change: index object beside the manifest, read only by those from before the history; followers roll forward from the changes and check the root digest. A manifest with the version in force but other content confirms nothing.

--- a/settings/accept.go
+++ b/settings/accept.go
@@ -128,7 +128,7 @@
 	if c, ok := s.Manifest.change(a.id); ok && !a.dry {
 		return Outcome{State: Accepted, Version: c.Version, Tree: s}, nil
 	}
-	if a.sent > 0 && s.Manifest.floor() >= a.sent {
+	if a.sent > 0 && !s.Manifest.remembers(a.sent) {
 		// The history no longer tells whether the lost answer was a yes.
 		return Outcome{State: Unsettled, Version: s.Manifest.Version, Err: Corrupt.New("change %s is older than the history", a.id)}, nil
 	}
@@ -248,7 +248,7 @@
 		a.sent = max(a.sent, next.Version) // its answer may be lost
 		return Outcome{}, err
 	}
-	a.collect(ctx, next)
+	a.collect(ctx, tree)
 	out.State, out.Version, out.Tree = Accepted, next.Version, tree
 	return out, nil
 }
@@ -271,12 +271,14 @@
 		}
 		changed[n] = r
 	}
-	for n := range s.Manifest.Objects {
+	for n := range s.Manifest.objects {
 		if _, ok := want[n]; !ok {
 			changed[n] = ""
 		}
 	}
-	return &Stored{Manifest: s.Manifest.next(a.id, a.author, changed), values: want}, nil
+	tree := &Stored{Manifest: s.Manifest.next(a.id, a.author, changed), values: want}
+	m := tree.Manifest
+	return tree, putOnce(ctx, a.store, indexKey(m.Index), m.index())
 }
 
 // putOnce creates an object whose key names its content. One that exists is
@@ -291,8 +293,8 @@
 
 // collect now and then removes what nobody refers to. Its failure is left to
 // the next change.
-func (a *acceptor) collect(ctx context.Context, m Manifest) {
-	if m.Version%collectEvery == 0 {
-		_, _ = Collect(ctx, a.store, m)
+func (a *acceptor) collect(ctx context.Context, tree *Stored) {
+	if tree.Manifest.Version%collectEvery == 0 {
+		_, _ = Collect(ctx, a.store, tree)
 	}
 }
--- a/settings/accept_test.go
+++ b/settings/accept_test.go
@@ -254,9 +254,9 @@
 	if _, err := s.At(t.Context(), store, before.Manifest.Version); !Outdated.Has(err) {
 		t.Fatalf("version before the history: %v", err)
 	}
-	n, err := Collect(t.Context(), store, s.Manifest)
-	all, _ := store.List(t.Context(), objectsPrefix)
-	if err != nil || len(all) > len(s.Manifest.live()) {
+	n, err := Collect(t.Context(), store, s)
+	all, _ := store.List(t.Context(), "settings/")
+	if err != nil || len(all) > len(s.Manifest.live())+1 {
 		t.Fatalf("%d deleted, %d left of %d live: %v", n, len(all), len(s.Manifest.live()), err)
 	}
 }
@@ -265,10 +265,33 @@
 type collecting struct{ platform.Store }
 
 func (c *collecting) Put(ctx context.Context, key string, value json.RawMessage, ifVersion uint64) (uint64, error) {
-	if m, _, err := readManifest(ctx, c.Store); err == nil {
-		if _, err := Collect(ctx, c.Store, m); err != nil {
+	if s, err := Load(ctx, c.Store, nil); err == nil {
+		if _, err := Collect(ctx, c.Store, s); err != nil {
 			return 0, err
 		}
 	}
 	return c.Store.Put(ctx, key, value, ifVersion)
 }
+
+// TestALargeChangeStaysOutOfTheHistory: readers from before it take the index,
+// and the manifest that every watcher reads stays small.
+func TestALargeChangeStaysOutOfTheHistory(t *testing.T) {
+	store := platform.NewMemory(platform.MemoryOptions{})
+	put(t, store, 0, "small", replaceWith(fleet(1)))
+	f := NewFollower(FollowerOptions{Store: store})
+	if err := f.watch(t.Context(), time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	put(t, store, 0, "large", replaceWith(fleet(3*maxListed)))
+	put(t, store, 0, "after", setWeight("o7", 7))
+	s, err := Load(t.Context(), store, nil)
+	if err != nil || len(encode(s.Manifest)) > maxListed*100 {
+		t.Fatalf("manifest of %d bytes, %v", len(encode(s.Manifest)), err)
+	}
+	if _, err := s.At(t.Context(), store, 1); !Outdated.Has(err) {
+		t.Fatalf("version before the large change: %v", err)
+	}
+	if err := f.watch(t.Context(), time.Millisecond); err != nil || f.Current().Document.Organisations["o7"].Weight != 7 {
+		t.Fatalf("follower from before the large change has version %d, %v", f.Version(), err)
+	}
+}
--- a/settings/fetch.go
+++ b/settings/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/azurelead/azurelead/platform"
 )
@@ -15,7 +16,7 @@
 func readManifest(ctx context.Context, store platform.Store) (Manifest, uint64, error) {
 	o, err := store.Get(ctx, ManifestKey)
 	if platform.NotFound.Has(err) {
-		return Manifest{Objects: refs{}}, 0, nil
+		return Manifest{}, 0, nil
 	}
 	if err != nil {
 		return Manifest{}, 0, err
@@ -24,6 +25,38 @@
 	return m, o.Version, err
 }
 
+// complete fills in the manifest's references: from those held at an earlier
+// version and the changes since, or else from the index.
+func (m *Manifest) complete(ctx context.Context, store platform.Store, v Version, held refs) error {
+	if m.Version == 0 {
+		m.objects = refs{}
+		return nil
+	}
+	var ok bool
+	if v > 0 {
+		if m.objects, ok = m.since(v, held); ok {
+			return nil
+		}
+	}
+	raw, err := fetchValue(ctx, store, nil, indexKey(m.Index), m.Index)
+	if err != nil {
+		return err
+	}
+	if m.objects, err = decodeIndex(raw); err != nil {
+		return err
+	}
+	if m.objects.root(m.Version) != m.Root {
+		return Corrupt.New("index of version %d does not fit its digest", m.Version)
+	}
+	return nil
+}
+
+func decodeIndex(raw json.RawMessage) (refs, error) {
+	var r refs
+	err := decodeStored(raw, &r)
+	return r, err
+}
+
 // fetchValues returns the values of wanted, taking those that have the same
 // reference in held from there. An error of class platform.NotFound means that
 // an object was collected since: its manifest is outdated and has to be read
@@ -46,7 +79,7 @@
 		}
 	}
 	for _, n := range missing {
-		value, err := fetchValue(ctx, store, listed, n, wanted[n])
+		value, err := fetchValue(ctx, store, listed, objectKey(n, wanted[n]), wanted[n])
 		if err != nil {
 			return nil, err
 		}
@@ -67,8 +100,7 @@
 	return out, nil
 }
 
-func fetchValue(ctx context.Context, store platform.Store, listed map[string]platform.Object, n ObjectName, r Ref) ([]byte, error) {
-	key := objectKey(n, r)
+func fetchValue(ctx context.Context, store platform.Store, listed map[string]platform.Object, key string, r Ref) ([]byte, error) {
 	o, ok := listed[key]
 	if !ok {
 		var err error
--- a/settings/follow.go
+++ b/settings/follow.go
@@ -222,19 +222,22 @@
 	if err != nil {
 		return err
 	}
-	if m.Version < f.Version() {
+	held := f.current.Load()
+	if m.Version < held.version() || m.Version == held.version() && held != nil && m.Root != held.root {
 		// A store that was put back to an earlier state contradicts what was
 		// accepted: it neither takes this process back nor confirms anything.
 		f.m.outdated.Inc()
 		f.seenStore(o.Version)
 		return nil
 	}
-	d, err := f.deltaOf(ctx, m, o.Version)
-	if err != nil {
-		return err
-	}
-	if err := f.install(d); err != nil {
-		return err
+	if m.Version > held.version() {
+		d, err := f.deltaOf(ctx, m, o.Version)
+		if err != nil {
+			return err
+		}
+		if err := f.install(d); err != nil {
+			return err
+		}
 	}
 	f.seenStore(o.Version)
 	f.confirm(m.Version, asked)
@@ -247,18 +250,21 @@
 	if held == nil {
 		held = &replica{}
 	}
-	values, err := fetchValues(ctx, f.o.Store, m.Objects, held.refs, held.values)
+	if err := m.complete(ctx, f.o.Store, held.version(), held.refs); err != nil {
+		return Delta{}, err
+	}
+	values, err := fetchValues(ctx, f.o.Store, m.objects, held.refs, held.values)
 	if err != nil {
 		return Delta{}, err
 	}
-	d := Delta{From: held.version(), To: m.Version, Store: store, Root: m.Objects.root(m.Version), Changed: map[ObjectName]Content{}}
-	for n, r := range m.Objects {
+	d := Delta{From: held.version(), To: m.Version, Store: store, Root: m.Root, Changed: map[ObjectName]Content{}}
+	for n, r := range m.objects {
 		if held.refs[n] != r {
 			d.Changed[n] = Content{Ref: r, Value: values[n]}
 		}
 	}
 	for n := range held.refs {
-		if _, ok := m.Objects[n]; !ok {
+		if _, ok := m.objects[n]; !ok {
 			d.Removed = append(d.Removed, n)
 		}
 	}
--- a/settings/follower_test.go
+++ b/settings/follower_test.go
@@ -199,6 +199,20 @@
 		if watches := c.store.Calls().Watches - before.Watches; watches > int64(time.Minute/defaultWatchBound)+3 {
 			t.Errorf("%d watches in a minute", watches)
 		}
+		// Changes on the older state reach the version in force here, with
+		// another content, and then pass it.
+		held := f.Current()
+		put(t, c.store, 0, "again-3", setWeight("o0", 90))
+		put(t, c.store, 0, "again-4", setWeight("o0", 91))
+		time.Sleep(time.Minute)
+		if f.Current() != held || f.Fresh(30*time.Second) {
+			t.Errorf("version %d, age %s with another version 4 in the store", f.Version(), f.Age())
+		}
+		put(t, c.store, 0, "again-5", setWeight("o0", 92))
+		time.Sleep(time.Minute)
+		if f.Version() != 5 || !f.Fresh(30*time.Second) || f.Current().Document.Organisations["o0"].Weight != 92 {
+			t.Errorf("version %d, age %s after the store passed", f.Version(), f.Age())
+		}
 		cancel()
 		<-done
 	})
--- a/settings/manifest.go
+++ b/settings/manifest.go
@@ -12,6 +12,11 @@
 // slow reader still finds the objects of the manifest that it read.
 const maxHistory = 64
 
+// maxListed is up to how many objects a change lists. A larger one would make
+// every reader of the manifest carry it through the whole history; readers from
+// before it take the index instead.
+const maxListed = 64
+
 // ChangeID names one change of the settings. The operator's command makes it
 // before the first write, so that a lost answer is settled by reading.
 type ChangeID string
@@ -23,20 +28,30 @@
 	Author  string   `json:"author"`
 	// At is the author's clock, for people to read. No decision rests on it.
 	At time.Time `json:"at"`
-	// Before are the references that the change replaced; empty ones did not exist.
-	Before map[ObjectName]Ref `json:"before"`
+	// Touched is how many objects the change wrote or removed.
+	Touched int `json:"touched"`
+	// Before are the references that the change replaced, After those that took
+	// their place; empty ones are absent. Both are left out above maxListed.
+	Before refs `json:"before,omitempty"`
+	After  refs `json:"after,omitempty"`
 }
 
-// Objects returns the objects that the change touched.
+// Objects returns the objects that the change touched, if it lists them.
 func (c Change) Objects() []ObjectName { return sortedKeys(c.Before) }
 
-// Manifest names the objects of the version in force. Its conditional update
-// is the acceptance of a change.
+// Manifest names the version in force. Its conditional update is the
+// acceptance of a change. The references of all objects are in an object of
+// their own, the index, so that whoever has followed until now reads the
+// latest changes only.
 type Manifest struct {
 	Version Version `json:"version"`
-	Objects refs    `json:"objects"`
+	// Index is the reference of the index, Root the digest of its references.
+	Index Ref    `json:"index"`
+	Root  string `json:"root"`
 	// Changes are the latest changes, oldest first.
 	Changes []Change `json:"changes"`
+
+	objects refs
 }
 
 func decodeManifest(raw json.RawMessage) (Manifest, error) {
@@ -55,12 +70,24 @@
 	return Change{}, false
 }
 
+// listed reports whether the change says which objects it touched.
+func (c Change) listed() bool { return c.Touched <= maxListed }
+
 // floor is the oldest version that the manifest can reconstruct.
 func (m Manifest) floor() Version {
-	if len(m.Changes) == 0 {
-		return m.Version
+	floor := m.Version
+	for _, c := range slices.Backward(m.Changes) {
+		if !c.listed() {
+			break
+		}
+		floor = c.Version - 1
 	}
-	return m.Changes[0].Version - 1
+	return floor
+}
+
+// remembers reports whether the change that made version v would be in the history.
+func (m Manifest) remembers(v Version) bool {
+	return len(m.Changes) == 0 || m.Changes[0].Version <= v
 }
 
 // at returns the references of an earlier version, if the history reaches it.
@@ -68,49 +95,69 @@
 	if v > m.Version || v < m.floor() {
 		return nil, false
 	}
-	out := maps.Clone(m.Objects)
+	out := maps.Clone(m.objects)
 	for _, c := range slices.Backward(m.Changes) {
 		if c.Version <= v {
 			break
 		}
-		c.undo(out)
+		out.set(c.Before)
 	}
 	return out, true
 }
 
-func (c Change) undo(r refs) {
-	for n, before := range c.Before {
-		if before == "" {
+// since returns the references of the manifest's version from those of an
+// earlier one, if the history reaches that.
+func (m Manifest) since(v Version, held refs) (refs, bool) {
+	if v > m.Version || v < m.floor() {
+		return nil, false
+	}
+	out := maps.Clone(held)
+	for _, c := range m.Changes {
+		if c.Version > v {
+			out.set(c.After)
+		}
+	}
+	return out, out.root(m.Version) == m.Root
+}
+
+// set replaces references; empty ones are removed.
+func (r refs) set(by refs) {
+	for n, ref := range by {
+		if ref == "" {
 			delete(r, n)
 			continue
 		}
-		r[n] = before
+		r[n] = ref
 	}
 }
 
 // next returns the manifest after a change that sets the changed references;
 // an empty one removes the object.
 func (m Manifest) next(id ChangeID, author string, changed refs) Manifest {
-	c := Change{ID: id, Version: m.Version + 1, Author: author, At: time.Now().UTC(), Before: refs{}}
-	out := Manifest{Version: c.Version, Objects: refs{}}
-	maps.Copy(out.Objects, m.Objects)
-	for n, r := range changed {
-		c.Before[n] = m.Objects[n]
-		if r == "" {
-			delete(out.Objects, n)
-			continue
+	c := Change{ID: id, Version: m.Version + 1, Author: author, At: time.Now().UTC(), Touched: len(changed)}
+	if c.listed() {
+		c.Before, c.After = refs{}, changed
+		for n := range changed {
+			c.Before[n] = m.objects[n]
 		}
-		out.Objects[n] = r
 	}
+	out := Manifest{Version: c.Version, objects: refs{}}
+	maps.Copy(out.objects, m.objects)
+	out.objects.set(changed)
+	out.Root = out.objects.root(out.Version)
+	out.Index = newRef(out.Version, out.index())
 	kept := m.Changes[max(len(m.Changes)+1-maxHistory, 0):]
 	out.Changes = append(slices.Clone(kept), c)
 	return out
 }
 
-// live returns every reference that a reader of this manifest may follow.
+// index returns the stored form of the references.
+func (m Manifest) index() json.RawMessage { return encode(m.objects) }
+
+// live returns every key that a reader of this manifest may follow.
 func (m Manifest) live() map[string]bool {
-	keys := map[string]bool{}
-	for n, r := range m.Objects {
+	keys := map[string]bool{indexKey(m.Index): true}
+	for n, r := range m.objects {
 		keys[objectKey(n, r)] = true
 	}
 	for _, c := range m.Changes {
--- a/settings/objects.go
+++ b/settings/objects.go
@@ -26,6 +26,7 @@
 const (
 	ManifestKey   = "settings/manifest"
 	objectsPrefix = "settings/objects/"
+	indexPrefix   = "settings/index/"
 	digestBytes   = 16
 )
 
@@ -81,6 +82,10 @@
 // so that the value under a key never changes.
 func objectKey(n ObjectName, r Ref) string { return objectsPrefix + string(n) + "@" + string(r) }
 
+// indexKey is the store's key of an index. It lies apart from the objects, so
+// that a listing of those stays small.
+func indexKey(r Ref) string { return indexPrefix + "@" + string(r) }
+
 // refOf returns the reference in an object's key.
 func refOf(key string) Ref {
 	_, ref, _ := strings.Cut(key, "@")
--- a/settings/slopes_test.go
+++ b/settings/slopes_test.go
@@ -81,8 +81,8 @@
 	}
 	first := put(b, store, 0, "first", replaceWith(d))
 	second := put(b, store, 0, "second", setWeight("o0", 2))
-	b.Logf("manifest: %d bytes, %d of them each further change of its history",
-		len(encode(second.Tree.Manifest)), len(encode(second.Tree.Manifest.Changes[1])))
+	b.Logf("manifest: %d bytes, %d each further change of its history, index: %d bytes",
+		len(encode(second.Tree.Manifest)), len(encode(second.Tree.Manifest.Changes[1])), len(second.Tree.Manifest.index()))
 	var err error
 	if before, err = first.Tree.Follower(); err == nil {
 		after, err = second.Tree.Follower()
--- a/settings/stored.go
+++ b/settings/stored.go
@@ -30,7 +30,10 @@
 	if held == nil {
 		held = &Stored{}
 	}
-	values, err := fetchValues(ctx, store, m.Objects, held.Manifest.Objects, held.values)
+	if err := m.complete(ctx, store, held.Manifest.Version, held.Manifest.objects); err != nil {
+		return nil, err
+	}
+	values, err := fetchValues(ctx, store, m.objects, held.Manifest.objects, held.values)
 	if err != nil {
 		return nil, err
 	}
@@ -60,7 +63,7 @@
 	if !ok {
 		return Document{}, Outdated.New("version %d is not within the history, %d to %d", v, s.Manifest.floor(), s.Manifest.Version)
 	}
-	values, err := fetchValues(ctx, store, wanted, s.Manifest.Objects, s.values)
+	values, err := fetchValues(ctx, store, wanted, s.Manifest.objects, s.values)
 	if err != nil {
 		return Document{}, err
 	}
@@ -71,8 +74,8 @@
 // the tree on to peers.
 func (s *Stored) Follower() (*Follower, error) {
 	m := s.Manifest
-	d := Delta{To: m.Version, Store: s.store, Root: m.Objects.root(m.Version), Changed: map[ObjectName]Content{}}
-	for n, r := range m.Objects {
+	d := Delta{To: m.Version, Store: s.store, Root: m.Root, Changed: map[ObjectName]Content{}}
+	for n, r := range m.objects {
 		d.Changed[n] = Content{Ref: r, Value: s.values[n]}
 	}
 	var none *replica
@@ -92,7 +95,7 @@
 	r.floor = m.floor()
 	for _, c := range m.Changes {
 		for n := range c.Before {
-			if _, there := m.Objects[n]; !there {
+			if _, there := m.objects[n]; !there {
 				r.removed[n] = c.Version
 			}
 		}
@@ -109,30 +112,32 @@
 	return d, nil
 }
 
-// Collect deletes the objects that neither manifest m nor its history refers
-// to, and returns how many.
+// Collect deletes the objects that neither the tree's manifest nor its history
+// refers to, and returns how many.
 //
 // It cannot take an object that an operator is about to accept: objects are
-// written under the version to be, which is above m's until m is no longer
-// the latest. An object written for a version up to m's that m does not
-// refer to lost its race, and no later manifest can bring it back. A reader
-// that is so slow that its manifest fell out of the history misses an object
-// and starts over from the manifest.
-func Collect(ctx context.Context, store platform.Store, m Manifest) (int, error) {
-	all, err := store.List(ctx, objectsPrefix)
-	if err != nil {
-		return 0, err
-	}
-	live := m.live()
+// written under the version to be, which is above the tree's until that is no
+// longer the latest. An object written for a version up to the tree's that its
+// manifest does not refer to lost its race, and no later manifest can bring it
+// back. A reader that is so slow that its manifest fell out of the history
+// misses an object and starts over from the manifest.
+func Collect(ctx context.Context, store platform.Store, tree *Stored) (int, error) {
+	live := tree.Manifest.live()
 	deleted := 0
-	for _, o := range all {
-		if live[o.Key] || refOf(o.Key).version() > m.Version {
-			continue
-		}
-		if err := store.Delete(ctx, o.Key, o.Version); err != nil && !platform.NotFound.Has(err) {
+	for _, prefix := range []string{objectsPrefix, indexPrefix} {
+		all, err := store.List(ctx, prefix)
+		if err != nil {
 			return deleted, err
 		}
-		deleted++
+		for _, o := range all {
+			if live[o.Key] || refOf(o.Key).version() > tree.Manifest.Version {
+				continue
+			}
+			if err := store.Delete(ctx, o.Key, o.Version); err != nil && !platform.NotFound.Has(err) {
+				return deleted, err
+			}
+			deleted++
+		}
 	}
 	return deleted, nil
 }
