--- a/agent/agent.go
+++ b/agent/agent.go
@@ -26,6 +26,8 @@
 	metrics   *metrics
 	version   atomic.Uint64
 	turns     atomic.Int64
+	// probeNow asks for a probe ahead of its time.
+	probeNow chan struct{}
 
 	// base ends when the agent is closed, and with it every attempt.
 	base  context.Context
@@ -41,7 +43,7 @@
 	if o.Endpoint == nil || o.Settings == nil {
 		return nil, Error.New("endpoint and settings are needed")
 	}
-	a := &Agent{o: o, attempts: newAttempts(time.Now), pause: newPause(o.PauseBound, time.Now())}
+	a := &Agent{o: o, probeNow: make(chan struct{}, 1), attempts: newAttempts(time.Now), pause: newPause(o.PauseBound, time.Now())}
 	a.base, a.close = context.WithCancel(context.Background())
 	limits, queueLimit, _ := a.limits(o.Settings.Current())
 	_, reports := o.Endpoint.(endpoint.Prober)
@@ -53,6 +55,7 @@
 	a.follow()
 	a.wg.Go(a.tickLoop)
 	a.wg.Go(a.probeLoop)
+	a.wg.Go(a.watchLoop)
 	return a, nil
 }
 
@@ -128,62 +131,3 @@
 	a.follow()
 	a.pause.renewed(time.Now())
 }
-
-// probeLoop asks the endpoint for its health, more often while that matters.
-func (a *Agent) probeLoop() {
-	p, ok := a.o.Endpoint.(endpoint.Prober)
-	failed := false
-	for {
-		if ok {
-			failed = a.probe(p, failed)
-		} else {
-			a.admission.poke()
-		}
-		select {
-		case <-a.base.Done():
-			return
-		case <-time.After(a.probePause()):
-		}
-	}
-}
-
-// foreignProbes is how many probes fit into the lag of reports while calls of
-// a former agent may still run.
-const foreignProbes = 4
-
-func (a *Agent) probePause() time.Duration {
-	_, _, foreign := a.admission.coldTurns()
-	switch {
-	case foreign:
-		return min(a.o.ProbeInterval, a.o.ReportLag/foreignProbes)
-	case a.Load().Cold:
-		return min(a.o.ProbeInterval, a.o.ReportLag)
-	}
-	return a.o.ProbeInterval
-}
-
-// probe asks once and reports whether it failed.
-func (a *Agent) probe(p endpoint.Prober, failed bool) bool {
-	ctx, cancel := context.WithTimeout(a.base, a.o.ProbeInterval)
-	defer cancel()
-	h, err := p.Probe(ctx)
-	if a.base.Err() != nil {
-		return failed
-	}
-	a.admission.health(h, err)
-	a.noteCold()
-	if (err != nil) != failed {
-		a.o.Logger.Warn("endpoint reachable", "endpoint", a.o.EndpointName, "reachable", err == nil, "error", err)
-	}
-	return err != nil
-}
-
-// noteCold counts and logs that the endpoint was taken for cold again.
-func (a *Agent) noteCold() {
-	turns, why, _ := a.admission.coldTurns()
-	if a.turns.Swap(int64(turns)) == int64(turns) {
-		return
-	}
-	a.metrics.cold.WithLabelValues(string(why)).Inc()
-	a.o.Logger.Warn("endpoint taken for cold", "endpoint", a.o.EndpointName, "reason", why)
-}
--- a/agent/limiter.go
+++ b/agent/limiter.go
@@ -56,6 +56,10 @@
 	declared int
 	word     bool
 	boot     contract.BootID
+	// down is set while nobody listens at the endpoint's address.
+	down bool
+	// doubted is set from a sign of a restart to the next report.
+	doubted bool
 
 	usual   time.Duration
 	answers int
@@ -90,6 +94,9 @@
 
 // allowed returns how many own calls may run at once.
 func (m *limiter) allowed(now time.Time) int {
+	if m.down || m.doubted {
+		return 0
+	}
 	if m.foreign > 0 && !now.Before(m.foreignUntil) {
 		m.foreign = 0
 	}
@@ -160,12 +167,14 @@
 // health takes the endpoint's own report, or the failure to get one. own is
 // how many own calls run now.
 func (m *limiter) health(now time.Time, h endpoint.Health, err error, own int) {
+	m.doubted = false
 	if err != nil {
 		if m.reason != ColdProbe || m.current > m.coldLimit() {
 			m.turnCold(ColdProbe)
 		}
 		return
 	}
+	m.down = false
 	fresh := m.boot != "" && h.Boot != m.boot
 	newlyCold := h.Cold && !m.word
 	m.boot, m.declared, m.word = h.Boot, h.ColdLimit, h.Cold
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -135,10 +135,10 @@
 func (a *attempt) recover(ctx context.Context) (res link.RunResult, final bool, err error) {
 	wctx, cancel := context.WithTimeout(ctx, a.s.e.o.RecoverBound)
 	defer cancel()
-	l := a.p.await(wctx, a.params.AgentBoot)
+	l := a.p.await(wctx)
 	if l == nil {
 		a.s.e.m.recovered.WithLabelValues("no-link").Inc()
-		return res, true, link.Lost.New("no new link to the same boot")
+		return res, true, link.Lost.New("no new link to the agent")
 	}
 	st, err := l.Settle(wctx, link.SettleParams{
 		Attempt: a.params.Attempt, AgentBoot: a.params.AgentBoot, AgeMS: time.Since(a.made).Milliseconds() + 1,
@@ -150,7 +150,7 @@
 	a.s.e.m.recovered.WithLabelValues(string(st.State)).Inc()
 	switch st.State {
 	case link.AttemptClosed:
-		return failed(contract.NotRun, "the link was lost before the attempt arrived"), true, nil
+		return unsent("the link was lost before the attempt arrived"), true, nil
 	case link.AttemptRunning, link.AttemptFinished:
 		res, err = l.Attach(ctx, link.AttachParams{Attempt: a.params.Attempt, AgentBoot: a.params.AgentBoot, From: a.tokens.count()}, a.take)
 		if link.NotSent.Has(err) {
@@ -189,7 +189,7 @@
 	return link.RunResult{Run: run, Code: contract.CodeEndpointFailed, Detail: detail}
 }
 
-// unsent is the result of a call of which no byte left this process.
+// unsent is the result of a call that surely never reached the agent.
 func unsent(detail string) link.RunResult {
 	return link.RunResult{Run: contract.NotRun, Code: contract.CodeNoEndpoint, Detail: detail}
 }
--- a/entry/once.go
+++ b/entry/once.go
@@ -69,8 +69,10 @@
 	}
 	var peers []*peer
 	tried := make(map[string]bool)
+	ctx, cancel := context.WithTimeout(s.f.ctx, s.budget)
+	defer cancel()
 	for range onceCandidates {
-		ps, candidates := s.e.eligible(s.stage.Pool, s.stage.Model, tried)
+		ps, candidates := s.e.awaitEligible(ctx, s.stage.Pool, s.stage.Model, tried)
 		if len(candidates) == 0 {
 			break
 		}
@@ -195,15 +197,13 @@
 	return s.replay(&o)
 }
 
-// settleAt asks one agent. An agent of another boot remembers nothing.
+// settleAt asks one agent. One of another boot than the call was meant for
+// answers that it does not know.
 func (s *stageRun) settleAt(ctx context.Context, c claim.Candidate, id contract.AttemptID) (link.SettleResult, error) {
 	l, err := s.e.calls.linkTo(ctx, c.Addr)
 	if err != nil {
 		return link.SettleResult{}, err
 	}
-	if l.Peer().AgentBoot != c.Boot {
-		return link.SettleResult{State: link.AttemptUnknown}, nil
-	}
 	return l.Settle(ctx, link.SettleParams{Attempt: id, AgentBoot: c.Boot})
 }
 
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"sync"
+	"time"
 
-	"github.com/azurelead/azurelead/contract"
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/platform"
 )
@@ -20,6 +20,8 @@
 	changed chan struct{} // closed and replaced when link changes
 	leaving bool
 	retired bool // no longer wanted: closes when idle
+	lostAt  time.Time
+	endedAt time.Time
 	own     int
 	since   int
 	load    link.Load
@@ -34,6 +36,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.link = l
+	if l == nil {
+		p.lostAt = time.Now()
+	}
 	if l != nil {
 		p.leaving = false
 		p.load = l.Load()
@@ -79,7 +84,7 @@
 	if load != p.load {
 		p.load, p.since = load, 0
 	}
-	if load.Leaving || load.Out {
+	if load.Leaving || load.Out || load.Down {
 		return Candidate{}, false
 	}
 	return Candidate{
@@ -87,10 +92,30 @@
 		Load:  load,
 		Since: p.since,
 		Own:   p.own,
+		Idle:  p.idle(),
 		Local: p.instance.DataCentre == dataCentre,
 	}, true
 }
 
+// idle returns how long ago a call ended; p.mu is held.
+func (p *peer) idle() time.Duration {
+	if p.own > 0 {
+		return 0
+	}
+	return time.Since(p.endedAt)
+}
+
+// hope returns until when a link that was lost a moment ago may still come
+// back; zero when there is nothing to wait for.
+func (p *peer) hope(bound time.Duration) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link != nil || p.leaving || p.retired || p.lostAt.IsZero() {
+		return time.Time{}
+	}
+	return p.lostAt.Add(bound)
+}
+
 // begin counts a call in flight and returns the link for it, or nil.
 func (p *peer) begin() Link {
 	p.mu.Lock()
@@ -107,6 +132,7 @@
 func (p *peer) end() {
 	p.mu.Lock()
 	p.own--
+	p.endedAt = time.Now()
 	done := p.retired && p.own == 0
 	p.mu.Unlock()
 	if done {
@@ -114,18 +140,14 @@
 	}
 }
 
-// await returns a link to the given boot of the agent: the one that is
-// up, if only a call on it failed, or the one that replaces it. It returns nil when ctx ends first or
-// another boot has taken its place.
-func (p *peer) await(ctx context.Context, boot contract.BootID) Link {
+// await returns the link that is up: the one on which a call failed, if only
+// that call did, or the one that replaces it. It returns nil when ctx ends first.
+func (p *peer) await(ctx context.Context) Link {
 	for {
 		p.mu.Lock()
 		l, changed := p.link, p.changed
 		p.mu.Unlock()
 		if l != nil && !isDone(l) {
-			if l.Peer().AgentBoot != boot {
-				return nil
-			}
 			return l
 		}
 		select {
--- a/itest/holds_test.go
+++ b/itest/holds_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	"github.com/azurelead/azurelead/pipeline"
 	"github.com/azurelead/azurelead/platform"
 	"github.com/azurelead/azurelead/standin"
+	"github.com/azurelead/azurelead/suspect"
 )
 
 const statusSettings = `
@@ -115,7 +117,7 @@
 		t.Fatal(err)
 	}
 	defer direct.Close()
-	if err := slow.apply("latency-up", "700"); err != nil {
+	if err := slow.apply("latency-up", "3000"); err != nil {
 		t.Fatal(err)
 	}
 	p := link.RunParams{Attempt: contract.NewAttemptID(), BudgetUS: patience.Microseconds()}
@@ -330,3 +332,83 @@
 		return true
 	})
 }
+
+// A request that crashes every engine that runs it, sent again and again
+// through two entries, loses a bounded number of engines; the streams of its
+// neighbours reach their callers whole.
+func TestCrashingRequestLosesFewEndpoints(t *testing.T) {
+	f := newFleet(t, strings.Replace(chatSettings, "max_tokens", "retry_percent: 100, max_tokens", 1))
+	var engines []string
+	for i := range 6 {
+		engines = append(engines, f.start(fmt.Sprint("engine", i), "azurelead-standin", "engine",
+			"--step", "5ms", "--batch", "32", "--down-for", "300ms").addr)
+		f.agent(fmt.Sprint("e", i), "engines", pipeline.Generate, engines[i])
+	}
+	entries := []*process{f.entry("entry1"), f.entry("entry2")}
+	for _, e := range entries {
+		f.await(e, "chat", entry.Body{Question: "warm " + e.name, MaxTokens: 1})
+	}
+	var neighbours sync.WaitGroup
+	streams(f, &neighbours, entries[0], "neighbour", 6)
+	last := contract.Code("")
+	for i := range 10 {
+		_, err := f.ask(entries[i%2], "chat", entry.Body{Question: standin.CrashMarker}, nil)
+		var p *contract.Problem
+		if !errors.As(err, &p) {
+			t.Fatalf("the crashing request ended with %v", err)
+		}
+		last = p.Code
+	}
+	neighbours.Wait()
+	lost := 0.0
+	for _, addr := range engines {
+		f.awaitStat(addr, "crashes", "0") // it may be down still
+		lost += f.stat(addr, "crashes")
+	}
+	if lost == 0 || lost > suspect.MaxLost {
+		t.Errorf("%v engines lost, want at least 1 and at most %d", lost, suspect.MaxLost)
+	}
+	if last != contract.CodeSuspectRequest {
+		t.Errorf("sent for the tenth time it ended with %q, want a refusal as suspect", last)
+	}
+}
+
+// Point 2, without warning: a warm endpoint that restarts while nothing runs is
+// cold for the burst that follows, though no probe is due. The endpoint counts.
+func TestSilentRestartIsTakenForCold(t *testing.T) {
+	f := newFleet(t, statusSettings)
+	stock := f.start("stock", "azurelead-standin", "service", "--service-time", "20ms", "--down-for", "50ms",
+		"--cold-limit", "3", "--cold-answers", "30").addr
+	agent := f.agent("s1", "stock", pipeline.Service, stock, "--probe-interval", "5s", "--report-lag", "200ms")
+	l, err := link.Dial(context.Background(), agent.addr, link.ClientOptions{SilenceBound: patience})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	burst := func(n int) {
+		var wg sync.WaitGroup
+		for range n {
+			wg.Go(func() {
+				p := link.RunParams{Attempt: contract.NewAttemptID(), BudgetUS: patience.Microseconds(), Repeatable: true}
+				p.Input = pipeline.Input{Operation: "status", Body: json.RawMessage(`{}`)}
+				if _, err := l.Run(context.Background(), p, nil); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+	}
+	if err := eventually(func() error {
+		burst(60)
+		return checkStat([]string{stock, "peak", ">=", "10"})
+	}); err != nil {
+		t.Fatalf("never warm: %v", err)
+	}
+	f.send(http.MethodPost, stock, "/control/faults", []byte(`{"crash":true}`))
+	f.awaitStat(stock, "crashes", "1")
+	burst(60)
+	f.awaitStat(stock, "crashes", "1") // one more crash takes it down for a moment
+	if peak, crashes := f.stat(stock, "cold_peak"), f.stat(stock, "crashes"); peak > 3 || crashes > 1 {
+		t.Errorf("after a restart the cold endpoint ran %v at once and crashed %v times more, declared limit 3", peak, crashes-1)
+	}
+}
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -99,7 +99,9 @@
 	if err != nil {
 		panic(err) // the capacity is positive
 	}
-	return &Table{o: o, m: newMetrics(o.Metrics), marks: marks}
+	t := &Table{o: o, marks: marks}
+	t.m = newMetrics(o.Metrics, t)
+	return t
 }
 
 // Verdict returns what may be done with the request and how much longer that stands.
@@ -167,6 +169,20 @@
 	}
 }
 
+// Mark returns the request's mark, or nil if it has none.
+func (t *Table) Mark(digest string) *link.Suspect {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.marks.Peek(digest); !ok {
+		return nil
+	}
+	found := t.message(digest, time.Now())
+	if len(found) == 0 {
+		return nil
+	}
+	return &found[0]
+}
+
 // Suspects returns the marks to pass on: those that changed lately, and one
 // of the others in turn.
 func (t *Table) Suspects() []link.Suspect {
@@ -204,7 +220,6 @@
 	if t.marks.Len() > t.o.Capacity {
 		t.evict()
 	}
-	t.m.marks.Set(float64(t.marks.Len()))
 }
 
 // evict drops the oldest mark that proves nothing, so that the neighbours of
@@ -227,5 +242,4 @@
 			t.marks.Remove(d)
 		}
 	}
-	t.m.marks.Set(float64(t.marks.Len()))
 }
