Refuse a takeover from a token below 0

Cause: a peer that attaches from -1 made the agent slice below 0 and end. Ruled out: a check in the agent alone; the link refuses it for every handler. Change: the check, and the fuzz target's agent panics if it gets there. Seen to fail: without the check the seed of FuzzFrames panics; with it go test and 10 s of fuzzing pass.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -34,6 +34,9 @@
 }
 
 func (f *fakeAgent) Attach(_ context.Context, p AttachParams, emit func(string)) RunResult {
+	if p.From < 0 {
+		panic("attach from a token below 0 reached the agent")
+	}
 	emit("late")
 	return RunResult{Run: contract.Ran, Count: p.From + 1}
 }
--- a/link/server_link.go
+++ b/link/server_link.go
@@ -118,8 +118,8 @@
 	if err := fastjson.Unmarshal(e.Params, &p); err != nil {
 		return Error.Wrap(err)
 	}
-	if p.Attempt != id {
-		return Error.New("attach to attempt %q under the id %q", p.Attempt, id)
+	if p.Attempt != id || p.From < 0 {
+		return Error.New("attach to attempt %q from %d under the id %q", p.Attempt, p.From, id)
 	}
 	k.srv.begin()
 	go func() {
