Ramp up from the cold limit when a data centre returns

Cause: the opening design asks for it; the agent kept the warm limit while out. Ruled out: a timer per endpoint; the return itself is the sign. Seen to fail: without the change the limit after the return is 8.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -97,7 +97,13 @@
 		a.o.Logger.Info("settings in force", "version", s.Version, "out", out)
 	}
 	a.admission.set(limits, queueLimit)
-	a.admission.setGate(func(g *gate) { g.out = out })
+	returned := false
+	a.admission.setGate(func(g *gate) { returned, g.out = g.out && !out, out })
+	if returned {
+		// Caches and batches were idle while the data centre was out.
+		a.admission.turnCold(ColdReturn)
+		a.noteCold()
+	}
 }
 
 // tickLoop finds pauses and follows the settings.
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -437,6 +437,38 @@
 	c.crashes = append(c.crashes, d)
 }
 
+// A data centre that is taken out refuses at once as not run, and on its return
+// the endpoint ramps up from the cold limit.
+func TestDataCentreLeavesAndReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := settings.NewFixed(limitsOf(2, 8, 1, 64))
+		f := &fakeEndpoint{work: sleepy(10 * time.Millisecond)}
+		a := newTestAgent(t, f, Options{Settings: source, DataCentre: "north"})
+		defer a.Close()
+		time.Sleep(time.Second)
+		var wg sync.WaitGroup
+		for i := range 60 {
+			wg.Go(func() { a.Run(t.Context(), params(a, contract.AttemptID(fmt.Sprint(i))), discard) })
+		}
+		wg.Wait()
+		if l := a.Load(); l.Limit != 8 || l.Cold {
+			t.Fatalf("not warm: %+v", l)
+		}
+		for version, out := range []bool{true, false} {
+			s := *source.Current()
+			s.Version, s.Document.DataCentres = uint64(version+2), map[string]settings.DataCentre{"north": {Out: out}}
+			source.Set(&s)
+			r := a.Run(t.Context(), params(a, contract.AttemptID(fmt.Sprint("out ", out))), discard)
+			if got := r.Code == contract.CodeDataCentreOut && r.Run == contract.NotRun; got != out {
+				t.Errorf("out %v: %+v", out, r)
+			}
+		}
+		if l := a.Load(); l.Limit > 3 || !l.Cold {
+			t.Errorf("after the return: %+v, want the cold limit 2 and at most one answer's growth", l)
+		}
+	})
+}
+
 // One crash with several calls in flight must be reported once, with all of them.
 func TestCrashIsReportedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/agent/limiter.go
+++ b/agent/limiter.go
@@ -40,6 +40,7 @@
 	ColdLatency ColdReason = "latency"
 	ColdProbe   ColdReason = "probe"
 	ColdCrash   ColdReason = "crash"
+	ColdReturn  ColdReason = "data_centre_return"
 	ColdOrder   ColdReason = "order"
 )
 
