--- a/entry/chooser.go
+++ b/entry/chooser.go
@@ -47,27 +47,19 @@
 
 // Predict returns when a call that is sent now would finish at c.
 func Predict(c Candidate) time.Duration {
+	service := time.Duration(c.Load.ServiceUS) * time.Microsecond
 	fresh := 1 - min(c.Idle.Seconds()/forgetAfter.Seconds(), 1)
-	finish := time.Duration(float64(serviceTime(c))*fresh) + Wait(c)
+	finish := time.Duration(float64(service) * fresh)
 	if !c.Local {
 		finish += remotePenalty
 	}
-	return finish
-}
-
-func serviceTime(c Candidate) time.Duration {
-	return time.Duration(c.Load.ServiceUS) * time.Microsecond
-}
-
-// Wait returns how long a call that is sent now would wait at c before it starts.
-func Wait(c Candidate) time.Duration {
 	limit := max(c.Load.Limit, 1)
 	excess := c.Load.InFlight + c.Since + 1 - limit
 	if excess <= 0 {
-		return 0
+		return finish
 	}
 	queue := time.Duration(c.Load.QueueUS) * time.Microsecond
-	return max(queue, serviceTime(c)*time.Duration(excess)/time.Duration(limit))
+	return finish + max(queue, service*time.Duration(excess)/time.Duration(limit))
 }
 
 // FinishTime chooses the better of two random candidates by predicted finish
--- a/entry/deadline.go
+++ b/entry/deadline.go
@@ -57,8 +57,6 @@
 	pipeline, stage string
 	// size is the binary order of magnitude of the tokens that may be generated.
 	size int
-	// work is set for the time at the endpoint alone, without waiting before it.
-	work bool
 }
 
 // latencies keeps an estimator for every stage.
@@ -94,13 +92,6 @@
 	return StageTimes{Fast: e.Quantile(now, fastQuantile), Usual: e.Quantile(now, usualQuantile)}
 }
 
-// startsTooLate reports whether a call that is sent to c now, and works there
-// for as long as such calls usually do, misses what is left. It judges only
-// where replies to calls in flight keep the load of c fresh.
-func startsTooLate(c Candidate, work, left time.Duration) bool {
-	return c.Own > 0 && work > 0 && Wait(c)+work > left
-}
-
 // mayProbe lets one late request of a pipeline through now and then.
 func (l *latencies) mayProbe(pipeline string, now time.Time) bool {
 	l.probe.Lock()
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -89,7 +89,7 @@
 		"claims": {func(w *world) { w.claims.down = true }, ask{pipeline: "book", body: booking, key: "k"}, contract.CodeClaimUnavailable},
 		"late": {func(w *world) {
 			for range 20 {
-				w.e.latencies.of(stageKey{pipeline: "ask", stage: "encode"}, time.Now()).Record(time.Now(), time.Minute)
+				w.e.latencies.of(stageKey{"ask", "encode", 0}, time.Now()).Record(time.Now(), time.Minute)
 			}
 			w.e.latencies.mayProbe("ask", time.Now())
 		}, ask{pipeline: "ask", body: question}, contract.CodeDeadlineTooShort},
--- a/entry/http.go
+++ b/entry/http.go
@@ -128,7 +128,7 @@
 		e.shares.of(req.PipelineName).Leave(req.Organisation)
 		return e.joined(f, req)
 	}
-	run := &run{e: e, f: f, req: req, snap: snap, trace: context.WithoutCancel(ctx), entered: time.Now()}
+	run := &run{e: e, f: f, req: req, snap: snap, trace: context.WithoutCancel(ctx)}
 	e.background(func(context.Context) {
 		defer e.shares.of(req.PipelineName).Leave(req.Organisation)
 		run.execute()
--- a/entry/policy_test.go
+++ b/entry/policy_test.go
@@ -76,7 +76,7 @@
 	for range 40 {
 		s.Enter(now, "large", 1)
 	}
-	s.Overloaded(now, now) // capacity 38
+	s.Overloaded(now) // capacity 38
 	for range 2 {
 		s.Leave("large")
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -29,8 +29,6 @@
 	snap  *settings.Snapshot
 	trace context.Context
 	carry carried
-	// entered is when the run began.
-	entered time.Time
 }
 
 // execute runs the stages in order, and finishes the flight.
@@ -97,7 +95,7 @@
 		return r.refusal(st, res)
 	}
 	if !s.report.Replayed {
-		r.learn(st, plan.Budget, took, res.Usage)
+		r.e.latencies.of(r.key(st), started).Record(time.Now(), took)
 	}
 	r.carry.take(st.Kind, res.Output)
 	if st.Kind == pipeline.Service {
@@ -123,21 +121,6 @@
 	return set.MaxTokens
 }
 
-// learn records how long a stage took, and how long at its endpoint. A long
-// wait before the endpoint is a sign of overload that comes before refusals.
-func (r *run) learn(st settings.Stage, budget, took time.Duration, u pipeline.Usage) {
-	now := time.Now()
-	if wait := took - time.Duration(u.EndpointUS)*time.Microsecond; u.EndpointUS > 0 && wait > budget/longWait {
-		r.e.shares.of(r.req.PipelineName).Overloaded(now, r.entered)
-	}
-	k := r.key(st)
-	r.e.latencies.of(k, now).Record(now, took)
-	if u.EndpointUS > 0 {
-		k.work = true
-		r.e.latencies.of(k, now).Record(now, time.Duration(u.EndpointUS)*time.Microsecond)
-	}
-}
-
 // plan splits what is left between the stages from i on, and refuses what
 // cannot finish any more.
 func (r *run) plan(i int) (Plan, *contract.Problem) {
@@ -169,8 +152,8 @@
 			code = contract.CodeDeadlineExceeded
 		}
 	}
-	if code == contract.CodeOverloaded || code == contract.CodeDeadlineExceeded {
-		r.e.shares.of(r.req.PipelineName).Overloaded(time.Now(), r.entered)
+	if code == contract.CodeOverloaded {
+		r.e.shares.of(r.req.PipelineName).Overloaded(time.Now())
 	}
 	p := contract.NewProblem(code, res.Run, "stage %q: %s", st.Name, res.Detail)
 	p.Stage = st.Name
@@ -180,10 +163,6 @@
 	return p
 }
 
-// longWait is the part of a stage's budget above which its wait before the
-// endpoint counts as a sign of overload.
-const longWait = 3
-
 const (
 	retryAfterLate    = time.Second
 	retryAfterBusy    = 250 * time.Millisecond
--- a/entry/shares.go
+++ b/entry/shares.go
@@ -95,12 +95,11 @@
 	}
 }
 
-// Overloaded takes a sign of overload from a request that entered at entered.
-// Signs of requests from before the last cut tell nothing of what it did.
-func (s *Shares) Overloaded(now, entered time.Time) {
+// Overloaded takes a sign of overload.
+func (s *Shares) Overloaded(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if entered.Before(s.cutAt) || now.Sub(s.cutAt) < sharesCutEvery {
+	if now.Sub(s.cutAt) < sharesCutEvery {
 		return
 	}
 	s.cutAt = now
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -200,28 +200,7 @@
 			Detail: "pool " + s.stage.Pool + " has no endpoint for new work",
 		}
 	}
-	i := s.e.o.Chooser.Choose(s.query(), candidates)
-	if s.startsTooLate(ctx, candidates[i]) {
-		return nil, &link.RunResult{
-			Run: contract.NotRun, Code: contract.CodeOverloaded,
-			Detail: "pool " + s.stage.Pool + " would answer too late", RetryAfterMS: Wait(candidates[i]).Milliseconds(),
-		}
-	}
-	return peers[i], nil
-}
-
-// startsTooLate reports whether the wait at the chosen endpoint leaves too
-// little of the stage's time. Such a call would be given up only at its
-// deadline, after it took a place in the queue from one that can make it.
-func (s *stageRun) startsTooLate(ctx context.Context, c Candidate) bool {
-	deadline, ok := ctx.Deadline()
-	if !ok || s.e.o.NoEarlyRefusal {
-		return false
-	}
-	now := time.Now()
-	k := s.key(s.stage)
-	k.work = true
-	return startsTooLate(c, s.e.latencies.of(k, now).Quantile(now, usualQuantile), deadline.Sub(now))
+	return peers[s.e.o.Chooser.Choose(s.query(), candidates)], nil
 }
 
 func (s *stageRun) query() Query {
