Watch all links of a process with one goroutine; link.ClientOptions gains Watch

Cause: each link had a ticker of 125 ms; BenchmarkIdleLink measured 197, 174 and 171 µs of processor a second for one idle link: a fifth of a core for the 1,080 links of an entry at the target's size, four times the budget of control. Ruled out: rarer ticks while nothing is outstanding (the silence bound counts in ticks, and a call that starts would have to wake the watch). Change: link.Watch steps all links in one goroutine, shared by an entry's dialer; the decisions about one link are as before. What a probe told is taken in at the next tick, up to 125 ms later than before.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -73,6 +73,7 @@
 type Slopes struct {
 	EntryLinkBytes    float64 // memory of one link in an entry
 	AgentLinkBytes    float64 // memory of one link in an agent
+	IdleLinkCPU       float64 // share of a core that an idle link takes, both ends
 	PingCPU           float64 // seconds of processor for one ping, both ends
 	PingWireBytes     float64 // of one ping and its answer
 	ListedBytes       float64 // of one instance in the platform's list
@@ -128,7 +129,7 @@
 func upkeep(n int, perLink float64, t Tuning, s Slopes) Item {
 	pings := float64(n) / t.PingEvery.Seconds()
 	return Item{"links", Usage{
-		CPU:         pings * s.PingCPU / 2,
+		CPU:         pings*s.PingCPU/2 + float64(n)*s.IdleLinkCPU,
 		MemoryBytes: float64(n) * perLink,
 		WireBytes:   pings * (s.PingWireBytes + pingHeaderBytes),
 	}}
--- a/capacity/link_test.go
+++ b/capacity/link_test.go
@@ -83,11 +83,14 @@
 	return c, s
 }
 
+// watch is shared by all links, as an entry does it.
+var watch = link.NewWatch()
+
 func dial(b *testing.B, addr string) *link.Client {
 	b.Helper()
 	c, err := link.Dial(context.Background(), addr, link.ClientOptions{
 		Hello:        link.HelloParams{Entry: "entry-001", EntryBoot: contract.NewBootID(), DataCentre: "dc-01", Settings: 1400},
-		PingInterval: time.Hour,
+		PingInterval: time.Hour, Watch: watch,
 	})
 	if err != nil {
 		b.Fatal(err)
@@ -134,6 +137,26 @@
 	report(b, "B/link", perLink)
 }
 
+// idleFor is how long idle links are watched for their processor time.
+const idleFor = 3 * time.Second
+
+// BenchmarkIdleLink holds links that carry nothing, not even pings, and reports
+// the share of a core that one of them takes, both ends.
+func BenchmarkIdleLink(b *testing.B) {
+	l, _ := agentServer(b)
+	for range linksHeld {
+		dial(b, l.Addr().String())
+	}
+	runtime.GC()
+	cpu := processor()
+	time.Sleep(idleFor)
+	spent := processor() - cpu
+	for b.Loop() {
+		runtime.Gosched()
+	}
+	report(b, "cpu-ns/s", float64(spent)/idleFor.Seconds()/linksHeld)
+}
+
 // BenchmarkDial opens and closes links: a connection without TLS and the
 // handshake, at both ends.
 func BenchmarkDial(b *testing.B) {
--- a/capacity/report_test.go
+++ b/capacity/report_test.go
@@ -30,7 +30,8 @@
 	return Slopes{
 		// The two ends of a link keep about the same.
 		EntryLinkBytes: linkBytes / 2, AgentLinkBytes: linkBytes / 2,
-		PingCPU: take("Ping", "cpu-ns/ping") * nano, PingWireBytes: take("Ping", "B/ping"),
+		IdleLinkCPU: take("IdleLink", "cpu-ns/s") * nano,
+		PingCPU:     take("Ping", "cpu-ns/ping") * nano, PingWireBytes: take("Ping", "B/ping"),
 		ListedBytes: take("List", "B/instance"), ListedCPU: take("List", "ns/instance") * nano,
 		TargetsCPU:        take("Targets", "ns") * nano,
 		OrganisationBytes: take("SettingsMemory", "B/organisation"),
--- a/entry/options.go
+++ b/entry/options.go
@@ -39,6 +39,9 @@
 
 // LinkDialer returns a Dialer that opens real links.
 func LinkDialer(o link.ClientOptions) Dialer {
+	if o.Watch == nil {
+		o.Watch = link.NewWatch()
+	}
 	return func(ctx context.Context, addr string) (Link, error) {
 		c, err := link.Dial(ctx, addr, o)
 		if err != nil {
--- a/link/client.go
+++ b/link/client.go
@@ -63,7 +63,7 @@
 		return nil, err
 	}
 	o.Metrics.dials.WithLabelValues("ok").Inc()
-	c.wg.Go(c.watch)
+	o.Watch.add(c)
 	return c, nil
 }
 
--- a/link/options.go
+++ b/link/options.go
@@ -103,9 +103,14 @@
 	Logger          *slog.Logger
 	// Metrics may be shared by all links of a process; nil counts nothing.
 	Metrics *Metrics
+	// Watch may be shared by all links of a process; nil watches each by itself.
+	Watch *Watch
 }
 
 func (o *ClientOptions) setDefaults() {
+	if o.Watch == nil {
+		o.Watch = NewWatch()
+	}
 	setDefault(&o.PingInterval, DefaultPingInterval)
 	setDefault(&o.SilenceBound, DefaultSilenceBound)
 	setDefault(&o.DialTimeout, DefaultDialTimeout)
--- a/link/silence.go
+++ b/link/silence.go
@@ -67,39 +67,53 @@
 	return verdictKeep
 }
 
-// watch pings the link and drops it when it has gone silent.
-func (c *Client) watch() {
-	s := newSilence(c.o.SilenceBound, c.o.PingInterval)
-	t := time.NewTicker(c.o.SilenceBound / silenceTicks)
-	defer t.Stop()
-	probing := false
-	probed := make(chan probeResult, 1)
-	for {
-		select {
-		case <-c.done:
-			return
-		case result := <-probed:
-			probing = false
-			if result != probeNothing && c.s.reads.Load() == s.reads {
-				c.drop(string(result), Error.New("silent, and a new link to %s is %s", c.addr, result))
-				return
-			}
-		case <-t.C:
-			switch s.step(c.s.reads.Load(), c.news.Load(), c.outstanding.Load() > 0) {
-			case verdictPing:
-				c.wg.Go(c.ping)
-			case verdictProbe:
-				if !probing {
-					probing = true
-					c.o.Metrics.suspicions.Inc()
-					c.wg.Go(func() { probed <- c.probe() })
-				}
-			case verdictDrop:
-				c.drop("dead", Error.New("silent, and no new link to %s answers", c.addr))
-				return
-			}
+// watcher is the watch over one link. Its owner calls it from one goroutine.
+type watcher struct {
+	c       *Client
+	s       *silence
+	probing bool
+	probed  chan probeResult
+}
+
+func newWatcher(c *Client) *watcher {
+	return &watcher{c: c, s: newSilence(c.o.SilenceBound, c.o.PingInterval), probed: make(chan probeResult, 1)}
+}
+
+// ended reports whether the link has ended, after taking in what a new link to
+// the same agent told.
+func (w *watcher) ended() bool {
+	select {
+	case <-w.c.done:
+		return true
+	case result := <-w.probed:
+		w.probing = false
+		if result != probeNothing && w.c.s.reads.Load() == w.s.reads {
+			w.c.drop(string(result), Error.New("silent, and a new link to %s is %s", w.c.addr, result))
+			return true
+		}
+	default:
+	}
+	return false
+}
+
+// tick pings the link, tries a new one against it, or drops it when it has gone
+// silent, which it reports.
+func (w *watcher) tick() (dropped bool) {
+	c := w.c
+	switch w.s.step(c.s.reads.Load(), c.news.Load(), c.outstanding.Load() > 0) {
+	case verdictPing:
+		c.wg.Go(c.ping)
+	case verdictProbe:
+		if !w.probing {
+			w.probing = true
+			c.o.Metrics.suspicions.Inc()
+			c.wg.Go(func() { w.probed <- c.probe() })
 		}
+	case verdictDrop:
+		c.drop("dead", Error.New("silent, and no new link to %s answers", c.addr))
+		return true
 	}
+	return false
 }
 
 func (c *Client) drop(reason string, err error) {
