--- a/load/policy.go
+++ b/load/policy.go
@@ -51,7 +51,6 @@
 			Entry: func(o *entry.Options) { o.NoShares = true }},
 		{Name: "no-join", Why: "ours, but the same question runs once for each device", Chooser: chooser("finish-time"),
 			Entry: func(o *entry.Options) { o.NoJoin = true }},
-		{Name: "shared", Why: "emptier endpoints are taken for faster, and affinity is weaker", Chooser: chooser("shared-finish-time")},
 		{Name: "hedge", Why: "ours with hedges", Chooser: chooser("finish-time"), Hedge: true},
 		{Name: "no-affinity", Why: "ours without prefix affinity", Chooser: func() entry.Chooser {
 			return withoutAffinity{entry.NewFinishTime()}
