Measure spreading with the word told at once

Cause: with pings 10 s apart the harness, which did not tell peers at once as the daemons do, took 8.8 s, 3.6 s and 9.7 s: close to the target's 11 s. Ruled out: shorter pings; they cost every link 87 B/s. Change: the harness's entries and agents tell their links on each change, as entrydaemon and agentdaemon do.

--- a/settings/dissemination_test.go
+++ b/settings/dissemination_test.go
@@ -180,6 +180,7 @@
 	var srv *link.Server
 	f := settings.NewFollower(settings.FollowerOptions{
 		Store: store, Instance: name, Candidates: func() []string { return nil },
+		OnChange: func() { srv.Spread() },
 		Ask: func(ctx context.Context, have settings.Version) (link.SettingsResult, error) {
 			return srv.Ask(ctx, have)
 		},
@@ -194,32 +195,43 @@
 
 func (c *control) startEntry(ctx context.Context, tb testing.TB, running *sync.WaitGroup, url, name string, names, addrs []string) {
 	store := c.connect(tb, url)
+	up := &openLinks{}
 	f := settings.NewFollower(settings.FollowerOptions{
-		Store: store, Instance: name, Candidates: func() []string { return names }})
+		Store: store, Instance: name, Candidates: func() []string { return names }, OnChange: up.tell})
 	o := link.ClientOptions{
 		Hello:  link.HelloParams{Entry: name, EntryBoot: contract.BootID(name)},
 		Gossip: gossip.Spread{Follower: f},
 	}
 	c.links.Add(int64(len(addrs)))
 	for _, addr := range addrs {
-		running.Go(func() { keepLink(ctx, addr, o) })
+		running.Go(func() { up.keep(ctx, addr, o) })
 	}
 	running.Go(func() { f.Run(ctx); store.Close() })
 	c.followers = append(c.followers, f)
 }
 
-func keepLink(ctx context.Context, addr string, o link.ClientOptions) {
+// openLinks are an entry's links.
+type openLinks struct{ m sync.Map }
+
+// tell passes the version on at once, as the daemons do.
+func (u *openLinks) tell() {
+	u.m.Range(func(l, _ any) bool { l.(*link.Client).Tell(); return true })
+}
+
+func (u *openLinks) keep(ctx context.Context, addr string, o link.ClientOptions) {
 	for ctx.Err() == nil {
 		l, err := link.Dial(ctx, addr, o)
 		if err != nil {
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
+		u.m.Store(l, nil)
 		select {
 		case <-l.Done():
 		case <-ctx.Done():
 			_ = l.Close()
 		}
+		u.m.Delete(l)
 	}
 }
 
