--- a/membership/table.go
+++ b/membership/table.go
@@ -120,15 +120,15 @@
 	return m != nil && now.Before(m.suspectedUntil)
 }
 
-// Entries returns the names of the listed entries in a data centre, or in all
-// when none is named.
-func (t *Table) Entries(dataCentre string) []string {
+// Entries returns the names of the listed entries in the data centres that in
+// selects.
+func (t *Table) Entries(in func(dataCentre string) bool) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []string
-	for _, in := range t.entries {
-		if dataCentre == "" || in.DataCentre == dataCentre {
-			out = append(out, in.Name)
+	for _, e := range t.entries {
+		if in(e.DataCentre) {
+			out = append(out, e.Name)
 		}
 	}
 	return out
@@ -137,24 +137,55 @@
 // Group is the agents of one pool in one data centre.
 type Group struct{ Pool, DataCentre string }
 
-// Targets returns the agents that the entry self keeps links to: a subset of
-// about size for every pool in every data centre.
-func (t *Table) Targets(now time.Time, self string, size int) []platform.Instance {
-	live := t.Live(now)
-	entries := t.Entries("")
+// Reach is what an entry links to.
+type Reach struct {
+	Self       string
+	DataCentre string
+	// Near selects the data centres of the entry's region, its own included.
+	Near func(dataCentre string) bool
+	// Size is how many agents of each pool in the own data centre, FarSize in
+	// each other one.
+	Size    int
+	FarSize int
+}
+
+// Targets returns the agents that an entry keeps links to: a subset for every
+// pool in every data centre of the region. A pool without a live agent there is
+// reached elsewhere. The entries of a data centre share its agents evenly among
+// themselves, and so do all others of the region.
+func (t *Table) Targets(now time.Time, r Reach) []platform.Instance {
+	local := t.Entries(func(dc string) bool { return dc == r.DataCentre })
 	groups := make(map[Group][]string)
-	byName := make(map[string]platform.Instance, len(live))
-	for _, in := range live {
+	byName := make(map[string]platform.Instance)
+	for _, in := range reachable(t.Live(now), r.Near) {
 		g := Group{Pool: in.Pool, DataCentre: in.DataCentre}
 		groups[g] = append(groups[g], in.Name)
 		byName[in.Name] = in
 	}
 	var out []platform.Instance
-	for _, agents := range groups {
-		for _, name := range Subset(self, entries, agents, size) {
+	for g, agents := range groups {
+		entries, size := local, r.Size
+		if g.DataCentre != r.DataCentre {
+			entries = t.Entries(func(dc string) bool { return r.Near(dc) && dc != g.DataCentre })
+			size = r.FarSize
+		}
+		for _, name := range Subset(r.Self, entries, agents, size) {
 			out = append(out, byName[name])
 		}
 	}
 	slices.SortFunc(out, func(a, b platform.Instance) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
+
+// reachable drops the far agents of each pool that has near ones.
+func reachable(live []platform.Instance, near func(dataCentre string) bool) []platform.Instance {
+	hasNear := make(map[string]bool)
+	for _, in := range live {
+		if near(in.DataCentre) {
+			hasNear[in.Pool] = true
+		}
+	}
+	return slices.DeleteFunc(live, func(in platform.Instance) bool {
+		return hasNear[in.Pool] && !near(in.DataCentre)
+	})
+}
