Look at quiet links seldom

Cause: each link's watch woke 8 times a second, also with no call outstanding. Ruled out: a kick per call, which would wake the watch for each one. Change: eight ticks go together while nothing is outstanding; the first call after that wakes the watch.

--- a/link/run.go
+++ b/link/run.go
@@ -119,7 +119,7 @@
 		return RunResult{}, err
 	}
 	defer c.forget(id, r)
-	c.outstanding.Add(1)
+	c.begin()
 	defer c.outstanding.Add(-1)
 	if err := c.hand(&outMessage{ID: string(id), Method: method, Params: params}); err != nil {
 		return RunResult{}, NotSent.Wrap(err)
