--- a/link/client.go
+++ b/link/client.go
@@ -27,9 +27,6 @@
 	settings    atomic.Uint64
 	fetching    atomic.Bool
 	outstanding atomic.Int64
-	// drowsy is set while the watch looks seldom; begun then tells it of a call.
-	drowsy atomic.Bool
-	begun  chan struct{}
 	// news counts the messages that told the peer's state.
 	news atomic.Uint64
 
@@ -83,7 +80,6 @@
 		addr:    addr,
 		leaving: make(chan struct{}),
 		done:    make(chan struct{}),
-		begun:   make(chan struct{}, 1),
 		runs:    map[contract.AttemptID]*run{},
 	}
 	c.load.Store(&Load{})
@@ -202,7 +198,7 @@
 
 // Call calls any other method.
 func (c *Client) Call(ctx context.Context, method string, params, result any) error {
-	c.begin()
+	c.outstanding.Add(1)
 	defer c.outstanding.Add(-1)
 	w, err := c.rpc.DispatchCall(ctx, method, params)
 	if err != nil {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -281,7 +281,7 @@
 			if strings.ContainsRune("bB", k) {
 				news++
 			}
-			got = append(got, letters[s.step(1, reads, news, strings.ContainsRune("BR-", k))])
+			got = append(got, letters[s.step(reads, news, strings.ContainsRune("BR-", k))])
 		}
 		if diff := cmp.Diff(tc.want, string(got)); diff != "" {
 			t.Errorf("%s: %s", name, diff)
--- a/link/run.go
+++ b/link/run.go
@@ -119,7 +119,7 @@
 		return RunResult{}, err
 	}
 	defer c.forget(id, r)
-	c.begin()
+	c.outstanding.Add(1)
 	defer c.outstanding.Add(-1)
 	if err := c.hand(&outMessage{ID: string(id), Method: method, Params: params}); err != nil {
 		return RunResult{}, NotSent.Wrap(err)
--- a/link/silence.go
+++ b/link/silence.go
@@ -13,9 +13,6 @@
 	// dropBounds is after how many silence bounds a link is dropped although no
 	// new one answers: the peer may be starved rather than dead.
 	dropBounds = 3
-	// idleTicks go together while no call is outstanding, so that many quiet
-	// links cost little.
-	idleTicks = 8
 )
 
 // verdict is what the watch does with a link.
@@ -45,12 +42,12 @@
 	return &silence{pingTicks: max(int(ping/tick), 1)}
 }
 
-// step takes what was seen since the last ticks: reads that brought bytes,
+// step takes what was seen since the last tick: reads that brought bytes,
 // messages that told the peer's state, and whether a call is outstanding. After
 // one bound of silence a new link is tried against the silent one. Bytes alone
 // do not put a ping off: the peer's own questions tell nothing of its state.
-func (s *silence) step(ticks int, reads, news uint64, outstanding bool) verdict {
-	s.deaf += ticks
+func (s *silence) step(reads, news uint64, outstanding bool) verdict {
+	s.deaf++
 	if news != s.news {
 		s.news, s.deaf = news, 0
 	}
@@ -73,9 +70,7 @@
 // watch pings the link and drops it when it has gone silent.
 func (c *Client) watch() {
 	s := newSilence(c.o.SilenceBound, c.o.PingInterval)
-	tick := c.o.SilenceBound / silenceTicks
-	ticks := 1
-	t := time.NewTimer(tick)
+	t := time.NewTicker(c.o.SilenceBound / silenceTicks)
 	defer t.Stop()
 	probing := false
 	probed := make(chan probeResult, 1)
@@ -83,9 +78,6 @@
 		select {
 		case <-c.done:
 			return
-		case <-c.begun:
-			ticks = 1
-			t.Reset(tick)
 		case result := <-probed:
 			probing = false
 			if result != probeNothing && c.s.reads.Load() == s.reads {
@@ -93,11 +85,7 @@
 				return
 			}
 		case <-t.C:
-			waiting := c.outstanding.Load() > 0
-			did := s.step(ticks, c.s.reads.Load(), c.news.Load(), waiting)
-			ticks = c.nextTicks(waiting)
-			t.Reset(time.Duration(ticks) * tick)
-			switch did {
+			switch s.step(c.s.reads.Load(), c.news.Load(), c.outstanding.Load() > 0) {
 			case verdictPing:
 				c.wg.Go(c.ping)
 			case verdictProbe:
@@ -114,31 +102,6 @@
 	}
 }
 
-// nextTicks returns after how many ticks the watch looks again. A call that
-// begins while this is decided is seen by the second look.
-func (c *Client) nextTicks(waiting bool) int {
-	if waiting {
-		return 1
-	}
-	c.drowsy.Store(true)
-	if c.outstanding.Load() > 0 {
-		c.drowsy.Store(false)
-		return 1
-	}
-	return idleTicks
-}
-
-// begin counts a call as outstanding, and has the watch look often if it was idle.
-func (c *Client) begin() {
-	c.outstanding.Add(1)
-	if c.drowsy.CompareAndSwap(true, false) {
-		select {
-		case c.begun <- struct{}{}:
-		default:
-		}
-	}
-}
-
 func (c *Client) drop(reason string, err error) {
 	c.o.Metrics.dropped.WithLabelValues(reason).Inc()
 	c.o.Logger.Warn("link dropped", "agent", c.peer.Agent, "addr", c.addr, "reason", reason)
