Wait for the callers' tokens before each fault of the stream proof

Cause: the engine counts tokens when a stream ends, so TestStreamsOutliveTheirLinks waited for an ended stream before each fault; later faults met few streams.

Ruled out: counting each token in the stand-in (its statistics are per call).

Change: faults come at 100, 200, ... tokens that the callers have: stricter.

--- a/itest/holds_test.go
+++ b/itest/holds_test.go
@@ -155,19 +155,25 @@
 }
 
 // streams asks for n streams at once and checks that each caller gets the
-// whole answer to its own question.
-func streams(f *fleet, wg *sync.WaitGroup, e *process, name string, n int) {
+// whole answer to its own question. The count is of the tokens that the callers
+// have, as they come.
+func streams(f *fleet, wg *sync.WaitGroup, e *process, name string, n int) *atomic.Int64 {
+	var tokens atomic.Int64
 	for i := range n {
 		wg.Go(func() {
 			question := fmt.Sprint(name, " ", i)
 			var got strings.Builder
-			_, err := f.ask(e, "chat", entry.Body{Question: question, Stream: true}, func(s string) { got.WriteString(s) })
+			_, err := f.ask(e, "chat", entry.Body{Question: question, Stream: true}, func(s string) {
+				got.WriteString(s)
+				tokens.Add(1)
+			})
 			want := standin.AnswerText("Question: "+question+"\nAnswer:", 400)
 			if err != nil || got.String() != want {
 				f.t.Errorf("%s: %v, %d of %d bytes, own answer: %v", question, err, got.Len(), len(want), strings.HasPrefix(want, got.String()))
 			}
 		})
 	}
+	return &tokens
 }
 
 // Point 4: streams whose link is cut, falls silent, is cut again and answers
@@ -180,9 +186,18 @@
 	e := f.entry("entry1")
 	f.await(e, "chat", entry.Body{Question: "warm", MaxTokens: 1})
 	var wg sync.WaitGroup
-	streams(f, &wg, e, "whole", 8)
+	tokens := streams(f, &wg, e, "whole", 8)
 	for i, fault := range [][]string{{"cut"}, {"silence"}, {"cut"}, {"silence"}, {"latency", "50"}} {
-		f.awaitStat(engine, "tokens.generated", fmt.Sprint(300*(i+1)))
+		// The engine's own count moves when a stream ends; the callers' tokens
+		// show that the streams are under way.
+		if err := eventually(func() error {
+			if n, least := tokens.Load(), int64(100*(i+1)); n < least {
+				return fmt.Errorf("the callers have %d tokens, want %d", n, least)
+			}
+			return nil
+		}); err != nil {
+			t.Fatal(err)
+		}
 		for _, step := range [][]string{fault, {"restore"}} {
 			if err := wire.apply(step[0], step[1:]...); err != nil {
 				t.Fatal(err)
