--- a/entry/baselines.go
+++ b/entry/baselines.go
@@ -44,7 +44,7 @@
 func (Random) Choose(_ Query, candidates []Candidate) int { return rand.IntN(len(candidates)) }
 
 // ChooserNames lists the names of choosers, the default first.
-var ChooserNames = []string{"finish-time", "round-robin", "least-in-flight", "two-choices", "random"}
+var ChooserNames = []string{"finish-time", "round-robin", "least-in-flight", "two-choices", "random", "occupancy"}
 
 // ChooserByName returns the chooser of a name, or nil.
 func ChooserByName(name string) Chooser {
@@ -59,6 +59,8 @@
 		return PlainTwoChoices{}
 	case "random":
 		return Random{}
+	case "occupancy":
+		return NewOccupancy()
 	}
 	return nil
 }
--- a/load/policy.go
+++ b/load/policy.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -40,9 +39,7 @@
 		{Name: "round-robin", Why: "endpoints in turn", Chooser: chooser("round-robin")},
 		{Name: "least-in-flight", Why: "fewest of the entry's own calls", Chooser: chooser("least-in-flight")},
 		{Name: "two-choices", Why: "better of two by the entry's own calls", Chooser: chooser("two-choices")},
-		{Name: "occupancy", Why: "better of two by the share of the limit in use, carried on replies", Chooser: func() entry.Chooser {
-			return occupancy{}
-		}},
+		{Name: "occupancy", Why: "better of two by the share of the limit in use, carried on replies", Chooser: chooser("occupancy")},
 		{Name: "polled", Why: "ours, but on load polled every 500 ms", Chooser: func() entry.Chooser {
 			return newPolled(entry.NewFinishTime(), polledEvery, time.Now)
 		}},
@@ -120,21 +117,3 @@
 	p.seen[name] = polledLoad{load: load, at: now}
 	return load
 }
-
-// occupancy takes the better of two random candidates by the share of its
-// limit in use, as carried on replies, without regard to the time of calls.
-type occupancy struct{}
-
-// Choose implements entry.Chooser.
-func (occupancy) Choose(_ entry.Query, candidates []entry.Candidate) int {
-	n := len(candidates)
-	i, j := rand.IntN(n), rand.IntN(n)
-	if inUse(candidates[j]) < inUse(candidates[i]) {
-		return j
-	}
-	return i
-}
-
-func inUse(c entry.Candidate) float64 {
-	return float64(c.Load.InFlight+c.Since+1) / float64(max(c.Load.Limit, 1))
-}
