Let nothing from before a pause confirm the settings after it

Cause: TestThawedAgentRunsNothingOld failed once (5 of 20 old calls ran): settings confirmed up to 3 s ago passed as fresh after a pause of 2 s, so that nobody was asked. Ruled out: the half second after which an unconfirmed agent goes on; the run took 2.13 s, without that wait. Change: the age allowed after a pause is half of the shortest pause noticed.

--- a/agent/renew.go
+++ b/agent/renew.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/azurelead/azurelead/settings"
 )
 
-// renewAge is how old a peer's knowledge of the settings may be when it is
-// asked after a pause.
-const renewAge = 3 * time.Second
+// renewAge is how old the knowledge of the settings may be after a pause. It is
+// below the shortest pause that is noticed, so that nothing from before the
+// pause passes for a confirmation.
+const renewAge = DefaultPauseBound / 2
 
 // Renew returns an Options.Refresh that has the settings confirmed anew.
 func Renew(f *settings.Follower) func(context.Context) error {
