--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -3,13 +3,7 @@
 // the result; make slopes measures anew and checks it against the budgets.
 package capacity
 
-import (
-	"time"
-
-	"github.com/azurelead/azurelead/agent"
-	"github.com/azurelead/azurelead/entry"
-	"github.com/azurelead/azurelead/link"
-)
+import "time"
 
 // Sizes is a fleet.
 type Sizes struct {
@@ -58,8 +52,8 @@
 
 // Built is the tuning that the daemons' defaults give at Target's size.
 var Built = Tuning{
-	LinksPerEntry: 105, LinksPerAgent: 36, PingEvery: link.DefaultPingInterval,
-	EntryListEvery: entry.DefaultRefreshEvery, AgentListEvery: agent.DefaultListInterval,
+	LinksPerEntry: 105, LinksPerAgent: 37, PingEvery: 25 * time.Second,
+	EntryListEvery: 5 * time.Second, AgentListEvery: 30 * time.Second,
 	Watchers: 2, WatchBound: 3 * time.Second,
 	Shards: 16, ClaimWindow: 80 * time.Millisecond, Retention: time.Hour,
 }
@@ -71,11 +65,12 @@
 	IdleLinkCPU       float64 // share of a core that an idle link takes, both ends
 	PingCPU           float64 // seconds of processor for one ping, both ends
 	PingWireBytes     float64 // of one ping and its answer
-	ListPollBytes     float64 // of reading an unchanged list
-	ListPollCPU       float64 // seconds for that, at the reader
-	ListedBytes       float64 // of one instance in a changed, compressed list
-	ListedCPU         float64 // seconds to take in one instance of a changed list
-	OwnListedBytes    float64 // of reading one instance alone
+	SameListWireBytes float64 // of asking for the list when it has not changed
+	SameListCPU       float64 // seconds for that, both ends
+	NewListWireBytes  float64 // of reading the list, at Target's size
+	NewListCPU        float64 // seconds for that, both ends
+	OwnWireBytes      float64 // of reading one instance
+	OwnCPU            float64 // seconds for that, both ends
 	TargetsCPU        float64 // seconds to choose links once, at Target's size
 	OrganisationBytes float64 // memory of one organisation's settings
 	ChangeWireBytes   float64 // of one change of one organisation
@@ -142,25 +137,28 @@
 	}}
 }
 
-// listChanges is how often the list of instances changes: an instance that is
-// replaced leaves it and comes back.
-func listChanges(z Sizes) float64 { return 2 * (z.FailuresPerDay + z.RestartsPerDay) / secondsPerDay }
+// changesOfList are a leaving, a going and a coming for each instance that is
+// lost or replaced.
+const changesOfList = 3
 
-// list is an entry's reading of the whole list.
-func list(z Sizes, every time.Duration, s Slopes) Item {
-	polls := 1 / every.Seconds()
-	changed := min(listChanges(z), polls) * float64(z.Entries+z.Agents)
+// list is the upkeep of the platform's list in an entry, which reads it whole
+// whenever it has changed.
+func list(z Sizes, t Tuning, s Slopes) Item {
+	asked := 1 / t.EntryListEvery.Seconds()
+	changed := changesOfList * (z.FailuresPerDay + z.RestartsPerDay) / secondsPerDay
 	return Item{"list of instances", Usage{
-		CPU:        polls*s.ListPollCPU + changed*s.ListedCPU,
-		WireBytes:  polls*s.ListPollBytes + changed*s.ListedBytes,
-		StoreCalls: polls,
+		CPU:        asked*s.SameListCPU + changed*s.NewListCPU,
+		WireBytes:  asked*(s.SameListWireBytes+pingHeaderBytes) + changed*s.NewListWireBytes,
+		StoreCalls: asked,
 	}}
 }
 
-// ownInstance is an agent's reading of its own place in the list.
-func ownInstance(every time.Duration, s Slopes) Item {
-	polls := 1 / every.Seconds()
-	return Item{"own instance in the list", Usage{CPU: polls * s.ListPollCPU, WireBytes: polls * s.OwnListedBytes, StoreCalls: polls}}
+// own is an agent's reading of its own instance.
+func own(t Tuning, s Slopes) Item {
+	asked := 1 / t.AgentListEvery.Seconds()
+	return Item{"own instance", Usage{
+		CPU: asked * s.OwnCPU, WireBytes: asked * (s.OwnWireBytes + pingHeaderBytes), StoreCalls: asked,
+	}}
 }
 
 // suspects is the upkeep of a full table, and one mark a ping.
@@ -181,7 +179,7 @@
 	choose := Item{"choice of links", Usage{CPU: s.TargetsCPU / t.EntryListEvery.Seconds()}}
 	return []Item{
 		upkeep(t.LinksPerEntry, s.EntryLinkBytes, t, s),
-		list(z, t.EntryListEvery, s),
+		list(z, t, s),
 		choose,
 		settingsTree(z, t.LinksPerEntry/max(t.LinksPerAgent, 1), s),
 		suspects(0, t.LinksPerEntry, t, s),
@@ -192,7 +190,7 @@
 func Agent(z Sizes, t Tuning, s Slopes) []Item {
 	return []Item{
 		upkeep(t.LinksPerAgent, s.AgentLinkBytes, t, s),
-		ownInstance(t.AgentListEvery, s),
+		own(t, s),
 		settingsTree(z, 0, s),
 		suspects(0, t.LinksPerAgent, t, s),
 	}
--- a/capacity/report_test.go
+++ b/capacity/report_test.go
@@ -32,9 +32,9 @@
 		EntryLinkBytes: linkBytes / 2, AgentLinkBytes: linkBytes / 2,
 		IdleLinkCPU: take("IdleLink", "cpu-ns/s") * nano,
 		PingCPU:     take("Ping", "cpu-ns/ping") * nano, PingWireBytes: take("Ping", "B/ping"),
-		ListPollBytes: take("ListUnchanged", "B/poll"), ListPollCPU: take("ListUnchanged", "cpu-ns/poll") * nano,
-		ListedBytes: take("List", "B/instance"), ListedCPU: take("List", "cpu-ns/instance") * nano,
-		OwnListedBytes:    take("OwnInstance", "B/poll"),
+		SameListWireBytes: take("ListUnchanged", "B/read"), SameListCPU: take("ListUnchanged", "cpu-ns/read") * nano,
+		NewListWireBytes: take("ListChanged", "B/read"), NewListCPU: take("ListChanged", "cpu-ns/read") * nano,
+		OwnWireBytes: take("OwnInstance", "B/read"), OwnCPU: take("OwnInstance", "cpu-ns/read") * nano,
 		TargetsCPU:        take("Targets", "ns") * nano,
 		OrganisationBytes: take("SettingsMemory", "B/organisation"),
 		ChangeWireBytes:   take("SettingsChange", "B/change"), ChangeCPU: take("SettingsChange", "cpu-ns/change") * nano,
@@ -51,22 +51,22 @@
 
 // show prints the tables and returns the exit status.
 func show(s Slopes) int {
-	code := 0
+	t := Built
 	fmt.Printf("\n== control as built (budget %.1f%% of a core, %.0f MB, %.0f B/s)\n", Budget.CPU*100, Budget.MemoryBytes/(1<<20), Budget.WireBytes)
-	over := daemon("entry", Entry(Target, Built, s))
-	over = daemon("agent", Agent(Target, Built, s)) || over
-	if over {
-		code = 1
-	}
-	row("beside: "+Writer(Target, Built, s).Name, Writer(Target, Built, s).Usage)
+	over := daemon("entry", Entry(Target, t, s))
+	over = daemon("agent", Agent(Target, t, s)) || over
+	row("beside: "+Writer(Target, t, s).Name, Writer(Target, t, s).Usage)
 	fmt.Println("store:")
 	reads, writes := 0.0, 0.0
-	for _, c := range Store(Target, Built, s) {
+	for _, c := range Store(Target, t, s) {
 		fmt.Printf("  %-34s %8.1f reads/s %8.1f writes/s\n", c.Name, c.Reads, c.Writes)
 		reads, writes = reads+c.Reads, writes+c.Writes
 	}
 	fmt.Printf("  %-34s %8.1f reads/s %8.1f writes/s\n", "total", reads, writes)
-	return code
+	if over {
+		return 1
+	}
+	return 0
 }
 
 func daemon(name string, items []Item) (over bool) {
