Keep a cut proxy's port while it is cut

Ruled out: trying again until the port is free (it may never be).

Change: a cut proxy's port stays bound without listening, so that connections are refused and nobody else is given it.

--- a/itest/proxy_test.go
+++ b/itest/proxy_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 
 	"github.com/Shopify/toxiproxy/v2"
 	"github.com/Shopify/toxiproxy/v2/toxics"
@@ -15,6 +17,8 @@
 type faultProxy struct {
 	proxy *toxiproxy.Proxy
 	gate  *gate
+	// held is the socket that keeps the proxy's port while it is cut; 0 is none.
+	held int
 }
 
 // newProxy starts a proxy on a port of its own.
@@ -50,8 +54,7 @@
 func (p *faultProxy) apply(fault string, args ...string) error {
 	switch fault {
 	case "cut":
-		p.proxy.Stop()
-		return nil
+		return p.cut()
 	case "silence":
 		p.gate.shut()
 		return nil
@@ -63,15 +66,55 @@
 		for _, direction := range []string{"upstream", "downstream"} {
 			_ = p.proxy.Toxics.RemoveToxic(context.Background(), "latency_"+direction)
 		}
-		if !p.proxy.Enabled {
-			return p.proxy.Start()
-		}
-		return nil
+		return p.uncut()
 	}
 	return fmt.Errorf("fault %q is not known", fault)
 }
 
-func (p *faultProxy) close() { p.proxy.Stop() }
+// cut stops the proxy and keeps its port bound without listening, so that
+// connections are refused and no other process of the tests is given the port.
+func (p *faultProxy) cut() error {
+	if !p.proxy.Enabled {
+		return nil
+	}
+	addr, err := netip.ParseAddrPort(p.proxy.Listen)
+	if err != nil {
+		return err
+	}
+	p.proxy.Stop()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return err
+	}
+	p.held = fd
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return err
+	}
+	return eventually(func() error {
+		return syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(addr.Port()), Addr: addr.Addr().As4()})
+	})
+}
+
+// uncut starts a proxy that was cut.
+func (p *faultProxy) uncut() error {
+	if p.proxy.Enabled {
+		return nil
+	}
+	p.release()
+	return p.proxy.Start()
+}
+
+func (p *faultProxy) release() {
+	if p.held != 0 {
+		_ = syscall.Close(p.held)
+		p.held = 0
+	}
+}
+
+func (p *faultProxy) close() {
+	p.proxy.Stop()
+	p.release()
+}
 
 // gates finds the gate of a proxy by its listening address.
 var gates sync.Map
