--- a/itest/holds_test.go
+++ b/itest/holds_test.go
@@ -448,6 +448,11 @@
 			t.Errorf("read after the pause: %s %s", r.Run, r.Code)
 		}
 	}
+	for range 20 {
+		if r := run(); r.Run != contract.NotRun {
+			t.Errorf("sent after the pause: %s %s", r.Run, r.Code)
+		}
+	}
 	if after := f.stat(stock, "attempts.total"); after != before {
 		t.Errorf("the endpoint ran %v old calls", after-before)
 	}
