--- a/load/policy.go
+++ b/load/policy.go
@@ -39,6 +39,7 @@
 		{Name: "round-robin", Why: "endpoints in turn", Chooser: chooser("round-robin")},
 		{Name: "least-in-flight", Why: "fewest of the entry's own calls", Chooser: chooser("least-in-flight")},
 		{Name: "two-choices", Why: "better of two by the entry's own calls", Chooser: chooser("two-choices")},
+		{Name: "occupancy", Why: "better of two by the share of the limit in use, carried on replies", Chooser: chooser("occupancy")},
 		{Name: "polled", Why: "ours, but on load polled every 500 ms", Chooser: func() entry.Chooser {
 			return newPolled(entry.NewFinishTime(), polledEvery, time.Now)
 		}},
