Prove that a roll-out waits while the store is down

Ruled out: expecting that nothing changes from the moment the store is lost; a holder acts within the term that it has, which the first form of the test showed. Change: TestStoreDownInARollOut: after the term nothing is ordered for ten virtual minutes, then the roll-out ends, each engine ordered once. Seen failing with a term that never ends (lease.Fence).

--- a/order/order_test.go
+++ b/order/order_test.go
@@ -176,3 +176,72 @@
 		}
 	})
 }
+
+// TestStoreDownInARollOut takes the store down after the first engine of a pool
+// has changed. The holder uses up its term and then orders nothing, the other
+// engines keep serving what they served, and the roll-out goes on, by whoever
+// holds the lease then, once the store is back.
+func TestStoreDownInARollOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platform.NewMemory(platform.MemoryOptions{})
+		agents := &carrierAgents{carriers: map[string]*Carrier{}}
+		var group Group
+		var engines []*fakeEngine
+		for _, name := range []string{"engine-1", "engine-2", "engine-3"} {
+			e := &fakeEngine{serving: Target{Model: "m", Version: "1"}}
+			engines = append(engines, e)
+			c := NewCarrier(CarrierOptions{
+				Instance: name, AgentBoot: agentBoot, Guard: NewGuard(LeaseFence{Store: store, Key: "lease"}),
+				Engine: e, Drainer: &fakeDrainer{takes: 8 * time.Second}, Timeout: time.Minute,
+			})
+			agents.carriers[name] = c
+			group.Instances = append(group.Instances, platform.Instance{Name: name})
+		}
+		group.Wishes = []Wish{wish("m", "2", 3)}
+		newDoer := func(holder contract.BootID) *Doer {
+			return NewDoer(DoerOptions{
+				Lease:  lease.New(lease.Options{Store: store, Key: "lease", Holder: holder, Term: 10 * time.Second, Margin: 2 * time.Second}),
+				Agents: agents, CallTimeout: time.Second,
+				Wanted: func(context.Context) (Demand, error) { return Demand{Groups: []Group{group}, MaxLoads: 3}, nil },
+			})
+		}
+		doers := []*Doer{newDoer("a"), newDoer("b")}
+		rounds := func(n int) {
+			for range n {
+				for _, d := range doers {
+					d.Round(t.Context())
+				}
+				time.Sleep(time.Second)
+			}
+		}
+		changed := func() (n int) {
+			for _, e := range engines {
+				if e.serving.Version == "2" {
+					n++
+				}
+			}
+			return n
+		}
+		rounds(6) // the first engine drains
+		store.SetFaults(platform.Faults{Down: true})
+		rounds(30) // the term ends, and so does an order given within it
+		early := changed()
+		if early == len(engines) {
+			t.Fatal("the roll-out ended before the store was missed")
+		}
+		rounds(600)
+		if n := changed(); n != early {
+			t.Fatalf("%d engines changed after the term had ended", n-early)
+		}
+		store.SetFaults(platform.Faults{})
+		rounds(60)
+		if n := changed(); n != 3 {
+			t.Fatalf("%d engines changed after the store came back, want 3", n)
+		}
+		for _, e := range engines {
+			if len(e.applied) != 1 {
+				t.Errorf("an engine was ordered %d times: %v", len(e.applied), e.applied)
+			}
+		}
+	})
+}
