Name what is counted: crashes, suspects, the time to relink

Cause: 'strike', 'blame' and 'hope' need an explanation to a newcomer. Ruled out: renaming metrics, which operators may have in their boards. Change: suspect marks count crashes, the agent collects suspects, the entry waits until a time to relink; a few comments in plain terms.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -26,8 +26,8 @@
 	metrics   *metrics
 	version   atomic.Uint64
 	turns     atomic.Int64
-	// blaming is held while the calls in flight at a crash are collected.
-	blaming sync.Mutex
+	// collecting is held while the calls in flight at a crash are collected.
+	collecting sync.Mutex
 	// probeNow asks for a probe ahead of its time.
 	probeNow chan struct{}
 
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -27,8 +27,8 @@
 	// them that took it over.
 	followers int
 	attached  int
-	// struck is set once the attempt was blamed for a crash of the endpoint.
-	struck bool
+	// suspected is set once the attempt was made a suspect of a crash of the endpoint.
+	suspected bool
 	// handed is set once the endpoint may have seen the call.
 	handed bool
 }
@@ -127,12 +127,12 @@
 	return t.handed
 }
 
-// strike blames the attempt for a crash and reports whether it was the first time.
-func (t *attempt) strike() bool {
+// markSuspected marks the attempt as a suspect of a crash and reports whether it was the first time.
+func (t *attempt) markSuspected() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	first := !t.struck
-	t.struck = true
+	first := !t.suspected
+	t.suspected = true
 	return first
 }
 
--- a/agent/options.go
+++ b/agent/options.go
@@ -57,7 +57,7 @@
 	Endpoint endpoint.Endpoint
 	Settings settings.Source
 	// Refresh renews what the process knows of the settings after a pause; nil
-	// waits for the next word of a peer instead.
+	// waits until a peer tells the version instead.
 	Refresh  func(ctx context.Context) error
 	Gossip   link.Gossip
 	Suspects Suspects
--- a/agent/run.go
+++ b/agent/run.go
@@ -188,7 +188,7 @@
 		return
 	}
 	a.endpointDied()
-	digests := a.blame(t)
+	digests := a.suspectsOf(t)
 	if len(digests) > 0 {
 		a.metrics.crashes.Inc()
 		a.o.Logger.Warn("endpoint crashed", "endpoint", a.o.EndpointName, "in_flight", len(digests))
@@ -197,18 +197,18 @@
 	}
 }
 
-// blame returns what was in flight at the crash that ended t, or nothing if it
-// was blamed before. Calls that end together take turns, so that none of them
-// is blamed as if it had been alone.
-func (a *Agent) blame(t *attempt) []string {
-	a.blaming.Lock()
-	defer a.blaming.Unlock()
-	if !t.strike() {
+// suspectsOf returns what was in flight at the crash that ended t, or nothing if it
+// was returned before. Calls that end together take turns, so that none of them
+// is taken to have been alone.
+func (a *Agent) suspectsOf(t *attempt) []string {
+	a.collecting.Lock()
+	defer a.collecting.Unlock()
+	if !t.markSuspected() {
 		return nil
 	}
 	digests := []string{t.digest}
 	for _, other := range a.attempts.list() {
-		if other != t && other.wasHanded() && other.strike() {
+		if other != t && other.wasHanded() && other.markSuspected() {
 			digests = append(digests, other.digest)
 		}
 	}
--- a/entry/eligible.go
+++ b/entry/eligible.go
@@ -9,9 +9,9 @@
 type choice struct {
 	peers      []*peer
 	candidates []Candidate
-	// hope is until when an endpoint whose link was lost a moment ago may come
+	// relinkUntil is until when an endpoint whose link was lost a moment ago may come
 	// back; zero if there is none.
-	hope time.Time
+	relinkUntil time.Time
 }
 
 func (c *choice) add(p *peer, cand Candidate) {
@@ -26,10 +26,10 @@
 	for {
 		next := e.fleet.nextLink()
 		c := e.eligible(pool, model, tried)
-		if len(c.candidates) > 0 || !time.Now().Before(c.hope) {
+		if len(c.candidates) > 0 || !time.Now().Before(c.relinkUntil) {
 			return c.peers, c.candidates
 		}
-		t := time.NewTimer(time.Until(c.hope))
+		t := time.NewTimer(time.Until(c.relinkUntil))
 		select {
 		case <-next:
 		case <-t.C:
@@ -51,8 +51,8 @@
 		if tried[p.instance.Name] || snap.Out(p.instance.DataCentre) {
 			continue
 		}
-		if hope := p.hope(e.o.RecoverBound); hope.After(good.hope) {
-			good.hope = hope
+		if relinkUntil := p.relinkUntil(e.o.RecoverBound); relinkUntil.After(good.relinkUntil) {
+			good.relinkUntil = relinkUntil
 		}
 		c, ok := p.candidate(e.o.DataCentre)
 		switch {
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -105,9 +105,9 @@
 	return time.Since(p.endedAt)
 }
 
-// hope returns until when a link that was lost a moment ago may still come
+// relinkUntil returns until when a link that was lost a moment ago may still come
 // back; zero when there is nothing to wait for.
-func (p *peer) hope(bound time.Duration) time.Time {
+func (p *peer) relinkUntil(bound time.Duration) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.link != nil || p.leaving || p.retired || p.lostAt.IsZero() {
--- a/link/messages.go
+++ b/link/messages.go
@@ -59,8 +59,8 @@
 	// Epoch grows with each good run of the request, and overrules all counts
 	// of lower epochs.
 	Epoch uint64 `json:"epoch,omitempty"`
-	// Strikes counts crashes with the request in flight.
-	Strikes int `json:"strikes"`
+	// Crashes counts crashes with the request in flight.
+	Crashes int `json:"crashes"`
 	// Proven counts crashes with the request alone in flight.
 	Proven int `json:"proven"`
 	// ExpiresMS is how much longer the mark stands, in milliseconds.
@@ -189,7 +189,7 @@
 	From      int                `json:"from"`
 }
 
-// PingParams keeps a link alive and carries what spreads by word of mouth.
+// PingParams keeps a link alive and carries what peers pass on to each other.
 type PingParams struct {
 	Settings Version   `json:"settings"`
 	Suspects []Suspect `json:"suspects,omitempty"`
--- a/link/silence.go
+++ b/link/silence.go
@@ -125,7 +125,7 @@
 // Tell passes settings version and marks on to the peer at once.
 func (c *Client) Tell() { go c.ping() }
 
-// ping carries what spreads by word of mouth.
+// ping carries what peers pass on to each other.
 func (c *Client) ping() {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*c.o.SilenceBound)
 	defer cancel()
--- a/settings/follower.go
+++ b/settings/follower.go
@@ -189,7 +189,7 @@
 			return err
 		}
 	}
-	// A peer that holds an older version vouches for nothing.
+	// A peer that holds an older version confirms nothing.
 	if res.AgeMS > 0 && res.Version == f.Version() {
 		f.confirm(res.Version, asked.Add(-time.Duration(res.AgeMS)*time.Millisecond))
 	}
--- a/suspect/mark.go
+++ b/suspect/mark.go
@@ -15,7 +15,7 @@
 	// that were made before it.
 	epoch   uint64
 	proven  int
-	strikes int
+	crashes int
 	expires time.Time
 	// changed is when the mark last rose here.
 	changed time.Time
@@ -26,7 +26,7 @@
 	return cmp.Or(
 		cmp.Compare(m.epoch, o.epoch),
 		cmp.Compare(m.proven, o.proven),
-		cmp.Compare(m.strikes, o.strikes),
+		cmp.Compare(m.crashes, o.crashes),
 	)
 }
 
@@ -47,7 +47,7 @@
 
 // crashed counts a crash with the request in flight, alone or among others.
 func (m mark) crashed(alone bool, now time.Time, o Options) mark {
-	m.strikes++
+	m.crashes++
 	m.expires = now.Add(o.AloneFor)
 	if alone {
 		m.proven++
@@ -68,7 +68,7 @@
 // verdict decides what may be done with the request.
 func (m mark) verdict(now time.Time) Verdict {
 	switch {
-	case !now.Before(m.expires) || m.strikes == 0:
+	case !now.Before(m.expires) || m.crashes == 0:
 		return Allowed
 	case m.proven >= provenToRefuse:
 		return Refused
@@ -80,7 +80,7 @@
 	return link.Suspect{
 		Digest:    digest,
 		Epoch:     m.epoch,
-		Strikes:   m.strikes,
+		Crashes:   m.crashes,
 		Proven:    m.proven,
 		ExpiresMS: m.expires.Sub(now).Milliseconds(),
 	}
@@ -94,7 +94,7 @@
 	return mark{
 		epoch:   s.Epoch,
 		proven:  max(s.Proven, 0),
-		strikes: max(s.Strikes, 0),
+		crashes: max(s.Crashes, 0),
 		expires: now.Add(left),
 		changed: now,
 	}
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -138,7 +138,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.marks.Peek(digest)
-	if !ok || m.strikes == 0 {
+	if !ok || m.crashes == 0 {
 		return
 	}
 	t.set(digest, m.cleared(time.Now(), t.o))
--- a/suspect/table_test.go
+++ b/suspect/table_test.go
@@ -20,7 +20,7 @@
 	return link.Suspect{
 		Digest:    rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "digest"),
 		Epoch:     uint64(rapid.IntRange(0, 2).Draw(t, "epoch")),
-		Strikes:   rapid.IntRange(0, 3).Draw(t, "strikes"),
+		Crashes:   rapid.IntRange(0, 3).Draw(t, "crashes"),
 		Proven:    rapid.IntRange(0, 3).Draw(t, "proven"),
 		ExpiresMS: int64(rapid.IntRange(1, 5).Draw(t, "minutes")) * 60000,
 	}
