Choose endpoints by the share of their limit in use

Cause: the predicted finish time was slower than plain choices below the capacity: the mean time of a call follows the mix of short and long calls, and an agent without one got no work for long.

Ruled out: least in flight by an entry's own calls, as good or better with three entries, but blind to other entries and to cold limits; affinity on top of the occupancy, which nobody has measured.

Change: occupancy is the default choice of entries and of the load tool's 'ours'; finish-time stays selectable.

--- a/cmd/azurelead-entry/main.go
+++ b/cmd/azurelead-entry/main.go
@@ -78,7 +78,7 @@
 		text("link-cert", "LINK_CERT", "PEM file of the certificate for links to agents", "", &c.LinkCert),
 		text("link-key", "LINK_KEY", "PEM file of its key", "", &c.LinkKey),
 		text("link-ca", "LINK_CA", "PEM file of the authorities for agents' certificates", "", &c.LinkCA),
-		text("chooser", "CHOOSER", fmt.Sprintf("policy that picks endpoints: one of %v", entry.ChooserNames), "finish-time", &c.Chooser),
+		text("chooser", "CHOOSER", fmt.Sprintf("policy that picks endpoints: one of %v", entry.ChooserNames), entry.ChooserNames[0], &c.Chooser),
 		&cli.IntFlag{Name: "subset", Usage: "agents of each pool in the own data centre to hold links to", Value: entry.DefaultSubsetSize,
 			Destination: &c.Subset, Sources: cli.EnvVars("AZURELEAD_SUBSET")},
 		&cli.BoolFlag{Name: "plain", Usage: "allow callers and links without TLS", Destination: &c.Plain, Sources: cli.EnvVars("AZURELEAD_PLAIN")},
--- a/entry/baselines.go
+++ b/entry/baselines.go
@@ -44,7 +44,7 @@
 func (Random) Choose(_ Query, candidates []Candidate) int { return rand.IntN(len(candidates)) }
 
 // ChooserNames lists the names of choosers, the default first.
-var ChooserNames = []string{"finish-time", "round-robin", "least-in-flight", "two-choices", "random", "occupancy"}
+var ChooserNames = []string{"occupancy", "finish-time", "round-robin", "least-in-flight", "two-choices", "random"}
 
 // ChooserByName returns the chooser of a name, or nil.
 func ChooserByName(name string) Chooser {
--- a/entry/options.go
+++ b/entry/options.go
@@ -88,7 +88,7 @@
 	// without it such requests are refused as not run.
 	Claims   claim.Claims
 	Suspects Suspects
-	// Chooser picks endpoints; the default is NewFinishTime.
+	// Chooser picks endpoints; the default is NewOccupancy.
 	Chooser Chooser
 	// Renew brings the settings up to date after a pause of the process.
 	Renew func(ctx context.Context) error
@@ -128,7 +128,7 @@
 		o.Suspects = noSuspects{}
 	}
 	if o.Chooser == nil {
-		o.Chooser = NewFinishTime()
+		o.Chooser = NewOccupancy()
 	}
 	if o.Renew == nil {
 		o.Renew = func(context.Context) error { return nil }
--- a/load/policy.go
+++ b/load/policy.go
@@ -34,26 +34,27 @@
 	chooser := func(name string) func() entry.Chooser {
 		return func() entry.Chooser { return entry.ChooserByName(name) }
 	}
+	ours := chooser(entry.ChooserNames[0])
 	return []Policy{
-		{Name: "ours", Why: "finish time on piggybacked load, adaptive limits, retry budget", Chooser: chooser("finish-time")},
+		{Name: "ours", Why: "occupancy carried on replies, adaptive limits, retry budget", Chooser: ours},
+		{Name: "finish-time", Why: "better of two by predicted finish time, with affinity", Chooser: chooser("finish-time")},
 		{Name: "round-robin", Why: "endpoints in turn", Chooser: chooser("round-robin")},
 		{Name: "least-in-flight", Why: "fewest of the entry's own calls", Chooser: chooser("least-in-flight")},
 		{Name: "two-choices", Why: "better of two by the entry's own calls", Chooser: chooser("two-choices")},
-		{Name: "occupancy", Why: "better of two by the share of the limit in use, carried on replies", Chooser: chooser("occupancy")},
 		{Name: "polled", Why: "ours, but on load polled every 500 ms", Chooser: func() entry.Chooser {
-			return newPolled(entry.NewFinishTime(), polledEvery, time.Now)
+			return newPolled(entry.NewOccupancy(), polledEvery, time.Now)
 		}},
-		{Name: "unbounded-retry", Why: "ours without the retry budget", Chooser: chooser("finish-time"),
+		{Name: "unbounded-retry", Why: "ours without the retry budget", Chooser: ours,
 			Entry: func(o *entry.Options) { o.UnboundedRetries = true }},
-		{Name: "fixed-limit", Why: "ours with fixed limits of three times the slots", Chooser: chooser("finish-time"), FixedLimit: 3},
-		{Name: "no-early-refusal", Why: "ours, but requests that cannot finish run on", Chooser: chooser("finish-time"),
+		{Name: "fixed-limit", Why: "ours with fixed limits of three times the slots", Chooser: ours, FixedLimit: 3},
+		{Name: "no-early-refusal", Why: "ours, but requests that cannot finish run on", Chooser: ours,
 			Entry: func(o *entry.Options) { o.NoEarlyRefusal = true }},
-		{Name: "no-shares", Why: "ours without shares of organisations", Chooser: chooser("finish-time"),
+		{Name: "no-shares", Why: "ours without shares of organisations", Chooser: ours,
 			Entry: func(o *entry.Options) { o.NoShares = true }},
-		{Name: "no-join", Why: "ours, but the same question runs once for each device", Chooser: chooser("finish-time"),
+		{Name: "no-join", Why: "ours, but the same question runs once for each device", Chooser: ours,
 			Entry: func(o *entry.Options) { o.NoJoin = true }},
-		{Name: "hedge", Why: "ours with hedges", Chooser: chooser("finish-time"), Hedge: true},
-		{Name: "no-affinity", Why: "ours without prefix affinity", Chooser: func() entry.Chooser {
+		{Name: "hedge", Why: "ours with hedges", Chooser: ours, Hedge: true},
+		{Name: "no-affinity", Why: "finish time without prefix affinity", Chooser: func() entry.Chooser {
 			return withoutAffinity{entry.NewFinishTime()}
 		}},
 	}
