--- a/agent/listed.go
+++ b/agent/listed.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"time"
@@ -17,7 +18,7 @@
 // the name is leaving, and returns then or when ctx ends. The list lags and may
 // be down; the agent serves on meanwhile.
 func FollowList(ctx context.Context, d platform.InstanceReader, name string, every time.Duration, l *slog.Logger, leave func()) {
-	setDefault(&every, DefaultListInterval)
+	every = cmp.Or(every, DefaultListInterval)
 	t := time.NewTicker(every)
 	defer t.Stop()
 	for {
--- a/agent/node.go
+++ b/agent/node.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync/atomic"
@@ -36,7 +37,7 @@
 
 // NewNode returns a node that does not listen yet.
 func NewNode(o NodeOptions) (*Node, error) {
-	setDefault(&o.Drain, DefaultDrain)
+	o.Drain = cmp.Or(o.Drain, DefaultDrain)
 	if o.OnLeave == nil {
 		o.OnLeave = func() {}
 	}
--- a/agent/options.go
+++ b/agent/options.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"time"
@@ -83,13 +84,13 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.EndpointName, o.Name)
-	setDefault(&o.ProbeInterval, DefaultProbeInterval)
-	setDefault(&o.ReportLag, DefaultReportLag)
-	setDefault(&o.ForeignBound, DefaultForeignBound)
-	setDefault(&o.OrphanGrace, DefaultOrphanGrace)
-	setDefault(&o.CancelLinger, DefaultCancelLinger)
-	setDefault(&o.PauseBound, DefaultPauseBound)
+	o.EndpointName = cmp.Or(o.EndpointName, o.Name)
+	o.ProbeInterval = cmp.Or(o.ProbeInterval, DefaultProbeInterval)
+	o.ReportLag = cmp.Or(o.ReportLag, DefaultReportLag)
+	o.ForeignBound = cmp.Or(o.ForeignBound, DefaultForeignBound)
+	o.OrphanGrace = cmp.Or(o.OrphanGrace, DefaultOrphanGrace)
+	o.CancelLinger = cmp.Or(o.CancelLinger, DefaultCancelLinger)
+	o.PauseBound = cmp.Or(o.PauseBound, DefaultPauseBound)
 	if o.Boot == "" {
 		o.Boot = contract.NewBootID()
 	}
@@ -106,10 +107,3 @@
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
 }
-
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
--- a/claim/forwarder.go
+++ b/claim/forwarder.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -44,8 +45,8 @@
 
 // NewForwarder returns a forwarder. Close it to stop its background work.
 func NewForwarder(o ForwarderOptions) *Forwarder {
-	setDefault(&o.PathTimeout, defaultPathTimeout)
-	setDefault(&o.Deferred, defaultDeferred)
+	o.PathTimeout = cmp.Or(o.PathTimeout, defaultPathTimeout)
+	o.Deferred = cmp.Or(o.Deferred, defaultDeferred)
 	f := &Forwarder{options: o, routes: routes{writers: o.Writers}}
 	f.deferred = newDeferred(o.Deferred, f.ask)
 	return f
--- a/claim/options.go
+++ b/claim/options.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -92,25 +93,18 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Prefix, defaultPrefix)
-	setDefault(&o.Shards, defaultShards)
-	setDefault(&o.Window, defaultWindow)
-	setDefault(&o.Wait, defaultWait)
-	setDefault(&o.SegmentBytes, defaultSegmentBytes)
-	setDefault(&o.SegmentAge, defaultSegmentAge)
-	setDefault(&o.Retention, defaultRetention)
-	setDefault(&o.MaxOutcomeBytes, defaultMaxOutcomeBytes)
-	setDefault(&o.CallTimeout, defaultCallTimeout)
-	setDefault(&o.CallsPerSecond, defaultCallsPerSecond)
-	setDefault(&o.CallBurst, defaultCallBurst)
-	setDefault(&o.BreakerFailures, defaultBreakerFailures)
-	setDefault(&o.BreakerPause, defaultBreakerPause)
+	o.Prefix = cmp.Or(o.Prefix, defaultPrefix)
+	o.Shards = cmp.Or(o.Shards, defaultShards)
+	o.Window = cmp.Or(o.Window, defaultWindow)
+	o.Wait = cmp.Or(o.Wait, defaultWait)
+	o.SegmentBytes = cmp.Or(o.SegmentBytes, defaultSegmentBytes)
+	o.SegmentAge = cmp.Or(o.SegmentAge, defaultSegmentAge)
+	o.Retention = cmp.Or(o.Retention, defaultRetention)
+	o.MaxOutcomeBytes = cmp.Or(o.MaxOutcomeBytes, defaultMaxOutcomeBytes)
+	o.CallTimeout = cmp.Or(o.CallTimeout, defaultCallTimeout)
+	o.CallsPerSecond = cmp.Or(o.CallsPerSecond, defaultCallsPerSecond)
+	o.CallBurst = cmp.Or(o.CallBurst, defaultCallBurst)
+	o.BreakerFailures = cmp.Or(o.BreakerFailures, defaultBreakerFailures)
+	o.BreakerPause = cmp.Or(o.BreakerPause, defaultBreakerPause)
 	return o
 }
-
-func setDefault[T comparable](dst *T, v T) {
-	var zero T
-	if *dst == zero {
-		*dst = v
-	}
-}
--- a/entry/options.go
+++ b/entry/options.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"time"
@@ -119,11 +120,11 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.SubsetSize, DefaultSubsetSize)
-	setDefault(&o.FarSubsetSize, DefaultFarSubset)
-	setDefault(&o.RefreshEvery, DefaultRefreshEvery)
-	setDefault(&o.RecoverBound, DefaultRecoverBound)
-	setDefault(&o.BalancerLag, DefaultBalancerLag)
+	o.SubsetSize = cmp.Or(o.SubsetSize, DefaultSubsetSize)
+	o.FarSubsetSize = cmp.Or(o.FarSubsetSize, DefaultFarSubset)
+	o.RefreshEvery = cmp.Or(o.RefreshEvery, DefaultRefreshEvery)
+	o.RecoverBound = cmp.Or(o.RecoverBound, DefaultRecoverBound)
+	o.BalancerLag = cmp.Or(o.BalancerLag, DefaultBalancerLag)
 	if o.Suspects == nil {
 		o.Suspects = noSuspects{}
 	}
@@ -157,10 +158,3 @@
 	}
 	return group.Err()
 }
-
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
--- a/link/options.go
+++ b/link/options.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"log/slog"
@@ -111,12 +112,12 @@
 	if o.Watch == nil {
 		o.Watch = NewWatch()
 	}
-	setDefault(&o.PingInterval, DefaultPingInterval)
-	setDefault(&o.SilenceBound, DefaultSilenceBound)
-	setDefault(&o.DialTimeout, DefaultDialTimeout)
-	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&o.MaxFrameBytes, DefaultMaxFrameBytes)
-	setDefault(&o.MaxPendingBytes, DefaultMaxPendingBytes)
+	o.PingInterval = cmp.Or(o.PingInterval, DefaultPingInterval)
+	o.SilenceBound = cmp.Or(o.SilenceBound, DefaultSilenceBound)
+	o.DialTimeout = cmp.Or(o.DialTimeout, DefaultDialTimeout)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, DefaultWriteTimeout)
+	o.MaxFrameBytes = cmp.Or(o.MaxFrameBytes, DefaultMaxFrameBytes)
+	o.MaxPendingBytes = cmp.Or(o.MaxPendingBytes, DefaultMaxPendingBytes)
 	if o.Gossip == nil {
 		o.Gossip = NoGossip{}
 	}
@@ -145,11 +146,11 @@
 }
 
 func (o *ServerOptions) setDefaults() {
-	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&o.FlushInterval, DefaultFlushInterval)
-	setDefault(&o.IdleBound, DefaultIdleBound)
-	setDefault(&o.MaxFrameBytes, DefaultMaxFrameBytes)
-	setDefault(&o.MaxPendingBytes, DefaultMaxPendingBytes)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, DefaultWriteTimeout)
+	o.FlushInterval = cmp.Or(o.FlushInterval, DefaultFlushInterval)
+	o.IdleBound = cmp.Or(o.IdleBound, DefaultIdleBound)
+	o.MaxFrameBytes = cmp.Or(o.MaxFrameBytes, DefaultMaxFrameBytes)
+	o.MaxPendingBytes = cmp.Or(o.MaxPendingBytes, DefaultMaxPendingBytes)
 	if o.Gossip == nil {
 		o.Gossip = NoGossip{}
 	}
@@ -160,10 +161,3 @@
 		o.Metrics = NewMetrics(nil)
 	}
 }
-
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
--- a/load/fleet.go
+++ b/load/fleet.go
@@ -1,6 +1,9 @@
 package load
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // FleetSpec is the shape of the fleet that a run starts in its own process.
 type FleetSpec struct {
@@ -52,27 +55,20 @@
 )
 
 func (f *FleetSpec) setDefaults() {
-	setDefault(&f.DataCentres, defaultDataCentres)
-	setDefault(&f.Entries, defaultEntries)
-	setDefault(&f.Engines, defaultEngines)
-	setDefault(&f.Encoders, 1)
-	setDefault(&f.Retrievers, 1)
-	setDefault(&f.Rerankers, 1)
-	setDefault(&f.Services, defaultServices)
-	setDefault(&f.Batch, defaultBatch)
-	setDefault(&f.Step, defaultStep)
-	setDefault(&f.PerSequence, defaultPerSequence)
-	setDefault(&f.Prefill, defaultPrefill)
-	setDefault(&f.PoolTime, defaultPoolTime)
-	setDefault(&f.PoolSlots, defaultPoolSlots)
-	setDefault(&f.ServiceTime, defaultServiceTime)
-	setDefault(&f.ServiceSlots, defaultServiceSlots)
-	setDefault(&f.DownFor, defaultDownFor)
-}
-
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
+	f.DataCentres = cmp.Or(f.DataCentres, defaultDataCentres)
+	f.Entries = cmp.Or(f.Entries, defaultEntries)
+	f.Engines = cmp.Or(f.Engines, defaultEngines)
+	f.Encoders = cmp.Or(f.Encoders, 1)
+	f.Retrievers = cmp.Or(f.Retrievers, 1)
+	f.Rerankers = cmp.Or(f.Rerankers, 1)
+	f.Services = cmp.Or(f.Services, defaultServices)
+	f.Batch = cmp.Or(f.Batch, defaultBatch)
+	f.Step = cmp.Or(f.Step, defaultStep)
+	f.PerSequence = cmp.Or(f.PerSequence, defaultPerSequence)
+	f.Prefill = cmp.Or(f.Prefill, defaultPrefill)
+	f.PoolTime = cmp.Or(f.PoolTime, defaultPoolTime)
+	f.PoolSlots = cmp.Or(f.PoolSlots, defaultPoolSlots)
+	f.ServiceTime = cmp.Or(f.ServiceTime, defaultServiceTime)
+	f.ServiceSlots = cmp.Or(f.ServiceSlots, defaultServiceSlots)
+	f.DownFor = cmp.Or(f.DownFor, defaultDownFor)
 }
--- a/settings/follow.go
+++ b/settings/follow.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -34,22 +35,15 @@
 )
 
 func (o *FollowerOptions) setDefaults() {
-	setDefault(&o.Watchers, defaultWatchers)
-	setDefault(&o.WatchBound, defaultWatchBound)
-	setDefault(&o.AskAfter, defaultAskAfter)
-	setDefault(&o.RepairAfter, defaultRepairAfter)
+	o.Watchers = cmp.Or(o.Watchers, defaultWatchers)
+	o.WatchBound = cmp.Or(o.WatchBound, defaultWatchBound)
+	o.AskAfter = cmp.Or(o.AskAfter, defaultAskAfter)
+	o.RepairAfter = cmp.Or(o.RepairAfter, defaultRepairAfter)
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
 }
 
-func setDefault[T comparable](v *T, to T) {
-	var zero T
-	if *v == zero {
-		*v = to
-	}
-}
-
 // Run follows until ctx ends. It returns after all its work has ended.
 func (f *Follower) Run(ctx context.Context) {
 	var g errgroup.Group
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -11,6 +11,7 @@
 package suspect
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -65,18 +66,11 @@
 )
 
 func (o *Options) setDefaults() {
-	setDefault(&o.Capacity, defaultCapacity)
-	setDefault(&o.AloneFor, defaultAloneFor)
-	setDefault(&o.RefusedFor, defaultRefusedFor)
-	setDefault(&o.SpreadFor, defaultSpreadFor)
-	setDefault(&o.MessageMarks, defaultMessageMarks)
-}
-
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
+	o.Capacity = cmp.Or(o.Capacity, defaultCapacity)
+	o.AloneFor = cmp.Or(o.AloneFor, defaultAloneFor)
+	o.RefusedFor = cmp.Or(o.RefusedFor, defaultRefusedFor)
+	o.SpreadFor = cmp.Or(o.SpreadFor, defaultSpreadFor)
+	o.MessageMarks = cmp.Or(o.MessageMarks, defaultMessageMarks)
 }
 
 // Table holds the marks of one process. It is safe for concurrent use.
