--- a/agentdaemon/daemon.go
+++ b/agentdaemon/daemon.go
@@ -27,7 +27,6 @@
 	"github.com/azurelead/azurelead/gossip"
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/order"
-	"github.com/azurelead/azurelead/pipeline"
 	"github.com/azurelead/azurelead/platform"
 	"github.com/azurelead/azurelead/settings"
 	"github.com/azurelead/azurelead/suspect"
@@ -141,7 +140,7 @@
 }
 
 func (d *Daemon) openNode() error {
-	driver, err := newDriver(d.c)
+	driver, err := endpoint.New(d.c.Kind, endpoint.Options{URL: d.c.Endpoint})
 	if err != nil {
 		return err
 	}
@@ -189,17 +188,6 @@
 	return err
 }
 
-func newDriver(c Config) (endpoint.Endpoint, error) {
-	o := endpoint.Options{URL: c.Endpoint}
-	switch c.Kind {
-	case pipeline.Generate:
-		return endpoint.NewEngine(o)
-	case pipeline.Service:
-		return endpoint.NewService(o)
-	}
-	return endpoint.NewPool(c.Kind, o)
-}
-
 // linkIdentity returns the identity on links, or nil when they are plain.
 func linkIdentity(c Config) (*certs.Identity, error) {
 	if c.Plain {
--- a/load/capacity.go
+++ b/load/capacity.go
@@ -53,7 +53,7 @@
 			if err != nil {
 				return nil, err
 			}
-			driver, err := newDriver(pipeline.Generate, "http://"+addr)
+			driver, err := endpoint.New(pipeline.Generate, endpoint.Options{URL: "http://" + addr})
 			if err != nil {
 				return nil, err
 			}
--- a/load/member.go
+++ b/load/member.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	driver, err := newDriver(s.instance.Kind, "http://"+addr)
+	driver, err := endpoint.New(s.instance.Kind, endpoint.Options{URL: "http://" + addr})
 	if err != nil {
 		return nil, err
 	}
@@ -127,18 +127,6 @@
 
 func scaled(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
 
-// newDriver returns the driver of an endpoint.
-func newDriver(kind pipeline.Kind, url string) (endpoint.Endpoint, error) {
-	o := endpoint.Options{URL: url}
-	switch kind {
-	case pipeline.Generate:
-		return endpoint.NewEngine(o)
-	case pipeline.Service:
-		return endpoint.NewService(o)
-	}
-	return endpoint.NewPool(kind, o)
-}
-
 // serve runs a server on an address of its own.
 func (b *Bench) serve(serve func(context.Context, net.Listener) error) (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
