Let an entry start while the platform is down

Ruled out: the entries' lists passed on by agents (an entry with no link has nobody to ask); a list kept on disk (there are none).

--- a/cmd/azurelead-entry/main.go
+++ b/cmd/azurelead-entry/main.go
@@ -79,6 +79,8 @@
 		text("link-key", "LINK_KEY", "PEM file of its key", "", &c.LinkKey),
 		text("link-ca", "LINK_CA", "PEM file of the authorities for agents' certificates", "", &c.LinkCA),
 		text("chooser", "CHOOSER", fmt.Sprintf("policy that picks endpoints: one of %v", entry.ChooserNames), entry.ChooserNames[0], &c.Chooser),
+		&cli.StringSliceFlag{Name: "seed-agent", Usage: "IP address and port of an agent to link to until the platform's list has been read",
+			Destination: &c.SeedAgents, Sources: cli.EnvVars("AZURELEAD_SEED_AGENT")},
 		&cli.IntFlag{Name: "subset", Usage: "agents of each pool in the own data centre to hold links to", Value: entry.DefaultSubsetSize,
 			Destination: &c.Subset, Sources: cli.EnvVars("AZURELEAD_SUBSET")},
 		&cli.BoolFlag{Name: "plain", Usage: "allow callers and links without TLS", Destination: &c.Plain, Sources: cli.EnvVars("AZURELEAD_PLAIN")},
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -71,6 +71,22 @@
 	})
 }
 
+// An entry that starts while the platform is down serves with the agents that it
+// is told of, once they answer.
+func TestStartsFromSeedAgentsWithoutThePlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, func(w *world, o *Options) {
+			o.Directory = &breakable{Directory: w, lost: true}
+			o.SeedAgents = []string{"encode-1", "generate-2"}
+			w.unreachable.Store(true)
+			time.AfterFunc(time.Minute, func() { w.unreachable.Store(false) })
+		})
+		if rec := w.post(t.Context(), ask{pipeline: "ask", body: question}); rec.Code != http.StatusOK {
+			t.Fatalf("answered %s", rec.Body)
+		}
+	})
+}
+
 // A request that has been given up on is answered at once: by the virtual
 // clock no time passes between the last result and the refusal.
 func TestRefusalsAreAnsweredAtOnce(t *testing.T) {
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -102,7 +102,7 @@
 }
 
 func (l *fakeLink) Peer() link.HelloResult {
-	return link.HelloResult{Agent: l.a.in.Name, AgentBoot: l.boot, Pool: l.a.in.Pool}
+	return link.HelloResult{Agent: l.a.in.Name, AgentBoot: l.boot, Pool: l.a.in.Pool, Kind: l.a.in.Kind}
 }
 func (l *fakeLink) Load() link.Load          { return link.Load{Limit: 64, ServiceUS: 1000} }
 func (l *fakeLink) Leaving() <-chan struct{} { return l.leaving }
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -44,6 +44,8 @@
 	pools  map[string][]*peer
 	byAddr map[string]*peer
 	listOK bool
+	// listRead is set once the list was read in this life. It belongs to run.
+	listRead bool
 	// linkUp is closed and replaced when a link comes up.
 	linkUp chan struct{}
 }
@@ -100,8 +102,12 @@
 		return
 	}
 	f.noteList(err)
-	if err == nil {
+	switch {
+	case err == nil:
 		f.table.Update(list)
+		f.listRead = true
+	case !f.listRead && len(f.o.SeedAgents) > 0:
+		f.table.Update(f.seeds(ctx))
 	}
 	f.reconcile(ctx)
 }
--- a/entry/options.go
+++ b/entry/options.go
@@ -99,6 +99,9 @@
 	// FarSubsetSize is how many in each other data centre of its region. More
 	// are linked where there are too few entries to reach every agent.
 	FarSubsetSize int
+	// SeedAgents are addresses of agents to link to until the platform's list
+	// has been read once, for a start while the platform is down.
+	SeedAgents []string
 	// RefreshEvery is how often the platform's list is read.
 	RefreshEvery time.Duration
 	// RecoverBound is how long a lost attempt waits for a new link.
--- a/entrydaemon/config.go
+++ b/entrydaemon/config.go
@@ -40,6 +40,9 @@
 	LinkCA   string
 	// Chooser names the policy that picks endpoints.
 	Chooser string
+	// SeedAgents are addresses of agents to link to until the platform's list
+	// has been read.
+	SeedAgents []string
 	// Subset is how many agents of each pool and data centre are linked.
 	Subset int
 }
@@ -58,6 +61,9 @@
 	if entry.ChooserByName(c.Chooser) == nil {
 		g.Add(errs.New("--chooser %q: must be one of %v", c.Chooser, entry.ChooserNames))
 	}
+	for _, addr := range c.SeedAgents {
+		g.Add(checkAddress("seed-agent", addr))
+	}
 	if c.Subset < 1 {
 		g.Add(errs.New("--subset %d: must be 1 or more", c.Subset))
 	}
--- a/entrydaemon/daemon.go
+++ b/entrydaemon/daemon.go
@@ -163,6 +163,7 @@
 		Chooser:    entry.ChooserByName(d.c.Chooser),
 		Renew:      func(ctx context.Context) error { return d.follower.Renew(ctx, renewAge) },
 		SubsetSize: d.c.Subset,
+		SeedAgents: d.c.SeedAgents,
 		Registry:   d.reg,
 		Readiness:  &d.ready,
 		Logger:     d.log,
