Name the parts of orders in the field's words

Cause: doer, carrier and wish need an explanation to a newcomer. Ruled out: leader for the process that issues orders (it leads nothing else). Change: order.Controller, order.Executor, settings.DesiredModel; no behaviour and no settings key changes. Tests of order, settings, lease and scenario orders pass.

--- a/agentdaemon/daemon.go
+++ b/agentdaemon/daemon.go
@@ -67,9 +67,9 @@
 	ledger   *claim.Ledger
 
 	// The parts for orders, which only the agents of engines have.
-	engine  *endpoint.Engine
-	carrier *order.Carrier
-	doer    *order.Doer
+	engine     *endpoint.Engine
+	executor   *order.Executor
+	controller *order.Controller
 	// candidates belongs to the goroutine of runOrders.
 	candidates candidates
 	links      *order.Links
--- a/agentdaemon/orders.go
+++ b/agentdaemon/orders.go
@@ -19,34 +19,34 @@
 const (
 	// ordersLease is the key of the lease under which orders are issued.
 	ordersLease = "leases/orders"
-	// leaseTerm and leaseMargin bound the time without a doer after one died.
+	// leaseTerm and leaseMargin bound the time without a controller after one died.
 	leaseTerm   = 12 * time.Second
 	leaseMargin = 2 * time.Second
-	// orderInterval is the time between two rounds of the doer.
+	// orderInterval is the time between two rounds of the controller.
 	orderInterval = 3 * time.Second
-	// orderCallTimeout bounds one call of an agent by the doer.
+	// orderCallTimeout bounds one call of an agent by the controller.
 	orderCallTimeout = 2 * time.Second
 	// orderTimeout bounds one order with its drain and load.
 	orderTimeout = 10 * time.Minute
 	// candidatesAge is how long the choice of candidates stands, since every
 	// agent of an engine reads the platform's list for it.
 	candidatesAge = 30 * time.Second
-	// doerCandidates is how many agents try for the lease, so that the calls
+	// controllerCandidates is how many agents try for the lease, so that the calls
 	// to the store do not grow with the fleet.
-	doerCandidates = 3
+	controllerCandidates = 3
 )
 
 // openOrders sets up the agent's part in orders: carrying them out for its own
 // engine, and issuing them when it holds the lease.
 func (d *Daemon) openOrders(driver *endpoint.Engine, links link.ClientOptions) {
-	d.carrier = order.NewCarrier(order.CarrierOptions{
+	d.executor = order.NewExecutor(order.ExecutorOptions{
 		Instance: d.c.Name, AgentBoot: d.node.Agent().Boot(),
 		Guard:  order.NewGuard(order.LeaseFence{Store: d.platform, Key: ordersLease}),
 		Engine: order.HTTPEngine{Driver: driver}, Drainer: d.node.Agent(), Timeout: orderTimeout,
 	})
-	d.node.Handle(link.MethodOrder, d.carrier.Handle)
+	d.node.Handle(link.MethodOrder, d.executor.Handle)
 	d.links = &order.Links{Options: links}
-	d.doer = order.NewDoer(order.DoerOptions{
+	d.controller = order.NewController(order.ControllerOptions{
 		Lease: lease.New(lease.Options{
 			Store: d.platform, Key: ordersLease, Holder: d.node.Agent().Boot(), Term: leaseTerm, Margin: leaseMargin,
 		}),
@@ -64,13 +64,13 @@
 	for {
 		d.noteModel(ctx, driver)
 		if d.isCandidate(ctx) {
-			d.doer.Round(ctx)
+			d.controller.Round(ctx)
 		} else {
-			d.doer.Stop()
+			d.controller.Stop()
 		}
 		select {
 		case <-ctx.Done():
-			d.doer.Stop()
+			d.controller.Stop()
 			return
 		case <-t.C:
 		}
@@ -86,9 +86,9 @@
 }
 
 // isCandidate reports whether this agent is one of the few that try for the
-// lease. Without any wish in the settings there is nothing to order.
+// lease. Without any desired model in the settings there is nothing to order.
 func (d *Daemon) isCandidate(ctx context.Context) bool {
-	if !d.hasWishes() {
+	if !d.hasDesiredModels() {
 		return false
 	}
 	if time.Since(d.candidates.readAt) > candidatesAge || !d.candidates.listed {
@@ -113,13 +113,13 @@
 		return
 	}
 	d.candidates = candidates{
-		names:  doers(list),
+		names:  controllers(list),
 		listed: slices.ContainsFunc(list, func(i platform.Instance) bool { return i.Name == d.c.Name }),
 		readAt: time.Now(),
 	}
 }
 
-func (d *Daemon) hasWishes() bool {
+func (d *Daemon) hasDesiredModels() bool {
 	s := d.follower.Current()
 	if s == nil {
 		return false
@@ -134,8 +134,8 @@
 	return false
 }
 
-// doers returns the candidates among the engines' agents.
-func doers(list []platform.Instance) []string {
+// controllers returns the candidates among the engines' agents.
+func controllers(list []platform.Instance) []string {
 	var names []string
 	for _, i := range list {
 		if i.Kind == pipeline.Generate && i.State == platform.Live {
@@ -143,7 +143,7 @@
 		}
 	}
 	var chosen []string
-	for len(names) > 0 && len(chosen) < doerCandidates {
+	for len(names) > 0 && len(chosen) < controllerCandidates {
 		name := rendezvous.New(names, xxhash.Sum64String).Lookup(ordersLease)
 		chosen = append(chosen, name)
 		names = slices.DeleteFunc(names, func(n string) bool { return n == name })
@@ -151,7 +151,7 @@
 	return chosen
 }
 
-// wanted gives the doer what the settings ask for.
+// wanted gives the controller what the settings ask for.
 func (d *Daemon) wanted(ctx context.Context) (order.Demand, error) {
 	s := d.follower.Current()
 	if s == nil {
--- a/itest/rollout_test.go
+++ b/itest/rollout_test.go
@@ -20,7 +20,7 @@
   chat: {stages: [{name: answer, kind: generate, pool: engines, model: helper}]}
 `
 
-// modelsIn makes settings that wish for a version of the model.
+// modelsIn makes settings that ask for a version of the model.
 func modelsIn(version string) string {
 	return rollOutSettings + `
 data_centres:
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -1,4 +1,4 @@
-// Package lease elects one doer of a task through a lease object in the
+// Package lease elects one holder of a task through a lease object in the
 // platform's store. The lease's generation is the fencing number of what the
 // holder orders: it grows with every change of holder, so that orders of an
 // earlier holder can be told from those of the current one.
--- a/order/doer.go
+++ b/order/controller.go
@@ -22,7 +22,7 @@
 // Group is one pool of engines in one data centre with what is wanted there.
 type Group struct {
 	Instances []platform.Instance
-	Wishes    []Wish
+	Desired   []DesiredModel
 }
 
 // Demand is what the settings ask for.
@@ -38,8 +38,8 @@
 // Wanted gives the demand of the settings in force.
 type Wanted func(ctx context.Context) (Demand, error)
 
-// DoerOptions configures a Doer.
-type DoerOptions struct {
+// ControllerOptions configures a Controller.
+type ControllerOptions struct {
 	Lease  *lease.Lease
 	Agents Agents
 	Wanted Wanted
@@ -49,13 +49,13 @@
 	Logger      *slog.Logger
 }
 
-type doerMetrics struct {
+type controllerMetrics struct {
 	orders *prometheus.CounterVec
 	leader prometheus.Gauge
 }
 
-func newDoerMetrics(r prometheus.Registerer) *doerMetrics {
-	m := &doerMetrics{
+func newControllerMetrics(r prometheus.Registerer) *controllerMetrics {
+	m := &controllerMetrics{
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "azurelead_orders_total",
 			Help: "Orders issued to engines, by kind and result.",
@@ -71,74 +71,74 @@
 	return m
 }
 
-// Doer issues orders while it holds the lease. One goroutine uses it.
-type Doer struct {
-	o       DoerOptions
-	m       *doerMetrics
+// Controller issues orders while it holds the lease. One goroutine uses it.
+type Controller struct {
+	o       ControllerOptions
+	m       *controllerMetrics
 	holding bool
 }
 
-// NewDoer returns a doer that has not tried for the lease yet.
-func NewDoer(o DoerOptions) *Doer {
+// NewController returns a controller that has not tried for the lease yet.
+func NewController(o ControllerOptions) *Controller {
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
-	return &Doer{o: o, m: newDoerMetrics(o.Registerer)}
+	return &Controller{o: o, m: newControllerMetrics(o.Registerer)}
 }
 
 // Holding reports whether the last round held the lease.
-func (d *Doer) Holding() bool { return d.holding }
+func (c *Controller) Holding() bool { return c.holding }
 
 // Stop gives the lease up, if it is held.
-func (d *Doer) Stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), d.o.CallTimeout)
+func (c *Controller) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), c.o.CallTimeout)
 	defer cancel()
-	_ = d.o.Lease.Release(ctx) // after a failure the lease lapses
-	d.note(false, 0)
+	_ = c.o.Lease.Release(ctx) // after a failure the lease lapses
+	c.note(false, 0)
 }
 
 // Round renews or tries for the lease and, when this process holds it, issues
 // the orders that one look at the engines calls for.
-func (d *Doer) Round(ctx context.Context) {
-	_ = d.o.Lease.Tick(ctx) // the store may be down; a term that still stands is used up
-	fence, ok := d.o.Lease.Fence()
-	d.note(ok, fence)
+func (c *Controller) Round(ctx context.Context) {
+	_ = c.o.Lease.Tick(ctx) // the store may be down; a term that still stands is used up
+	fence, ok := c.o.Lease.Fence()
+	c.note(ok, fence)
 	if !ok {
 		return
 	}
-	demand, err := d.o.Wanted(ctx)
+	demand, err := c.o.Wanted(ctx)
 	if err != nil {
 		return
 	}
-	reports := d.reports(ctx, demand.Groups, fence)
+	reports := c.reports(ctx, demand.Groups, fence)
 	loads := demand.MaxLoads - busyCount(reports)
 	for i, g := range demand.Groups {
-		orders := Plan(Input{Wishes: g.Wishes, Engines: reports[i], Loads: loads})
+		orders := Plan(Input{Desired: g.Desired, Engines: reports[i], Loads: loads})
 		loads -= len(orders)
-		d.issue(ctx, g, orders, demand.Settings)
+		c.issue(ctx, g, orders, demand.Settings)
 	}
 }
 
-func (d *Doer) note(holding bool, fence uint64) {
-	if holding == d.holding {
+func (c *Controller) note(holding bool, fence uint64) {
+	if holding == c.holding {
 		return
 	}
-	d.holding = holding
-	d.m.leader.Set(0)
+	c.holding = holding
+	c.m.leader.Set(0)
 	if holding {
-		d.m.leader.Set(1)
+		c.m.leader.Set(1)
 	}
-	d.o.Logger.Info("orders lease", "held", holding, "fence", fence)
+	c.o.Logger.Info("orders lease", "held", holding, "fence", fence)
 }
 
 // reports asks every engine. An engine that cannot be asked is left out: it
 // gets no order, and what it served is not counted as a copy.
-func (d *Doer) reports(ctx context.Context, groups []Group, fence uint64) [][]Report {
+func (c *Controller) reports(ctx context.Context, groups []Group, fence uint64) [][]Report {
 	all := make([][]Report, len(groups))
 	for i, g := range groups {
 		for _, instance := range g.Instances {
-			callCtx, cancel := context.WithTimeout(ctx, d.o.CallTimeout)
-			r, p := d.o.Agents.Report(callCtx, instance, fence)
+			callCtx, cancel := context.WithTimeout(ctx, c.o.CallTimeout)
+			r, p := c.o.Agents.Report(callCtx, instance, fence)
 			cancel()
 			if p == nil {
 				all[i] = append(all[i], r)
@@ -162,27 +162,27 @@
 
 // issue sends the orders. It asks for the fencing number again before each
 // one, since this process may have been paused past its term in between.
-func (d *Doer) issue(ctx context.Context, g Group, orders []Order, settings uint64) {
+func (c *Controller) issue(ctx context.Context, g Group, orders []Order, settings uint64) {
 	for _, o := range orders {
-		fence, ok := d.o.Lease.Fence()
+		fence, ok := c.o.Lease.Fence()
 		if !ok {
 			return
 		}
 		o.ID = uuid.NewString()
 		o.Fence = fence
 		o.Settings = settings
-		d.m.orders.WithLabelValues(string(o.Kind), d.send(ctx, g, o)).Inc()
+		c.m.orders.WithLabelValues(string(o.Kind), c.send(ctx, g, o)).Inc()
 	}
 }
 
-func (d *Doer) send(ctx context.Context, g Group, o Order) string {
+func (c *Controller) send(ctx context.Context, g Group, o Order) string {
 	for _, instance := range g.Instances {
 		if instance.Name != o.Instance {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, d.o.CallTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, c.o.CallTimeout)
 		defer cancel()
-		if p := d.o.Agents.Order(callCtx, instance, o); p != nil {
+		if p := c.o.Agents.Order(callCtx, instance, o); p != nil {
 			return string(p.Code)
 		}
 		return "accepted"
--- a/order/carrier.go
+++ b/order/executor.go
@@ -28,8 +28,8 @@
 	Occupancy() (inFlight, limit int, cold, leaving bool)
 }
 
-// CarrierOptions configures a Carrier.
-type CarrierOptions struct {
+// ExecutorOptions configures a Executor.
+type ExecutorOptions struct {
 	Instance  string
 	AgentBoot contract.BootID
 	Guard     *Guard
@@ -39,82 +39,82 @@
 	Timeout time.Duration
 }
 
-// Carrier is the agent's side of orders: it checks them and carries them out
+// Executor is the agent's side of orders: it checks them and carries them out
 // one at a time.
-type Carrier struct {
-	o CarrierOptions
+type Executor struct {
+	o ExecutorOptions
 
 	mu       sync.Mutex
 	becoming *Target
 	done     sync.WaitGroup
 }
 
-// NewCarrier returns an idle carrier.
-func NewCarrier(o CarrierOptions) *Carrier { return &Carrier{o: o} }
+// NewExecutor returns an idle executor.
+func NewExecutor(o ExecutorOptions) *Executor { return &Executor{o: o} }
 
 // Report tells the holder of the lease about the engine. The call carries the
 // holder's fencing number, so that from its first look at an engine on no
 // order of a former holder passes there.
-func (c *Carrier) Report(ctx context.Context, fence uint64) (Report, *contract.Problem) {
-	if p := c.o.Guard.Admit(ctx, fence); p != nil {
+func (e *Executor) Report(ctx context.Context, fence uint64) (Report, *contract.Problem) {
+	if p := e.o.Guard.Admit(ctx, fence); p != nil {
 		return Report{}, p
 	}
-	serving, err := c.o.Engine.Serving(ctx)
+	serving, err := e.o.Engine.Serving(ctx)
 	if err != nil {
 		return Report{}, contract.NewProblem(contract.CodeEndpointFailed, contract.NotRun, "engine's state: %v", err)
 	}
-	inFlight, limit, cold, leaving := c.o.Drainer.Occupancy()
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	inFlight, limit, cold, leaving := e.o.Drainer.Occupancy()
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	return Report{
-		Instance: c.o.Instance, AgentBoot: c.o.AgentBoot, Serving: serving, Becoming: c.becoming,
+		Instance: e.o.Instance, AgentBoot: e.o.AgentBoot, Serving: serving, Becoming: e.becoming,
 		Cold: cold, Leaving: leaving, InFlight: inFlight, Limit: limit,
 	}, nil
 }
 
 // Accept checks the order and starts it. A nil problem means accepted; the
 // engine's next reports show the result.
-func (c *Carrier) Accept(ctx context.Context, o Order) *contract.Problem {
-	if o.AgentBoot != c.o.AgentBoot {
+func (e *Executor) Accept(ctx context.Context, o Order) *contract.Problem {
+	if o.AgentBoot != e.o.AgentBoot {
 		return contract.NewProblem(contract.CodeWrongBoot, contract.NotRun, "the order was made for an earlier boot of this agent")
 	}
-	if p := c.o.Guard.Admit(ctx, o.Fence); p != nil {
+	if p := e.o.Guard.Admit(ctx, o.Fence); p != nil {
 		return p
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.becoming != nil {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.becoming != nil {
 		return contract.NewProblem(contract.CodeInProgress, contract.NotRun, "the engine carries out another order")
 	}
 	target := o.Target
-	c.becoming = &target
-	c.done.Go(func() { c.carryOut(o) })
+	e.becoming = &target
+	e.done.Go(func() { e.carryOut(o) })
 	return nil
 }
 
 // Wait returns when no order is being carried out.
-func (c *Carrier) Wait() { c.done.Wait() }
+func (e *Executor) Wait() { e.done.Wait() }
 
-func (c *Carrier) carryOut(o Order) {
-	ctx, cancel := context.WithTimeout(context.Background(), c.o.Timeout)
+func (e *Executor) carryOut(o Order) {
+	ctx, cancel := context.WithTimeout(context.Background(), e.o.Timeout)
 	defer cancel()
-	defer c.finish()
+	defer e.finish()
 	if o.disrupts() {
-		defer c.o.Drainer.Resume()
-		if err := c.o.Drainer.Drain(ctx); err != nil {
+		defer e.o.Drainer.Resume()
+		if err := e.o.Drainer.Drain(ctx); err != nil {
 			return
 		}
 	}
 	// A drain takes long: a successor may have been elected meanwhile, and
 	// its number, known here from its first report, stops this order.
-	if p := c.o.Guard.Admit(ctx, o.Fence); p != nil {
+	if p := e.o.Guard.Admit(ctx, o.Fence); p != nil {
 		return
 	}
-	_ = c.o.Engine.Apply(ctx, o)
+	_ = e.o.Engine.Apply(ctx, o)
 }
 
-func (c *Carrier) finish() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.becoming = nil
+func (e *Executor) finish() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.becoming = nil
 }
--- a/order/order.go
+++ b/order/order.go
@@ -106,8 +106,8 @@
 	return !r.busy() && (!r.Cold || r.InFlight < r.Limit)
 }
 
-// Wish is what the settings want of one model in one pool of a data centre.
-type Wish struct {
+// DesiredModel is what the settings want of one model in one pool of a data centre.
+type DesiredModel struct {
 	Target Target
 	// MinCopies and MaxCopies bound the number of engines.
 	MinCopies int
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -53,8 +53,8 @@
 
 func (s *storeFence) Generation(context.Context) (uint64, error) { return s.generation, s.err }
 
-func newTestCarrier(e Engine, drain time.Duration, source FenceSource) *Carrier {
-	return NewCarrier(CarrierOptions{
+func newTestExecutor(e Engine, drain time.Duration, source FenceSource) *Executor {
+	return NewExecutor(ExecutorOptions{
 		Instance: "engine-1", AgentBoot: agentBoot, Guard: NewGuard(source),
 		Engine: e, Drainer: &fakeDrainer{takes: drain}, Timeout: time.Minute,
 	})
@@ -74,7 +74,7 @@
 func TestRestartedAgentRefusesUntilItKnowsTheHighestNumber(t *testing.T) {
 	source := &storeFence{generation: 5, err: errors.New("store down")}
 	e := &fakeEngine{}
-	c := newTestCarrier(e, 0, source)
+	c := newTestExecutor(e, 0, source)
 	var got []contract.Code
 	got = append(got, codeOf(c.Accept(t.Context(), testOrder(5, "2"))))
 	source.err = nil
@@ -99,7 +99,7 @@
 func TestSuccessorStopsAnOrderThatStillDrains(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &fakeEngine{}
-		c := newTestCarrier(e, 10*time.Second, &storeFence{generation: 1})
+		c := newTestExecutor(e, 10*time.Second, &storeFence{generation: 1})
 		if p := c.Accept(t.Context(), testOrder(1, "2")); p != nil {
 			t.Fatal(p)
 		}
@@ -113,30 +113,30 @@
 			t.Fatalf("orders applied: %v", e.applied)
 		}
 		if r, _ := c.Report(t.Context(), 2); r.busy() {
-			t.Fatal("the carrier stays busy")
+			t.Fatal("the executor stays busy")
 		}
 	})
 }
 
-// carrierAgents reaches carriers directly.
-type carrierAgents struct {
-	carriers map[string]*Carrier
+// executorAgents reaches executors directly.
+type executorAgents struct {
+	executors map[string]*Executor
 	// beforeOrder runs between the holder's check of its lease and the
 	// arrival of its order, where a pause can fall.
 	beforeOrder func()
 }
 
-func (a *carrierAgents) Report(ctx context.Context, i platform.Instance, fence uint64) (Report, *contract.Problem) {
-	return a.carriers[i.Name].Report(ctx, fence)
+func (a *executorAgents) Report(ctx context.Context, i platform.Instance, fence uint64) (Report, *contract.Problem) {
+	return a.executors[i.Name].Report(ctx, fence)
 }
 
-func (a *carrierAgents) Order(ctx context.Context, i platform.Instance, o Order) *contract.Problem {
+func (a *executorAgents) Order(ctx context.Context, i platform.Instance, o Order) *contract.Problem {
 	if a.beforeOrder != nil {
 		hook := a.beforeOrder
 		a.beforeOrder = nil
 		hook()
 	}
-	return a.carriers[i.Name].Accept(ctx, o)
+	return a.executors[i.Name].Accept(ctx, o)
 }
 
 // TestFrozenHolderOrdersNothing freezes a holder between the check of its
@@ -146,30 +146,30 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := platform.NewMemory(platform.MemoryOptions{})
 		e := &fakeEngine{}
-		carrier := newTestCarrier(e, 0, LeaseFence{Store: store, Key: "lease"})
-		agents := &carrierAgents{carriers: map[string]*Carrier{"engine-1": carrier}}
+		executor := newTestExecutor(e, 0, LeaseFence{Store: store, Key: "lease"})
+		agents := &executorAgents{executors: map[string]*Executor{"engine-1": executor}}
 		version := "2"
-		newDoer := func(holder contract.BootID) *Doer {
-			return NewDoer(DoerOptions{
+		newController := func(holder contract.BootID) *Controller {
+			return NewController(ControllerOptions{
 				Lease:  lease.New(lease.Options{Store: store, Key: "lease", Holder: holder, Term: 10 * time.Second, Margin: 2 * time.Second}),
 				Agents: agents, CallTimeout: time.Second,
 				Wanted: func(context.Context) (Demand, error) {
-					g := Group{Instances: []platform.Instance{{Name: "engine-1"}}, Wishes: []Wish{wish("m", version, 1)}}
+					g := Group{Instances: []platform.Instance{{Name: "engine-1"}}, Desired: []DesiredModel{desired("m", version, 1)}}
 					return Demand{Groups: []Group{g}, MaxLoads: 1, Settings: 1}, nil
 				},
 			})
 		}
-		frozen, rival := newDoer("a"), newDoer("b")
+		frozen, rival := newController("a"), newController("b")
 		agents.beforeOrder = func() {
 			version = "3"
 			for range 15 {
 				time.Sleep(time.Second)
 				rival.Round(t.Context())
-				carrier.Wait()
+				executor.Wait()
 			}
 		}
 		frozen.Round(t.Context())
-		carrier.Wait()
+		executor.Wait()
 		frozen.Round(t.Context())
 		if diff := cmp.Diff([]uint64{2}, e.applied); diff != "" {
 			t.Fatalf("fencing numbers applied (-want +got):\n%s", diff)
@@ -184,31 +184,31 @@
 func TestStoreDownInARollOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := platform.NewMemory(platform.MemoryOptions{})
-		agents := &carrierAgents{carriers: map[string]*Carrier{}}
+		agents := &executorAgents{executors: map[string]*Executor{}}
 		var group Group
 		var engines []*fakeEngine
 		for _, name := range []string{"engine-1", "engine-2", "engine-3"} {
 			e := &fakeEngine{serving: Target{Model: "m", Version: "1"}}
 			engines = append(engines, e)
-			c := NewCarrier(CarrierOptions{
+			c := NewExecutor(ExecutorOptions{
 				Instance: name, AgentBoot: agentBoot, Guard: NewGuard(LeaseFence{Store: store, Key: "lease"}),
 				Engine: e, Drainer: &fakeDrainer{takes: 8 * time.Second}, Timeout: time.Minute,
 			})
-			agents.carriers[name] = c
+			agents.executors[name] = c
 			group.Instances = append(group.Instances, platform.Instance{Name: name})
 		}
-		group.Wishes = []Wish{wish("m", "2", 3)}
-		newDoer := func(holder contract.BootID) *Doer {
-			return NewDoer(DoerOptions{
+		group.Desired = []DesiredModel{desired("m", "2", 3)}
+		newController := func(holder contract.BootID) *Controller {
+			return NewController(ControllerOptions{
 				Lease:  lease.New(lease.Options{Store: store, Key: "lease", Holder: holder, Term: 10 * time.Second, Margin: 2 * time.Second}),
 				Agents: agents, CallTimeout: time.Second,
 				Wanted: func(context.Context) (Demand, error) { return Demand{Groups: []Group{group}, MaxLoads: 3}, nil },
 			})
 		}
-		doers := []*Doer{newDoer("a"), newDoer("b")}
+		controllers := []*Controller{newController("a"), newController("b")}
 		rounds := func(n int) {
 			for range n {
-				for _, d := range doers {
+				for _, d := range controllers {
 					d.Round(t.Context())
 				}
 				time.Sleep(time.Second)
--- a/order/plan.go
+++ b/order/plan.go
@@ -10,7 +10,7 @@
 // Input is what one planning round looks at: the engines of one pool in one
 // data centre, what is wanted of them, and how many loads may start.
 type Input struct {
-	Wishes  []Wish
+	Desired []DesiredModel
 	Engines []Report
 	// Loads is how many more loads the weight store's rate allows now.
 	Loads int
@@ -22,10 +22,10 @@
 // stopped, and engines do not flap between two holders.
 func Plan(in Input) []Order {
 	p := newPlanner(in)
-	for _, w := range p.in.Wishes {
+	for _, w := range p.in.Desired {
 		p.fill(w)
 	}
-	for _, w := range p.in.Wishes {
+	for _, w := range p.in.Desired {
 		p.adapt(w)
 	}
 	return p.orders
@@ -44,7 +44,7 @@
 	for _, r := range p.in.Engines {
 		p.taken[r.Instance] = r.busy()
 	}
-	for _, w := range in.Wishes {
+	for _, w := range in.Desired {
 		p.want[w.Target.key()] = p.copies(w)
 	}
 	return p
@@ -59,9 +59,9 @@
 
 func (t Target) key() targetKey { return targetKey{model: t.Model, version: t.Version, role: t.Role} }
 
-// copies returns how many engines the wish needs: enough to keep the model's
+// copies returns how many engines the desired model needs: enough to keep the model's
 // present load below the target utilisation, within the operator's bounds.
-func (p *planner) copies(w Wish) int {
+func (p *planner) copies(w DesiredModel) int {
 	need := w.MinCopies
 	if w.TargetUtilisation > 0 {
 		need = max(need, p.copiesForDemand(w))
@@ -75,7 +75,7 @@
 // copiesForDemand counts engines of every version of the model, since an old
 // version's load comes to the new one. Cold engines' limits are not their
 // capacity, so only warm ones tell what a copy bears.
-func (p *planner) copiesForDemand(w Wish) int {
+func (p *planner) copiesForDemand(w DesiredModel) int {
 	inFlight, limit, warm := 0, 0, 0
 	for _, r := range p.in.Engines {
 		if r.Serving.Model != w.Target.Model {
@@ -98,8 +98,8 @@
 	return need
 }
 
-// fill starts loads until the wish has its copies.
-func (p *planner) fill(w Wish) {
+// fill starts loads until the desired model has its copies.
+func (p *planner) fill(w DesiredModel) {
 	have := p.have(w.Target)
 	for have < p.want[w.Target.key()] && len(p.orders) < p.in.Loads {
 		victim, ok := p.pick(w)
@@ -129,7 +129,7 @@
 // pick returns the engine that costs least to change: an empty one, then one
 // in the wrong role, then one that serves what nobody wants, then one that
 // serves more than is wanted.
-func (p *planner) pick(w Wish) (Report, bool) {
+func (p *planner) pick(w DesiredModel) (Report, bool) {
 	var candidates []Report
 	for _, r := range p.in.Engines {
 		if !p.taken[r.Instance] && p.mayTake(r, w) {
@@ -157,7 +157,7 @@
 	lossSurplus
 )
 
-func (p *planner) loss(r Report, w Wish) int {
+func (p *planner) loss(r Report, w DesiredModel) int {
 	switch {
 	case r.Serving.Model == "":
 		return lossNone
@@ -172,13 +172,13 @@
 }
 
 func (p *planner) modelWanted(model string) bool {
-	return slices.ContainsFunc(p.in.Wishes, func(w Wish) bool { return w.Target.Model == model })
+	return slices.ContainsFunc(p.in.Desired, func(w DesiredModel) bool { return w.Target.Model == model })
 }
 
 // mayTake reports whether changing the engine leaves enough copies of what it
 // serves now: a wanted copy is never taken, and a copy of an old version stays
 // until the copies of the new version bear its load.
-func (p *planner) mayTake(r Report, w Wish) bool {
+func (p *planner) mayTake(r Report, w DesiredModel) bool {
 	if r.Serving.Model == "" {
 		return true
 	}
@@ -210,7 +210,7 @@
 		return true
 	}
 	wanted := 0
-	for _, w := range p.in.Wishes {
+	for _, w := range p.in.Desired {
 		if w.Target.Model == r.Serving.Model {
 			wanted += p.want[w.Target.key()]
 		}
@@ -227,7 +227,7 @@
 }
 
 // adapt loads missing adapters, one for each engine and round.
-func (p *planner) adapt(w Wish) {
+func (p *planner) adapt(w DesiredModel) {
 	for _, r := range p.in.Engines {
 		if p.taken[r.Instance] || r.Serving.key() != w.Target.key() {
 			continue
--- a/order/remote.go
+++ b/order/remote.go
@@ -24,15 +24,15 @@
 }
 
 // Handle serves link.MethodOrder.
-func (c *Carrier) Handle(ctx context.Context, params json.RawMessage) (any, error) {
+func (e *Executor) Handle(ctx context.Context, params json.RawMessage) (any, error) {
 	var m Message
 	if err := json.Unmarshal(params, &m); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	if m.Order != nil {
-		return Reply{Problem: c.Accept(ctx, *m.Order)}, nil
+		return Reply{Problem: e.Accept(ctx, *m.Order)}, nil
 	}
-	r, p := c.Report(ctx, m.Fence)
+	r, p := e.Report(ctx, m.Fence)
 	if p != nil {
 		return Reply{Problem: p}, nil
 	}
--- a/order/wanted.go
+++ b/order/wanted.go
@@ -8,7 +8,7 @@
 	"github.com/azurelead/azurelead/settings"
 )
 
-// GroupsOf returns the groups of engines that the settings make wishes for.
+// GroupsOf returns the groups of engines whose models the settings name.
 // Data centres that are taken out get no orders.
 func GroupsOf(s *settings.Snapshot, instances []platform.Instance) []Group {
 	var groups []Group
@@ -17,7 +17,7 @@
 			if c.Out || len(p.Models) == 0 {
 				continue
 			}
-			g := Group{Wishes: wishesOf(p.Models)}
+			g := Group{Desired: desiredOf(p.Models)}
 			for _, i := range instances {
 				if i.DataCentre == dc && i.Pool == pool && i.Kind == pipeline.Generate && i.State == platform.Live {
 					g.Instances = append(g.Instances, i)
@@ -29,13 +29,13 @@
 	return groups
 }
 
-func wishesOf(models []settings.ModelWish) []Wish {
-	var wishes []Wish
+func desiredOf(models []settings.DesiredModel) []DesiredModel {
+	var desired []DesiredModel
 	for _, m := range models {
-		wishes = append(wishes, Wish{
+		desired = append(desired, DesiredModel{
 			Target:    Target{Model: m.Model, Version: m.Version, Adapters: slices.Clone(m.Adapters), Role: Role(m.Role)},
 			MinCopies: m.MinCopies, MaxCopies: m.MaxCopies, TargetUtilisation: m.TargetUtilisation,
 		})
 	}
-	return wishes
+	return desired
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -107,8 +107,8 @@
 	Pipelines map[string]OrganisationPipeline `json:"pipelines,omitempty" yaml:"pipelines,omitempty" validate:"dive"`
 }
 
-// ModelWish is a model that engines of a pool shall serve.
-type ModelWish struct {
+// DesiredModel is a model that engines of a pool shall serve.
+type DesiredModel struct {
 	Model    string   `json:"model" yaml:"model" validate:"required"`
 	Version  string   `json:"version,omitempty" yaml:"version,omitempty"`
 	Adapters []string `json:"adapters,omitempty" yaml:"adapters,omitempty" validate:"dive,required"`
@@ -127,7 +127,7 @@
 type Pool struct {
 	// Models are the models that the pool's engines shall serve. Without any,
 	// no order is given to the pool's engines.
-	Models    []ModelWish                  `json:"models,omitempty" yaml:"models,omitempty" validate:"dive"`
+	Models    []DesiredModel               `json:"models,omitempty" yaml:"models,omitempty" validate:"dive"`
 	Endpoint  EndpointOverrides            `json:"endpoint,omitzero" yaml:"endpoint,omitempty"`
 	Endpoints map[string]EndpointOverrides `json:"endpoints,omitempty" yaml:"endpoints,omitempty" validate:"dive"`
 }
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -193,16 +193,16 @@
 	}
 }
 
-// models checks the wished models of a pool.
-func (v *validation) models(path []string, wishes []ModelWish) {
-	type wished struct{ model, version, role string }
-	seen := make(map[wished]bool)
-	for i, w := range wishes {
+// models checks the desired models of a pool.
+func (v *validation) models(path []string, desired []DesiredModel) {
+	type identity struct{ model, version, role string }
+	seen := make(map[identity]bool)
+	for i, w := range desired {
 		at := under(path, "models", strconv.Itoa(i))
 		if w.MaxCopies > 0 && w.MinCopies > w.MaxCopies {
 			v.faults.add(under(at, "min_copies"), "%d is above max_copies %d", w.MinCopies, w.MaxCopies)
 		}
-		key := wished{w.Model, w.Version, w.Role}
+		key := identity{w.Model, w.Version, w.Role}
 		if seen[key] {
 			v.faults.add(at, "the model, version and role are listed twice")
 		}
