Say what the limiter's members hold

Cause: 'word' and two bare members of the limiter needed an explanation. Ruled out: nothing. Change: saysCold, and comments. No behaviour changes; tests of agent pass.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -202,7 +202,7 @@
 			case 3:
 				m.health(now, h, errors.New("down"), 0)
 			}
-			if m.word && m.allowed(now) > m.coldLimit() || m.allowed(now) > m.limits.Max {
+			if m.saysCold && m.allowed(now) > m.coldLimit() || m.allowed(now) > m.limits.Max {
 				t.Fatalf("allows %d, cold limit %d, max %d", m.allowed(now), m.coldLimit(), m.limits.Max)
 			}
 		}
--- a/agent/limiter.go
+++ b/agent/limiter.go
@@ -52,10 +52,13 @@
 	cold    bool
 	reason  ColdReason
 	// turns counts how often the endpoint was taken for cold.
-	turns    int
-	good     int
+	turns int
+	// good counts good answers towards the next step of the limit.
+	good int
+	// declared is the cold limit that the endpoint reports; 0 is none.
 	declared int
-	word     bool
+	// saysCold is set while the endpoint reports that it is cold.
+	saysCold bool
 	boot     contract.BootID
 	// down is set while nobody listens at the endpoint's address.
 	down bool
@@ -79,7 +82,7 @@
 // the endpoint bears is taken for used. reports says that the endpoint will be
 // asked for its health; it is then cold until it says otherwise.
 func newLimiter(l Limits, reports bool, settleAt, foreignUntil time.Time) *limiter {
-	m := &limiter{limits: l, word: reports, settleAt: settleAt, foreignUntil: foreignUntil}
+	m := &limiter{limits: l, saysCold: reports, settleAt: settleAt, foreignUntil: foreignUntil}
 	m.foreign = l.Max
 	m.turnCold(ColdStart)
 	return m
@@ -118,7 +121,7 @@
 		return
 	}
 	m.limits = l
-	if m.word || m.good == 0 && m.cold {
+	if m.saysCold || m.good == 0 && m.cold {
 		m.current = min(m.current, m.coldLimit())
 	}
 	m.current = max(min(m.current, l.Max), min(m.coldLimit(), l.Max))
@@ -137,7 +140,7 @@
 		m.turnCold(ColdLatency)
 		return
 	}
-	if m.word || m.foreign > 0 || m.current >= m.limits.Max || 2*running < m.current {
+	if m.saysCold || m.foreign > 0 || m.current >= m.limits.Max || 2*running < m.current {
 		return
 	}
 	m.good++
@@ -177,8 +180,8 @@
 	}
 	m.down = false
 	fresh := m.boot != "" && h.Boot != m.boot
-	newlyCold := h.Cold && !m.word
-	m.boot, m.declared, m.word = h.Boot, h.ColdLimit, h.Cold
+	newlyCold := h.Cold && !m.saysCold
+	m.boot, m.declared, m.saysCold = h.Boot, h.ColdLimit, h.Cold
 	switch {
 	case fresh:
 		// The former process and all that it ran are gone.
