Choose the highest rendezvous weights in one place

Cause: duplicates: the writers of claims, the watchers of settings and the candidates for the orders' lease each had their own loop around the library. Ruled out: the library's Remove, which indexes past its slice. Change: membership.Highest, with the reason beside it; the same names are chosen as before. Tests of settings, claim and membership pass unchanged.

--- a/agentdaemon/orders.go
+++ b/agentdaemon/orders.go
@@ -5,12 +5,10 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
-
 	"github.com/azurelead/azurelead/endpoint"
 	"github.com/azurelead/azurelead/lease"
 	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/membership"
 	"github.com/azurelead/azurelead/order"
 	"github.com/azurelead/azurelead/pipeline"
 	"github.com/azurelead/azurelead/platform"
@@ -142,13 +140,7 @@
 			names = append(names, i.Name)
 		}
 	}
-	var chosen []string
-	for len(names) > 0 && len(chosen) < controllerCandidates {
-		name := rendezvous.New(names, xxhash.Sum64String).Lookup(ordersLease)
-		chosen = append(chosen, name)
-		names = slices.DeleteFunc(names, func(n string) bool { return n == name })
-	}
-	return chosen
+	return membership.Highest(ordersLease, names, controllerCandidates)
 }
 
 // wanted gives the controller what the settings ask for.
--- a/claim/route.go
+++ b/claim/route.go
@@ -8,8 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
+	"github.com/azurelead/azurelead/membership"
 )
 
 // writersTried is how many writers are asked before the store itself: the
@@ -50,13 +49,10 @@
 	for _, c := range live {
 		byName[c.Agent] = c
 	}
-	key := "claims/" + strconv.Itoa(shard)
+	names := slices.Collect(maps.Keys(byName))
 	var chosen []Candidate
-	for len(byName) > 0 && len(chosen) < writersTried {
-		names := slices.Collect(maps.Keys(byName))
-		name := rendezvous.New(names, xxhash.Sum64String).Lookup(key)
+	for _, name := range membership.Highest("claims/"+strconv.Itoa(shard), names, writersTried) {
 		chosen = append(chosen, byName[name])
-		delete(byName, name)
 	}
 	return chosen
 }
--- a/settings/follow.go
+++ b/settings/follow.go
@@ -5,15 +5,15 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"github.com/azurelead/azurelead/membership"
 	"github.com/azurelead/azurelead/platform"
 )
 
@@ -157,28 +157,7 @@
 	if f.o.Candidates == nil {
 		return true
 	}
-	left := f.o.Candidates()
-	for range f.o.Watchers {
-		if len(left) == 0 {
-			break
-		}
-		chosen := rendezvous.New(left, xxhash.Sum64String).Lookup(ManifestKey)
-		if chosen == f.o.Instance {
-			return true
-		}
-		left = without(left, chosen)
-	}
-	return false
-}
-
-func without(names []string, name string) []string {
-	var out []string
-	for _, n := range names {
-		if n != name {
-			out = append(out, n)
-		}
-	}
-	return out
+	return slices.Contains(membership.Highest(ManifestKey, f.o.Candidates(), f.o.Watchers), f.o.Instance)
 }
 
 // watch waits for a manifest above the one held, and takes it. A watch that
--- a/settings/follower_test.go
+++ b/settings/follower_test.go
@@ -278,3 +278,13 @@
 		}
 	})
 }
+
+func without(names []string, name string) []string {
+	var out []string
+	for _, n := range names {
+		if n != name {
+			out = append(out, n)
+		}
+	}
+	return out
+}
