Serve a stand-in for a driver's test in one place

Ruled out: a generic constructor of both, longer than what it saves. Change: serve; what the tests check is unchanged. Tests of endpoint pass.

--- a/endpoint/endpoint_test.go
+++ b/endpoint/endpoint_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -18,12 +19,18 @@
 
 const tokens = 40
 
+// serve serves a stand-in until the test ends.
+func serve(t *testing.T, h http.Handler) endpoint.Options {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return endpoint.Options{URL: server.URL}
+}
+
 func newEngine(t *testing.T, o standin.EngineOptions) (*standin.Engine, *endpoint.Engine) {
 	t.Helper()
 	e := standin.NewEngine(o)
-	server := httptest.NewServer(e.Handler())
-	t.Cleanup(server.Close)
-	driver, err := endpoint.NewEngine(endpoint.Options{URL: server.URL})
+	driver, err := endpoint.NewEngine(serve(t, e.Handler()))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,9 +41,7 @@
 func newService(t *testing.T, o standin.ServiceOptions) (*standin.Service, *endpoint.Service) {
 	t.Helper()
 	s := standin.NewService(o)
-	server := httptest.NewServer(s.Handler())
-	t.Cleanup(server.Close)
-	driver, err := endpoint.NewService(endpoint.Options{URL: server.URL})
+	driver, err := endpoint.NewService(serve(t, s.Handler()))
 	if err != nil {
 		t.Fatal(err)
 	}
