Report a stand-in's health in one place

Cause: duplicates: engine and station made the same report, with two locks taken in turn, so that the count and the cold state could be of two moments. Ruled out: a common base of both, which have little else in common. Change: warmth.health takes both under one lock.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -168,11 +168,7 @@
 }
 
 func (e *Engine) health(w http.ResponseWriter, _ *http.Request) {
-	inFlight, _, _ := e.warmth.peaks()
-	writeJSON(w, http.StatusOK, Health{
-		Boot: string(e.Boot()), Cold: e.warmth.isCold(),
-		ColdLimit: e.options.ColdStart.Limit, InFlight: inFlight,
-	})
+	writeJSON(w, http.StatusOK, e.warmth.health(e.Boot()))
 }
 
 func (e *Engine) reportLoad(w http.ResponseWriter, _ *http.Request) {
--- a/standin/station.go
+++ b/standin/station.go
@@ -242,11 +242,7 @@
 }
 
 func (s *station) health(w http.ResponseWriter, _ *http.Request) {
-	inFlight, _, _ := s.warmth.peaks()
-	writeJSON(w, http.StatusOK, Health{
-		Boot: string(s.Boot()), Cold: s.warmth.isCold(),
-		ColdLimit: s.spec.ColdStart.Limit, InFlight: inFlight,
-	})
+	writeJSON(w, http.StatusOK, s.warmth.health(s.Boot()))
 }
 
 func (s *station) reportLoad(w http.ResponseWriter, _ *http.Request) {
--- a/standin/warmth.go
+++ b/standin/warmth.go
@@ -1,6 +1,10 @@
 package standin
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/azurelead/azurelead/contract"
+)
 
 // ColdStart describes how an endpoint starts: cold, it bears only a few calls
 // at once and is slow; with enough answers it grows warm.
@@ -29,6 +33,13 @@
 
 func newWarmth(s ColdStart) *warmth { return &warmth{start: s, cold: s.Limit > 0} }
 
+// health is the report of an endpoint in the given life of its process.
+func (w *warmth) health(boot contract.BootID) Health {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return Health{Boot: string(boot), Cold: w.cold, ColdLimit: w.start.Limit, InFlight: w.inFlight}
+}
+
 // enter admits one call and reports whether the endpoint survives it.
 func (w *warmth) enter() bool {
 	w.mu.Lock()
