--- /dev/null
+++ b/catalog/table.go
@@ -0,0 +1,75 @@
+package catalog
+
+import (
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Table answers by host, path and key in a compiled configuration.
+type Table struct {
+	*Configuration
+	// byHost holds each host's routes, the longest prefix first.
+	byHost map[string][]*Route
+	byKey  map[string]*Organisation
+}
+
+// Compile prepares a configuration for look-ups. It must not change afterwards.
+func Compile(c *Configuration) *Table {
+	t := &Table{Configuration: c, byHost: make(map[string][]*Route), byKey: make(map[string]*Organisation)}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, routes := range t.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
+	}
+	for i := range c.Organisations {
+		for _, key := range c.Organisations[i].Keys {
+			t.byKey[key] = &c.Organisations[i]
+		}
+	}
+	return t
+}
+
+// Route returns the route of the longest prefix that begins path, or nil.
+func (t *Table) Route(host, path string) *Route {
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Organisation returns the holder of a key, or nil.
+func (t *Table) Organisation(key string) *Organisation { return t.byKey[key] }
+
+// Service picks the service of a request by the route's weights. The same seed
+// picks the same service as long as the weights stay.
+func (r *Route) Service(seed string) string {
+	total := 0
+	for _, s := range r.Services {
+		total += s.Weight
+	}
+	if total <= 0 || len(r.Services) == 1 {
+		return r.Services[0].Service
+	}
+	at := int(xxhash.Sum64String(seed) % uint64(total))
+	for _, s := range r.Services {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return r.Services[len(r.Services)-1].Service
+}
+
+// Rank returns a request's rank: the organisation's, else the route's.
+func Rank(r *Route, o *Organisation) int {
+	if o != nil && o.Priority != nil {
+		return *o.Priority
+	}
+	return r.Priority
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,534 @@
+// Package dispatch decides how the tasks of requests' stages wait, are refused
+// and are placed. One dispatcher fills batches across the requests of all
+// entries. It is a value without I/O: every method takes the time, and what has
+// to be sent is returned.
+//
+// The load it answers: endpoints of stage services do one call at a time, whose
+// cost hardly depends on what is in it, and hold few results. One call for each
+// request leaves most of a batch empty.
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/azurelead/azurelead/catalog"
+	"github.com/azurelead/azurelead/stage"
+)
+
+// Options are the weights of the dispatcher's decisions. Zero members take the
+// defaults below.
+type Options struct {
+	// RankSpacing is how much sooner a task starts for each rank of urgency.
+	RankSpacing time.Duration
+	// CrossSmallAfter is how long a group of small results waits for an
+	// endpoint in the data centre that reads them.
+	CrossSmallAfter time.Duration
+	// SmallResult is the size of a group's results that may cross soon, in bytes.
+	SmallResult int64
+}
+
+// Defaults of Options.
+const (
+	// DefaultRankSpacing is about one call's duration.
+	DefaultRankSpacing = 250 * time.Millisecond
+	// DefaultCrossSmallAfter is a fraction of a call's duration.
+	DefaultCrossSmallAfter = 40 * time.Millisecond
+	// DefaultSmallResult costs less to move than waiting for a call.
+	DefaultSmallResult = 200_000
+)
+
+const (
+	// maxTries bounds the calls of one task.
+	maxTries = 4
+	// admissionMargin is left of the deadline for what the forecast cannot see.
+	admissionMargin = 400 * time.Millisecond
+	// lateGrace is how far behind its latest start a task still counts as on time.
+	lateGrace = 100 * time.Millisecond
+	// lateDemotion orders tasks that miss their target after all others.
+	lateDemotion = time.Hour
+	// refusedBackoff is the pause after an endpoint had no room for a call.
+	refusedBackoff = 100 * time.Millisecond
+	// failureBackoff doubles with each failure in a row, up to maxBackoff.
+	failureBackoff = 400 * time.Millisecond
+	maxBackoff     = 4 * time.Second
+	// roomShare of an endpoint's memory is filled, as sizes are approximate.
+	roomShare = 0.97
+	// slowFactor marks an endpoint that takes so many times as long as the
+	// fastest one of its service; slowBacklog is the number of full batches for
+	// each endpoint that must wait before it is used.
+	slowFactor  = 2.2
+	slowBacklog = 1.0
+	// durationWeight is the weight of the latest call in an endpoint's pace.
+	durationWeight = 0.4
+	// rateWindow is the time constant of arrival rates.
+	rateWindow = 2 * time.Second
+	// maxUrgentLoad bounds the share of a service that more urgent work is
+	// taken to use in a forecast.
+	maxUrgentLoad = 0.9
+)
+
+// Stage is one stage of a job.
+type Stage struct {
+	Service     string
+	After       []int
+	Tasks       int
+	ResultBytes int64
+}
+
+// Place is a data centre in which the job's results can be read.
+type Place struct {
+	DataCentre string
+	// Penalty is the time that reading there costs more than at the best place.
+	Penalty time.Duration
+}
+
+// Job is the stages of one request.
+type Job struct {
+	ID     string
+	Key    string
+	Stages []Stage
+	Rank   int
+	// Target is when the request should be answered, Deadline when it must be.
+	Target   time.Time
+	Deadline time.Time
+	// Tail is the time from the last result to the answer.
+	Tail time.Duration
+	// Places lists where the results can be read, the best first.
+	Places []Place
+	// Returning is set for a client that was told to come back.
+	Returning bool
+}
+
+// Admission is the answer to a submitted job.
+type Admission struct {
+	Admitted bool
+	// Forecast is how long the stages are expected to take.
+	Forecast time.Duration
+	// RetryAfter is when there is expected to be room for a refused job.
+	RetryAfter time.Duration
+	Reason     string
+}
+
+// Call is one call to an endpoint of a stage service.
+type Call struct {
+	ID       uint64
+	Endpoint catalog.Endpoint
+	Tasks    []stage.Task
+	// Timeout is how long the call may take before the endpoint counts as lost.
+	Timeout time.Duration
+}
+
+// Free gives up results at an endpoint.
+type Free struct {
+	Endpoint catalog.Endpoint
+	Handles  []string
+}
+
+// Failure says why a call brought no results.
+type Failure int
+
+// The failures of calls.
+const (
+	// Refused: the endpoint did not run the call.
+	Refused Failure = iota + 1
+	// Unreachable: no byte was sent.
+	Unreachable
+	// Lost: the call may have run, its answer is not known.
+	Lost
+)
+
+// Finished is a job that ended.
+type Finished struct {
+	ID string
+	// Handles are the results that the request reads, in the order of stages.
+	Handles    []string
+	DataCentre string
+	// Problem is empty for success.
+	Problem string
+}
+
+// Dispatcher holds the jobs and the books of the endpoints. It is not safe for
+// concurrent use.
+type Dispatcher struct {
+	o        Options
+	pools    map[string]*pool
+	jobs     map[string]*job
+	calls    map[uint64]*call
+	lastCall uint64
+	finished []Finished
+	frees    map[string]*Free
+}
+
+// New returns a dispatcher without endpoints.
+func New(o Options) *Dispatcher {
+	if o.RankSpacing == 0 {
+		o.RankSpacing = DefaultRankSpacing
+	}
+	if o.CrossSmallAfter == 0 {
+		o.CrossSmallAfter = DefaultCrossSmallAfter
+	}
+	if o.SmallResult == 0 {
+		o.SmallResult = DefaultSmallResult
+	}
+	return &Dispatcher{
+		o: o, pools: make(map[string]*pool), jobs: make(map[string]*job),
+		calls: make(map[uint64]*call), frees: make(map[string]*Free),
+	}
+}
+
+// call is a call in progress.
+type call struct {
+	id       uint64
+	pool     *pool
+	endpoint *endpoint
+	tasks    []taskRef
+	bytes    int64
+	started  time.Time
+	expected time.Duration
+}
+
+type taskRef struct {
+	group *group
+	index int
+}
+
+// Submit admits a job, or refuses it before any of its work is done.
+func (d *Dispatcher) Submit(now time.Time, j Job) Admission {
+	if old := d.jobs[j.ID]; old != nil {
+		// The same request came again after its entry lost the link.
+		d.end(now, old)
+	}
+	n := newJob(j)
+	if missing := d.missingService(n); missing != "" {
+		return Admission{Reason: "no endpoint of " + missing, RetryAfter: noEndpointRetry}
+	}
+	n.dataCentre = d.place(now, n)
+	forecast := d.forecast(now, n)
+	a := Admission{Forecast: forecast}
+	end := now.Add(forecast + j.Tail)
+	latest := j.Deadline.Add(-admissionMargin)
+	if j.Returning {
+		latest = j.Deadline.Add(-admissionMargin / 2)
+	}
+	if end.After(latest) {
+		a.Reason = "the stages are expected to end after the deadline"
+		a.RetryAfter = max(end.Sub(latest), minRetry)
+		return a
+	}
+	a.Admitted = true
+	d.jobs[j.ID] = n
+	for _, g := range n.groups {
+		if g != nil {
+			d.pools[g.service].admit(now, g)
+		}
+	}
+	return a
+}
+
+const (
+	// noEndpointRetry is about the time in which a crashed endpoint is back.
+	noEndpointRetry = time.Second
+	// minRetry keeps a refused client from coming back before anything changed.
+	minRetry = 200 * time.Millisecond
+)
+
+func (d *Dispatcher) missingService(j *job) string {
+	for _, g := range j.groups {
+		if g == nil {
+			continue
+		}
+		if p := d.pools[g.service]; p == nil || len(p.usable("")) == 0 {
+			return g.service
+		}
+	}
+	return ""
+}
+
+// place picks the data centre whose endpoints let the job's results be read
+// soonest.
+func (d *Dispatcher) place(now time.Time, j *job) string {
+	best, bestCost := "", time.Duration(math.MaxInt64)
+	for _, p := range j.Places {
+		cost := p.Penalty
+		for _, g := range j.groups {
+			if g != nil {
+				cost += d.pools[g.service].placeCost(now, p.DataCentre, g)
+			}
+		}
+		if cost < bestCost {
+			best, bestCost = p.DataCentre, cost
+		}
+	}
+	return best
+}
+
+// forecast is the time until the last stage's results under what waits now and
+// what more urgent work is expected meanwhile.
+func (d *Dispatcher) forecast(now time.Time, j *job) time.Duration {
+	ends := make([]time.Duration, len(j.groups))
+	var longest time.Duration
+	for i, g := range j.groups {
+		if g == nil {
+			continue
+		}
+		var start time.Duration
+		for _, before := range g.after {
+			start = max(start, ends[before])
+		}
+		p := d.pools[g.service]
+		wait := p.wait(now, g, j.Rank)
+		// Work that waits now is done while the stages before this one run.
+		start = max(start, wait)
+		ends[i] = start + p.callTime(len(g.tasks))
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Cancel ends a job whose client has gone or was answered otherwise.
+func (d *Dispatcher) Cancel(now time.Time, id string) {
+	if j := d.jobs[id]; j != nil {
+		d.end(now, j)
+	}
+}
+
+// Release gives up the results of a finished job once they have been read.
+func (d *Dispatcher) Release(now time.Time, id string) { d.Cancel(now, id) }
+
+// end drops a job, its waiting tasks and its results.
+func (d *Dispatcher) end(now time.Time, j *job) {
+	j.ended = true
+	delete(d.jobs, j.ID)
+	for _, g := range j.groups {
+		if g == nil {
+			continue
+		}
+		d.pools[g.service].drop(g)
+		d.freeGroup(g)
+	}
+}
+
+func (d *Dispatcher) freeGroup(g *group) {
+	for i := range g.tasks {
+		d.freeTask(g, i)
+	}
+}
+
+func (d *Dispatcher) freeTask(g *group, i int) {
+	t := &g.tasks[i]
+	if t.handle == "" {
+		return
+	}
+	if p := d.pools[g.service]; p != nil {
+		if e := p.endpoints[t.endpoint]; e != nil {
+			e.forget(t.handle)
+			d.addFree(e, t.handle)
+		}
+	}
+	t.handle = ""
+}
+
+func (d *Dispatcher) addFree(e *endpoint, handle string) {
+	f := d.frees[e.ID]
+	if f == nil {
+		f = &Free{Endpoint: e.Endpoint}
+		d.frees[e.ID] = f
+	}
+	f.Handles = append(f.Handles, handle)
+}
+
+// Frees returns the results to give up since the last call.
+func (d *Dispatcher) Frees() []Free {
+	if len(d.frees) == 0 {
+		return nil
+	}
+	list := make([]Free, 0, len(d.frees))
+	for _, f := range d.frees {
+		list = append(list, *f)
+	}
+	clear(d.frees)
+	sort.Slice(list, func(i, k int) bool { return list[i].Endpoint.ID < list[k].Endpoint.ID })
+	return list
+}
+
+// Finished returns the jobs that ended since the last call.
+func (d *Dispatcher) Finished() []Finished {
+	list := d.finished
+	d.finished = nil
+	return list
+}
+
+// Expire ends the jobs whose deadline has passed and forgets results that
+// their endpoints no longer keep.
+func (d *Dispatcher) Expire(now time.Time) {
+	for _, j := range d.jobs {
+		if now.After(j.Deadline) {
+			d.fail(now, j, "deadline")
+		}
+	}
+	for _, p := range d.pools {
+		for _, e := range p.endpoints {
+			e.expire(now)
+		}
+	}
+}
+
+func (d *Dispatcher) fail(now time.Time, j *job, problem string) {
+	if !j.complete {
+		d.finished = append(d.finished, Finished{ID: j.ID, Problem: problem})
+	}
+	d.end(now, j)
+}
+
+// Schedule returns the calls to make now.
+func (d *Dispatcher) Schedule(now time.Time) []Call {
+	names := make([]string, 0, len(d.pools))
+	for name := range d.pools {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var calls []Call
+	for _, name := range names {
+		calls = append(calls, d.assign(now, d.pools[name])...)
+	}
+	return calls
+}
+
+// Complete takes the results of a call.
+func (d *Dispatcher) Complete(now time.Time, id uint64, results []stage.Result) {
+	c := d.calls[id]
+	if c == nil {
+		return
+	}
+	delete(d.calls, id)
+	c.endpoint.finished(now, c)
+	for i, ref := range c.tasks {
+		if i < len(results) {
+			d.taskResult(now, c, ref, results[i])
+		}
+	}
+	for _, ref := range c.tasks {
+		d.advance(now, ref.group)
+	}
+}
+
+// Fail takes a call that brought no results; its tasks wait again.
+func (d *Dispatcher) Fail(now time.Time, id uint64, f Failure) {
+	c := d.calls[id]
+	if c == nil {
+		return
+	}
+	delete(d.calls, id)
+	c.endpoint.failed(now, c, f)
+	for _, ref := range c.tasks {
+		d.retry(now, ref, f != Refused)
+	}
+}
+
+func (d *Dispatcher) taskResult(now time.Time, c *call, ref taskRef, r stage.Result) {
+	g := ref.group
+	c.endpoint.reserved -= g.resultBytes
+	switch r.Problem {
+	case stage.Done:
+		c.endpoint.hold(r.Handle, g.resultBytes, now.Add(c.pool.limits.ResultTTL))
+		if g.job.ended {
+			c.endpoint.forget(r.Handle)
+			d.addFree(c.endpoint, r.Handle)
+			return
+		}
+		t := &g.tasks[ref.index]
+		t.state, t.handle, t.endpoint = taskDone, r.Handle, c.endpoint.ID
+	case stage.InputGone:
+		d.remakeInputs(now, ref)
+	case stage.NoRoom:
+		c.endpoint.full(now)
+		d.retry(now, ref, false)
+	default:
+		d.retry(now, ref, true)
+	}
+}
+
+// retry lets a task wait again, or ends its job after too many tries.
+func (d *Dispatcher) retry(now time.Time, ref taskRef, counts bool) {
+	g := ref.group
+	if g.job.ended {
+		return
+	}
+	t := &g.tasks[ref.index]
+	if counts {
+		t.tries++
+	}
+	if t.tries >= maxTries {
+		d.fail(now, g.job, "a task failed too often")
+		return
+	}
+	d.pools[g.service].wants(g, ref.index)
+}
+
+// remakeInputs lets a task wait for results that an endpoint lost, which are
+// made again with all that led to them.
+func (d *Dispatcher) remakeInputs(now time.Time, ref taskRef) {
+	g := ref.group
+	j := g.job
+	if j.ended {
+		return
+	}
+	d.pools[g.service].wants(g, ref.index)
+	if !d.remakeBefore(g) {
+		return // they are being made already
+	}
+	j.remade++
+	if j.remade > maxRemakes {
+		d.fail(now, j, "inputs were lost again")
+	}
+}
+
+// remakeBefore queues the finished tasks that a group depends on, and reports
+// whether there were any.
+func (d *Dispatcher) remakeBefore(g *group) bool {
+	any := false
+	for _, before := range g.after {
+		other := g.job.groups[before]
+		for i := range other.tasks {
+			if other.tasks[i].state == taskDone {
+				d.freeTask(other, i)
+				d.pools[other.service].wants(other, i)
+				any = true
+			}
+		}
+		if d.remakeBefore(other) {
+			any = true
+		}
+	}
+	return any
+}
+
+// maxRemakes bounds how often the inputs of one job are made again.
+const maxRemakes = 2
+
+// advance looks at what the end of a group's task lets happen.
+func (d *Dispatcher) advance(now time.Time, g *group) {
+	j := g.job
+	if j.ended || j.complete || !g.done() {
+		return
+	}
+	for _, before := range g.after {
+		if j.consumed(before) {
+			d.freeGroup(j.groups[before])
+		}
+	}
+	if !j.done() {
+		return
+	}
+	j.complete = true
+	f := Finished{ID: j.ID, DataCentre: j.dataCentre}
+	for _, i := range j.outputs {
+		for _, t := range j.groups[i].tasks {
+			f.Handles = append(f.Handles, t.handle)
+		}
+	}
+	d.finished = append(d.finished, f)
+}
--- /dev/null
+++ b/dispatch/pool.go
@@ -0,0 +1,323 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/azurelead/azurelead/catalog"
+)
+
+// pool is one stage service: its endpoints and the groups that wait for them.
+type pool struct {
+	limits    catalog.StageLimits
+	endpoints map[string]*endpoint
+	queue     []*group
+	// backlog counts the tasks that no call has, by data centre.
+	backlog map[string]int
+	// arrivals are the tasks a second of each rank.
+	arrivals map[int]*rate
+}
+
+// held is a result at an endpoint.
+type held struct {
+	bytes   int64
+	expires time.Time
+}
+
+// endpoint is one endpoint of a stage service with its books.
+type endpoint struct {
+	catalog.Endpoint
+	usable bool
+	calls  int
+	// freeAt is when the call in progress is expected to end.
+	freeAt time.Time
+	// reserved is the memory of the results that calls in progress make.
+	reserved int64
+	heldSum  int64
+	results  map[string]held
+	// pace is how many times as long as declared a call takes.
+	pace     float64
+	failures int
+	retryAt  time.Time
+	// fullUntil is when results that the books do not know have expired.
+	fullUntil time.Time
+}
+
+func newPool(l catalog.StageLimits) *pool {
+	return &pool{limits: l, endpoints: make(map[string]*endpoint), backlog: make(map[string]int), arrivals: make(map[int]*rate)}
+}
+
+// SetService declares a stage service.
+func (d *Dispatcher) SetService(name string, l catalog.StageLimits) {
+	if p := d.pools[name]; p != nil {
+		p.limits = l
+		return
+	}
+	d.pools[name] = newPool(l)
+}
+
+// SetEndpoints replaces what is known of a service's endpoints. Those that are
+// not listed get no more calls; calls in progress there go on.
+func (d *Dispatcher) SetEndpoints(service string, list []catalog.Endpoint) {
+	p := d.pools[service]
+	if p == nil {
+		return
+	}
+	for _, e := range p.endpoints {
+		e.usable = false
+	}
+	for _, c := range list {
+		e := p.endpoints[c.ID]
+		if e == nil || e.Incarnation != c.Incarnation {
+			e = &endpoint{results: make(map[string]held), pace: 1}
+			p.endpoints[c.ID] = e
+		}
+		e.Endpoint, e.usable = c, true
+	}
+	for id, e := range p.endpoints {
+		if !e.usable && e.calls == 0 && len(e.results) == 0 {
+			delete(p.endpoints, id)
+		}
+	}
+}
+
+// usable lists the endpoints that may get calls, of one data centre unless it
+// is empty.
+func (p *pool) usable(dataCentre string) []*endpoint {
+	var list []*endpoint
+	for _, e := range p.endpoints {
+		if e.usable && (dataCentre == "" || e.DataCentre == dataCentre) {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b *endpoint) int {
+		switch {
+		case a.pace < b.pace-0.05:
+			return -1
+		case b.pace < a.pace-0.05:
+			return 1
+		case a.ID < b.ID:
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// callTime is the declared duration of a call with n of a group's tasks, in a
+// batch that is filled up by half.
+func (p *pool) callTime(n int) time.Duration {
+	return p.limits.CallTime + time.Duration(min(n+p.limits.Batch/4, p.limits.Batch))*p.limits.TaskTime
+}
+
+// taskCost is the share of a full call that one task takes.
+func (p *pool) taskCost() time.Duration {
+	return p.limits.CallTime/time.Duration(p.limits.Batch) + p.limits.TaskTime
+}
+
+// capacity is the number of endpoints at their declared pace.
+func (p *pool) capacity(dataCentre string) float64 {
+	var sum float64
+	for _, e := range p.endpoints {
+		if e.usable && e.failures < 2 && (dataCentre == "" || e.DataCentre == dataCentre) {
+			sum += float64(p.limits.Slots) / max(e.pace, 0.5)
+		}
+	}
+	return sum
+}
+
+// queueDelay is how long what waits in a data centre keeps its endpoints busy.
+func (p *pool) queueDelay(dataCentre string) time.Duration {
+	capacity := p.capacity(dataCentre)
+	if capacity == 0 {
+		return p.queueDelayAll()
+	}
+	return time.Duration(float64(p.backlog[dataCentre]) * float64(p.taskCost()) / capacity)
+}
+
+func (p *pool) queueDelayAll() time.Duration {
+	total := 0
+	for _, n := range p.backlog {
+		total += n
+	}
+	return time.Duration(float64(total) * float64(p.taskCost()) / max(p.capacity(""), 0.5))
+}
+
+// placeCost is the time that a group waits if its results are read in a data
+// centre; a service without endpoints there costs a crossing.
+func (p *pool) placeCost(now time.Time, dataCentre string, g *group) time.Duration {
+	list := p.usable(dataCentre)
+	if len(list) == 0 {
+		cost := p.queueDelayAll()
+		if g.totalBytes() > DefaultSmallResult {
+			cost += crossingCost
+		}
+		return cost
+	}
+	cost := p.queueDelay(dataCentre)
+	if len(g.after) > 0 {
+		return cost
+	}
+	busy := time.Duration(math.MaxInt64)
+	for _, e := range list {
+		busy = min(busy, max(e.freeAt.Sub(now), e.retryAt.Sub(now), e.roomDelay(now, p, g), 0))
+	}
+	return cost + busy
+}
+
+// crossingCost weighs the bytes of large results between data centres, as time.
+const crossingCost = 300 * time.Millisecond
+
+// roomDelay is a rough wait for room for a group's results.
+func (e *endpoint) roomDelay(now time.Time, p *pool, g *group) time.Duration {
+	if e.room(now, p) >= min(g.totalBytes(), int64(p.limits.Batch)*g.resultBytes) {
+		return 0
+	}
+	return p.limits.CallTime
+}
+
+// wait is how long a group of a rank waits for what precedes it.
+func (p *pool) wait(now time.Time, g *group, rank int) time.Duration {
+	ahead := 0
+	for _, other := range p.queue {
+		if other.job.Rank <= rank {
+			ahead += other.waiting
+		}
+	}
+	capacity := max(p.capacity(""), 0.5)
+	cost := float64(p.taskCost()) / capacity
+	var urgent float64
+	for r, a := range p.arrivals {
+		if r < rank {
+			urgent += a.perSecond(now) * cost / float64(time.Second)
+		}
+	}
+	return time.Duration(float64(ahead) * cost / (1 - min(urgent, maxUrgentLoad)))
+}
+
+// admit puts a new job's group into the queue.
+func (p *pool) admit(now time.Time, g *group) {
+	p.queue = append(p.queue, g)
+	g.queued = true
+	p.backlog[g.job.dataCentre] += g.waiting
+	a := p.arrivals[g.job.Rank]
+	if a == nil {
+		a = &rate{}
+		p.arrivals[g.job.Rank] = a
+	}
+	a.add(now, float64(len(g.tasks)))
+}
+
+// wants lets one task of a group wait again.
+func (p *pool) wants(g *group, index int) {
+	g.tasks[index].state = taskWaiting
+	g.tasks[index].handle = ""
+	g.waiting++
+	g.readySince = time.Time{}
+	p.backlog[g.job.dataCentre]++
+	if !g.queued {
+		p.queue = append(p.queue, g)
+		g.queued = true
+	}
+}
+
+// started notes that a call has one task of a group.
+func (p *pool) started(g *group, index int) {
+	g.tasks[index].state = taskRunning
+	g.waiting--
+	p.backlog[g.job.dataCentre]--
+}
+
+// drop takes a group out of the queue.
+func (p *pool) drop(g *group) {
+	p.backlog[g.job.dataCentre] -= g.waiting
+	g.waiting = 0
+	if g.queued {
+		p.queue = slices.DeleteFunc(p.queue, func(other *group) bool { return other == g })
+		g.queued = false
+	}
+}
+
+// room is the memory that is left for results, in bytes.
+func (e *endpoint) room(now time.Time, p *pool) int64 {
+	if now.Before(e.fullUntil) {
+		return 0
+	}
+	return int64(roomShare*float64(p.limits.ResultRoom)) - e.heldSum - e.reserved
+}
+
+func (e *endpoint) hold(handle string, bytes int64, expires time.Time) {
+	e.results[handle] = held{bytes: bytes, expires: expires}
+	e.heldSum += bytes
+}
+
+func (e *endpoint) forget(handle string) {
+	if h, found := e.results[handle]; found {
+		e.heldSum -= h.bytes
+		delete(e.results, handle)
+	}
+}
+
+func (e *endpoint) expire(now time.Time) {
+	for handle, h := range e.results {
+		if now.After(h.expires) {
+			e.forget(handle)
+		}
+	}
+}
+
+// full notes that the endpoint holds results that the books do not know.
+func (e *endpoint) full(now time.Time) { e.fullUntil = now.Add(fullPause) }
+
+// fullPause is about the time in which an endpoint's results are read.
+const fullPause = 150 * time.Millisecond
+
+func (e *endpoint) finished(now time.Time, c *call) {
+	e.calls--
+	e.failures = 0
+	e.retryAt = time.Time{}
+	if c.expected > 0 {
+		measured := float64(now.Sub(c.started)) / float64(c.expected)
+		e.pace += durationWeight * (min(measured, maxPace) - e.pace)
+	}
+	e.freeAt = now
+}
+
+// maxPace bounds what one slow call says of an endpoint.
+const maxPace = 10
+
+func (e *endpoint) failed(now time.Time, c *call, f Failure) {
+	e.calls--
+	e.reserved -= c.bytes
+	e.freeAt = now
+	if f == Refused {
+		e.retryAt = now.Add(refusedBackoff)
+		return
+	}
+	e.failures++
+	e.retryAt = now.Add(min(failureBackoff<<min(e.failures-1, 4), maxBackoff))
+}
+
+// rate is an exponentially weighted number of arrivals a second.
+type rate struct {
+	value float64
+	at    time.Time
+}
+
+func (r *rate) decay(now time.Time) {
+	if !r.at.IsZero() {
+		r.value *= math.Exp(-now.Sub(r.at).Seconds() / rateWindow.Seconds())
+	}
+	r.at = now
+}
+
+func (r *rate) add(now time.Time, n float64) {
+	r.decay(now)
+	r.value += n / rateWindow.Seconds()
+}
+
+func (r *rate) perSecond(now time.Time) float64 {
+	r.decay(now)
+	return r.value
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/azurelead/azurelead/retrybudget"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -25,7 +26,7 @@
 	flights   *flights
 	shares    *pipelineShares
 	latencies *latencies
-	budgets   *budgets
+	budgets   *retrybudget.Set
 	pause     *PauseGuard
 	handler   http.Handler
 	ctx       context.Context
@@ -50,7 +51,7 @@
 		flights:   newFlights(),
 		shares:    newPipelineShares(),
 		latencies: newLatencies(),
-		budgets:   newBudgets(),
+		budgets:   &retrybudget.Set{},
 		ctx:       ctx,
 		stop:      stop,
 	}
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -10,6 +10,7 @@
 	"github.com/azurelead/azurelead/contract"
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/pipeline"
+	"github.com/azurelead/azurelead/retrybudget"
 	"github.com/azurelead/azurelead/settings"
 	"github.com/azurelead/azurelead/suspect"
 )
@@ -119,7 +120,7 @@
 // executeRepeatable tries endpoints until one answers, or until neither
 // budget, time nor endpoints are left. It never waits between tries.
 func (s *stageRun) executeRepeatable(ctx context.Context) link.RunResult {
-	budget := s.e.budgets.of(s.stage.Pool)
+	budget := s.e.budgets.Of(s.stage.Pool)
 	budget.Earn(s.set.RetryPercent)
 	kind := "first"
 	for {
@@ -141,7 +142,7 @@
 
 // nextKind decides whether another attempt follows the failed res, and pays
 // for it. It returns "" when the stage ends with res.
-func (s *stageRun) nextKind(res link.RunResult, budget *RetryBudget) string {
+func (s *stageRun) nextKind(res link.RunResult, budget *retrybudget.Budget) string {
 	if redirectable(res) {
 		if s.report.Redirects >= maxRedirects {
 			return ""
--- /dev/null
+++ b/follow/follow.go
@@ -0,0 +1,320 @@
+// Package follow keeps what a process believes of the platform's objects: it
+// lists and watches each kind, and takes newer states from other entries, so
+// that a process that cannot reach the store still learns of changes. A state
+// never goes back to an older revision.
+package follow
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/azurelead/azurelead/platform/fleet"
+)
+
+const (
+	// watchWait is how long one watch waits; it is a fraction of the operators'
+	// bound on applying a configuration, as a watch may hear nothing.
+	watchWait = 1200 * time.Millisecond
+	// answerSlack is how much longer than its wait a watch may take.
+	answerSlack = 400 * time.Millisecond
+	// listTimeout bounds one list.
+	listTimeout = time.Second
+	// minBackoff and maxBackoff pace the calls while the store does not answer.
+	minBackoff = 150 * time.Millisecond
+	maxBackoff = time.Second
+)
+
+// State is what is believed of one kind of objects.
+type State struct {
+	Kind     string         `json:"kind"`
+	Revision int64          `json:"revision"`
+	Objects  []fleet.Object `json:"objects"`
+}
+
+// Digest tells a state from another of its kind.
+type Digest struct {
+	Kind     string `json:"kind"`
+	Revision int64  `json:"revision"`
+	Sum      uint64 `json:"sum"`
+}
+
+// Store is the part of the platform's store that a follower needs.
+type Store interface {
+	List(ctx context.Context, kind string, stale bool) (fleet.Changes, error)
+	Watch(ctx context.Context, kind string, after int64, wait time.Duration) (fleet.Changes, error)
+}
+
+// Options configures a Follower.
+type Options struct {
+	Store Store
+	Kinds []string
+	// Changed is called after a kind's objects changed, with the objects by
+	// name; gap is set when the store was not heard for a while before. Calls do
+	// not overlap.
+	Changed func(kind string, objects map[string]fleet.Object, gap bool)
+	Logger  *slog.Logger
+}
+
+// Follower follows some kinds of objects. It is safe for concurrent use.
+type Follower struct {
+	o Options
+
+	mu    sync.Mutex
+	kinds map[string]*kind
+	apply sync.Mutex
+}
+
+type kind struct {
+	known    bool
+	revision int64
+	objects  map[string]fleet.Object
+	heard    time.Time
+	told     bool
+}
+
+// New returns a follower that knows nothing.
+func New(o Options) *Follower {
+	f := &Follower{o: o, kinds: make(map[string]*kind)}
+	for _, k := range o.Kinds {
+		f.kinds[k] = &kind{objects: make(map[string]fleet.Object)}
+	}
+	return f
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var all sync.WaitGroup
+	for _, name := range f.o.Kinds {
+		all.Go(func() { f.follow(ctx, name) })
+	}
+	all.Wait()
+}
+
+// Known reports whether every kind was learnt of.
+func (f *Follower) Known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, k := range f.kinds {
+		if !k.known {
+			return false
+		}
+	}
+	return true
+}
+
+// Heard returns when the store last answered for all kinds.
+func (f *Follower) Heard() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var oldest time.Time
+	for _, k := range f.kinds {
+		if oldest.IsZero() || k.heard.Before(oldest) {
+			oldest = k.heard
+		}
+	}
+	return oldest
+}
+
+func (f *Follower) follow(ctx context.Context, name string) {
+	backoff := minBackoff
+	mustList := true
+	for ctx.Err() == nil {
+		err := f.step(ctx, name, mustList)
+		switch {
+		case err == nil:
+			mustList, backoff = false, minBackoff
+			continue
+		case ctx.Err() != nil:
+			return
+		case fleet.HistoryGone.Has(err):
+			f.o.Logger.Info("store history gone, listing again", "kind", name)
+			mustList = true
+			continue
+		}
+		if backoff == minBackoff {
+			f.o.Logger.Warn("store does not answer", "kind", name, "error", err)
+		}
+		pause(ctx, backoff)
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// step makes one call: a list, or a watch from the revision that is known.
+func (f *Follower) step(ctx context.Context, name string, list bool) error {
+	revision, known := f.position(name)
+	if list || !known {
+		ctx, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		changes, err := f.o.Store.List(ctx, name, false)
+		if err == nil {
+			f.replace(name, changes.Revision, changes.Objects, true)
+		}
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchWait+answerSlack)
+	defer cancel()
+	changes, err := f.o.Store.Watch(ctx, name, revision, watchWait)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fleet.HistoryGone.New("a watch was silent for longer than it waits")
+	}
+	if err == nil {
+		f.update(name, changes)
+	}
+	return err
+}
+
+func (f *Follower) position(name string) (revision int64, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.kinds[name]
+	return k.revision, k.known
+}
+
+// replace takes a whole state if it is newer than the one that is known.
+func (f *Follower) replace(name string, revision int64, objects []fleet.Object, fromStore bool) bool {
+	f.apply.Lock()
+	defer f.apply.Unlock()
+	f.mu.Lock()
+	k := f.kinds[name]
+	if k.known && revision < k.revision || k.known && revision == k.revision && !fromStore {
+		f.mu.Unlock()
+		return false
+	}
+	gap := f.hear(k, fromStore)
+	before := sum(k.objects)
+	k.known, k.revision = true, revision
+	k.objects = make(map[string]fleet.Object, len(objects))
+	for _, o := range objects {
+		k.objects[o.Name] = o
+	}
+	f.publish(name, k, before, gap)
+	return true
+}
+
+// update takes the changes that a watch brought.
+func (f *Follower) update(name string, changes fleet.Changes) {
+	f.apply.Lock()
+	defer f.apply.Unlock()
+	f.mu.Lock()
+	k := f.kinds[name]
+	gap := f.hear(k, true)
+	before := sum(k.objects)
+	k.objects = maps.Clone(k.objects)
+	for _, o := range changes.Objects {
+		known, found := k.objects[o.Name]
+		switch {
+		case found && known.Revision > o.Revision:
+		case o.Deleted:
+			delete(k.objects, o.Name)
+		default:
+			k.objects[o.Name] = o
+		}
+	}
+	k.revision = max(k.revision, changes.Revision)
+	f.publish(name, k, before, gap)
+}
+
+// outage is how long the store is not heard before entries may have expired
+// although their endpoints live.
+const outage = 3 * time.Second
+
+// hear notes that the store answered and reports whether it had been silent.
+func (f *Follower) hear(k *kind, fromStore bool) bool {
+	now := time.Now()
+	gap := !k.heard.IsZero() && now.Sub(k.heard) > outage
+	if fromStore {
+		k.heard = now
+	}
+	return gap
+}
+
+// publish tells of a changed state. It unlocks f.mu.
+func (f *Follower) publish(name string, k *kind, before uint64, gap bool) {
+	objects, first := k.objects, k.revision
+	changed := !k.told || sum(objects) != before
+	k.told = true
+	f.mu.Unlock()
+	if changed {
+		f.o.Logger.Info("objects changed", "kind", name, "revision", first, "objects", len(objects))
+		f.o.Changed(name, objects, gap)
+	}
+}
+
+// Digests describe the states for other entries.
+func (f *Follower) Digests() []Digest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Digest
+	for _, name := range f.o.Kinds {
+		if k := f.kinds[name]; k.known {
+			list = append(list, Digest{Kind: name, Revision: k.revision, Sum: sum(k.objects)})
+		}
+	}
+	return list
+}
+
+// Behind returns the kinds whose state another entry's digests say is newer.
+func (f *Follower) Behind(digests []Digest) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for _, d := range digests {
+		k := f.kinds[d.Kind]
+		if k != nil && (!k.known || d.Revision > k.revision && d.Sum != sum(k.objects)) {
+			list = append(list, d.Kind)
+		}
+	}
+	return list
+}
+
+// States returns the states of some kinds.
+func (f *Follower) States(names []string) []State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []State
+	for _, name := range names {
+		if k := f.kinds[name]; k != nil && k.known {
+			list = append(list, State{Kind: name, Revision: k.revision, Objects: slices.Collect(maps.Values(k.objects))})
+		}
+	}
+	return list
+}
+
+// Learn takes states from another entry, and reports whether one was newer.
+func (f *Follower) Learn(states []State) bool {
+	learnt := false
+	for _, s := range states {
+		f.mu.Lock()
+		_, follows := f.kinds[s.Kind]
+		f.mu.Unlock()
+		if follows && f.replace(s.Kind, s.Revision, s.Objects, false) {
+			learnt = true
+		}
+	}
+	return learnt
+}
+
+// sum is a hash of which objects there are, at which revisions.
+func sum(objects map[string]fleet.Object) uint64 {
+	total := uint64(len(objects)) + 1
+	for name, o := range objects {
+		total += xxhash.Sum64String(name) * uint64(2*o.Revision+1)
+	}
+	return total
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/gatewaydaemon/daemon.go
@@ -0,0 +1,288 @@
+// Package gatewaydaemon runs a gateway on the users' platform: it wires the
+// adapter, the followers, the links between entries and the clients' server,
+// and stops without cutting a request.
+package gatewaydaemon
+
+import (
+	"context"
+	"crypto/rand"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/zeebo/errs"
+
+	"github.com/azurelead/azurelead/catalog"
+	"github.com/azurelead/azurelead/coordinate"
+	"github.com/azurelead/azurelead/follow"
+	"github.com/azurelead/azurelead/gateway"
+	"github.com/azurelead/azurelead/peers"
+	"github.com/azurelead/azurelead/platform/fleet"
+	"github.com/azurelead/azurelead/retrybudget"
+	"github.com/azurelead/azurelead/roster"
+	"github.com/azurelead/azurelead/upstream"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("gateway daemon")
+
+const (
+	// balancerLag is how long the balancer needs to send no more connections: two
+	// misses, a second apart, and some slack.
+	balancerLag = 2700 * time.Millisecond
+	// refuseAfter is how long after a stop's begin new requests are served.
+	refuseAfter = 3200 * time.Millisecond
+	// graceMargin is left of the platform's grace for the process's end.
+	graceMargin = 300 * time.Millisecond
+	// defaultGrace is taken when the settings do not tell one.
+	defaultGrace = 8 * time.Second
+	// headerTimeout bounds reading a request's header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes clients' connections that were not used; it is above
+	// what the operators' limits let clients keep.
+	idleTimeout = 75 * time.Second
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 128 << 10
+	// peersWait is how long a starting entry waits for the list of others.
+	peersWait = 1500 * time.Millisecond
+	// listEntriesEvery is how often the entries' objects are listed.
+	listEntriesEvery = 6 * time.Second
+	// gcPercent keeps the heap small: the platform charges for peak memory.
+	gcPercent = 40
+	// storeTimeout bounds a write to the store.
+	storeTimeout = time.Second
+	// retryBurst and retryOverdraft are the defaults' sum, in retries, of a
+	// budget at a deployment of few entries.
+	maxBurst     = 10
+	maxOverdraft = 2
+	// slackShare of the operators' slack for retries is shared out by the entries.
+	slackShare = 0.8
+	// ratioShare of the operators' ratio of retries is used.
+	ratioShare = 0.85
+)
+
+// Config configures the daemon.
+type Config struct {
+	SettingsPath string
+	// Metrics is the address of the operators' metrics; none if empty.
+	Metrics string
+	// OTLP is where traces are exported to; nowhere if empty.
+	OTLP string
+}
+
+// daemon is one running gateway.
+type daemon struct {
+	settings fleet.Settings
+	logger   *slog.Logger
+	store    *fleet.Store
+	roster   *roster.Roster
+	follower *follow.Follower
+	mesh     *peers.Mesh
+	coord    *coordinate.Coordinator
+	upstream *upstream.Client
+	gateway  *gateway.Gateway
+	budgets  *retrybudget.Set
+	table    atomic.Pointer[catalog.Table]
+	listed   chan struct{}
+	listOnce sync.Once
+	started  time.Time
+	stopping atomic.Bool
+	// entries counts the entries' objects in the store.
+	entries atomic.Int64
+}
+
+// Run serves until ctx ends, and then stops without cutting requests.
+func Run(ctx context.Context, c Config, logger *slog.Logger, reg *prometheus.Registry) error {
+	debug.SetGCPercent(gcPercent)
+	settings, err := fleet.ReadSettings(c.SettingsPath)
+	if err != nil {
+		return err
+	}
+	d := newDaemon(settings, logger, reg)
+	logger.Info("start", "instance", settings.Name, "data_centre", settings.DataCentre, "front", settings.Front,
+		"store", settings.StoreAddress, "seeds", settings.Seeds)
+	return d.run(ctx, c, reg)
+}
+
+func newDaemon(settings fleet.Settings, logger *slog.Logger, reg prometheus.Registerer) *daemon {
+	d := &daemon{settings: settings, logger: logger, listed: make(chan struct{}), started: time.Now()}
+	d.store = fleet.NewStore(settings.StoreAddress, storeTransport())
+	d.roster = roster.New(settings.Regions)
+	d.upstream = upstream.New(upstream.Options{Metrics: upstream.NewMetrics(reg)})
+	d.budgets = &retrybudget.Set{}
+	d.coord = coordinate.New(coordinate.Options{
+		Upstream: d.upstream, Roster: d.roster, Logger: logger, Metrics: coordinate.NewMetrics(reg),
+	})
+	d.follower = follow.New(follow.Options{
+		Store: d.store, Kinds: []string{fleet.KindConfiguration, fleet.KindEndpoints, fleet.KindEvacuations},
+		Changed: d.changed, Logger: logger,
+	})
+	d.mesh = peers.New(peers.Options{
+		Self: peers.Identity{
+			Name: settings.Name, Incarnation: rand.Text(), Address: settings.Peers,
+			DataCentre: settings.DataCentre, CPU: settings.CPU,
+		},
+		Started: d.started, Follower: d.follower, Jobs: d.coord, Changed: d.peersChanged, Logger: logger,
+	})
+	d.gateway = gateway.New(gateway.Options{
+		DataCentre: settings.DataCentre, Table: d.table.Load, Roster: d.roster, Upstream: d.upstream,
+		Stages: &stages{mesh: d.mesh, local: d.coord}, Budgets: d.budgets,
+		RetryPercent: int(100 * settings.RetryRatio * ratioShare),
+		Logger:       logger, Metrics: gateway.NewMetrics(reg),
+	})
+	d.peersChanged()
+	return d
+}
+
+// storeTransport keeps a connection for each watch; a call's context bounds its time.
+func storeTransport() *http.Transport {
+	dialer := upstream.Dialer(upstream.DefaultDialTimeout, upstream.DefaultSilenceTimeout)
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     10 * time.Second,
+		DisableCompression:  true,
+	}
+}
+
+func (d *daemon) run(ctx context.Context, c Config, reg *prometheus.Registry) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	server, err := d.listen(work, c, reg)
+	if err != nil {
+		return err
+	}
+	go d.follower.Run(work)
+	go d.coord.Run(work)
+	go d.followEntries(work)
+	<-ctx.Done()
+	d.stop(server)
+	return nil
+}
+
+// listen opens the listeners and serves them.
+func (d *daemon) listen(ctx context.Context, c Config, reg *prometheus.Registry) (*http.Server, error) {
+	front, err := listen(ctx, d.settings.Front)
+	if err != nil {
+		return nil, err
+	}
+	health, err := listen(ctx, d.settings.Health)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{
+		Handler: d.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
+	}
+	d.serve("front", server, front)
+	d.serve("health", &http.Server{Handler: fleet.ReadyHandler(d.ready), ReadHeaderTimeout: headerTimeout}, health)
+	if d.settings.Peers != "" {
+		l, err := listen(ctx, d.settings.Peers)
+		if err != nil {
+			return nil, err
+		}
+		go d.mesh.Serve(ctx, l)
+		d.mesh.Add(ctx, d.settings.Seeds)
+	}
+	if c.Metrics != "" {
+		l, err := listen(ctx, c.Metrics)
+		if err != nil {
+			return nil, err
+		}
+		d.serve("metrics", &http.Server{Handler: metricsHandler(reg), ReadHeaderTimeout: headerTimeout}, l)
+	}
+	return server, nil
+}
+
+func (d *daemon) serve(name string, s *http.Server, l net.Listener) {
+	go func() {
+		if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
+			d.logger.Error("listener failed", "listener", name, "error", err)
+		}
+	}()
+}
+
+// ready tells the balancer whether new clients may come.
+func (d *daemon) ready() bool {
+	if d.stopping.Load() || d.table.Load() == nil || !d.follower.Known() {
+		return false
+	}
+	select {
+	case <-d.listed:
+		return true
+	default:
+		return time.Since(d.started) > peersWait
+	}
+}
+
+// changed takes a new state of one kind of objects.
+func (d *daemon) changed(kind string, objects map[string]fleet.Object, gap bool) {
+	now := time.Now()
+	switch kind {
+	case fleet.KindConfiguration:
+		d.configure(objects)
+	case fleet.KindEndpoints:
+		d.setEndpoints(now, objects, gap)
+	case fleet.KindEvacuations:
+		out := make(map[string]bool, len(objects))
+		for name := range objects {
+			out[name] = true
+		}
+		d.roster.SetEvacuated(now, out)
+		d.logger.Info("data centres out", "data_centres", out)
+	}
+}
+
+func (d *daemon) configure(objects map[string]fleet.Object) {
+	o, found := objects[fleet.ConfigurationName]
+	if !found {
+		return
+	}
+	c, err := fleet.DecodeConfiguration(o.Spec)
+	if err != nil {
+		d.logger.Error("configuration not decoded", "revision", o.Revision, "error", err)
+		return
+	}
+	if old := d.table.Load(); old != nil && old.Version >= c.Version {
+		return
+	}
+	d.roster.SetServices(c.Services)
+	d.coord.SetServices(c.Services)
+	d.table.Store(catalog.Compile(c))
+	d.logger.Info("configuration in force", "version", c.Version, "revision", o.Revision, "routes", len(c.Routes),
+		"organisations", len(c.Organisations))
+}
+
+func (d *daemon) setEndpoints(now time.Time, objects map[string]fleet.Object, gap bool) {
+	list := make([]catalog.Endpoint, 0, len(objects))
+	for _, o := range objects {
+		e, err := fleet.DecodeEndpoint(o)
+		if err != nil {
+			d.logger.Info("endpoint's entry skipped", "endpoint", o.Name, "error", err)
+			continue
+		}
+		list = append(list, e)
+	}
+	d.roster.SetEndpoints(now, list, gap)
+	d.upstream.Retain(d.roster.Known)
+}
+
+// peersChanged shares out what all entries may do together.
+func (d *daemon) peersChanged() {
+	names := []string{d.settings.Name}
+	for _, p := range d.mesh.Living() {
+		if p.Name != d.settings.Name {
+			names = append(names, p.Name)
+		}
+	}
+	n := max(len(names), int(d.entries.Load()))
+	d.roster.SetEntries(n, rankAmong(d.settings.Name, names))
+	share := d.settings.RetrySlack * slackShare / float64(max(n, 1))
+	overdraft := min(maxOverdraft, share/3)
+	d.budgets.Limit(min(maxBurst, share-overdraft), overdraft)
+}
--- /dev/null
+++ b/gatewaydaemon/entries.go
@@ -0,0 +1,199 @@
+package gatewaydaemon
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/azurelead/azurelead/dispatch"
+	"github.com/azurelead/azurelead/gateway"
+	"github.com/azurelead/azurelead/peers"
+	"github.com/azurelead/azurelead/platform/fleet"
+	"github.com/azurelead/azurelead/upstream"
+)
+
+// entrySpec is an entry's object in the store.
+type entrySpec struct {
+	Address string `json:"address"`
+}
+
+// followEntries announces this entry once and finds the others, also those that
+// start later.
+func (d *daemon) followEntries(ctx context.Context) {
+	announced := false
+	delay := time.Duration(0)
+	for first := true; ctx.Err() == nil; first = false {
+		if !sleep(ctx, delay) {
+			return
+		}
+		delay = listEntriesEvery
+		if !announced {
+			announced = d.announce(ctx)
+		}
+		if !announced || !d.listEntries(ctx, !first) {
+			delay = time.Second
+		}
+	}
+}
+
+func (d *daemon) announce(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	err := d.store.Put(ctx, fleet.KindEntries, d.settings.Name, entrySpec{Address: d.settings.Peers})
+	if err != nil {
+		d.logger.Warn("entry not announced", "error", err)
+	}
+	return err == nil
+}
+
+func (d *daemon) listEntries(ctx context.Context, stale bool) bool {
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	changes, err := d.store.List(callCtx, fleet.KindEntries, stale)
+	if err != nil {
+		d.logger.Warn("entries not listed", "error", err)
+		return false
+	}
+	var addresses []string
+	for _, o := range changes.Objects {
+		var spec entrySpec
+		if err := json.Unmarshal(o.Spec, &spec); err != nil {
+			d.logger.Warn("entry's object not read", "entry", o.Name, "error", err)
+			continue
+		}
+		addresses = append(addresses, spec.Address)
+	}
+	d.entries.Store(int64(len(addresses)))
+	d.mesh.Add(ctx, addresses)
+	d.listOnce.Do(func() { close(d.listed) })
+	d.peersChanged()
+	return true
+}
+
+// stop ends the process without cutting a request: the balancer is told first,
+// clients' connections close with their next answer, and what runs may end.
+func (d *daemon) stop(server *http.Server) {
+	grace := d.settings.Grace
+	if grace == 0 {
+		grace = defaultGrace
+	}
+	end := time.Now().Add(grace - graceMargin)
+	d.logger.Info("stop", "grace_ms", grace.Milliseconds())
+	d.stopping.Store(true)
+	d.mesh.SetLeaving()
+	d.gateway.Stop()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		if err := d.store.Delete(ctx, fleet.KindEntries, d.settings.Name); err != nil {
+			d.logger.Warn("entry's object not removed", "error", err)
+		}
+	}()
+	time.Sleep(balancerLag)
+	time.AfterFunc(refuseAfter-balancerLag, d.gateway.Refuse)
+	time.Sleep(refuseAfter - balancerLag)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		d.logger.Warn("requests cut at the end of the grace", "error", err)
+	}
+	d.logger.Info("stopped")
+}
+
+// stages has jobs done by the entry that dispatches.
+type stages struct {
+	mesh  *peers.Mesh
+	local peers.Jobs
+}
+
+// maxDispatchers bounds the entries that are asked to dispatch one job.
+const maxDispatchers = 3
+
+// Submit implements gateway.Stages.
+func (s *stages) Submit(ctx context.Context, j dispatch.Job, subject string) (peers.Outcome, gateway.Ticket, error) {
+	excluded := make(map[string]bool)
+	for range maxDispatchers {
+		link := s.mesh.Dispatcher(excluded)
+		if link == nil {
+			return s.submitLocal(ctx, j, subject)
+		}
+		o, err := link.Submit(ctx, peers.NewJob(time.Now(), j, subject))
+		if err == nil {
+			return o, linkTicket{link: link, id: j.ID}, nil
+		}
+		if ctx.Err() != nil {
+			go link.Cancel(j.ID)
+			return o, nil, err
+		}
+		excluded[link.Peer.Name] = true
+	}
+	return s.submitLocal(ctx, j, subject)
+}
+
+func (s *stages) submitLocal(ctx context.Context, j dispatch.Job, subject string) (peers.Outcome, gateway.Ticket, error) {
+	o := s.local.Submit(ctx, peers.NewJob(time.Now(), j, subject))
+	return o, localTicket{jobs: s.local, id: j.ID}, ctx.Err()
+}
+
+type linkTicket struct {
+	link *peers.Link
+	id   string
+}
+
+// Release implements gateway.Ticket.
+func (t linkTicket) Release() { go t.link.Release(t.id) }
+
+type localTicket struct {
+	jobs peers.Jobs
+	id   string
+}
+
+// Release implements gateway.Ticket.
+func (t localTicket) Release() { t.jobs.Release(t.id) }
+
+// rankAmong returns the place of self among the names, by rendezvous hashing
+// for each endpoint.
+func rankAmong(self string, names []string) func(endpoint string) int {
+	others := append([]string(nil), names...)
+	sort.Strings(others)
+	return func(endpoint string) int {
+		own := xxhash.Sum64String(endpoint + "/" + self)
+		rank := 0
+		for _, n := range others {
+			if n != self && xxhash.Sum64String(endpoint+"/"+n) > own {
+				rank++
+			}
+		}
+		return rank
+	}
+}
+
+// listen opens a listener whose connections fail when the peer stays silent.
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	dialer := upstream.Dialer(0, upstream.DefaultSilenceTimeout)
+	lc := net.ListenConfig{KeepAliveConfig: dialer.KeepAliveConfig, Control: dialer.Control}
+	l, err := lc.Listen(ctx, "tcp", address)
+	return l, Error.Wrap(err)
+}
+
+func metricsHandler(reg *prometheus.Registry) http.Handler {
+	return promhttp.HandlerFor(reg, promhttp.HandlerOpts{DisableCompression: true})
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/peers/mesh.go
@@ -0,0 +1,431 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"github.com/zeebo/errs"
+
+	"github.com/azurelead/azurelead/follow"
+	"github.com/azurelead/azurelead/membership"
+	"github.com/azurelead/azurelead/upstream"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("peers")
+
+const (
+	// pingInterval and pingTimeout find a dead peer within about a second and a
+	// half. With many peers each is pinged less often.
+	pingInterval = 400 * time.Millisecond
+	pingTimeout  = 900 * time.Millisecond
+	// pingSpread is the number of peers from which on pings get rarer.
+	pingSpread = 8
+	// dialTimeout and redialMin to redialMax pace the attempts to link.
+	dialTimeout = 400 * time.Millisecond
+	redialMin   = 200 * time.Millisecond
+	redialMax   = 2 * time.Second
+	// forgetAfter is how long an unreachable peer is dialled.
+	forgetAfter = 60 * time.Second
+	// settled is how long an entry has run before it dispatches, if others have
+	// run longer: one that restarts knows nothing of the results in place.
+	settled = 3 * time.Second
+	// fetchDelay lets the own watch bring a change before a peer is asked for it.
+	fetchDelay = 150 * time.Millisecond
+	// silenceTimeout is how long sent bytes may stay unacknowledged.
+	silenceTimeout = 1200 * time.Millisecond
+)
+
+// Jobs does the work of jobs at the dispatching entry.
+type Jobs interface {
+	// Submit answers when the job ended.
+	Submit(ctx context.Context, j Job) Outcome
+	Cancel(id string)
+	Release(id string)
+}
+
+// Options configures a Mesh.
+type Options struct {
+	Self     Identity
+	Started  time.Time
+	Follower *follow.Follower
+	Jobs     Jobs
+	// Changed is called when the set of living peers changed.
+	Changed func()
+	Logger  *slog.Logger
+}
+
+// Mesh holds this entry's links to all others. It is safe for concurrent use.
+type Mesh struct {
+	o Options
+
+	mu      sync.Mutex
+	leaving bool
+	// links are by address.
+	links map[string]*link
+}
+
+// link is the dialling side of one link.
+type link struct {
+	address string
+	cancel  context.CancelFunc
+
+	// guarded by the mesh's mu
+	conn     *jsonrpc2.Conn
+	identity Identity
+	uptime   time.Duration
+	heardAt  time.Time
+	leaving  bool
+}
+
+// New returns a mesh without links.
+func New(o Options) *Mesh { return &Mesh{o: o, links: make(map[string]*link)} }
+
+// SetLeaving tells peers that this entry stops.
+func (m *Mesh) SetLeaving() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leaving = true
+}
+
+// Add links to the entries at the addresses, if there is no link yet.
+func (m *Mesh) Add(ctx context.Context, addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, a := range addresses {
+		if a == m.o.Self.Address || m.links[a] != nil || a == "" {
+			continue
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		l := &link{address: a, cancel: cancel}
+		m.links[a] = l
+		go m.keep(ctx, l)
+	}
+}
+
+// Serve answers the links that others dial until the listener is closed.
+func (m *Mesh) Serve(ctx context.Context, l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if ctx.Err() == nil {
+				m.o.Logger.Error("peers' listener failed", "error", err)
+			}
+			return
+		}
+		stream := jsonrpc2.NewPlainObjectStream(c)
+		jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(func(_ context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+			return m.handle(ctx, conn, r)
+		})))
+	}
+}
+
+func (m *Mesh) handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	params := json.RawMessage("null")
+	if r.Params != nil {
+		params = *r.Params
+	}
+	switch r.Method {
+	case methodHello:
+		var h Hello
+		if err := json.Unmarshal(params, &h); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		m.Add(ctx, append(h.Peers, h.Identity.Address))
+		return m.hello(), nil
+	case methodPing:
+		var p Ping
+		if err := json.Unmarshal(params, &p); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		return m.ping(), nil
+	case methodStates:
+		var p StatesParams
+		if err := json.Unmarshal(params, &p); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		return m.o.Follower.States(p.Kinds), nil
+	case methodSubmit:
+		var j Job
+		if err := json.Unmarshal(params, &j); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go func() {
+			select {
+			case <-conn.DisconnectNotify():
+				cancel()
+			case <-ctx.Done():
+			}
+		}()
+		return m.o.Jobs.Submit(ctx, j), nil
+	case methodCancel, methodRelease:
+		var id JobID
+		if err := json.Unmarshal(params, &id); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		if r.Method == methodCancel {
+			m.o.Jobs.Cancel(id.ID)
+		} else {
+			m.o.Jobs.Release(id.ID)
+		}
+		return nil, nil
+	}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
+}
+
+func (m *Mesh) hello() Hello {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := Hello{Identity: m.o.Self, UptimeMS: time.Since(m.o.Started).Milliseconds()}
+	for a, l := range m.links {
+		if l.conn != nil {
+			h.Peers = append(h.Peers, a)
+		}
+	}
+	return h
+}
+
+func (m *Mesh) ping() Ping {
+	m.mu.Lock()
+	leaving := m.leaving
+	m.mu.Unlock()
+	return Ping{UptimeMS: time.Since(m.o.Started).Milliseconds(), Leaving: leaving, Digests: m.o.Follower.Digests()}
+}
+
+// keep dials a peer again and again and watches the link.
+func (m *Mesh) keep(ctx context.Context, l *link) {
+	delay := redialMin
+	last := time.Now()
+	for ctx.Err() == nil {
+		if m.session(ctx, l) {
+			delay, last = redialMin, time.Now()
+		}
+		if time.Since(last) > forgetAfter {
+			m.mu.Lock()
+			delete(m.links, l.address)
+			m.mu.Unlock()
+			l.cancel()
+			return
+		}
+		t := time.NewTimer(delay)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+		delay = min(2*delay, redialMax)
+	}
+}
+
+// session runs one link from its dial to its loss, and reports whether it was up.
+func (m *Mesh) session(ctx context.Context, l *link) bool {
+	dialer := upstream.Dialer(dialTimeout, silenceTimeout)
+	raw, err := dialer.DialContext(ctx, "tcp", l.address)
+	if err != nil {
+		return false
+	}
+	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(raw), refuseCalls{})
+	defer func() { _ = conn.Close() }()
+	var h Hello
+	if err := call(ctx, conn, pingTimeout, methodHello, m.hello(), &h); err != nil {
+		return false
+	}
+	m.mu.Lock()
+	l.conn, l.identity, l.heardAt, l.leaving = conn, h.Identity, time.Now(), false
+	l.uptime = time.Duration(h.UptimeMS) * time.Millisecond
+	m.mu.Unlock()
+	m.o.Logger.Info("peer linked", "peer", h.Identity.Name, "address", l.address, "uptime_ms", h.UptimeMS)
+	m.Add(ctx, h.Peers)
+	m.o.Changed()
+	err = m.watch(ctx, l, conn)
+	m.mu.Lock()
+	l.conn = nil
+	m.mu.Unlock()
+	if ctx.Err() == nil {
+		m.o.Logger.Warn("peer lost", "peer", h.Identity.Name, "address", l.address, "error", err)
+	}
+	m.o.Changed()
+	return true
+}
+
+// watch pings the peer until it does not answer.
+func (m *Mesh) watch(ctx context.Context, l *link, conn *jsonrpc2.Conn) error {
+	for {
+		t := time.NewTimer(m.interval())
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		case <-conn.DisconnectNotify():
+			t.Stop()
+			return Error.New("connection closed")
+		case <-t.C:
+		}
+		var p Ping
+		if err := call(ctx, conn, pingTimeout, methodPing, m.ping(), &p); err != nil {
+			return err
+		}
+		m.mu.Lock()
+		changed := l.leaving != p.Leaving
+		l.heardAt, l.leaving = time.Now(), p.Leaving
+		l.uptime = time.Duration(p.UptimeMS) * time.Millisecond
+		m.mu.Unlock()
+		if changed {
+			m.o.Changed()
+		}
+		if behind := m.o.Follower.Behind(p.Digests); len(behind) > 0 {
+			m.fetch(ctx, l, conn, p.Digests)
+		}
+	}
+}
+
+// fetch takes newer states from a peer, unless the own watch brings them first.
+func (m *Mesh) fetch(ctx context.Context, l *link, conn *jsonrpc2.Conn, digests []follow.Digest) {
+	if m.o.Follower.Known() {
+		time.Sleep(fetchDelay)
+	}
+	behind := m.o.Follower.Behind(digests)
+	if len(behind) == 0 {
+		return
+	}
+	var states []follow.State
+	if err := call(ctx, conn, pingTimeout, methodStates, StatesParams{Kinds: behind}, &states); err != nil {
+		m.o.Logger.Warn("states of a peer not read", "peer", l.address, "error", err)
+		return
+	}
+	if m.o.Follower.Learn(states) {
+		m.o.Logger.Info("states learnt from a peer", "peer", l.address, "kinds", behind)
+	}
+}
+
+// interval is the time between two pings of one peer.
+func (m *Mesh) interval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return pingInterval * time.Duration(max(1, (len(m.links)+pingSpread-1)/pingSpread))
+}
+
+// Living returns the identities of the peers that answer.
+func (m *Mesh) Living() []Identity {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []Identity
+	for _, l := range m.links {
+		if l.conn != nil {
+			list = append(list, l.identity)
+		}
+	}
+	slices.SortFunc(list, func(a, b Identity) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Dispatcher returns the entry that dispatches stages: among the strongest
+// entries that have run for a while, the highest by rendezvous hashing. It is
+// nil when that is this entry.
+func (m *Mesh) Dispatcher(excluded map[string]bool) *Link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	candidates := []Contender{{Identity: m.o.Self, Uptime: time.Since(m.o.Started), Leaving: m.leaving}}
+	byName := map[string]*link{}
+	for _, l := range m.links {
+		if l.conn == nil || excluded[l.identity.Name] || l.identity.Name == m.o.Self.Name {
+			continue
+		}
+		candidates = append(candidates, Contender{
+			Identity: l.identity, Uptime: l.uptime + time.Since(l.heardAt), Leaving: l.leaving,
+		})
+		byName[l.identity.Name] = l
+	}
+	name := Elect(candidates)
+	if l := byName[name]; l != nil {
+		return &Link{Peer: l.identity, conn: l.conn}
+	}
+	return nil
+}
+
+// Contender is an entry that may dispatch.
+type Contender struct {
+	Identity Identity
+	Uptime   time.Duration
+	Leaving  bool
+}
+
+// Elect returns the name of the entry that dispatches.
+func Elect(list []Contender) string {
+	for _, suits := range []func(Contender) bool{
+		func(c Contender) bool { return !c.Leaving && c.Uptime >= settled },
+		func(c Contender) bool { return !c.Leaving },
+		func(Contender) bool { return true },
+	} {
+		var names []string
+		best := 0.0
+		for _, c := range list {
+			if suits(c) {
+				best = max(best, c.Identity.CPU)
+			}
+		}
+		for _, c := range list {
+			if suits(c) && c.Identity.CPU >= best*strongShare {
+				names = append(names, c.Identity.Name)
+			}
+		}
+		if len(names) > 0 {
+			return membership.Highest("stages", names, 1)[0]
+		}
+	}
+	return ""
+}
+
+// strongShare of the strongest entry's processor makes an entry fit to dispatch.
+const strongShare = 0.8
+
+// Link is a link to the dispatching entry.
+type Link struct {
+	Peer Identity
+	conn *jsonrpc2.Conn
+}
+
+// Submit sends a job and waits for its outcome. An error means that the link
+// failed or ctx ended.
+func (l *Link) Submit(ctx context.Context, j Job) (Outcome, error) {
+	var o Outcome
+	err := l.conn.Call(ctx, methodSubmit, j, &o)
+	return o, Error.Wrap(err)
+}
+
+// Cancel tells the dispatcher that nobody waits for the job.
+func (l *Link) Cancel(id string) { l.notify(methodCancel, id) }
+
+// Release tells the dispatcher that the job's results were read.
+func (l *Link) Release(id string) { l.notify(methodRelease, id) }
+
+func (l *Link) notify(method, id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+	defer cancel()
+	// A lost link has ended the job at the dispatcher already.
+	_ = l.conn.Notify(ctx, method, JobID{ID: id})
+}
+
+func call(ctx context.Context, conn *jsonrpc2.Conn, timeout time.Duration, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return Error.Wrap(conn.Call(ctx, method, params, result))
+}
+
+// refuseCalls answers calls on links that only this side calls on.
+type refuseCalls struct{}
+
+func (refuseCalls) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	if !r.Notif {
+		_ = conn.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method})
+	}
+}
--- /dev/null
+++ b/peers/messages.go
@@ -0,0 +1,105 @@
+// Package peers links the entries of a deployment with JSON-RPC 2.0 over TCP:
+// who is alive, what each believes of the platform's objects, and the stages of
+// requests on their way to the entry that dispatches them.
+package peers
+
+import (
+	"time"
+
+	"github.com/azurelead/azurelead/dispatch"
+	"github.com/azurelead/azurelead/follow"
+)
+
+// The methods of the links. Calls go from the side that dialled.
+const (
+	methodHello   = "hello"
+	methodPing    = "ping"
+	methodStates  = "states"
+	methodSubmit  = "submit"
+	methodCancel  = "cancel"  // notification
+	methodRelease = "release" // notification
+)
+
+// Identity names one incarnation of an entry.
+type Identity struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	Address     string `json:"address"`
+	DataCentre  string `json:"data_centre"`
+	// CPU is the share of a core that the entry has.
+	CPU float64 `json:"cpu"`
+}
+
+// Hello opens a link and is its answer.
+type Hello struct {
+	Identity Identity `json:"identity"`
+	// UptimeMS is how long the entry has run.
+	UptimeMS int64 `json:"uptime_ms"`
+	// Peers are the addresses of other entries that the sender has links to.
+	Peers []string `json:"peers"`
+}
+
+// Ping keeps a link alive and is its answer.
+type Ping struct {
+	UptimeMS int64           `json:"uptime_ms"`
+	Leaving  bool            `json:"leaving,omitempty"`
+	Digests  []follow.Digest `json:"digests"`
+}
+
+// StatesParams asks for states by kind.
+type StatesParams struct {
+	Kinds []string `json:"kinds"`
+}
+
+// Job is a request's stages on their way to the dispatcher. Times are durations
+// from the moment of sending, so that no two clocks are compared.
+type Job struct {
+	ID         string           `json:"id"`
+	Key        string           `json:"key"`
+	Stages     []dispatch.Stage `json:"stages"`
+	Rank       int              `json:"rank"`
+	TargetMS   int64            `json:"target_ms"`
+	DeadlineMS int64            `json:"deadline_ms"`
+	TailMS     int64            `json:"tail_ms"`
+	Places     []dispatch.Place `json:"places"`
+	// Subject recognises a client that comes back after a refusal.
+	Subject string `json:"subject"`
+}
+
+// NewJob returns the message of a job.
+func NewJob(now time.Time, j dispatch.Job, subject string) Job {
+	return Job{
+		ID: j.ID, Key: j.Key, Stages: j.Stages, Rank: j.Rank, Places: j.Places, Subject: subject,
+		TargetMS:   j.Target.Sub(now).Milliseconds(),
+		DeadlineMS: j.Deadline.Sub(now).Milliseconds(),
+		TailMS:     j.Tail.Milliseconds(),
+	}
+}
+
+// Dispatch returns the job of a message that arrived now.
+func (j Job) Dispatch(now time.Time) dispatch.Job {
+	return dispatch.Job{
+		ID: j.ID, Key: j.Key, Stages: j.Stages, Rank: j.Rank, Places: j.Places,
+		Target:   now.Add(time.Duration(j.TargetMS) * time.Millisecond),
+		Deadline: now.Add(time.Duration(j.DeadlineMS) * time.Millisecond),
+		Tail:     time.Duration(j.TailMS) * time.Millisecond,
+	}
+}
+
+// Outcome is the answer to a job.
+type Outcome struct {
+	// Handles are the results that the request reads.
+	Handles    []string `json:"handles,omitempty"`
+	DataCentre string   `json:"data_centre,omitempty"`
+	// Refused is set when no work was done.
+	Refused      bool   `json:"refused,omitempty"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	Problem      string `json:"problem,omitempty"`
+	// ForecastMS is how long the stages were expected to take.
+	ForecastMS int64 `json:"forecast_ms,omitempty"`
+}
+
+// JobID names a job in notifications.
+type JobID struct {
+	ID string `json:"id"`
+}
