Let the dispatcher book model engines; weigh moved bytes against waiting

Change: the dispatcher knows what every engine has read and has yet to read, and books the one with the least expected cost; a group of tasks goes to a data centre only while the bytes that cross cost less than waiting nearer by.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -94,6 +94,8 @@
 	Stages *StageLimits
 	// Engine is set for services of model engines.
 	Engine bool
+	// EngineMemory is the memory of one engine, in tokens.
+	EngineMemory int
 }
 
 // Organisation is a customer with its keys.
--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -52,7 +52,7 @@
 	// refused holds when clients that were refused are recognised until.
 	refused map[string]time.Time
 	// services are those that do stages.
-	services  map[string]catalog.StageLimits
+	services  map[string]*catalog.Service
 	refreshed time.Time
 }
 
@@ -71,10 +71,9 @@
 func (c *Coordinator) SetServices(services map[string]*catalog.Service) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.services = make(map[string]catalog.StageLimits)
+	c.services = services
 	for name, s := range services {
 		if s.Stages != nil {
-			c.services[name] = *s.Stages
 			c.d.SetService(name, *s.Stages)
 		}
 	}
@@ -87,8 +86,13 @@
 		return
 	}
 	c.refreshed = now
-	for name := range c.services {
-		c.d.SetEndpoints(name, c.o.Roster.Endpoints(now, name))
+	for name, s := range c.services {
+		switch {
+		case s.Stages != nil:
+			c.d.SetEndpoints(name, c.o.Roster.Endpoints(now, name))
+		case s.Engine:
+			c.d.SetEngines(s, c.o.Roster.Engines(now, name))
+		}
 	}
 }
 
@@ -107,7 +111,7 @@
 		c.mu.Unlock()
 		c.o.Metrics.Jobs.WithLabelValues("refused").Inc()
 		c.o.Logger.Info("stages refused", "request", j.ID, "reason", a.Reason, "forecast_ms", a.Forecast.Milliseconds(),
-			"deadline_ms", j.DeadlineMS, "tail_ms", j.TailMS, "rank", j.Rank, "retry_after_ms", a.RetryAfter.Milliseconds())
+			"deadline_ms", j.DeadlineMS, "tail_ms", a.Tail.Milliseconds(), "rank", j.Rank, "retry_after_ms", a.RetryAfter.Milliseconds())
 		return peers.Outcome{Refused: true, Problem: a.Reason, RetryAfterMS: a.RetryAfter.Milliseconds(), ForecastMS: a.Forecast.Milliseconds()}
 	}
 	delete(c.refused, j.Subject)
@@ -116,7 +120,7 @@
 	c.mu.Unlock()
 	c.pump()
 	o := c.await(ctx, j, wait)
-	o.ForecastMS = a.Forecast.Milliseconds()
+	o.ForecastMS, o.TailMS = a.Forecast.Milliseconds(), a.Tail.Milliseconds()
 	return o
 }
 
@@ -129,7 +133,7 @@
 			return peers.Outcome{Problem: f.Problem}
 		}
 		c.o.Metrics.Jobs.WithLabelValues("done").Inc()
-		return peers.Outcome{Handles: f.Handles, DataCentre: f.DataCentre}
+		return peers.Outcome{Handles: f.Handles, Engine: f.Engine}
 	case <-ctx.Done():
 		c.Cancel(j.ID)
 		return peers.Outcome{Problem: "cancelled"}
@@ -149,9 +153,9 @@
 }
 
 // Release implements peers.Jobs.
-func (c *Coordinator) Release(id string) {
+func (c *Coordinator) Release(id string, engineFailed bool) {
 	c.mu.Lock()
-	c.d.Release(time.Now(), id)
+	c.d.Release(time.Now(), id, engineFailed)
 	c.mu.Unlock()
 	c.pump()
 }
--- a/dispatch/assign.go
+++ b/dispatch/assign.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -33,11 +34,12 @@
 	if len(drafts) == 0 {
 		return nil
 	}
+	left := make(waits)
 	for _, o := range d.order(now, p) {
 		if o.group.job.ended {
 			continue
 		}
-		d.fill(now, p, o, drafts)
+		d.fill(now, p, o, drafts, left)
 	}
 	var calls []Call
 	for _, dr := range drafts {
@@ -88,7 +90,7 @@
 		if g.waiting == 0 || !g.job.ready(g) {
 			continue
 		}
-		if now.Add(d.remaining(g) + g.job.Tail).After(g.job.Deadline) {
+		if now.Add(d.remaining(g) + g.job.tail).After(g.job.Deadline) {
 			hopeless = append(hopeless, g.job)
 			continue
 		}
@@ -98,7 +100,7 @@
 		if d.early(g) {
 			continue
 		}
-		latest := g.job.Target.Add(-g.job.Tail - d.remaining(g))
+		latest := g.job.Target.Add(-g.job.tail - d.remaining(g))
 		key := latest.Add(time.Duration(g.job.Rank) * d.o.RankSpacing)
 		if now.After(latest.Add(lateGrace)) {
 			key = key.Add(lateDemotion)
@@ -117,7 +119,7 @@
 // early reports whether a group's large results would only wait, and take up
 // room, until the results beside them are there.
 func (d *Dispatcher) early(g *group) bool {
-	if len(g.after) > 0 || g.totalBytes() <= d.o.SmallResult {
+	if len(g.after) > 0 || g.totalBytes() <= bigResult {
 		return false
 	}
 	own := d.pools[g.service].callTime(len(g.tasks)) + d.pools[g.service].queueDelay(g.job.dataCentre)
@@ -127,68 +129,150 @@
 // startMargin is how much sooner than its siblings a group may end.
 const startMargin = 60 * time.Millisecond
 
-// fill puts a group's waiting tasks into the drafts: first in the data centre
-// that reads the results, and elsewhere once waiting costs more than crossing.
-func (d *Dispatcher) fill(now time.Time, p *pool, o ordered, drafts []*draft) {
+// waits counts the tasks that were left waiting for each data centre in one pass.
+type waits map[string]int
+
+// fill puts a group's waiting tasks into the drafts as long as that costs less
+// than waiting for an endpoint nearer to the inputs or to the reader of the
+// results.
+func (d *Dispatcher) fill(now time.Time, p *pool, o ordered, drafts []*draft, left waits) {
 	g := o.group
-	home := g.job.dataCentre
+	moves := d.moves(p, g)
 	for i := range g.tasks {
 		if g.tasks[i].state != taskWaiting {
 			continue
 		}
-		if dr := pick(p, drafts, g, func(e *endpoint) bool { return e.DataCentre == home }); dr != nil {
-			dr.add(g, i)
-			p.started(g, i)
-			continue
-		}
-		if !d.mayCross(now, p, o) {
-			continue
-		}
-		if dr := pick(p, drafts, g, func(*endpoint) bool { return true }); dr != nil {
-			dr.add(g, i)
-			p.started(g, i)
+		dr := pick(p, drafts, g, moves)
+		where, wait := d.cheapestWait(now, p, o, moves, left)
+		if dr == nil || moves[dr.endpoint.DataCentre] > wait {
+			left[where] += g.waiting
+			return
 		}
+		dr.add(g, i)
+		p.started(g, i)
 	}
 	if g.waiting == 0 {
 		p.leaveQueue(g)
 	}
 }
 
-// mayCross reports whether a group may be done away from the data centre that
-// reads its results.
-func (d *Dispatcher) mayCross(now time.Time, p *pool, o ordered) bool {
-	g := o.group
-	if g.job.dataCentre == "" || p.capacity(g.job.dataCentre) == 0 {
-		return true
+// moves gives what doing a group in each data centre costs for the bytes that
+// cross to and from it, as time.
+func (d *Dispatcher) moves(p *pool, g *group) map[string]time.Duration {
+	rate := d.o.MoveTime
+	if g.job.Rank == 0 {
+		rate /= 2
 	}
-	if g.totalBytes() <= d.o.SmallResult {
-		return now.Sub(g.readySince) >= d.o.CrossSmallAfter
+	costs := make(map[string]time.Duration)
+	for _, e := range p.endpoints {
+		if _, found := costs[e.DataCentre]; found || !e.usable {
+			continue
+		}
+		var bytes int64
+		if g.output && g.job.dataCentre != "" && e.DataCentre != g.job.dataCentre {
+			bytes += g.totalBytes()
+		}
+		bytes += d.inputsElsewhere(g, e.DataCentre)
+		costs[e.DataCentre] = time.Duration(float64(bytes) / 1e6 * float64(rate))
 	}
-	return g.job.Rank == 0 && now.After(o.latest.Add(-crossBefore))
+	return costs
 }
 
-// crossBefore is how long before its latest start a group stops waiting for an
-// endpoint at home.
-const crossBefore = 50 * time.Millisecond
+// inputsElsewhere is the size of the inputs that are not in a data centre.
+func (d *Dispatcher) inputsElsewhere(g *group, dataCentre string) int64 {
+	var bytes int64
+	for _, before := range g.after {
+		other := g.job.groups[before]
+		for i := range other.tasks {
+			e := d.pools[other.service].endpoints[other.tasks[i].endpoint]
+			if e != nil && e.DataCentre != dataCentre {
+				bytes += other.resultBytes
+			}
+		}
+	}
+	return bytes
+}
+
+// cheapestWait returns the data centre for whose next free endpoint it costs
+// least to wait, and that cost.
+func (d *Dispatcher) cheapestWait(now time.Time, p *pool, o ordered, moves map[string]time.Duration, left waits) (string, time.Duration) {
+	best, bestCost := "", time.Duration(math.MaxInt64)
+	for dataCentre, move := range moves {
+		wait := p.waitFor(now, dataCentre, left[dataCentre])
+		cost := move + time.Duration(waitWeight*float64(wait))
+		if now.Add(wait).After(o.latest) {
+			cost += lateCost
+		}
+		if cost < bestCost || cost == bestCost && dataCentre < best {
+			best, bestCost = dataCentre, cost
+		}
+	}
+	return best, bestCost
+}
 
-// pick returns the draft with the most tasks of the same group, else the
-// emptiest one, that has room for one more result.
-func pick(p *pool, drafts []*draft, g *group, allowed func(*endpoint) bool) *draft {
+const (
+	// waitWeight is what waiting costs while the request still is on time.
+	waitWeight = 0.7
+	// lateCost is what waiting beyond the latest start costs besides.
+	lateCost = 400 * time.Millisecond
+)
+
+// waitFor is how long a group waits for an endpoint of a data centre behind
+// some tasks.
+func (p *pool) waitFor(now time.Time, dataCentre string, ahead int) time.Duration {
+	first := time.Duration(math.MaxInt64)
+	n := 0
+	for _, e := range p.endpoints {
+		if !e.usable || e.DataCentre != dataCentre {
+			continue
+		}
+		n++
+		wait := max(e.freeAt.Sub(now), e.retryAt.Sub(now))
+		if e.calls < p.limits.Slots && wait < p.limits.CallTime/2 {
+			// It is idle, and takes nothing for want of room or as it is slow.
+			wait = p.limits.CallTime / 2
+		}
+		first = min(first, wait)
+	}
+	if n == 0 {
+		return noEndpointRetry
+	}
+	full := p.limits.CallTime + time.Duration(p.limits.Batch)*p.limits.TaskTime
+	return max(first, 0) + time.Duration(ahead/(p.limits.Batch*n))*full
+}
+
+// pick returns the draft with room for one more result where the group's moves
+// cost least; of several, the one that has tasks of the group, else the emptiest.
+func pick(p *pool, drafts []*draft, g *group, moves map[string]time.Duration) *draft {
 	var best *draft
 	for _, dr := range drafts {
-		if len(dr.tasks) >= p.limits.Batch || dr.left < g.resultBytes || !allowed(dr.endpoint) {
+		if len(dr.tasks) >= p.limits.Batch || dr.left < g.resultBytes {
 			continue
 		}
-		if n := len(dr.tasks); n > 0 && dr.tasks[n-1].group == g {
-			return dr
-		}
-		if best == nil || len(dr.tasks) < len(best.tasks) {
+		if best == nil || dr.better(best, g, moves) {
 			best = dr
 		}
 	}
 	return best
 }
 
+func (dr *draft) better(other *draft, g *group, moves map[string]time.Duration) bool {
+	own, its := moves[dr.endpoint.DataCentre], moves[other.endpoint.DataCentre]
+	if own != its {
+		return own < its
+	}
+	if a, b := dr.has(g), other.has(g); a != b {
+		return a
+	}
+	return len(dr.tasks) < len(other.tasks)
+}
+
+// has reports whether the latest task of a draft is of the group.
+func (dr *draft) has(g *group) bool {
+	n := len(dr.tasks)
+	return n > 0 && dr.tasks[n-1].group == g
+}
+
 func (dr *draft) add(g *group, index int) {
 	dr.tasks = append(dr.tasks, taskRef{group: g, index: index})
 	dr.bytes += g.resultBytes
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,7 +9,6 @@
 package dispatch
 
 import (
-	"math"
 	"slices"
 	"sort"
 	"time"
@@ -23,23 +22,24 @@
 type Options struct {
 	// RankSpacing is how much sooner a task starts for each rank of urgency.
 	RankSpacing time.Duration
-	// CrossSmallAfter is how long a group of small results waits for an
-	// endpoint in the data centre that reads them.
-	CrossSmallAfter time.Duration
-	// SmallResult is the size of a group's results that may cross soon, in bytes.
-	SmallResult int64
+	// MoveTime is what a megabyte of results that crosses between data centres
+	// costs, as waiting time; the most urgent pay half.
+	MoveTime time.Duration
 }
 
 // Defaults of Options.
 const (
 	// DefaultRankSpacing is about one call's duration.
 	DefaultRankSpacing = 250 * time.Millisecond
-	// DefaultCrossSmallAfter is a fraction of a call's duration.
-	DefaultCrossSmallAfter = 40 * time.Millisecond
-	// DefaultSmallResult costs less to move than waiting for a call.
-	DefaultSmallResult = 200_000
+	// DefaultMoveTime lets a chain's results cross to spare half a call, and not
+	// those of several megabytes.
+	DefaultMoveTime = 125 * time.Millisecond
 )
 
+// bigResult is the size of a group's results that should not wait for others
+// and take up room, in bytes.
+const bigResult = 1_000_000
+
 const (
 	// maxTries bounds the calls of one task.
 	maxTries = 4
@@ -78,13 +78,6 @@
 	ResultBytes int64
 }
 
-// Place is a data centre in which the job's results can be read.
-type Place struct {
-	DataCentre string
-	// Penalty is the time that reading there costs more than at the best place.
-	Penalty time.Duration
-}
-
 // Job is the stages of one request.
 type Job struct {
 	ID     string
@@ -94,10 +87,8 @@
 	// Target is when the request should be answered, Deadline when it must be.
 	Target   time.Time
 	Deadline time.Time
-	// Tail is the time from the last result to the answer.
-	Tail time.Duration
-	// Places lists where the results can be read, the best first.
-	Places []Place
+	// Prompt is what the engine has to read.
+	Prompt Prompt
 	// Returning is set for a client that was told to come back.
 	Returning bool
 }
@@ -107,6 +98,8 @@
 	Admitted bool
 	// Forecast is how long the stages are expected to take.
 	Forecast time.Duration
+	// Tail is the expected time from the stages' results to the first event.
+	Tail time.Duration
 	// RetryAfter is when there is expected to be room for a refused job.
 	RetryAfter time.Duration
 	Reason     string
@@ -144,8 +137,9 @@
 type Finished struct {
 	ID string
 	// Handles are the results that the request reads, in the order of stages.
-	Handles    []string
-	DataCentre string
+	Handles []string
+	// Engine is the one to ask; empty when none is known.
+	Engine string
 	// Problem is empty for success.
 	Problem string
 }
@@ -153,13 +147,15 @@
 // Dispatcher holds the jobs and the books of the endpoints. It is not safe for
 // concurrent use.
 type Dispatcher struct {
-	o        Options
-	pools    map[string]*pool
-	jobs     map[string]*job
-	calls    map[uint64]*call
-	lastCall uint64
-	finished []Finished
-	frees    map[string]*Free
+	o     Options
+	pools map[string]*pool
+	// enginePools are by service.
+	enginePools map[string]*enginePool
+	jobs        map[string]*job
+	calls       map[uint64]*call
+	lastCall    uint64
+	finished    []Finished
+	frees       map[string]*Free
 }
 
 // New returns a dispatcher without endpoints.
@@ -167,14 +163,11 @@
 	if o.RankSpacing == 0 {
 		o.RankSpacing = DefaultRankSpacing
 	}
-	if o.CrossSmallAfter == 0 {
-		o.CrossSmallAfter = DefaultCrossSmallAfter
-	}
-	if o.SmallResult == 0 {
-		o.SmallResult = DefaultSmallResult
+	if o.MoveTime == 0 {
+		o.MoveTime = DefaultMoveTime
 	}
 	return &Dispatcher{
-		o: o, pools: make(map[string]*pool), jobs: make(map[string]*job),
+		o: o, pools: make(map[string]*pool), enginePools: make(map[string]*enginePool), jobs: make(map[string]*job),
 		calls: make(map[uint64]*call), frees: make(map[string]*Free),
 	}
 }
@@ -205,10 +198,11 @@
 	if missing := d.missingService(n); missing != "" {
 		return Admission{Reason: "no endpoint of " + missing, RetryAfter: noEndpointRetry}
 	}
-	n.dataCentre = d.place(now, n)
+	n.dataCentre = d.bestPlace(now, n)
+	n.tail = d.engineForecast(now, n)
 	forecast := d.forecast(now, n)
-	a := Admission{Forecast: forecast}
-	end := now.Add(forecast + j.Tail)
+	a := Admission{Forecast: forecast, Tail: n.tail}
+	end := now.Add(forecast + n.tail)
 	latest := j.Deadline.Add(-admissionMargin)
 	if j.Returning {
 		latest = j.Deadline.Add(-admissionMargin / 2)
@@ -225,6 +219,9 @@
 			d.pools[g.service].admit(now, g)
 		}
 	}
+	if n.done() {
+		d.completeJob(now, n)
+	}
 	return a
 }
 
@@ -247,24 +244,6 @@
 	return ""
 }
 
-// place picks the data centre whose endpoints let the job's results be read
-// soonest.
-func (d *Dispatcher) place(now time.Time, j *job) string {
-	best, bestCost := "", time.Duration(math.MaxInt64)
-	for _, p := range j.Places {
-		cost := p.Penalty
-		for _, g := range j.groups {
-			if g != nil {
-				cost += d.pools[g.service].placeCost(now, p.DataCentre, g)
-			}
-		}
-		if cost < bestCost {
-			best, bestCost = p.DataCentre, cost
-		}
-	}
-	return best
-}
-
 // forecast is the time until the last stage's results under what waits now and
 // what more urgent work is expected meanwhile.
 func (d *Dispatcher) forecast(now time.Time, j *job) time.Duration {
@@ -295,13 +274,32 @@
 	}
 }
 
-// Release gives up the results of a finished job once they have been read.
-func (d *Dispatcher) Release(now time.Time, id string) { d.Cancel(now, id) }
+// Release gives up the results of a finished job: its engine has read them with
+// the prompt, or failed.
+func (d *Dispatcher) Release(now time.Time, id string, engineFailed bool) {
+	j := d.jobs[id]
+	if j == nil {
+		return
+	}
+	d.engineRead(now, j, engineFailed)
+	d.end(now, j)
+}
+
+func (d *Dispatcher) engineRead(now time.Time, j *job, failed bool) {
+	if j.engine == "" {
+		return
+	}
+	if p := d.enginePools[j.Prompt.Service]; p != nil && p.engines[j.engine] != nil {
+		p.read(now, p.engines[j.engine], j.ID, failed)
+	}
+	j.engine = ""
+}
 
 // end drops a job, its waiting tasks and its results.
 func (d *Dispatcher) end(now time.Time, j *job) {
 	j.ended = true
 	delete(d.jobs, j.ID)
+	d.engineRead(now, j, false)
 	for _, g := range j.groups {
 		if g == nil {
 			continue
@@ -374,6 +372,9 @@
 			e.expire(now)
 		}
 	}
+	for _, p := range d.enginePools {
+		p.forget(now)
+	}
 }
 
 func (d *Dispatcher) fail(now time.Time, j *job, problem string) {
@@ -523,8 +524,13 @@
 	if !j.done() {
 		return
 	}
+	d.completeJob(now, j)
+}
+
+// completeJob tells of a job whose results are there and books its engine.
+func (d *Dispatcher) completeJob(now time.Time, j *job) {
 	j.complete = true
-	f := Finished{ID: j.ID, DataCentre: j.dataCentre}
+	f := Finished{ID: j.ID, Engine: d.chooseEngine(now, j)}
 	for _, i := range j.outputs {
 		for _, t := range j.groups[i].tasks {
 			f.Handles = append(f.Handles, t.handle)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -25,6 +25,8 @@
 	after       []int
 	resultBytes int64
 	tasks       []task
+	// output is set when the request itself reads the results.
+	output bool
 	// waiting counts the tasks that no call has.
 	waiting int
 	// queued is set while the group is in its pool's queue.
@@ -48,13 +50,17 @@
 // job is an admitted request.
 type job struct {
 	Job
+	// tail is the expected time from the results to the first event.
+	tail time.Duration
 	// groups has one entry for each stage, nil for stages without tasks.
 	groups     []*group
 	outputs    []int
 	dataCentre string
-	remade     int
-	complete   bool
-	ended      bool
+	// engine is the one that was booked for the request.
+	engine   string
+	remade   int
+	complete bool
+	ended    bool
 }
 
 func newJob(j Job) *job {
@@ -76,6 +82,7 @@
 	for i, g := range n.groups {
 		if g != nil && !followed[i] {
 			n.outputs = append(n.outputs, i)
+			g.output = true
 		}
 	}
 	return n
@@ -165,3 +172,14 @@
 	}
 	return longest
 }
+
+// hasBigOutput reports whether the request reads results that should not cross
+// between data centres.
+func (j *job) hasBigOutput() bool {
+	for _, i := range j.outputs {
+		if j.groups[i].totalBytes() > bigResult {
+			return true
+		}
+	}
+	return false
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -150,7 +150,7 @@
 	list := p.usable(dataCentre)
 	if len(list) == 0 {
 		cost := p.queueDelayAll()
-		if g.totalBytes() > DefaultSmallResult {
+		if g.totalBytes() > bigResult {
 			cost += crossingCost
 		}
 		return cost
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,8 +54,9 @@
 
 // Ticket stands for the results of one job.
 type Ticket interface {
-	// Release gives the results up once they were read or are of no use.
-	Release()
+	// Release gives the results up once they were read or are of no use, and
+	// tells whether the engine failed that was to read them.
+	Release(engineFailed bool)
 }
 
 // Options configures a Gateway.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -39,19 +39,22 @@
 	sends   int
 	tried   map[string]bool
 	results results
-	remade  int
+	// engineFailed is set when the engine that the dispatcher booked broke off.
+	engineFailed bool
+	remade       int
 }
 
 // results are those of the request's stages.
 type results struct {
-	handles    []string
-	dataCentre string
-	ticket     Ticket
+	handles []string
+	// engine is the one that the dispatcher booked.
+	engine string
+	ticket Ticket
 }
 
-func (r *results) release() {
+func (r *results) release(engineFailed bool) {
 	if r.ticket != nil {
-		r.ticket.Release()
+		r.ticket.Release(engineFailed)
 	}
 	*r = results{}
 }
@@ -60,7 +63,7 @@
 // of another one where the stream may be resumed.
 func (q *request) serveStream(ctx context.Context) {
 	s := &stream{request: q, flusher: http.NewResponseController(q.w), last: q.head.LastEvent, tried: make(map[string]bool)}
-	defer func() { s.results.release() }()
+	defer func() { s.results.release(s.engineFailed) }()
 	// The relay of events ends with the deadline even if the client does not read.
 	_ = s.flusher.SetWriteDeadline(q.deadline.Add(writeSlack))
 	if a := s.prepare(ctx); a != nil {
@@ -96,13 +99,11 @@
 	if !needed {
 		return nil
 	}
-	if len(job.Places) == 0 {
-		return notRun("no endpoint takes work", busyRetry)
-	}
 	began := time.Now()
 	o, ticket, err := s.g.o.Stages.Submit(ctx, job, s.subject())
 	s.trace.stageWait += time.Since(began)
 	s.trace.forecast = time.Duration(o.ForecastMS) * time.Millisecond
+	s.trace.tail = time.Duration(o.TailMS) * time.Millisecond
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return notRun("the stages were not done before the deadline", minStageRetry)
@@ -113,7 +114,7 @@
 	case o.Problem != "":
 		return notRun(o.Problem, minStageRetry)
 	}
-	s.results = results{handles: o.Handles, dataCentre: o.DataCentre, ticket: ticket}
+	s.results = results{handles: o.Handles, engine: o.Engine, ticket: ticket}
 	return nil
 }
 
@@ -145,6 +146,9 @@
 	}
 	a := s.send(tryCtx, c, fleet.Forwarding{Inputs: s.results.handles, LastEvent: s.last})
 	defer a.end(s.g.o.Roster)
+	if (a.fate == notSent || a.fate == lost) && c.ID == s.results.engine && !s.gone() {
+		s.engineFailed = true
+	}
 	switch a.fate {
 	case notSent:
 		return false, nil
@@ -192,7 +196,7 @@
 		return s.over(ctx, "the results of the stages were lost")
 	}
 	delete(s.tried, a.endpoint.ID)
-	s.results.release()
+	s.results.release(false)
 	if final := s.prepare(ctx); final != nil {
 		if s.ran > 0 {
 			return unknown(final.reason)
@@ -255,7 +259,7 @@
 func (s *stream) begin(a *attempt) {
 	s.trace.events++
 	if s.results.ticket != nil {
-		s.results.release()
+		s.results.release(s.engineFailed)
 	}
 	if s.begun {
 		return
@@ -274,6 +278,7 @@
 		return true, nil
 	}
 	s.report(ctx, time.Now(), a, roster.Broken)
+	s.engineFailed = s.engineFailed || a.endpoint.ID == s.results.engine
 	if s.gone() {
 		s.trace.outcome = "client left"
 		return true, nil
@@ -315,12 +320,13 @@
 }
 
 func (s *stream) firstPatience() time.Duration {
-	usual := firstEventPatience * s.tail()
+	usual := firstEventPatience * max(s.readTime(), s.trace.tail)
 	return min(max(usual, minFirstEvent), max(s.left()/2, minFirstEvent))
 }
 
-// chooseEngine returns the endpoint to ask next: where the results are, the one
-// that has read the shared parts of the prompt, or the least loaded one.
+// chooseEngine returns the endpoint to ask next: the one that the dispatcher
+// booked, the one that hashing names for the shared parts of the prompt, or the
+// least loaded one.
 func (s *stream) chooseEngine() (roster.Candidate, bool) {
 	candidates := s.g.o.Roster.Candidates(time.Now(), s.service, s.regions())
 	var ordered []roster.Candidate
@@ -329,11 +335,15 @@
 	} else {
 		ordered = placement.ByLoad(s.g.o.DataCentre, candidates, s.head.Attempt)
 	}
-	for _, local := range []bool{true, false} {
-		for _, c := range ordered {
-			if s.tried[c.ID] || local && s.results.dataCentre != "" && c.DataCentre != s.results.dataCentre {
-				continue
+	if s.results.engine != "" {
+		for _, c := range candidates {
+			if c.ID == s.results.engine && !s.tried[c.ID] {
+				return c, true
 			}
+		}
+	}
+	for _, c := range ordered {
+		if !s.tried[c.ID] {
 			return c, true
 		}
 	}
--- a/gateway/trace.go
+++ b/gateway/trace.go
@@ -18,6 +18,7 @@
 	seen       bool
 	stageWait  time.Duration
 	forecast   time.Duration
+	tail       time.Duration
 	dispatcher string
 	firstEvent time.Duration
 	events     int
@@ -66,10 +67,10 @@
 	}
 	q.g.o.Metrics.observe(q.service, outcome, t, took)
 	q.g.o.Logger.Info("request", "request", q.head.Attempt, "route", routeName, "organisation", q.organisation(),
-		"service", q.service, "configuration", version, "outcome", outcome, "status", t.status, "own", t.own,
+		"service", q.service, "shared", q.sharedName(), "configuration", version, "outcome", outcome, "status", t.status, "own", t.own,
 		"reason", t.reason, "took_ms", took.Milliseconds(), "left_ms", q.left().Milliseconds(),
 		"sends", strings.Join(t.sends, "; "), "dispatcher", t.dispatcher, "stages_ms", t.stageWait.Milliseconds(),
-		"forecast_ms", t.forecast.Milliseconds(), "first_event_ms", t.firstEvent.Milliseconds(), "events", t.events,
+		"forecast_ms", t.forecast.Milliseconds(), "tail_ms", t.tail.Milliseconds(), "prompt", q.head.PromptTokens, "first_event_ms", t.firstEvent.Milliseconds(), "events", t.events,
 		"resumed", t.resumed, "retry_after_ms", t.retryAfter.Milliseconds())
 }
 
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -148,7 +148,7 @@
 }
 
 // Release implements gateway.Ticket.
-func (t linkTicket) Release() { go t.link.Release(t.id) }
+func (t linkTicket) Release(engineFailed bool) { go t.link.Release(t.id, engineFailed) }
 
 type localTicket struct {
 	jobs peers.Jobs
@@ -156,7 +156,7 @@
 }
 
 // Release implements gateway.Ticket.
-func (t localTicket) Release() { t.jobs.Release(t.id) }
+func (t localTicket) Release(engineFailed bool) { t.jobs.Release(t.id, engineFailed) }
 
 // rankAmong returns the place of self among the names, by rendezvous hashing
 // for each endpoint.
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -48,7 +48,8 @@
 	// Submit answers when the job ended.
 	Submit(ctx context.Context, j Job) Outcome
 	Cancel(id string)
-	Release(id string)
+	// Release gives up a job's results, and tells whether its engine failed.
+	Release(id string, engineFailed bool)
 }
 
 // Options configures a Mesh.
@@ -175,7 +176,7 @@
 		if r.Method == methodCancel {
 			m.o.Jobs.Cancel(id.ID)
 		} else {
-			m.o.Jobs.Release(id.ID)
+			m.o.Jobs.Release(id.ID, id.EngineFailed)
 		}
 		return nil, nil
 	}
@@ -403,16 +404,18 @@
 }
 
 // Cancel tells the dispatcher that nobody waits for the job.
-func (l *Link) Cancel(id string) { l.notify(methodCancel, id) }
+func (l *Link) Cancel(id string) { l.notify(methodCancel, JobID{ID: id}) }
 
 // Release tells the dispatcher that the job's results were read.
-func (l *Link) Release(id string) { l.notify(methodRelease, id) }
+func (l *Link) Release(id string, engineFailed bool) {
+	l.notify(methodRelease, JobID{ID: id, EngineFailed: engineFailed})
+}
 
-func (l *Link) notify(method, id string) {
+func (l *Link) notify(method string, id JobID) {
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
 	// A lost link has ended the job at the dispatcher already.
-	_ = l.conn.Notify(ctx, method, JobID{ID: id})
+	_ = l.conn.Notify(ctx, method, id)
 }
 
 func call(ctx context.Context, conn *jsonrpc2.Conn, timeout time.Duration, method string, params, result any) error {
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -60,8 +60,7 @@
 	Rank       int              `json:"rank"`
 	TargetMS   int64            `json:"target_ms"`
 	DeadlineMS int64            `json:"deadline_ms"`
-	TailMS     int64            `json:"tail_ms"`
-	Places     []dispatch.Place `json:"places"`
+	Prompt     dispatch.Prompt  `json:"prompt"`
 	// Subject recognises a client that comes back after a refusal.
 	Subject string `json:"subject"`
 }
@@ -69,37 +68,40 @@
 // NewJob returns the message of a job.
 func NewJob(now time.Time, j dispatch.Job, subject string) Job {
 	return Job{
-		ID: j.ID, Key: j.Key, Stages: j.Stages, Rank: j.Rank, Places: j.Places, Subject: subject,
+		ID: j.ID, Key: j.Key, Stages: j.Stages, Rank: j.Rank, Prompt: j.Prompt, Subject: subject,
 		TargetMS:   j.Target.Sub(now).Milliseconds(),
 		DeadlineMS: j.Deadline.Sub(now).Milliseconds(),
-		TailMS:     j.Tail.Milliseconds(),
 	}
 }
 
 // Dispatch returns the job of a message that arrived now.
 func (j Job) Dispatch(now time.Time) dispatch.Job {
 	return dispatch.Job{
-		ID: j.ID, Key: j.Key, Stages: j.Stages, Rank: j.Rank, Places: j.Places,
+		ID: j.ID, Key: j.Key, Stages: j.Stages, Rank: j.Rank, Prompt: j.Prompt,
 		Target:   now.Add(time.Duration(j.TargetMS) * time.Millisecond),
 		Deadline: now.Add(time.Duration(j.DeadlineMS) * time.Millisecond),
-		Tail:     time.Duration(j.TailMS) * time.Millisecond,
 	}
 }
 
 // Outcome is the answer to a job.
 type Outcome struct {
 	// Handles are the results that the request reads.
-	Handles    []string `json:"handles,omitempty"`
-	DataCentre string   `json:"data_centre,omitempty"`
+	Handles []string `json:"handles,omitempty"`
+	// Engine is the one to ask; empty when none is known.
+	Engine string `json:"engine,omitempty"`
 	// Refused is set when no work was done.
 	Refused      bool   `json:"refused,omitempty"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
 	Problem      string `json:"problem,omitempty"`
 	// ForecastMS is how long the stages were expected to take.
 	ForecastMS int64 `json:"forecast_ms,omitempty"`
+	// TailMS is the expected time from the results to the first event.
+	TailMS int64 `json:"tail_ms,omitempty"`
 }
 
 // JobID names a job in notifications.
 type JobID struct {
 	ID string `json:"id"`
+	// EngineFailed is set when the job's engine broke off.
+	EngineFailed bool `json:"engine_failed,omitempty"`
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/azurelead/azurelead/catalog"
+	"github.com/azurelead/azurelead/dispatch"
 )
 
 const (
@@ -199,6 +200,28 @@
 	return list
 }
 
+// Engines lists the model engines of a service that may get work and answer.
+func (r *Roster) Engines(now time.Time, service string) []dispatch.Engine {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list, down []dispatch.Engine
+	for _, m := range r.members {
+		if m.Service != service || !r.usable(now, m) {
+			continue
+		}
+		e := dispatch.Engine{Endpoint: m.Endpoint, Cold: r.cold(now, m)}
+		if m.down {
+			down = append(down, e)
+			continue
+		}
+		list = append(list, e)
+	}
+	if len(list) == 0 {
+		return down
+	}
+	return list
+}
+
 // Known reports whether an endpoint is listed or was a moment ago.
 func (r *Roster) Known(id string) bool {
 	r.mu.Lock()
