Fetch what another engine has read; few entries ask the store; ask endpoints for their room

Ruled out: fewer crossings by a shorter patience at home alone. Change: engines fetch parts from the one that has them; three entries in different data centres ask the store and push changes to the others, which ask themselves when none hears it; an endpoint without room is asked what it has; a request that will be late is forecast behind all work; results whose dispatcher is lost are freed by their entry; more time at the end of the grace.

--- a/coordinate/call.go
+++ b/coordinate/call.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/azurelead/azurelead/catalog"
 	"github.com/azurelead/azurelead/dispatch"
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/stage"
@@ -38,3 +40,69 @@
 	}
 	return results, 0, nil
 }
+
+// ask asks an endpoint for its room for results.
+func (c *Coordinator) ask(e catalog.Endpoint) {
+	_, body, err := c.send(e, fleet.Report(e.ID), freeTimeout)
+	var room int64
+	if err == nil {
+		room, err = fleet.DecodeRoom(body)
+	}
+	if err != nil {
+		c.o.Logger.Info("room for results not told", "endpoint", e.ID, "error", err)
+		return
+	}
+	c.mu.Lock()
+	c.d.SetRoom(time.Now(), e.Service, e.ID, room)
+	c.mu.Unlock()
+	c.pump()
+}
+
+// FreeHandles gives up results whose dispatcher is lost.
+func (c *Coordinator) FreeHandles(handles []string) {
+	now := time.Now()
+	byAddress := make(map[string][]string)
+	for _, h := range handles {
+		byAddress[fleet.HandleAddress(h)] = append(byAddress[fleet.HandleAddress(h)], h)
+	}
+	c.mu.Lock()
+	services := c.services
+	c.mu.Unlock()
+	for name, s := range services {
+		if s.Stages == nil {
+			continue
+		}
+		for _, e := range c.o.Roster.Endpoints(now, name) {
+			if list := byAddress[e.Address]; len(list) > 0 {
+				go c.free(dispatch.Free{Endpoint: e, Handles: list})
+			}
+		}
+	}
+}
+
+// logCall writes the one line of a call: which requests shared it and how it went.
+func (c *Coordinator) logCall(call dispatch.Call, took time.Duration, results []stage.Result, err error) {
+	problems := make(map[stage.Problem]int)
+	for _, r := range results {
+		if r.Problem != stage.Done {
+			problems[r.Problem]++
+		}
+	}
+	var requests []string
+	for _, t := range call.Tasks {
+		if n := len(requests); n == 0 || requests[n-1] != t.Attempt {
+			requests = append(requests, t.Attempt)
+		}
+	}
+	attrs := []any{
+		"service", call.Endpoint.Service, "endpoint", call.Endpoint.ID, "data_centre", call.Endpoint.DataCentre,
+		"tasks", len(call.Tasks), "stage", call.Tasks[0].Stage, "requests", strings.Join(requests, ","), "took_ms", took.Milliseconds(),
+	}
+	if len(problems) > 0 {
+		attrs = append(attrs, "problems", problems)
+	}
+	if err != nil {
+		attrs = append(attrs, "error", err)
+	}
+	c.o.Logger.Info("stage call", attrs...)
+}
--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -133,7 +133,7 @@
 			return peers.Outcome{Problem: f.Problem}
 		}
 		c.o.Metrics.Jobs.WithLabelValues("done").Inc()
-		return peers.Outcome{Handles: f.Handles, Engine: f.Engine}
+		return peers.Outcome{Handles: f.Handles, Engine: f.Engine, FetchFrom: f.FetchFrom}
 	case <-ctx.Done():
 		c.Cancel(j.ID)
 		return peers.Outcome{Problem: "cancelled"}
@@ -207,10 +207,14 @@
 	for _, f := range c.d.Frees() {
 		go c.free(f)
 	}
+	for _, e := range c.d.Asks() {
+		go c.ask(e)
+	}
 }
 
 // call makes one call of an endpoint and books its end.
 func (c *Coordinator) call(call dispatch.Call) {
+	began := time.Now()
 	results, failure, err := c.stageRun(call)
 	now := time.Now()
 	c.mu.Lock()
@@ -222,9 +226,8 @@
 	c.mu.Unlock()
 	if failure != 0 {
 		c.o.Metrics.CallFailures.Inc()
-		c.o.Logger.Info("stage call failed", "endpoint", call.Endpoint.ID, "service", call.Endpoint.Service,
-			"data_centre", call.Endpoint.DataCentre, "tasks", len(call.Tasks), "request", call.Tasks[0].Attempt, "error", err)
 	}
+	c.logCall(call, now.Sub(began), results, err)
 	c.pump()
 }
 
--- a/dispatch/assign.go
+++ b/dispatch/assign.go
@@ -212,7 +212,7 @@
 
 const (
 	// waitWeight is what waiting costs while the request still is on time.
-	waitWeight = 0.7
+	waitWeight = 0.4
 	// lateCost is what waiting beyond the latest start costs besides.
 	lateCost = 400 * time.Millisecond
 )
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -65,8 +65,8 @@
 	durationWeight = 0.4
 	// rateWindow is the time constant of arrival rates.
 	rateWindow = 2 * time.Second
-	// maxUrgentLoad bounds the share of a service that more urgent work is
-	// taken to use in a forecast.
+	// maxUrgentLoad bounds the share of a service that earlier work is taken to
+	// use in a forecast.
 	maxUrgentLoad = 0.9
 )
 
@@ -140,6 +140,9 @@
 	Handles []string
 	// Engine is the one to ask; empty when none is known.
 	Engine string
+	// FetchFrom is the address of an engine that has read parts of the prompt
+	// that the one to ask has not.
+	FetchFrom string
 	// Problem is empty for success.
 	Problem string
 }
@@ -245,8 +248,16 @@
 }
 
 // forecast is the time until the last stage's results under what waits now and
-// what more urgent work is expected meanwhile.
+// what is expected to come before the job meanwhile.
 func (d *Dispatcher) forecast(now time.Time, j *job) time.Duration {
+	f := d.forecastAs(now, j, false)
+	if now.Add(f + j.tail).After(j.Target.Add(lateGrace)) {
+		return max(f, d.forecastAs(now, j, true))
+	}
+	return f
+}
+
+func (d *Dispatcher) forecastAs(now time.Time, j *job, late bool) time.Duration {
 	ends := make([]time.Duration, len(j.groups))
 	var longest time.Duration
 	for i, g := range j.groups {
@@ -258,9 +269,8 @@
 			start = max(start, ends[before])
 		}
 		p := d.pools[g.service]
-		wait := p.wait(now, g, j.Rank)
 		// Work that waits now is done while the stages before this one run.
-		start = max(start, wait)
+		start = max(start, p.wait(now, j.Rank, late))
 		ends[i] = start + p.callTime(len(g.tasks))
 		longest = max(longest, ends[i])
 	}
@@ -445,7 +455,7 @@
 	case stage.InputGone:
 		d.remakeInputs(now, ref)
 	case stage.NoRoom:
-		c.endpoint.full(now)
+		c.endpoint.full(now, c.pool.limits.ResultRoom)
 		d.retry(now, ref, false)
 	default:
 		d.retry(now, ref, true)
@@ -530,7 +540,8 @@
 // completeJob tells of a job whose results are there and books its engine.
 func (d *Dispatcher) completeJob(now time.Time, j *job) {
 	j.complete = true
-	f := Finished{ID: j.ID, Engine: d.chooseEngine(now, j)}
+	f := Finished{ID: j.ID}
+	f.Engine, f.FetchFrom = d.chooseEngine(now, j)
 	for _, i := range j.outputs {
 		for _, t := range j.groups[i].tasks {
 			f.Handles = append(f.Handles, t.handle)
--- a/dispatch/engines.go
+++ b/dispatch/engines.go
@@ -22,6 +22,10 @@
 	// rereadCost is what reading a token costs besides its time if another engine
 	// has it: the requests beside it wait too.
 	rereadCost = 50 * time.Microsecond
+	// fetchCost is what fetching a token's memory from another engine costs
+	// besides its time; minFetch tokens are worth a fetch.
+	fetchCost = 12 * time.Microsecond
+	minFetch  = 1024
 	// rereadWindow is how long a part that was read somewhere counts as known.
 	rereadWindow = 10 * time.Second
 	// homeBonus prefers the engine that rendezvous hashing names for parts that
@@ -93,6 +97,8 @@
 	// memory is an engine's, in tokens.
 	memory   int
 	coldRate float64
+	// tokenFetch is the time to fetch one token's memory; 0 if engines cannot.
+	tokenFetch time.Duration
 	// pace is how many times as long as expected an idle engine takes.
 	pace float64
 	// lastRead is when a part was last read anywhere.
@@ -106,7 +112,7 @@
 		p = &enginePool{engines: make(map[string]*engine), pace: 1, lastRead: make(map[string]time.Time)}
 		d.enginePools[service.Name] = p
 	}
-	p.memory, p.coldRate = service.EngineMemory, service.ColdRate
+	p.memory, p.coldRate, p.tokenFetch = service.EngineMemory, service.ColdRate, service.TokenFetch
 	for _, e := range p.engines {
 		e.usable = false
 	}
@@ -131,6 +137,10 @@
 	// first is the expected time to the first event, cost weighs in what others pay.
 	first time.Duration
 	cost  time.Duration
+	// read is how long the engine itself takes.
+	read time.Duration
+	// source is the engine to fetch parts of the prompt from; nil for none.
+	source *engine
 }
 
 // choose returns the engine with the least cost for a prompt, or nil. The move
@@ -145,13 +155,14 @@
 	}
 	sort.Strings(ids)
 	home := p.home(prompt, ids)
+	source := p.source(now, prompt, ids)
 	var best *choice
 	for _, id := range ids {
 		e := p.engines[id]
 		if e.Cold && now.Before(e.nextCold) {
 			continue
 		}
-		c := p.cost(now, e, prompt)
+		c := p.cost(now, e, source, prompt)
 		c.cost += move(e.DataCentre)
 		if id == home {
 			c.cost -= homeBonus
@@ -166,12 +177,32 @@
 	return best
 }
 
-func (p *enginePool) cost(now time.Time, e *engine, prompt Prompt) *choice {
+// source is the engine that has read most of a prompt's shared parts.
+func (p *enginePool) source(now time.Time, prompt Prompt, ids []string) *engine {
+	if p.tokenFetch == 0 {
+		return nil
+	}
+	var best *engine
+	most := 0
+	for _, id := range ids {
+		e := p.engines[id]
+		if known, _ := p.known(now, e, prompt); known > most && !now.Before(e.suspectUntil) {
+			best, most = e, known
+		}
+	}
+	return best
+}
+
+func (p *enginePool) cost(now time.Time, e, source *engine, prompt Prompt) *choice {
 	known, reread := p.known(now, e, prompt)
 	c := &choice{engine: e}
-	c.first = p.readTime(known, prompt.Tokens-known) + max(e.readsUntil.Sub(now), 0)
-	c.first += time.Duration(len(e.reading)) * runningCost
-	c.cost = c.first + time.Duration(reread)*rereadCost
+	c.read = p.readTime(known, prompt.Tokens-known)
+	c.cost = time.Duration(reread) * rereadCost
+	if source != nil && source != e {
+		c.fetch(p, now, source, known, prompt)
+	}
+	c.first = c.read + max(e.readsUntil.Sub(now), 0) + time.Duration(len(e.reading))*runningCost
+	c.cost += c.first
 	if e.Cold {
 		c.cost += coldCost
 	}
@@ -181,6 +212,25 @@
 	return c
 }
 
+// fetch weighs fetching what the source has read of the prompt beyond what the
+// engine itself has.
+func (c *choice) fetch(p *enginePool, now time.Time, source *engine, known int, prompt Prompt) {
+	there, reread := p.known(now, source, prompt)
+	tokens := there - known
+	if tokens < minFetch {
+		return
+	}
+	moving := time.Duration(tokens) * p.tokenFetch
+	if source.DataCentre != c.engine.DataCentre {
+		moving *= 2
+	}
+	read := moving + p.readTime(there, prompt.Tokens-there)
+	cost := time.Duration(tokens)*fetchCost + time.Duration(reread)*rereadCost
+	if read+cost < c.read+c.cost {
+		c.read, c.cost, c.source = read, cost, source
+	}
+}
+
 // known returns how many tokens of a prompt an engine has read, and how many it
 // would read again although some engine has read them lately.
 func (p *enginePool) known(now time.Time, e *engine, prompt Prompt) (known, reread int) {
@@ -232,8 +282,7 @@
 // assign books a request at an engine.
 func (p *enginePool) assign(now time.Time, c *choice, job string, prompt Prompt) {
 	e := c.engine
-	known, _ := p.known(now, e, prompt)
-	expected := p.readTime(known, prompt.Tokens-known)
+	expected := c.read
 	e.reading[job] = reading{began: now, expected: expected, alone: len(e.reading) == 0}
 	if e.readsUntil.Before(now) {
 		e.readsUntil = now
@@ -327,16 +376,19 @@
 }
 
 // chooseEngine picks and books the engine of a job whose results are there.
-func (d *Dispatcher) chooseEngine(now time.Time, j *job) string {
+func (d *Dispatcher) chooseEngine(now time.Time, j *job) (engine, fetchFrom string) {
 	p := d.enginePools[j.Prompt.Service]
 	c := p.choose(now, j.Prompt, j.Target, func(dataCentre string) time.Duration { return d.readCost(j, dataCentre) })
 	if c == nil {
-		return ""
+		return "", ""
 	}
 	j.engine = c.engine.ID
 	j.dataCentre = c.engine.DataCentre
 	p.assign(now, c, j.ID, j.Prompt)
-	return j.engine
+	if c.source != nil {
+		fetchFrom = c.source.Address
+	}
+	return j.engine, fetchFrom
 }
 
 // readCost is what reading a job's results in a data centre costs for the bytes
@@ -369,9 +421,10 @@
 	}
 	sort.Strings(ids)
 	home := p.home(j.Prompt, ids)
+	source := p.source(now, j.Prompt, ids)
 	for _, id := range ids {
 		e := p.engines[id]
-		cost := p.cost(now, e, j.Prompt).cost
+		cost := p.cost(now, e, source, j.Prompt).cost
 		if id == home {
 			cost -= homeBonus
 		}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -40,8 +40,11 @@
 	pace     float64
 	failures int
 	retryAt  time.Time
-	// fullUntil is when results that the books do not know have expired.
-	fullUntil time.Time
+	// unknown is the size of results that the books do not know, which are taken
+	// to be gone at unknownUntil; ask is set when the endpoint has to be asked.
+	unknown      int64
+	unknownUntil time.Time
+	ask          bool
 }
 
 func newPool(l catalog.StageLimits) *pool {
@@ -177,23 +180,23 @@
 	return p.limits.CallTime
 }
 
-// wait is how long a group of a rank waits for what precedes it.
-func (p *pool) wait(now time.Time, g *group, rank int) time.Duration {
+// wait is how long a group of a rank waits for what precedes it. One that will
+// be late waits for all work that comes while it does, of any rank.
+func (p *pool) wait(now time.Time, rank int, late bool) time.Duration {
 	ahead := 0
 	for _, other := range p.queue {
-		if other.job.Rank <= rank {
+		if late || other.job.Rank <= rank {
 			ahead += other.waiting
 		}
 	}
-	capacity := max(p.capacity(""), 0.5)
-	cost := float64(p.taskCost()) / capacity
-	var urgent float64
+	cost := float64(p.taskCost()) / max(p.capacity(""), 0.5)
+	var before float64
 	for r, a := range p.arrivals {
-		if r < rank {
-			urgent += a.perSecond(now) * cost / float64(time.Second)
+		if late || r < rank {
+			before += a.perSecond(now) * cost / float64(time.Second)
 		}
 	}
-	return time.Duration(float64(ahead) * cost / (1 - min(urgent, maxUrgentLoad)))
+	return time.Duration(float64(ahead) * cost / (1 - min(before, maxUrgentLoad)))
 }
 
 // admit puts a new job's group into the queue.
@@ -241,10 +244,11 @@
 
 // room is the memory that is left for results, in bytes.
 func (e *endpoint) room(now time.Time, p *pool) int64 {
-	if now.Before(e.fullUntil) {
-		return 0
+	room := int64(roomShare*float64(p.limits.ResultRoom)) - e.heldSum - e.reserved
+	if now.Before(e.unknownUntil) {
+		room -= e.unknown
 	}
-	return int64(roomShare*float64(p.limits.ResultRoom)) - e.heldSum - e.reserved
+	return room
 }
 
 func (e *endpoint) hold(handle string, bytes int64, expires time.Time) {
@@ -267,11 +271,40 @@
 	}
 }
 
-// full notes that the endpoint holds results that the books do not know.
-func (e *endpoint) full(now time.Time) { e.fullUntil = now.Add(fullPause) }
+// full notes that the endpoint holds results that the books do not know: those
+// of a dispatcher before this one, or larger ones than declared. Until it is
+// asked, it gets none.
+func (e *endpoint) full(now time.Time, limit int64) {
+	e.unknown, e.unknownUntil, e.ask = limit, now.Add(unknownFor), true
+}
 
-// fullPause is about the time in which an endpoint's results are read.
-const fullPause = 150 * time.Millisecond
+// unknownFor is about the time in which an endpoint's results are read.
+const unknownFor = 400 * time.Millisecond
+
+// Asks returns the endpoints to ask for their room since the last call.
+func (d *Dispatcher) Asks() []catalog.Endpoint {
+	var list []catalog.Endpoint
+	for _, p := range d.pools {
+		for _, e := range p.endpoints {
+			if e.ask && e.usable {
+				list = append(list, e.Endpoint)
+			}
+			e.ask = false
+		}
+	}
+	return list
+}
+
+// SetRoom takes the room that an endpoint says it has for results, in bytes.
+func (d *Dispatcher) SetRoom(now time.Time, service, id string, free int64) {
+	p := d.pools[service]
+	if p == nil || p.endpoints[id] == nil {
+		return
+	}
+	e := p.endpoints[id]
+	e.unknown = max(p.limits.ResultRoom-e.heldSum-e.reserved-free, 0)
+	e.unknownUntil = now.Add(unknownFor)
+}
 
 func (e *endpoint) finished(now time.Time, c *call) {
 	e.calls--
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -21,23 +21,36 @@
 const (
 	// watchWait is how long one watch waits; it is a fraction of the operators'
 	// bound on applying a configuration, as a watch may hear nothing.
-	watchWait = 1200 * time.Millisecond
+	watchWait = 1400 * time.Millisecond
 	// answerSlack is how much longer than its wait a watch may take.
 	answerSlack = 400 * time.Millisecond
 	// listTimeout bounds one list.
 	listTimeout = time.Second
+	// gather lets changes that come in quick succession be read in one call.
+	gather = 80 * time.Millisecond
+	// idlePoll is how often an entry that leaves the store to others looks
+	// whether they still hear it.
+	idlePoll = 200 * time.Millisecond
 	// minBackoff and maxBackoff pace the calls while the store does not answer.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = time.Second
 )
 
-// State is what is believed of one kind of objects.
+// State is what is believed of one kind of objects: all names, and the objects
+// that changed after a revision.
 type State struct {
 	Kind     string         `json:"kind"`
 	Revision int64          `json:"revision"`
+	Names    []string       `json:"names"`
 	Objects  []fleet.Object `json:"objects"`
 }
 
+// Position is how far a kind is known.
+type Position struct {
+	Kind     string `json:"kind"`
+	Revision int64  `json:"revision"`
+}
+
 // Digest tells a state from another of its kind.
 type Digest struct {
 	Kind     string `json:"kind"`
@@ -55,6 +68,9 @@
 type Options struct {
 	Store Store
 	Kinds []string
+	// Leads reports whether this entry asks the store itself; one that does not
+	// learns from other entries. Nil asks always.
+	Leads func() bool
 	// Changed is called after a kind's objects changed, with the objects by
 	// name; gap is set when the store was not heard for a while before. Calls do
 	// not overlap.
@@ -81,6 +97,9 @@
 
 // New returns a follower that knows nothing.
 func New(o Options) *Follower {
+	if o.Leads == nil {
+		o.Leads = func() bool { return true }
+	}
 	f := &Follower{o: o, kinds: make(map[string]*kind)}
 	for _, k := range o.Kinds {
 		f.kinds[k] = &kind{objects: make(map[string]fleet.Object)}
@@ -126,6 +145,10 @@
 	backoff := minBackoff
 	mustList := true
 	for ctx.Err() == nil {
+		if _, known := f.position(name); known && !f.o.Leads() {
+			pause(ctx, idlePoll)
+			continue
+		}
 		err := f.step(ctx, name, mustList)
 		switch {
 		case err == nil:
@@ -164,10 +187,14 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		return fleet.HistoryGone.New("a watch was silent for longer than it waits")
 	}
-	if err == nil {
-		f.update(name, changes)
+	if err != nil {
+		return err
+	}
+	f.update(name, changes)
+	if len(changes.Objects) > 0 {
+		pause(ctx, gather)
 	}
-	return err
+	return nil
 }
 
 func (f *Follower) position(name string) (revision int64, known bool) {
@@ -260,45 +287,81 @@
 	return list
 }
 
-// Behind returns the kinds whose state another entry's digests say is newer.
-func (f *Follower) Behind(digests []Digest) []string {
+// Behind returns the kinds whose state another entry's digests say is newer,
+// with how far they are known.
+func (f *Follower) Behind(digests []Digest) []Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var list []string
+	var list []Position
 	for _, d := range digests {
 		k := f.kinds[d.Kind]
 		if k != nil && (!k.known || d.Revision > k.revision && d.Sum != sum(k.objects)) {
-			list = append(list, d.Kind)
+			list = append(list, Position{Kind: d.Kind, Revision: k.revision})
 		}
 	}
 	return list
 }
 
-// States returns the states of some kinds.
-func (f *Follower) States(names []string) []State {
+// States returns what changed in some kinds since they were known.
+func (f *Follower) States(since []Position) []State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []State
-	for _, name := range names {
-		if k := f.kinds[name]; k != nil && k.known {
-			list = append(list, State{Kind: name, Revision: k.revision, Objects: slices.Collect(maps.Values(k.objects))})
+	for _, p := range since {
+		k := f.kinds[p.Kind]
+		if k == nil || !k.known {
+			continue
+		}
+		s := State{Kind: p.Kind, Revision: k.revision, Names: slices.Sorted(maps.Keys(k.objects))}
+		for _, name := range s.Names {
+			if o := k.objects[name]; o.Revision > p.Revision {
+				s.Objects = append(s.Objects, o)
+			}
 		}
+		list = append(list, s)
 	}
 	return list
 }
 
-// Learn takes states from another entry, and reports whether one was newer.
-func (f *Follower) Learn(states []State) bool {
-	learnt := false
+// Learn takes states from another entry. It returns the kinds that were newer,
+// and those of which this process lacks objects and has to ask for all.
+func (f *Follower) Learn(states []State) (newer []string, lacking []Position) {
 	for _, s := range states {
-		f.mu.Lock()
-		_, follows := f.kinds[s.Kind]
-		f.mu.Unlock()
-		if follows && f.replace(s.Kind, s.Revision, s.Objects, false) {
-			learnt = true
+		objects, whole, follows := f.merge(s)
+		switch {
+		case !follows:
+		case !whole:
+			lacking = append(lacking, Position{Kind: s.Kind})
+		case f.replace(s.Kind, s.Revision, objects, false):
+			newer = append(newer, s.Kind)
+		}
+	}
+	return newer, lacking
+}
+
+// merge completes a state with the objects that are known and have not changed.
+func (f *Follower) merge(s State) (objects []fleet.Object, whole, follows bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.kinds[s.Kind]
+	if k == nil {
+		return nil, false, false
+	}
+	changed := make(map[string]fleet.Object, len(s.Objects))
+	for _, o := range s.Objects {
+		changed[o.Name] = o
+	}
+	for _, name := range s.Names {
+		o, found := changed[name]
+		if !found {
+			o, found = k.objects[name]
+		}
+		if !found {
+			return nil, false, true
 		}
+		objects = append(objects, o)
 	}
-	return learnt
+	return objects, true, true
 }
 
 // sum is a hash of which objects there are, at which revisions.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -49,7 +49,9 @@
 	handles []string
 	// engine is the one that the dispatcher booked.
 	engine string
-	ticket Ticket
+	// fetchFrom is the address of an engine that has read parts of the prompt.
+	fetchFrom string
+	ticket    Ticket
 }
 
 func (r *results) release(engineFailed bool) {
@@ -114,7 +116,7 @@
 	case o.Problem != "":
 		return notRun(o.Problem, minStageRetry)
 	}
-	s.results = results{handles: o.Handles, engine: o.Engine, ticket: ticket}
+	s.results = results{handles: o.Handles, engine: o.Engine, fetchFrom: o.FetchFrom, ticket: ticket}
 	return nil
 }
 
@@ -144,7 +146,11 @@
 	if s.again() {
 		watch.allow(s.firstPatience())
 	}
-	a := s.send(tryCtx, c, fleet.Forwarding{Inputs: s.results.handles, LastEvent: s.last})
+	f := fleet.Forwarding{Inputs: s.results.handles, LastEvent: s.last}
+	if c.ID == s.results.engine {
+		f.FetchFrom = s.results.fetchFrom
+	}
+	a := s.send(tryCtx, c, f)
 	defer a.end(s.g.o.Roster)
 	if (a.fate == notSent || a.fate == lost) && c.ID == s.results.engine && !s.gone() {
 		s.engineFailed = true
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -38,7 +38,7 @@
 	// refuseAfter is how long after a stop's begin new requests are served.
 	refuseAfter = 3200 * time.Millisecond
 	// graceMargin is left of the platform's grace for the process's end.
-	graceMargin = 300 * time.Millisecond
+	graceMargin = 700 * time.Millisecond
 	// defaultGrace is taken when the settings do not tell one.
 	defaultGrace = 8 * time.Second
 	// headerTimeout bounds reading a request's header.
@@ -120,7 +120,7 @@
 	})
 	d.follower = follow.New(follow.Options{
 		Store: d.store, Kinds: []string{fleet.KindConfiguration, fleet.KindEndpoints, fleet.KindEvacuations},
-		Changed: d.changed, Logger: logger,
+		Changed: d.changed, Logger: logger, Leads: func() bool { return d.mesh.Leads() },
 	})
 	d.mesh = peers.New(peers.Options{
 		Self: peers.Identity{
@@ -223,6 +223,9 @@
 // changed takes a new state of one kind of objects.
 func (d *daemon) changed(kind string, objects map[string]fleet.Object, gap bool) {
 	now := time.Now()
+	if d.mesh.Leads() {
+		defer d.mesh.Push()
+	}
 	switch kind {
 	case fleet.KindConfiguration:
 		d.configure(objects)
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/azurelead/azurelead/coordinate"
 	"github.com/azurelead/azurelead/dispatch"
 	"github.com/azurelead/azurelead/gateway"
 	"github.com/azurelead/azurelead/peers"
@@ -110,7 +111,7 @@
 // stages has jobs done by the entry that dispatches.
 type stages struct {
 	mesh  *peers.Mesh
-	local peers.Jobs
+	local *coordinate.Coordinator
 }
 
 // maxDispatchers bounds the entries that are asked to dispatch one job.
@@ -126,7 +127,7 @@
 		}
 		o, err := link.Submit(ctx, peers.NewJob(time.Now(), j, subject))
 		if err == nil {
-			return o, linkTicket{link: link, id: j.ID}, nil
+			return o, linkTicket{link: link, id: j.ID, handles: o.Handles, local: s.local}, nil
 		}
 		if ctx.Err() != nil {
 			go link.Cancel(j.ID)
@@ -143,12 +144,21 @@
 }
 
 type linkTicket struct {
-	link *peers.Link
-	id   string
+	link    *peers.Link
+	id      string
+	handles []string
+	local   *coordinate.Coordinator
 }
 
 // Release implements gateway.Ticket.
-func (t linkTicket) Release(engineFailed bool) { go t.link.Release(t.id, engineFailed) }
+func (t linkTicket) Release(engineFailed bool) {
+	go func() {
+		if !t.link.Release(t.id, engineFailed) {
+			// Nobody else knows of the results any more.
+			t.local.FreeHandles(t.handles)
+		}
+	}()
+}
 
 type localTicket struct {
 	jobs peers.Jobs
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -39,6 +39,11 @@
 	settled = 3 * time.Second
 	// fetchDelay lets the own watch bring a change before a peer is asked for it.
 	fetchDelay = 150 * time.Millisecond
+	// leaders is how many entries ask the store for all.
+	leaders = 3
+	// storeFresh is how old the store's latest answer to any peer may be for this
+	// entry to leave the asking to them.
+	storeFresh = 3200 * time.Millisecond
 	// silenceTimeout is how long sent bytes may stay unacknowledged.
 	silenceTimeout = 1200 * time.Millisecond
 )
@@ -84,6 +89,10 @@
 	uptime   time.Duration
 	heardAt  time.Time
 	leaving  bool
+	// storeAt is when the store last answered the peer.
+	storeAt time.Time
+	// poke asks for a ping at once.
+	poke chan struct{}
 }
 
 // New returns a mesh without links.
@@ -105,7 +114,7 @@
 			continue
 		}
 		ctx, cancel := context.WithCancel(ctx)
-		l := &link{address: a, cancel: cancel}
+		l := &link{address: a, cancel: cancel, poke: make(chan struct{}, 1)}
 		m.links[a] = l
 		go m.keep(ctx, l)
 	}
@@ -146,13 +155,14 @@
 		if err := json.Unmarshal(params, &p); err != nil {
 			return nil, Error.Wrap(err)
 		}
+		m.learnFrom(ctx, p)
 		return m.ping(), nil
 	case methodStates:
 		var p StatesParams
 		if err := json.Unmarshal(params, &p); err != nil {
 			return nil, Error.Wrap(err)
 		}
-		return m.o.Follower.States(p.Kinds), nil
+		return m.o.Follower.States(p.Since), nil
 	case methodSubmit:
 		var j Job
 		if err := json.Unmarshal(params, &j); err != nil {
@@ -199,7 +209,86 @@
 	m.mu.Lock()
 	leaving := m.leaving
 	m.mu.Unlock()
-	return Ping{UptimeMS: time.Since(m.o.Started).Milliseconds(), Leaving: leaving, Digests: m.o.Follower.Digests()}
+	p := Ping{
+		Name: m.o.Self.Name, UptimeMS: time.Since(m.o.Started).Milliseconds(), Leaving: leaving,
+		Digests: m.o.Follower.Digests(), StoreAgeMS: -1,
+	}
+	if at := m.o.Follower.Heard(); !at.IsZero() {
+		p.StoreAgeMS = time.Since(at).Milliseconds()
+	}
+	return p
+}
+
+// learnFrom takes the states of a peer that pings because it has newer ones.
+func (m *Mesh) learnFrom(ctx context.Context, p Ping) {
+	if len(m.o.Follower.Behind(p.Digests)) == 0 {
+		return
+	}
+	m.mu.Lock()
+	var from *link
+	for _, l := range m.links {
+		if l.conn != nil && l.identity.Name == p.Name {
+			from = l
+		}
+	}
+	m.mu.Unlock()
+	if from != nil {
+		go m.fetch(ctx, from, p.Digests)
+	}
+}
+
+// Push tells all peers at once of what this entry believes.
+func (m *Mesh) Push() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		select {
+		case l.poke <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Leads reports whether this entry has to ask the store: it is one of the few
+// that do so for all, or none of them hears the store.
+func (m *Mesh) Leads() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	dataCentres := map[string][]string{m.o.Self.DataCentre: {m.o.Self.Name}}
+	fresh := false
+	for _, l := range m.links {
+		if l.conn == nil || l.identity.Name == m.o.Self.Name {
+			continue
+		}
+		dataCentres[l.identity.DataCentre] = append(dataCentres[l.identity.DataCentre], l.identity.Name)
+		fresh = fresh || time.Since(l.storeAt) < storeFresh
+	}
+	return !fresh || slices.Contains(Leaders(dataCentres), m.o.Self.Name)
+}
+
+// Leaders picks the entries that ask the store, in different data centres as far
+// as there are some.
+func Leaders(dataCentres map[string][]string) []string {
+	names := make([]string, 0, len(dataCentres))
+	for dc := range dataCentres {
+		names = append(names, dc)
+	}
+	slices.Sort(names)
+	var chosen []string
+	for round := 0; len(chosen) < leaders; round++ {
+		before := len(chosen)
+		for _, dc := range membership.Highest("store", names, len(names)) {
+			entries := dataCentres[dc]
+			if round < len(entries) && len(chosen) < leaders {
+				slices.Sort(entries)
+				chosen = append(chosen, membership.Highest("store", entries, round+1)[round])
+			}
+		}
+		if len(chosen) == before {
+			break
+		}
+	}
+	return chosen
 }
 
 // keep dials a peer again and again and watches the link.
@@ -269,6 +358,8 @@
 		case <-conn.DisconnectNotify():
 			t.Stop()
 			return Error.New("connection closed")
+		case <-l.poke:
+			t.Stop()
 		case <-t.C:
 		}
 		var p Ping
@@ -279,32 +370,42 @@
 		changed := l.leaving != p.Leaving
 		l.heardAt, l.leaving = time.Now(), p.Leaving
 		l.uptime = time.Duration(p.UptimeMS) * time.Millisecond
+		if p.StoreAgeMS >= 0 {
+			l.storeAt = time.Now().Add(-time.Duration(p.StoreAgeMS) * time.Millisecond)
+		}
 		m.mu.Unlock()
 		if changed {
 			m.o.Changed()
 		}
-		if behind := m.o.Follower.Behind(p.Digests); len(behind) > 0 {
-			m.fetch(ctx, l, conn, p.Digests)
+		if len(m.o.Follower.Behind(p.Digests)) > 0 {
+			m.fetch(ctx, l, p.Digests)
 		}
 	}
 }
 
 // fetch takes newer states from a peer, unless the own watch brings them first.
-func (m *Mesh) fetch(ctx context.Context, l *link, conn *jsonrpc2.Conn, digests []follow.Digest) {
-	if m.o.Follower.Known() {
-		time.Sleep(fetchDelay)
-	}
-	behind := m.o.Follower.Behind(digests)
-	if len(behind) == 0 {
+func (m *Mesh) fetch(ctx context.Context, l *link, digests []follow.Digest) {
+	m.mu.Lock()
+	conn := l.conn
+	m.mu.Unlock()
+	if conn == nil {
 		return
 	}
-	var states []follow.State
-	if err := call(ctx, conn, pingTimeout, methodStates, StatesParams{Kinds: behind}, &states); err != nil {
-		m.o.Logger.Warn("states of a peer not read", "peer", l.address, "error", err)
-		return
+	if m.o.Follower.Known() && m.Leads() {
+		time.Sleep(fetchDelay)
 	}
-	if m.o.Follower.Learn(states) {
-		m.o.Logger.Info("states learnt from a peer", "peer", l.address, "kinds", behind)
+	behind := m.o.Follower.Behind(digests)
+	for round := 0; len(behind) > 0 && round < 2; round++ {
+		var states []follow.State
+		if err := call(ctx, conn, pingTimeout, methodStates, StatesParams{Since: behind}, &states); err != nil {
+			m.o.Logger.Warn("states of a peer not read", "peer", l.address, "error", err)
+			return
+		}
+		var newer []string
+		newer, behind = m.o.Follower.Learn(states)
+		if len(newer) > 0 {
+			m.o.Logger.Info("states learnt from a peer", "peer", l.address, "kinds", newer)
+		}
 	}
 }
 
@@ -406,16 +507,16 @@
 // Cancel tells the dispatcher that nobody waits for the job.
 func (l *Link) Cancel(id string) { l.notify(methodCancel, JobID{ID: id}) }
 
-// Release tells the dispatcher that the job's results were read.
-func (l *Link) Release(id string, engineFailed bool) {
-	l.notify(methodRelease, JobID{ID: id, EngineFailed: engineFailed})
+// Release tells the dispatcher that the job's results were read. It reports
+// false when the link is lost.
+func (l *Link) Release(id string, engineFailed bool) bool {
+	return l.notify(methodRelease, JobID{ID: id, EngineFailed: engineFailed})
 }
 
-func (l *Link) notify(method string, id JobID) {
+func (l *Link) notify(method string, id JobID) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
-	// A lost link has ended the job at the dispatcher already.
-	_ = l.conn.Notify(ctx, method, id)
+	return l.conn.Notify(ctx, method, id) == nil
 }
 
 func call(ctx context.Context, conn *jsonrpc2.Conn, timeout time.Duration, method string, params, result any) error {
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -41,14 +41,19 @@
 
 // Ping keeps a link alive and is its answer.
 type Ping struct {
-	UptimeMS int64           `json:"uptime_ms"`
-	Leaving  bool            `json:"leaving,omitempty"`
-	Digests  []follow.Digest `json:"digests"`
+	// Name is the sender's.
+	Name string `json:"name"`
+	// StoreAgeMS is how long ago the store answered the sender itself; negative
+	// if it never has.
+	StoreAgeMS int64           `json:"store_age_ms"`
+	UptimeMS   int64           `json:"uptime_ms"`
+	Leaving    bool            `json:"leaving,omitempty"`
+	Digests    []follow.Digest `json:"digests"`
 }
 
-// StatesParams asks for states by kind.
+// StatesParams asks for what changed since kinds were known.
 type StatesParams struct {
-	Kinds []string `json:"kinds"`
+	Since []follow.Position `json:"since"`
 }
 
 // Job is a request's stages on their way to the dispatcher. Times are durations
@@ -89,6 +94,8 @@
 	Handles []string `json:"handles,omitempty"`
 	// Engine is the one to ask; empty when none is known.
 	Engine string `json:"engine,omitempty"`
+	// FetchFrom is the address of an engine that has read parts of the prompt.
+	FetchFrom string `json:"fetch_from,omitempty"`
 	// Refused is set when no work was done.
 	Refused      bool   `json:"refused,omitempty"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
