--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,7 +68,7 @@
 	Stages     Stages
 	Budgets    *retrybudget.Set
 	// RetryPercent is the share of repeated requests that a service may get.
-	RetryPercent int
+	RetryPercent func() int
 	Logger       *slog.Logger
 	Metrics      *Metrics
 }
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -77,7 +77,9 @@
 
 // daemon is one running gateway.
 type daemon struct {
+	// settings are those of the start; live are the ones read last.
 	settings fleet.Settings
+	live     atomic.Pointer[fleet.Settings]
 	logger   *slog.Logger
 	store    *fleet.Store
 	roster   *roster.Roster
@@ -111,6 +113,7 @@
 
 func newDaemon(settings fleet.Settings, logger *slog.Logger, reg prometheus.Registerer) *daemon {
 	d := &daemon{settings: settings, logger: logger, listed: make(chan struct{}), started: time.Now()}
+	d.live.Store(&settings)
 	d.store = fleet.NewStore(settings.StoreAddress, storeTransport())
 	d.roster = roster.New(settings.Regions)
 	d.upstream = upstream.New(upstream.Options{Metrics: upstream.NewMetrics(reg)})
@@ -132,7 +135,7 @@
 	d.gateway = gateway.New(gateway.Options{
 		DataCentre: settings.DataCentre, Table: d.table.Load, Roster: d.roster, Upstream: d.upstream,
 		Stages: &stages{mesh: d.mesh, local: d.coord}, Budgets: d.budgets,
-		RetryPercent: int(100 * settings.RetryRatio * ratioShare),
+		RetryPercent: func() int { return int(100 * d.live.Load().RetryRatio * ratioShare) },
 		Logger:       logger, Metrics: gateway.NewMetrics(reg),
 	})
 	d.peersChanged()
@@ -151,6 +154,7 @@
 }
 
 func (d *daemon) run(ctx context.Context, c Config, reg *prometheus.Registry) error {
+	hup := catchHangups()
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	server, err := d.listen(work, c, reg)
@@ -160,7 +164,7 @@
 	go d.follower.Run(work)
 	go d.coord.Run(work)
 	go d.followEntries(work)
-	<-ctx.Done()
+	d.followSettings(ctx, work, c.SettingsPath, hup)
 	d.stop(server)
 	return nil
 }
@@ -285,7 +289,7 @@
 	}
 	n := max(len(names), int(d.entries.Load()))
 	d.roster.SetEntries(n, rankAmong(d.settings.Name, names))
-	share := d.settings.RetrySlack * slackShare / float64(max(n, 1))
+	share := d.live.Load().RetrySlack * slackShare / float64(max(n, 1))
 	overdraft := min(maxOverdraft, share/3)
 	d.budgets.Limit(min(maxBurst, share-overdraft), overdraft)
 }
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -81,7 +81,7 @@
 // stop ends the process without cutting a request: the balancer is told first,
 // clients' connections close with their next answer, and what runs may end.
 func (d *daemon) stop(server *http.Server) {
-	grace := d.settings.Grace
+	grace := d.live.Load().Grace
 	if grace == 0 {
 		grace = defaultGrace
 	}
