--- /dev/null
+++ b/peers/elect_test.go
@@ -0,0 +1,82 @@
+package peers
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func contender(name string, cpu float64, uptime time.Duration) Contender {
+	return Contender{Identity: Identity{Name: name, CPU: cpu}, Uptime: uptime}
+}
+
+func TestElect(t *testing.T) {
+	leaving := contender("strong", 0.8, time.Minute)
+	leaving.Leaving = true
+	cases := []struct {
+		name string
+		list []Contender
+		want string
+	}{
+		{"alone", []Contender{contender("a", 0.1, 0)}, "a"},
+		{"the strong one", []Contender{contender("weak", 0.144, time.Minute), contender("strong", 0.8, time.Minute)}, "strong"},
+		{"not one that just started", []Contender{contender("new", 0.8, time.Second), contender("old", 0.3, time.Minute)}, "old"},
+		{"not one that leaves", []Contender{leaving, contender("weak", 0.1, time.Minute)}, "weak"},
+		{"a new one before one that leaves", []Contender{leaving, contender("new", 0.1, 0)}, "new"},
+		{"one that leaves before none", []Contender{leaving}, "strong"},
+	}
+	for _, c := range cases {
+		if got := Elect(c.list); got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+// Everyone who sees the same entries elects the same one, in whatever order.
+func TestElectIsOrderless(t *testing.T) {
+	var list []Contender
+	for i := range 9 {
+		list = append(list, contender(fmt.Sprint("e", i), 0.3, time.Minute))
+	}
+	want := Elect(list)
+	for i := range list {
+		turned := append(append([]Contender(nil), list[i:]...), list[:i]...)
+		if got := Elect(turned); got != want {
+			t.Errorf("%s and %s", got, want)
+		}
+	}
+}
+
+func TestLeadersAreSpread(t *testing.T) {
+	cases := []struct {
+		entries map[string][]string
+		want    int
+		spread  int
+	}{
+		{map[string][]string{"a": {"1"}}, 1, 1},
+		{map[string][]string{"a": {"1", "2", "3", "4"}}, 3, 1},
+		{map[string][]string{"a": {"1", "2"}, "b": {"3", "4"}, "c": {"5"}, "d": {"6"}}, 3, 3},
+		{map[string][]string{"a": {"1", "2"}, "b": {"3", "4"}}, 3, 2},
+	}
+	for _, c := range cases {
+		got := Leaders(c.entries)
+		spread := map[string]bool{}
+		for _, name := range got {
+			for dc, list := range c.entries {
+				for _, n := range list {
+					if n == name {
+						spread[dc] = true
+					}
+				}
+			}
+		}
+		if len(got) != c.want || len(spread) != c.spread {
+			t.Errorf("%v: %v", c.entries, got)
+		}
+		if diff := cmp.Diff(got, Leaders(c.entries)); diff != "" {
+			t.Error(diff)
+		}
+	}
+}
