--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -32,13 +32,6 @@
 var Error = errs.Class("gateway daemon")
 
 const (
-	// balancerLag is how long the balancer needs to send no more connections: two
-	// misses, a second apart, and some slack.
-	balancerLag = 2700 * time.Millisecond
-	// refuseAfter is how long after a stop's begin new requests are served.
-	refuseAfter = 3200 * time.Millisecond
-	// graceMargin is left of the platform's grace for the process's end.
-	graceMargin = 700 * time.Millisecond
 	// defaultGrace is taken when the settings do not tell one.
 	defaultGrace = 8 * time.Second
 	// headerTimeout bounds reading a request's header.
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -78,36 +78,6 @@
 	return true
 }
 
-// stop ends the process without cutting a request: the balancer is told first,
-// clients' connections close with their next answer, and what runs may end.
-func (d *daemon) stop(server *http.Server) {
-	grace := d.live.Load().Grace
-	if grace == 0 {
-		grace = defaultGrace
-	}
-	end := time.Now().Add(grace - graceMargin)
-	d.logger.Info("stop", "grace_ms", grace.Milliseconds())
-	d.stopping.Store(true)
-	d.mesh.SetLeaving()
-	d.gateway.Stop()
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-		defer cancel()
-		if err := d.store.Delete(ctx, fleet.KindEntries, d.settings.Name); err != nil {
-			d.logger.Warn("entry's object not removed", "error", err)
-		}
-	}()
-	time.Sleep(balancerLag)
-	time.AfterFunc(refuseAfter-balancerLag, d.gateway.Refuse)
-	time.Sleep(refuseAfter - balancerLag)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		d.logger.Warn("requests cut at the end of the grace", "error", err)
-	}
-	d.logger.Info("stopped")
-}
-
 // stages has jobs done by the entry that dispatches.
 type stages struct {
 	mesh  *peers.Mesh
