Finish late groups that hold room; explain requests from the processes' logs

Ruled out: refusing more at arrival: the forecast of 7.5 s was right under the order of then. Change: a late group is put last only while nothing is kept for it. azurelead explain tells a request's story from the logs; the dispatcher logs what it admits, books and calls.

--- a/cmd/azurelead/main.go
+++ b/cmd/azurelead/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/azurelead/azurelead/demo"
+	"github.com/azurelead/azurelead/explain"
 	"github.com/azurelead/azurelead/load"
 	"github.com/azurelead/azurelead/operator"
 )
@@ -16,7 +17,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	commands := append(operator.Commands(operator.Options{}),
-		operator.AskCommand(), operator.CertificateCommand(), demo.Command(), load.Command())
+		operator.AskCommand(), operator.CertificateCommand(), demo.Command(), load.Command(), explain.Command())
 	code := operator.Run(ctx, operator.Root(commands...), os.Args, os.Stderr)
 	stop()
 	os.Exit(code)
--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -118,6 +118,8 @@
 	wait := make(chan dispatch.Finished, 1)
 	c.waiters[j.ID] = wait
 	c.mu.Unlock()
+	c.o.Logger.Info("stages admitted", "request", j.ID, "rank", j.Rank, "stages", len(j.Stages), "returning", job.Returning,
+		"forecast_ms", a.Forecast.Milliseconds(), "tail_ms", a.Tail.Milliseconds(), "target_ms", j.TargetMS, "deadline_ms", j.DeadlineMS)
 	c.pump()
 	o := c.await(ctx, j, wait)
 	o.ForecastMS, o.TailMS = a.Forecast.Milliseconds(), a.Tail.Milliseconds()
@@ -133,6 +135,7 @@
 			return peers.Outcome{Problem: f.Problem}
 		}
 		c.o.Metrics.Jobs.WithLabelValues("done").Inc()
+		c.o.Logger.Info("engine booked", "request", j.ID, "engine", f.Engine, "fetch_from", f.FetchFrom, "results", len(f.Handles))
 		return peers.Outcome{Handles: f.Handles, Engine: f.Engine, FetchFrom: f.FetchFrom}
 	case <-ctx.Done():
 		c.Cancel(j.ID)
--- a/dispatch/assign.go
+++ b/dispatch/assign.go
@@ -102,7 +102,7 @@
 		}
 		latest := g.job.Target.Add(-g.job.tail - d.remaining(g))
 		key := latest.Add(time.Duration(g.job.Rank) * d.o.RankSpacing)
-		if now.After(latest.Add(lateGrace)) {
+		if now.After(latest.Add(lateGrace)) && !d.holdsRoom(g) {
 			key = key.Add(lateDemotion)
 		}
 		list = append(list, ordered{group: g, latest: latest, key: key})
@@ -116,6 +116,23 @@
 	return list
 }
 
+// holdsRoom reports whether results are kept for a group until it is done: its
+// own first ones, or large inputs. It is finished even if it is late, as the
+// room would be lost to others.
+func (d *Dispatcher) holdsRoom(g *group) bool {
+	if g.waiting < len(g.tasks) {
+		return true
+	}
+	var bytes int64
+	for _, before := range g.after {
+		bytes += g.job.groups[before].totalBytes()
+	}
+	return bytes > smallInputs
+}
+
+// smallInputs is the size of inputs that take up no room worth mentioning.
+const smallInputs = 50_000
+
 // early reports whether a group's large results would only wait, and take up
 // room, until the results beside them are there.
 func (d *Dispatcher) early(g *group) bool {
