Refuse requests that crash the endpoints that run them

Ruled out: counting lost answers as crashes: endpoints that lose 40% of their answers would have innocent requests refused. A broken connection is a crash only when the endpoint takes no new one, its entry vanishes or it starts anew. Change: the gateway keeps the marks of package suspect, entries pass them on with their pings.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -79,11 +79,32 @@
 // report tells the roster of an outcome, unless it was the client or the clock
 // that ended the attempt.
 func (q *request) report(ctx context.Context, now time.Time, a *attempt, o roster.Outcome) {
+	if ctx.Err() == nil && o == roster.Broken {
+		q.g.crashes.broke(now, a.endpoint.ID, q.digest())
+		if !q.stillThere(ctx, a) {
+			o = roster.Unreachable
+		}
+	}
+	if o == roster.Unreachable {
+		q.g.EndpointLost(a.endpoint.ID)
+	}
 	if ctx.Err() == nil || q.hung(ctx, now, a) {
 		q.g.o.Roster.Report(now, a.endpoint.ID, o, now.Sub(a.sent))
 	}
 }
 
+// stillThere asks an endpoint whose connection broke for a new one: that it
+// refuses tells a crash from a lost answer before the request goes elsewhere.
+func (q *request) stillThere(ctx context.Context, a *attempt) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashProbeTime)
+	defer cancel()
+	return q.g.o.Upstream.Reachable(ctx, upstream.Target{ID: a.endpoint.ID, Address: a.endpoint.Address})
+}
+
+// crashProbeTime bounds the question whether an endpoint is still there; it is
+// several round trips between data centres.
+const crashProbeTime = 100 * time.Millisecond
+
 // hung reports whether an attempt was given up because the endpoint was silent.
 func (q *request) hung(ctx context.Context, now time.Time, a *attempt) bool {
 	return ctx.Err() != nil && !q.gone() && now.Sub(a.sent) > hangTime
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/retrybudget"
 	"github.com/azurelead/azurelead/roster"
+	"github.com/azurelead/azurelead/suspect"
 	"github.com/azurelead/azurelead/upstream"
 )
 
@@ -69,13 +70,16 @@
 	Budgets    *retrybudget.Set
 	// RetryPercent is the share of repeated requests that a service may get.
 	RetryPercent func() int
-	Logger       *slog.Logger
-	Metrics      *Metrics
+	// Suspects holds the requests that crashed endpoints.
+	Suspects *suspect.Table
+	Logger   *slog.Logger
+	Metrics  *Metrics
 }
 
 // Gateway is the clients' handler. It is safe for concurrent use.
 type Gateway struct {
 	o        Options
+	crashes  *crashes
 	stopping atomic.Bool
 	closing  atomic.Bool
 }
@@ -85,7 +89,10 @@
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics(nil)
 	}
-	return &Gateway{o: o}
+	if o.Suspects == nil {
+		o.Suspects = suspect.New(suspect.Options{})
+	}
+	return &Gateway{o: o, crashes: newCrashes(o.Suspects)}
 }
 
 // Stop lets clients move to other entries: answers close their connections.
@@ -162,7 +169,13 @@
 	}
 	q.deadline = q.began.Add(wait - deadlineMargin)
 	q.service = q.route.Service(head.Attempt)
-	return q.readBody()
+	if a := q.readBody(); a != nil {
+		return a
+	}
+	if q.g.crashes.refused(q.digest()) {
+		return notRun("the request has crashed the endpoints that ran it", suspectRetry)
+	}
+	return nil
 }
 
 // pathOf is the path of a request's target as the client wrote it.
--- a/gateway/whole.go
+++ b/gateway/whole.go
@@ -30,6 +30,9 @@
 	ran := 0
 	var last *answer
 	for sends := 0; sends < maxSends && ctx.Err() == nil; sends++ {
+		if ran > 0 && q.g.crashes.refused(q.digest()) {
+			break
+		}
 		c, found := q.choose(tried)
 		if !found {
 			break
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/retrybudget"
 	"github.com/azurelead/azurelead/roster"
+	"github.com/azurelead/azurelead/suspect"
 	"github.com/azurelead/azurelead/upstream"
 )
 
@@ -87,6 +88,8 @@
 	listOnce sync.Once
 	started  time.Time
 	stopping atomic.Bool
+	// listedEndpoints are the incarnations by id; only changed reads and writes it.
+	listedEndpoints map[string]int64
 	// entries counts the entries' objects in the store.
 	entries atomic.Int64
 }
@@ -118,18 +121,19 @@
 		Store: d.store, Kinds: []string{fleet.KindConfiguration, fleet.KindEndpoints, fleet.KindEvacuations},
 		Changed: d.changed, Logger: logger, Leads: func() bool { return d.mesh.Leads() },
 	})
+	suspects := suspect.New(suspect.Options{Metrics: reg})
 	d.mesh = peers.New(peers.Options{
 		Self: peers.Identity{
 			Name: settings.Name, Incarnation: rand.Text(), Address: settings.Peers,
 			DataCentre: settings.DataCentre, CPU: settings.CPU,
 		},
-		Started: d.started, Follower: d.follower, Jobs: d.coord, Changed: d.peersChanged, Logger: logger,
+		Started: d.started, Follower: d.follower, Jobs: d.coord, Suspects: suspects, Changed: d.peersChanged, Logger: logger,
 	})
 	d.gateway = gateway.New(gateway.Options{
 		DataCentre: settings.DataCentre, Table: d.table.Load, Roster: d.roster, Upstream: d.upstream,
 		Stages: &stages{mesh: d.mesh, local: d.coord}, Budgets: d.budgets,
 		RetryPercent: func() int { return int(100 * d.live.Load().RetryRatio * ratioShare) },
-		Logger:       logger, Metrics: gateway.NewMetrics(reg),
+		Suspects:     suspects, Logger: logger, Metrics: gateway.NewMetrics(reg),
 	})
 	d.peersChanged()
 	return d
@@ -268,10 +272,25 @@
 		}
 		list = append(list, e)
 	}
+	d.tellLost(list)
 	d.roster.SetEndpoints(now, list, gap)
 	d.upstream.Retain(d.roster.Known)
 }
 
+// tellLost tells the gateway of endpoints that vanished or started anew.
+func (d *daemon) tellLost(list []catalog.Endpoint) {
+	now := make(map[string]int64, len(list))
+	for _, e := range list {
+		now[e.ID] = e.Incarnation
+	}
+	for id, incarnation := range d.listedEndpoints {
+		if again, found := now[id]; !found || again != incarnation {
+			d.gateway.EndpointLost(id)
+		}
+	}
+	d.listedEndpoints = now
+}
+
 // peersChanged shares out what all entries may do together.
 func (d *daemon) peersChanged() {
 	names := []string{d.settings.Name}
--- a/gatewaydaemon/daemon_test.go
+++ b/gatewaydaemon/daemon_test.go
@@ -479,3 +479,45 @@
 		}
 	}
 }
+
+// A request that crashes each endpoint that runs it is refused after a few,
+// also through another entry, and others go on.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	d := newDeployment(t, 2)
+	d.standard(nil)
+	var crashed atomic.Int64
+	for i := range 8 {
+		s := fleettest.NewServer(fmt.Sprintf("victim-%d", i))
+		t.Cleanup(s.Close)
+		s.Behave(func(_ int, r *http.Request) fleettest.Behaviour {
+			if strings.HasPrefix(r.URL.Path, "/look/poison") {
+				crashed.Add(1)
+				go s.Close()
+				return fleettest.Hang
+			}
+			return fleettest.Serve
+		})
+		d.store.Put(fleet.KindEndpoints, s.ID, s.Entry("victims", "north"))
+	}
+	d.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(9,
+		[]map[string]any{fleettest.Route("look", "/look/", "idempotent", "victims", nil)},
+		[]map[string]any{fleettest.Service("victims"), fleettest.StageService("portal")}, nil))
+	d.waitReady()
+	d.eventually("the route is known", func() bool {
+		return d.ask(d.entries[0], "GET", "/look/x", nil).status == 200 && d.ask(d.entries[1], "GET", "/look/x", nil).status == 200
+	})
+	for _, e := range d.entries {
+		d.eventually("it is refused", func() bool {
+			d.ask(e, "GET", "/look/harmless", nil)
+			return d.ask(e, "GET", "/look/poison", nil).status == 503
+		})
+	}
+	if n := crashed.Load(); n > 5 {
+		t.Errorf("%d endpoints crashed", n)
+	}
+	for _, e := range d.entries {
+		if r := d.ask(e, "GET", "/look/x", nil); r.status != 200 {
+			t.Errorf("another request: %+v", r)
+		}
+	}
+}
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -15,6 +15,7 @@
 
 	"github.com/azurelead/azurelead/follow"
 	"github.com/azurelead/azurelead/membership"
+	"github.com/azurelead/azurelead/suspect"
 	"github.com/azurelead/azurelead/upstream"
 )
 
@@ -63,6 +64,7 @@
 	Started  time.Time
 	Follower *follow.Follower
 	Jobs     Jobs
+	Suspects *suspect.Table
 	// Changed is called when the set of living peers changed.
 	Changed func()
 	Logger  *slog.Logger
@@ -75,11 +77,11 @@
 	mu      sync.Mutex
 	leaving bool
 	// links are by address.
-	links map[string]*link
+	links map[string]*peerLink
 }
 
-// link is the dialling side of one link.
-type link struct {
+// peerLink is the dialling side of one link.
+type peerLink struct {
 	address string
 	cancel  context.CancelFunc
 
@@ -96,7 +98,7 @@
 }
 
 // New returns a mesh without links.
-func New(o Options) *Mesh { return &Mesh{o: o, links: make(map[string]*link)} }
+func New(o Options) *Mesh { return &Mesh{o: o, links: make(map[string]*peerLink)} }
 
 // SetLeaving tells peers that this entry stops.
 func (m *Mesh) SetLeaving() {
@@ -114,7 +116,7 @@
 			continue
 		}
 		ctx, cancel := context.WithCancel(ctx)
-		l := &link{address: a, cancel: cancel, poke: make(chan struct{}, 1)}
+		l := &peerLink{address: a, cancel: cancel, poke: make(chan struct{}, 1)}
 		m.links[a] = l
 		go m.keep(ctx, l)
 	}
@@ -155,6 +157,7 @@
 		if err := json.Unmarshal(params, &p); err != nil {
 			return nil, Error.Wrap(err)
 		}
+		m.o.Suspects.Merge(p.Suspects)
 		m.learnFrom(ctx, p)
 		return m.ping(), nil
 	case methodStates:
@@ -211,7 +214,7 @@
 	m.mu.Unlock()
 	p := Ping{
 		Name: m.o.Self.Name, UptimeMS: time.Since(m.o.Started).Milliseconds(), Leaving: leaving,
-		Digests: m.o.Follower.Digests(), StoreAgeMS: -1,
+		Digests: m.o.Follower.Digests(), StoreAgeMS: -1, Suspects: m.o.Suspects.Suspects(),
 	}
 	if at := m.o.Follower.Heard(); !at.IsZero() {
 		p.StoreAgeMS = time.Since(at).Milliseconds()
@@ -225,7 +228,7 @@
 		return
 	}
 	m.mu.Lock()
-	var from *link
+	var from *peerLink
 	for _, l := range m.links {
 		if l.conn != nil && l.identity.Name == p.Name {
 			from = l
@@ -292,7 +295,7 @@
 }
 
 // keep dials a peer again and again and watches the link.
-func (m *Mesh) keep(ctx context.Context, l *link) {
+func (m *Mesh) keep(ctx context.Context, l *peerLink) {
 	delay := redialMin
 	last := time.Now()
 	for ctx.Err() == nil {
@@ -317,7 +320,7 @@
 }
 
 // session runs one link from its dial to its loss, and reports whether it was up.
-func (m *Mesh) session(ctx context.Context, l *link) bool {
+func (m *Mesh) session(ctx context.Context, l *peerLink) bool {
 	dialer := upstream.Dialer(dialTimeout, silenceTimeout)
 	raw, err := dialer.DialContext(ctx, "tcp", l.address)
 	if err != nil {
@@ -348,7 +351,7 @@
 }
 
 // watch pings the peer until it does not answer.
-func (m *Mesh) watch(ctx context.Context, l *link, conn *jsonrpc2.Conn) error {
+func (m *Mesh) watch(ctx context.Context, l *peerLink, conn *jsonrpc2.Conn) error {
 	for {
 		t := time.NewTimer(m.interval())
 		select {
@@ -366,6 +369,7 @@
 		if err := call(ctx, conn, pingTimeout, methodPing, m.ping(), &p); err != nil {
 			return err
 		}
+		m.o.Suspects.Merge(p.Suspects)
 		m.mu.Lock()
 		changed := l.leaving != p.Leaving
 		l.heardAt, l.leaving = time.Now(), p.Leaving
@@ -384,7 +388,7 @@
 }
 
 // fetch takes newer states from a peer, unless the own watch brings them first.
-func (m *Mesh) fetch(ctx context.Context, l *link, digests []follow.Digest) {
+func (m *Mesh) fetch(ctx context.Context, l *peerLink, digests []follow.Digest) {
 	m.mu.Lock()
 	conn := l.conn
 	m.mu.Unlock()
@@ -437,7 +441,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	candidates := []Contender{{Identity: m.o.Self, Uptime: time.Since(m.o.Started), Leaving: m.leaving}}
-	byName := map[string]*link{}
+	byName := map[string]*peerLink{}
 	for _, l := range m.links {
 		if l.conn == nil || excluded[l.identity.Name] || l.identity.Name == m.o.Self.Name {
 			continue
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -8,6 +8,7 @@
 
 	"github.com/azurelead/azurelead/dispatch"
 	"github.com/azurelead/azurelead/follow"
+	"github.com/azurelead/azurelead/link"
 )
 
 // The methods of the links. Calls go from the side that dialled.
@@ -49,6 +50,8 @@
 	UptimeMS   int64           `json:"uptime_ms"`
 	Leaving    bool            `json:"leaving,omitempty"`
 	Digests    []follow.Digest `json:"digests"`
+	// Suspects are requests that crashed endpoints.
+	Suspects []link.Suspect `json:"suspects,omitempty"`
 }
 
 // StatesParams asks for what changed since kinds were known.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -137,6 +137,21 @@
 	}
 }
 
+// Reachable reports whether the endpoint takes a new connection, which is kept
+// for the next request.
+func (c *Client) Reachable(ctx context.Context, t Target) bool {
+	raw, err := c.dialer.DialContext(ctx, "tcp", t.Address)
+	if err != nil {
+		c.o.Metrics.DialFailures.Inc()
+		return false
+	}
+	c.o.Metrics.Dials.Inc()
+	cn := newConn(c, t.ID, raw)
+	cn.idleUntil = time.Now().Add(c.o.IdleTimeout)
+	c.putIdle(cn)
+	return true
+}
+
 func (c *Client) conn(ctx context.Context, t Target) (*conn, error) {
 	if cn := c.takeIdle(t.ID); cn != nil {
 		return cn, nil
