Idle dispatchers tick rarely; metrics address, log level, traces of the gateway

Change: an idle coordinator looks twice a second instead of forty times; the collector runs at the default pace; a metrics address, a level for logs and the exporter of traces.

--- a/cmd/azurelead-gateway/main.go
+++ b/cmd/azurelead-gateway/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -30,6 +31,7 @@
 
 func command() *cli.Command {
 	var c gatewaydaemon.Config
+	var level string
 	text := func(name, env, usage, value string, to *string) cli.Flag {
 		return &cli.StringFlag{Name: name, Usage: usage, Value: value, Destination: to, Sources: cli.EnvVars("AZURELEAD_" + env)}
 	}
@@ -41,11 +43,25 @@
 		Flags: []cli.Flag{
 			text("settings", "SETTINGS", "path of the platform's settings file", fleet.SettingsPath(), &c.SettingsPath),
 			text("metrics", "METRICS", "IP address and port of the operators' metrics; none if empty", "", &c.Metrics),
+			text("log-level", "LOG_LEVEL", "least level of the lines that are logged: info, warn or error", "info", &level),
 			text("otlp", "OTLP", "URL that traces are exported to by OTLP over HTTP", "", &c.OTLP),
 		},
 		HideHelpCommand: true,
 		Action: func(ctx context.Context, _ *cli.Command) error {
-			logger := telemetry.NewBoundedLogger(os.Stdout)
+			var least slog.Level
+			if err := least.UnmarshalText([]byte(level)); err != nil {
+				return err
+			}
+			logger := telemetry.NewBoundedLogger(os.Stdout, least)
+			stopTracing, err := telemetry.SetupTracing(ctx, "azurelead-gateway", c.OTLP)
+			if err != nil {
+				return err
+			}
+			defer func() {
+				if err := stopTracing(context.WithoutCancel(ctx)); err != nil {
+					logger.Warn("traces not flushed", "error", err)
+				}
+			}()
 			return gatewaydaemon.Run(ctx, c, logger, prometheus.NewRegistry())
 		},
 	}
--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -21,8 +21,10 @@
 )
 
 const (
-	// tick is how often what waits is looked at without an event.
-	tick = 25 * time.Millisecond
+	// tick is how often what waits is looked at without an event, idleTick how
+	// often while nothing does.
+	tick     = 25 * time.Millisecond
+	idleTick = 500 * time.Millisecond
 	// refreshEvery is how often the endpoints are compared with the roster.
 	refreshEvery = 100 * time.Millisecond
 	// freeTimeout bounds a call that gives results up.
@@ -44,7 +46,8 @@
 
 // Coordinator runs a dispatcher. It is safe for concurrent use.
 type Coordinator struct {
-	o Options
+	o    Options
+	wake chan struct{}
 
 	mu      sync.Mutex
 	d       *dispatch.Dispatcher
@@ -62,7 +65,7 @@
 		o.Metrics = NewMetrics(nil)
 	}
 	return &Coordinator{
-		o: o, d: dispatch.New(dispatch.Options{}),
+		o: o, wake: make(chan struct{}, 1), d: dispatch.New(dispatch.Options{}),
 		waiters: make(map[string]chan dispatch.Finished), refused: make(map[string]time.Time),
 	}
 }
@@ -120,6 +123,7 @@
 	c.mu.Unlock()
 	c.o.Logger.Info("stages admitted", "request", j.ID, "rank", j.Rank, "stages", len(j.Stages), "returning", job.Returning,
 		"forecast_ms", a.Forecast.Milliseconds(), "tail_ms", a.Tail.Milliseconds(), "target_ms", j.TargetMS, "deadline_ms", j.DeadlineMS)
+	c.awake()
 	c.pump()
 	o := c.await(ctx, j, wait)
 	o.ForecastMS, o.TailMS = a.Forecast.Milliseconds(), a.Tail.Milliseconds()
@@ -165,20 +169,34 @@
 
 // Run looks at what waits until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) {
-	t := time.NewTicker(tick)
+	t := time.NewTimer(idleTick)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-c.wake:
 		case <-t.C:
-			c.expire()
-			c.pump()
 		}
+		if c.expire() {
+			t.Reset(tick)
+		} else {
+			t.Reset(idleTick)
+		}
+		c.pump()
+	}
+}
+
+// awake makes Run look often again.
+func (c *Coordinator) awake() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
 	}
 }
 
-func (c *Coordinator) expire() {
+// expire drops what is too old, and reports whether jobs are in progress.
+func (c *Coordinator) expire() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -189,6 +207,7 @@
 			delete(c.refused, subject)
 		}
 	}
+	return c.d.Busy()
 }
 
 // pump sends what the dispatcher wants sent and tells of jobs that ended.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -362,6 +362,9 @@
 	return list
 }
 
+// Busy reports whether jobs or calls are in progress.
+func (d *Dispatcher) Busy() bool { return len(d.jobs) > 0 || len(d.calls) > 0 }
+
 // Finished returns the jobs that ended since the last call.
 func (d *Dispatcher) Finished() []Finished {
 	list := d.finished
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -47,7 +47,7 @@
 	// listEntriesEvery is how often the entries' objects are listed.
 	listEntriesEvery = 6 * time.Second
 	// gcPercent keeps the heap small: the platform charges for peak memory.
-	gcPercent = 40
+	gcPercent = 100
 	// storeTimeout bounds a write to the store.
 	storeTimeout = time.Second
 	// retryBurst and retryOverdraft are the defaults' sum, in retries, of a
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -164,7 +164,9 @@
 }
 
 func metricsHandler(reg *prometheus.Registry) http.Handler {
-	return promhttp.HandlerFor(reg, promhttp.HandlerOpts{DisableCompression: true})
+	m := http.NewServeMux()
+	m.Handle("/metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{DisableCompression: true}))
+	return m
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/telemetry/bounded.go
+++ b/telemetry/bounded.go
@@ -17,11 +17,12 @@
 	dropped atomic.Int64
 }
 
-// NewBoundedLogger returns a logger that writes JSON lines to w and never blocks.
-func NewBoundedLogger(w io.Writer) *slog.Logger {
+// NewBoundedLogger returns a logger that writes JSON lines of at least a level
+// to w and never blocks.
+func NewBoundedLogger(w io.Writer, least slog.Level) *slog.Logger {
 	b := &boundedWriter{lines: make(chan []byte, boundedLines)}
 	go b.run(w)
-	return slog.New(slog.NewJSONHandler(b, &slog.HandlerOptions{Level: slog.LevelInfo}))
+	return slog.New(slog.NewJSONHandler(b, &slog.HandlerOptions{Level: least}))
 }
 
 // Write implements io.Writer.
