Keep the dispatcher over a reset link; no take-over by one that started anew

An entry that lost power took the work back 3 s after its start. Change: a closed connection is dialled anew at once, jobs wait for it and are kept at the dispatcher meanwhile; among strong entries those that started first dispatch; the dispatcher is pinged as often in large deployments as in small ones.

--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -31,6 +31,9 @@
 	freeTimeout = time.Second
 	// maxAnswer bounds the answer to a call, in bytes.
 	maxAnswer = 1 << 20
+	// orphanTime is how long a job is kept whose link was lost; a link is dialled
+	// anew within a fraction of it.
+	orphanTime = 700 * time.Millisecond
 	// returnWindow is how long a refused client is recognised after the time
 	// that it was told.
 	returnWindow = 2 * time.Second
@@ -51,7 +54,7 @@
 
 	mu      sync.Mutex
 	d       *dispatch.Dispatcher
-	waiters map[string]chan dispatch.Finished
+	waiters map[string]*waiter
 	// refused holds when clients that were refused are recognised until.
 	refused map[string]time.Time
 	// services are those that do stages.
@@ -59,6 +62,28 @@
 	refreshed time.Time
 }
 
+// waiter is who waits for a job. A job whose link was lost is kept for a moment:
+// its entry asks for it again on a new one.
+type waiter struct {
+	// ended takes the outcome; nil while nobody waits.
+	ended    chan dispatch.Finished
+	orphaned time.Time
+	// outcome is that of a job that ended while nobody waited.
+	outcome  *dispatch.Finished
+	forecast time.Duration
+	tail     time.Duration
+}
+
+// tell hands the outcome to who waits, or keeps it.
+func (w *waiter) tell(f dispatch.Finished) bool {
+	if w.ended == nil {
+		w.outcome = &f
+		return false
+	}
+	w.ended <- f
+	return true
+}
+
 // New returns a coordinator without services.
 func New(o Options) *Coordinator {
 	if o.Metrics == nil {
@@ -66,7 +91,7 @@
 	}
 	return &Coordinator{
 		o: o, wake: make(chan struct{}, 1), d: dispatch.New(dispatch.Options{}),
-		waiters: make(map[string]chan dispatch.Finished), refused: make(map[string]time.Time),
+		waiters: make(map[string]*waiter), refused: make(map[string]time.Time),
 	}
 }
 
@@ -103,6 +128,9 @@
 func (c *Coordinator) Submit(ctx context.Context, j peers.Job) peers.Outcome {
 	now := time.Now()
 	c.mu.Lock()
+	if w := c.waiters[j.ID]; w != nil && w.ended == nil {
+		return c.resume(ctx, j, w)
+	}
 	c.refresh(now)
 	job := j.Dispatch(now)
 	job.Returning = j.Subject != "" && now.Before(c.refused[j.Subject])
@@ -118,21 +146,38 @@
 		return peers.Outcome{Refused: true, Problem: a.Reason, RetryAfterMS: a.RetryAfter.Milliseconds(), ForecastMS: a.Forecast.Milliseconds()}
 	}
 	delete(c.refused, j.Subject)
-	wait := make(chan dispatch.Finished, 1)
-	c.waiters[j.ID] = wait
+	w := &waiter{ended: make(chan dispatch.Finished, 1), forecast: a.Forecast, tail: a.Tail}
+	c.waiters[j.ID] = w
 	c.mu.Unlock()
 	c.o.Logger.Info("stages admitted", "request", j.ID, "rank", j.Rank, "stages", len(j.Stages), "returning", job.Returning,
 		"forecast_ms", a.Forecast.Milliseconds(), "tail_ms", a.Tail.Milliseconds(), "target_ms", j.TargetMS, "deadline_ms", j.DeadlineMS)
 	c.awake()
 	c.pump()
-	o := c.await(ctx, j, wait)
-	o.ForecastMS, o.TailMS = a.Forecast.Milliseconds(), a.Tail.Milliseconds()
+	return c.await(ctx, j, w)
+}
+
+// resume goes on with a job whose link was lost. The caller holds mu, which is
+// unlocked.
+func (c *Coordinator) resume(ctx context.Context, j peers.Job, w *waiter) peers.Outcome {
+	w.ended, w.orphaned = make(chan dispatch.Finished, 1), time.Time{}
+	if w.outcome != nil {
+		w.ended <- *w.outcome
+		delete(c.waiters, j.ID)
+	}
+	c.mu.Unlock()
+	c.o.Logger.Info("stages resumed on a new link", "request", j.ID)
+	return c.await(ctx, j, w)
+}
+
+func (c *Coordinator) await(ctx context.Context, j peers.Job, w *waiter) peers.Outcome {
+	o := c.outcome(ctx, j, w)
+	o.ForecastMS, o.TailMS = w.forecast.Milliseconds(), w.tail.Milliseconds()
 	return o
 }
 
-func (c *Coordinator) await(ctx context.Context, j peers.Job, wait chan dispatch.Finished) peers.Outcome {
+func (c *Coordinator) outcome(ctx context.Context, j peers.Job, w *waiter) peers.Outcome {
 	select {
-	case f := <-wait:
+	case f := <-w.ended:
 		if f.Problem != "" {
 			c.o.Metrics.Jobs.WithLabelValues("failed").Inc()
 			c.o.Logger.Info("stages failed", "request", j.ID, "reason", f.Problem)
@@ -142,8 +187,10 @@
 		c.o.Logger.Info("engine booked", "request", j.ID, "engine", f.Engine, "fetch_from", f.FetchFrom, "results", len(f.Handles))
 		return peers.Outcome{Handles: f.Handles, Engine: f.Engine, FetchFrom: f.FetchFrom}
 	case <-ctx.Done():
-		c.Cancel(j.ID)
-		return peers.Outcome{Problem: "cancelled"}
+		c.mu.Lock()
+		w.ended, w.orphaned = nil, time.Now()
+		c.mu.Unlock()
+		return peers.Outcome{Problem: "link lost"}
 	}
 }
 
@@ -151,9 +198,9 @@
 func (c *Coordinator) Cancel(id string) {
 	c.mu.Lock()
 	c.d.Cancel(time.Now(), id)
-	if wait := c.waiters[id]; wait != nil {
+	if w := c.waiters[id]; w != nil {
 		delete(c.waiters, id)
-		wait <- dispatch.Finished{ID: id, Problem: "cancelled"}
+		w.tell(dispatch.Finished{ID: id, Problem: "cancelled"})
 	}
 	c.mu.Unlock()
 	c.pump()
@@ -202,6 +249,12 @@
 	now := time.Now()
 	c.refresh(now)
 	c.d.Expire(now)
+	for id, w := range c.waiters {
+		if !w.orphaned.IsZero() && now.Sub(w.orphaned) > orphanTime {
+			delete(c.waiters, id)
+			c.d.Cancel(now, id)
+		}
+	}
 	for subject, until := range c.refused {
 		if now.After(until) {
 			delete(c.refused, subject)
@@ -221,9 +274,8 @@
 		go c.call(call)
 	}
 	for _, f := range c.d.Finished() {
-		if wait := c.waiters[f.ID]; wait != nil {
+		if w := c.waiters[f.ID]; w != nil && w.tell(f) {
 			delete(c.waiters, f.ID)
-			wait <- f
 		}
 	}
 	for _, f := range c.d.Frees() {
--- /dev/null
+++ b/coordinate/coordinate_test.go
@@ -0,0 +1,67 @@
+package coordinate
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/azurelead/azurelead/catalog"
+	"github.com/azurelead/azurelead/dispatch"
+	"github.com/azurelead/azurelead/peers"
+	"github.com/azurelead/azurelead/platform/fleettest"
+	"github.com/azurelead/azurelead/roster"
+	"github.com/azurelead/azurelead/upstream"
+)
+
+func newTestCoordinator(t *testing.T, s *fleettest.Server) *Coordinator {
+	services := map[string]*catalog.Service{"portal": {Name: "portal", Stages: &catalog.StageLimits{
+		Slots: 1, Batch: 8, CallTime: 20 * time.Millisecond, TaskTime: time.Millisecond, ResultRoom: 1e6, ResultTTL: 4 * time.Second,
+	}}}
+	r := roster.New(nil)
+	r.SetServices(services)
+	r.SetEndpoints(time.Now(), []catalog.Endpoint{{ID: s.ID, Service: "portal", Address: s.Address(), DataCentre: "north", Slots: 1}}, false)
+	c := New(Options{Upstream: upstream.New(upstream.Options{}), Roster: r, Logger: slog.New(slog.DiscardHandler)})
+	c.SetServices(services)
+	go c.Run(t.Context())
+	return c
+}
+
+// An entry that lost its link asks for the job again on a new one and gets the
+// results of the work that went on: nothing is done twice.
+func TestLostLinkKeepsTheJob(t *testing.T) {
+	s := fleettest.NewServer("portal-1")
+	t.Cleanup(s.Close)
+	started, finish := make(chan struct{}), make(chan struct{})
+	s.Behave(func(n int, _ *http.Request) fleettest.Behaviour {
+		if n == 0 {
+			close(started)
+			<-finish
+		}
+		return fleettest.Serve
+	})
+	c := newTestCoordinator(t, s)
+	job := peers.Job{
+		ID: "job", Key: "k", TargetMS: 30000, DeadlineMS: 60000,
+		Stages: []dispatch.Stage{{Service: "portal", Tasks: 3, ResultBytes: 1000}},
+	}
+	link, cut := context.WithCancel(t.Context())
+	first := make(chan peers.Outcome, 1)
+	go func() { first <- c.Submit(link, job) }()
+	<-started
+	cut()
+	if o := <-first; o.Problem == "" {
+		t.Errorf("the lost link brought %+v", o)
+	}
+	second := make(chan peers.Outcome, 1)
+	go func() { second <- c.Submit(t.Context(), job) }()
+	close(finish)
+	if o := <-second; len(o.Handles) != 3 || o.Problem != "" {
+		t.Errorf("the new link brought %+v", o)
+	}
+	if n := s.Requests(); n != 1 {
+		t.Errorf("the endpoint was called %d times", n)
+	}
+	c.Release("job", false)
+}
--- a/dispatch/assign.go
+++ b/dispatch/assign.go
@@ -13,6 +13,8 @@
 	endpoint *endpoint
 	tasks    []taskRef
 	bytes    int64
+	// most is the number of tasks that it may take.
+	most int
 	// left is the room for results that the draft may still use, in bytes.
 	left int64
 }
@@ -73,11 +75,19 @@
 			e.pace -= (e.pace - 1) * paceRecovery
 			continue
 		}
-		drafts = append(drafts, &draft{endpoint: e, left: e.room(now, p)})
+		dr := &draft{endpoint: e, left: e.room(now, p), most: p.limits.Batch}
+		if e.failures > 0 {
+			// A failed endpoint is tried with little work.
+			dr.most = trialTasks
+		}
+		drafts = append(drafts, dr)
 	}
 	return drafts
 }
 
+// trialTasks is the work for an endpoint whose last call failed.
+const trialTasks = 1
+
 // paceRecovery is the share of a slow endpoint's pace that is forgotten each
 // time it is passed over.
 const paceRecovery = 0.01
@@ -159,7 +169,7 @@
 		if g.tasks[i].state != taskWaiting {
 			continue
 		}
-		dr := pick(p, drafts, g, moves)
+		dr := pick(drafts, g, moves)
 		where, wait := d.cheapestWait(now, p, o, moves, left)
 		if dr == nil || moves[dr.endpoint.DataCentre] > wait {
 			left[where] += g.waiting
@@ -260,10 +270,10 @@
 
 // pick returns the draft with room for one more result where the group's moves
 // cost least; of several, the one that has tasks of the group, else the emptiest.
-func pick(p *pool, drafts []*draft, g *group, moves map[string]time.Duration) *draft {
+func pick(drafts []*draft, g *group, moves map[string]time.Duration) *draft {
 	var best *draft
 	for _, dr := range drafts {
-		if len(dr.tasks) >= p.limits.Batch || dr.left < g.resultBytes {
+		if len(dr.tasks) >= dr.most || dr.left < g.resultBytes {
 			continue
 		}
 		if best == nil || dr.better(best, g, moves) {
@@ -316,15 +326,24 @@
 	e.calls++
 	e.reserved += dr.bytes
 	e.freeAt = now.Add(time.Duration(float64(expected) * e.pace))
-	out := Call{ID: c.id, Endpoint: e.Endpoint, Timeout: callTimeout(expected)}
+	out := Call{ID: c.id, Endpoint: e.Endpoint, Timeout: callTimeout(expected, e.pace)}
 	for _, ref := range dr.tasks {
 		out.Tasks = append(out.Tasks, ref.task(now))
 	}
 	return out
 }
 
-// callTimeout leaves a slow endpoint time to answer, and gives a dead one up.
-func callTimeout(expected time.Duration) time.Duration { return 4*expected + time.Second }
+// callTimeout leaves an endpoint that is known to be slow time to answer, and
+// gives a dead one up soon: its tasks wait meanwhile.
+func callTimeout(expected time.Duration, pace float64) time.Duration {
+	return time.Duration(timeoutFactor*max(pace, 1)*float64(expected)) + timeoutSlack
+}
+
+const (
+	// timeoutFactor and timeoutSlack are above what a call at the known pace takes.
+	timeoutFactor = 2.5
+	timeoutSlack  = 250 * time.Millisecond
+)
 
 func (r taskRef) task(now time.Time) stage.Task {
 	j := r.group.job
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -297,3 +297,23 @@
 		t.Errorf("%d requests in a second", n)
 	}
 }
+
+// The load pattern: a third of the endpoints falls silent. What was sent there
+// is done elsewhere soon, and they are tried with little work until they answer.
+func TestSilentEndpointsHoldLittle(t *testing.T) {
+	w := newWorld(t)
+	w.service("portal", portal, 6, "a")
+	w.readers(50 * time.Millisecond)
+	w.burst(5, 6*time.Second, 20, 0)
+	w.at(time.Second, func() { w.dead["portal-0"], w.dead["portal-1"] = true, true })
+	w.run(15 * time.Second)
+	late := 0
+	for id, f := range w.ended {
+		if f.Problem != "" || w.endAt[id].Sub(w.begunAt[id]) > 1500*time.Millisecond {
+			late++
+		}
+	}
+	if late > len(w.ended)/50 {
+		t.Errorf("%d of %d requests took long or failed", late, len(w.ended))
+	}
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -329,9 +329,17 @@
 		return
 	}
 	e.failures++
+	if f == Lost {
+		// It may be slow rather than dead: the next call gets more time.
+		e.pace = min(max(e.pace, 1)*lostPace, maxPace)
+	}
 	e.retryAt = now.Add(min(failureBackoff<<min(e.failures-1, 4), maxBackoff))
 }
 
+// lostPace is how many times as slow an endpoint is taken to be after it did
+// not answer in time.
+const lostPace = 1.5
+
 // rate is an exponentially weighted number of arrivals a second.
 type rate struct {
 	value float64
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -39,6 +39,8 @@
 	dead  map[string]bool
 	ended map[string]Finished
 	endAt map[string]time.Time
+	// begunAt is when jobs were submitted.
+	begunAt map[string]time.Time
 	// inputs checks what each task was given.
 	handleOf map[string]string
 }
@@ -68,7 +70,7 @@
 	return &world{
 		t: t, d: New(Options{}), now: epoch, busy: map[string]int{}, results: map[string]map[string]bool{},
 		limits: map[string]catalog.StageLimits{}, slow: map[string]float64{}, dead: map[string]bool{},
-		ended: map[string]Finished{}, endAt: map[string]time.Time{}, handleOf: map[string]string{},
+		ended: map[string]Finished{}, endAt: map[string]time.Time{}, begunAt: map[string]time.Time{}, handleOf: map[string]string{},
 	}
 }
 
@@ -212,6 +214,9 @@
 func (w *world) burst(seed uint64, length time.Duration, manuals, checks float64) (submitted, refused int) {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	arrive := func(perSecond float64, job func(id string, now time.Time) Job, name string) {
+		if perSecond == 0 {
+			return
+		}
 		at := time.Duration(0)
 		for i := 0; ; i++ {
 			at += time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second))
@@ -221,6 +226,7 @@
 			id := fmt.Sprintf("%s%d", name, i)
 			w.at(at, func() {
 				submitted++
+				w.begunAt[id] = w.now
 				if !w.d.Submit(w.now, job(id, w.now)).Admitted {
 					refused++
 				}
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -85,13 +85,14 @@
 }
 
 // maxDispatchers bounds the entries that are asked to dispatch one job.
-const maxDispatchers = 3
+const maxDispatchers = 4
 
 // Submit implements gateway.Stages.
 func (s *stages) Submit(ctx context.Context, j dispatch.Job, subject string) (peers.Outcome, gateway.Ticket, error) {
 	excluded := make(map[string]bool)
+	lost := make(map[string]int)
 	for range maxDispatchers {
-		link := s.mesh.Dispatcher(excluded)
+		link := s.mesh.Dispatcher(ctx, excluded)
 		if link == nil {
 			return s.submitLocal(ctx, j, subject)
 		}
@@ -103,13 +104,19 @@
 			go link.Cancel(j.ID)
 			return o, nil, err
 		}
-		excluded[link.Peer.Name] = true
+		// The same entry keeps the job for a moment if only the link was lost.
+		if lost[link.Peer.Name]++; lost[link.Peer.Name] > 1 {
+			excluded[link.Peer.Name] = true
+		}
 	}
 	return s.submitLocal(ctx, j, subject)
 }
 
 func (s *stages) submitLocal(ctx context.Context, j dispatch.Job, subject string) (peers.Outcome, gateway.Ticket, error) {
 	o := s.local.Submit(ctx, peers.NewJob(time.Now(), j, subject))
+	if ctx.Err() != nil {
+		s.local.Cancel(j.ID)
+	}
 	return o, localTicket{jobs: s.local, id: j.ID}, ctx.Err()
 }
 
--- a/peers/elect_test.go
+++ b/peers/elect_test.go
@@ -25,6 +25,8 @@
 		{"not one that just started", []Contender{contender("new", 0.8, time.Second), contender("old", 0.3, time.Minute)}, "old"},
 		{"not one that leaves", []Contender{leaving, contender("weak", 0.1, time.Minute)}, "weak"},
 		{"a new one before one that leaves", []Contender{leaving, contender("new", 0.1, 0)}, "new"},
+		{"not one that started anew", []Contender{contender("e1", 0.3, 20*time.Second), contender("e2", 0.3, time.Minute)}, "e2"},
+		{"nor the other way round", []Contender{contender("e1", 0.3, time.Minute), contender("e2", 0.3, 20*time.Second)}, "e1"},
 		{"one that leaves before none", []Contender{leaving}, "strong"},
 	}
 	for _, c := range cases {
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"net"
 	"slices"
@@ -49,6 +50,9 @@
 	silenceTimeout = 1200 * time.Millisecond
 )
 
+// errConnectionClosed is for links whose connection ended, other than by silence.
+var errConnectionClosed = errs.Class("peers: link")
+
 // Jobs does the work of jobs at the dispatching entry.
 type Jobs interface {
 	// Submit answers when the job ended.
@@ -95,6 +99,11 @@
 	storeAt time.Time
 	// poke asks for a ping at once.
 	poke chan struct{}
+	// relinking is set while a link whose connection was closed is dialled anew:
+	// a reset is no sign that the peer is gone.
+	relinking bool
+	// dispatches is set while the peer is the one that dispatches.
+	dispatches bool
 }
 
 // New returns a mesh without links.
@@ -301,6 +310,9 @@
 	for ctx.Err() == nil {
 		if m.session(ctx, l) {
 			delay, last = redialMin, time.Now()
+			if m.isRelinking(l) {
+				continue
+			}
 		}
 		if time.Since(last) > forgetAfter {
 			m.mu.Lock()
@@ -319,20 +331,40 @@
 	}
 }
 
+func (m *Mesh) isRelinking(l *peerLink) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return l.relinking
+}
+
+// relinked notes that dialling a peer anew has succeeded or failed.
+func (m *Mesh) relinked(l *peerLink) {
+	m.mu.Lock()
+	was := l.relinking
+	l.relinking = false
+	m.mu.Unlock()
+	if was {
+		m.o.Changed()
+	}
+}
+
 // session runs one link from its dial to its loss, and reports whether it was up.
 func (m *Mesh) session(ctx context.Context, l *peerLink) bool {
 	dialer := upstream.Dialer(dialTimeout, silenceTimeout)
 	raw, err := dialer.DialContext(ctx, "tcp", l.address)
 	if err != nil {
+		m.relinked(l)
 		return false
 	}
 	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(raw), refuseCalls{})
 	defer func() { _ = conn.Close() }()
 	var h Hello
 	if err := call(ctx, conn, pingTimeout, methodHello, m.hello(), &h); err != nil {
+		m.relinked(l)
 		return false
 	}
 	m.mu.Lock()
+	l.relinking = false
 	l.conn, l.identity, l.heardAt, l.leaving = conn, h.Identity, time.Now(), false
 	l.uptime = time.Duration(h.UptimeMS) * time.Millisecond
 	m.mu.Unlock()
@@ -342,6 +374,7 @@
 	err = m.watch(ctx, l, conn)
 	m.mu.Lock()
 	l.conn = nil
+	l.relinking = errConnectionClosed.Has(err)
 	m.mu.Unlock()
 	if ctx.Err() == nil {
 		m.o.Logger.Warn("peer lost", "peer", h.Identity.Name, "address", l.address, "error", err)
@@ -353,20 +386,23 @@
 // watch pings the peer until it does not answer.
 func (m *Mesh) watch(ctx context.Context, l *peerLink, conn *jsonrpc2.Conn) error {
 	for {
-		t := time.NewTimer(m.interval())
+		t := time.NewTimer(m.interval(l))
 		select {
 		case <-ctx.Done():
 			t.Stop()
 			return ctx.Err()
 		case <-conn.DisconnectNotify():
 			t.Stop()
-			return Error.New("connection closed")
+			return errConnectionClosed.New("connection closed")
 		case <-l.poke:
 			t.Stop()
 		case <-t.C:
 		}
 		var p Ping
 		if err := call(ctx, conn, pingTimeout, methodPing, m.ping(), &p); err != nil {
+			if errors.Is(err, jsonrpc2.ErrClosed) {
+				return errConnectionClosed.Wrap(err)
+			}
 			return err
 		}
 		m.o.Suspects.Merge(p.Suspects)
@@ -413,10 +449,14 @@
 	}
 }
 
-// interval is the time between two pings of one peer.
-func (m *Mesh) interval() time.Duration {
+// interval is the time between two pings of one peer. The one that dispatches
+// is pinged as often in a large deployment as in a small one.
+func (m *Mesh) interval(l *peerLink) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if l.dispatches {
+		return pingInterval
+	}
 	return pingInterval * time.Duration(max(1, (len(m.links)+pingSpread-1)/pingSpread))
 }
 
@@ -434,16 +474,34 @@
 	return list
 }
 
-// Dispatcher returns the entry that dispatches stages: among the strongest
-// entries that have run for a while, the highest by rendezvous hashing. It is
-// nil when that is this entry.
-func (m *Mesh) Dispatcher(excluded map[string]bool) *Link {
+// Dispatcher returns a link to the entry that dispatches stages; it is nil when
+// that is this entry. While the link is dialled anew it waits.
+func (m *Mesh) Dispatcher(ctx context.Context, excluded map[string]bool) *Link {
+	for {
+		link, relinking := m.dispatcher(excluded)
+		if !relinking || ctx.Err() != nil {
+			return link
+		}
+		t := time.NewTimer(relinkPoll)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// relinkPoll is a fraction of the time in which a link is dialled.
+const relinkPoll = 3 * time.Millisecond
+
+func (m *Mesh) dispatcher(excluded map[string]bool) (link *Link, relinking bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	candidates := []Contender{{Identity: m.o.Self, Uptime: time.Since(m.o.Started), Leaving: m.leaving}}
 	byName := map[string]*peerLink{}
 	for _, l := range m.links {
-		if l.conn == nil || excluded[l.identity.Name] || l.identity.Name == m.o.Self.Name {
+		l.dispatches = false
+		if l.conn == nil && !l.relinking || excluded[l.identity.Name] || l.identity.Name == m.o.Self.Name {
 			continue
 		}
 		candidates = append(candidates, Contender{
@@ -451,11 +509,15 @@
 		})
 		byName[l.identity.Name] = l
 	}
-	name := Elect(candidates)
-	if l := byName[name]; l != nil {
-		return &Link{Peer: l.identity, conn: l.conn}
+	l := byName[Elect(candidates)]
+	if l == nil {
+		return nil, false
 	}
-	return nil
+	l.dispatches = true
+	if l.conn == nil {
+		return nil, true
+	}
+	return &Link{Peer: l.identity, conn: l.conn}, false
 }
 
 // Contender is an entry that may dispatch.
@@ -465,32 +527,62 @@
 	Leaving  bool
 }
 
-// Elect returns the name of the entry that dispatches.
+// Elect returns the name of the entry that dispatches: among the strong ones
+// that have run for a while the one that rendezvous hashing names. One that
+// started anew does not take the work back from one that has run on, as each
+// change of hands costs the results in place.
 func Elect(list []Contender) string {
-	for _, suits := range []func(Contender) bool{
-		func(c Contender) bool { return !c.Leaving && c.Uptime >= settled },
-		func(c Contender) bool { return !c.Leaving },
-		func(Contender) bool { return true },
+	for _, suits := range []func(Contender, float64) bool{
+		func(c Contender, best float64) bool {
+			return !c.Leaving && c.Uptime >= settled && c.Identity.CPU >= best*strongShare
+		},
+		func(c Contender, _ float64) bool { return !c.Leaving && c.Uptime >= settled },
+		func(c Contender, best float64) bool { return !c.Leaving && c.Identity.CPU >= best*strongShare },
+		func(Contender, float64) bool { return true },
 	} {
-		var names []string
-		best := 0.0
-		for _, c := range list {
-			if suits(c) {
-				best = max(best, c.Identity.CPU)
-			}
-		}
-		for _, c := range list {
-			if suits(c) && c.Identity.CPU >= best*strongShare {
-				names = append(names, c.Identity.Name)
-			}
-		}
-		if len(names) > 0 {
+		if names := oldest(suitable(list, suits)); len(names) > 0 {
 			return membership.Highest("stages", names, 1)[0]
 		}
 	}
 	return ""
 }
 
+// suitable are the contenders that suit, given the strongest of those that stay.
+func suitable(list []Contender, suits func(Contender, float64) bool) []Contender {
+	best := 0.0
+	for _, c := range list {
+		if !c.Leaving {
+			best = max(best, c.Identity.CPU)
+		}
+	}
+	var kept []Contender
+	for _, c := range list {
+		if suits(c, best) {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+// oldest are the names of the contenders that started with the first of them.
+func oldest(list []Contender) []string {
+	var longest time.Duration
+	for _, c := range list {
+		longest = max(longest, c.Uptime)
+	}
+	var names []string
+	for _, c := range list {
+		if c.Uptime >= longest-sameStart {
+			names = append(names, c.Identity.Name)
+		}
+	}
+	return names
+}
+
+// sameStart is the difference of uptimes up to which entries count as started
+// together.
+const sameStart = 5 * time.Second
+
 // strongShare of the strongest entry's processor makes an entry fit to dispatch.
 const strongShare = 0.8
 
