--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -46,6 +46,8 @@
 	// bodyDone tells the reader that the response's body was read or given up.
 	bodyDone chan bool
 	written  chan struct{}
+	// settled is closed when the connection is idle again or given up.
+	settled chan struct{}
 }
 
 type result struct {
@@ -80,6 +82,7 @@
 		response: make(chan result, 1),
 		bodyDone: make(chan bool, 1),
 		written:  make(chan struct{}),
+		settled:  make(chan struct{}),
 	}
 	cn.mu.Lock()
 	if cn.closed {
@@ -170,7 +173,9 @@
 			cn.close()
 			return
 		}
-		if !cn.exchange(br, x) {
+		again := cn.exchange(br, x)
+		close(x.settled)
+		if !again {
 			cn.close()
 			return
 		}
@@ -267,5 +272,20 @@
 			b.cn.close()
 		}
 		b.x.bodyDone <- whole
+		b.settle(whole)
 	})
 }
+
+// settle waits until the connection is idle again, so that the caller's next
+// request finds it.
+func (b *body) settle(whole bool) {
+	if !whole {
+		return
+	}
+	select {
+	case <-b.x.written:
+		<-b.x.settled
+	default:
+		// The endpoint answered before it has read the whole request.
+	}
+}
