Wait for the states of a start before reading requests; use endpoints once they are known

Change: a change of what is believed makes the dispatcher look at once; connections to a process that has just started wait unread until it knows the states, half a second at the most.

--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -108,6 +108,13 @@
 	c.refreshed = time.Time{}
 }
 
+// Refresh takes the endpoints from the roster with the next look at them.
+func (c *Coordinator) Refresh() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refreshed = time.Time{}
+}
+
 // refresh takes the endpoints from the roster. The caller holds mu.
 func (c *Coordinator) refresh(now time.Time) {
 	if now.Sub(c.refreshed) < refreshEvery {
--- a/coordinate/coordinate_test.go
+++ b/coordinate/coordinate_test.go
@@ -65,3 +65,21 @@
 	}
 	c.Release("job", false)
 }
+
+// An endpoint that was learnt of just after a look at the roster is used at once.
+func TestNewEndpointsAreUsedAtOnce(t *testing.T) {
+	s := fleettest.NewServer("portal-1")
+	t.Cleanup(s.Close)
+	c := newTestCoordinator(t, s)
+	c.o.Roster.SetEndpoints(time.Now(), nil, false)
+	job := peers.Job{ID: "job", Key: "k", TargetMS: 30000, DeadlineMS: 60000, Stages: []dispatch.Stage{{Service: "portal", Tasks: 1, ResultBytes: 1000}}}
+	c.Refresh()
+	if o := c.Submit(t.Context(), job); !o.Refused {
+		t.Fatalf("without endpoints: %+v", o)
+	}
+	c.o.Roster.SetEndpoints(time.Now(), []catalog.Endpoint{{ID: s.ID, Service: "portal", Address: s.Address(), DataCentre: "north", Slots: 1}}, false)
+	c.Refresh()
+	if o := c.Submit(t.Context(), job); o.Refused || len(o.Handles) != 1 {
+		t.Errorf("with one: %+v", o)
+	}
+}
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -42,6 +42,10 @@
 	idleTimeout = 75 * time.Second
 	// maxHeaderBytes bounds a request's header.
 	maxHeaderBytes = 128 << 10
+	// acceptWithin is how long connections wait for a start, well below the
+	// second after which clients leave; acceptPoll is a fraction of a start.
+	acceptWithin = 500 * time.Millisecond
+	acceptPoll   = 5 * time.Millisecond
 	// peersWait is how long a starting entry waits for the list of others.
 	peersWait = 1500 * time.Millisecond
 	// listEntriesEvery is how often the entries' objects are listed.
@@ -180,7 +184,10 @@
 		Handler: d.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
 	}
-	d.serve("front", server, front)
+	go func() {
+		d.awaitStates(ctx)
+		d.serve("front", server, front)
+	}()
 	d.serve("health", &http.Server{Handler: fleet.ReadyHandler(d.ready), ReadHeaderTimeout: headerTimeout}, health)
 	if d.settings.Peers != "" {
 		l, err := listen(ctx, d.settings.Peers)
@@ -200,6 +207,18 @@
 	return server, nil
 }
 
+// awaitStates waits until requests can be decided on, for a moment at the most.
+// Connections wait unread meanwhile: those that come to a process that has just
+// started are not refused for what it learns within milliseconds.
+func (d *daemon) awaitStates(ctx context.Context) {
+	end := time.Now().Add(acceptWithin)
+	for !(d.follower.Known() && d.table.Load() != nil) && time.Now().Before(end) {
+		if !sleep(ctx, acceptPoll) {
+			return
+		}
+	}
+}
+
 func (d *daemon) serve(name string, s *http.Server, l net.Listener) {
 	go func() {
 		if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
@@ -224,6 +243,7 @@
 // changed takes a new state of one kind of objects.
 func (d *daemon) changed(kind string, objects map[string]fleet.Object, gap bool) {
 	now := time.Now()
+	defer d.coord.Refresh()
 	if d.mesh.Leads() {
 		defer d.mesh.Push()
 	}
--- a/gatewaydaemon/daemon_test.go
+++ b/gatewaydaemon/daemon_test.go
@@ -346,7 +346,7 @@
 func TestUnconfiguredEntryDeniesNothing(t *testing.T) {
 	d := newDeployment(t, 1)
 	d.store.SetFault(fleettest.Busy)
-	d.eventually("it listens", func() bool { return d.ask(d.entries[0], "GET", "/look/x", nil).err == nil })
+	d.eventually("it answers", func() bool { return d.ask(d.entries[0], "GET", "/look/x", nil).err == nil })
 	if r := d.ask(d.entries[0], "GET", "/look/x", nil); r.status != 503 || r.header.Get("Retry-After") == "" {
 		t.Errorf("%+v", r)
 	}
