Never settle the claim of an entry that lives; a settled caller gets the outcome

Cause: the same Idempotency-Key through three entries at once: the second found the claim held, closed the first one's call before it was sent and ran its own; the first told its caller 499 cancelled, not_run, with an empty title, though the booking of the key ran. The new test TestSameKeyThroughThreeEntries failed on most of its 200 keys, TestSameKeyThroughPausedEntries too. Ruled out: settling at once and only mending the answer: the two would take the call from each other in turn. Change: a claim of another is left alone for 0.3 s; whose call was closed asks for the claim again and gets the replay or 409 in progress; status 499 has a title. Measured: 200 keys through three entries and 20 through entries paused in turn: each booked once, none told not_run.

--- a/contract/contract.go
+++ b/contract/contract.go
@@ -4,6 +4,7 @@
 package contract
 
 import (
+	"cmp"
 	"encoding/hex"
 	"fmt"
 	"hash"
@@ -133,6 +134,9 @@
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
 }
 
+// clientClosedRequest is the usual title of status 499, which has no standard one.
+const clientClosedRequest = "Client Closed Request"
+
 // NewProblem returns a problem with the status that belongs to the code.
 func NewProblem(code Code, run RunState, format string, args ...any) *Problem {
 	status, ok := statusOf[code]
@@ -141,7 +145,7 @@
 	}
 	return &Problem{
 		Type:   "urn:azurelead:problem:" + string(code),
-		Title:  http.StatusText(status),
+		Title:  cmp.Or(http.StatusText(status), clientClosedRequest),
 		Status: status,
 		Detail: fmt.Sprintf(format, args...),
 		Code:   code,
--- a/entry/once.go
+++ b/entry/once.go
@@ -19,8 +19,14 @@
 	// finishBound bounds how long a caller waits for the record of its outcome.
 	finishBound = 500 * time.Millisecond
 	// claimTries bounds how often a request claims again after it has proved
-	// that an earlier holder's call never ran.
-	claimTries = 2
+	// that an earlier holder's call never ran, or another has proved that of its
+	// own.
+	claimTries = 4
+	// holderPatience is how long a claim of another request is left alone before
+	// its agents are asked: a holder that lives hands its call over within a
+	// fraction of it. holderPolls is how often the claim is looked at meanwhile.
+	holderPatience = 300 * time.Millisecond
+	holderPolls    = 6
 )
 
 // executeOnce runs a stage that may not be repeated: it is claimed before it is
@@ -32,13 +38,19 @@
 	}
 	for range claimTries {
 		peers, req := s.claimRequest()
-		d, err := s.acquire(req)
+		d, err := s.acquirePatiently(&req)
 		if err != nil {
 			return refused(contract.CodeClaimUnavailable, "the call could not be claimed")
 		}
 		switch d.State {
 		case claim.Granted:
-			return s.runClaimed(req, peers)
+			res, settled := s.runClaimed(req, peers)
+			if !settled {
+				return res
+			}
+			// Another request has proved that this call never ran, and has or had
+			// the claim since: its outcome is this request's.
+			continue
 		case claim.Finished:
 			return s.replay(d.Outcome)
 		case claim.KeyReused:
@@ -52,6 +64,34 @@
 	return unknownOutcome(contract.CodeInProgress, "the key is being used by another request")
 }
 
+// acquirePatiently asks for the claim, and asks again for a while as long as the
+// same request of another holds it: settling the call of an entry that lives and
+// is about to send it would take the call from it. Each try has an attempt id
+// of its own, as one that was answered is not granted later.
+func (s *stageRun) acquirePatiently(req *claim.Request) (claim.Decision, error) {
+	d, err := s.acquire(*req)
+	holder := d.Attempt
+	for range holderPolls {
+		if err != nil || d.State != claim.Held || d.Attempt != holder || s.f.ctx.Err() != nil {
+			return d, err
+		}
+		s.pause(holderPatience / holderPolls)
+		req.Attempt = contract.NewAttemptID()
+		d, err = s.acquire(*req)
+	}
+	return d, err
+}
+
+// pause waits unless the run ends before.
+func (s *stageRun) pause(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-s.f.ctx.Done():
+	case <-t.C:
+	}
+}
+
 // acquire asks for the claim within the stage's budget.
 func (s *stageRun) acquire(req claim.Request) (claim.Decision, error) {
 	ctx, cancel := context.WithTimeout(s.f.ctx, s.budget)
@@ -90,11 +130,13 @@
 	return peers, req
 }
 
-// runClaimed hands the claimed call to its candidates in turn.
-func (s *stageRun) runClaimed(req claim.Request, peers []*peer) link.RunResult {
+// runClaimed hands the claimed call to its candidates in turn. It reports
+// settled when an agent closed the call before it came, as another request had
+// asked: nothing ran, and the claim is another's.
+func (s *stageRun) runClaimed(req claim.Request, peers []*peer) (res link.RunResult, settled bool) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.f.ctx), s.f.left()+onceGrace)
 	defer cancel()
-	res := refused(contract.CodeNoEndpoint, "pool "+s.stage.Pool+" has no endpoint for new work")
+	res = refused(contract.CodeNoEndpoint, "pool "+s.stage.Pool+" has no endpoint for new work")
 	handed := s.handOver()
 	for i, p := range peers {
 		if !handed || s.f.ctx.Err() != nil {
@@ -104,7 +146,10 @@
 		s.note(func(r *StageReport) { r.Attempts++; r.Endpoint = p.instance.Name })
 		res = s.settle(s.try(ctx, p, kindOf(i), req.Attempt, newTokenBuffer()))
 		if res.Code == "" || res.Run != contract.NotRun {
-			return s.finish(ctx, req, res)
+			return s.finish(ctx, req, res), false
+		}
+		if res.Code == contract.CodeCancelled && s.f.ctx.Err() == nil {
+			return res, true
 		}
 		if !retryable(res.Code) {
 			break
@@ -112,7 +157,7 @@
 	}
 	s.note(func(r *StageReport) { r.Run = contract.NotRun })
 	s.e.background(func(ctx context.Context) { s.release(ctx, req) })
-	return res
+	return res, false
 }
 
 // release gives up the claim of a call that never ran. Where that fails, the
