--- /dev/null
+++ b/dispatch/admission.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import "time"
+
+// Submit admits a job, or refuses it before any of its work is done.
+func (d *Dispatcher) Submit(now time.Time, j Job) Admission {
+	if old := d.jobs[j.ID]; old != nil {
+		// The same request came again after its entry lost the link.
+		d.end(now, old)
+	}
+	n := newJob(j)
+	if missing := d.missingService(n); missing != "" {
+		return Admission{Reason: "no endpoint of " + missing, RetryAfter: noEndpointRetry}
+	}
+	n.dataCentre = d.bestPlace(now, n)
+	n.tail = d.engineForecast(now, n)
+	forecast := d.forecast(now, n)
+	a := Admission{Forecast: forecast, Tail: n.tail}
+	end := now.Add(forecast + n.tail)
+	latest := j.Deadline.Add(-admissionMargin)
+	if j.Returning {
+		latest = j.Deadline.Add(-admissionMargin / 2)
+	}
+	if end.After(latest) {
+		a.Reason = "the stages are expected to end after the deadline"
+		a.RetryAfter = max(end.Sub(latest), minRetry)
+		return a
+	}
+	a.Admitted = true
+	d.jobs[j.ID] = n
+	for _, g := range n.groups {
+		if g != nil {
+			d.pools[g.service].admit(now, g)
+		}
+	}
+	if n.done() {
+		d.completeJob(now, n)
+	}
+	return a
+}
+
+const (
+	// noEndpointRetry is about the time in which a crashed endpoint is back.
+	noEndpointRetry = time.Second
+	// minRetry keeps a refused client from coming back before anything changed.
+	minRetry = 200 * time.Millisecond
+)
+
+func (d *Dispatcher) missingService(j *job) string {
+	for _, g := range j.groups {
+		if g == nil {
+			continue
+		}
+		if p := d.pools[g.service]; p == nil || len(p.usable("")) == 0 {
+			return g.service
+		}
+	}
+	return ""
+}
+
+// forecast is the time until the last stage's results under what waits now and
+// what is expected to come before the job meanwhile.
+func (d *Dispatcher) forecast(now time.Time, j *job) time.Duration {
+	f := d.forecastAs(now, j, false)
+	if now.Add(f + j.tail).After(j.Target.Add(lateGrace)) {
+		return max(f, d.forecastAs(now, j, true))
+	}
+	return f
+}
+
+func (d *Dispatcher) forecastAs(now time.Time, j *job, late bool) time.Duration {
+	ends := make([]time.Duration, len(j.groups))
+	var longest time.Duration
+	for i, g := range j.groups {
+		if g == nil {
+			continue
+		}
+		var start time.Duration
+		for _, before := range g.after {
+			start = max(start, ends[before])
+		}
+		p := d.pools[g.service]
+		// Work that waits now is done while the stages before this one run.
+		start = max(start, p.wait(now, j.Rank, late))
+		ends[i] = start + p.callTime(len(g.tasks))
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,12 +49,9 @@
 	peersWait = 1500 * time.Millisecond
 	// listEntriesEvery is how often the entries' objects are listed.
 	listEntriesEvery = 6 * time.Second
-	// gcPercent keeps the heap small: the platform charges for peak memory.
-	gcPercent = 100
 	// storeTimeout bounds a write to the store.
 	storeTimeout = time.Second
-	// retryBurst and retryOverdraft are the defaults' sum, in retries, of a
-	// budget at a deployment of few entries.
+	// maxBurst and maxOverdraft bound an entry's share of the slack, in retries.
 	maxBurst     = 10
 	maxOverdraft = 2
 	// slackShare of the operators' slack for retries is shared out by the entries.
@@ -100,7 +96,6 @@
 
 // Run serves until ctx ends, and then stops without cutting requests.
 func Run(ctx context.Context, c Config, logger *slog.Logger, reg *prometheus.Registry) error {
-	debug.SetGCPercent(gcPercent)
 	settings, err := fleet.ReadSettings(c.SettingsPath)
 	if err != nil {
 		return err
--- /dev/null
+++ b/peers/elect.go
@@ -0,0 +1,163 @@
+package peers
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/azurelead/azurelead/membership"
+)
+
+// Dispatcher returns a link to the entry that dispatches stages; it is nil when
+// that is this entry. While the link is dialled anew it waits.
+func (m *Mesh) Dispatcher(ctx context.Context, excluded map[string]bool) *Link {
+	for {
+		link, relinking := m.dispatcher(excluded)
+		if !relinking || ctx.Err() != nil {
+			return link
+		}
+		t := time.NewTimer(relinkPoll)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// relinkPoll is a fraction of the time in which a link is dialled.
+const relinkPoll = 3 * time.Millisecond
+
+func (m *Mesh) dispatcher(excluded map[string]bool) (link *Link, relinking bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	candidates := []Contender{{Identity: m.o.Self, Uptime: time.Since(m.o.Started), Leaving: m.leaving}}
+	byName := map[string]*peerLink{}
+	for _, l := range m.links {
+		l.dispatches = false
+		if l.conn == nil && !l.relinking || excluded[l.identity.Name] || l.identity.Name == m.o.Self.Name {
+			continue
+		}
+		candidates = append(candidates, Contender{
+			Identity: l.identity, Uptime: l.uptime + time.Since(l.heardAt), Leaving: l.leaving,
+		})
+		byName[l.identity.Name] = l
+	}
+	l := byName[Elect(candidates)]
+	if l == nil {
+		return nil, false
+	}
+	l.dispatches = true
+	if l.conn == nil {
+		return nil, true
+	}
+	return &Link{Peer: l.identity, conn: l.conn}, false
+}
+
+// Contender is an entry that may dispatch.
+type Contender struct {
+	Identity Identity
+	Uptime   time.Duration
+	Leaving  bool
+}
+
+// Elect returns the name of the entry that dispatches: among the strong ones
+// that have run for a while the one that rendezvous hashing names. One that
+// started anew does not take the work back from one that has run on, as each
+// change of hands costs the results in place.
+func Elect(list []Contender) string {
+	for _, suits := range []func(Contender, float64) bool{
+		func(c Contender, best float64) bool {
+			return !c.Leaving && c.Uptime >= settled && c.Identity.CPU >= best*strongShare
+		},
+		func(c Contender, _ float64) bool { return !c.Leaving && c.Uptime >= settled },
+		func(c Contender, best float64) bool { return !c.Leaving && c.Identity.CPU >= best*strongShare },
+		func(Contender, float64) bool { return true },
+	} {
+		if names := oldest(suitable(list, suits)); len(names) > 0 {
+			return membership.Highest("stages", names, 1)[0]
+		}
+	}
+	return ""
+}
+
+// suitable are the contenders that suit, given the strongest of those that stay.
+func suitable(list []Contender, suits func(Contender, float64) bool) []Contender {
+	best := 0.0
+	for _, c := range list {
+		if !c.Leaving {
+			best = max(best, c.Identity.CPU)
+		}
+	}
+	var kept []Contender
+	for _, c := range list {
+		if suits(c, best) {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+// oldest are the names of the contenders that started with the first of them.
+func oldest(list []Contender) []string {
+	var longest time.Duration
+	for _, c := range list {
+		longest = max(longest, c.Uptime)
+	}
+	var names []string
+	for _, c := range list {
+		if c.Uptime >= longest-sameStart {
+			names = append(names, c.Identity.Name)
+		}
+	}
+	return names
+}
+
+// sameStart is the difference of uptimes up to which entries count as started
+// together.
+const sameStart = 5 * time.Second
+
+// strongShare of the strongest entry's processor makes an entry fit to dispatch.
+const strongShare = 0.8
+
+// Leads reports whether this entry has to ask the store: it is one of the few
+// that do so for all, or none of them hears the store.
+func (m *Mesh) Leads() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	dataCentres := map[string][]string{m.o.Self.DataCentre: {m.o.Self.Name}}
+	fresh := false
+	for _, l := range m.links {
+		if l.conn == nil || l.identity.Name == m.o.Self.Name {
+			continue
+		}
+		dataCentres[l.identity.DataCentre] = append(dataCentres[l.identity.DataCentre], l.identity.Name)
+		fresh = fresh || time.Since(l.storeAt) < storeFresh
+	}
+	return !fresh || slices.Contains(Leaders(dataCentres), m.o.Self.Name)
+}
+
+// Leaders picks the entries that ask the store, in different data centres as far
+// as there are some.
+func Leaders(dataCentres map[string][]string) []string {
+	names := make([]string, 0, len(dataCentres))
+	for dc := range dataCentres {
+		names = append(names, dc)
+	}
+	slices.Sort(names)
+	var chosen []string
+	for round := 0; len(chosen) < leaders; round++ {
+		before := len(chosen)
+		for _, dc := range membership.Highest("store", names, len(names)) {
+			entries := dataCentres[dc]
+			if round < len(entries) && len(chosen) < leaders {
+				slices.Sort(entries)
+				chosen = append(chosen, membership.Highest("store", entries, round+1)[round])
+			}
+		}
+		if len(chosen) == before {
+			break
+		}
+	}
+	return chosen
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -6,6 +6,8 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,11 +51,14 @@
 	for i, c := range candidates {
 		list[i] = scored{Candidate: c, demoted: c.Load >= bound || c.Failing >= sickShare, weight: xxhash.Sum64String(key + "/" + c.ID)}
 	}
-	sortBy(list, func(a, b scored) bool {
+	slices.SortFunc(list, func(a, b scored) int {
 		if a.demoted != b.demoted {
-			return b.demoted
+			if b.demoted {
+				return -1
+			}
+			return 1
 		}
-		return a.weight > b.weight
+		return cmp.Compare(b.weight, a.weight)
 	})
 	out := make([]roster.Candidate, len(list))
 	for i, s := range list {
@@ -73,11 +78,8 @@
 	for i, c := range candidates {
 		list[i] = scored{Candidate: c, cost: cost(dataCentre, c), tie: xxhash.Sum64String(seed + "/" + c.ID)}
 	}
-	sortBy(list, func(a, b scored) bool {
-		if a.cost != b.cost {
-			return a.cost < b.cost
-		}
-		return a.tie > b.tie
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.tie, a.tie))
 	})
 	out := make([]roster.Candidate, len(list))
 	for i, s := range list {
