Write small requests before waiting for their answers

The goroutine that writes a request had not yet said so when its answer was read to the end, so the connection was not waited for. Ruled out: waiting for that goroutine always: an endpoint may answer before it has read a long body and go on reading later. Change: requests of up to 2 KB are written by their caller; only larger ones beside the reading.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -17,6 +17,8 @@
 	readBuffer = 4 << 10
 	// maxForeignBody bounds a foreign response that is read past, in bytes.
 	maxForeignBody = 256 << 10
+	// inlineBody is the size of bodies that a socket takes without waiting, in bytes.
+	inlineBody = 2 << 10
 	// idleMargin is left of the endpoint's idle timeout, so that a request does
 	// not cross the endpoint's close.
 	idleMargin = time.Second
@@ -98,11 +100,17 @@
 
 	stop := context.AfterFunc(ctx, cn.close)
 	wrote := make(chan writeResult, 1)
-	go func() {
+	send := func() {
 		n, err := cn.write(r)
 		close(x.written)
 		wrote <- writeResult{n: n, err: err}
-	}()
+	}
+	if len(r.Body) <= inlineBody {
+		send()
+	} else {
+		// The endpoint may answer before it has read so much.
+		go send()
+	}
 	var res result
 	select {
 	case res = <-x.response:
