Drop a count that the burst's test never checked

Cause: the test counted requests on time by the rule for those served, and checked only the latter; its comment claimed more. Change: the count and the unused limits are gone, the comment says what is checked. The check of requests served and its bound are as before.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -22,27 +22,19 @@
 
 // The load pattern: two kinds of requests come in bursts of 2.2 times their
 // usual rate. One call for each request would need more endpoint time than
-// there is; filled batches serve nearly all on time.
+// there is; filled batches serve nearly all.
 func TestBurstIsBatchedAcrossRequests(t *testing.T) {
 	w := kingston(t)
 	w.readers(150 * time.Millisecond)
 	w.burst(7, 7*time.Second, 18.8, 14.1)
 	w.run(15 * time.Second)
 
-	served, onTime := 0, 0
+	served := 0
 	alone := time.Duration(0) // endpoint time of the portal with one call a group
-	for id, f := range w.ended {
-		if f.Problem == "" {
-			served++
-		}
-		limit := time.Second
-		if id[0] == 'c' {
-			limit = 2200 * time.Millisecond
-		}
-		_ = limit
+	for _, f := range w.ended {
 		alone += portal.CallTime + 2*portal.TaskTime
 		if f.Problem == "" {
-			onTime++
+			served++
 		}
 	}
 	if total := len(w.ended); served < total*98/100 {
