Wait for all endpoints in the test of a request that crashes them

The configuration and the list of endpoints reach an entry on watches of their own. The test waited for the route alone; in the failing runs the entry knew 3 of the 8 endpoints (printed from its roster), and four of them were crashed by the request under test, so that the refusal was true. Ruled out: cold endpoints (none was), the verdict on the harmless request, endpoints that were believed lost. Change: the test waits until each entry knows the route and all 8 endpoints. Conclusion: the test's wait was incomplete; the product answered truthfully.

--- a/gatewaydaemon/daemon_test.go
+++ b/gatewaydaemon/daemon_test.go
@@ -503,9 +503,13 @@
 		[]map[string]any{fleettest.Route("look", "/look/", "idempotent", "victims", nil)},
 		[]map[string]any{fleettest.Service("victims"), fleettest.StageService("portal")}, nil))
 	d.waitReady()
-	d.eventually("the route is known", func() bool {
-		return d.ask(d.entries[0], "GET", "/look/x", nil).status == 200 && d.ask(d.entries[1], "GET", "/look/x", nil).status == 200
-	})
+	for _, e := range d.entries {
+		// The configuration and the list come on watches of their own: an entry
+		// that knows the route may know only some of the endpoints.
+		d.eventually("the route and the endpoints are known", func() bool {
+			return d.ask(e, "GET", "/look/x", nil).status == 200 && len(e.daemon.roster.Endpoints(time.Now(), "victims")) == 8
+		})
+	}
 	for _, e := range d.entries {
 		d.eventually("it is refused", func() bool {
 			d.ask(e, "GET", "/look/harmless", nil)
