Follow a stream while its links bring something, and let the watch find silent ones

After a silence the waiting tokens come at once, so the test's next cut and silence follow within milliseconds, and the attempt's new link falls silent before it answers. Its silence is found after 500 ms and a probe; each of the remaining recoveries asked the same silent link for at most 500 ms, and then the call was given up. It fits the log of the failure: one link was found silent ('answered', 1.1 s), the second silence had not been found when the streams ended. Also, links that were cut after each bringing a part counted together. Change: the question to the agent lasts until it is answered or its link ends; recoveries are counted from the last one that brought tokens.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -14,7 +14,8 @@
 	"github.com/azurelead/azurelead/suspect"
 )
 
-// maxRecoveries bounds how often one attempt is followed to a new link.
+// maxRecoveries bounds how often in a row one attempt is followed to a new link
+// that brings none of its answer.
 const maxRecoveries = 4
 
 // attempt is one call of one agent, over as many links as it takes.
@@ -88,14 +89,18 @@
 // run hands the attempt over and follows it when its link is lost.
 func (a *attempt) run(ctx context.Context, l Link) link.RunResult {
 	res, err := l.Run(ctx, a.params, a.take)
-	for range maxRecoveries {
+	for barren := 0; barren < maxRecoveries; barren++ {
 		if !link.Lost.Has(err) || ctx.Err() != nil {
 			break
 		}
 		var final bool
+		had := a.tokens.count()
 		if res, final, err = a.recover(ctx); final {
 			break
 		}
+		if a.tokens.count() > had {
+			barren = -1
+		}
 	}
 	return a.conclude(ctx, res, err)
 }
@@ -133,14 +138,14 @@
 // recover asks for the attempt over a new link. It is final when asking again
 // does not help; err is then set if the attempt's fate stays unknown.
 func (a *attempt) recover(ctx context.Context) (res link.RunResult, final bool, err error) {
-	wctx, cancel := context.WithTimeout(ctx, a.s.e.o.RecoverBound)
-	defer cancel()
-	l := a.p.await(wctx)
+	l := a.awaitLink(ctx)
 	if l == nil {
 		a.s.e.m.recovered.WithLabelValues("no-link").Inc()
 		return res, true, link.Lost.New("no new link to the agent")
 	}
-	st, err := l.Settle(wctx, link.SettleParams{
+	// A link that has fallen silent meanwhile is the watch's to find, which fails
+	// the question: asking that link again would bring no more.
+	st, err := l.Settle(ctx, link.SettleParams{
 		Attempt: a.params.Attempt, AgentBoot: a.params.AgentBoot, AgeMS: time.Since(a.made).Milliseconds() + 1,
 	})
 	if err != nil {
@@ -161,6 +166,13 @@
 	return res, true, link.Lost.New("the agent does not know the attempt")
 }
 
+// awaitLink returns the next link to the attempt's agent, or nil if none comes in time.
+func (a *attempt) awaitLink(ctx context.Context) Link {
+	ctx, cancel := context.WithTimeout(ctx, a.s.e.o.RecoverBound)
+	defer cancel()
+	return a.p.await(ctx)
+}
+
 // unsettled is the error of a settlement that failed. It drops the class of
 // err: that the question was not sent says nothing of the attempt, which was.
 func unsettled(err error) error { return link.Lost.New("%v", err) }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -76,6 +76,26 @@
 	}
 }
 
+// A stream is followed to the next link as long as each link that it was
+// followed to brought some of it, and while the link that it was followed to is
+// not known to be silent: after a series of cuts, links fall silent before
+// they could be asked.
+func TestStreamFollowsManyLinks(t *testing.T) {
+	for _, c := range []cut{cutDeafens, cutOften} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, nil)
+				w.cut("generate", c)
+				rec := w.post(t.Context(), ask{pipeline: "ask", body: `{"question":"no hot water in the flat above the shop","stream":true}`})
+				checkStream(t, rec, "no hot water in the flat above the shop")
+				if n := w.runs("generate"); n != 1 {
+					t.Errorf("the endpoints ran %d calls", n)
+				}
+			})
+		})
+	}
+}
+
 func checkStream(t *testing.T, rec *httptest.ResponseRecorder, want string) {
 	t.Helper()
 	body := rec.Body.String()
