Link large deployments through hubs, and tell changes instead of all names

From the code: every state that entries tell each other named all 3,000 endpoints; every two of 301 entries were linked, each hello naming all; every ping summed all objects anew; each change of one endpoint decoded all entries; each request walked all endpoints of all services. Also found by the new test: links that were heard of over another link ended for good with that one (their contexts hung on it). Change: entries tell the changes and deletions since the asker's revision with a sum over the whole; the names are asked for only if the sum does not fit, everything only after that. Above 32 entries all link to 24 hubs, the strong ones of each data centre by rendezvous hashing over the store's list; hubs elect the dispatcher and ask the store. Sums are kept, entries decoded when they changed, the roster is indexed by service, ranks for cold endpoints are worked out once a set of entries. A link given up takes no other with it.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -13,8 +13,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/azurelead/azurelead/platform/fleet"
 )
 
@@ -36,28 +34,6 @@
 	maxBackoff = time.Second
 )
 
-// State is what is believed of one kind of objects: all names, and the objects
-// that changed after a revision.
-type State struct {
-	Kind     string         `json:"kind"`
-	Revision int64          `json:"revision"`
-	Names    []string       `json:"names"`
-	Objects  []fleet.Object `json:"objects"`
-}
-
-// Position is how far a kind is known.
-type Position struct {
-	Kind     string `json:"kind"`
-	Revision int64  `json:"revision"`
-}
-
-// Digest tells a state from another of its kind.
-type Digest struct {
-	Kind     string `json:"kind"`
-	Revision int64  `json:"revision"`
-	Sum      uint64 `json:"sum"`
-}
-
 // Store is the part of the platform's store that a follower needs.
 type Store interface {
 	List(ctx context.Context, kind string, stale bool) (fleet.Changes, error)
@@ -91,8 +67,25 @@
 	known    bool
 	revision int64
 	objects  map[string]fleet.Object
-	heard    time.Time
-	told     bool
+	// sum is that of the objects.
+	sum   uint64
+	heard time.Time
+	told  bool
+	// gone are the latest deletions, oldest first.
+	gone []Deletion
+}
+
+// set replaces the objects at a revision and notes which names vanished.
+func (k *kind) set(revision int64, objects map[string]fleet.Object) {
+	for name := range k.objects {
+		if _, found := objects[name]; !found {
+			k.gone = append(k.gone, Deletion{Name: name, Revision: revision})
+		}
+	}
+	if n := len(k.gone) - maxGone; n > 0 {
+		k.gone = slices.Delete(k.gone, 0, n)
+	}
+	k.known, k.revision, k.objects, k.sum = true, revision, objects, sum(objects)
 }
 
 // New returns a follower that knows nothing.
@@ -215,12 +208,12 @@
 		return false
 	}
 	gap := f.hear(k, fromStore)
-	before := sum(k.objects)
-	k.known, k.revision = true, revision
-	k.objects = make(map[string]fleet.Object, len(objects))
+	before := k.sum
+	byName := make(map[string]fleet.Object, len(objects))
 	for _, o := range objects {
-		k.objects[o.Name] = o
+		byName[o.Name] = o
 	}
+	k.set(revision, byName)
 	f.publish(name, k, before, gap)
 	return true
 }
@@ -232,20 +225,29 @@
 	f.mu.Lock()
 	k := f.kinds[name]
 	gap := f.hear(k, true)
-	before := sum(k.objects)
-	k.objects = maps.Clone(k.objects)
-	for _, o := range changes.Objects {
-		known, found := k.objects[o.Name]
+	before := k.sum
+	if len(changes.Objects) > 0 {
+		k.set(max(k.revision, changes.Revision), applied(k.objects, changes.Objects))
+	}
+	k.revision = max(k.revision, changes.Revision)
+	f.publish(name, k, before, gap)
+}
+
+// applied are the objects after changes, of which older ones are passed over.
+func applied(objects map[string]fleet.Object, changes []fleet.Object) map[string]fleet.Object {
+	after := make(map[string]fleet.Object, len(objects)+len(changes))
+	maps.Copy(after, objects)
+	for _, o := range changes {
+		known, found := after[o.Name]
 		switch {
 		case found && known.Revision > o.Revision:
 		case o.Deleted:
-			delete(k.objects, o.Name)
+			delete(after, o.Name)
 		default:
-			k.objects[o.Name] = o
+			after[o.Name] = o
 		}
 	}
-	k.revision = max(k.revision, changes.Revision)
-	f.publish(name, k, before, gap)
+	return after
 }
 
 // outage is how long the store is not heard before entries may have expired
@@ -265,7 +267,7 @@
 // publish tells of a changed state. It unlocks f.mu.
 func (f *Follower) publish(name string, k *kind, before uint64, gap bool) {
 	objects, first := k.objects, k.revision
-	changed := !k.told || sum(objects) != before
+	changed := !k.told || k.sum != before
 	k.told = true
 	f.mu.Unlock()
 	if changed {
@@ -274,105 +276,6 @@
 	}
 }
 
-// Digests describe the states for other entries.
-func (f *Follower) Digests() []Digest {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var list []Digest
-	for _, name := range f.o.Kinds {
-		if k := f.kinds[name]; k.known {
-			list = append(list, Digest{Kind: name, Revision: k.revision, Sum: sum(k.objects)})
-		}
-	}
-	return list
-}
-
-// Behind returns the kinds whose state another entry's digests say is newer,
-// with how far they are known.
-func (f *Follower) Behind(digests []Digest) []Position {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var list []Position
-	for _, d := range digests {
-		k := f.kinds[d.Kind]
-		if k != nil && (!k.known || d.Revision > k.revision && d.Sum != sum(k.objects)) {
-			list = append(list, Position{Kind: d.Kind, Revision: k.revision})
-		}
-	}
-	return list
-}
-
-// States returns what changed in some kinds since they were known.
-func (f *Follower) States(since []Position) []State {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var list []State
-	for _, p := range since {
-		k := f.kinds[p.Kind]
-		if k == nil || !k.known {
-			continue
-		}
-		s := State{Kind: p.Kind, Revision: k.revision, Names: slices.Sorted(maps.Keys(k.objects))}
-		for _, name := range s.Names {
-			if o := k.objects[name]; o.Revision > p.Revision {
-				s.Objects = append(s.Objects, o)
-			}
-		}
-		list = append(list, s)
-	}
-	return list
-}
-
-// Learn takes states from another entry. It returns the kinds that were newer,
-// and those of which this process lacks objects and has to ask for all.
-func (f *Follower) Learn(states []State) (newer []string, lacking []Position) {
-	for _, s := range states {
-		objects, whole, follows := f.merge(s)
-		switch {
-		case !follows:
-		case !whole:
-			lacking = append(lacking, Position{Kind: s.Kind})
-		case f.replace(s.Kind, s.Revision, objects, false):
-			newer = append(newer, s.Kind)
-		}
-	}
-	return newer, lacking
-}
-
-// merge completes a state with the objects that are known and have not changed.
-func (f *Follower) merge(s State) (objects []fleet.Object, whole, follows bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	k := f.kinds[s.Kind]
-	if k == nil {
-		return nil, false, false
-	}
-	changed := make(map[string]fleet.Object, len(s.Objects))
-	for _, o := range s.Objects {
-		changed[o.Name] = o
-	}
-	for _, name := range s.Names {
-		o, found := changed[name]
-		if !found {
-			o, found = k.objects[name]
-		}
-		if !found {
-			return nil, false, true
-		}
-		objects = append(objects, o)
-	}
-	return objects, true, true
-}
-
-// sum is a hash of which objects there are, at which revisions.
-func sum(objects map[string]fleet.Object) uint64 {
-	total := uint64(len(objects)) + 1
-	for name, o := range objects {
-		total += xxhash.Sum64String(name) * uint64(2*o.Revision+1)
-	}
-	return total
-}
-
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"sync"
 	"testing"
@@ -122,17 +123,14 @@
 			case 0:
 				f.replace("k", revision, objects, true)
 			case 1:
-				f.Learn([]State{{Kind: "k", Revision: revision, Names: []string{"version", "old"}, Objects: objects}})
+				f.Learn([]State{{Kind: "k", Revision: revision, Whole: true, Objects: objects}})
 			default:
 				if f.Known() {
 					f.update("k", fleet.Changes{Revision: revision, Objects: objects[:1]})
 				}
 			}
 			if behind := g.Behind(f.Digests()); len(behind) > 0 {
-				_, lacking := g.Learn(f.States(behind))
-				if len(lacking) > 0 {
-					g.Learn(f.States(lacking))
-				}
+				learnAll(f, g, behind)
 			}
 		}
 		if d, e := f.Digests(), g.Digests(); len(d) > 0 && (len(e) == 0 || d[0].Sum != e[0].Sum) {
@@ -140,3 +138,66 @@
 		}
 	})
 }
+
+// learnAll has one follower learn from another, and returns what was sent.
+func learnAll(from, to *Follower, behind []Position) (sent []State) {
+	for len(behind) > 0 && len(sent) < 3 {
+		states := from.States(behind)
+		sent = append(sent, states...)
+		_, behind = to.Learn(states)
+	}
+	return sent
+}
+
+// The load: a deployment of 3,000 endpoints of which a few start, restart and
+// end at a time. Entries tell each other those few, and everything only when
+// one of them knows nothing of the other's past.
+func TestStatesCarryChangesOnly(t *testing.T) {
+	const endpoints = 3000
+	f := follower(&fakeStore{}, func(map[string]fleet.Object, bool) {})
+	g := follower(&fakeStore{}, func(map[string]fleet.Object, bool) {})
+	var list []fleet.Object
+	for i := range endpoints {
+		list = append(list, object(fmt.Sprint("e-", i), 1))
+	}
+	f.replace("k", 1, list, true)
+	if sent := learnAll(f, g, g.Behind(f.Digests())); len(sent) != 1 || len(sent[0].Objects) != endpoints {
+		t.Fatalf("the first state came in %d steps", len(sent))
+	}
+	steps := []struct {
+		name    string
+		changes []fleet.Object
+		steps   int
+	}{
+		{"one starts", []fleet.Object{object("new", 10)}, 1},
+		{"one restarts", []fleet.Object{object("e-7", 11)}, 1},
+		{"one ends", []fleet.Object{{Name: "e-8", Revision: 12, Deleted: true}}, 1},
+		{"one ends and starts anew", []fleet.Object{{Name: "e-9", Revision: 13, Deleted: true}, object("e-9", 14)}, 1},
+	}
+	for _, s := range steps {
+		f.update("k", fleet.Changes{Revision: s.changes[len(s.changes)-1].Revision, Objects: s.changes})
+		sent := learnAll(f, g, g.Behind(f.Digests()))
+		if len(sent) != s.steps || len(sent[0].Objects)+len(sent[0].Gone)+len(sent[0].Names) > 2 {
+			t.Errorf("%s: %d steps, %d objects, %d names", s.name, len(sent), len(sent[0].Objects), len(sent[0].Names))
+		}
+		if len(g.Behind(f.Digests())) > 0 || g.Digests()[0] != f.Digests()[0] {
+			t.Errorf("%s: %v and %v", s.name, f.Digests(), g.Digests())
+		}
+	}
+}
+
+// An entry that started after a deletion does not know of it: one that is behind
+// is told the names, and no object again.
+func TestMissedDeletionIsFoundByTheSum(t *testing.T) {
+	behind := follower(&fakeStore{}, func(map[string]fleet.Object, bool) {})
+	behind.replace("k", 5, []fleet.Object{object("a", 1), object("b", 2), object("c", 3)}, true)
+	started := follower(&fakeStore{}, func(map[string]fleet.Object, bool) {})
+	started.replace("k", 9, []fleet.Object{object("a", 1), object("c", 3)}, true)
+	sent := learnAll(started, behind, behind.Behind(started.Digests()))
+	if len(sent) != 2 || len(sent[1].Names) != 2 || len(sent[1].Objects) != 0 {
+		t.Errorf("sent %+v", sent)
+	}
+	if got := behind.Digests()[0]; got != started.Digests()[0] {
+		t.Errorf("%v instead of %v", got, started.Digests()[0])
+	}
+}
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -7,8 +7,10 @@
 	"context"
 	"crypto/rand"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,10 +90,10 @@
 	listOnce sync.Once
 	started  time.Time
 	stopping atomic.Bool
-	// listedEndpoints are the incarnations by id; only changed reads and writes it.
-	listedEndpoints map[string]int64
-	// entries counts the entries' objects in the store.
-	entries atomic.Int64
+	// endpoints is used by changed alone.
+	endpoints endpointEntries
+	// members are the entries as the store listed them last.
+	members atomic.Pointer[[]peers.Member]
 }
 
 // Run serves until ctx ends, and then stops without cutting requests.
@@ -278,45 +280,39 @@
 }
 
 func (d *daemon) setEndpoints(now time.Time, objects map[string]fleet.Object, gap bool) {
-	list := make([]catalog.Endpoint, 0, len(objects))
-	for _, o := range objects {
-		e, err := fleet.DecodeEndpoint(o)
-		if err != nil {
-			d.logger.Info("endpoint's entry skipped", "endpoint", o.Name, "error", err)
-			continue
-		}
-		list = append(list, e)
+	list, lost := d.endpoints.decode(objects, d.logger)
+	for _, id := range lost {
+		d.gateway.EndpointLost(id)
 	}
-	d.tellLost(list)
 	d.roster.SetEndpoints(now, list, gap)
 	d.upstream.Retain(d.roster.Known)
 }
 
-// tellLost tells the gateway of endpoints that vanished or started anew.
-func (d *daemon) tellLost(list []catalog.Endpoint) {
-	now := make(map[string]int64, len(list))
-	for _, e := range list {
-		now[e.ID] = e.Incarnation
-	}
-	for id, incarnation := range d.listedEndpoints {
-		if again, found := now[id]; !found || again != incarnation {
-			d.gateway.EndpointLost(id)
-		}
-	}
-	d.listedEndpoints = now
-}
-
 // peersChanged shares out what all entries may do together.
 func (d *daemon) peersChanged() {
-	names := []string{d.settings.Name}
-	for _, p := range d.mesh.Living() {
-		if p.Name != d.settings.Name {
-			names = append(names, p.Name)
-		}
-	}
-	n := max(len(names), int(d.entries.Load()))
+	names, n := d.entryNames()
 	d.roster.SetEntries(n, rankAmong(d.settings.Name, names))
 	share := d.live.Load().RetrySlack * slackShare / float64(max(n, 1))
 	overdraft := min(maxOverdraft, share/3)
 	d.budgets.Limit(min(maxBurst, share-overdraft), overdraft)
 }
+
+// entryNames are the entries that share work out, and how many there are at
+// most: those that are linked, or in a large deployment, in which few are, those
+// that the store lists.
+func (d *daemon) entryNames() ([]string, int) {
+	names := map[string]bool{d.settings.Name: true}
+	for _, p := range d.mesh.Living() {
+		names[p.Name] = true
+	}
+	listed := 0
+	if members := d.members.Load(); members != nil {
+		listed = len(*members)
+		for _, m := range *members {
+			if d.mesh.Partial() {
+				names[m.Name] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(names)), max(len(names), listed)
+}
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -22,7 +22,9 @@
 
 // entrySpec is an entry's object in the store.
 type entrySpec struct {
-	Address string `json:"address"`
+	Address    string  `json:"address"`
+	DataCentre string  `json:"data_centre"`
+	CPU        float64 `json:"cpu"`
 }
 
 // followEntries announces this entry once and finds the others, also those that
@@ -47,7 +49,9 @@
 func (d *daemon) announce(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	err := d.store.Put(ctx, fleet.KindEntries, d.settings.Name, entrySpec{Address: d.settings.Peers})
+	err := d.store.Put(ctx, fleet.KindEntries, d.settings.Name, entrySpec{
+		Address: d.settings.Peers, DataCentre: d.settings.DataCentre, CPU: d.settings.CPU,
+	})
 	if err != nil {
 		d.logger.Warn("entry not announced", "error", err)
 	}
@@ -62,17 +66,17 @@
 		d.logger.Warn("entries not listed", "error", err)
 		return false
 	}
-	var addresses []string
+	var members []peers.Member
 	for _, o := range changes.Objects {
 		var spec entrySpec
 		if err := json.Unmarshal(o.Spec, &spec); err != nil {
 			d.logger.Warn("entry's object not read", "entry", o.Name, "error", err)
 			continue
 		}
-		addresses = append(addresses, spec.Address)
+		members = append(members, peers.Member{Name: o.Name, Address: spec.Address, DataCentre: spec.DataCentre, CPU: spec.CPU})
 	}
-	d.entries.Store(int64(len(addresses)))
-	d.mesh.Add(ctx, addresses)
+	d.members.Store(&members)
+	d.mesh.SetMembers(ctx, members)
 	d.listOnce.Do(func() { close(d.listed) })
 	d.peersChanged()
 	return true
--- a/peers/bench_test.go
+++ b/peers/bench_test.go
@@ -20,10 +20,9 @@
 		Kinds: []string{"servers"}, Logger: slog.New(slog.DiscardHandler),
 		Changed: func(string, map[string]fleet.Object, bool) {},
 	})
-	s := follow.State{Kind: "servers", Revision: 1}
+	s := follow.State{Kind: "servers", Revision: 1, Whole: true}
 	for i := range endpoints {
-		o := fleet.Object{Name: fmt.Sprint("i-", i), Revision: 1, Spec: json.RawMessage(`{}`)}
-		s.Names, s.Objects = append(s.Names, o.Name), append(s.Objects, o)
+		s.Objects = append(s.Objects, fleet.Object{Name: fmt.Sprint("i-", i), Revision: 1, Spec: json.RawMessage(`{}`)})
 	}
 	f.Learn([]follow.State{s})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/peers/elect.go
+++ b/peers/elect.go
@@ -31,11 +31,14 @@
 func (m *Mesh) dispatcher(excluded map[string]bool) (link *Link, relinking bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	candidates := []Contender{{Identity: m.o.Self, Uptime: time.Since(m.o.Started), Leaving: m.leaving}}
+	var candidates []Contender
+	if m.isHub(m.o.Self.Address) {
+		candidates = append(candidates, Contender{Identity: m.o.Self, Uptime: time.Since(m.o.Started), Leaving: m.leaving})
+	}
 	byName := map[string]*peerLink{}
 	for _, l := range m.links {
 		l.dispatches = false
-		if l.conn == nil && !l.relinking || excluded[l.identity.Name] || l.identity.Name == m.o.Self.Name {
+		if l.conn == nil && !l.relinking || excluded[l.identity.Name] || l.identity.Name == m.o.Self.Name || !m.isHub(l.address) {
 			continue
 		}
 		candidates = append(candidates, Contender{
@@ -125,10 +128,13 @@
 func (m *Mesh) Leads() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	dataCentres := map[string][]string{m.o.Self.DataCentre: {m.o.Self.Name}}
+	dataCentres := make(map[string][]string)
+	if m.isHub(m.o.Self.Address) {
+		dataCentres[m.o.Self.DataCentre] = []string{m.o.Self.Name}
+	}
 	fresh := false
 	for _, l := range m.links {
-		if l.conn == nil || l.identity.Name == m.o.Self.Name {
+		if l.conn == nil || l.identity.Name == m.o.Self.Name || !m.isHub(l.address) {
 			continue
 		}
 		dataCentres[l.identity.DataCentre] = append(dataCentres[l.identity.DataCentre], l.identity.Name)
--- /dev/null
+++ b/peers/hubs.go
@@ -0,0 +1,72 @@
+package peers
+
+import (
+	"slices"
+
+	"github.com/azurelead/azurelead/membership"
+)
+
+const (
+	// fullMesh is the number of entries up to which all are linked with all. Above
+	// it, links and pings would grow with the square of the entries.
+	fullMesh = 32
+	// hubCount is how many entries the others link to then, shared out over the
+	// data centres: one of them is asked every 50 ms at usual intervals, and a
+	// tenth of them can be dead.
+	hubCount = 24
+	// minHubs of each data centre keep one that is cut off together.
+	minHubs = 2
+)
+
+// Member is an entry as the store lists it.
+type Member struct {
+	Name       string
+	Address    string
+	DataCentre string
+	// CPU is the share of a core that the entry has; 0 if it did not say.
+	CPU float64
+}
+
+// Hubs picks the entries that all others link to, so that every entry that has
+// the same list picks the same. It returns nil where all link to all.
+//
+// The load it answers is hundreds of entries on links of 10 Mbit/s and a
+// seventh of a core: the strong ones of each data centre answer for all.
+func Hubs(list []Member) []Member {
+	if len(list) <= fullMesh {
+		return nil
+	}
+	dataCentres := make(map[string][]Member)
+	for _, m := range list {
+		dataCentres[m.DataCentre] = append(dataCentres[m.DataCentre], m)
+	}
+	each := max(minHubs, (hubCount+len(dataCentres)-1)/len(dataCentres))
+	var hubs []Member
+	for _, members := range dataCentres {
+		hubs = append(hubs, highest(strongest(members), each)...)
+	}
+	return hubs
+}
+
+// strongest are the members that come close to the best of them.
+func strongest(list []Member) []Member {
+	best := 0.0
+	for _, m := range list {
+		best = max(best, m.CPU)
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(m Member) bool { return m.CPU < best*strongShare })
+}
+
+func highest(list []Member, n int) []Member {
+	byName := make(map[string]Member, len(list))
+	names := make([]string, 0, len(list))
+	for _, m := range list {
+		byName[m.Name] = m
+		names = append(names, m.Name)
+	}
+	var chosen []Member
+	for _, name := range membership.Highest("hubs", names, n) {
+		chosen = append(chosen, byName[name])
+	}
+	return chosen
+}
--- /dev/null
+++ b/peers/hubs_test.go
@@ -0,0 +1,236 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/azurelead/azurelead/follow"
+	"github.com/azurelead/azurelead/platform/fleet"
+	"github.com/azurelead/azurelead/suspect"
+)
+
+// memberList is a deployment in which every third entry is a strong one.
+func memberList(n int) []Member {
+	list := make([]Member, n)
+	for i := range list {
+		cpu := 0.144
+		if i%3 == 0 {
+			cpu = 0.8
+		}
+		list[i] = Member{Name: fmt.Sprint("e-", i), Address: fmt.Sprint("10.0.0.", i, ":1"), DataCentre: fmt.Sprint("dc", i%4), CPU: cpu}
+	}
+	return list
+}
+
+func names(list []Member) []string {
+	var out []string
+	for _, m := range list {
+		out = append(out, m.Name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func TestHubs(t *testing.T) {
+	if got := Hubs(memberList(fullMesh)); got != nil {
+		t.Errorf("a small deployment has hubs: %v", names(got))
+	}
+	list := memberList(300)
+	hubs := Hubs(list)
+	count := map[string]int{}
+	for _, h := range hubs {
+		count[h.DataCentre]++
+		if h.CPU < 0.8 {
+			t.Errorf("%s is a weak one", h.Name)
+		}
+	}
+	if len(hubs) != hubCount || len(count) != 4 || slices.Min([]int{count["dc0"], count["dc1"], count["dc2"], count["dc3"]}) != hubCount/4 {
+		t.Errorf("%d hubs, by data centre %v", len(hubs), count)
+	}
+	shuffled := slices.Clone(list)
+	random := rand.New(rand.NewPCG(1, 2))
+	random.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	if got := names(Hubs(shuffled)); !slices.Equal(got, names(hubs)) {
+		t.Errorf("hubs depend on the order of the list: %v", got)
+	}
+	without := slices.DeleteFunc(list, func(m Member) bool { return m.Name == hubs[0].Name })
+	changed := 0
+	for _, name := range names(Hubs(without)) {
+		if !slices.Contains(names(hubs), name) {
+			changed++
+		}
+	}
+	if changed != 1 {
+		t.Errorf("%d new hubs for one that left", changed)
+	}
+}
+
+func TestHubsInManyDataCentres(t *testing.T) {
+	list := memberList(400)
+	for i := range list {
+		list[i].DataCentre = fmt.Sprint("dc", i%18)
+		list[i].CPU = 0
+	}
+	if got := len(Hubs(list)); got != 18*minHubs {
+		t.Errorf("%d hubs", got)
+	}
+}
+
+// largeMesh runs entries that are not linked yet.
+func largeMesh(t *testing.T, n int) (meshes []*Mesh, members []Member) {
+	t.Helper()
+	for _, m := range memberList(n) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		m.Address = l.Addr().String()
+		mesh := New(Options{
+			Self:    Identity{Name: m.Name, Address: m.Address, DataCentre: m.DataCentre, CPU: m.CPU},
+			Started: time.Now().Add(-time.Minute),
+			Follower: follow.New(follow.Options{
+				Kinds: []string{"servers"}, Logger: slog.New(slog.DiscardHandler),
+				Changed: func(string, map[string]fleet.Object, bool) {},
+			}),
+			Suspects: suspect.New(suspect.Options{}), Changed: func() {}, Logger: slog.New(slog.DiscardHandler),
+		})
+		go mesh.Serve(t.Context(), l)
+		members, meshes = append(members, m), append(meshes, mesh)
+	}
+	return meshes, members
+}
+
+// In a deployment of more entries than link to all, every entry links to the
+// hubs alone, all elect the same dispatcher among them, few ask the store, and
+// what one learns reaches all.
+func TestLargeDeploymentLinksToHubs(t *testing.T) {
+	meshes, members := largeMesh(t, 60)
+	for _, m := range meshes {
+		// As at the start of a deployment: each knows a seed before the list.
+		m.Add(t.Context(), []string{members[0].Address})
+	}
+	for _, m := range meshes {
+		m.SetMembers(t.Context(), members)
+	}
+	hubs := Hubs(members)
+	isHub := func(m *Mesh) bool { return slices.Contains(names(hubs), m.o.Self.Name) }
+	await(t, "each entry is linked to the hubs", func() bool {
+		for _, m := range meshes {
+			want := len(hubs)
+			if isHub(m) {
+				want--
+			}
+			if len(m.Living()) != want {
+				return false
+			}
+		}
+		return true
+	})
+	elected := map[string]bool{}
+	for _, m := range meshes {
+		if l := m.Dispatcher(t.Context(), nil); l != nil {
+			elected[l.Peer.Name] = true
+		} else {
+			elected[m.o.Self.Name] = true
+		}
+	}
+	if len(elected) != 1 || !slices.Contains(names(hubs), slices.Collect(maps.Keys(elected))[0]) {
+		t.Errorf("dispatchers: %v of hubs %v", elected, names(hubs))
+	}
+	for _, m := range meshes {
+		if isHub(m) {
+			m.o.Follower.Learn([]follow.State{{
+				Kind: "servers", Revision: 5, Whole: true,
+				Objects: []fleet.Object{{Name: "s", Revision: 5, Spec: json.RawMessage(`{}`)}},
+			}})
+			break
+		}
+	}
+	await(t, "all know the object", func() bool {
+		return !slices.ContainsFunc(meshes, func(m *Mesh) bool { return !m.o.Follower.Known() })
+	})
+}
+
+// A link that is given up takes none with it that was heard of over it.
+func TestLinksOutliveTheOneThatToldOfThem(t *testing.T) {
+	meshes, members := largeMesh(t, 3)
+	m, seed, other := meshes[1], members[0], members[2]
+	linked := func(address string) bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.links[address] != nil && m.links[address].conn != nil
+	}
+	meshes[0].Add(t.Context(), []string{other.Address})
+	await(t, "the seed knows the other", func() bool { return len(meshes[0].Living()) == 1 })
+	m.Add(t.Context(), []string{seed.Address})
+	await(t, "all are linked", func() bool { return linked(seed.Address) && linked(other.Address) })
+	m.mu.Lock()
+	first := m.links[other.Address].conn
+	m.mu.Unlock()
+	m.setHubs([]Member{other})
+	if linked(seed.Address) {
+		t.Error("the link to an entry that is no hub is kept")
+	}
+	_ = first.Close()
+	await(t, "the other is linked anew", func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		l := m.links[other.Address]
+		return l.conn != nil && l.conn != first
+	})
+}
+
+func await(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for !is() {
+		select {
+		case <-ctx.Done():
+			t.Fatalf("never: %s", what)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// An entry that is no hub leaves the store to them while one of them hears it,
+// and has its stages done by one of them, however strong it is itself.
+func TestOthersLeaveTheWorkToHubs(t *testing.T) {
+	members := memberList(40)
+	hubs := Hubs(members)
+	var self Member
+	for _, m := range members {
+		if !slices.Contains(names(hubs), m.Name) {
+			self = m
+		}
+	}
+	m := New(Options{
+		Self:    Identity{Name: self.Name, Address: self.Address, DataCentre: self.DataCentre, CPU: 100},
+		Started: time.Now().Add(-time.Hour), Changed: func() {},
+	})
+	m.setHubs(hubs)
+	if !m.Leads() {
+		t.Error("no hub answers, and this entry does not ask the store")
+	}
+	if l, _ := m.dispatcher(nil); l != nil {
+		t.Error("a dispatcher without a link")
+	}
+	for _, h := range hubs {
+		m.links[h.Address] = &peerLink{
+			address: h.Address, relinking: true, uptime: time.Minute, heardAt: time.Now(), storeAt: time.Now(),
+			identity: Identity{Name: h.Name, CPU: h.CPU, DataCentre: h.DataCentre},
+		}
+	}
+	if _, relinking := m.dispatcher(nil); !relinking {
+		t.Error("this entry dispatches itself")
+	}
+}
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -40,6 +41,8 @@
 	settled = 3 * time.Second
 	// fetchDelay lets the own watch bring a change before a peer is asked for it.
 	fetchDelay = 150 * time.Millisecond
+	// fetchRounds: the changes, with all names, everything.
+	fetchRounds = 3
 	// leaders is how many entries ask the store for all.
 	leaders = 3
 	// storeFresh is how old the store's latest answer to any peer may be for this
@@ -73,12 +76,15 @@
 	Logger  *slog.Logger
 }
 
-// Mesh holds this entry's links to all others. It is safe for concurrent use.
+// Mesh holds this entry's links to the others: to all, or in a large deployment
+// to the hubs. It is safe for concurrent use.
 type Mesh struct {
 	o Options
 
 	mu      sync.Mutex
 	leaving bool
+	// hubs are the addresses that entries link to; nil where all link to all.
+	hubs map[string]bool
 	// links are by address.
 	links map[string]*peerLink
 }
@@ -115,18 +121,61 @@
 	m.leaving = true
 }
 
-// Add links to the entries at the addresses, if there is no link yet.
+// SetMembers takes the list of all entries, and links to those that are to be
+// linked to.
+func (m *Mesh) SetMembers(ctx context.Context, list []Member) {
+	hubs := Hubs(list)
+	linked := hubs
+	if hubs == nil {
+		linked = list
+	}
+	addresses := make([]string, 0, len(linked))
+	for _, h := range linked {
+		addresses = append(addresses, h.Address)
+	}
+	m.setHubs(hubs)
+	m.Add(ctx, addresses)
+}
+
+// setHubs drops links to entries that are no hubs, but for the one that has jobs.
+func (m *Mesh) setHubs(hubs []Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hubs = nil
+	if hubs == nil {
+		return
+	}
+	m.hubs = make(map[string]bool, len(hubs))
+	for _, h := range hubs {
+		m.hubs[h.Address] = true
+	}
+	for a, l := range m.links {
+		if !m.hubs[a] && !l.dispatches {
+			delete(m.links, a)
+			l.cancel()
+		}
+	}
+}
+
+// isHub reports whether others link to an address. The caller holds mu.
+func (m *Mesh) isHub(address string) bool { return m.hubs == nil || m.hubs[address] }
+
+// Add links to the entries at the addresses, if there is no link yet and they
+// are to be linked to.
 func (m *Mesh) Add(ctx context.Context, addresses []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, a := range addresses {
-		if a == m.o.Self.Address || m.links[a] != nil || a == "" {
+		if a == m.o.Self.Address || m.links[a] != nil || a == "" || !m.isHub(a) {
 			continue
 		}
-		ctx, cancel := context.WithCancel(ctx)
+		linkCtx, cancel := context.WithCancel(ctx)
 		l := &peerLink{address: a, cancel: cancel, poke: make(chan struct{}, 1)}
 		m.links[a] = l
-		go m.keep(ctx, l)
+		go m.keep(linkCtx, l, func(addresses []string) {
+			// These outlive the link over which they were heard of.
+			m.Add(ctx, addresses)
+		})
 	}
 }
 
@@ -208,6 +257,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	h := Hello{Identity: m.o.Self, UptimeMS: time.Since(m.o.Started).Milliseconds()}
+	if m.hubs != nil {
+		h.Peers = slices.Sorted(maps.Keys(m.hubs))
+		return h
+	}
 	for a, l := range m.links {
 		if l.conn != nil {
 			h.Peers = append(h.Peers, a)
@@ -260,22 +313,20 @@
 	}
 }
 
-// keep dials a peer again and again and watches the link.
-func (m *Mesh) keep(ctx context.Context, l *peerLink) {
+// keep dials a peer again and again and watches the link. What the peer tells of
+// others goes to heard.
+func (m *Mesh) keep(ctx context.Context, l *peerLink, heard func(addresses []string)) {
 	delay := redialMin
 	last := time.Now()
 	for ctx.Err() == nil {
-		if m.session(ctx, l) {
+		if m.session(ctx, l, heard) {
 			delay, last = redialMin, time.Now()
 			if m.isRelinking(l) {
 				continue
 			}
 		}
 		if time.Since(last) > forgetAfter {
-			m.mu.Lock()
-			delete(m.links, l.address)
-			m.mu.Unlock()
-			l.cancel()
+			m.forget(l)
 			return
 		}
 		t := time.NewTimer(delay)
@@ -288,6 +339,15 @@
 	}
 }
 
+func (m *Mesh) forget(l *peerLink) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.links[l.address] == l {
+		delete(m.links, l.address)
+	}
+	l.cancel()
+}
+
 func (m *Mesh) isRelinking(l *peerLink) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -306,7 +366,7 @@
 }
 
 // session runs one link from its dial to its loss, and reports whether it was up.
-func (m *Mesh) session(ctx context.Context, l *peerLink) bool {
+func (m *Mesh) session(ctx context.Context, l *peerLink, heard func(addresses []string)) bool {
 	dialer := upstream.Dialer(dialTimeout, silenceTimeout)
 	raw, err := dialer.DialContext(ctx, "tcp", l.address)
 	if err != nil {
@@ -326,7 +386,7 @@
 	l.uptime = time.Duration(h.UptimeMS) * time.Millisecond
 	m.mu.Unlock()
 	m.o.Logger.Info("peer linked", "peer", h.Identity.Name, "address", l.address, "uptime_ms", h.UptimeMS)
-	m.Add(ctx, h.Peers)
+	heard(h.Peers)
 	m.o.Changed()
 	err = m.watch(ctx, l, conn)
 	m.mu.Lock()
@@ -392,7 +452,7 @@
 		time.Sleep(fetchDelay)
 	}
 	behind := m.o.Follower.Behind(digests)
-	for round := 0; len(behind) > 0 && round < 2; round++ {
+	for round := 0; len(behind) > 0 && round < fetchRounds; round++ {
 		var states []follow.State
 		if err := call(ctx, conn, pingTimeout, methodStates, StatesParams{Since: behind}, &states); err != nil {
 			m.o.Logger.Warn("states of a peer not read", "peer", l.address, "error", err)
@@ -417,6 +477,13 @@
 	return pingInterval * time.Duration(max(1, (len(m.links)+pingSpread-1)/pingSpread))
 }
 
+// Partial reports whether this entry links to the hubs alone.
+func (m *Mesh) Partial() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hubs != nil
+}
+
 // Living returns the identities of the peers that answer.
 func (m *Mesh) Living() []Identity {
 	m.mu.Lock()
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -15,7 +15,7 @@
 const (
 	methodHello   = "hello"
 	methodPing    = "ping"
-	methodStates  = "states"
+	methodStates  = "changes"
 	methodSubmit  = "submit"
 	methodCancel  = "cancel"  // notification
 	methodRelease = "release" // notification
@@ -36,7 +36,8 @@
 	Identity Identity `json:"identity"`
 	// UptimeMS is how long the entry has run.
 	UptimeMS int64 `json:"uptime_ms"`
-	// Peers are the addresses of other entries that the sender has links to.
+	// Peers are the addresses of entries to link to: the hubs, or where all link
+	// to all those that the sender has links to.
 	Peers []string `json:"peers"`
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -73,19 +73,27 @@
 	trial bool
 	// coldToken is when the next request to the cold endpoint may be sent.
 	coldToken time.Time
+	// rank is this entry's for the endpoint among the entries of a time.
+	rank       int
+	rankedWith int
 }
 
 // Roster is safe for concurrent use.
 type Roster struct {
-	mu       sync.Mutex
-	members  map[string]*member
-	evacuate map[string]bool
-	services map[string]*catalog.Service
-	regions  map[string]string
-	seeded   bool
-	// coldRank is this entry's place among those that share out cold endpoints.
-	entries int
-	ranked  func(endpoint string) int
+	mu      sync.Mutex
+	members map[string]*member
+	// ofService are the members of each service by id: a deployment has thousands
+	// of endpoints, and each request looks at those of one service.
+	ofService map[string][]*member
+	evacuate  map[string]bool
+	services  map[string]*catalog.Service
+	regions   map[string]string
+	seeded    bool
+	// ranked gives this entry's place among those that share out a cold endpoint;
+	// entriesSet counts how often they changed.
+	entries    int
+	ranked     func(endpoint string) int
+	entriesSet int
 }
 
 // New returns an empty roster. The regions are those of data centres.
@@ -110,6 +118,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.entries, r.ranked = max(n, 1), ranked
+	r.entriesSet++
 }
 
 // SetEndpoints replaces the list of endpoints. After a gap, in which the store
@@ -148,6 +157,18 @@
 		}
 	}
 	r.seeded = true
+	r.index()
+}
+
+// index sorts the members by service. The caller holds mu.
+func (r *Roster) index() {
+	r.ofService = make(map[string][]*member)
+	for _, m := range r.members {
+		r.ofService[m.Service] = append(r.ofService[m.Service], m)
+	}
+	for _, list := range r.ofService {
+		slices.SortFunc(list, func(a, b *member) int { return strings.Compare(a.ID, b.ID) })
+	}
 }
 
 func (r *Roster) coldFor(service string) time.Duration {
@@ -191,12 +212,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list []catalog.Endpoint
-	for _, m := range r.members {
-		if m.Service == service && r.usable(now, m) {
+	for _, m := range r.ofService[service] {
+		if r.usable(now, m) {
 			list = append(list, m.Endpoint)
 		}
 	}
-	slices.SortFunc(list, func(a, b catalog.Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	return list
 }
 
@@ -205,8 +225,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list, down []dispatch.Engine
-	for _, m := range r.members {
-		if m.Service != service || !r.usable(now, m) {
+	for _, m := range r.ofService[service] {
+		if !r.usable(now, m) {
 			continue
 		}
 		e := dispatch.Engine{Endpoint: m.Endpoint, Cold: r.cold(now, m)}
@@ -247,8 +267,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list, failed []Candidate
-	for _, m := range r.members {
-		if m.Service != service || !r.usable(now, m) {
+	for _, m := range r.ofService[service] {
+		if !r.usable(now, m) {
 			continue
 		}
 		if len(regions) > 0 && !slices.Contains(regions, r.regions[m.DataCentre]) {
@@ -272,7 +292,6 @@
 		// Where all have failed, each may be the first that is back.
 		list = failed
 	}
-	slices.SortFunc(list, func(a, b Candidate) int { return strings.Compare(a.ID, b.ID) })
 	return list
 }
 
@@ -283,7 +302,15 @@
 
 // bears reports whether this entry may send one request to a cold endpoint now.
 func (r *Roster) bears(now time.Time, m *member) bool {
-	return r.ranked(m.ID) < coldEntries && !now.Before(m.coldToken)
+	return r.rank(m) < coldEntries && !now.Before(m.coldToken)
+}
+
+// rank is worked out once for each set of entries: it takes a hash for each of them.
+func (r *Roster) rank(m *member) int {
+	if m.rankedWith != r.entriesSet {
+		m.rank, m.rankedWith = r.ranked(m.ID), r.entriesSet
+	}
+	return m.rank
 }
 
 // coldSpacing is the time between two requests of this entry to a cold endpoint.
