Count by route and organisation, and show queues, room and the age of beliefs

Cause: on-call engineers could not see from the metrics which route or organisation was refused, how full the stage services were or how old an entry's knowledge was; the request's log line had a field 'dispatcher' that nobody filled. Change: counters by route, service and outcome and by organisation and outcome, label values bounded at 100; the retry budget's verdicts; gauges of waiting tasks, calls, endpoints and room of each stage service from the dispatcher's books, read when they are asked for; gauges of the store's age, the configuration's version, links, listed entries and endpoints. The dispatcher's name is in the request's line. gatewaydaemon's tests are split by what they show. Ruled out: one counter by route and organisation (45 routes by 12 organisations by 8 outcomes on the grown site).

--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -10,8 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"github.com/azurelead/azurelead/catalog"
 	"github.com/azurelead/azurelead/dispatch"
 	"github.com/azurelead/azurelead/peers"
@@ -337,28 +335,3 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	return resp, body, err
 }
-
-// Metrics counts what the dispatcher did.
-type Metrics struct {
-	Jobs         *prometheus.CounterVec
-	Calls        prometheus.Counter
-	CallFailures prometheus.Counter
-	Tasks        prometheus.Counter
-}
-
-// NewMetrics returns metrics that are registered unless r is nil.
-func NewMetrics(r prometheus.Registerer) *Metrics {
-	opts := func(name, help string) prometheus.CounterOpts {
-		return prometheus.CounterOpts{Namespace: "azurelead", Subsystem: "stages", Name: name, Help: help}
-	}
-	m := &Metrics{
-		Jobs:         prometheus.NewCounterVec(opts("jobs_total", "Requests whose stages were dispatched, by outcome."), []string{"outcome"}),
-		Calls:        prometheus.NewCounter(opts("calls_total", "Calls of endpoints of stage services.")),
-		CallFailures: prometheus.NewCounter(opts("call_failures_total", "Calls of endpoints of stage services that brought no results.")),
-		Tasks:        prometheus.NewCounter(opts("tasks_total", "Tasks in calls of endpoints of stage services.")),
-	}
-	if r != nil {
-		r.MustRegister(m.Jobs, m.Calls, m.CallFailures, m.Tasks)
-	}
-	return m
-}
--- /dev/null
+++ b/dispatch/occupancy.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Occupancy is how busy one stage service is.
+type Occupancy struct {
+	Service string
+	// Endpoints may get calls; Resting are those of them that failed lately.
+	Endpoints, Resting int
+	// Waiting counts tasks that no call has, Running the calls in progress.
+	Waiting, Running int
+	// Room is the memory that is left for results, in bytes, of RoomTotal.
+	Room, RoomTotal int64
+}
+
+// Occupancies describes the stage services by name.
+func (d *Dispatcher) Occupancies(now time.Time) []Occupancy {
+	var list []Occupancy
+	for name, p := range d.pools {
+		list = append(list, p.occupancy(now, name))
+	}
+	slices.SortFunc(list, func(a, b Occupancy) int { return strings.Compare(a.Service, b.Service) })
+	return list
+}
+
+func (p *pool) occupancy(now time.Time, name string) Occupancy {
+	o := Occupancy{Service: name}
+	for _, n := range p.backlog {
+		o.Waiting += n
+	}
+	for _, e := range p.endpoints {
+		o.Running += e.calls
+		if !e.usable {
+			continue
+		}
+		o.Endpoints++
+		if now.Before(e.retryAt) {
+			o.Resting++
+		}
+		o.Room += max(e.room(now, p), 0)
+		o.RoomTotal += p.limits.ResultRoom
+	}
+	return o
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -85,7 +85,7 @@
 		case a != nil:
 			s.breakOff(a.reason)
 		}
-		if s.trace.arrived() && !budget.Spend() {
+		if s.trace.arrived() && !s.trace.pays(budget.Spend()) {
 			s.giveUp(ctx, "retry budget spent")
 			return
 		}
@@ -104,6 +104,7 @@
 	began := time.Now()
 	o, ticket, err := s.g.o.Stages.Submit(ctx, job, s.subject())
 	s.trace.stageWait += time.Since(began)
+	s.trace.dispatcher = o.Dispatcher
 	s.trace.forecast = time.Duration(o.ForecastMS) * time.Millisecond
 	s.trace.tail = time.Duration(o.TailMS) * time.Millisecond
 	switch {
--- a/gateway/trace.go
+++ b/gateway/trace.go
@@ -3,8 +3,6 @@
 import (
 	"strings"
 	"time"
-
-	"github.com/prometheus/client_golang/prometheus"
 )
 
 // trace is what is logged of a request.
@@ -19,7 +17,11 @@
 	stageWait  time.Duration
 	forecast   time.Duration
 	tail       time.Duration
+	// dispatcher is the entry that had the stages done.
 	dispatcher string
+	// paid counts the retries that the budget paid for; denied is set when it did not.
+	paid       int
+	denied     bool
 	firstEvent time.Duration
 	events     int
 	resumed    int
@@ -36,6 +38,15 @@
 // arrived reports whether an endpoint has seen the request.
 func (t *trace) arrived() bool { return t.seen }
 
+// pays notes whether the retry budget paid for a retry, which it returns.
+func (t *trace) pays(paid bool) bool {
+	if paid {
+		t.paid++
+	}
+	t.denied = t.denied || !paid
+	return paid
+}
+
 var fateNames = map[fate]string{answered: "answered", notSent: "not sent", rejected: "rejected", lost: "lost"}
 
 func (a *attempt) describe() string {
@@ -65,7 +76,7 @@
 	if q.table != nil {
 		version = q.table.Version
 	}
-	q.g.o.Metrics.observe(q.service, outcome, t, took)
+	q.g.o.Metrics.observe(ended{route: routeName, organisation: q.organisation(), service: q.service, outcome: outcome, trace: t, took: took})
 	q.g.o.Logger.Info("request", "request", q.head.Attempt, "route", routeName, "organisation", q.organisation(),
 		"service", q.service, "shared", q.sharedName(), "configuration", version, "outcome", outcome, "status", t.status, "own", t.own,
 		"reason", t.reason, "took_ms", took.Milliseconds(), "left_ms", q.left().Milliseconds(),
@@ -73,56 +84,3 @@
 		"forecast_ms", t.forecast.Milliseconds(), "tail_ms", t.tail.Milliseconds(), "prompt", q.head.PromptTokens, "first_event_ms", t.firstEvent.Milliseconds(), "events", t.events,
 		"resumed", t.resumed, "retry_after_ms", t.retryAfter.Milliseconds())
 }
-
-// Metrics counts requests and measures their times.
-type Metrics struct {
-	Requests   *prometheus.CounterVec
-	Duration   *prometheus.HistogramVec
-	FirstEvent *prometheus.HistogramVec
-	Stages     *prometheus.HistogramVec
-	Retries    *prometheus.CounterVec
-	InFlight   prometheus.Gauge
-}
-
-// timeBuckets span from an answer of a service to the longest deadline, in seconds.
-var timeBuckets = []float64{.01, .03, .1, .3, 1, 3, 10}
-
-// NewMetrics returns metrics that are registered unless r is nil.
-func NewMetrics(r prometheus.Registerer) *Metrics {
-	histogram := func(name, help string) *prometheus.HistogramVec {
-		return prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: "azurelead", Subsystem: "gateway", Name: name, Help: help, Buckets: timeBuckets,
-		}, []string{"service"})
-	}
-	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
-		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "azurelead", Subsystem: "gateway", Name: name, Help: help}, labels)
-	}
-	m := &Metrics{
-		Requests:   counter("requests_total", "Requests of clients, by service and outcome.", "service", "outcome"),
-		Duration:   histogram("duration_seconds", "Time to the end of the answer."),
-		FirstEvent: histogram("first_event_seconds", "Time to the first event of a stream."),
-		Stages:     histogram("stages_seconds", "Time that the stages took."),
-		Retries:    counter("retries_total", "Requests that were sent to another endpoint.", "service"),
-		InFlight: prometheus.NewGauge(prometheus.GaugeOpts{
-			Namespace: "azurelead", Subsystem: "gateway", Name: "in_flight", Help: "Requests that are not answered yet.",
-		}),
-	}
-	if r != nil {
-		r.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.Stages, m.Retries, m.InFlight)
-	}
-	return m
-}
-
-func (m *Metrics) observe(service, outcome string, t *trace, took time.Duration) {
-	m.Requests.WithLabelValues(service, outcome).Inc()
-	m.Duration.WithLabelValues(service).Observe(took.Seconds())
-	if t.firstEvent > 0 {
-		m.FirstEvent.WithLabelValues(service).Observe(t.firstEvent.Seconds())
-	}
-	if t.stageWait > 0 {
-		m.Stages.WithLabelValues(service).Observe(t.stageWait.Seconds())
-	}
-	if n := len(t.sends); n > 1 {
-		m.Retries.WithLabelValues(service).Add(float64(n - 1))
-	}
-}
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -132,11 +132,13 @@
 	})
 	d.gateway = gateway.New(gateway.Options{
 		DataCentre: settings.DataCentre, Table: d.table.Load, Roster: d.roster, Upstream: d.upstream,
-		Stages: &stages{mesh: d.mesh, local: d.coord}, Budgets: d.budgets,
+		Stages: &stages{self: settings.Name, mesh: d.mesh, local: d.coord}, Budgets: d.budgets,
 		RetryPercent: func() int { return int(100 * d.live.Load().RetryRatio * ratioShare) },
 		Suspects:     suspects, Logger: logger, Metrics: gateway.NewMetrics(reg),
 	})
 	d.peersChanged()
+	d.registerBeliefs(reg)
+	reg.MustRegister(d.coord)
 	return d
 }
 
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -84,6 +84,7 @@
 
 // stages has jobs done by the entry that dispatches.
 type stages struct {
+	self  string
 	mesh  *peers.Mesh
 	local *coordinate.Coordinator
 }
@@ -101,6 +102,7 @@
 			return s.submitLocal(ctx, j, subject)
 		}
 		o, err := link.Submit(ctx, peers.NewJob(time.Now(), j, subject))
+		o.Dispatcher = link.Peer.Name
 		if err == nil {
 			return o, linkTicket{link: link, id: j.ID, handles: o.Handles, local: s.local}, nil
 		}
@@ -118,6 +120,7 @@
 
 func (s *stages) submitLocal(ctx context.Context, j dispatch.Job, subject string) (peers.Outcome, gateway.Ticket, error) {
 	o := s.local.Submit(ctx, peers.NewJob(time.Now(), j, subject))
+	o.Dispatcher = s.self
 	if ctx.Err() != nil {
 		s.local.Cancel(j.ID)
 	}
--- /dev/null
+++ b/gatewaydaemon/loss_test.go
@@ -0,0 +1,86 @@
+package gatewaydaemon
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/azurelead/azurelead/platform/fleet"
+	"github.com/azurelead/azurelead/platform/fleettest"
+)
+
+// A request's stages are done although the entry that dispatches them dies.
+func TestStagesOutliveTheirDispatcher(t *testing.T) {
+	d := newDeployment(t, 3)
+	_, _, _, _, portal := d.standard(nil)
+	d.waitReady()
+	d.eventually("the entries are linked", func() bool {
+		for _, e := range d.entries {
+			if len(e.daemon.mesh.Living()) < 2 {
+				return false
+			}
+		}
+		return true
+	})
+	portal.Behave(func(n int, _ *http.Request) fleettest.Behaviour {
+		if n%3 == 0 {
+			return fleettest.ResetAfterRun
+		}
+		return fleettest.Serve
+	})
+	for i := range 12 {
+		r := d.ask(d.entries[i%3], "POST", "/stream/staged/x", http.Header{"Azurelead-Chunks": {"1,2"}, "Azurelead-Chunk-Key": {"k"}})
+		if r.status != 200 {
+			t.Errorf("%+v", r)
+		}
+	}
+}
+
+// A request that crashes each endpoint that runs it is refused after a few,
+// also through another entry, and others go on.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	d := newDeployment(t, 2)
+	d.standard(nil)
+	var crashed atomic.Int64
+	for i := range 8 {
+		s := fleettest.NewServer(fmt.Sprintf("victim-%d", i))
+		t.Cleanup(s.Close)
+		s.Behave(func(_ int, r *http.Request) fleettest.Behaviour {
+			if strings.HasPrefix(r.URL.Path, "/look/poison") {
+				crashed.Add(1)
+				go s.Close()
+				return fleettest.Hang
+			}
+			return fleettest.Serve
+		})
+		d.store.Put(fleet.KindEndpoints, s.ID, s.Entry("victims", "north"))
+	}
+	d.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(9,
+		[]map[string]any{fleettest.Route("look", "/look/", "idempotent", "victims", nil)},
+		[]map[string]any{fleettest.Service("victims"), fleettest.StageService("portal")}, nil))
+	d.waitReady()
+	for _, e := range d.entries {
+		// The configuration and the list come on watches of their own: an entry
+		// that knows the route may know only some of the endpoints.
+		d.eventually("the route and the endpoints are known", func() bool {
+			return d.ask(e, "GET", "/look/x", nil).status == 200 && len(e.daemon.roster.Endpoints(time.Now(), "victims")) == 8
+		})
+	}
+	for _, e := range d.entries {
+		d.eventually("it is refused", func() bool {
+			d.ask(e, "GET", "/look/harmless", nil)
+			return d.ask(e, "GET", "/look/poison", nil).status == 503
+		})
+	}
+	if n := crashed.Load(); n > 5 {
+		t.Errorf("%d endpoints crashed", n)
+	}
+	for _, e := range d.entries {
+		if r := d.ask(e, "GET", "/look/x", nil); r.status != 200 {
+			t.Errorf("another request: %+v", r)
+		}
+	}
+}
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -484,6 +484,19 @@
 	return m.hubs != nil
 }
 
+// StoreHeard returns when the store last answered this entry or a linked one.
+func (m *Mesh) StoreHeard() time.Time {
+	latest := m.o.Follower.Heard()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		if l.storeAt.After(latest) {
+			latest = l.storeAt
+		}
+	}
+	return latest
+}
+
 // Living returns the identities of the peers that answer.
 func (m *Mesh) Living() []Identity {
 	m.mu.Lock()
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -108,6 +108,9 @@
 	ForecastMS int64 `json:"forecast_ms,omitempty"`
 	// TailMS is the expected time from the results to the first event.
 	TailMS int64 `json:"tail_ms,omitempty"`
+	// Dispatcher is the name of the entry that had the job; the one that asked
+	// fills it in.
+	Dispatcher string `json:"-"`
 }
 
 // JobID names a job in notifications.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -242,6 +242,18 @@
 	return list
 }
 
+// Count returns how many endpoints there are, and how many may get work.
+func (r *Roster) Count(now time.Time) (listed, usable int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.members {
+		if r.usable(now, m) {
+			usable++
+		}
+	}
+	return len(r.members), usable
+}
+
 // Known reports whether an endpoint is listed or was a moment ago.
 func (r *Roster) Known(id string) bool {
 	r.mu.Lock()
--- /dev/null
+++ b/telemetry/labels_test.go
@@ -0,0 +1,20 @@
+package telemetry
+
+import (
+	"fmt"
+	"testing"
+)
+
+func TestLabelsAreBounded(t *testing.T) {
+	var l Labels
+	distinct := map[string]bool{}
+	for i := range 3 * maxLabelValues {
+		distinct[l.Of(fmt.Sprint(i))] = true
+	}
+	if len(distinct) != maxLabelValues+1 || !distinct[OtherLabel] {
+		t.Errorf("%d values", len(distinct))
+	}
+	if got := l.Of("0"); got != "0" {
+		t.Errorf("a value that was seen is %q now", got)
+	}
+}
