Share an endpoint's connections among the entries that keep idle ones

Cause: an endpoint takes maxConnections from all callers together and resets the rest; each entry kept up to 16 idle ones to each, which at 20 entries is more than the 180 of dispatch-api. The declared bound was decoded and never used. Change: an entry keeps at most half of maxConnections divided by the entries, 1 to 16, idle to one endpoint. Ruled out: a bound on connections in use, which would hold requests back that an endpoint may take.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -84,7 +84,8 @@
 
 // Service is a set of interchangeable endpoints.
 type Service struct {
-	Name           string
+	Name string
+	// MaxConnections is what an endpoint takes from all callers; 0 is no bound.
 	MaxConnections int
 	// ColdFor is how long an endpoint stays cold after its start.
 	ColdFor time.Duration
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -30,6 +30,11 @@
 	coldEntries = 6
 	// coldShare of the declared rate is used.
 	coldShare = 0.9
+	// idleShare of the connections that an endpoint takes may be idle ones of all
+	// entries: the rest is for requests, and an endpoint resets those beyond.
+	idleShare = 0.5
+	// maxIdle keeps a burst's connections for the next one.
+	maxIdle = 16
 )
 
 // Outcome is how a request to an endpoint ended, as far as it tells of the
@@ -242,6 +247,22 @@
 	return list
 }
 
+// IdleConnections is how many idle connections this entry may keep to an
+// endpoint: its share of those that the endpoint takes from all.
+func (r *Roster) IdleConnections(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[id]
+	if m == nil {
+		return 0
+	}
+	s := r.services[m.Service]
+	if s == nil || s.MaxConnections <= 0 {
+		return maxIdle
+	}
+	return min(max(int(idleShare*float64(s.MaxConnections))/r.entries, 1), maxIdle)
+}
+
 // Count returns how many endpoints there are, and how many may get work.
 func (r *Roster) Count(now time.Time) (listed, usable int) {
 	r.mu.Lock()
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -168,3 +168,30 @@
 		t.Error("a restarted endpoint is not cold")
 	}
 }
+
+// The load pattern: many entries each keep a burst's connections to an endpoint
+// that takes few from all of them together.
+func TestIdleConnectionsAreShared(t *testing.T) {
+	cases := []struct {
+		name    string
+		takes   int
+		entries int
+		id      string
+		want    int
+	}{
+		{"few entries", 100, 4, "e0", 12},
+		{"many entries", 100, 20, "e0", 2},
+		{"more than it takes", 100, 300, "e0", 1},
+		{"plenty", 10_000, 4, "e0", maxIdle},
+		{"no bound declared", 0, 300, "e0", maxIdle},
+		{"not listed", 100, 4, "gone", 0},
+	}
+	for _, c := range cases {
+		r := newRoster(list(1, "a"))
+		r.SetServices(map[string]*catalog.Service{"llm": {Name: "llm", MaxConnections: c.takes}})
+		r.SetEntries(c.entries, func(string) int { return 0 })
+		if got := r.IdleConnections(c.id); got != c.want {
+			t.Errorf("%s: %d, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -52,8 +52,9 @@
 	SilenceTimeout time.Duration
 	// IdleTimeout closes connections that were not used for so long.
 	IdleTimeout time.Duration
-	// MaxIdle bounds the idle connections to one endpoint.
-	MaxIdle int
+	// MaxIdle bounds the idle connections to one endpoint. It is called with the
+	// client's lock held.
+	MaxIdle func(id string) int
 	Metrics *Metrics
 }
 
@@ -93,8 +94,8 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = DefaultIdleTimeout
 	}
-	if o.MaxIdle == 0 {
-		o.MaxIdle = DefaultMaxIdle
+	if o.MaxIdle == nil {
+		o.MaxIdle = func(string) int { return DefaultMaxIdle }
 	}
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics(nil)
@@ -186,7 +187,7 @@
 func (c *Client) putIdle(cn *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[cn.id]) >= c.o.MaxIdle {
+	if len(c.idle[cn.id]) >= c.o.MaxIdle(cn.id) {
 		cn.close()
 		return
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -46,6 +46,34 @@
 	}
 }
 
+// The load: a burst of requests at once, after which no more connections stay
+// than the endpoint's share for this client.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	c := New(Options{MaxIdle: func(id string) int { return len(id) }})
+	defer c.Close()
+	s := newServer(t, fleettest.Serve)
+	s.ID = "s2"
+	var burst []*http.Response
+	for range 6 {
+		resp, err := c.Do(t.Context(), Target{ID: s.ID, Address: s.Address()}, Request{Method: "GET", URI: "/x", Host: "h"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		burst = append(burst, resp)
+	}
+	for _, resp := range burst {
+		if _, err := io.ReadAll(resp.Body); err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n := len(c.idle[s.ID]); n != 2 {
+		t.Errorf("%d idle connections, 2 are allowed", n)
+	}
+}
+
 // An endpoint that nothing reaches has not seen the request; one that broke off
 // may have.
 func TestWhatTheEndpointCanHaveSeen(t *testing.T) {
