Read a state from two peers at most at a time

Every peer tells of a change with its next ping, and each link's watch read the state for itself. The new test: an entry that starts with 24 peers and 2,000 endpoints was sent 2.99 MB for a state of 155 KB, 19 copies. Also, before the first whole list of entries a starting entry linked to all that others told it of. Change: at most two states are read at a time; entries that only others tell of are linked to up to 64. After: at most three copies in the test, with the race detector too. Conclusion: the copies were the traffic that grew with peers times endpoints.

--- a/peers/hubs_test.go
+++ b/peers/hubs_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -160,6 +161,65 @@
 	})
 }
 
+// counted counts the bytes that the other side of each connection reads.
+type counted struct {
+	net.Listener
+	sent *atomic.Int64
+}
+
+type countedConn struct {
+	net.Conn
+	sent *atomic.Int64
+}
+
+func (l counted) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countedConn{c, l.sent}, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	c.sent.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+// The load pattern: an entry starts in a deployment of thousands of endpoints,
+// and all peers tell it at once that they know more. It reads the state from a
+// few of them, not from each.
+func TestStateIsNotReadFromEveryPeer(t *testing.T) {
+	const peers, endpoints = 24, 2000
+	state := follow.State{Kind: "servers", Revision: 9, Whole: true}
+	for i := range endpoints {
+		state.Objects = append(state.Objects, fleet.Object{Name: fmt.Sprint("e-", i), Revision: 9, Spec: json.RawMessage(`{"filler":"0123456789"}`)})
+	}
+	size, err := json.Marshal(state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var sent atomic.Int64
+	meshes, members := largeMesh(t, peers+1)
+	for i, m := range meshes[1:] {
+		m.o.Follower.Learn([]follow.State{state})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		members[i+1].Address = l.Addr().String()
+		go m.Serve(t.Context(), counted{l, &sent})
+	}
+	starts := meshes[0]
+	starts.SetMembers(t.Context(), members)
+	await(t, "the state is known", func() bool { return starts.o.Follower.Known() })
+	await(t, "all are linked and no state is being read", func() bool {
+		starts.mu.Lock()
+		defer starts.mu.Unlock()
+		return starts.fetches == 0
+	})
+	if most := int64((maxFetches + 1) * len(size)); sent.Load() > most {
+		t.Errorf("%d bytes were sent for a state of %d", sent.Load(), len(size))
+	}
+}
+
 // A link that is given up takes none with it that was heard of over it.
 func TestLinksOutliveTheOneThatToldOfThem(t *testing.T) {
 	meshes, members := largeMesh(t, 3)
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"maps"
+	"math"
 	"net"
 	"slices"
 	"strings"
@@ -41,6 +42,12 @@
 	settled = 3 * time.Second
 	// fetchDelay lets the own watch bring a change before a peer is asked for it.
 	fetchDelay = 150 * time.Millisecond
+	// maxFetches bounds the states that are read at a time: all peers tell of a
+	// change at once, and one may hang.
+	maxFetches = 2
+	// maxHeardOf bounds the links to entries that only other entries tell of: in a
+	// large deployment the store's list says which are the hubs.
+	maxHeardOf = 2 * fullMesh
 	// fetchRounds: the changes, with all names, everything.
 	fetchRounds = 3
 	// leaders is how many entries ask the store for all.
@@ -85,6 +92,8 @@
 	leaving bool
 	// hubs are the addresses that entries link to; nil where all link to all.
 	hubs map[string]bool
+	// fetches counts the states that are being read.
+	fetches int
 	// links are by address.
 	links map[string]*peerLink
 }
@@ -134,7 +143,7 @@
 		addresses = append(addresses, h.Address)
 	}
 	m.setHubs(hubs)
-	m.Add(ctx, addresses)
+	m.add(ctx, addresses, math.MaxInt)
 }
 
 // setHubs drops links to entries that are no hubs, but for the one that has jobs.
@@ -162,11 +171,14 @@
 
 // Add links to the entries at the addresses, if there is no link yet and they
 // are to be linked to.
-func (m *Mesh) Add(ctx context.Context, addresses []string) {
+func (m *Mesh) Add(ctx context.Context, addresses []string) { m.add(ctx, addresses, maxHeardOf) }
+
+// add links to entries while there are fewer links than limit.
+func (m *Mesh) add(ctx context.Context, addresses []string, limit int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, a := range addresses {
-		if a == m.o.Self.Address || m.links[a] != nil || a == "" || !m.isHub(a) {
+		if a == m.o.Self.Address || m.links[a] != nil || a == "" || !m.isHub(a) || len(m.links) >= limit {
 			continue
 		}
 		linkCtx, cancel := context.WithCancel(ctx)
@@ -440,14 +452,31 @@
 	}
 }
 
+// startFetch returns the connection over which a peer may be asked for its
+// states; nil when there is none, or when others are being asked already.
+func (m *Mesh) startFetch(l *peerLink) *jsonrpc2.Conn {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l.conn == nil || m.fetches >= maxFetches {
+		return nil
+	}
+	m.fetches++
+	return l.conn
+}
+
+func (m *Mesh) endFetch() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fetches--
+}
+
 // fetch takes newer states from a peer, unless the own watch brings them first.
 func (m *Mesh) fetch(ctx context.Context, l *peerLink, digests []follow.Digest) {
-	m.mu.Lock()
-	conn := l.conn
-	m.mu.Unlock()
+	conn := m.startFetch(l)
 	if conn == nil {
 		return
 	}
+	defer m.endFetch()
 	if m.o.Follower.Known() && m.Leads() {
 		time.Sleep(fetchDelay)
 	}
