--- a/soak/soak.go
+++ b/soak/soak.go
@@ -113,7 +113,9 @@
 	for _, e := range r.entries {
 		e.signal(syscall.SIGCONT)
 		e.signal(syscall.SIGKILL)
-		<-e.ended()
+		if done := e.ended(); done != nil {
+			<-done
+		}
 	}
 	for _, p := range r.proxies {
 		p.close()
@@ -205,6 +207,9 @@
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "GOMAXPROCS=1"}
 	cmd.Stdout, cmd.Stderr = io.Discard, io.Discard
 	if r.o.LogDir != "" {
+		if err := os.MkdirAll(r.o.LogDir, 0o700); err != nil {
+			return Error.Wrap(err)
+		}
 		f, err := os.OpenFile(filepath.Join(r.o.LogDir, fmt.Sprintf("%d-%s.log", r.o.Seed, e.name)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
 			return Error.Wrap(err)
@@ -233,6 +238,7 @@
 	}
 }
 
+// ended is closed when the entry's process has ended; nil if none was started.
 func (e *entry) ended() <-chan struct{} {
 	e.mu.Lock()
 	defer e.mu.Unlock()
