Read long lists page by page, and let hubs tell those that start

Cause: a list of 3,000 endpoints is more than a megabyte in seven pages or more. Each list as a whole had one second, which a link of 10 Mbit/s with requests on it does not do, and a refused page began the list anew; the store bounds the reads of all entries together, so several hundred entries that start at once wait for each other (serving 11 s after all were killed at 300 machines). In a large deployment a starting entry that is no hub waits three seconds for the hubs' states before it asks the store; in others for the list of entries, 300 ms at most.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -22,13 +22,16 @@
 	watchWait = 1400 * time.Millisecond
 	// answerSlack is how much longer than its wait a watch may take.
 	answerSlack = 400 * time.Millisecond
-	// listTimeout bounds one list.
-	listTimeout = time.Second
+	// listTimeout bounds one list, which may have many pages with their own bounds.
+	listTimeout = 10 * time.Second
 	// gather lets changes that come in quick succession be read in one call.
 	gather = 80 * time.Millisecond
 	// idlePoll is how often an entry that leaves the store to others looks
 	// whether they still hear it.
 	idlePoll = 200 * time.Millisecond
+	// startPoll is how often an entry that knows nothing yet looks whether others
+	// told it.
+	startPoll = 10 * time.Millisecond
 	// minBackoff and maxBackoff pace the calls while the store does not answer.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = time.Second
@@ -47,6 +50,9 @@
 	// Leads reports whether this entry asks the store itself; one that does not
 	// learns from other entries. Nil asks always.
 	Leads func() bool
+	// Waits reports whether other entries are about to tell what this one does
+	// not know yet, so that it need not ask the store. Nil never waits.
+	Waits func() bool
 	// Changed is called after a kind's objects changed, with the objects by
 	// name; gap is set when the store was not heard for a while before. Calls do
 	// not overlap.
@@ -138,9 +144,14 @@
 	backoff := minBackoff
 	mustList := true
 	for ctx.Err() == nil {
-		if _, known := f.position(name); known && !f.o.Leads() {
+		_, known := f.position(name)
+		switch {
+		case known && !f.o.Leads():
 			pause(ctx, idlePoll)
 			continue
+		case !known && f.o.Waits():
+			pause(ctx, startPoll)
+			continue
 		}
 		err := f.step(ctx, name, mustList)
 		switch {
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -120,7 +120,7 @@
 	})
 	d.follower = follow.New(follow.Options{
 		Store: d.store, Kinds: []string{fleet.KindConfiguration, fleet.KindEndpoints, fleet.KindEvacuations},
-		Changed: d.changed, Logger: logger, Leads: func() bool { return d.mesh.Leads() },
+		Changed: d.changed, Logger: logger, Leads: func() bool { return d.mesh.Leads() }, Waits: d.waitsForHubs,
 	})
 	suspects := suspect.New(suspect.Options{Metrics: reg})
 	d.mesh = peers.New(peers.Options{
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -82,6 +82,28 @@
 	return true
 }
 
+const (
+	// listPatience is how long a starting entry waits for the list of entries
+	// before it asks for everything else.
+	listPatience = 300 * time.Millisecond
+	// hubPatience is how long it then leaves the asking to the hubs: several
+	// hundred entries that start at once would wait for each other's reads for
+	// longer, as the store bounds the reads of all.
+	hubPatience = 3 * time.Second
+)
+
+// waitsForHubs reports whether this entry, which knows nothing yet, leaves the
+// asking to the hubs of a large deployment.
+func (d *daemon) waitsForHubs() bool {
+	up := time.Since(d.started)
+	select {
+	case <-d.listed:
+		return up < hubPatience && d.mesh.LeavesToHubs()
+	default:
+		return up < listPatience
+	}
+}
+
 // stages has jobs done by the entry that dispatches.
 type stages struct {
 	self  string
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -513,6 +513,13 @@
 	return m.hubs != nil
 }
 
+// LeavesToHubs reports whether this entry is one that hubs tell what they know.
+func (m *Mesh) LeavesToHubs() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.isHub(m.o.Self.Address)
+}
+
 // StoreHeard returns when the store last answered this entry or a linked one.
 func (m *Mesh) StoreHeard() time.Time {
 	latest := m.o.Follower.Heard()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,3 +29,11 @@
 		}
 	}
 }
+
+// A run that cannot start says so and leaves nothing behind to wait for.
+func TestProgramThatIsNotThere(t *testing.T) {
+	_, err := Run(t.Context(), Options{Gateway: filepath.Join(t.TempDir(), "none"), Seed: 1, Entries: 2, Length: time.Second})
+	if err == nil {
+		t.Error("no error")
+	}
+}
