Leave the digests out of pings between entries that know the same

Cause: control bytes between gateways are above 2 KB/s each (CAPACITY.md); a ping and its answer each carried the digests of three kinds, the name and the uptime, which hardly change. Change: a ping carries a mark of all digests; name and digests come only when the mark differs from the one that the peer told last. The start of a peer's process is taken from its greeting. BenchmarkPing counts the bytes on the connection, both ways, envelopes included.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -99,6 +99,9 @@
 	if o.Leads == nil {
 		o.Leads = func() bool { return true }
 	}
+	if o.Waits == nil {
+		o.Waits = func() bool { return false }
+	}
 	f := &Follower{o: o, kinds: make(map[string]*kind)}
 	for _, k := range o.Kinds {
 		f.kinds[k] = &kind{objects: make(map[string]fleet.Object)}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -39,6 +39,12 @@
 	return s.list, nil
 }
 
+func (s *fakeStore) listed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists
+}
+
 func (s *fakeStore) Watch(ctx context.Context, _ string, after int64, _ time.Duration) (fleet.Changes, error) {
 	return s.watch(ctx, after)
 }
@@ -127,12 +133,12 @@
 			if told {
 				f.Learn([]State{{Kind: "k", Revision: 4, Whole: true}})
 			}
-			if f.Known() != told || s.lists != 0 {
-				t.Errorf("told %t: known %t after a second, %d lists", told, f.Known(), s.lists)
+			if f.Known() != told || s.listed() != 0 {
+				t.Errorf("told %t: known %t after a second, %d lists", told, f.Known(), s.listed())
 			}
 			time.Sleep(2 * time.Second)
-			if !f.Known() || (s.lists > 0) == told {
-				t.Errorf("told %t: known %t at the end, %d lists", told, f.Known(), s.lists)
+			if !f.Known() || (s.listed() > 0) == told {
+				t.Errorf("told %t: known %t at the end, %d lists", told, f.Known(), s.listed())
 			}
 			cancel()
 			<-done
--- a/follow/states.go
+++ b/follow/states.go
@@ -1,8 +1,10 @@
 package follow
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -63,6 +65,17 @@
 	return list
 }
 
+// Mark sums digests up. Two states with the same mark have nothing to tell each
+// other.
+func Mark(digests []Digest) string {
+	h := xxhash.New()
+	for _, d := range digests {
+		// A hash takes all that is written. The revision grows without a change.
+		_, _ = fmt.Fprintf(h, "%s %x\n", d.Kind, d.Sum)
+	}
+	return strconv.FormatUint(h.Sum64(), 36)
+}
+
 // Behind returns the kinds whose state another entry's digests say is newer,
 // with how far they are known.
 func (f *Follower) Behind(digests []Digest) []Position {
--- a/peers/bench_test.go
+++ b/peers/bench_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,27 +86,31 @@
 			defer cancel()
 			m, l := benchMesh(ctx, "a", endpoints)
 			defer func() { _ = l.Close() }()
-			peer, pl := benchMesh(ctx, "b", endpoints)
+			peer, inner := benchMesh(ctx, "b", endpoints)
+			defer func() { _ = inner.Close() }()
+			var bytes atomic.Int64
+			raw, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			pl := counted{raw, &bytes, &bytes}
 			defer func() { _ = pl.Close() }()
+			go peer.Serve(ctx, pl)
 			m.Add(ctx, []string{pl.Addr().String()})
 			for len(m.Living()) < 1 {
 				time.Sleep(time.Millisecond)
 			}
-			_ = peer
 			m.mu.Lock()
 			conn := m.links[pl.Addr().String()].conn
 			m.mu.Unlock()
-			sent, err := json.Marshal(m.ping())
-			if err != nil {
-				b.Fatal(err)
-			}
+			bytes.Store(0)
 			for b.Loop() {
 				var p Ping
-				if err := call(ctx, conn, time.Second, methodPing, m.ping(), &p); err != nil {
+				if err := call(ctx, conn, time.Second, methodPing, m.ping(peer.ping("").Mark), &p); err != nil {
 					b.Fatal(err)
 				}
 			}
-			b.ReportMetric(float64(2*len(sent)), "B/ping")
+			b.ReportMetric(float64(bytes.Load())/float64(b.N), "B/ping")
 		})
 	}
 }
--- a/peers/elect.go
+++ b/peers/elect.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		candidates = append(candidates, Contender{
-			Identity: l.identity, Uptime: l.uptime + time.Since(l.heardAt), Leaving: l.leaving,
+			Identity: l.identity, Uptime: time.Since(l.started), Leaving: l.leaving,
 		})
 		byName[l.identity.Name] = l
 	}
--- a/peers/hubs_test.go
+++ b/peers/hubs_test.go
@@ -163,20 +163,26 @@
 	})
 }
 
-// counted counts the bytes that the other side of each connection reads.
+// counted counts the bytes that are sent and read on each connection.
 type counted struct {
 	net.Listener
-	sent *atomic.Int64
+	sent, read *atomic.Int64
 }
 
 type countedConn struct {
 	net.Conn
-	sent *atomic.Int64
+	sent, read *atomic.Int64
 }
 
 func (l counted) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	return countedConn{c, l.sent}, err
+	return countedConn{c, l.sent, l.read}, err
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
 }
 
 func (c countedConn) Write(p []byte) (int, error) {
@@ -226,7 +232,7 @@
 		}
 		t.Cleanup(func() { _ = l.Close() })
 		members[i+1].Address = l.Addr().String()
-		go m.Serve(t.Context(), counted{l, &sent})
+		go m.Serve(t.Context(), counted{l, &sent, new(atomic.Int64)})
 	}
 	starts := meshes[0]
 	var log lines
@@ -314,7 +320,7 @@
 	}
 	for _, h := range hubs {
 		m.links[h.Address] = &peerLink{
-			address: h.Address, relinking: true, uptime: time.Minute, heardAt: time.Now(), storeAt: time.Now(),
+			address: h.Address, relinking: true, started: time.Now().Add(-time.Minute), storeAt: time.Now(),
 			identity: Identity{Name: h.Name, CPU: h.CPU, DataCentre: h.DataCentre},
 		}
 	}
@@ -322,3 +328,30 @@
 		t.Error("this entry dispatches itself")
 	}
 }
+
+// The load: many peers that all know the same. Their pings say so in a few
+// bytes; a change is told by its digests, whichever side has it.
+func TestPingsTellDigestsOfChangesOnly(t *testing.T) {
+	meshes, _ := largeMesh(t, 2)
+	a, b := meshes[0], meshes[1]
+	state := func(revision int64) []follow.State {
+		return []follow.State{{Kind: "servers", Revision: revision, Whole: true, Objects: []fleet.Object{{Name: "s", Revision: revision}}}}
+	}
+	a.o.Follower.Learn(state(1))
+	b.o.Follower.Learn(state(1))
+	if p := a.ping(""); len(p.Digests) != 1 || p.Name != "e-0" {
+		t.Errorf("a first ping is %+v", p)
+	}
+	answer := b.ping(a.ping("").Mark)
+	if next := a.ping(answer.Mark); len(answer.Digests) != 0 || len(next.Digests) != 0 {
+		t.Errorf("digests of a state that both know: %+v, %+v", answer, next)
+	}
+	a.o.Follower.Learn(state(2))
+	if p := a.ping(answer.Mark); len(b.o.Follower.Behind(p.Digests)) != 1 {
+		t.Errorf("a newer state of the caller: %+v", p)
+	}
+	b.o.Follower.Learn(state(3))
+	if p := b.ping(a.ping(answer.Mark).Mark); len(a.o.Follower.Behind(p.Digests)) != 1 {
+		t.Errorf("a newer state of the one that answers: %+v", p)
+	}
+}
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -106,9 +106,9 @@
 	// guarded by the mesh's mu
 	conn     *jsonrpc2.Conn
 	identity Identity
-	uptime   time.Duration
-	heardAt  time.Time
-	leaving  bool
+	// started is when the peer's process did, by its word at the greeting.
+	started time.Time
+	leaving bool
 	// storeAt is when the store last answered the peer.
 	storeAt time.Time
 	// poke asks for a ping at once.
@@ -228,7 +228,7 @@
 		}
 		m.o.Suspects.Merge(p.Suspects)
 		m.learnFrom(ctx, p)
-		return m.ping(), nil
+		return m.ping(p.Mark), nil
 	case methodStates:
 		var p StatesParams
 		if err := json.Unmarshal(params, &p); err != nil {
@@ -281,13 +281,18 @@
 	return h
 }
 
-func (m *Mesh) ping() Ping {
+// ping is what this entry tells a peer whose states have a mark, as far as it is
+// known.
+func (m *Mesh) ping(known string) Ping {
 	m.mu.Lock()
 	leaving := m.leaving
 	m.mu.Unlock()
+	digests := m.o.Follower.Digests()
 	p := Ping{
-		Name: m.o.Self.Name, UptimeMS: time.Since(m.o.Started).Milliseconds(), Leaving: leaving,
-		Digests: m.o.Follower.Digests(), StoreAgeMS: -1, Suspects: m.o.Suspects.Suspects(),
+		Mark: follow.Mark(digests), Leaving: leaving, StoreAgeMS: -1, Suspects: m.o.Suspects.Suspects(),
+	}
+	if p.Mark != known {
+		p.Name, p.Digests = m.o.Self.Name, digests
 	}
 	if at := m.o.Follower.Heard(); !at.IsZero() {
 		p.StoreAgeMS = time.Since(at).Milliseconds()
@@ -394,8 +399,8 @@
 	}
 	m.mu.Lock()
 	l.relinking = false
-	l.conn, l.identity, l.heardAt, l.leaving = conn, h.Identity, time.Now(), false
-	l.uptime = time.Duration(h.UptimeMS) * time.Millisecond
+	l.conn, l.identity, l.leaving = conn, h.Identity, false
+	l.started = time.Now().Add(-time.Duration(h.UptimeMS) * time.Millisecond)
 	m.mu.Unlock()
 	m.o.Logger.Info("peer linked", "peer", h.Identity.Name, "address", l.address, "uptime_ms", h.UptimeMS)
 	heard(h.Peers)
@@ -414,6 +419,7 @@
 
 // watch pings the peer until it does not answer.
 func (m *Mesh) watch(ctx context.Context, l *peerLink, conn *jsonrpc2.Conn) error {
+	mark := ""
 	for {
 		t := time.NewTimer(m.interval(l))
 		select {
@@ -428,17 +434,17 @@
 		case <-t.C:
 		}
 		var p Ping
-		if err := call(ctx, conn, pingTimeout, methodPing, m.ping(), &p); err != nil {
+		if err := call(ctx, conn, pingTimeout, methodPing, m.ping(mark), &p); err != nil {
 			if errors.Is(err, jsonrpc2.ErrClosed) {
 				return errConnectionClosed.Wrap(err)
 			}
 			return err
 		}
+		mark = p.Mark
 		m.o.Suspects.Merge(p.Suspects)
 		m.mu.Lock()
 		changed := l.leaving != p.Leaving
-		l.heardAt, l.leaving = time.Now(), p.Leaving
-		l.uptime = time.Duration(p.UptimeMS) * time.Millisecond
+		l.leaving = p.Leaving
 		if p.StoreAgeMS >= 0 {
 			l.storeAt = time.Now().Add(-time.Duration(p.StoreAgeMS) * time.Millisecond)
 		}
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -43,14 +43,16 @@
 
 // Ping keeps a link alive and is its answer.
 type Ping struct {
-	// Name is the sender's.
-	Name string `json:"name"`
+	// Name is the sender's; it comes with digests.
+	Name string `json:"name,omitempty"`
 	// StoreAgeMS is how long ago the store answered the sender itself; negative
 	// if it never has.
-	StoreAgeMS int64           `json:"store_age_ms"`
-	UptimeMS   int64           `json:"uptime_ms"`
-	Leaving    bool            `json:"leaving,omitempty"`
-	Digests    []follow.Digest `json:"digests"`
+	StoreAgeMS int64 `json:"store_age_ms"`
+	Leaving    bool  `json:"leaving,omitempty"`
+	// Mark sums up the digests of all kinds: where both have the same, neither
+	// tells more.
+	Mark    string          `json:"mark"`
+	Digests []follow.Digest `json:"digests,omitempty"`
 	// Suspects are requests that crashed endpoints.
 	Suspects []link.Suspect `json:"suspects,omitempty"`
 }
