Keep the JSON-RPC library's own lines out of standard error

Change: one adapter in telemetry, at debug level, for the peers' links and those of the first interface, which had one of its own. Ruled out: dropping them: at debug level they help with a foreign peer; the owner of a link logs its loss anyway.

--- a/link/client.go
+++ b/link/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,6 +11,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/telemetry"
 )
 
 // Client is the entry's side of one link to one agent. A Client never
@@ -90,20 +90,12 @@
 	c.s.route = c.route
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
-	c.rpc = jsonrpc2.NewConn(ctx, c.s, clientHandler{c}, jsonrpc2.SetLogger(rpcLogger{o.Logger}))
+	c.rpc = jsonrpc2.NewConn(ctx, c.s, clientHandler{c}, jsonrpc2.SetLogger(telemetry.RPCLogger{Logger: o.Logger}))
 	o.Metrics.open.Inc()
 	c.wg.Go(c.finish)
 	return c
 }
 
-// rpcLogger passes the library's protocol errors on at debug level.
-type rpcLogger struct{ l *slog.Logger }
-
-// Printf implements jsonrpc2.Logger.
-func (r rpcLogger) Printf(format string, v ...any) {
-	r.l.Debug("jsonrpc2", "format", format, "args", v)
-}
-
 func (c *Client) hello(ctx context.Context) error {
 	p := c.o.Hello
 	p.Settings = c.o.Gossip.Version()
--- a/link/server_link.go
+++ b/link/server_link.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/telemetry"
 )
 
 // serverLink is one accepted connection.
@@ -43,7 +44,7 @@
 	k.srv.o.Metrics.open.Inc()
 	defer k.srv.o.Metrics.open.Dec()
 	defer k.cancel()
-	k.rpc = jsonrpc2.NewConn(k.ctx, k.s, serverHandler{k}, jsonrpc2.SetLogger(rpcLogger{k.srv.o.Logger}))
+	k.rpc = jsonrpc2.NewConn(k.ctx, k.s, serverHandler{k}, jsonrpc2.SetLogger(telemetry.RPCLogger{Logger: k.srv.o.Logger}))
 	close(k.ready)
 	k.chunks.loop(k.rpc.DisconnectNotify())
 }
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -18,6 +18,7 @@
 
 	"github.com/azurelead/azurelead/follow"
 	"github.com/azurelead/azurelead/suspect"
+	"github.com/azurelead/azurelead/telemetry"
 	"github.com/azurelead/azurelead/upstream"
 )
 
@@ -208,7 +209,7 @@
 		stream := jsonrpc2.NewPlainObjectStream(c)
 		jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(func(_ context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 			return m.handle(ctx, conn, r)
-		})))
+		})), jsonrpc2.SetLogger(telemetry.RPCLogger{Logger: m.o.Logger}))
 	}
 }
 
@@ -394,7 +395,7 @@
 		m.relinked(l)
 		return false
 	}
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(raw), refuseCalls{})
+	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(raw), refuseCalls{}, jsonrpc2.SetLogger(telemetry.RPCLogger{Logger: m.o.Logger}))
 	defer func() { _ = conn.Close() }()
 	var h Hello
 	if err := call(ctx, conn, pingTimeout, methodHello, m.hello(), &h); err != nil {
