--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -92,6 +92,8 @@
 	stopping atomic.Bool
 	// endpoints is used by changed alone.
 	endpoints endpointEntries
+	// listEvery is the time between two lists of entries.
+	listEvery time.Duration
 	// members are the entries as the store listed them last.
 	members atomic.Pointer[[]peers.Member]
 }
@@ -109,7 +111,7 @@
 }
 
 func newDaemon(settings fleet.Settings, logger *slog.Logger, reg prometheus.Registerer) *daemon {
-	d := &daemon{settings: settings, logger: logger, listed: make(chan struct{}), started: time.Now()}
+	d := &daemon{settings: settings, logger: logger, listed: make(chan struct{}), started: time.Now(), listEvery: listEntriesEvery}
 	d.live.Store(&settings)
 	d.store = fleet.NewStore(settings.StoreAddress, storeTransport())
 	d.roster = roster.New(settings.Regions)
@@ -129,6 +131,7 @@
 			DataCentre: settings.DataCentre, CPU: settings.CPU,
 		},
 		Started: d.started, Follower: d.follower, Jobs: d.coord, Suspects: suspects, Changed: d.peersChanged, Logger: logger,
+		Forgotten: d.entryForgotten,
 	})
 	d.gateway = gateway.New(gateway.Options{
 		DataCentre: settings.DataCentre, Table: d.table.Load, Roster: d.roster, Upstream: d.upstream,
--- a/gatewaydaemon/daemon_test.go
+++ b/gatewaydaemon/daemon_test.go
@@ -60,6 +60,7 @@
 	reg := prometheus.NewRegistry()
 	e := &entry{front: s.Front, health: s.Health, stop: cancel, done: make(chan struct{}), reg: reg}
 	e.daemon = newDaemon(s, slog.New(slog.DiscardHandler), reg)
+	e.daemon.listEvery = 500 * time.Millisecond
 	go func() {
 		defer close(e.done)
 		if err := e.daemon.run(ctx, Config{}, reg); err != nil {
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -27,8 +27,8 @@
 	CPU        float64 `json:"cpu"`
 }
 
-// followEntries announces this entry once and finds the others, also those that
-// start later.
+// followEntries announces this entry, again if it is missing from the list, and
+// finds the others, also those that start later.
 func (d *daemon) followEntries(ctx context.Context) {
 	announced := false
 	delay := time.Duration(0)
@@ -36,13 +36,18 @@
 		if !sleep(ctx, delay) {
 			return
 		}
-		delay = listEntriesEvery
-		if !announced {
+		delay = d.listEvery
+		if !announced && !d.stopping.Load() {
 			announced = d.announce(ctx)
 		}
-		if !announced || !d.listEntries(ctx, !first) {
+		listed, own := d.listEntries(ctx, !first)
+		if !announced || !listed {
 			delay = time.Second
 		}
+		if listed && !own && !first {
+			// Others took this entry for dead while they did not reach it.
+			announced = false
+		}
 	}
 }
 
@@ -58,13 +63,35 @@
 	return err == nil
 }
 
-func (d *daemon) listEntries(ctx context.Context, stale bool) bool {
+// entryForgotten removes the object of an entry that was not reached for long:
+// nothing else would, and the dead would take the places of hubs. One that
+// lives announces itself again when it misses its own object.
+func (d *daemon) entryForgotten(address string) {
+	members := d.members.Load()
+	if members == nil || !d.mesh.Leads() {
+		return
+	}
+	for _, m := range *members {
+		if m.Address != address {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		err := d.store.Delete(ctx, fleet.KindEntries, m.Name)
+		d.logger.Info("entry removed that was not reached for long", "entry", m.Name, "address", address, "error", err)
+		return
+	}
+}
+
+// listEntries takes the list of entries, and reports whether it was read and
+// whether this entry is in it.
+func (d *daemon) listEntries(ctx context.Context, stale bool) (listed, own bool) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	changes, err := d.store.List(callCtx, fleet.KindEntries, stale)
 	if err != nil {
 		d.logger.Warn("entries not listed", "error", err)
-		return false
+		return false, false
 	}
 	var members []peers.Member
 	for _, o := range changes.Objects {
@@ -73,13 +100,14 @@
 			d.logger.Warn("entry's object not read", "entry", o.Name, "error", err)
 			continue
 		}
+		own = own || o.Name == d.settings.Name
 		members = append(members, peers.Member{Name: o.Name, Address: spec.Address, DataCentre: spec.DataCentre, CPU: spec.CPU})
 	}
 	d.members.Store(&members)
 	d.mesh.SetMembers(ctx, members)
 	d.listOnce.Do(func() { close(d.listed) })
 	d.peersChanged()
-	return true
+	return true, own
 }
 
 const (
--- a/peers/hubs_test.go
+++ b/peers/hubs_test.go
@@ -280,6 +280,20 @@
 	})
 }
 
+// An entry that is dialled no more is told of once; a link that was dropped for
+// another reason is not.
+func TestForgottenEntriesAreToldOf(t *testing.T) {
+	var told []string
+	m := New(Options{Forgotten: func(address string) { told = append(told, address) }})
+	l := &peerLink{address: "10.0.0.1:1", cancel: func() {}}
+	m.links[l.address] = l
+	m.forget(l)
+	m.forget(l)
+	if len(told) != 1 || told[0] != l.address || len(m.links) != 0 {
+		t.Errorf("told of %v, links %v", told, m.links)
+	}
+}
+
 // What the library below the links has to say comes as a line of the log.
 func TestLibraryWritesToTheLog(t *testing.T) {
 	var out lines
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -85,7 +85,10 @@
 	Suspects *suspect.Table
 	// Changed is called when the set of living peers changed.
 	Changed func()
-	Logger  *slog.Logger
+	// Forgotten is called when an entry at an address was not reached for so long
+	// that it is dialled no more; nil if nobody wants to know.
+	Forgotten func(address string)
+	Logger    *slog.Logger
 }
 
 // Mesh holds this entry's links to the others: to all, or in a large deployment
@@ -361,13 +364,18 @@
 	}
 }
 
+// forget gives up a link to an entry that was not reached for long.
 func (m *Mesh) forget(l *peerLink) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.links[l.address] == l {
+	known := m.links[l.address] == l
+	if known {
 		delete(m.links, l.address)
 	}
+	m.mu.Unlock()
 	l.cancel()
+	if known && m.o.Forgotten != nil {
+		m.o.Forgotten(l.address)
+	}
 }
 
 func (m *Mesh) isRelinking(l *peerLink) bool {
