--- a/peers/hubs.go
+++ b/peers/hubs.go
@@ -16,7 +16,8 @@
 	// data centres: one of them is asked every 50 ms at usual intervals, and a
 	// tenth of them can be dead.
 	hubCount = 24
-	// minHubs of each data centre keep one that is cut off together.
+	// minHubs is the least number in a data centre: one that is cut off from the
+	// others has hubs of its own.
 	minHubs = 2
 )
 
