--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -89,17 +89,16 @@
 // run hands the attempt over and follows it when its link is lost.
 func (a *attempt) run(ctx context.Context, l Link) link.RunResult {
 	res, err := l.Run(ctx, a.params, a.take)
-	for barren := 0; barren < maxRecoveries; barren++ {
-		if !link.Lost.Has(err) || ctx.Err() != nil {
-			break
-		}
+	barren := 0 // links in a row that brought nothing
+	for barren < maxRecoveries && link.Lost.Has(err) && ctx.Err() == nil {
 		var final bool
 		had := a.tokens.count()
 		if res, final, err = a.recover(ctx); final {
 			break
 		}
+		barren++
 		if a.tokens.count() > had {
-			barren = -1
+			barren = 0
 		}
 	}
 	return a.conclude(ctx, res, err)
