State the cost of answers that are cut at their deadline

Cause: an attempt cut at its deadline brings no result, and the entry then reported no usage, though it had the tokens in hand. Ruled out: the agent and the endpoint's driver, which count the tokens of cut calls (endpoint.Engine.Run) but are not asked after the cut. Change: an attempt keeps what it is known to have spent (tokens that came, time since the first); results that never came, and callers who are answered before the run ends, state it. TestCutAnswersStateTheirCost failed before with a cost of zero.

Also: the lease's property lets no two processes act under one fencing number. Before, it passed with numbers that the next holder does not raise; now it fails there.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -24,6 +24,7 @@
 	p      *peer
 	params link.RunParams
 	tokens *tokenBuffer
+	spent  *spending
 	made   time.Time
 	fault  error // why a chunk was refused
 	cancel context.CancelFunc
@@ -47,7 +48,8 @@
 	defer span.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	a := &attempt{s: s, p: p, made: s.started, tokens: tokens, cancel: cancel, params: s.params(ctx, l, id, traceParent(tctx))}
+	a := &attempt{s: s, p: p, made: s.started, tokens: tokens, spent: &spending{}, cancel: cancel, params: s.params(ctx, l, id, traceParent(tctx))}
+	s.f.spends(a.spent)
 	res := a.verify(a.run(ctx, l))
 	s.e.o.Suspects.Merge(res.Suspects)
 	s.e.m.cost(s.req.Organisation, s.req.PipelineName, s.stage.Name, res.Usage, res.Code == "")
@@ -113,6 +115,7 @@
 		a.fault = Error.New("chunk of another attempt")
 	} else {
 		a.fault = a.tokens.put(c)
+		a.spent.came(c.First + len(c.Tokens))
 	}
 	if a.fault != nil {
 		a.cancel()
@@ -123,15 +126,25 @@
 func (a *attempt) conclude(ctx context.Context, res link.RunResult, err error) link.RunResult {
 	switch {
 	case a.fault != nil:
-		return failed(contract.MayHaveRun, "the answer was damaged: "+a.fault.Error())
+		return a.broken("the answer was damaged: " + a.fault.Error())
 	case err == nil:
 		return res
 	case link.NotSent.Has(err):
 		return unsent(err.Error())
 	case ctx.Err() != nil:
-		return link.RunResult{Run: contract.MayHaveRun, Code: contract.CodeDeadlineExceeded, Detail: "no answer within the stage's share of the deadline"}
+		return link.RunResult{
+			Run: contract.MayHaveRun, Code: contract.CodeDeadlineExceeded, Usage: a.spent.usage(),
+			Detail: "no answer within the stage's share of the deadline",
+		}
 	}
-	return failed(contract.MayHaveRun, "the link was lost and the attempt could not be asked for")
+	return a.broken("the link was lost and the attempt could not be asked for")
+}
+
+// broken is the result of an attempt whose own result never came.
+func (a *attempt) broken(detail string) link.RunResult {
+	res := failed(contract.MayHaveRun, detail)
+	res.Usage = a.spent.usage()
+	return res
 }
 
 // recover asks for the attempt over a new link. It is final when asking again
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/azurelead/azurelead/contract"
 	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/pipeline"
 	"github.com/azurelead/azurelead/platform"
 	"github.com/azurelead/azurelead/settings"
 )
@@ -276,6 +277,34 @@
 	})
 }
 
+// An answer that is cut at its deadline states the tokens that came, and the
+// time since the first: work that was paid for, though it was of no use. So it
+// does when the run goes on for a caller with a later deadline.
+func TestCutAnswersStateTheirCost(t *testing.T) {
+	for _, other := range []string{"", "4000"} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, nil)
+			w.cut("generate", cutStalls)
+			w.each("generate", func(a *fakeAgent) {
+				a.work = func(context.Context, link.RunParams) link.RunResult {
+					return link.RunResult{Run: contract.Ran, Output: pipeline.Output{Text: "one two three four five six"}}
+				}
+			})
+			var wg sync.WaitGroup
+			if other != "" {
+				wg.Go(func() { w.post(t.Context(), ask{pipeline: "ask", body: question, deadline: other}) })
+				synctest.Wait()
+			}
+			p := decode[ProblemReport](t, w.post(t.Context(), ask{pipeline: "ask", body: question, deadline: "1000"}))
+			cost := totalUsage(p.Stages)
+			if p.Code != contract.CodeDeadlineExceeded || cost.GeneratedTokens != 3 || cost.EndpointUS != time.Second.Microseconds() {
+				t.Errorf("beside %q: %s with a cost of %+v, 3 tokens came", other, p.Code, cost)
+			}
+			wg.Wait()
+		})
+	}
+}
+
 // A caller whose deadline passes while the claim is asked for is not told "not
 // run" when another caller with the same key still waits for the booking.
 func TestNotRunStaysTrueForJoinedCallers(t *testing.T) {
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -35,6 +35,7 @@
 	cutReboots     // cutAfter, and the agent restarts
 	cutDeafens     // cutMidway, and the next link falls silent before it settles
 	cutOften       // cutMidway, and each next link is cut after one more token
+	cutStalls      // half of the tokens arrive, then nothing, and the link stays
 )
 
 // fakeAgent is an agent with its endpoint, behind the Link interface.
@@ -152,7 +153,7 @@
 	case cutOften:
 		l.a.set(&l.a.brief, 2*maxRecoveries)
 	}
-	if c == cutMidway || c == cutDeafens || c == cutOften {
+	if c == cutMidway || c == cutDeafens || c == cutOften || c == cutStalls {
 		words = words[:len(words)/2]
 	}
 	if len(words) > 0 {
@@ -161,6 +162,10 @@
 	if c == cutNone {
 		return res, nil
 	}
+	if c == cutStalls {
+		<-ctx.Done()
+		return link.RunResult{}, link.Lost.Wrap(ctx.Err())
+	}
 	if c == cutReboots {
 		l.a.reboot()
 	}
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -24,6 +24,7 @@
 	sealed   bool // its last caller was answered: nothing more is handed over
 	deadline time.Time
 	reports  []StageReport
+	spent    *spending // of the attempt under way, which the reports lack
 	results  []ServiceResult
 	problem  *contract.Problem
 }
@@ -95,6 +96,20 @@
 	f.reports[i] = r
 }
 
+// spends takes note of what the attempt under way spends.
+func (f *flight) spends(s *spending) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.spent = s
+}
+
+// settled records a report of stage i that holds what the attempt has spent.
+func (f *flight) settled(i int, r StageReport) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reports[i], f.spent = r, nil
+}
+
 // handOver records that stage i may run from now on. It reports false when the
 // last caller was answered before: what that answer says must stay true.
 func (f *flight) handOver(i int) bool {
@@ -115,7 +130,12 @@
 	if f.waiters <= 1 {
 		f.sealed = true
 	}
-	return slices.Clone(f.reports), slices.Clone(f.results), f.sealed
+	reports = slices.Clone(f.reports)
+	if f.spent != nil && len(reports) > 0 {
+		last := &reports[len(reports)-1]
+		last.Usage = addUsage(last.Usage, f.spent.usage())
+	}
+	return reports, slices.Clone(f.results), f.sealed
 }
 
 func (f *flight) addResult(r ServiceResult) {
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -92,6 +92,7 @@
 
 // settle adds what an attempt consumed to the report.
 func (s *stageRun) settle(res link.RunResult) link.RunResult {
-	s.note(func(r *StageReport) { r.Usage = addUsage(r.Usage, res.Usage) })
+	s.report.Usage = addUsage(s.report.Usage, res.Usage)
+	s.f.settled(s.index, s.report)
 	return res
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -76,7 +76,8 @@
 }
 
 // TestAtMostOneHolder runs random interleavings of ticks, pauses, releases and
-// lost answers: never may two processes act, and fencing numbers never fall.
+// lost answers: never may two processes act, fencing numbers never fall, and no
+// two processes ever act under the same one.
 func TestAtMostOneHolder(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		c := &clock{now: time.Now()}
@@ -85,7 +86,7 @@
 		for _, name := range []string{"a", "b", "c"} {
 			leases = append(leases, newTestLease(store, c, name))
 		}
-		highest := uint64(0)
+		highest, holders := uint64(0), make(map[uint64]*Lease)
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			l := leases[rapid.IntRange(0, len(leases)-1).Draw(rt, "process")]
 			switch rapid.IntRange(0, 4).Draw(rt, "action") {
@@ -100,12 +101,12 @@
 			default:
 				_ = l.Tick(t.Context())
 			}
-			highest = checkHolders(rt, leases, highest)
+			highest = checkHolders(rt, leases, highest, holders)
 		}
 	})
 }
 
-func checkHolders(rt *rapid.T, leases []*Lease, highest uint64) uint64 {
+func checkHolders(rt *rapid.T, leases []*Lease, highest uint64, holders map[uint64]*Lease) uint64 {
 	acting := 0
 	for _, l := range leases {
 		fence, ok := l.Fence()
@@ -116,6 +117,10 @@
 		if fence < highest {
 			rt.Fatalf("fencing number %d after %d", fence, highest)
 		}
+		if other := holders[fence]; other != nil && other != l {
+			rt.Fatalf("fencing number %d of two processes", fence)
+		}
+		holders[fence] = l
 		highest = fence
 	}
 	if acting > 1 {
