Look at the endpoints once for each request and each pass

Cause: on a trial deployment of ours with 300 entries the dispatching entry used as much processor time as all others together (1:56 of 4:00 minutes). Each decision looked at all endpoints anew: sorted engines three times a request with a hash and three map lookups each, the first free endpoint once for each task, all stage endpoints sorted on each event, and all parts of prompts of the last minute, 40 times a second, to forget old ones. Ruled out: the links and the logs (other entries used 1 s each). Change: a view of a prompt holds what is the same for all engines; an index says who holds a part; homes are remembered; a pass counts the waits of the data centres once and orders groups only if an endpoint is idle; parts are forgotten once a second.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -12,8 +12,9 @@
 	if missing := d.missingService(n); missing != "" {
 		return Admission{Reason: "no endpoint of " + missing, RetryAfter: noEndpointRetry}
 	}
-	n.dataCentre = d.bestPlace(now, n)
-	n.tail = d.engineForecast(now, n)
+	v := d.enginePools[n.Prompt.Service].view(now, n.Prompt)
+	n.dataCentre = d.bestPlace(now, n, v)
+	n.tail = v.forecast(n.Target)
 	forecast := d.forecast(now, n)
 	a := Admission{Forecast: forecast, Tail: n.tail}
 	end := now.Add(forecast + n.tail)
@@ -51,7 +52,7 @@
 		if g == nil {
 			continue
 		}
-		if p := d.pools[g.service]; p == nil || len(p.usable("")) == 0 {
+		if p := d.pools[g.service]; p == nil || len(p.list) == 0 {
 			return g.service
 		}
 	}
--- a/dispatch/assign.go
+++ b/dispatch/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -32,12 +33,20 @@
 	if len(p.queue) == 0 {
 		return nil
 	}
-	drafts := p.drafts(now)
+	idle := p.idle(now)
+	if len(idle) == 0 {
+		return nil
+	}
+	order := d.order(now, p)
+	if len(order) == 0 {
+		return nil
+	}
+	drafts := p.drafts(now, idle)
 	if len(drafts) == 0 {
 		return nil
 	}
-	left := make(waits)
-	for _, o := range d.order(now, p) {
+	left := p.waits(now)
+	for _, o := range order {
 		if o.group.job.ended {
 			continue
 		}
@@ -52,34 +61,45 @@
 	return calls
 }
 
-// drafts returns one empty call for each endpoint that can take one now.
-func (p *pool) drafts(now time.Time) []*draft {
-	list := p.usable("")
-	if len(list) == 0 {
-		return nil
+// idle lists the endpoints that can take a call now.
+func (p *pool) idle(now time.Time) []*endpoint {
+	var list []*endpoint
+	for _, e := range p.list {
+		if e.calls < p.limits.Slots && !now.Before(e.retryAt) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// drafts returns one empty call for each idle endpoint that is to have one, the
+// fastest first.
+func (p *pool) drafts(now time.Time, idle []*endpoint) []*draft {
+	fastest := math.MaxFloat64
+	for _, e := range p.list {
+		fastest = min(fastest, e.pace)
 	}
-	fastest := list[0].pace
 	waiting := 0
 	for _, n := range p.backlog {
 		waiting += n
 	}
-	busy := float64(waiting) / float64(p.limits.Batch*len(list))
-	var drafts []*draft
-	for _, e := range list {
-		if e.calls >= p.limits.Slots || now.Before(e.retryAt) {
-			continue
-		}
+	busy := float64(waiting) / float64(p.limits.Batch*len(p.list))
+	slices.SortFunc(idle, byPace)
+	made := make([]draft, 0, len(idle))
+	drafts := make([]*draft, 0, len(idle))
+	for _, e := range idle {
 		slow := e.pace > slowFactor*fastest && busy < slowBacklog
 		if slow && now.Sub(e.freeAt) < slowRest {
 			// It costs its requests their target while the others keep up.
 			continue
 		}
-		dr := &draft{endpoint: e, left: e.room(now, p), most: p.limits.Batch}
+		dr := draft{endpoint: e, left: e.room(now, p), most: p.limits.Batch}
 		if e.failures > 0 || slow {
 			// A failed or slow endpoint is tried with little work.
 			dr.most = trialTasks
 		}
-		drafts = append(drafts, dr)
+		made = append(made, dr)
+		drafts = append(drafts, &made[len(made)-1])
 	}
 	return drafts
 }
@@ -155,13 +175,38 @@
 // startMargin is how much sooner than its siblings a group may end.
 const startMargin = 60 * time.Millisecond
 
-// waits counts the tasks that were left waiting for each data centre in one pass.
-type waits map[string]int
+// wait is what one pass knows of a data centre's endpoints.
+type wait struct {
+	// endpoints is their number, first the time until the first of them is free.
+	endpoints int
+	first     time.Duration
+	// left counts the tasks that the pass has left waiting for them.
+	left int
+}
+
+// waits looks at the pool's data centres once for a pass, which starts no call
+// before its end.
+func (p *pool) waits(now time.Time) []wait {
+	list := make([]wait, len(p.dataCentres))
+	for _, e := range p.list {
+		w := &list[e.place]
+		free := max(e.freeAt.Sub(now), e.retryAt.Sub(now))
+		if e.calls < p.limits.Slots && free < p.limits.CallTime/2 {
+			// It is idle, and takes nothing for want of room or as it is slow.
+			free = p.limits.CallTime / 2
+		}
+		if w.endpoints == 0 || free < w.first {
+			w.first = free
+		}
+		w.endpoints++
+	}
+	return list
+}
 
 // fill puts a group's waiting tasks into the drafts as long as that costs less
 // than waiting for an endpoint nearer to the inputs or to the reader of the
 // results.
-func (d *Dispatcher) fill(now time.Time, p *pool, o ordered, drafts []*draft, left waits) {
+func (d *Dispatcher) fill(now time.Time, p *pool, o ordered, drafts []*draft, left []wait) {
 	g := o.group
 	moves := d.moves(p, g)
 	for i := range g.tasks {
@@ -169,9 +214,9 @@
 			continue
 		}
 		dr := pick(drafts, g, moves)
-		where, wait := d.cheapestWait(now, p, o, moves, left)
-		if dr == nil || moves[dr.endpoint.DataCentre] > wait {
-			left[where] += g.waiting
+		where, wait := p.cheapestWait(now, o, moves, left)
+		if dr == nil || moves[dr.endpoint.place] > wait {
+			left[where].left += g.waiting
 			return
 		}
 		dr.add(g, i)
@@ -182,24 +227,21 @@
 	}
 }
 
-// moves gives what doing a group in each data centre costs for the bytes that
-// cross to and from it, as time.
-func (d *Dispatcher) moves(p *pool, g *group) map[string]time.Duration {
+// moves gives what doing a group in each of the pool's data centres costs for
+// the bytes that cross to and from it, as time.
+func (d *Dispatcher) moves(p *pool, g *group) []time.Duration {
 	rate := d.o.MoveTime
 	if g.job.Rank == 0 {
 		rate /= 2
 	}
-	costs := make(map[string]time.Duration)
-	for _, e := range p.endpoints {
-		if _, found := costs[e.DataCentre]; found || !e.usable {
-			continue
-		}
+	costs := make([]time.Duration, len(p.dataCentres))
+	for i, dataCentre := range p.dataCentres {
 		var bytes int64
-		if g.output && g.job.dataCentre != "" && e.DataCentre != g.job.dataCentre {
+		if g.output && g.job.dataCentre != "" && dataCentre != g.job.dataCentre {
 			bytes += g.totalBytes()
 		}
-		bytes += d.inputsElsewhere(g, e.DataCentre)
-		costs[e.DataCentre] = time.Duration(float64(bytes) / 1e6 * float64(rate))
+		bytes += d.inputsElsewhere(g, dataCentre)
+		costs[i] = time.Duration(float64(bytes) / 1e6 * float64(rate))
 	}
 	return costs
 }
@@ -219,18 +261,18 @@
 	return bytes
 }
 
-// cheapestWait returns the data centre for whose next free endpoint it costs
-// least to wait, and that cost.
-func (d *Dispatcher) cheapestWait(now time.Time, p *pool, o ordered, moves map[string]time.Duration, left waits) (string, time.Duration) {
-	best, bestCost := "", time.Duration(math.MaxInt64)
-	for dataCentre, move := range moves {
-		wait := p.waitFor(now, dataCentre, left[dataCentre])
-		cost := move + time.Duration(waitWeight*float64(wait))
+// cheapestWait returns the position of the data centre for whose next free
+// endpoint it costs least to wait, and that cost.
+func (p *pool) cheapestWait(now time.Time, o ordered, moves []time.Duration, left []wait) (int, time.Duration) {
+	best, bestCost := 0, time.Duration(math.MaxInt64)
+	for i, w := range left {
+		wait := p.waitFor(w)
+		cost := moves[i] + time.Duration(waitWeight*float64(wait))
 		if now.Add(wait).After(o.latest) {
 			cost += lateCost
 		}
-		if cost < bestCost || cost == bestCost && dataCentre < best {
-			best, bestCost = dataCentre, cost
+		if cost < bestCost || cost == bestCost && p.dataCentres[i] < p.dataCentres[best] {
+			best, bestCost = i, cost
 		}
 	}
 	return best, bestCost
@@ -243,33 +285,16 @@
 	lateCost = 400 * time.Millisecond
 )
 
-// waitFor is how long a group waits for an endpoint of a data centre behind
-// some tasks.
-func (p *pool) waitFor(now time.Time, dataCentre string, ahead int) time.Duration {
-	first := time.Duration(math.MaxInt64)
-	n := 0
-	for _, e := range p.endpoints {
-		if !e.usable || e.DataCentre != dataCentre {
-			continue
-		}
-		n++
-		wait := max(e.freeAt.Sub(now), e.retryAt.Sub(now))
-		if e.calls < p.limits.Slots && wait < p.limits.CallTime/2 {
-			// It is idle, and takes nothing for want of room or as it is slow.
-			wait = p.limits.CallTime / 2
-		}
-		first = min(first, wait)
-	}
-	if n == 0 {
-		return noEndpointRetry
-	}
+// waitFor is how long a group waits for an endpoint of a data centre behind the
+// tasks that were left there.
+func (p *pool) waitFor(w wait) time.Duration {
 	full := p.limits.CallTime + time.Duration(p.limits.Batch)*p.limits.TaskTime
-	return max(first, 0) + time.Duration(ahead/(p.limits.Batch*n))*full
+	return max(w.first, 0) + time.Duration(w.left/(p.limits.Batch*w.endpoints))*full
 }
 
 // pick returns the draft with room for one more result where the group's moves
 // cost least; of several, the one that has tasks of the group, else the emptiest.
-func pick(drafts []*draft, g *group, moves map[string]time.Duration) *draft {
+func pick(drafts []*draft, g *group, moves []time.Duration) *draft {
 	var best *draft
 	for _, dr := range drafts {
 		if len(dr.tasks) >= dr.most || dr.left < g.resultBytes {
@@ -282,8 +307,8 @@
 	return best
 }
 
-func (dr *draft) better(other *draft, g *group, moves map[string]time.Duration) bool {
-	own, its := moves[dr.endpoint.DataCentre], moves[other.endpoint.DataCentre]
+func (dr *draft) better(other *draft, g *group, moves []time.Duration) bool {
+	own, its := moves[dr.endpoint.place], moves[other.endpoint.place]
 	if own != its {
 		return own < its
 	}
--- a/dispatch/engines.go
+++ b/dispatch/engines.go
@@ -1,12 +1,10 @@
 package dispatch
 
 import (
-	"math"
-	"sort"
+	"slices"
+	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/azurelead/azurelead/catalog"
 )
 
@@ -70,6 +68,8 @@
 type engine struct {
 	Engine
 	usable bool
+	// place is the position of its data centre in the pool's.
+	place int
 	// reading are the requests whose first event is not there yet.
 	reading map[string]reading
 	// readsUntil is when what was sent so far is expected to be read.
@@ -94,6 +94,13 @@
 // enginePool is the engines of one service.
 type enginePool struct {
 	engines map[string]*engine
+	// list are the engines by id, and dataCentres theirs.
+	list        []*engine
+	dataCentres []string
+	// holders are the engines that have read a part.
+	holders map[string]map[*engine]bool
+	// homes are the engines that rendezvous hashing named for parts.
+	homes map[string]*engine
 	// memory is an engine's, in tokens.
 	memory   int
 	coldRate float64
@@ -103,13 +110,15 @@
 	pace float64
 	// lastRead is when a part was last read anywhere.
 	lastRead map[string]time.Time
+	// forgotAt is when parts were last forgotten.
+	forgotAt time.Time
 }
 
 // SetEngines replaces what is known of the engines of a service.
 func (d *Dispatcher) SetEngines(service *catalog.Service, list []Engine) {
 	p := d.enginePools[service.Name]
 	if p == nil {
-		p = &enginePool{engines: make(map[string]*engine), pace: 1, lastRead: make(map[string]time.Time)}
+		p = newEnginePool()
 		d.enginePools[service.Name] = p
 	}
 	p.memory, p.coldRate, p.tokenFetch = service.EngineMemory, service.ColdRate, service.TokenFetch
@@ -119,133 +128,68 @@
 	for _, c := range list {
 		e := p.engines[c.ID]
 		if e == nil || e.Incarnation != c.Incarnation {
+			p.remove(e)
 			e = &engine{reading: make(map[string]reading), parts: make(map[string]cachedPart)}
 			p.engines[c.ID] = e
+			clear(p.homes)
 		}
 		e.Engine, e.usable = c, true
 	}
-	for id, e := range p.engines {
+	for _, e := range p.engines {
 		if !e.usable {
-			delete(p.engines, id)
+			p.remove(e)
 		}
 	}
+	p.index()
 }
 
-// choice is an engine for a prompt with what it costs.
-type choice struct {
-	engine *engine
-	// first is the expected time to the first event, cost weighs in what others pay.
-	first time.Duration
-	cost  time.Duration
-	// read is how long the engine itself takes.
-	read time.Duration
-	// source is the engine to fetch parts of the prompt from; nil for none.
-	source *engine
-}
-
-// choose returns the engine with the least cost for a prompt, or nil. The move
-// is what reading the stages' results costs in a data centre.
-func (p *enginePool) choose(now time.Time, prompt Prompt, late time.Time, move func(dataCentre string) time.Duration) *choice {
-	if p == nil {
-		return nil
+func newEnginePool() *enginePool {
+	return &enginePool{
+		engines: make(map[string]*engine), pace: 1, lastRead: make(map[string]time.Time),
+		holders: make(map[string]map[*engine]bool), homes: make(map[string]*engine),
 	}
-	ids := make([]string, 0, len(p.engines))
-	for id := range p.engines {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	home := p.home(prompt, ids)
-	source := p.source(now, prompt, ids)
-	var best *choice
-	for _, id := range ids {
-		e := p.engines[id]
-		if e.Cold && now.Before(e.nextCold) {
-			continue
-		}
-		c := p.cost(now, e, source, prompt)
-		c.cost += move(e.DataCentre)
-		if id == home {
-			c.cost -= homeBonus
-		}
-		if now.Add(c.first).After(late) {
-			c.cost += lateCost
-		}
-		if best == nil || c.cost < best.cost {
-			best = c
-		}
-	}
-	return best
 }
 
-// source is the engine that has read most of a prompt's shared parts.
-func (p *enginePool) source(now time.Time, prompt Prompt, ids []string) *engine {
-	if p.tokenFetch == 0 {
-		return nil
-	}
-	var best *engine
-	most := 0
-	for _, id := range ids {
-		e := p.engines[id]
-		if known, _ := p.known(now, e, prompt); known > most && !now.Before(e.suspectUntil) {
-			best, most = e, known
-		}
+// remove forgets an engine that is gone or has started anew.
+func (p *enginePool) remove(e *engine) {
+	if e == nil {
+		return
 	}
-	return best
+	p.forgetParts(e)
+	delete(p.engines, e.ID)
+	clear(p.homes)
 }
 
-func (p *enginePool) cost(now time.Time, e, source *engine, prompt Prompt) *choice {
-	known, reread := p.known(now, e, prompt)
-	c := &choice{engine: e}
-	c.read = p.readTime(known, prompt.Tokens-known)
-	c.cost = time.Duration(reread) * rereadCost
-	if source != nil && source != e {
-		c.fetch(p, now, source, known, prompt)
-	}
-	c.first = c.read + max(e.readsUntil.Sub(now), 0) + time.Duration(len(e.reading))*runningCost
-	c.cost += c.first
-	if e.Cold {
-		c.cost += coldCost
+// forgetParts notes that an engine has read nothing.
+func (p *enginePool) forgetParts(e *engine) {
+	for id := range e.parts {
+		p.lose(e, id)
 	}
-	if now.Before(e.suspectUntil) {
-		c.cost += suspectCost
-	}
-	return c
 }
 
-// fetch weighs fetching what the source has read of the prompt beyond what the
-// engine itself has.
-func (c *choice) fetch(p *enginePool, now time.Time, source *engine, known int, prompt Prompt) {
-	there, reread := p.known(now, source, prompt)
-	tokens := there - known
-	if tokens < minFetch {
-		return
-	}
-	moving := time.Duration(tokens) * p.tokenFetch
-	if source.DataCentre != c.engine.DataCentre {
-		moving *= 2
-	}
-	read := moving + p.readTime(there, prompt.Tokens-there)
-	cost := time.Duration(tokens)*fetchCost + time.Duration(reread)*rereadCost
-	if read+cost < c.read+c.cost {
-		c.read, c.cost, c.source = read, cost, source
+// lose notes that an engine does not have a part any more.
+func (p *enginePool) lose(e *engine, part string) {
+	e.cached -= e.parts[part].tokens
+	delete(e.parts, part)
+	if delete(p.holders[part], e); len(p.holders[part]) == 0 {
+		delete(p.holders, part)
 	}
 }
 
-// known returns how many tokens of a prompt an engine has read, and how many it
-// would read again although some engine has read them lately.
-func (p *enginePool) known(now time.Time, e *engine, prompt Prompt) (known, reread int) {
-	whole := true
-	for _, part := range prompt.shared() {
-		_, found := e.parts[part.ID]
-		whole = whole && found
-		switch {
-		case whole:
-			known += part.Tokens
-		case now.Sub(p.lastRead[part.ID]) < rereadWindow:
-			reread += part.Tokens
+// index lists the engines and their data centres anew.
+func (p *enginePool) index() {
+	p.list, p.dataCentres = p.list[:0], p.dataCentres[:0]
+	for _, e := range p.engines {
+		p.list = append(p.list, e)
+	}
+	slices.SortFunc(p.list, func(a, b *engine) int { return strings.Compare(a.ID, b.ID) })
+	for _, e := range p.list {
+		e.place = slices.Index(p.dataCentres, e.DataCentre)
+		if e.place < 0 {
+			e.place = len(p.dataCentres)
+			p.dataCentres = append(p.dataCentres, e.DataCentre)
 		}
 	}
-	return known, reread
 }
 
 func (p Prompt) shared() []Part {
@@ -263,22 +207,6 @@
 	return time.Duration(expected * p.pace)
 }
 
-// home is the engine that rendezvous hashing names for the shared parts.
-func (p *enginePool) home(prompt Prompt, ids []string) string {
-	shared := prompt.shared()
-	if len(shared) == 0 {
-		return ""
-	}
-	key := shared[len(shared)-1].ID
-	best, weight := "", uint64(0)
-	for _, id := range ids {
-		if w := xxhash.Sum64String(key + "/" + id); w >= weight {
-			best, weight = id, w
-		}
-	}
-	return best
-}
-
 // assign books a request at an engine.
 func (p *enginePool) assign(now time.Time, c *choice, job string, prompt Prompt) {
 	e := c.engine
@@ -301,6 +229,10 @@
 	p.lastRead[part.ID] = now
 	if _, found := e.parts[part.ID]; !found {
 		e.cached += part.Tokens
+		if p.holders[part.ID] == nil {
+			p.holders[part.ID] = make(map[*engine]bool)
+		}
+		p.holders[part.ID][e] = true
 	}
 	e.parts[part.ID] = cachedPart{tokens: part.Tokens, used: now}
 	for limit := int(cacheShare * float64(p.memory)); limit > 0 && e.cached > limit && len(e.parts) > 1; {
@@ -310,8 +242,7 @@
 				oldest, at = id, c.used
 			}
 		}
-		e.cached -= e.parts[oldest].tokens
-		delete(e.parts, oldest)
+		p.lose(e, oldest)
 	}
 }
 
@@ -325,8 +256,7 @@
 	if failed {
 		e.suspectUntil = now.Add(suspectFor)
 		// What it had read may be gone.
-		clear(e.parts)
-		e.cached = 0
+		p.forgetParts(e)
 	} else if r.alone && r.expected > 0 {
 		ratio := float64(now.Sub(r.began)) / float64(r.expected) * p.pace
 		p.pace += paceWeight * (min(max(ratio, minPace), maxEnginePace) - p.pace)
@@ -351,102 +281,23 @@
 	maxEnginePace = 5
 )
 
-// forget drops parts that were not read for long.
+// forget drops parts that were not read for long. At thousands of requests a
+// second there are hundreds of thousands of them, so that it looks rarely.
 func (p *enginePool) forget(now time.Time) {
+	if now.Sub(p.forgotAt) < forgetEvery {
+		return
+	}
+	p.forgotAt = now
 	for id, at := range p.lastRead {
-		if now.Sub(at) > forgetParts {
+		if now.Sub(at) > partMemory {
 			delete(p.lastRead, id)
 		}
 	}
 }
 
-// forgetParts is how long parts are remembered that no request brings.
-const forgetParts = time.Minute
-
-// noMove is for requests without results of stages.
-func noMove(string) time.Duration { return 0 }
-
-// engineForecast is the expected time from the stages' results to the first event.
-func (d *Dispatcher) engineForecast(now time.Time, j *job) time.Duration {
-	c := d.enginePools[j.Prompt.Service].choose(now, j.Prompt, j.Target, noMove)
-	if c == nil {
-		return 0
-	}
-	return c.first
-}
-
-// chooseEngine picks and books the engine of a job whose results are there.
-func (d *Dispatcher) chooseEngine(now time.Time, j *job) (engine, fetchFrom string) {
-	p := d.enginePools[j.Prompt.Service]
-	c := p.choose(now, j.Prompt, j.Target, func(dataCentre string) time.Duration { return d.readCost(j, dataCentre) })
-	if c == nil {
-		return "", ""
-	}
-	j.engine = c.engine.ID
-	j.dataCentre = c.engine.DataCentre
-	p.assign(now, c, j.ID, j.Prompt)
-	if c.source != nil {
-		fetchFrom = c.source.Address
-	}
-	return j.engine, fetchFrom
-}
-
-// readCost is what reading a job's results in a data centre costs for the bytes
-// that cross, as time.
-func (d *Dispatcher) readCost(j *job, dataCentre string) time.Duration {
-	var bytes int64
-	for _, i := range j.outputs {
-		g := j.groups[i]
-		for k := range g.tasks {
-			if e := d.pools[g.service].endpoints[g.tasks[k].endpoint]; e != nil && e.DataCentre != dataCentre {
-				bytes += g.resultBytes
-			}
-		}
-	}
-	return time.Duration(float64(bytes) / 1e6 * float64(d.o.MoveTime))
-}
-
-// bestPlace is the data centre with the least cost of an engine there and of
-// the stages whose large results are read there.
-func (d *Dispatcher) bestPlace(now time.Time, j *job) string {
-	p := d.enginePools[j.Prompt.Service]
-	if p == nil || !j.hasBigOutput() {
-		return ""
-	}
-	best, bestCost := "", time.Duration(math.MaxInt64)
-	costs := make(map[string]time.Duration)
-	ids := make([]string, 0, len(p.engines))
-	for id := range p.engines {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	home := p.home(j.Prompt, ids)
-	source := p.source(now, j.Prompt, ids)
-	for _, id := range ids {
-		e := p.engines[id]
-		cost := p.cost(now, e, source, j.Prompt).cost
-		if id == home {
-			cost -= homeBonus
-		}
-		if old, found := costs[e.DataCentre]; !found || cost < old {
-			costs[e.DataCentre] = cost
-		}
-	}
-	for _, id := range ids {
-		dataCentre := p.engines[id].DataCentre
-		cost, left := costs[dataCentre]
-		if !left {
-			continue
-		}
-		delete(costs, dataCentre)
-		for _, g := range j.groups {
-			if g != nil && g.output && g.totalBytes() > bigResult {
-				cost += d.pools[g.service].placeCost(now, dataCentre, g)
-			}
-		}
-		if cost < bestCost {
-			best, bestCost = dataCentre, cost
-		}
-	}
-	return best
-}
+const (
+	// partMemory is how long parts are remembered that no request brings.
+	partMemory = time.Minute
+	// forgetEvery is a small part of partMemory.
+	forgetEvery = time.Second
+)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/azurelead/azurelead/catalog"
@@ -12,7 +13,10 @@
 type pool struct {
 	limits    catalog.StageLimits
 	endpoints map[string]*endpoint
-	queue     []*group
+	// list are the endpoints that may get calls, by id, and dataCentres theirs.
+	list        []*endpoint
+	dataCentres []string
+	queue       []*group
 	// backlog counts the tasks that no call has, by data centre.
 	backlog map[string]int
 	// arrivals are the tasks a second of each rank.
@@ -29,7 +33,9 @@
 type endpoint struct {
 	catalog.Endpoint
 	usable bool
-	calls  int
+	// place is the position of its data centre in the pool's.
+	place int
+	calls int
 	// freeAt is when the call in progress is expected to end.
 	freeAt time.Time
 	// reserved is the memory of the results that calls in progress make.
@@ -83,29 +89,38 @@
 			delete(p.endpoints, id)
 		}
 	}
+	p.index()
 }
 
-// usable lists the endpoints that may get calls, of one data centre unless it
-// is empty.
-func (p *pool) usable(dataCentre string) []*endpoint {
-	var list []*endpoint
+// index lists the usable endpoints and their data centres anew.
+func (p *pool) index() {
+	p.list, p.dataCentres = p.list[:0], p.dataCentres[:0]
 	for _, e := range p.endpoints {
-		if e.usable && (dataCentre == "" || e.DataCentre == dataCentre) {
-			list = append(list, e)
+		if e.usable {
+			p.list = append(p.list, e)
 		}
 	}
-	slices.SortFunc(list, func(a, b *endpoint) int {
-		switch {
-		case a.pace < b.pace-0.05:
-			return -1
-		case b.pace < a.pace-0.05:
-			return 1
-		case a.ID < b.ID:
-			return -1
+	slices.SortFunc(p.list, func(a, b *endpoint) int { return strings.Compare(a.ID, b.ID) })
+	for _, e := range p.list {
+		e.place = slices.Index(p.dataCentres, e.DataCentre)
+		if e.place < 0 {
+			e.place = len(p.dataCentres)
+			p.dataCentres = append(p.dataCentres, e.DataCentre)
 		}
+	}
+}
+
+// byPace orders endpoints, the fastest first; those that are about as fast by id.
+func byPace(a, b *endpoint) int {
+	switch {
+	case a.pace < b.pace-0.05:
+		return -1
+	case b.pace < a.pace-0.05:
 		return 1
-	})
-	return list
+	case a.ID < b.ID:
+		return -1
+	}
+	return 1
 }
 
 // callTime is the declared duration of a call with n of a group's tasks, in a
@@ -122,8 +137,8 @@
 // capacity is the number of endpoints at their declared pace.
 func (p *pool) capacity(dataCentre string) float64 {
 	var sum float64
-	for _, e := range p.endpoints {
-		if e.usable && e.failures < 2 && (dataCentre == "" || e.DataCentre == dataCentre) {
+	for _, e := range p.list {
+		if e.failures < 2 && (dataCentre == "" || e.DataCentre == dataCentre) {
 			sum += float64(p.limits.Slots) / max(e.pace, 0.5)
 		}
 	}
@@ -150,8 +165,7 @@
 // placeCost is the time that a group waits if its results are read in a data
 // centre; a service without endpoints there costs a crossing.
 func (p *pool) placeCost(now time.Time, dataCentre string, g *group) time.Duration {
-	list := p.usable(dataCentre)
-	if len(list) == 0 {
+	if !slices.Contains(p.dataCentres, dataCentre) {
 		cost := p.queueDelayAll()
 		if g.totalBytes() > bigResult {
 			cost += crossingCost
@@ -163,7 +177,10 @@
 		return cost
 	}
 	busy := time.Duration(math.MaxInt64)
-	for _, e := range list {
+	for _, e := range p.list {
+		if e.DataCentre != dataCentre {
+			continue
+		}
 		busy = min(busy, max(e.freeAt.Sub(now), e.retryAt.Sub(now), e.roomDelay(now, p, g), 0))
 	}
 	return cost + busy
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -45,6 +45,12 @@
 	begunAt map[string]time.Time
 	// inputs checks what each task was given.
 	handleOf map[string]string
+	// prompts is the engines' service that the requests of a burst ask; they
+	// share their first two parts with others.
+	prompts string
+	// readAfter is when the results of a job that ended are released; 0 leaves
+	// that to readers.
+	readAfter time.Duration
 }
 
 type simEvent struct {
@@ -131,6 +137,9 @@
 			w.t.Fatalf("job %s ended twice", f.ID)
 		}
 		w.ended[f.ID], w.endAt[f.ID] = f, w.now
+		if w.readAfter > 0 {
+			w.at(w.readAfter, func() { w.d.Release(w.now, f.ID, false) })
+		}
 	}
 	for _, f := range w.d.Frees() {
 		for _, h := range f.Handles {
@@ -230,7 +239,11 @@
 			w.at(at, func() {
 				submitted++
 				w.begunAt[id] = w.now
-				if !w.d.Submit(w.now, job(id, w.now)).Admitted {
+				j := job(id, w.now)
+				if w.prompts != "" {
+					j.Prompt = promptOf(w.prompts, id, i)
+				}
+				if !w.d.Submit(w.now, j).Admitted {
 					refused++
 				}
 			})
@@ -242,6 +255,16 @@
 	return submitted, refused
 }
 
+// sharedParts is how many parts of prompts there are that requests share.
+const sharedParts = 400
+
+// promptOf is a prompt whose first two parts others share.
+func promptOf(service, id string, i int) Prompt {
+	return Prompt{Service: service, Tokens: 9000, Parts: []Part{
+		{ID: fmt.Sprint("common", i%4), Tokens: 2500}, {ID: fmt.Sprint("shared", i*7919%sharedParts), Tokens: 3800}, {ID: "own" + id, Tokens: 2700},
+	}}
+}
+
 // readers release the results of jobs that ended, a while later.
 func (w *world) readers(after time.Duration) {
 	seen := map[string]bool{}
