Ping quiet hubs less, and the dispatcher only while it answers no jobs

Most tell nothing: a hub that does not hear the store tells of changes, as two dozen others do, and an answered job shows as well that the dispatcher lives. Ruled out: longer intervals for all, as an entry asks the store itself when no hub told of it for 3.2 s; so hubs that hear the store, and all at the start or while none does, keep the rhythm. Change: peers.rhythm, a value without I/O with its table test; a hub is pinged as soon as it is elected (before, up to 1.2 s later), TestElectedHubIsPingedAtOnce failed without that.

--- a/peers/elect.go
+++ b/peers/elect.go
@@ -36,8 +36,11 @@
 		candidates = append(candidates, Contender{Identity: m.o.Self, Uptime: time.Since(m.o.Started), Leaving: m.leaving})
 	}
 	byName := map[string]*peerLink{}
+	var before *peerLink
 	for _, l := range m.links {
-		l.dispatches = false
+		if l.dispatches {
+			before, l.dispatches = l, false
+		}
 		if l.conn == nil && !l.relinking || excluded[l.identity.Name] || l.identity.Name == m.o.Self.Name || !m.isHub(l.address) {
 			continue
 		}
@@ -51,10 +54,21 @@
 		return nil, false
 	}
 	l.dispatches = true
+	if l != before {
+		// It may be dead without anybody having noticed.
+		l.pingNow()
+	}
 	if l.conn == nil {
 		return nil, true
 	}
-	return &Link{Peer: l.identity, conn: l.conn}, false
+	return &Link{Peer: l.identity, conn: l.conn, answered: func() { m.answered(l) }}, false
+}
+
+// answered notes that a peer answered a job.
+func (m *Mesh) answered(l *peerLink) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l.heard = time.Now()
 }
 
 // Contender is an entry that may dispatch.
@@ -138,7 +152,7 @@
 			continue
 		}
 		dataCentres[l.identity.DataCentre] = append(dataCentres[l.identity.DataCentre], l.identity.Name)
-		fresh = fresh || time.Since(l.storeAt) < storeFresh
+		fresh = fresh || l.hearsStore()
 	}
 	return !fresh || slices.Contains(Leaders(dataCentres), m.o.Self.Name)
 }
--- a/peers/link.go
+++ b/peers/link.go
@@ -11,6 +11,8 @@
 type Link struct {
 	Peer Identity
 	conn *jsonrpc2.Conn
+	// answered takes note of an answer.
+	answered func()
 }
 
 // Submit sends a job and waits for its outcome. An error means that the link
@@ -18,6 +20,9 @@
 func (l *Link) Submit(ctx context.Context, j Job) (Outcome, error) {
 	var o Outcome
 	err := l.conn.Call(ctx, methodSubmit, j, &o)
+	if err == nil {
+		l.answered()
+	}
 	return o, Error.Wrap(err)
 }
 
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -25,12 +25,8 @@
 var Error = errs.Class("peers")
 
 const (
-	// pingInterval and pingTimeout find a dead peer within about a second and a
-	// half. With many peers each is pinged less often.
-	pingInterval = 400 * time.Millisecond
-	pingTimeout  = 900 * time.Millisecond
-	// pingSpread is the number of peers from which on pings get rarer.
-	pingSpread = 8
+	// pingTimeout is how long a peer may take to answer a ping.
+	pingTimeout = 900 * time.Millisecond
 	// dialTimeout and redialMin to redialMax pace the attempts to link.
 	dialTimeout = 400 * time.Millisecond
 	redialMin   = 200 * time.Millisecond
@@ -125,6 +121,10 @@
 	relinking bool
 	// dispatches is set while the peer is the one that dispatches.
 	dispatches bool
+	// heard is when the peer last answered a job; answered is set once it has
+	// answered a ping.
+	heard    time.Time
+	answered bool
 }
 
 // New returns a mesh without links.
@@ -273,10 +273,15 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, l := range m.links {
-		select {
-		case l.poke <- struct{}{}:
-		default:
-		}
+		l.pingNow()
+	}
+}
+
+// pingNow asks for a ping at once.
+func (l *peerLink) pingNow() {
+	select {
+	case l.poke <- struct{}{}:
+	default: // one is asked for already
 	}
 }
 
@@ -354,7 +359,7 @@
 	}
 	m.mu.Lock()
 	l.relinking = false
-	l.conn, l.identity, l.leaving = conn, h.Identity, false
+	l.conn, l.identity, l.leaving, l.heard, l.answered = conn, h.Identity, false, time.Time{}, false
 	l.started = time.Now().Add(-time.Duration(h.UptimeMS) * time.Millisecond)
 	m.mu.Unlock()
 	m.o.Logger.Info("peer linked", "peer", h.Identity.Name, "address", l.address, "uptime_ms", h.UptimeMS)
@@ -375,8 +380,9 @@
 // watch pings the peer until it does not answer.
 func (m *Mesh) watch(ctx context.Context, l *peerLink, conn *jsonrpc2.Conn) error {
 	mark := ""
+	pinged := time.Now()
 	for {
-		t := time.NewTimer(m.interval(l))
+		t := time.NewTimer(time.Until(m.nextPing(l, pinged)))
 		select {
 		case <-ctx.Done():
 			t.Stop()
@@ -387,7 +393,11 @@
 		case <-l.poke:
 			t.Stop()
 		case <-t.C:
+			if time.Until(m.nextPing(l, pinged)) > 0 {
+				continue // jobs were answered meanwhile
+			}
 		}
+		pinged = time.Now()
 		var p Ping
 		if err := call(ctx, conn, pingTimeout, methodPing, m.ping(mark), &p); err != nil {
 			if errors.Is(err, jsonrpc2.ErrClosed) {
@@ -399,7 +409,7 @@
 		m.o.Suspects.Merge(p.Suspects)
 		m.mu.Lock()
 		changed := l.leaving != p.Leaving
-		l.leaving = p.Leaving
+		l.leaving, l.answered = p.Leaving, true
 		if p.StoreAgeMS >= 0 {
 			l.storeAt = time.Now().Add(-time.Duration(p.StoreAgeMS) * time.Millisecond)
 		}
@@ -413,17 +423,33 @@
 	}
 }
 
-// interval is the time between two pings of one peer. The one that dispatches
-// is pinged as often in a large deployment as in a small one.
-func (m *Mesh) interval(l *peerLink) time.Duration {
+// nextPing is when a peer is pinged that was last pinged at a time.
+func (m *Mesh) nextPing(l *peerLink, pinged time.Time) time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if l.dispatches {
-		return pingInterval
+	return rhythm{
+		links: len(m.links), quiet: l.answered && m.quiet(l), dispatches: l.dispatches, pinged: pinged, heard: l.heard,
+	}.next()
+}
+
+// quiet reports whether a hub has little to tell to this entry, which is none.
+// The caller holds mu.
+func (m *Mesh) quiet(l *peerLink) bool {
+	if m.isHub(m.o.Self.Address) || l.hearsStore() {
+		return false
 	}
-	return pingInterval * time.Duration(max(1, (len(m.links)+pingSpread-1)/pingSpread))
+	for _, other := range m.links {
+		if other.hearsStore() {
+			return true
+		}
+	}
+	return false
 }
 
+// hearsStore reports whether the store answered the peer lately. The caller holds
+// the mesh's mu.
+func (l *peerLink) hearsStore() bool { return time.Since(l.storeAt) < storeFresh }
+
 // StoreHeard returns when the store last answered this entry or a linked one.
 func (m *Mesh) StoreHeard() time.Time {
 	latest := m.o.Follower.Heard()
--- /dev/null
+++ b/peers/rhythm.go
@@ -0,0 +1,53 @@
+package peers
+
+import "time"
+
+const (
+	// pingInterval, with pingTimeout, finds a dead dispatcher within about a second
+	// and a half, and any other of a few peers.
+	pingInterval = 400 * time.Millisecond
+	// pingSpread is the number of peers from which on pings get rarer.
+	pingSpread = 8
+	// quietFactor is how much rarer a hub is pinged that neither dispatches nor asks
+	// the store. Of all hubs one is pinged every 150 ms all the same, so that news
+	// come as soon; one that is dead is found when it is elected.
+	quietFactor = 3
+)
+
+// rhythm is what the time of the next ping of a peer depends on.
+//
+// The load it answers is hundreds of entries that all link to the same hubs: the
+// pings are most of what an entry sends while it has no requests, and the hubs
+// answer those of all.
+type rhythm struct {
+	// links is the number of peers.
+	links int
+	// quiet is set at an entry that is no hub for a hub that does not hear the
+	// store, while another one does.
+	quiet bool
+	// dispatches is set for the peer that dispatches.
+	dispatches bool
+	// pinged is when the last ping was sent, heard when the last job was answered.
+	pinged, heard time.Time
+}
+
+// next is when the peer is to be pinged. An answered job shows as well as a ping
+// that the dispatcher lives, but only pings bring news.
+func (r rhythm) next() time.Time {
+	interval := pingInterval * time.Duration(max(1, (r.links+pingSpread-1)/pingSpread))
+	if !r.dispatches && r.quiet {
+		return r.pinged.Add(quietFactor * interval)
+	}
+	usual := r.pinged.Add(interval)
+	if !r.dispatches {
+		return usual
+	}
+	last := r.pinged
+	if r.heard.After(last) {
+		last = r.heard
+	}
+	if soon := last.Add(pingInterval); soon.Before(usual) {
+		return soon
+	}
+	return usual
+}
--- /dev/null
+++ b/peers/rhythm_test.go
@@ -0,0 +1,102 @@
+package peers
+
+import (
+	"testing"
+	"time"
+)
+
+func TestRhythm(t *testing.T) {
+	at := func(ms int) time.Time {
+		return time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).Add(time.Duration(ms) * time.Millisecond)
+	}
+	cases := []struct {
+		name string
+		r    rhythm
+		want int
+	}{
+		{"few peers", rhythm{links: 4, pinged: at(0)}, 400},
+		{"many peers", rhythm{links: 20, pinged: at(0)}, 1200},
+		{"the dispatcher of many", rhythm{links: 20, dispatches: true, pinged: at(0)}, 400},
+		{"a dispatcher that answered a job", rhythm{links: 20, dispatches: true, pinged: at(0), heard: at(300)}, 700},
+		{"a dispatcher that answers jobs all the time", rhythm{links: 20, dispatches: true, pinged: at(0), heard: at(1190)}, 1200},
+		{"a dispatcher that answered before the last ping", rhythm{links: 20, dispatches: true, pinged: at(500), heard: at(300)}, 900},
+		{"a hub among hubs", rhythm{links: 24, pinged: at(0)}, 1200},
+		{"a quiet hub", rhythm{links: 24, quiet: true, pinged: at(0)}, 3600},
+		{"a quiet hub of many data centres", rhythm{links: 36, quiet: true, pinged: at(0)}, 6000},
+		{"a hub that dispatches", rhythm{links: 24, quiet: true, dispatches: true, pinged: at(0)}, 400},
+	}
+	for _, c := range cases {
+		if got := c.r.next(); !got.Equal(at(c.want)) {
+			t.Errorf("%s: after %s, want %d ms", c.name, got.Sub(at(0)), c.want)
+		}
+	}
+}
+
+// An entry that is no hub is quiet to the hubs that do not ask the store, once it
+// knows one that does; at the start, and when those that ask are gone, it looks for
+// them as soon as ever. Hubs are quiet to nobody.
+func TestQuietHubs(t *testing.T) {
+	members := memberList(40)
+	hubs := Hubs(members)
+	m := New(Options{Self: Identity{Name: "self", Address: "self"}, Started: time.Now(), Changed: func() {}})
+	m.setHubs(hubs)
+	for _, h := range hubs {
+		m.links[h.Address] = &peerLink{address: h.Address}
+	}
+	asking, other := m.links[hubs[0].Address], m.links[hubs[1].Address]
+	now := time.Now()
+	wait := func(l *peerLink) time.Duration { return m.nextPing(l, now).Sub(now) }
+	usual := rhythm{links: len(hubs)}.next().Sub(time.Time{})
+	if a, b := wait(asking), wait(other); a != usual || b != usual {
+		t.Errorf("at the start %s and %s", a, b)
+	}
+	asking.storeAt, other.answered = now, true
+	if a, b := wait(asking), wait(other); a != usual || b != quietFactor*usual {
+		t.Errorf("once one hears the store %s and %s", a, b)
+	}
+	if c := wait(m.links[hubs[2].Address]); c != usual {
+		t.Errorf("before the first ping %s", c)
+	}
+	asking.storeAt = now.Add(-storeFresh)
+	if b := wait(other); b != usual {
+		t.Errorf("when nobody hears the store any more %s", b)
+	}
+	asking.storeAt = now
+	m.o.Self.Address = hubs[3].Address
+	if b := wait(other); b != usual {
+		t.Errorf("at a hub %s", b)
+	}
+}
+
+// A hub that is elected is pinged at once: it may have died while it was quiet,
+// and its turn may be seconds away. One that stays elected is not.
+func TestElectedHubIsPingedAtOnce(t *testing.T) {
+	m := New(Options{Self: Identity{Name: "self"}, Started: time.Now(), Changed: func() {}})
+	for _, name := range []string{"a", "b", "c"} {
+		m.links[name] = &peerLink{
+			address: name, relinking: true, started: time.Now().Add(-time.Minute),
+			identity: Identity{Name: name, CPU: 1}, poke: make(chan struct{}, 1),
+		}
+	}
+	poked := func() (names []string) {
+		for name, l := range m.links {
+			select {
+			case <-l.poke:
+				names = append(names, name)
+			default:
+			}
+		}
+		return names
+	}
+	m.dispatcher(nil)
+	first := poked()
+	m.dispatcher(nil)
+	if again := poked(); len(first) != 1 || len(again) != 0 {
+		t.Fatalf("%v pinged at the election, %v after it", first, again)
+	}
+	m.links[first[0]].relinking = false
+	m.dispatcher(nil)
+	if second := poked(); len(second) != 1 || second[0] == first[0] {
+		t.Errorf("%v pinged after %v was lost", second, first)
+	}
+}
