Go on at another dispatcher with the results that were made

Ruled out: the engines (first events 200 ms after the stages, as ever), the time until the loss is noticed (1.3 s of the six), priorities (all organisations have the same). Change: the dispatcher tells whoever submitted a job of each call's results; a job that goes to another dispatcher takes them along. The other one books and uses them, and does only what is left. A dispatcher whose link is not dialled anew leaves the results to whoever has the job now.

--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -70,6 +70,23 @@
 	outcome  *dispatch.Finished
 	forecast time.Duration
 	tail     time.Duration
+	// made are results that the submitter has not been told of yet, if it wants to
+	// know; news has a value while there are some.
+	made []dispatch.Made
+	news chan struct{}
+}
+
+func newWaiter(a dispatch.Admission) *waiter {
+	return &waiter{ended: make(chan dispatch.Finished, 1), news: make(chan struct{}, 1), forecast: a.Forecast, tail: a.Tail}
+}
+
+// add takes results to tell of.
+func (w *waiter) add(made []dispatch.Made) {
+	w.made = append(w.made, made...)
+	select {
+	case w.news <- struct{}{}:
+	default: // there were some already
+	}
 }
 
 // tell hands the outcome to who waits, or keeps it.
@@ -130,11 +147,11 @@
 }
 
 // Submit implements peers.Jobs.
-func (c *Coordinator) Submit(ctx context.Context, j peers.Job) peers.Outcome {
+func (c *Coordinator) Submit(ctx context.Context, j peers.Job, told func([]dispatch.Made)) peers.Outcome {
 	now := time.Now()
 	c.mu.Lock()
 	if w := c.waiters[j.ID]; w != nil && w.ended == nil {
-		return c.resume(ctx, j, w)
+		return c.resume(ctx, j, w, told)
 	}
 	c.refresh(now)
 	job := j.Dispatch(now)
@@ -151,19 +168,20 @@
 		return peers.Outcome{Refused: true, Problem: a.Reason, RetryAfterMS: a.RetryAfter.Milliseconds(), ForecastMS: a.Forecast.Milliseconds()}
 	}
 	delete(c.refused, j.Subject)
-	w := &waiter{ended: make(chan dispatch.Finished, 1), forecast: a.Forecast, tail: a.Tail}
+	w := newWaiter(a)
 	c.waiters[j.ID] = w
 	c.mu.Unlock()
 	c.o.Logger.Info("stages admitted", "request", j.ID, "rank", j.Rank, "stages", len(j.Stages), "returning", job.Returning,
-		"forecast_ms", a.Forecast.Milliseconds(), "tail_ms", a.Tail.Milliseconds(), "target_ms", j.TargetMS, "deadline_ms", j.DeadlineMS)
+		"forecast_ms", a.Forecast.Milliseconds(), "tail_ms", a.Tail.Milliseconds(), "target_ms", j.TargetMS, "deadline_ms", j.DeadlineMS,
+		"made_before", len(j.Made))
 	c.awake()
 	c.pump()
-	return c.await(ctx, j, w)
+	return c.await(ctx, j, w, told)
 }
 
 // resume goes on with a job whose link was lost. The caller holds mu, which is
 // unlocked.
-func (c *Coordinator) resume(ctx context.Context, j peers.Job, w *waiter) peers.Outcome {
+func (c *Coordinator) resume(ctx context.Context, j peers.Job, w *waiter, told func([]dispatch.Made)) peers.Outcome {
 	w.ended, w.orphaned = make(chan dispatch.Finished, 1), time.Time{}
 	if w.outcome != nil {
 		w.ended <- *w.outcome
@@ -171,34 +189,46 @@
 	}
 	c.mu.Unlock()
 	c.o.Logger.Info("stages resumed on a new link", "request", j.ID)
-	return c.await(ctx, j, w)
+	return c.await(ctx, j, w, told)
 }
 
-func (c *Coordinator) await(ctx context.Context, j peers.Job, w *waiter) peers.Outcome {
-	o := c.outcome(ctx, j, w)
+func (c *Coordinator) await(ctx context.Context, j peers.Job, w *waiter, told func([]dispatch.Made)) peers.Outcome {
+	o := c.outcome(ctx, j, w, told)
 	o.ForecastMS, o.TailMS = w.forecast.Milliseconds(), w.tail.Milliseconds()
 	return o
 }
 
-func (c *Coordinator) outcome(ctx context.Context, j peers.Job, w *waiter) peers.Outcome {
-	select {
-	case f := <-w.ended:
-		if f.Problem != "" {
-			c.o.Metrics.Jobs.WithLabelValues("failed").Inc()
-			c.o.Logger.Info("stages failed", "request", j.ID, "reason", f.Problem)
-			return peers.Outcome{Problem: f.Problem}
+func (c *Coordinator) outcome(ctx context.Context, j peers.Job, w *waiter, told func([]dispatch.Made)) peers.Outcome {
+	for {
+		select {
+		case f := <-w.ended:
+			return c.ended(j, f)
+		case <-w.news:
+			c.mu.Lock()
+			made := w.made
+			w.made = nil
+			c.mu.Unlock()
+			told(made)
+		case <-ctx.Done():
+			c.mu.Lock()
+			w.ended, w.orphaned = nil, time.Now()
+			c.mu.Unlock()
+			return peers.Outcome{Problem: "link lost"}
 		}
-		c.o.Metrics.Jobs.WithLabelValues("done").Inc()
-		c.o.Logger.Info("engine booked", "request", j.ID, "engine", f.Engine, "fetch_from", f.FetchFrom, "results", len(f.Handles))
-		return peers.Outcome{Handles: f.Handles, Engine: f.Engine, FetchFrom: f.FetchFrom}
-	case <-ctx.Done():
-		c.mu.Lock()
-		w.ended, w.orphaned = nil, time.Now()
-		c.mu.Unlock()
-		return peers.Outcome{Problem: "link lost"}
 	}
 }
 
+func (c *Coordinator) ended(j peers.Job, f dispatch.Finished) peers.Outcome {
+	if f.Problem != "" {
+		c.o.Metrics.Jobs.WithLabelValues("failed").Inc()
+		c.o.Logger.Info("stages failed", "request", j.ID, "reason", f.Problem)
+		return peers.Outcome{Problem: f.Problem}
+	}
+	c.o.Metrics.Jobs.WithLabelValues("done").Inc()
+	c.o.Logger.Info("engine booked", "request", j.ID, "engine", f.Engine, "fetch_from", f.FetchFrom, "results", len(f.Handles))
+	return peers.Outcome{Handles: f.Handles, Engine: f.Engine, FetchFrom: f.FetchFrom}
+}
+
 // Cancel implements peers.Jobs.
 func (c *Coordinator) Cancel(id string) {
 	c.mu.Lock()
@@ -256,8 +286,11 @@
 	c.d.Expire(now)
 	for id, w := range c.waiters {
 		if !w.orphaned.IsZero() && now.Sub(w.orphaned) > orphanTime {
+			// Its entry may have taken it to another dispatcher, with the results
+			// that it was told of.
 			delete(c.waiters, id)
-			c.d.Cancel(now, id)
+			c.d.Abandon(now, id)
+			c.o.Logger.Info("job abandoned, its link was not dialled anew", "request", id)
 		}
 	}
 	for subject, until := range c.refused {
@@ -278,6 +311,11 @@
 		c.o.Metrics.Tasks.Add(float64(len(call.Tasks)))
 		go c.call(call)
 	}
+	for id, made := range c.d.Made() {
+		if w := c.waiters[id]; w != nil {
+			w.add(made)
+		}
+	}
 	for _, f := range c.d.Finished() {
 		if w := c.waiters[f.ID]; w != nil && w.tell(f) {
 			delete(c.waiters, f.ID)
--- a/coordinate/coordinate_test.go
+++ b/coordinate/coordinate_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,14 +50,14 @@
 	}
 	link, cut := context.WithCancel(t.Context())
 	first := make(chan peers.Outcome, 1)
-	go func() { first <- c.Submit(link, job) }()
+	go func() { first <- c.Submit(link, job, untold) }()
 	<-started
 	cut()
 	if o := <-first; o.Problem == "" {
 		t.Errorf("the lost link brought %+v", o)
 	}
 	second := make(chan peers.Outcome, 1)
-	go func() { second <- c.Submit(t.Context(), job) }()
+	go func() { second <- c.Submit(t.Context(), job, untold) }()
 	close(finish)
 	if o := <-second; len(o.Handles) != 3 || o.Problem != "" {
 		t.Errorf("the new link brought %+v", o)
@@ -74,12 +76,45 @@
 	c.o.Roster.SetEndpoints(time.Now(), nil, false)
 	job := peers.Job{ID: "job", Key: "k", TargetMS: 30000, DeadlineMS: 60000, Stages: []dispatch.Stage{{Service: "portal", Tasks: 1, ResultBytes: 1000}}}
 	c.Refresh()
-	if o := c.Submit(t.Context(), job); !o.Refused {
+	if o := c.Submit(t.Context(), job, untold); !o.Refused {
 		t.Fatalf("without endpoints: %+v", o)
 	}
 	c.o.Roster.SetEndpoints(time.Now(), []catalog.Endpoint{{ID: s.ID, Service: "portal", Address: s.Address(), DataCentre: "north", Slots: 1}}, false)
 	c.Refresh()
-	if o := c.Submit(t.Context(), job); o.Refused || len(o.Handles) != 1 {
+	if o := c.Submit(t.Context(), job, untold); o.Refused || len(o.Handles) != 1 {
 		t.Errorf("with one: %+v", o)
 	}
 }
+
+// untold is for submitters that do not want to know what is made.
+func untold([]dispatch.Made) {}
+
+// Another dispatcher goes on from what the submitter was told: the first stage is
+// not done again.
+func TestWhatWasMadeIsToldAndTakenUp(t *testing.T) {
+	s := fleettest.NewServer("portal-1")
+	t.Cleanup(s.Close)
+	finish := make(chan struct{})
+	var calls atomic.Int64
+	s.Behave(func(_ int, r *http.Request) fleettest.Behaviour {
+		if strings.HasSuffix(r.URL.Path, "run") && calls.Add(1) == 2 {
+			<-finish // the second stage, of the dispatcher that is lost
+		}
+		return fleettest.Serve
+	})
+	job := peers.Job{
+		ID: "job", Key: "k", TargetMS: 30000, DeadlineMS: 60000,
+		Stages: []dispatch.Stage{{Service: "portal", Tasks: 3, ResultBytes: 1000}, {Service: "portal", After: []int{0}, Tasks: 2, ResultBytes: 1000}},
+	}
+	told := make(chan []dispatch.Made, 1)
+	go newTestCoordinator(t, s).Submit(t.Context(), job, func(made []dispatch.Made) { told <- made })
+	job.Made = <-told
+	close(finish)
+	o := newTestCoordinator(t, s).Submit(t.Context(), job, untold)
+	if len(o.Handles) != 2 || o.Problem != "" {
+		t.Errorf("the other dispatcher brought %+v", o)
+	}
+	if n := calls.Load(); n != 3 {
+		t.Errorf("the endpoint did %d calls", n)
+	}
+}
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -12,6 +12,7 @@
 	if missing := d.missingService(n); missing != "" {
 		return Admission{Reason: "no endpoint of " + missing, RetryAfter: noEndpointRetry}
 	}
+	d.adopt(n)
 	v := d.enginePools[n.Prompt.Service].view(now, n.Prompt)
 	n.dataCentre = d.bestPlace(now, n, v)
 	n.tail = v.forecast(n.Target)
@@ -32,6 +33,7 @@
 	for _, g := range n.groups {
 		if g != nil {
 			d.pools[g.service].admit(now, g)
+			d.holdAdopted(now, g)
 		}
 	}
 	if n.done() {
@@ -40,6 +42,49 @@
 	return a
 }
 
+// adopt takes the results that another dispatcher had made for a job.
+func (d *Dispatcher) adopt(j *job) {
+	for _, m := range j.Made {
+		if m.Stage < 0 || m.Stage >= len(j.groups) || j.groups[m.Stage] == nil {
+			continue
+		}
+		g := j.groups[m.Stage]
+		e := d.pools[g.service].endpoints[m.Endpoint]
+		if e == nil || !e.usable {
+			continue // what it held is gone, or may be any moment
+		}
+		for i, index := range m.Tasks {
+			if index < 0 || index >= len(g.tasks) || i >= len(m.Handles) {
+				continue
+			}
+			t := &g.tasks[index]
+			if t.state != taskDone {
+				g.waiting--
+			}
+			t.state, t.handle, t.endpoint = taskDone, m.Handles[i], m.Endpoint
+		}
+	}
+	for _, g := range j.groups {
+		if g != nil && !g.output && j.consumed(g.stage) {
+			// The other dispatcher gave them up, and nobody reads them any more.
+			for i := range g.tasks {
+				g.tasks[i].state, g.tasks[i].handle = taskDone, ""
+			}
+			g.waiting = 0
+		}
+	}
+}
+
+// holdAdopted books the results that a group came with at their endpoints.
+func (d *Dispatcher) holdAdopted(now time.Time, g *group) {
+	p := d.pools[g.service]
+	for _, t := range g.tasks {
+		if t.handle != "" {
+			p.endpoints[t.endpoint].hold(t.handle, g.resultBytes, now.Add(p.limits.ResultTTL))
+		}
+	}
+}
+
 const (
 	// noEndpointRetry is about the time in which a crashed endpoint is back.
 	noEndpointRetry = time.Second
@@ -80,10 +125,13 @@
 		for _, before := range g.after {
 			start = max(start, ends[before])
 		}
+		if g.done() {
+			continue
+		}
 		p := d.pools[g.service]
 		// Work that waits now is done while the stages before this one run.
 		start = max(start, p.wait(now, j.Rank, late))
-		ends[i] = start + p.callTime(len(g.tasks))
+		ends[i] = start + p.callTime(g.waiting)
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -91,6 +91,18 @@
 	Prompt Prompt
 	// Returning is set for a client that was told to come back.
 	Returning bool
+	// Made are results that a dispatcher before this one had made.
+	Made []Made
+}
+
+// Made are results of one call for one job. Who submitted the job is told of
+// them, so that another dispatcher can go on if this one is lost.
+type Made struct {
+	Endpoint string `json:"endpoint"`
+	Stage    int    `json:"stage"`
+	// Tasks are the numbers of the stage's tasks, Handles their results.
+	Tasks   []int    `json:"tasks"`
+	Handles []string `json:"handles"`
 }
 
 // Admission is the answer to a submitted job.
@@ -159,6 +171,8 @@
 	lastCall    uint64
 	finished    []Finished
 	frees       map[string]*Free
+	// made are results to tell of, by job.
+	made map[string][]Made
 }
 
 // New returns a dispatcher without endpoints.
@@ -171,7 +185,7 @@
 	}
 	return &Dispatcher{
 		o: o, pools: make(map[string]*pool), enginePools: make(map[string]*enginePool), jobs: make(map[string]*job),
-		calls: make(map[uint64]*call), frees: make(map[string]*Free),
+		calls: make(map[uint64]*call), frees: make(map[string]*Free), made: make(map[string][]Made),
 	}
 }
 
@@ -219,17 +233,35 @@
 	j.engine = ""
 }
 
+// Abandon drops a job whose submitter cannot be reached. Its results are left to
+// whoever has the job now, by what the submitter was told; if nobody has, they
+// expire.
+func (d *Dispatcher) Abandon(now time.Time, id string) {
+	if j := d.jobs[id]; j != nil {
+		d.drop(now, j)
+	}
+}
+
 // end drops a job, its waiting tasks and its results.
 func (d *Dispatcher) end(now time.Time, j *job) {
+	d.drop(now, j)
+	for _, g := range j.groups {
+		if g != nil {
+			d.freeGroup(g)
+		}
+	}
+}
+
+// drop drops a job and its waiting tasks.
+func (d *Dispatcher) drop(now time.Time, j *job) {
 	j.ended = true
 	delete(d.jobs, j.ID)
+	delete(d.made, j.ID)
 	d.engineRead(now, j, false)
 	for _, g := range j.groups {
-		if g == nil {
-			continue
+		if g != nil {
+			d.pools[g.service].drop(g)
 		}
-		d.pools[g.service].drop(g)
-		d.freeGroup(g)
 	}
 }
 
@@ -286,6 +318,17 @@
 	return list
 }
 
+// Made returns the results that were made since the last call, by job, for jobs
+// that go on.
+func (d *Dispatcher) Made() map[string][]Made {
+	if len(d.made) == 0 {
+		return nil
+	}
+	made := d.made
+	d.made = make(map[string][]Made)
+	return made
+}
+
 // Expire ends the jobs whose deadline has passed and forgets results that
 // their endpoints no longer keep.
 func (d *Dispatcher) Expire(now time.Time) {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -218,6 +218,9 @@
 
 // admit puts a new job's group into the queue.
 func (p *pool) admit(now time.Time, g *group) {
+	if g.waiting == 0 {
+		return
+	}
 	p.queue = append(p.queue, g)
 	g.queued = true
 	p.backlog[g.job.dataCentre] += g.waiting
@@ -226,7 +229,7 @@
 		a = &rate{}
 		p.arrivals[g.job.Rank] = a
 	}
-	a.add(now, float64(len(g.tasks)))
+	a.add(now, float64(g.waiting))
 }
 
 // wants lets one task of a group wait again.
--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -19,6 +19,7 @@
 			d.taskResult(now, c, ref, results[i])
 		}
 	}
+	d.noteMade(c)
 	for _, ref := range c.tasks {
 		d.advance(now, ref.group)
 	}
@@ -60,6 +61,24 @@
 	}
 }
 
+// noteMade takes note of a call's results for those who submitted the jobs.
+func (d *Dispatcher) noteMade(c *call) {
+	var m Made
+	for i, ref := range c.tasks {
+		g, t := ref.group, ref.group.tasks[ref.index]
+		if !g.job.ended && t.state == taskDone && t.endpoint == c.endpoint.ID && t.handle != "" {
+			m.Tasks, m.Handles = append(m.Tasks, ref.index), append(m.Handles, t.handle)
+		}
+		if last := i == len(c.tasks)-1; last || c.tasks[i+1].group != g {
+			if len(m.Tasks) > 0 {
+				m.Endpoint, m.Stage = c.endpoint.ID, g.stage
+				d.made[g.job.ID] = append(d.made[g.job.ID], m)
+			}
+			m = Made{}
+		}
+	}
+}
+
 // retry lets a task wait again, or ends its job after too many tries.
 func (d *Dispatcher) retry(now time.Time, ref taskRef, counts bool) {
 	g := ref.group
@@ -138,6 +157,7 @@
 // completeJob tells of a job whose results are there and books its engine.
 func (d *Dispatcher) completeJob(now time.Time, j *job) {
 	j.complete = true
+	delete(d.made, j.ID) // all that is left is in the outcome
 	f := Finished{ID: j.ID}
 	f.Engine, f.FetchFrom = d.chooseEngine(now, j)
 	for _, i := range j.outputs {
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -51,6 +51,8 @@
 	// readAfter is when the results of a job that ended are released; 0 leaves
 	// that to readers.
 	readAfter time.Duration
+	// told are the results that submitters were told of, by job.
+	told map[string][]Made
 }
 
 type simEvent struct {
@@ -78,7 +80,7 @@
 	return &world{
 		t: t, d: New(Options{}), now: epoch, busy: map[string]int{}, results: map[string]map[string]bool{},
 		limits: map[string]catalog.StageLimits{}, slow: map[string]float64{}, dead: map[string]bool{},
-		ended: map[string]Finished{}, endAt: map[string]time.Time{}, begunAt: map[string]time.Time{}, tasksAt: map[string]int{}, handleOf: map[string]string{},
+		ended: map[string]Finished{}, endAt: map[string]time.Time{}, begunAt: map[string]time.Time{}, tasksAt: map[string]int{}, handleOf: map[string]string{}, told: map[string][]Made{},
 	}
 }
 
@@ -132,6 +134,9 @@
 	for _, c := range w.d.Schedule(w.now) {
 		w.call(c)
 	}
+	for id, made := range w.d.Made() {
+		w.told[id] = append(w.told[id], made...)
+	}
 	for _, f := range w.d.Finished() {
 		if _, twice := w.ended[f.ID]; twice {
 			w.t.Fatalf("job %s ended twice", f.ID)
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -146,14 +148,20 @@
 func (s *stages) Submit(ctx context.Context, j dispatch.Job, subject string) (peers.Outcome, gateway.Ticket, error) {
 	excluded := make(map[string]bool)
 	lost := make(map[string]int)
+	var made results
 	for range maxDispatchers {
 		link := s.mesh.Dispatcher(ctx, excluded)
+		j.Made = made.soFar()
 		if link == nil {
 			return s.submitLocal(ctx, j, subject)
 		}
-		o, err := link.Submit(ctx, peers.NewJob(time.Now(), j, subject))
+		o, err := link.Submit(ctx, peers.NewJob(time.Now(), j, subject), made.add)
 		o.Dispatcher = link.Peer.Name
 		if err == nil {
+			if o.Refused {
+				// Nobody else knows of what was made before.
+				s.local.FreeHandles(handlesOf(j.Made))
+			}
 			return o, linkTicket{link: link, id: j.ID, handles: o.Handles, local: s.local}, nil
 		}
 		if ctx.Err() != nil {
@@ -169,14 +177,43 @@
 }
 
 func (s *stages) submitLocal(ctx context.Context, j dispatch.Job, subject string) (peers.Outcome, gateway.Ticket, error) {
-	o := s.local.Submit(ctx, peers.NewJob(time.Now(), j, subject))
+	o := s.local.Submit(ctx, peers.NewJob(time.Now(), j, subject), func([]dispatch.Made) {})
 	o.Dispatcher = s.self
+	if o.Refused {
+		s.local.FreeHandles(handlesOf(j.Made))
+	}
 	if ctx.Err() != nil {
 		s.local.Cancel(j.ID)
 	}
 	return o, localTicket{jobs: s.local, id: j.ID}, ctx.Err()
 }
 
+// results collects what was made for one job.
+type results struct {
+	mu   sync.Mutex
+	made []dispatch.Made
+}
+
+func (r *results) add(made []dispatch.Made) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.made = append(r.made, made...)
+}
+
+func (r *results) soFar() []dispatch.Made {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.made)
+}
+
+func handlesOf(made []dispatch.Made) []string {
+	var handles []string
+	for _, m := range made {
+		handles = append(handles, m.Handles...)
+	}
+	return handles
+}
+
 type linkTicket struct {
 	link    *peers.Link
 	id      string
--- a/peers/elect.go
+++ b/peers/elect.go
@@ -61,7 +61,7 @@
 	if l.conn == nil {
 		return nil, true
 	}
-	return &Link{Peer: l.identity, conn: l.conn, answered: func() { m.answered(l) }}, false
+	return &Link{Peer: l.identity, conn: l.conn, mesh: m, peer: l}, false
 }
 
 // answered notes that a peer answered a job.
--- a/peers/link.go
+++ b/peers/link.go
@@ -2,26 +2,31 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/azurelead/azurelead/dispatch"
 )
 
 // Link is a link to the dispatching entry.
 type Link struct {
 	Peer Identity
 	conn *jsonrpc2.Conn
-	// answered takes note of an answer.
-	answered func()
+	mesh *Mesh
+	peer *peerLink
 }
 
-// Submit sends a job and waits for its outcome. An error means that the link
-// failed or ctx ended.
-func (l *Link) Submit(ctx context.Context, j Job) (Outcome, error) {
+// Submit sends a job and waits for its outcome; told is called with results that
+// were made until then. An error means that the link failed or ctx ended.
+func (l *Link) Submit(ctx context.Context, j Job, told func([]dispatch.Made)) (Outcome, error) {
+	l.mesh.tell(j.ID, told)
+	defer l.mesh.tell(j.ID, nil)
 	var o Outcome
 	err := l.conn.Call(ctx, methodSubmit, j, &o)
 	if err == nil {
-		l.answered()
+		l.mesh.answered(l.peer)
 	}
 	return o, Error.Wrap(err)
 }
@@ -47,11 +52,41 @@
 	return Error.Wrap(conn.Call(ctx, method, params, result))
 }
 
-// refuseCalls answers calls on links that only this side calls on.
-type refuseCalls struct{}
+// tell says who to tell of a job's results; nil for nobody any more.
+func (m *Mesh) tell(id string, told func([]dispatch.Made)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if told == nil {
+		delete(m.submitted, id)
+		return
+	}
+	m.submitted[id] = told
+}
+
+// news takes what the other side of a link tells unasked; calls are refused, as
+// only this side calls.
+type news struct{ m *Mesh }
 
-func (refuseCalls) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+// Handle implements jsonrpc2.Handler.
+func (n news) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
 	if !r.Notif {
-		_ = conn.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method})
+		if err := conn.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}); err != nil {
+			n.m.o.Logger.Warn("call on a link not refused", "method", r.Method, "error", err)
+		}
+		return
+	}
+	if r.Method != methodMade || r.Params == nil {
+		return
+	}
+	var made JobMade
+	if err := json.Unmarshal(*r.Params, &made); err != nil {
+		n.m.o.Logger.Warn("results of a job not read", "error", err)
+		return
+	}
+	n.m.mu.Lock()
+	told := n.m.submitted[made.ID]
+	n.m.mu.Unlock()
+	if told != nil {
+		told(made.Made)
 	}
 }
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 	"github.com/zeebo/errs"
 
+	"github.com/azurelead/azurelead/dispatch"
 	"github.com/azurelead/azurelead/follow"
 	"github.com/azurelead/azurelead/suspect"
 	"github.com/azurelead/azurelead/telemetry"
@@ -64,8 +65,9 @@
 
 // Jobs does the work of jobs at the dispatching entry.
 type Jobs interface {
-	// Submit answers when the job ended.
-	Submit(ctx context.Context, j Job) Outcome
+	// Submit answers when the job ended. Until then it tells of results that were
+	// made, one call of told at a time.
+	Submit(ctx context.Context, j Job, told func([]dispatch.Made)) Outcome
 	Cancel(id string)
 	// Release gives up a job's results, and tells whether its engine failed.
 	Release(id string, engineFailed bool)
@@ -99,6 +101,8 @@
 	fetches int
 	// links are by address.
 	links map[string]*peerLink
+	// submitted are who to tell of results, by job.
+	submitted map[string]func([]dispatch.Made)
 }
 
 // peerLink is the dialling side of one link.
@@ -128,7 +132,9 @@
 }
 
 // New returns a mesh without links.
-func New(o Options) *Mesh { return &Mesh{o: o, links: make(map[string]*peerLink)} }
+func New(o Options) *Mesh {
+	return &Mesh{o: o, links: make(map[string]*peerLink), submitted: make(map[string]func([]dispatch.Made))}
+}
 
 // SetLeaving tells peers that this entry stops.
 func (m *Mesh) SetLeaving() {
@@ -217,7 +223,11 @@
 			case <-ctx.Done():
 			}
 		}()
-		return m.o.Jobs.Submit(ctx, j), nil
+		return m.o.Jobs.Submit(ctx, j, func(made []dispatch.Made) {
+			if err := conn.Notify(ctx, methodMade, JobMade{ID: j.ID, Made: made}); err != nil {
+				m.o.Logger.Warn("submitter not told of results", "request", j.ID, "error", err)
+			}
+		}), nil
 	case methodCancel, methodRelease:
 		var id JobID
 		if err := json.Unmarshal(params, &id); err != nil {
@@ -350,7 +360,7 @@
 		m.relinked(l)
 		return false
 	}
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(raw), refuseCalls{}, jsonrpc2.SetLogger(telemetry.RPCLogger{Logger: m.o.Logger}))
+	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(raw), news{m}, jsonrpc2.SetLogger(telemetry.RPCLogger{Logger: m.o.Logger}))
 	defer func() { _ = conn.Close() }()
 	var h Hello
 	if err := call(ctx, conn, pingTimeout, methodHello, m.hello(), &h); err != nil {
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -11,12 +11,13 @@
 	"github.com/azurelead/azurelead/link"
 )
 
-// The methods of the links. Calls go from the side that dialled.
+// The methods of the links. Calls go from the side that dialled, but for made.
 const (
 	methodHello   = "hello"
 	methodPing    = "ping"
 	methodStates  = "changes"
 	methodSubmit  = "submit"
+	methodMade    = "made"    // notification, to the side that submitted
 	methodCancel  = "cancel"  // notification
 	methodRelease = "release" // notification
 )
@@ -77,12 +78,20 @@
 	Prompt     dispatch.Prompt  `json:"prompt"`
 	// Subject recognises a client that comes back after a refusal.
 	Subject string `json:"subject"`
+	// Made are results that a dispatcher before this one had made.
+	Made []dispatch.Made `json:"made,omitempty"`
+}
+
+// JobMade tells of results that were made for a job.
+type JobMade struct {
+	ID   string          `json:"id"`
+	Made []dispatch.Made `json:"made"`
 }
 
 // NewJob returns the message of a job.
 func NewJob(now time.Time, j dispatch.Job, subject string) Job {
 	return Job{
-		ID: j.ID, Key: j.Key, Stages: j.Stages, Rank: j.Rank, Prompt: j.Prompt, Subject: subject,
+		ID: j.ID, Key: j.Key, Stages: j.Stages, Rank: j.Rank, Prompt: j.Prompt, Subject: subject, Made: j.Made,
 		TargetMS:   j.Target.Sub(now).Milliseconds(),
 		DeadlineMS: j.Deadline.Sub(now).Milliseconds(),
 	}
@@ -91,7 +100,7 @@
 // Dispatch returns the job of a message that arrived now.
 func (j Job) Dispatch(now time.Time) dispatch.Job {
 	return dispatch.Job{
-		ID: j.ID, Key: j.Key, Stages: j.Stages, Rank: j.Rank, Prompt: j.Prompt,
+		ID: j.ID, Key: j.Key, Stages: j.Stages, Rank: j.Rank, Prompt: j.Prompt, Made: j.Made,
 		Target:   now.Add(time.Duration(j.TargetMS) * time.Millisecond),
 		Deadline: now.Add(time.Duration(j.DeadlineMS) * time.Millisecond),
 	}
