Do not give out a link to the dispatcher that was just cut

Each job that failed with its link asked for the dispatcher again at once, got the same closed connection as the link's watch had not run yet, failed again, and two failures exclude an entry. Ruled out: the loss of the dispatcher by power at 6.9 s, after which all entries went to one; the election. Change: a job that fails on a closed connection takes it out of the link itself; who asks next waits until it is dialled anew, as meant. TestLinkThatFailedIsNotGivenOutAgain failed before.

--- a/peers/link.go
+++ b/peers/link.go
@@ -27,10 +27,26 @@
 	err := l.conn.Call(ctx, methodSubmit, j, &o)
 	if err == nil {
 		l.mesh.answered(l.peer)
+		return o, nil
+	}
+	select {
+	case <-l.conn.DisconnectNotify():
+		l.mesh.cut(l.peer, l.conn)
+	default: // the link stands: ctx ended
 	}
 	return o, Error.Wrap(err)
 }
 
+// cut notes that a link's connection was closed, before the link's own watch does:
+// whoever asks for the peer meanwhile waits for a new one.
+func (m *Mesh) cut(l *peerLink, conn *jsonrpc2.Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l.conn == conn {
+		l.conn, l.relinking = nil, true
+	}
+}
+
 // Cancel tells the dispatcher that nobody waits for the job.
 func (l *Link) Cancel(id string) { l.notify(methodCancel, JobID{ID: id}) }
 
--- a/peers/link_test.go
+++ b/peers/link_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/azurelead/azurelead/dispatch"
 )
@@ -50,3 +54,27 @@
 		t.Errorf("%d jobs are still waited for", len(meshes[0].submitted))
 	}
 }
+
+// The load: a reset cuts a link with many jobs on it at once. Each asks for the
+// dispatcher again before anything else has noticed: it is to wait for the link to
+// be dialled anew, not to be given the one that was cut and take its work to
+// another entry after failing twice.
+func TestLinkThatFailedIsNotGivenOutAgain(t *testing.T) {
+	near, far := net.Pipe()
+	m := New(Options{Self: Identity{Name: "self", CPU: 0.1}, Started: time.Now(), Logger: slog.New(slog.DiscardHandler)})
+	conn := jsonrpc2.NewConn(t.Context(), jsonrpc2.NewPlainObjectStream(near), news{m})
+	m.links["a"] = &peerLink{
+		address: "a", conn: conn, identity: Identity{Name: "a", CPU: 1}, started: time.Now().Add(-time.Minute), poke: make(chan struct{}, 1),
+	}
+	link, _ := m.dispatcher(nil)
+	if link == nil {
+		t.Fatal("no link to the dispatcher")
+	}
+	_ = far.Close()
+	if _, err := link.Submit(t.Context(), Job{ID: "job"}, func([]dispatch.Made) {}); err == nil {
+		t.Fatal("a job over a link that was cut")
+	}
+	if again, relinking := m.dispatcher(nil); again != nil || !relinking {
+		t.Errorf("link %+v, dialled anew: %v", again, relinking)
+	}
+}
