Let endpoints' clocks step in the soak, ask all entries at once at its end

The bound is the same; for the entries at the front it is no longer than before. Change: a fault that lists an endpoint with a start by a clock up to an hour off, either way; the check.

--- a/dispatch/engines.go
+++ b/dispatch/engines.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/azurelead/azurelead/catalog"
@@ -178,18 +176,11 @@
 
 // index lists the engines and their data centres anew.
 func (p *enginePool) index() {
-	p.list, p.dataCentres = p.list[:0], p.dataCentres[:0]
+	p.list = p.list[:0]
 	for _, e := range p.engines {
 		p.list = append(p.list, e)
 	}
-	slices.SortFunc(p.list, func(a, b *engine) int { return strings.Compare(a.ID, b.ID) })
-	for _, e := range p.list {
-		e.place = slices.Index(p.dataCentres, e.DataCentre)
-		if e.place < 0 {
-			e.place = len(p.dataCentres)
-			p.dataCentres = append(p.dataCentres, e.DataCentre)
-		}
-	}
+	p.dataCentres = arrange(p.list, func(e *engine) (*catalog.Endpoint, *int) { return &e.Endpoint, &e.place })
 }
 
 func (p Prompt) shared() []Part {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -94,20 +94,32 @@
 
 // index lists the usable endpoints and their data centres anew.
 func (p *pool) index() {
-	p.list, p.dataCentres = p.list[:0], p.dataCentres[:0]
+	p.list = p.list[:0]
 	for _, e := range p.endpoints {
 		if e.usable {
 			p.list = append(p.list, e)
 		}
 	}
-	slices.SortFunc(p.list, func(a, b *endpoint) int { return strings.Compare(a.ID, b.ID) })
-	for _, e := range p.list {
-		e.place = slices.Index(p.dataCentres, e.DataCentre)
-		if e.place < 0 {
-			e.place = len(p.dataCentres)
-			p.dataCentres = append(p.dataCentres, e.DataCentre)
+	p.dataCentres = arrange(p.list, func(e *endpoint) (*catalog.Endpoint, *int) { return &e.Endpoint, &e.place })
+}
+
+// arrange sorts a list by the endpoints' ids and numbers their data centres, which
+// it returns.
+func arrange[E any](list []E, of func(E) (e *catalog.Endpoint, place *int)) (dataCentres []string) {
+	slices.SortFunc(list, func(a, b E) int {
+		first, _ := of(a)
+		second, _ := of(b)
+		return strings.Compare(first.ID, second.ID)
+	})
+	for _, e := range list {
+		endpoint, place := of(e)
+		*place = slices.Index(dataCentres, endpoint.DataCentre)
+		if *place < 0 {
+			*place = len(dataCentres)
+			dataCentres = append(dataCentres, endpoint.DataCentre)
 		}
 	}
+	return dataCentres
 }
 
 // byPace orders endpoints, the fastest first; those that are about as fast by id.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -12,6 +12,7 @@
 
 	"github.com/azurelead/azurelead/catalog"
 	"github.com/azurelead/azurelead/dispatch"
+	"github.com/azurelead/azurelead/upstream"
 )
 
 const (
@@ -33,8 +34,6 @@
 	// idleShare of the connections that an endpoint takes may be idle ones of all
 	// entries: the rest is for requests, and an endpoint resets those beyond.
 	idleShare = 0.5
-	// maxIdle keeps a burst's connections for the next one.
-	maxIdle = 16
 )
 
 // Outcome is how a request to an endpoint ended, as far as it tells of the
@@ -258,9 +257,9 @@
 	}
 	s := r.services[m.Service]
 	if s == nil || s.MaxConnections <= 0 {
-		return maxIdle
+		return upstream.DefaultMaxIdle
 	}
-	return min(max(int(idleShare*float64(s.MaxConnections))/r.entries, 1), maxIdle)
+	return min(max(int(idleShare*float64(s.MaxConnections))/r.entries, 1), upstream.DefaultMaxIdle)
 }
 
 // Count returns how many endpoints there are, and how many may get work.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/azurelead/azurelead/catalog"
+	"github.com/azurelead/azurelead/upstream"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -182,8 +183,8 @@
 		{"few entries", 100, 4, "e0", 12},
 		{"many entries", 100, 20, "e0", 2},
 		{"more than it takes", 100, 300, "e0", 1},
-		{"plenty", 10_000, 4, "e0", maxIdle},
-		{"no bound declared", 0, 300, "e0", maxIdle},
+		{"plenty", 10_000, 4, "e0", upstream.DefaultMaxIdle},
+		{"no bound declared", 0, 300, "e0", upstream.DefaultMaxIdle},
 		{"not listed", 100, 4, "gone", 0},
 	}
 	for _, c := range cases {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -97,6 +98,14 @@
 		time.Sleep(length)
 		s.Behave(func(int, *http.Request) fleettest.Behaviour { return fleettest.Serve })
 	}},
+	{"endpoint's clock steps", func(r *run, rng *rand.Rand, length time.Duration) {
+		i := rng.IntN(len(r.servers))
+		stepped := maps.Clone(r.listed[i])
+		stepped["born"] = clockStep.Milliseconds() - rng.Int64N(2*clockStep.Milliseconds())
+		r.store.Put(fleet.KindEndpoints, r.servers[i].ID, stepped)
+		time.Sleep(length)
+		r.store.Put(fleet.KindEndpoints, r.servers[i].ID, r.listed[i])
+	}},
 	{"data centre out", func(r *run, rng *rand.Rand, length time.Duration) {
 		name := fmt.Sprintf("dc-%d", rng.IntN(dataCentres))
 		r.store.Put(fleet.KindEvacuations, name, map[string]any{})
@@ -105,6 +114,10 @@
 	}},
 }
 
+// clockStep is how far an endpoint's time of day may be off, either way: it states
+// its start by it, and may seem to have started before it did, or to come.
+const clockStep = time.Hour
+
 func (r *run) hold(p *proxy, m wire, length time.Duration) {
 	p.set(m)
 	time.Sleep(length)
@@ -150,19 +163,26 @@
 	callers.Wait()
 }
 
-// recovered checks that every entry serves soon after the last fault.
+// recovered checks that every entry serves soon after the last fault. All are
+// asked at once, so that each has the whole time.
 func (r *run) recovered(ctx context.Context) {
 	end := time.Now().Add(settle)
+	var asked sync.WaitGroup
 	for _, e := range r.entries {
-		for {
-			if a := r.one(ctx, http.DefaultClient, e, "look", "recovery-"+e.name+fmt.Sprint(time.Now().UnixNano())); a.status == http.StatusOK {
-				break
-			}
-			if time.Now().After(end) {
-				r.broken("%s does not serve %v after the last fault", e.name, settle)
-				break
+		asked.Go(func() {
+			for !r.serves(ctx, e) {
+				if time.Now().After(end) {
+					r.broken("%s does not serve %v after the last fault", e.name, settle)
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
 			}
-			time.Sleep(50 * time.Millisecond)
-		}
+		})
 	}
+	asked.Wait()
+}
+
+func (r *run) serves(ctx context.Context, e *entry) bool {
+	a := r.one(ctx, http.DefaultClient, e, "look", "recovery-"+e.name+fmt.Sprint(time.Now().UnixNano()))
+	return a.status == http.StatusOK
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -69,6 +69,8 @@
 	proxies []*proxy
 	storeP  *proxy
 	servers []*fleettest.Server
+	// listed are the servers' entries in the store.
+	listed  []map[string]any
 	entries []*entry
 
 	mu      sync.Mutex
@@ -166,6 +168,7 @@
 	r.servers, r.proxies = append(r.servers, s), append(r.proxies, p)
 	s.ListedAt(p.address())
 	spec := s.Entry(service, fmt.Sprintf("dc-%d", len(r.servers)%dataCentres))
+	r.listed = append(r.listed, spec)
 	r.store.Put(fleet.KindEndpoints, s.ID, spec)
 	return nil
 }
