Ask again for a claim that another request has given up

Its claim was granted while it was paused; another request with the key found it held, proved that its call never ran, gave it up and made the booking. The paused entry asked a second writer with the same attempt and was told that it was given up, which came back as unavailable, and was refused as not run. Change: given up comes back as what it is, and the key is asked for anew: the caller gets the outcome.

--- a/claim/writer.go
+++ b/claim/writer.go
@@ -84,6 +84,8 @@
 		return nil
 	case FailedNotHolder:
 		return NotHolder.New("%s", r.Detail)
+	case FailedGivenUp:
+		return GivenUp.New("%s", r.Detail)
 	case FailedInvalid:
 		return Error.New("%s", r.Detail)
 	}
--- a/entry/failure_test.go
+++ b/entry/failure_test.go
@@ -305,6 +305,23 @@
 	}
 }
 
+// An entry was paused while its claim was on its way, and another one with the same
+// key gave that claim up and made the booking: the caller gets the outcome, and is
+// not told that nothing ran.
+func TestClaimThatWasGivenUpIsAskedForAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, nil)
+		w.claims.raced = true
+		a := decode[Answer](t, w.post(t.Context(), ask{pipeline: "book", body: booking, key: "job-8"}))
+		if len(a.Results) != 1 || !strings.Contains(string(a.Results[0].Body), "by another") {
+			t.Errorf("answered %+v", a)
+		}
+		if n := w.runs("service"); n != 0 {
+			t.Errorf("the booking ran %d times more", n)
+		}
+	})
+}
+
 // A caller whose deadline passes while the claim is asked for is not told "not
 // run" when another caller with the same key still waits for the booking.
 func TestNotRunStaysTrueForJoinedCallers(t *testing.T) {
--- a/entry/fake_claims_test.go
+++ b/entry/fake_claims_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/azurelead/azurelead/claim"
+	"github.com/azurelead/azurelead/contract"
 )
 
 // fakeClaims keeps claims in memory.
@@ -14,8 +15,11 @@
 	down     bool
 	noFinish bool
 	slow     time.Duration
-	held     map[string]claim.Request
-	done     map[string]claim.Outcome
+	// raced is a request that another entry makes while the next one to be asked
+	// for is on its way: it finds that one held, gives it up and runs.
+	raced bool
+	held  map[string]claim.Request
+	done  map[string]claim.Outcome
 }
 
 func (f *fakeClaims) Acquire(_ context.Context, r claim.Request) (claim.Decision, error) {
@@ -26,6 +30,12 @@
 		return claim.Decision{}, claim.Unavailable.New("down")
 	}
 	k := r.Organisation + r.Key
+	if f.raced {
+		f.raced = false
+		f.held[k] = claim.Request{Organisation: r.Organisation, Key: r.Key, Fingerprint: r.Fingerprint, Attempt: "of another entry"}
+		f.done[k] = claim.Outcome{Run: contract.Ran, Body: []byte(`{"booked":"by another"}`)}
+		return claim.Decision{}, claim.GivenUp.New("attempt %s was given up", r.Attempt)
+	}
 	h, ok := f.held[k]
 	switch o, finished := f.done[k]; {
 	case ok && h.Fingerprint != r.Fingerprint:
--- a/entry/once.go
+++ b/entry/once.go
@@ -39,6 +39,11 @@
 	for range claimTries {
 		peers, req := s.claimRequest()
 		d, err := s.acquirePatiently(&req)
+		if claim.GivenUp.Has(err) {
+			// This entry was paused while it asked, and another request with the key
+			// gave its attempt up: what became of the key is asked anew.
+			continue
+		}
 		if err != nil {
 			return refused(contract.CodeClaimUnavailable, "the call could not be claimed")
 		}
