Give up the results of a job whose entry is gone

Cause: a dispatcher whose link to a job's entry was not dialled anew left the job's results alone, as another dispatcher may use them. Change: a job names its entry's incarnation; if that is known to have ended, the results are given up. TestResultsOfALostLinkAreLeftToTheLiving and TestGone.

--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -41,8 +41,11 @@
 type Options struct {
 	Upstream *upstream.Client
 	Roster   *roster.Roster
-	Logger   *slog.Logger
-	Metrics  *Metrics
+	// Gone reports whether an entry's process is known to have ended; nil if nobody
+	// knows.
+	Gone    func(name, incarnation string) bool
+	Logger  *slog.Logger
+	Metrics *Metrics
 }
 
 // Coordinator runs a dispatcher. It is safe for concurrent use.
@@ -74,10 +77,15 @@
 	// know; news has a value while there are some.
 	made []dispatch.Made
 	news chan struct{}
+	// name and incarnation are of the entry that submitted the job.
+	name, incarnation string
 }
 
-func newWaiter(a dispatch.Admission) *waiter {
-	return &waiter{ended: make(chan dispatch.Finished, 1), news: make(chan struct{}, 1), forecast: a.Forecast, tail: a.Tail}
+func newWaiter(a dispatch.Admission, j peers.Job) *waiter {
+	return &waiter{
+		name: j.Name, incarnation: j.Incarnation,
+		ended: make(chan dispatch.Finished, 1), news: make(chan struct{}, 1), forecast: a.Forecast, tail: a.Tail,
+	}
 }
 
 // add takes results to tell of.
@@ -168,7 +176,7 @@
 		return peers.Outcome{Refused: true, Problem: a.Reason, RetryAfterMS: a.RetryAfter.Milliseconds(), ForecastMS: a.Forecast.Milliseconds()}
 	}
 	delete(c.refused, j.Subject)
-	w := newWaiter(a)
+	w := newWaiter(a, j)
 	c.waiters[j.ID] = w
 	c.mu.Unlock()
 	c.o.Logger.Info("stages admitted", "request", j.ID, "rank", j.Rank, "stages", len(j.Stages), "returning", job.Returning,
@@ -286,11 +294,16 @@
 	c.d.Expire(now)
 	for id, w := range c.waiters {
 		if !w.orphaned.IsZero() && now.Sub(w.orphaned) > orphanTime {
-			// Its entry may have taken it to another dispatcher, with the results
-			// that it was told of.
 			delete(c.waiters, id)
-			c.d.Abandon(now, id)
-			c.o.Logger.Info("job abandoned, its link was not dialled anew", "request", id)
+			gone := c.o.Gone != nil && c.o.Gone(w.name, w.incarnation)
+			if gone {
+				c.d.Cancel(now, id)
+			} else {
+				// Its entry may have taken it to another dispatcher, with the results
+				// that it was told of.
+				c.d.Abandon(now, id)
+			}
+			c.o.Logger.Info("job abandoned, its link was not dialled anew", "request", id, "entry", w.name, "entry_gone", gone)
 		}
 	}
 	for subject, until := range c.refused {
--- a/coordinate/coordinate_test.go
+++ b/coordinate/coordinate_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/azurelead/azurelead/catalog"
@@ -14,6 +15,7 @@
 	"github.com/azurelead/azurelead/peers"
 	"github.com/azurelead/azurelead/platform/fleettest"
 	"github.com/azurelead/azurelead/roster"
+	"github.com/azurelead/azurelead/stage"
 	"github.com/azurelead/azurelead/upstream"
 )
 
@@ -118,3 +120,32 @@
 		t.Errorf("the endpoint did %d calls", n)
 	}
 }
+
+// The results of a job whose link was lost are given up if its entry's process is
+// gone, and left alone if it is not: another dispatcher may have the job.
+func TestResultsOfALostLinkAreLeftToTheLiving(t *testing.T) {
+	for _, gone := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := New(Options{Logger: slog.New(slog.DiscardHandler), Gone: func(name, incarnation string) bool {
+				return gone && name == "e" && incarnation == "1"
+			}})
+			d := c.d
+			d.SetService("portal", catalog.StageLimits{Slots: 1, Batch: 8, ResultRoom: 1e6, ResultTTL: 4 * time.Second})
+			d.SetEndpoints("portal", []catalog.Endpoint{{ID: "p", Service: "portal"}})
+			job := peers.Job{
+				ID: "job", TargetMS: 30000, DeadlineMS: 60000, Name: "e", Incarnation: "1",
+				Stages: []dispatch.Stage{{Service: "portal", Tasks: 1, ResultBytes: 1000}, {Service: "portal", After: []int{0}, Tasks: 1, ResultBytes: 1000}},
+			}
+			d.Submit(time.Now(), job.Dispatch(time.Now()))
+			w := newWaiter(dispatch.Admission{}, job)
+			w.ended, w.orphaned = nil, time.Now()
+			c.waiters["job"] = w
+			d.Complete(time.Now(), d.Schedule(time.Now())[0].ID, []stage.Result{{Handle: "h"}})
+			time.Sleep(orphanTime + time.Millisecond)
+			c.expire()
+			if freed := len(d.Frees()) == 1; freed != gone || d.Busy() {
+				t.Errorf("entry gone: %v, results given up: %v, busy: %v", gone, freed, d.Busy())
+			}
+		})
+	}
+}
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -119,23 +119,25 @@
 	d.budgets = &retrybudget.Set{}
 	d.coord = coordinate.New(coordinate.Options{
 		Upstream: d.upstream, Roster: d.roster, Logger: logger, Metrics: coordinate.NewMetrics(reg),
+		Gone: func(name, incarnation string) bool { return d.mesh.Gone(name, incarnation) },
 	})
 	d.follower = follow.New(follow.Options{
 		Store: d.store, Kinds: []string{fleet.KindConfiguration, fleet.KindEndpoints, fleet.KindEvacuations},
 		Changed: d.changed, Logger: logger, Leads: func() bool { return d.mesh.Leads() }, Waits: d.waitsForHubs,
 	})
 	suspects := suspect.New(suspect.Options{Metrics: reg})
+	self := peers.Identity{
+		Name: settings.Name, Incarnation: rand.Text(), Address: settings.Peers,
+		DataCentre: settings.DataCentre, CPU: settings.CPU,
+	}
 	d.mesh = peers.New(peers.Options{
-		Self: peers.Identity{
-			Name: settings.Name, Incarnation: rand.Text(), Address: settings.Peers,
-			DataCentre: settings.DataCentre, CPU: settings.CPU,
-		},
+		Self:    self,
 		Started: d.started, Follower: d.follower, Jobs: d.coord, Suspects: suspects, Changed: d.peersChanged, Logger: logger,
 		Forgotten: d.entryForgotten,
 	})
 	d.gateway = gateway.New(gateway.Options{
 		DataCentre: settings.DataCentre, Table: d.table.Load, Roster: d.roster, Upstream: d.upstream,
-		Stages: &stages{self: settings.Name, mesh: d.mesh, local: d.coord}, Budgets: d.budgets,
+		Stages: &stages{self: self, mesh: d.mesh, local: d.coord}, Budgets: d.budgets,
 		RetryPercent: func() int { return int(100 * d.live.Load().RetryRatio * ratioShare) },
 		Suspects:     suspects, Logger: logger, Metrics: gateway.NewMetrics(reg),
 	})
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -136,7 +136,7 @@
 
 // stages has jobs done by the entry that dispatches.
 type stages struct {
-	self  string
+	self  peers.Identity
 	mesh  *peers.Mesh
 	local *coordinate.Coordinator
 }
@@ -155,7 +155,7 @@
 		if link == nil {
 			return s.submitLocal(ctx, j, subject)
 		}
-		o, err := link.Submit(ctx, peers.NewJob(time.Now(), j, subject), made.add)
+		o, err := link.Submit(ctx, peers.NewJob(time.Now(), j, subject, s.self), made.add)
 		o.Dispatcher = link.Peer.Name
 		if err == nil {
 			if o.Refused {
@@ -177,8 +177,8 @@
 }
 
 func (s *stages) submitLocal(ctx context.Context, j dispatch.Job, subject string) (peers.Outcome, gateway.Ticket, error) {
-	o := s.local.Submit(ctx, peers.NewJob(time.Now(), j, subject), func([]dispatch.Made) {})
-	o.Dispatcher = s.self
+	o := s.local.Submit(ctx, peers.NewJob(time.Now(), j, subject, s.self), func([]dispatch.Made) {})
+	o.Dispatcher = s.self.Name
 	if o.Refused {
 		s.local.FreeHandles(handlesOf(j.Made))
 	}
--- a/peers/link_test.go
+++ b/peers/link_test.go
@@ -78,3 +78,22 @@
 		t.Errorf("link %+v, dialled anew: %v", again, relinking)
 	}
 }
+
+// A process is gone if it does not answer or another one runs in its place; of an
+// entry without a link nothing is known, and a link that is dialled anew tells nothing.
+func TestGone(t *testing.T) {
+	m := New(Options{})
+	conn := &jsonrpc2.Conn{}
+	for name, l := range map[string]*peerLink{
+		"alive": {conn: conn}, "silent": {}, "reset": {relinking: true}, "anew": {conn: conn},
+	} {
+		l.identity = Identity{Name: name, Incarnation: "1"}
+		m.links[name] = l
+	}
+	m.links["anew"].identity.Incarnation = "2"
+	for name, want := range map[string]bool{"alive": false, "silent": true, "reset": false, "anew": true, "unknown": false} {
+		if got := m.Gone(name, "1"); got != want {
+			t.Errorf("%s: gone %v", name, got)
+		}
+	}
+}
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -477,6 +477,19 @@
 	return latest
 }
 
+// Gone reports whether an entry's process is known to have ended or not to answer.
+// Of entries that this one has no link to nothing is known.
+func (m *Mesh) Gone(name, incarnation string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		if l.identity.Name == name {
+			return l.identity.Incarnation != incarnation || l.conn == nil && !l.relinking
+		}
+	}
+	return false
+}
+
 // Living returns the identities of the peers that answer.
 func (m *Mesh) Living() []Identity {
 	m.mu.Lock()
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -80,6 +80,9 @@
 	Subject string `json:"subject"`
 	// Made are results that a dispatcher before this one had made.
 	Made []dispatch.Made `json:"made,omitempty"`
+	// Name and Incarnation are of the entry that submits the job.
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
 }
 
 // JobMade tells of results that were made for a job.
@@ -89,9 +92,10 @@
 }
 
 // NewJob returns the message of a job.
-func NewJob(now time.Time, j dispatch.Job, subject string) Job {
+func NewJob(now time.Time, j dispatch.Job, subject string, self Identity) Job {
 	return Job{
 		ID: j.ID, Key: j.Key, Stages: j.Stages, Rank: j.Rank, Prompt: j.Prompt, Subject: subject, Made: j.Made,
+		Name: self.Name, Incarnation: self.Incarnation,
 		TargetMS:   j.Target.Sub(now).Milliseconds(),
 		DeadlineMS: j.Deadline.Sub(now).Milliseconds(),
 	}
