Book a result once when its job comes back to the dispatcher

Cause: found by reading the change: a job that a dispatcher abandoned leaves its results in the books; if the job comes back with them they were booked again, and the endpoint's room shrank for good. Change: what is booked already is replaced. TestAbandonedResultsStay failed with 480,000 bytes held by nobody.

--- a/dispatch/adopt_test.go
+++ b/dispatch/adopt_test.go
@@ -120,4 +120,18 @@
 	if calls := w.d.Schedule(w.now); len(calls) > 0 {
 		t.Errorf("%d calls for a job that was abandoned", len(calls))
 	}
+	// Its entry comes back with it: the results are booked once.
+	j := check("c", epoch)
+	j.Made = w.told["c"]
+	w.d.Submit(w.now, j)
+	w.run(3 * time.Second)
+	w.d.Release(w.now, "c", false)
+	w.pump()
+	for _, p := range w.d.pools {
+		for _, e := range p.endpoints {
+			if len(e.results) > 0 || e.heldSum != 0 {
+				t.Errorf("%s is taken to hold %d results, %d bytes", e.ID, len(e.results), e.heldSum)
+			}
+		}
+	}
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -283,7 +283,10 @@
 	return room
 }
 
+// hold books a result. One that is booked already, of a job that was abandoned and
+// came back, is booked once.
 func (e *endpoint) hold(handle string, bytes int64, expires time.Time) {
+	e.forget(handle)
 	e.results[handle] = held{bytes: bytes, expires: expires}
 	e.heldSum += bytes
 }
