--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -436,34 +436,6 @@
 	}
 }
 
-// nextPing is when a peer is pinged that was last pinged at a time.
-func (m *Mesh) nextPing(l *peerLink, pinged time.Time) time.Time {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return rhythm{
-		links: len(m.links), starts: !m.o.Follower.Known(), quiet: l.answered && m.quiet(l),
-		dispatches: l.dispatches, pinged: pinged, heard: l.heard,
-	}.next()
-}
-
-// quiet reports whether a hub has little to tell to this entry, which is none.
-// The caller holds mu.
-func (m *Mesh) quiet(l *peerLink) bool {
-	if m.isHub(m.o.Self.Address) || l.hearsStore() {
-		return false
-	}
-	for _, other := range m.links {
-		if other.hearsStore() {
-			return true
-		}
-	}
-	return false
-}
-
-// hearsStore reports whether the store answered the peer lately. The caller holds
-// the mesh's mu.
-func (l *peerLink) hearsStore() bool { return time.Since(l.storeAt) < storeFresh }
-
 // StoreHeard returns when the store last answered this entry or a linked one.
 func (m *Mesh) StoreHeard() time.Time {
 	latest := m.o.Follower.Heard()
