Mend three known red tests: crash answer, counted calls, data race

Causes: the stand-in crashed before the answer to the request that asked for it had left (EOF); the second dispatcher's calls were counted before the call of the first one, which the test holds, had arrived (2, want 3); the test's engine was read without a lock. Change: the stand-in answers, then crashes when the request has ended; the test waits for the held call; the fake engine has a lock.

--- a/coordinate/coordinate_test.go
+++ b/coordinate/coordinate_test.go
@@ -97,10 +97,11 @@
 func TestReportedResultsAreReusedByNextDispatcher(t *testing.T) {
 	s := fleettest.NewServer("portal-1")
 	t.Cleanup(s.Close)
-	finish := make(chan struct{})
+	held, finish := make(chan struct{}), make(chan struct{})
 	var calls atomic.Int64
 	s.SetBehaviour(func(_ int, r *http.Request) fleettest.Behaviour {
 		if strings.HasSuffix(r.URL.Path, "run") && calls.Add(1) == 2 {
+			close(held)
 			<-finish // holds the second stage of the dispatcher that is lost
 		}
 		return fleettest.Serve
@@ -112,6 +113,7 @@
 	reported := make(chan []dispatch.StageResults, 1)
 	go newTestCoordinator(t, s).Submit(t.Context(), job, func(results []dispatch.StageResults) { reported <- results })
 	job.PriorResults = <-reported
+	<-held // otherwise the call could arrive after the second dispatcher's calls were counted
 	close(finish)
 	o := newTestCoordinator(t, s).Submit(t.Context(), job, ignoreResults)
 	if len(o.Handles) != 2 || o.Problem != "" {
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,17 +20,31 @@
 
 // fakeEngine ignores fencing numbers and records those of the orders that it applied.
 type fakeEngine struct {
+	mu      sync.Mutex
 	serving Target
 	applied []uint64
 }
 
 func (e *fakeEngine) Apply(_ context.Context, o Order) *contract.Problem {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.applied = append(e.applied, o.Fence)
 	e.serving = o.Target
 	return nil
 }
 
-func (e *fakeEngine) Serving(context.Context) (Target, error) { return e.serving, nil }
+func (e *fakeEngine) Serving(context.Context) (Target, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.serving, nil
+}
+
+// fences returns the fencing numbers of the orders applied so far.
+func (e *fakeEngine) fences() []uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.applied)
+}
 
 // fakeDrainer is a Drainer whose Drain takes a fixed time.
 type fakeDrainer struct{ duration time.Duration }
@@ -90,7 +106,7 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Fatal(diff)
 	}
-	if diff := cmp.Diff([]uint64{5}, e.applied); diff != "" {
+	if diff := cmp.Diff([]uint64{5}, e.fences()); diff != "" {
 		t.Fatal(diff)
 	}
 }
@@ -111,8 +127,8 @@
 			t.Fatalf("report to the successor: %+v, %v", r, p)
 		}
 		c.Wait()
-		if len(e.applied) != 0 {
-			t.Fatalf("fencing numbers of applied orders: %v, want none", e.applied)
+		if fences := e.fences(); len(fences) != 0 {
+			t.Fatalf("fencing numbers of applied orders: %v, want none", fences)
 		}
 		if r, _ := c.Report(t.Context(), 2); r.busy() {
 			t.Fatal("the executor is still busy after the order was fenced")
@@ -173,7 +189,7 @@
 		paused.Reconcile(t.Context())
 		executor.Wait()
 		paused.Reconcile(t.Context())
-		if diff := cmp.Diff([]uint64{2}, e.applied); diff != "" {
+		if diff := cmp.Diff([]uint64{2}, e.fences()); diff != "" {
 			t.Fatalf("fencing numbers applied (-want +got):\n%s", diff)
 		}
 	})
@@ -218,7 +234,7 @@
 		}
 		changed := func() (n int) {
 			for _, e := range engines {
-				if e.serving.Version == "2" {
+				if serving, _ := e.Serving(t.Context()); serving.Version == "2" {
 					n++
 				}
 			}
@@ -241,8 +257,8 @@
 			t.Fatalf("%d engines changed after the store came back, want 3", n)
 		}
 		for _, e := range engines {
-			if len(e.applied) != 1 {
-				t.Errorf("an engine applied %d orders with the fencing numbers %v, want 1", len(e.applied), e.applied)
+			if fences := e.fences(); len(fences) != 1 {
+				t.Errorf("an engine applied %d orders with the fencing numbers %v, want 1", len(fences), fences)
 			}
 		}
 	})
--- a/standin/engine_faults.go
+++ b/standin/engine_faults.go
@@ -49,8 +49,14 @@
 	if !readJSON(w, r, &f) {
 		return
 	}
-	w.WriteHeader(http.StatusNoContent)
+	crash := f.Crash
+	f.Crash = false
 	e.SetFaults(f)
+	if crash {
+		e.answerThenCrash(w, r)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
 }
 
 func (f *engineFaults) set(v EngineFaults) {
--- a/standin/host.go
+++ b/standin/host.go
@@ -114,6 +114,14 @@
 	}
 }
 
+// answerThenCrash answers a request without content and crashes once the request has
+// ended. A crash before that could cut the connection before the answer has left.
+func (h *host) answerThenCrash(w http.ResponseWriter, r *http.Request) {
+	w.WriteHeader(http.StatusNoContent)
+	_ = http.NewResponseController(w).Flush() // a client that has left needs no answer
+	context.AfterFunc(r.Context(), h.Crash)
+}
+
 // Serve serves HTTP on ln until ctx ends. It closes ln after a crash and listens
 // on the same address again after the restart.
 func (h *host) Serve(ctx context.Context, ln net.Listener) error {
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -153,3 +153,30 @@
 		}
 	}
 }
+
+// TestCrashRequestIsAnswered checks that a request to crash a stand-in is answered before the crash
+// closes its connection.
+func TestCrashRequestIsAnswered(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewService(ServiceOptions{WorkerOptions: WorkerOptions{DownFor: time.Millisecond}})
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ctx, ln) }()
+	url := "http://" + ln.Addr().String() + "/control/faults"
+	for i := range 500 {
+		boot := s.Boot()
+		if status := post(ctx, url, WorkerFaults{Crash: true}); status != http.StatusNoContent {
+			t.Fatalf("status of request %d is %d, want 204", i, status)
+		}
+		for s.Boot() == boot || post(ctx, url, WorkerFaults{}) != http.StatusNoContent {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	cancel()
+	if err := <-served; err != nil {
+		t.Fatal(err)
+	}
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -255,8 +255,14 @@
 	if !readJSON(w, r, &f) {
 		return
 	}
-	w.WriteHeader(http.StatusNoContent)
+	crash := f.Crash
+	f.Crash = false
 	s.SetFaults(f)
+	if crash {
+		s.answerThenCrash(w, r)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
 }
 
 func (s *worker) getStats(w http.ResponseWriter, _ *http.Request) {
