Follow an attempt for as long as no other one could replace it

Cause: an attempt whose agent could not be reached for 500 ms was given up although it ran on: streams that were delivered in part, bookings, and calls of a pool's only endpoint failed with 'the link was lost and the attempt could not be asked for' or 'no further endpoint after the last failure', the two messages of the known red TestStreamsOutliveTheirLinks. Change: the recovery time-out and the bound on recoveries hold only for an attempt that another one could replace. The others wait for a link until the stage's share of the deadline ends.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -15,7 +15,8 @@
 )
 
 // maxRecoveries bounds how many links in a row an attempt is recovered on without
-// receiving any more of its answer.
+// receiving any more of its answer, if another attempt could replace it. Otherwise it is
+// the number after which the attempt pauses between recoveries.
 const maxRecoveries = 4
 
 // attempt is one call of an agent. It may continue over several links.
@@ -93,7 +94,13 @@
 func (a *attempt) run(ctx context.Context, l Link) link.RunResult {
 	res, err := l.Run(ctx, a.params, a.receiveChunk)
 	linksWithoutProgress := 0 // links in a row without any more of the answer
-	for linksWithoutProgress < maxRecoveries && link.Lost.Has(err) && ctx.Err() == nil {
+	for link.Lost.Has(err) && ctx.Err() == nil {
+		if linksWithoutProgress >= maxRecoveries {
+			if a.replaceable() {
+				break
+			}
+			sleep(ctx, a.s.e.o.RecoveryTimeout)
+		}
 		var final bool
 		countBefore := a.tokens.count()
 		if res, final, err = a.recoverAttempt(ctx); final {
@@ -181,14 +188,24 @@
 	return res, true, link.Lost.New("the agent does not know the attempt")
 }
 
-// awaitLink returns a link to the attempt's agent, or nil if there is none within
-// the recovery time-out.
+// awaitLink returns a link to the attempt's agent, or nil if there is none in time: within the
+// recovery time-out if another attempt could replace this one, else until ctx ends. An agent that
+// cannot be reached may still run the attempt.
 func (a *attempt) awaitLink(ctx context.Context) Link {
-	ctx, cancel := context.WithTimeout(ctx, a.s.e.o.RecoveryTimeout)
+	timed, cancel := context.WithTimeout(ctx, a.s.e.o.RecoveryTimeout)
 	defer cancel()
+	if l := a.p.waitForLink(timed); l != nil || a.replaceable() {
+		return l
+	}
 	return a.p.waitForLink(ctx)
 }
 
+// replaceable reports whether an attempt at another endpoint could take the place of this one: the
+// stage may be repeated, no part of the answer was delivered, and there is another endpoint.
+func (a *attempt) replaceable() bool {
+	return !a.s.stage.Once && !a.tokens.wasRead() && a.s.e.hasOtherEndpoint(a.s.stage.Pool, a.s.stage.Model, a.p)
+}
+
 // settlementError converts the error of a failed settlement to link.Lost. The class
 // of err is dropped: NotSent would refer to the settlement, but the attempt was sent.
 func settlementError(err error) error { return link.Lost.New("%v", err) }
--- a/entry/eligible.go
+++ b/entry/eligible.go
@@ -69,6 +69,11 @@
 	return preferred
 }
 
+// hasOtherEndpoint reports whether a pool has an endpoint besides p that may get new work now.
+func (e *Entry) hasOtherEndpoint(pool, model string, p *peer) bool {
+	return len(e.eligible(pool, model, map[string]bool{p.instance.Name: true}).peers) > 0
+}
+
 // serves reports whether the endpoint serves the model. An unknown model counts as served.
 func serves(c Candidate, model string) bool {
 	return model == "" || c.Load.Model == "" || c.Load.Model == model
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"go.uber.org/goleak"
 
@@ -282,3 +283,50 @@
 		t.Errorf("%d attempts for %d requests", n, requests)
 	}
 }
+
+// An agent that cannot be reached for longer than the recovery time-out may still run the attempt.
+// The attempt must be followed for as long as nothing else could answer: its answer was delivered in
+// part, it may not be repeated, or no other endpoint is there.
+func TestUnreachableAgentKeepsItsAttempt(t *testing.T) {
+	const outage = 6 * DefaultRecoveryTimeout
+	cases := []struct {
+		name, pool string
+		fault      linkFault
+		request    testRequest
+	}{
+		{"part of a stream was delivered", "generate", cutMidway, testRequest{pipeline: "ask", body: `{"question":"no hot water","stream":true}`}},
+		{"a booking may not be repeated", "service", cutAfterRun, testRequest{pipeline: "book", body: `{"action":{"reference":"job"}}`, key: "k"}},
+		{"no other endpoint is there", "encode", cutAfterRun, testRequest{pipeline: "ask", body: question}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, nil)
+				if c.pool == "encode" {
+					_ = h.agent("encode-2").currentLink.Close()
+					h.downAgents.Store("encode-2", true)
+					synctest.Wait()
+				}
+				h.injectFaults(c.pool, c.fault)
+				h.updateAgents(c.pool, func(a *fakeAgent) {
+					work := a.work
+					a.work = func(ctx context.Context, p link.RunParams) link.RunResult {
+						h.unreachable.Store(true)
+						time.AfterFunc(outage, func() { h.unreachable.Store(false) })
+						return work(ctx, p)
+					}
+				})
+				rec := h.post(t.Context(), c.request)
+				if rec.Code != http.StatusOK {
+					t.Errorf("status %d: %s", rec.Code, rec.Body)
+				}
+				if c.pool == "generate" {
+					checkStream(t, rec, "no hot water")
+				}
+				if n := h.runs(c.pool); n != 1 {
+					t.Errorf("the endpoints ran %d calls, want 1", n)
+				}
+			})
+		})
+	}
+}
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -261,8 +261,9 @@
 	claims *fakeClaims
 	doc    settings.Document
 	source *settings.Fixed
-	// unreachable makes every dial fail.
+	// unreachable makes every dial fail, downAgents those of the agents it names.
 	unreachable atomic.Bool
+	downAgents  sync.Map
 }
 
 const token = "secret"
@@ -299,7 +300,7 @@
 	}
 	h.source = settings.NewFixed(&settings.Snapshot{Version: 1, Document: h.doc})
 	o := Options{Name: "entry", DeregistrationDelay: time.Millisecond, Settings: h.source, Directory: h, Claims: h.claims, Dial: func(_ context.Context, addr string) (Link, error) {
-		if h.unreachable.Load() {
+		if _, down := h.downAgents.Load(addr); down || h.unreachable.Load() {
 			return nil, link.NotSent.New("unreachable")
 		}
 		return h.agent(addr).dial(), nil
--- a/entry/options.go
+++ b/entry/options.go
@@ -105,7 +105,8 @@
 	SeedAgents []string
 	// RefreshInterval is the time between reads of the platform's instance list.
 	RefreshInterval time.Duration
-	// RecoveryTimeout bounds how long an attempt whose link was lost waits for a new one.
+	// RecoveryTimeout bounds how long an attempt whose link was lost waits for a new one if another
+	// attempt could replace it.
 	RecoveryTimeout time.Duration
 	// DeregistrationDelay is how long the load balancer may still send requests after
 	// readiness has been turned off.
--- a/entry/tokens.go
+++ b/entry/tokens.go
@@ -63,6 +63,13 @@
 	return len(b.tokens)
 }
 
+// wasRead reports whether a reader has read any token.
+func (b *tokenBuffer) wasRead() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.delivered > 0
+}
+
 // checkComplete checks the tokens against the count and digest of the final result.
 func (b *tokenBuffer) checkComplete(count int, digest string) error {
 	b.mu.Lock()
