--- a/coordinate/call.go
+++ b/coordinate/call.go
@@ -44,6 +44,9 @@
 // queryFreeMemory reads from an endpoint how much memory it has left for results and passes it to
 // the dispatcher.
 func (c *Coordinator) queryFreeMemory(e catalog.Endpoint) {
+	if !c.o.Roster.Usable(time.Now(), e.ID) {
+		return
+	}
 	_, body, err := c.send(e, fleet.ReportCall(e.ID), controlTimeout)
 	var freeBytes int64
 	if err == nil {
--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -3,6 +3,7 @@
 package coordinate
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"log/slog"
@@ -168,6 +169,9 @@
 	job := j.Dispatch(now)
 	job.Retry = j.Subject != "" && now.Before(c.retryUntil[j.Subject])
 	a := c.dispatcher.Submit(now, job)
+	if a.Unavailable != "" {
+		a.RetryAfter = cmp.Or(c.o.Roster.ServicePausedFor(now, a.Unavailable), a.RetryAfter)
+	}
 	if !a.Admitted {
 		if j.Subject != "" {
 			c.retryUntil[j.Subject] = now.Add(a.RetryAfter + retryWindow)
@@ -368,7 +372,15 @@
 	c.flush()
 }
 
+// freeResults tells an endpoint to free results, after the pause that the endpoint may have asked
+// for. Results that expire before the end of the pause need no call.
 func (c *Coordinator) freeResults(f dispatch.FreeRequest) {
+	if pause := c.o.Roster.PausedFor(time.Now(), f.Endpoint.ID); pause > 0 {
+		if pause < c.resultTTL(f.Endpoint.Service) {
+			time.AfterFunc(pause, func() { c.freeResults(f) })
+		}
+		return
+	}
 	out, err := fleet.StageFreeCall(f.Endpoint.ID, f.Handles)
 	if err != nil {
 		c.o.Logger.Error("could not encode a call to free results", "error", err)
@@ -380,6 +392,18 @@
 	}
 }
 
+// resultTTL returns how long the endpoints of a stage service store results.
+func (c *Coordinator) resultTTL(service string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.services[service]; s != nil && s.Stages != nil {
+		return s.Stages.ResultTTL
+	}
+	return 0
+}
+
+// send makes a call to an endpoint and reads its response. It records what the endpoint reports of
+// itself.
 func (c *Coordinator) send(e catalog.Endpoint, out fleet.Call, timeout time.Duration) (*http.Response, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -390,6 +414,11 @@
 		return nil, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	info := fleet.DecodeResponse(resp.StatusCode, resp.Header)
+	if info.Leaving || info.RetryAfter > 0 {
+		c.o.Roster.RecordStatus(time.Now(), e.ID, roster.Status{Load: -1, Leaving: info.Leaving, RetryAfter: info.RetryAfter})
+		c.InvalidateEndpoints()
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	return resp, body, err
 }
--- a/coordinate/coordinate_test.go
+++ b/coordinate/coordinate_test.go
@@ -25,7 +25,7 @@
 	}}}
 	r := roster.New(nil)
 	r.SetServices(services)
-	r.SetEndpoints(time.Now(), []catalog.Endpoint{{ID: s.ID, Service: "portal", Address: s.Address(), DataCentre: "north", Slots: 1}}, false)
+	r.SetEndpoints(time.Now(), []catalog.Endpoint{{ID: s.ID, Service: "portal", Address: s.Address(), DataCentre: "north", Slots: 1}}, roster.Continuous)
 	c := New(Options{Upstream: upstream.New(upstream.Options{}), Roster: r, Logger: slog.New(slog.DiscardHandler)})
 	c.SetServices(services)
 	go c.Run(t.Context())
@@ -76,13 +76,13 @@
 	s := fleettest.NewServer("portal-1")
 	t.Cleanup(s.Close)
 	c := newTestCoordinator(t, s)
-	c.o.Roster.SetEndpoints(time.Now(), nil, false)
+	c.o.Roster.SetEndpoints(time.Now(), nil, roster.Continuous)
 	job := peers.Job{ID: "job", Key: "k", TargetMS: 30000, DeadlineMS: 60000, Stages: []dispatch.Stage{{Service: "portal", Tasks: 1, ResultBytes: 1000}}}
 	c.InvalidateEndpoints()
 	if o := c.Submit(t.Context(), job, ignoreResults); !o.Refused {
 		t.Fatalf("outcome without endpoints is %+v, want a refusal", o)
 	}
-	c.o.Roster.SetEndpoints(time.Now(), []catalog.Endpoint{{ID: s.ID, Service: "portal", Address: s.Address(), DataCentre: "north", Slots: 1}}, false)
+	c.o.Roster.SetEndpoints(time.Now(), []catalog.Endpoint{{ID: s.ID, Service: "portal", Address: s.Address(), DataCentre: "north", Slots: 1}}, roster.Continuous)
 	c.InvalidateEndpoints()
 	if o := c.Submit(t.Context(), job, ignoreResults); o.Refused || len(o.Handles) != 1 {
 		t.Errorf("outcome with one endpoint is %+v, want 1 handle", o)
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -10,7 +10,7 @@
 	}
 	pending := newJob(j)
 	if unavailable := d.unavailableService(pending); unavailable != "" {
-		return Admission{Reason: "no endpoint of " + unavailable, RetryAfter: noEndpointRetryAfter}
+		return Admission{Reason: "no endpoint of " + unavailable, Unavailable: unavailable, RetryAfter: noEndpointRetryAfter}
 	}
 	d.adoptPriorResults(pending)
 	scorer := d.enginePools[pending.Prompt.Service].newScorer(now, pending.Prompt)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -129,6 +129,8 @@
 	RetryAfter time.Duration
 	// Reason says why the job was refused.
 	Reason string
+	// Unavailable is the service without usable endpoints for which the job was refused.
+	Unavailable string
 }
 
 // Call is one call to an endpoint of a stage service.
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -1,6 +1,7 @@
 // Package follow keeps a local copy of the platform's objects. It lists and watches each kind in
 // the store and merges newer states from other entries, so that a process that cannot reach the
-// store still receives changes. A state never goes back to an older revision.
+// store still receives changes. A state never goes back to an older revision, unless the store
+// itself was restored from a backup, which shows as a new era.
 package follow
 
 import (
@@ -54,12 +55,23 @@
 	// AwaitsPeers reports whether other entries are expected to send the states that this entry
 	// lacks, so that it need not read the store. If it is nil, the entry never waits.
 	AwaitsPeers func() bool
-	// OnChange is called with all objects of a kind by name after they have changed. gap reports
-	// whether the store had not answered for several seconds before. Calls do not overlap.
-	OnChange func(kind string, objects map[string]fleet.Object, gap bool)
+	// OnChange is called after the objects of a kind have changed. Calls do not overlap.
+	OnChange func(Change)
 	Logger   *slog.Logger
 }
 
+// Change is a new state of one kind of objects.
+type Change struct {
+	Kind string
+	// Objects are all objects of the kind by name.
+	Objects map[string]fleet.Object
+	// Gap is set if the store had not answered for several seconds before.
+	Gap bool
+	// Restored is set if the store was restored from a backup since the last change. Acknowledged
+	// writes may be missing until their writers repeat them.
+	Restored bool
+}
+
 // Follower keeps a local copy of some kinds of objects. It is safe for concurrent use.
 type Follower struct {
 	o Options
@@ -72,10 +84,10 @@
 
 // kindState is what is known of one kind of objects.
 type kindState struct {
-	synced   bool
-	revision int64
-	objects  map[string]fleet.Object
-	// checksum is the checksum of objects.
+	synced  bool
+	at      point
+	objects map[string]fleet.Object
+	// checksum is the checksum of the era and the objects.
 	checksum    uint64
 	lastContact time.Time
 	published   bool
@@ -87,9 +99,28 @@
 	deletions []Deletion
 }
 
-// set replaces the objects and the revision, and records the objects that are no longer present as
-// deletions.
-func (k *kindState) set(revision int64, objects map[string]fleet.Object) {
+// point is a point in the history of the store.
+type point struct{ era, revision int64 }
+
+// before reports whether p is an earlier point than other.
+func (p point) before(other point) bool {
+	return p.era < other.era || p.era == other.era && p.revision < other.revision
+}
+
+// set replaces the objects and their point in the store's history, and records the objects that are
+// no longer present as deletions. Deletions of an earlier era are dropped: their revisions mean
+// nothing in the new one.
+func (k *kindState) set(at point, objects map[string]fleet.Object) {
+	if at.era != k.at.era {
+		k.deletions = nil
+	} else {
+		k.recordDeletions(at.revision, objects)
+	}
+	k.synced, k.at, k.objects, k.checksum = true, at, objects, checksumOf(at.era, objects)
+}
+
+// recordDeletions records the known objects that are not among the new ones.
+func (k *kindState) recordDeletions(revision int64, objects map[string]fleet.Object) {
 	for name := range k.objects {
 		if _, found := objects[name]; !found {
 			k.deletions = append(k.deletions, Deletion{Name: name, Revision: revision})
@@ -98,7 +129,6 @@
 	if n := len(k.deletions) - maxDeletions; n > 0 {
 		k.deletions = slices.Delete(k.deletions, 0, n)
 	}
-	k.synced, k.revision, k.objects, k.checksum = true, revision, objects, checksumOf(objects)
 }
 
 // New returns a follower without any state.
@@ -154,7 +184,7 @@
 // followKind lists and watches one kind until ctx is done.
 func (f *Follower) followKind(ctx context.Context, name string) {
 	backoff := minBackoff
-	mustList := true
+	mustList, justListed := true, false
 	for ctx.Err() == nil {
 		_, synced := f.position(name)
 		switch {
@@ -165,19 +195,23 @@
 			sleep(ctx, startPollInterval)
 			continue
 		}
-		err := f.listOrWatch(ctx, name, mustList)
+		listing := mustList || !synced
+		err := f.listOrWatch(ctx, name, listing)
 		switch {
 		case err == nil:
-			mustList, backoff = false, minBackoff
+			mustList, justListed, backoff = false, listing, minBackoff
 			continue
 		case ctx.Err() != nil:
 			return
 		case fleet.HistoryGone.Has(err):
-			f.o.Logger.Info("store history gone, listing again", "kind", name)
+			f.o.Logger.Info("store history gone, listing again", "kind", name, "error", err)
 			mustList = true
-			continue
-		}
-		if backoff == minBackoff {
+			if !justListed {
+				continue
+			}
+			// The list did not help, so the next one is made after a pause.
+			justListed = false
+		case backoff == minBackoff:
 			f.o.Logger.Warn("store does not answer", "kind", name, "error", err)
 		}
 		sleep(ctx, backoff)
@@ -186,77 +220,91 @@
 }
 
 // listOrWatch makes one call: a list, or a watch from the current revision. A watch that does not
-// answer in time counts as lost history, so that the objects are listed again.
-func (f *Follower) listOrWatch(ctx context.Context, name string, mustList bool) error {
-	revision, synced := f.position(name)
-	if mustList || !synced {
+// answer in time, or that answers in another era, counts as lost history, so that the objects are
+// listed again.
+func (f *Follower) listOrWatch(ctx context.Context, name string, list bool) error {
+	at, _ := f.position(name)
+	if list {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
 		changes, err := f.o.Store.List(ctx, name, false)
-		if err == nil {
-			f.replaceState(name, changes.Revision, changes.Objects, true)
+		if err != nil {
+			return err
 		}
-		return err
+		if changes.Era < at.era {
+			return fleet.Unavailable.New("list of era %d, era %d is known", changes.Era, at.era)
+		}
+		f.replaceState(name, point{changes.Era, changes.Revision}, changes.Objects, true)
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout+watchSlack)
 	defer cancel()
-	changes, err := f.o.Store.Watch(ctx, name, revision, watchTimeout)
-	if errors.Is(err, context.DeadlineExceeded) {
+	changes, err := f.o.Store.Watch(ctx, name, at.revision, watchTimeout)
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
 		return fleet.HistoryGone.New("watch did not answer within its wait time")
-	}
-	if err != nil {
+	case err != nil:
 		return err
+	case !f.applyWatch(name, changes):
+		return fleet.HistoryGone.New("watch of era %d answered in era %d", at.era, changes.Era)
 	}
-	f.applyWatch(name, changes)
 	if len(changes.Objects) > 0 {
 		sleep(ctx, coalesceDelay)
 	}
 	return nil
 }
 
-// position returns the revision up to which a kind is known.
-func (f *Follower) position(name string) (revision int64, synced bool) {
+// position returns the point up to which a kind is known.
+func (f *Follower) position(name string) (at point, synced bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.kinds[name]
-	return k.revision, k.synced
+	return k.at, k.synced
 }
 
 // replaceState replaces the state of a kind if the new one is newer. A list of the store at the
-// same revision is taken as well. It reports whether the state was replaced.
-func (f *Follower) replaceState(name string, revision int64, objects []fleet.Object, fromStore bool) bool {
+// same point is taken as well. It reports whether the state was replaced.
+func (f *Follower) replaceState(name string, at point, objects []fleet.Object, fromStore bool) bool {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
 	f.mu.Lock()
 	k := f.kinds[name]
-	if k.synced && revision < k.revision || k.synced && revision == k.revision && !fromStore {
+	if k.synced && (at.before(k.at) || at == k.at && !fromStore) {
 		f.mu.Unlock()
 		return false
 	}
-	gap := f.recordContact(k, fromStore)
+	change := Change{Kind: name, Gap: f.recordContact(k, fromStore), Restored: k.synced && at.era != k.at.era}
 	oldChecksum := k.checksum
 	byName := make(map[string]fleet.Object, len(objects))
 	for _, o := range objects {
 		byName[o.Name] = o
 	}
-	k.set(revision, byName)
-	f.publish(name, k, oldChecksum, gap)
+	k.set(at, byName)
+	f.publish(change, k, oldChecksum)
 	return true
 }
 
-// applyWatch applies the changes that a watch returned.
-func (f *Follower) applyWatch(name string, changes fleet.Changes) {
+// applyWatch applies the changes that a watch returned. It reports false for a watch that answered
+// in another era than that of the known state, because changes may be missing before those that it
+// returned.
+func (f *Follower) applyWatch(name string, changes fleet.Changes) bool {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
 	f.mu.Lock()
 	k := f.kinds[name]
-	gap := f.recordContact(k, true)
+	if changes.Era != k.at.era {
+		f.mu.Unlock()
+		return false
+	}
+	change := Change{Kind: name, Gap: f.recordContact(k, true)}
 	oldChecksum := k.checksum
+	at := point{changes.Era, max(k.at.revision, changes.Revision)}
 	if len(changes.Objects) > 0 {
-		k.set(max(k.revision, changes.Revision), applyChanges(k.objects, changes.Objects))
+		k.set(at, applyChanges(k.objects, changes.Objects))
 	}
-	k.revision = max(k.revision, changes.Revision)
-	f.publish(name, k, oldChecksum, gap)
+	k.at = at
+	f.publish(change, k, oldChecksum)
+	return true
 }
 
 // applyChanges returns the objects with the changes applied. A change that is older than the object
@@ -292,16 +340,20 @@
 	return gap
 }
 
-// publish logs a changed state and calls OnChange. The caller holds f.mu and applyMu; publish
-// unlocks f.mu.
-func (f *Follower) publish(name string, k *kindState, oldChecksum uint64, gap bool) {
-	objects, revision := k.objects, k.revision
+// publish completes a change, logs it and calls OnChange if the state has changed. The caller holds
+// f.mu and applyMu; publish unlocks f.mu.
+func (f *Follower) publish(change Change, k *kindState, oldChecksum uint64) {
+	at := k.at
+	change.Objects = k.objects
 	changed := !k.published || k.checksum != oldChecksum
 	k.published = true
 	f.mu.Unlock()
+	if change.Restored {
+		f.o.Logger.Warn("store was restored from a backup", "kind", change.Kind, "era", at.era)
+	}
 	if changed {
-		f.o.Logger.Info("objects changed", "kind", name, "revision", revision, "objects", len(objects))
-		f.o.OnChange(name, objects, gap)
+		f.o.Logger.Info("objects changed", "kind", change.Kind, "revision", at.revision, "objects", len(change.Objects))
+		f.o.OnChange(change)
 	}
 }
 
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -56,7 +56,7 @@
 func newFollower(s Store, onChange func(map[string]fleet.Object, bool)) *Follower {
 	return New(Options{
 		Store: s, Kinds: []string{"k"}, Logger: slog.New(slog.DiscardHandler),
-		OnChange: func(_ string, objects map[string]fleet.Object, gap bool) { onChange(objects, gap) },
+		OnChange: func(c Change) { onChange(c.Objects, c.Gap) },
 	})
 }
 
@@ -190,7 +190,7 @@
 			objects := []fleet.Object{object("version", revision), object("old", 1)}
 			switch rapid.IntRange(0, 2).Draw(rt, "way") {
 			case 0:
-				f.replaceState("k", revision, objects, true)
+				f.replaceState("k", point{revision: revision}, objects, true)
 			case 1:
 				f.ApplyStates([]State{{Kind: "k", Revision: revision, Full: true, Objects: objects}})
 			default:
@@ -230,7 +230,7 @@
 	for i := range endpoints {
 		list = append(list, object(fmt.Sprint("e-", i), 1))
 	}
-	f.replaceState("k", 1, list, true)
+	f.replaceState("k", point{revision: 1}, list, true)
 	if sent := exchangeStates(f, g, g.StaleKinds(f.Digests())); len(sent) != 1 || g.Digests()[0] != f.Digests()[0] {
 		t.Fatalf("the first exchange took %d states, want 1", len(sent))
 	}
@@ -260,9 +260,9 @@
 // the names of all objects from it, and no object a second time.
 func TestMissedDeletionIsFoundByChecksum(t *testing.T) {
 	behind := newFollower(&fakeStore{}, func(map[string]fleet.Object, bool) {})
-	behind.replaceState("k", 5, []fleet.Object{object("a", 1), object("b", 2), object("c", 3)}, true)
+	behind.replaceState("k", point{revision: 5}, []fleet.Object{object("a", 1), object("b", 2), object("c", 3)}, true)
 	restarted := newFollower(&fakeStore{}, func(map[string]fleet.Object, bool) {})
-	restarted.replaceState("k", 9, []fleet.Object{object("a", 1), object("c", 3)}, true)
+	restarted.replaceState("k", point{revision: 9}, []fleet.Object{object("a", 1), object("c", 3)}, true)
 	sent := exchangeStates(restarted, behind, behind.StaleKinds(restarted.Digests()))
 	if len(sent) != 2 || len(sent[1].Names) != 2 || len(sent[1].Objects) != 0 {
 		t.Errorf("sent %+v, want 2 states, the second with 2 names and no objects", sent)
@@ -283,7 +283,7 @@
 		o.Spec = json.RawMessage(fmt.Sprintf(`{"address":"10.4.%d.%d:8689","service":"dispatch-api","zone":"portmore","state":"ready","slots":6,"coldRemainingMs":0,"seq":%d,"born":1767225600}`, i/200, i%200, i))
 		list = append(list, o)
 	}
-	f.replaceState("k", 3000, list, true)
+	f.replaceState("k", point{revision: 3000}, list, true)
 	states := f.StatesSince([]Position{{Kind: "k"}})
 	sent, err := json.Marshal(states)
 	if err != nil {
@@ -311,3 +311,94 @@
 		t.Errorf("digests are %v, want %v", g.Digests(), f.Digests())
 	}
 }
+
+// A store that was restored from a backup issues revisions again. Its older state must replace the
+// known one, whether a watch is refused, or answers with events of the new era only.
+func TestRestoredStoreIsListedAgain(t *testing.T) {
+	answers := map[string]func() (fleet.Changes, error){
+		"watch refused": func() (fleet.Changes, error) { return fleet.Changes{}, fleet.HistoryGone.New("410") },
+		"watch answers in the new era": func() (fleet.Changes, error) {
+			return fleet.Changes{Era: 2, Revision: 12, Objects: []fleet.Object{object("late", 12)}}, nil
+		},
+	}
+	for name, answer := range answers {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s := &fakeStore{list: fleet.Changes{Era: 1, Revision: 10, Objects: []fleet.Object{object("a", 3), object("lost", 10)}}}
+			restored := fleet.Changes{Era: 2, Revision: 7, Objects: []fleet.Object{object("a", 3), object("back", 7)}}
+			watches := 0
+			s.watch = func(ctx context.Context, after int64) (fleet.Changes, error) {
+				if watches++; watches == 1 {
+					s.mu.Lock()
+					s.list = restored
+					s.mu.Unlock()
+					return answer()
+				}
+				if after != restored.Revision {
+					t.Errorf("%s: watch from revision %d, want %d", name, after, restored.Revision)
+				}
+				<-ctx.Done()
+				return fleet.Changes{}, fleet.Unavailable.Wrap(ctx.Err())
+			}
+			var last Change
+			f := newFollower(s, nil)
+			f.o.OnChange = func(c Change) { last = c }
+			done := make(chan struct{})
+			go func() { defer close(done); f.Run(ctx) }()
+			time.Sleep(time.Second)
+			cancel()
+			<-done
+			if _, found := last.Objects["back"]; !found || len(last.Objects) != 2 || !last.Restored {
+				t.Errorf("%s: last change is %+v, want the restored state", name, last)
+			}
+		})
+	}
+}
+
+// A list that answers in an earlier era than the known one must not replace the state, and the store
+// must not be called without a pause.
+func TestOutdatedEraIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &fakeStore{list: fleet.Changes{Era: 1, Revision: 50, Objects: []fleet.Object{object("old", 50)}}}
+		s.watch = func(context.Context, int64) (fleet.Changes, error) { return fleet.Changes{Era: 1, Revision: 50}, nil }
+		f := newFollower(s, func(map[string]fleet.Object, bool) {})
+		f.ApplyStates([]State{{Kind: "k", Era: 2, Revision: 4, Full: true, Objects: []fleet.Object{object("new", 4)}}})
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		cancel()
+		<-done
+		if d := f.Digests()[0]; d.Era != 2 || d.Revision != 4 {
+			t.Errorf("digest is %+v, want era 2, revision 4", d)
+		}
+		if n := s.listCount(); n > 20 {
+			t.Errorf("%d lists in ten seconds", n)
+		}
+	})
+}
+
+// Entries that reach the restored store tell those that do not. States of the earlier era must not
+// be taken any more, whatever their revision, and an object whose revision was issued again for
+// another content must be replaced.
+func TestErasAreExchanged(t *testing.T) {
+	reissued := object("b", 8)
+	reissued.Spec = json.RawMessage(`{"state":"another"}`)
+	restored := newFollower(&fakeStore{}, func(map[string]fleet.Object, bool) {})
+	restored.replaceState("k", point{2, 8}, []fleet.Object{object("a", 3), reissued}, true)
+	behind := newFollower(&fakeStore{}, func(map[string]fleet.Object, bool) {})
+	behind.replaceState("k", point{1, 8}, []fleet.Object{object("a", 3), object("b", 8)}, true)
+	if stale := restored.StaleKinds(behind.Digests()); len(stale) != 0 {
+		t.Errorf("the restored state asks for the earlier era: %+v", stale)
+	}
+	if newer, missing := restored.ApplyStates(behind.StatesSince([]Position{{Kind: "k"}})); len(newer)+len(missing) != 0 {
+		t.Errorf("a state of the earlier era was taken: %v, %v", newer, missing)
+	}
+	exchangeStates(restored, behind, behind.StaleKinds(restored.Digests()))
+	if got, want := behind.Digests()[0], restored.Digests()[0]; got != want {
+		t.Errorf("digest is %+v, want %+v", got, want)
+	}
+	if got := string(behind.kinds["k"].objects["b"].Spec); got != string(reissued.Spec) {
+		t.Errorf("the reissued object is %s, want %s", got, reissued.Spec)
+	}
+}
--- a/follow/states.go
+++ b/follow/states.go
@@ -18,8 +18,10 @@
 // State is what one entry sends another about a kind of objects: the objects that changed after the
 // revision that the other entry has, or all objects if Full is set.
 type State struct {
-	Kind     string `json:"kind"`
-	Revision int64  `json:"revision"`
+	Kind string `json:"kind"`
+	// Era and Revision are the point in the store's history up to which the sender knows the kind.
+	Era      int64 `json:"era,omitempty"`
+	Revision int64 `json:"revision"`
 	// Checksum is the checksum of all objects. The receiver uses it to verify a state that it has
 	// merged from changes.
 	Checksum  uint64         `json:"sum"`
@@ -43,7 +45,9 @@
 // Position says up to which revision an entry knows a kind, when it asks another one for changes.
 type Position struct {
 	Kind string `json:"kind"`
-	// Revision is the revision up to which the kind is known; 0 asks for the full state.
+	// Era and Revision are the point up to which the kind is known. A revision of 0, or another era
+	// than that of the state, asks for the full state.
+	Era      int64 `json:"era,omitempty"`
 	Revision int64 `json:"revision"`
 	// WantNames asks for the names of all objects, because deletions were missed.
 	WantNames bool `json:"names,omitempty"`
@@ -52,6 +56,7 @@
 // Digest identifies the state of a kind.
 type Digest struct {
 	Kind     string `json:"kind"`
+	Era      int64  `json:"era,omitempty"`
 	Revision int64  `json:"revision"`
 	Checksum uint64 `json:"sum"`
 }
@@ -64,7 +69,7 @@
 	var digests []Digest
 	for _, name := range f.o.Kinds {
 		if k := f.kinds[name]; k.synced {
-			digests = append(digests, Digest{Kind: name, Revision: k.revision, Checksum: k.checksum})
+			digests = append(digests, Digest{Kind: name, Era: k.at.era, Revision: k.at.revision, Checksum: k.checksum})
 		}
 	}
 	return digests
@@ -88,8 +93,8 @@
 	var stale []Position
 	for _, d := range digests {
 		k := f.kinds[d.Kind]
-		if k != nil && (!k.synced || d.Revision > k.revision && d.Checksum != k.checksum) {
-			stale = append(stale, Position{Kind: d.Kind, Revision: k.revision})
+		if k != nil && (!k.synced || k.at.before(point{d.Era, d.Revision}) && d.Checksum != k.checksum) {
+			stale = append(stale, Position{Kind: d.Kind, Era: k.at.era, Revision: k.at.revision})
 		}
 	}
 	return stale
@@ -115,7 +120,10 @@
 // stateSince returns the state for an entry that has it up to a position. If compressing fails, the
 // state is returned uncompressed with the error.
 func (k *kindState) stateSince(p Position) (State, error) {
-	s := State{Kind: p.Kind, Revision: k.revision, Checksum: k.checksum, Full: p.Revision == 0}
+	s := State{
+		Kind: p.Kind, Era: k.at.era, Revision: k.at.revision, Checksum: k.checksum,
+		Full: p.Revision == 0 || p.Era != k.at.era,
+	}
 	names := slices.Sorted(maps.Keys(k.objects))
 	for _, name := range names {
 		if o := k.objects[name]; s.Full || o.Revision > p.Revision {
@@ -145,7 +153,7 @@
 		switch {
 		case request != nil:
 			missing = append(missing, *request)
-		case objects != nil && f.replaceState(s.Kind, s.Revision, objects, false):
+		case objects != nil && f.replaceState(s.Kind, point{s.Era, s.Revision}, objects, false):
 			newer = append(newer, s.Kind)
 		}
 	}
@@ -159,9 +167,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.kinds[s.Kind]
-	if k == nil || k.synced && k.revision >= s.Revision {
+	if k == nil || k.synced && !k.at.before(point{s.Era, s.Revision}) {
 		return nil, nil
 	}
+	if !s.Full && s.Era != k.at.era {
+		return nil, &Position{Kind: s.Kind}
+	}
 	merged := k.objects
 	if s.Full {
 		merged = nil
@@ -179,12 +190,12 @@
 		})
 	}
 	switch {
-	case s.Full || checksumOf(merged) == s.Checksum:
+	case s.Full || checksumOf(s.Era, merged) == s.Checksum:
 		return slices.AppendSeq([]fleet.Object{}, maps.Values(merged)), nil
 	case len(s.Names) > 0:
 		return nil, &Position{Kind: s.Kind}
 	}
-	return nil, &Position{Kind: s.Kind, Revision: k.revision, WantNames: true}
+	return nil, &Position{Kind: s.Kind, Era: k.at.era, Revision: k.at.revision, WantNames: true}
 }
 
 // changes returns the deletions followed by the objects, because a name may have been used again
@@ -197,11 +208,16 @@
 	return append(list, s.Objects...)
 }
 
-// checksumOf returns a hash of the objects' names and revisions. It does not depend on their order.
-func checksumOf(objects map[string]fleet.Object) uint64 {
-	total := uint64(len(objects)) + 1
+// checksumOf returns a hash of the era and of the objects' names and revisions. It does not depend
+// on the order of the objects. The era is part of it because a restored store may issue the revision
+// of an object again for another content of the same object.
+func checksumOf(era int64, objects map[string]fleet.Object) uint64 {
+	total := uint64(len(objects)) + 1 + uint64(era)*eraFactor
 	for name, o := range objects {
 		total += xxhash.Sum64String(name) * uint64(2*o.Revision+1)
 	}
 	return total
 }
+
+// eraFactor spreads the era over all bits of a checksum.
+const eraFactor = 0x9e3779b97f4a7c15
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -115,14 +115,16 @@
 // minHangTime is the shortest time without an answer after which an endpoint counts as hung.
 const minHangTime = 250 * time.Millisecond
 
-// recordResponse passes the load and cold state that the endpoint reported to the roster, and
-// classifies the response.
+// recordResponse passes what the endpoint reported of itself to the roster, and classifies the
+// response.
 func (q *request) recordResponse(now time.Time, a *attempt) {
 	load := -1
 	if a.info.LoadKnown {
 		load = a.info.Running + a.info.Waiting
 	}
-	q.gw.opts.Roster.RecordStatus(now, a.endpoint.ID, load, a.info.ColdRemaining)
+	q.gw.opts.Roster.RecordStatus(now, a.endpoint.ID, roster.Status{
+		Load: load, ColdRemaining: a.info.ColdRemaining, Leaving: a.info.Leaving, RetryAfter: a.info.RetryAfter,
+	})
 	outcome := roster.Answered
 	switch {
 	case a.info.NotRun:
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -75,7 +76,13 @@
 	case runs > 0:
 		return *unknownOutcomeResponse("an endpoint got the request and its answer was lost")
 	}
-	return *notRunResponse("no endpoint took the request", busyRetryAfter)
+	return *notRunResponse("no endpoint took the request", q.endpointRetryAfter())
+}
+
+// endpointRetryAfter returns the retry delay for a request that no endpoint took: the time until the
+// first endpoint takes requests again if all have asked for a pause.
+func (q *request) endpointRetryAfter() time.Duration {
+	return cmp.Or(q.gw.opts.Roster.ServicePausedFor(time.Now(), q.service), busyRetryAfter)
 }
 
 // tryBuffered sends the request to one endpoint and reads the complete response.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -194,7 +194,7 @@
 func (s *stream) failure(ctx context.Context, reason string) *response {
 	switch {
 	case s.runs == 0:
-		return notRunResponse(reason, busyRetryAfter)
+		return notRunResponse(reason, s.endpointRetryAfter())
 	case ctx.Err() != nil:
 		return deadlineResponse()
 	}
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -92,6 +92,8 @@
 	table             atomic.Pointer[catalog.Table]
 	entriesListed     chan struct{}
 	entriesListedOnce sync.Once
+	// entrySyncRequests holds a value while the entries are to be listed at once.
+	entrySyncRequests chan struct{}
 	started           time.Time
 	stopping          atomic.Bool
 	// endpoints is accessed only by objectsChanged, whose calls do not overlap.
@@ -116,7 +118,7 @@
 
 // newDaemon creates and connects the parts of a gateway without starting them.
 func newDaemon(settings fleet.Settings, logger *slog.Logger, reg prometheus.Registerer) *daemon {
-	d := &daemon{settings: settings, logger: logger, entriesListed: make(chan struct{}), started: time.Now(), listInterval: entryListInterval}
+	d := &daemon{settings: settings, logger: logger, entriesListed: make(chan struct{}), entrySyncRequests: make(chan struct{}, 1), started: time.Now(), listInterval: entryListInterval}
 	d.current.Store(&settings)
 	d.store = fleet.NewStore(settings.StoreAddress, newStoreTransport())
 	d.roster = roster.New(settings.Regions)
@@ -253,30 +255,44 @@
 	}
 }
 
-// objectsChanged applies the new state of one kind of objects. gap reports that the store did not
-// respond for a while before the change.
-func (d *daemon) objectsChanged(kind string, objects map[string]fleet.Object, gap bool) {
+// objectsChanged applies the new state of one kind of objects.
+func (d *daemon) objectsChanged(c follow.Change) {
 	now := time.Now()
 	defer d.coordinator.InvalidateEndpoints()
 	if d.mesh.ReadsStore() {
 		defer d.mesh.PingAll()
 	}
-	switch kind {
+	if c.Restored {
+		d.requestEntrySync()
+	}
+	switch c.Kind {
 	case fleet.KindConfiguration:
-		d.applyConfiguration(objects)
+		d.applyConfiguration(c.Objects)
 	case fleet.KindEndpoints:
-		d.applyEndpoints(now, objects, gap)
+		d.applyEndpoints(now, c.Objects, continuity(c))
 	case fleet.KindEvacuations:
-		evacuated := make(map[string]bool, len(objects))
-		for name := range objects {
+		evacuated := make(map[string]bool, len(c.Objects))
+		for name := range c.Objects {
 			evacuated[name] = true
 		}
-		d.roster.SetEvacuated(now, evacuated)
+		d.roster.SetEvacuated(now, evacuated, continuity(c))
 		d.logger.Info("data centres out", "data_centres", evacuated)
 	}
 }
 
-// applyConfiguration puts the stored configuration in force if it is newer than the current one.
+// continuity says how a changed list follows the one before it.
+func continuity(c follow.Change) roster.Continuity {
+	switch {
+	case c.Restored:
+		return roster.AfterRestore
+	case c.Gap:
+		return roster.AfterGap
+	}
+	return roster.Continuous
+}
+
+// applyConfiguration puts the stored configuration in force if it is newer than the current one. A
+// restored store may list an older one until the operators have written the newer one again.
 func (d *daemon) applyConfiguration(objects map[string]fleet.Object) {
 	object, found := objects[fleet.ConfigurationName]
 	if !found {
@@ -298,12 +314,12 @@
 }
 
 // applyEndpoints updates the roster with the listed endpoints and reports lost ones to the gateway.
-func (d *daemon) applyEndpoints(now time.Time, objects map[string]fleet.Object, gap bool) {
+func (d *daemon) applyEndpoints(now time.Time, objects map[string]fleet.Object, c roster.Continuity) {
 	list, lost := d.endpoints.decode(objects, d.logger)
 	for _, id := range lost {
 		d.gateway.EndpointLost(id)
 	}
-	d.roster.SetEndpoints(now, list, gap)
+	d.roster.SetEndpoints(now, list, c)
 	d.upstream.Retain(d.roster.Known)
 }
 
--- a/gatewaydaemon/endpoints.go
+++ b/gatewaydaemon/endpoints.go
@@ -1,6 +1,8 @@
 package gatewaydaemon
 
 import (
+	"bytes"
+	"encoding/json"
 	"log/slog"
 
 	"github.com/azurelead/azurelead/catalog"
@@ -15,7 +17,8 @@
 
 // cachedEndpoint is one decoded endpoint object.
 type cachedEndpoint struct {
-	revision int64
+	// spec is compared instead of the revision, which a restored store may issue again.
+	spec     json.RawMessage
 	endpoint catalog.Endpoint
 	// valid is false for an object that could not be decoded.
 	valid bool
@@ -28,7 +31,7 @@
 	list = make([]catalog.Endpoint, 0, len(objects))
 	for name, o := range objects {
 		entry, found := c.byName[name]
-		if !found || entry.revision != o.Revision {
+		if !found || !bytes.Equal(entry.spec, o.Spec) {
 			entry = decodeEndpoint(o, logger)
 		}
 		decoded[name] = entry
@@ -51,5 +54,5 @@
 	if err != nil {
 		logger.Info("skipped invalid endpoint object", "endpoint", o.Name, "revision", o.Revision, "error", err)
 	}
-	return cachedEndpoint{revision: o.Revision, endpoint: endpoint, valid: err == nil}
+	return cachedEndpoint{spec: o.Spec, endpoint: endpoint, valid: err == nil}
 }
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -35,21 +35,44 @@
 	announced := false
 	delay := time.Duration(0)
 	for first := true; ctx.Err() == nil; first = false {
-		if !sleep(ctx, delay) {
+		requested := d.awaitEntrySync(ctx, delay)
+		if ctx.Err() != nil {
 			return
 		}
 		delay = d.listInterval
 		if !announced && !d.stopping.Load() {
 			announced = d.announce(ctx)
 		}
-		listed, ownListed := d.listEntries(ctx, !first)
-		if !announced || !listed {
-			delay = time.Second
-		}
+		listed, ownListed := d.listEntries(ctx, !first && !requested)
 		if listed && !ownListed && !first {
-			// Another entry removed this one because it could not reach it.
+			// Another entry removed this one because it could not reach it, or the store was
+			// restored from a backup made before.
 			announced = false
 		}
+		if !announced || !listed {
+			delay = time.Second
+		}
+	}
+}
+
+// awaitEntrySync waits for delay to pass, and reports true if the entries are to be listed sooner.
+func (d *daemon) awaitEntrySync(ctx context.Context, delay time.Duration) (requested bool) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-d.entrySyncRequests:
+		return true
+	}
+	return false
+}
+
+// requestEntrySync makes syncEntries list the entries at once.
+func (d *daemon) requestEntrySync() {
+	select {
+	case d.entrySyncRequests <- struct{}{}:
+	default: // a request is already pending
 	}
 }
 
--- a/peers/bench_test.go
+++ b/peers/bench_test.go
@@ -20,7 +20,7 @@
 func benchMesh(ctx context.Context, name string, endpoints int) (*Mesh, net.Listener) {
 	f := follow.New(follow.Options{
 		Kinds: []string{"servers"}, Logger: slog.New(slog.DiscardHandler),
-		OnChange: func(string, map[string]fleet.Object, bool) {},
+		OnChange: func(follow.Change) {},
 	})
 	s := follow.State{Kind: "servers", Revision: 1, Full: true}
 	for i := range endpoints {
--- a/peers/hubs_test.go
+++ b/peers/hubs_test.go
@@ -103,7 +103,7 @@
 			Started: time.Now().Add(-time.Minute),
 			Follower: follow.New(follow.Options{
 				Kinds: []string{"servers"}, Logger: slog.New(slog.DiscardHandler),
-				OnChange: func(string, map[string]fleet.Object, bool) {},
+				OnChange: func(follow.Change) {},
 			}),
 			Suspects: suspect.New(suspect.Options{}), OnPeersChanged: func() {}, Logger: slog.New(slog.DiscardHandler),
 		})
--- a/peers/ping_schedule_test.go
+++ b/peers/ping_schedule_test.go
@@ -50,7 +50,7 @@
 	members := memberList(40)
 	hubs := Hubs(members)
 	f := follow.New(follow.Options{
-		Kinds: []string{"servers"}, Logger: slog.New(slog.DiscardHandler), OnChange: func(string, map[string]fleet.Object, bool) {},
+		Kinds: []string{"servers"}, Logger: slog.New(slog.DiscardHandler), OnChange: func(follow.Change) {},
 	})
 	f.ApplyStates([]follow.State{{Kind: "servers", Revision: 1, Full: true}})
 	m := New(Options{Self: Identity{Name: "self", Address: "self"}, Started: time.Now(), OnPeersChanged: func() {}, Follower: f})
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -32,6 +32,12 @@
 	maxColdSenders = 6
 	// coldRateShare is the share of the declared cold rate that is used.
 	coldRateShare = 0.9
+	// restoreConfirmTime is how long a restored store needs to show what holds: operators and
+	// endpoints write again what was lost, and records of endpoints that have ended expire.
+	restoreConfirmTime = 5 * time.Second
+	// departedTTL is how long what an endpoint demanded is kept after it was removed, in case that
+	// its record comes back.
+	departedTTL = 10 * time.Minute
 	// idleConnectionShare is the share of an endpoint's connection limit that the idle connections
 	// of all entries may take. The rest is left for requests, because an endpoint resets
 	// connections above its limit.
@@ -55,13 +61,48 @@
 	ConnectionLost
 )
 
+// Continuity says how a list of endpoints or evacuations follows the one before it.
+type Continuity int
+
+// The ways in which a list can follow the one before it.
+const (
+	// Continuous: the store has answered all the while.
+	Continuous Continuity = iota
+	// AfterGap: the store had not answered for a while, in which records of live endpoints may have
+	// expired.
+	AfterGap
+	// AfterRestore: the store was restored from a backup. Records may be missing, outdated, or of
+	// endpoints that have ended.
+	AfterRestore
+)
+
+// demands are what an endpoint demanded of this entry. They hold for one incarnation, also while
+// its record is missing from the list or outdated.
+type demands struct {
+	// leaving is set once the endpoint has announced that it leaves.
+	leaving bool
+	// pausedUntil is the time before which the endpoint wants no requests.
+	pausedUntil time.Time
+}
+
+// departedMember is kept of an endpoint that was removed.
+type departedMember struct {
+	demands
+	incarnation int64
+	removedAt   time.Time
+}
+
 // member is the state of one endpoint.
 type member struct {
 	catalog.Endpoint
+	demands
 	listed       bool
 	missingSince time.Time
-	coldUntil    time.Time
-	inFlight     int
+	// unconfirmedUntil is the time before which a restored record of a removed endpoint is not
+	// taken as a sign of life.
+	unconfirmedUntil time.Time
+	coldUntil        time.Time
+	inFlight         int
 	// reportedLoad is the number of requests that the endpoint reported at reportedLoadAt.
 	reportedLoad   int
 	reportedLoadAt time.Time
@@ -91,9 +132,14 @@
 	// byService lists the members of each service in the order of their ids. A deployment has
 	// thousands of endpoints, and each request considers only those of one service.
 	byService map[string][]*member
+	// departed holds the endpoints that were removed within departedTTL.
+	departed  map[string]departedMember
 	evacuated map[string]bool
-	services  map[string]*catalog.Service
-	regions   map[string]string
+	// presumedEvacuated maps data centres that a restored store no longer lists as evacuated to the
+	// time until which they are kept out of service.
+	presumedEvacuated map[string]time.Time
+	services          map[string]*catalog.Service
+	regions           map[string]string
 	// initialised is set after the first list of endpoints.
 	initialised bool
 	// rankFor returns this entry's rank among the entries that may send to a cold endpoint.
@@ -106,7 +152,8 @@
 // New returns an empty roster. regions maps data centres to their regions.
 func New(regions map[string]string) *Roster {
 	return &Roster{
-		members: make(map[string]*member), evacuated: make(map[string]bool),
+		members: make(map[string]*member), departed: make(map[string]departedMember),
+		evacuated: make(map[string]bool), presumedEvacuated: make(map[string]time.Time),
 		services: make(map[string]*catalog.Service), regions: regions, entryCount: 1,
 		rankFor: func(string) int { return 0 },
 	}
@@ -128,46 +175,89 @@
 	r.entriesVersion++
 }
 
-// SetEndpoints replaces the list of endpoints. After a gap, in which the store did not answer,
-// endpoints that are no longer listed stay in use for missingGracePeriod, because their records may
-// have expired while they were alive.
-func (r *Roster) SetEndpoints(now time.Time, list []catalog.Endpoint, gap bool) {
+// SetEndpoints replaces the list of endpoints. Unless the list is Continuous, endpoints that are no
+// longer listed stay in use for missingGracePeriod, because their records may be missing although
+// they are alive.
+func (r *Roster) SetEndpoints(now time.Time, list []catalog.Endpoint, c Continuity) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, m := range r.members {
 		m.listed = false
 	}
 	for _, e := range list {
-		m := r.members[e.ID]
-		if m == nil || m.Incarnation != e.Incarnation || m.Address != e.Address {
-			m = &member{}
-			r.members[e.ID] = m
-			if r.initialised && e.ColdRemaining == 0 && e.Incarnation == 0 {
-				// An endpoint that reports neither a cold time nor its start time is taken to be
-				// as cold as one that has just started.
-				m.coldUntil = now.Add(r.coldPeriod(e.Service))
-			}
-		}
-		if e.ColdRemaining > 0 {
-			m.coldUntil = now.Add(e.ColdRemaining)
-		}
-		m.Endpoint, m.listed, m.missingSince = e, true, time.Time{}
+		r.setListed(now, e, c)
 	}
 	for id, m := range r.members {
 		if m.listed {
 			continue
 		}
-		if gap && m.State == catalog.Ready && m.missingSince.IsZero() {
+		if c != Continuous && m.State == catalog.Ready && m.missingSince.IsZero() {
 			m.missingSince = now
 		}
 		if m.missingSince.IsZero() || now.Sub(m.missingSince) > missingGracePeriod {
-			delete(r.members, id)
+			r.remove(now, id, m)
 		}
 	}
+	r.forgetDeparted(now)
 	r.initialised = true
 	r.rebuildIndex()
 }
 
+// setListed updates the member of a listed endpoint, or adds one. The caller holds mu.
+func (r *Roster) setListed(now time.Time, e catalog.Endpoint, c Continuity) {
+	m := r.members[e.ID]
+	if m == nil || m.Incarnation != e.Incarnation || m.Address != e.Address {
+		m = r.newMember(now, e, c)
+		r.members[e.ID] = m
+	}
+	if e.ColdRemaining > 0 {
+		m.coldUntil = now.Add(e.ColdRemaining)
+	}
+	if e.Incarnation == 0 && c == Continuous {
+		m.leaving = false // without a start time, a restart shows only by the state
+	}
+	m.leaving = m.leaving || e.State == catalog.Draining
+	m.Endpoint, m.listed, m.missingSince = e, true, time.Time{}
+}
+
+// newMember returns the member of an endpoint that is listed for the first time or again. The caller
+// holds mu.
+func (r *Roster) newMember(now time.Time, e catalog.Endpoint, c Continuity) *member {
+	m := &member{}
+	if r.initialised && e.ColdRemaining == 0 && e.Incarnation == 0 {
+		// An endpoint that reports neither a cold time nor its start time is taken to be
+		// as cold as one that has just started.
+		m.coldUntil = now.Add(r.coldPeriod(e.Service))
+	}
+	if old := r.members[e.ID]; old != nil && old.Incarnation == e.Incarnation {
+		m.demands = old.demands
+	}
+	if d, found := r.departed[e.ID]; found && d.incarnation == e.Incarnation {
+		m.demands = d.demands
+		if c == AfterRestore {
+			m.unconfirmedUntil = now.Add(restoreConfirmTime)
+		}
+	}
+	delete(r.departed, e.ID)
+	return m
+}
+
+// remove removes an endpoint and keeps its demands. The caller holds mu.
+func (r *Roster) remove(now time.Time, id string, m *member) {
+	delete(r.members, id)
+	r.departed[id] = departedMember{demands: m.demands, incarnation: m.Incarnation, removedAt: now}
+}
+
+// forgetDeparted drops the endpoints that were removed longer ago than departedTTL. The caller
+// holds mu.
+func (r *Roster) forgetDeparted(now time.Time) {
+	for id, d := range r.departed {
+		if now.Sub(d.removedAt) > departedTTL {
+			delete(r.departed, id)
+		}
+	}
+}
+
 // rebuildIndex groups the members by service. The caller holds mu.
 func (r *Roster) rebuildIndex() {
 	r.byService = make(map[string][]*member)
@@ -187,16 +277,49 @@
 }
 
 // SetEvacuated replaces the data centres that receive no work. The endpoints of a data centre that
-// comes back count as cold, because they may have become cold shortly before.
-func (r *Roster) SetEvacuated(now time.Time, dataCentres map[string]bool) {
+// comes back count as cold, because they may have become cold shortly before. A data centre that is
+// missing AfterRestore stays out for restoreConfirmTime, in which the operators write its evacuation
+// again.
+func (r *Roster) SetEvacuated(now time.Time, dataCentres map[string]bool, c Continuity) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for dc := range r.evacuated {
+		switch {
+		case dataCentres[dc]:
+		case c == AfterRestore:
+			r.presumedEvacuated[dc] = now.Add(restoreConfirmTime)
+		default:
+			r.returnToService(now, dc)
+		}
+	}
+	for dc := range dataCentres {
+		delete(r.presumedEvacuated, dc)
+	}
+	r.evacuated = dataCentres
+}
+
+// returnToService makes the endpoints of a data centre that comes back count as cold. The caller
+// holds mu.
+func (r *Roster) returnToService(now time.Time, dataCentre string) {
 	for _, m := range r.members {
-		if r.evacuated[m.DataCentre] && !dataCentres[m.DataCentre] {
+		if m.DataCentre == dataCentre {
 			m.coldUntil = laterOf(m.coldUntil, now.Add(r.coldPeriod(m.Service)))
 		}
 	}
-	r.evacuated = dataCentres
+}
+
+// isEvacuated reports whether a data centre receives no work. The caller holds mu.
+func (r *Roster) isEvacuated(now time.Time, dataCentre string) bool {
+	if r.evacuated[dataCentre] {
+		return true
+	}
+	until, presumed := r.presumedEvacuated[dataCentre]
+	if presumed && !now.Before(until) {
+		delete(r.presumedEvacuated, dataCentre)
+		r.returnToService(now, dataCentre)
+		return false
+	}
+	return presumed
 }
 
 // Usable reports whether an endpoint may receive work. Callers check it again just before they
@@ -208,8 +331,15 @@
 	return m != nil && r.usable(now, m)
 }
 
+// usable reports whether a member may receive work. The caller holds mu.
 func (r *Roster) usable(now time.Time, m *member) bool {
-	if m.State != catalog.Ready || r.evacuated[m.DataCentre] {
+	return !now.Before(m.pausedUntil) && r.inService(now, m)
+}
+
+// inService reports whether a member may receive work apart from a pause that it asked for. The
+// caller holds mu.
+func (r *Roster) inService(now time.Time, m *member) bool {
+	if m.State != catalog.Ready || m.leaving || r.isEvacuated(now, m.DataCentre) || now.Before(m.unconfirmedUntil) {
 		return false
 	}
 	return m.missingSince.IsZero() || now.Sub(m.missingSince) <= missingGracePeriod
@@ -444,22 +574,71 @@
 	}
 }
 
-// RecordStatus records the load and the remaining cold time that an endpoint reported in a
-// response. A negative load means that none was reported. A cold time that ends sooner than the
-// known one does not shorten it.
-func (r *Roster) RecordStatus(now time.Time, id string, load int, cold time.Duration) {
+// Status is what an endpoint reported of itself in a response.
+type Status struct {
+	// Load is the number of requests at the endpoint; negative if none was reported.
+	Load int
+	// ColdRemaining is how long the endpoint remains cold.
+	ColdRemaining time.Duration
+	// Leaving is set if the endpoint is about to leave.
+	Leaving bool
+	// RetryAfter is how long the endpoint wants no requests from this entry.
+	RetryAfter time.Duration
+}
+
+// RecordStatus records what an endpoint reported of itself. A cold time or a pause that ends sooner
+// than the known one does not shorten it.
+func (r *Roster) RecordStatus(now time.Time, id string, s Status) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.members[id]
 	if m == nil {
 		return
 	}
-	if load >= 0 {
-		m.reportedLoad, m.reportedLoadAt = load, now
+	if s.Load >= 0 {
+		m.reportedLoad, m.reportedLoadAt = s.Load, now
+	}
+	if s.ColdRemaining > 0 {
+		m.coldUntil = laterOf(m.coldUntil, now.Add(s.ColdRemaining))
 	}
-	if cold > 0 {
-		m.coldUntil = laterOf(m.coldUntil, now.Add(cold))
+	m.leaving = m.leaving || s.Leaving
+	if s.RetryAfter > 0 {
+		m.pausedUntil = laterOf(m.pausedUntil, now.Add(s.RetryAfter))
+	}
+}
+
+// PausedFor returns how long an endpoint wants no requests from this entry; 0 if it takes them.
+func (r *Roster) PausedFor(now time.Time, id string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.members[id]; m != nil {
+		return max(m.pausedUntil.Sub(now), 0)
+	}
+	if d, found := r.departed[id]; found {
+		return max(d.pausedUntil.Sub(now), 0)
+	}
+	return 0
+}
+
+// ServicePausedFor returns the time until the first endpoint of a service takes requests again, if
+// pauses alone keep all of them out of use. It returns 0 otherwise.
+func (r *Roster) ServicePausedFor(now time.Time, service string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var shortest time.Duration
+	for _, m := range r.byService[service] {
+		if !r.inService(now, m) {
+			continue
+		}
+		pause := m.pausedUntil.Sub(now)
+		if pause <= 0 {
+			return 0
+		}
+		if shortest == 0 || pause < shortest {
+			shortest = pause
+		}
 	}
+	return shortest
 }
 
 func laterOf(a, b time.Time) time.Time {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -26,7 +26,7 @@
 func newRoster(endpoints []catalog.Endpoint) *Roster {
 	r := New(map[string]string{"a": "r1", "b": "r2"})
 	r.SetServices(map[string]*catalog.Service{"llm": {Name: "llm", ColdPeriod: 3 * time.Second, ColdRate: 9}})
-	r.SetEndpoints(epoch, endpoints, false)
+	r.SetEndpoints(epoch, endpoints, Continuous)
 	return r
 }
 
@@ -39,12 +39,12 @@
 		want   int
 	}{
 		{"all", func(*Roster) {}, 2},
-		{"one endpoint drains", func(r *Roster) { r.SetEndpoints(epoch, draining, false) }, 1},
-		{"one endpoint is no longer listed", func(r *Roster) { r.SetEndpoints(epoch, makeEndpoints(1, "a"), false) }, 1},
-		{"the data centre is evacuated", func(r *Roster) { r.SetEvacuated(epoch, map[string]bool{"a": true}) }, 0},
+		{"one endpoint drains", func(r *Roster) { r.SetEndpoints(epoch, draining, Continuous) }, 1},
+		{"one endpoint is no longer listed", func(r *Roster) { r.SetEndpoints(epoch, makeEndpoints(1, "a"), Continuous) }, 1},
+		{"the data centre is evacuated", func(r *Roster) { r.SetEvacuated(epoch, map[string]bool{"a": true}, Continuous) }, 0},
 		{"the data centre comes back", func(r *Roster) {
-			r.SetEvacuated(epoch, map[string]bool{"a": true})
-			r.SetEvacuated(epoch, nil)
+			r.SetEvacuated(epoch, map[string]bool{"a": true}, Continuous)
+			r.SetEvacuated(epoch, nil, Continuous)
 		}, 2},
 		{"one endpoint is unreachable", func(r *Roster) {
 			r.Begin(epoch, "e0")
@@ -75,14 +75,14 @@
 // Endpoints that a reachable store no longer lists are removed at once.
 func TestUnlistedEndpointsExpire(t *testing.T) {
 	r := newRoster(makeEndpoints(2, "a"))
-	r.SetEndpoints(epoch, makeEndpoints(1, "a"), true)
+	r.SetEndpoints(epoch, makeEndpoints(1, "a"), AfterGap)
 	if !r.Usable(epoch.Add(time.Second), "e1") {
 		t.Error("an endpoint whose record may have expired is not usable")
 	}
 	if r.Usable(epoch.Add(2*time.Second), "e1") {
 		t.Error("an endpoint is usable although its record did not come back within the grace period")
 	}
-	r.SetEndpoints(epoch, nil, false)
+	r.SetEndpoints(epoch, nil, Continuous)
 	if r.Known("e0") {
 		t.Error("a removed endpoint is still known")
 	}
@@ -156,7 +156,7 @@
 // An endpoint counts as cold whether a response or its record says so.
 func TestColdStatusFromResponseAndRecord(t *testing.T) {
 	r := newRoster(makeEndpoints(1, "a"))
-	r.RecordStatus(epoch, "e0", 3, time.Second)
+	r.RecordStatus(epoch, "e0", Status{Load: 3, ColdRemaining: time.Second})
 	if c := r.Candidates(epoch, "llm", nil); !c[0].Cold || c[0].Load != 3 {
 		t.Errorf("after the response: candidate %+v, want cold with load 3", c)
 	}
@@ -165,7 +165,7 @@
 	}
 	restarted := makeEndpoints(1, "a")
 	restarted[0].Incarnation, restarted[0].ColdRemaining = 2, 2*time.Second
-	r.SetEndpoints(epoch, restarted, false)
+	r.SetEndpoints(epoch, restarted, Continuous)
 	if c := r.Candidates(epoch, "llm", nil); !c[0].Cold {
 		t.Error("a restarted endpoint is not cold")
 	}
@@ -197,3 +197,127 @@
 		}
 	}
 }
+
+// What an endpoint has announced holds for its whole incarnation: when its record is outdated, is
+// missing for a while, or comes back from a restored store.
+func TestLeavingEndpointStaysOut(t *testing.T) {
+	ready := makeEndpoints(2, "a")
+	draining := makeEndpoints(2, "a")
+	draining[0].State = catalog.Draining
+	restarted := makeEndpoints(2, "a")
+	restarted[0].Incarnation = 2
+	saysLeaving := func(r *Roster) { r.RecordStatus(epoch, "e0", Status{Load: -1, Leaving: true}) }
+	cases := []struct {
+		name   string
+		change func(r *Roster)
+		usable bool
+	}{
+		{"a response says so", saysLeaving, false},
+		{"the next list still says ready", func(r *Roster) {
+			saysLeaving(r)
+			r.SetEndpoints(epoch, ready, Continuous)
+		}, false},
+		{"its record was missing for a while", func(r *Roster) {
+			saysLeaving(r)
+			r.SetEndpoints(epoch, ready[1:], Continuous)
+			r.SetEndpoints(epoch, ready, Continuous)
+		}, false},
+		{"a restored store has the record from before", func(r *Roster) {
+			r.SetEndpoints(epoch, draining, Continuous)
+			r.SetEndpoints(epoch, ready, AfterRestore)
+		}, false},
+		{"a restored store has the record of an endpoint that has left", func(r *Roster) {
+			r.SetEndpoints(epoch, draining, Continuous)
+			r.SetEndpoints(epoch, ready[1:], Continuous)
+			r.SetEndpoints(epoch, ready, AfterRestore)
+		}, false},
+		{"the endpoint has restarted", func(r *Roster) {
+			saysLeaving(r)
+			r.SetEndpoints(epoch, restarted, Continuous)
+		}, true},
+	}
+	for _, c := range cases {
+		r := newRoster(ready)
+		c.change(r)
+		for _, now := range []time.Time{epoch, epoch.Add(time.Minute)} {
+			if r.Usable(now, "e0") != c.usable || r.Begin(now, "e0") != c.usable {
+				t.Errorf("%s, after %v: usable %t, want %t", c.name, now.Sub(epoch), !c.usable, c.usable)
+			}
+		}
+	}
+}
+
+// An endpoint that asks for a pause gets no request until its end, even if no other endpoint is
+// left.
+func TestPausedEndpointGetsNothing(t *testing.T) {
+	r := newRoster(makeEndpoints(2, "a"))
+	r.RecordStatus(epoch, "e0", Status{Load: -1, RetryAfter: 2 * time.Second})
+	r.RecordStatus(epoch, "e0", Status{Load: -1, RetryAfter: time.Second})
+	r.RecordStatus(epoch, "e1", Status{Load: -1, RetryAfter: 3 * time.Second})
+	steps := []struct {
+		after      time.Duration
+		candidates int
+		pause      time.Duration
+	}{
+		{0, 0, 2 * time.Second},
+		{1999 * time.Millisecond, 0, time.Millisecond},
+		{2 * time.Second, 1, 0},
+		{3 * time.Second, 2, 0},
+	}
+	for _, s := range steps {
+		now := epoch.Add(s.after)
+		r.SetEndpoints(now, makeEndpoints(2, "a"), AfterRestore)
+		if got := len(r.Candidates(now, "llm", nil)); got != s.candidates || len(r.Endpoints(now, "llm")) != s.candidates {
+			t.Errorf("after %v: %d candidates, want %d", s.after, got, s.candidates)
+		}
+		if got := r.ServicePausedFor(now, "llm"); got != s.pause {
+			t.Errorf("after %v: paused for %v, want %v", s.after, got, s.pause)
+		}
+	}
+}
+
+// A store that was restored from a backup may list endpoints that have ended and lack some that are
+// alive. It gets time to show which.
+func TestRestoredEndpointsAreConfirmed(t *testing.T) {
+	r := newRoster(makeEndpoints(2, "a"))
+	r.SetEndpoints(epoch, makeEndpoints(1, "a"), Continuous) // e1 has ended
+	started := append(makeEndpoints(1, "a"), catalog.Endpoint{ID: "new", Service: "llm", Address: "10.0.0.1:2", DataCentre: "a", Incarnation: 1})
+	r.SetEndpoints(epoch, started, Continuous)
+	r.SetEndpoints(epoch, makeEndpoints(2, "a"), AfterRestore) // with e1, without the new endpoint
+	for _, s := range []struct {
+		after  time.Duration
+		id     string
+		usable bool
+	}{
+		{0, "e0", true},
+		{0, "e1", false},
+		{restoreConfirmTime - time.Millisecond, "e1", false},
+		{restoreConfirmTime, "e1", true}, // it would have expired
+		{time.Second, "new", true},
+		{2 * time.Second, "new", false}, // it would have registered again
+	} {
+		if got := r.Usable(epoch.Add(s.after), s.id); got != s.usable {
+			t.Errorf("%s after %v: usable %t, want %t", s.id, s.after, got, s.usable)
+		}
+	}
+}
+
+// An evacuation that a restored store has lost holds until the operators have had time to repeat it.
+func TestLostEvacuationHolds(t *testing.T) {
+	out := map[string]bool{"a": true}
+	r := newRoster(makeEndpoints(1, "a"))
+	r.SetEvacuated(epoch, out, Continuous)
+	r.SetEvacuated(epoch, nil, AfterRestore)
+	if r.Usable(epoch.Add(restoreConfirmTime-time.Millisecond), "e0") {
+		t.Error("the data centre is back in service before its evacuation could be repeated")
+	}
+	later := epoch.Add(restoreConfirmTime)
+	if c := r.Candidates(later, "llm", nil); len(c) != 1 || !c[0].Cold {
+		t.Errorf("candidates are %+v, want one cold endpoint", c)
+	}
+	r.SetEvacuated(later, out, Continuous) // repeated
+	r.SetEvacuated(later, nil, Continuous) // and ended
+	if !r.Usable(later, "e0") {
+		t.Error("the data centre is out of service after its repeated evacuation has ended")
+	}
+}
