--- a/gatewaydaemon/faults_test.go
+++ b/gatewaydaemon/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -84,3 +85,122 @@
 		}
 	}
 }
+
+// The store is restored from a backup. What it had acknowledged since must not revert: a revoked
+// key, an endpoint that leaves, an evacuated data centre. Entries that the backup lacks announce
+// themselves again, and what is written after the restore is followed.
+func TestRestoredStoreRevertsNothing(t *testing.T) {
+	d := newDeployment(t, 1)
+	leaving, _, _, _, _ := d.startEndpoints(map[string][]string{"org": {"key-1", "key-2"}})
+	evacuated := fleettest.NewServer("s-south")
+	t.Cleanup(evacuated.Close)
+	d.store.Put(fleet.KindEndpoints, evacuated.ID, evacuated.EndpointSpec("api", "south"))
+	d.waitReady()
+	backup := d.store.Backup()
+	d.startEntry()
+	d.waitReady()
+	d.configure(2, map[string][]string{"org": {"key-2"}})
+	spec := leaving.EndpointSpec("api", "north")
+	spec["state"] = "draining"
+	d.store.Put(fleet.KindEndpoints, leaving.ID, spec)
+	d.store.Put(fleet.KindEvacuations, "south", map[string]any{})
+	usable := func(e *entry) int { return len(e.daemon.roster.Endpoints(time.Now(), "api")) }
+	look := func(e *entry, key string) int {
+		return d.send(e, "GET", "/look/x", http.Header{"Azurelead-Key": {key}}).status
+	}
+	for _, e := range d.entries {
+		d.eventually("the changes are in force", func() bool { return usable(e) == 1 && look(e, "key-1") == 401 })
+	}
+	d.eventually("both entries are announced", func() bool { return len(d.store.Names(fleet.KindEntries)) == 2 })
+
+	d.store.SetFault(fleettest.Busy)
+	d.store.Restore(backup)
+	d.store.SetFault(fleettest.Healthy)
+	before := leaving.Requests() + evacuated.Requests()
+	d.eventually("both entries are announced again", func() bool { return len(d.store.Names(fleet.KindEntries)) == 2 })
+	d.store.Put(fleet.KindEndpoints, "s-new", fleettest.NewServer("s-new").EndpointSpec("api", "north"))
+	for _, e := range d.entries {
+		d.eventually("an endpoint that registers after the restore is used", func() bool { return usable(e) == 2 })
+		if status := look(e, "key-1"); status != 401 {
+			t.Errorf("%s: revoked key after the restore: status %d, want 401", e.daemon.settings.Name, status)
+		}
+		if status := look(e, "key-2"); status != 200 {
+			t.Errorf("%s: valid key after the restore: status %d, want 200", e.daemon.settings.Name, status)
+		}
+	}
+	if n := leaving.Requests() + evacuated.Requests() - before; n != 0 {
+		t.Errorf("endpoints that leave or are evacuated got %d requests after the restore", n)
+	}
+	d.configure(3, map[string][]string{"org": {"key-3"}})
+	for _, e := range d.entries {
+		d.eventually("the configuration written after the restore is in force", func() bool { return look(e, "key-2") == 401 })
+	}
+}
+
+// An endpoint whose responses say that it leaves gets no more requests, although the list still
+// calls it ready.
+func TestLeavingEndpointGetsNoMoreRequests(t *testing.T) {
+	d := newDeployment(t, 1)
+	api1, _, _, _, portal := d.startEndpoints(nil)
+	d.waitReady()
+	e := d.entries[0]
+	api1.SetLeaving()
+	d.eventually("the leaving endpoint has answered", func() bool {
+		d.send(e, "GET", "/look/x", nil)
+		return api1.Requests() > 0
+	})
+	before := api1.Requests()
+	for range 20 {
+		if r := d.send(e, "GET", "/look/x", nil); r.status != 200 {
+			t.Errorf("%+v", r)
+		}
+	}
+	if n := api1.Requests() - before; n != 0 {
+		t.Errorf("the leaving endpoint got %d more requests", n)
+	}
+	stage := func() result {
+		return d.send(e, "POST", "/stream/staged/x", http.Header{"Azurelead-Chunks": {"1,0"}, "Azurelead-Chunk-Key": {"k"}})
+	}
+	portal.SetLeaving()
+	if r := stage(); r.status != 200 {
+		t.Errorf("the stage call that brought the news: %+v", r)
+	}
+	before = portal.Requests()
+	if r := stage(); r.status != 503 || r.header.Get("Retry-After") == "" {
+		t.Errorf("without another endpoint of the stage: %+v", r)
+	}
+	d.eventually("the results are freed", func() bool { return portal.HeldResults() == 0 })
+	if n := portal.Requests() - before; n > 1 {
+		t.Errorf("the leaving stage endpoint got %d more calls, want at most the one that frees results", n)
+	}
+}
+
+// An endpoint that asks for a pause gets nothing before its end. If all have asked for one, clients
+// are told at once when to come back.
+func TestPauseOfEndpointIsKept(t *testing.T) {
+	d := newDeployment(t, 1)
+	api1, api2, _, _, _ := d.startEndpoints(nil)
+	pauseOnce := func(n int, _ *http.Request) fleettest.Behaviour {
+		if n == 0 {
+			return fleettest.Pause
+		}
+		return fleettest.Serve
+	}
+	api1.SetBehaviour(pauseOnce)
+	api2.SetBehaviour(pauseOnce)
+	d.waitReady()
+	e := d.entries[0]
+	start := time.Now()
+	r := d.send(e, "GET", "/look/x", nil) // reaches both
+	after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+	if r.status != 503 || err != nil || after > fleettest.PauseTime.Seconds() || after < fleettest.PauseTime.Seconds()-time.Since(start).Seconds() {
+		t.Errorf("after both endpoints asked for a pause of %v: %+v, retry after %v", fleettest.PauseTime, r, after)
+	}
+	d.eventually("requests are served after the pause", func() bool { return d.send(e, "GET", "/look/x", nil).status == 200 })
+	if waited := time.Since(start); waited < fleettest.PauseTime {
+		t.Errorf("served %v after the pause began, want at least %v", waited, fleettest.PauseTime)
+	}
+	if n := api1.Requests() + api2.Requests(); n != 3 {
+		t.Errorf("the endpoints got %d requests, want one each before the pause and one after it", n)
+	}
+}
