Bound what an endpoint in trouble can send; cut no slow answer without a replacement

Causes, found by looking for what went wrong for operators of similar systems: - A response to a stage call names no call. Stage calls now match responses by their handles; a connection that brought a refusal is closed. - Header lines, interim responses or a body without end were read until the deadline, into memory. - A silent attempt was cancelled before the retry budget was asked, so that a slow but sound answer was cut for nothing when the budget was spent or no other endpoint was there. The timer asks first, and pays. - Comments and repeated events counted as life: a stalled stream that sent them now and then was never resumed; and with two attempts no stream that had begun was resumed on silence at all, as the run in progress was counted twice.

--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -62,6 +61,7 @@
 	// services are the declared services by name.
 	services    map[string]*catalog.Service
 	lastRefresh time.Time
+	responses   recentResponses
 }
 
 // waiter tracks an admitted job and the submitter that waits for its result. A job whose link is
@@ -322,6 +322,7 @@
 			delete(c.retryUntil, subject)
 		}
 	}
+	c.responses.prune(now)
 	return c.dispatcher.Busy()
 }
 
@@ -386,7 +387,7 @@
 		c.o.Logger.Error("could not encode a call to free results", "error", err)
 		return
 	}
-	if _, _, err := c.send(f.Endpoint, out, controlTimeout); err != nil {
+	if _, _, err := c.send(f.Endpoint, out, controlTimeout, nil); err != nil {
 		// The endpoint discards the results when their TTL ends.
 		c.o.Metrics.CallFailures.Inc()
 	}
@@ -402,13 +403,13 @@
 	return 0
 }
 
-// send makes a call to an endpoint and reads its response. It records what the endpoint reports of
-// itself.
-func (c *Coordinator) send(e catalog.Endpoint, out fleet.Call, timeout time.Duration) (*http.Response, []byte, error) {
+// send makes a call to an endpoint and reads its response, which matches must accept unless it is
+// nil. It records what the endpoint reports of itself. The body is read for status 200 only.
+func (c *Coordinator) send(e catalog.Endpoint, out fleet.Call, timeout time.Duration, matches func(status int, body []byte) bool) (*http.Response, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	resp, err := c.o.Upstream.Do(ctx, upstream.Target{ID: e.ID, Address: e.Address}, upstream.Request{
-		Method: out.Method, URI: out.Path, Host: e.Address, Header: out.Header, Body: out.Body,
+		Method: out.Method, URI: out.Path, Host: e.Address, Header: out.Header, Body: out.Body, MatchesBody: matches,
 	})
 	if err != nil {
 		return nil, nil, err
@@ -419,6 +420,11 @@
 		c.o.Roster.RecordStatus(time.Now(), e.ID, roster.Status{Load: -1, Leaving: info.Leaving, RetryAfter: info.RetryAfter})
 		c.InvalidateEndpoints()
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	if resp.StatusCode != http.StatusOK {
+		// The body is left unread, which closes the connection: a second copy of a refusal could
+		// not be told from the response to the next call.
+		return resp, nil, nil
+	}
+	body, err := upstream.ReadBody(resp, maxResponseBytes)
 	return resp, body, err
 }
--- a/coordinate/coordinate_test.go
+++ b/coordinate/coordinate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -152,3 +153,34 @@
 		})
 	}
 }
+
+// The response to a stage call does not name the call. A second copy of an earlier response that
+// arrives on the connection in use must not be taken for the response to the next call: its handles
+// are the results of another request.
+func TestDuplicateStageResponseIsDiscarded(t *testing.T) {
+	s := fleettest.NewServer("portal-1")
+	t.Cleanup(s.Close)
+	s.SetBehaviour(func(_ int, r *http.Request) fleettest.Behaviour {
+		if strings.HasSuffix(r.URL.Path, "run") {
+			return fleettest.DuplicateResponse
+		}
+		return fleettest.Serve
+	})
+	c := newTestCoordinator(t, s)
+	for i := range 8 {
+		id := fmt.Sprintf("job-%d", i)
+		job := peers.Job{
+			ID: id, Key: "k", TargetMS: 30000, DeadlineMS: 60000,
+			Stages: []dispatch.Stage{{Service: "portal", Tasks: 2, ResultBytes: 1000}},
+		}
+		o := c.Submit(t.Context(), job, ignoreResults)
+		if o.Problem != "" || len(o.Handles) != 2 {
+			t.Errorf("%s: outcome %+v, want 2 handles", id, o)
+		}
+		for _, h := range o.Handles {
+			if !strings.Contains(h, id+"-") {
+				t.Errorf("%s was given the result %s of another job", id, h)
+			}
+		}
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -112,6 +112,24 @@
 	return ctx.Err() != nil && !q.clientGone() && now.Sub(a.sentAt) > minHangTime
 }
 
+// abandonSilent ends an attempt whose endpoint has been silent for too long, if the request may be sent
+// to another endpoint: there is one, and the retry budget pays for it. Otherwise the attempt goes on,
+// because the endpoint may only be slow. It is safe for concurrent use with the attempt.
+func (q *request) abandonSilent(cancel context.CancelFunc) bool {
+	if len(q.gw.opts.Roster.Candidates(time.Now(), q.service, q.allowedRegions())) < 2 {
+		return false
+	}
+	if !q.gw.opts.RetryBudgets.For(q.service).TryWithdraw() {
+		return false
+	}
+	q.retryReserved.Store(true)
+	cancel()
+	return true
+}
+
+// takeReservedRetry reports whether abandonSilent has paid for the next retry.
+func (q *request) takeReservedRetry() bool { return q.retryReserved.Swap(false) }
+
 // minHangTime is the shortest time without an answer after which an endpoint counts as hung.
 const minHangTime = 250 * time.Millisecond
 
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -3,13 +3,13 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/azurelead/azurelead/placement"
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/roster"
+	"github.com/azurelead/azurelead/upstream"
 )
 
 const (
@@ -19,6 +19,8 @@
 	// attemptTimeoutShare is the share of the remaining time that one attempt may take if another
 	// endpoint may be tried after it.
 	attemptTimeoutShare = 0.4
+	// maxResponseBytes bounds a response that is read completely before it is forwarded.
+	maxResponseBytes = 8 << 20
 	// minAttemptTimeout is the lower bound of the timeout after which another endpoint is tried.
 	minAttemptTimeout = 300 * time.Millisecond
 )
@@ -38,7 +40,7 @@
 		if !found {
 			break
 		}
-		if sends > 0 && q.record.reachedEndpoint() && !q.record.noteRetry(budget.TryWithdraw()) {
+		if sends > 0 && q.record.reachedEndpoint() && !q.record.noteRetry(q.takeReservedRetry() || budget.TryWithdraw()) {
 			q.record.reason = "retry budget spent"
 			break
 		}
@@ -89,15 +91,18 @@
 func (q *request) tryBuffered(ctx context.Context, c roster.Candidate, canRetry bool) (*attempt, *response) {
 	if canRetry && q.route.Repeatable() {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, q.attemptTimeout(c))
+		ctx, cancel = context.WithCancel(ctx)
 		defer cancel()
+		silence := newSilenceTimer(func() bool { return q.abandonSilent(cancel) })
+		defer silence.disable()
+		silence.reset(q.attemptTimeout(c))
 	}
 	a := q.send(ctx, c, fleet.Forwarding{})
 	defer a.finish(q.gw.opts.Roster)
 	if a.result != resultAnswered {
 		return a, nil
 	}
-	body, err := io.ReadAll(a.resp.Body)
+	body, err := upstream.ReadBody(a.resp, maxResponseBytes)
 	if err != nil {
 		a.result, a.err = resultLost, err
 		q.reportOutcome(ctx, time.Now(), a, roster.ConnectionLost)
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -11,8 +11,12 @@
 // maxEventBytes bounds the size of one event of a stream.
 const maxEventBytes = 1 << 20
 
-// errEventTooLarge ends a stream that contains an event larger than maxEventBytes.
-var errEventTooLarge = Error.New("event larger than %d bytes", maxEventBytes)
+var (
+	// errEventTooLarge ends a stream that contains an event larger than maxEventBytes.
+	errEventTooLarge = Error.New("event larger than %d bytes", maxEventBytes)
+	// errNoProgress ends a stream of more than maxEventBytes without a new event.
+	errNoProgress = Error.New("more than %d bytes without a new event", maxEventBytes)
+)
 
 // eventReader reads complete server-sent events. It never returns an event that the endpoint left
 // unfinished.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,6 +119,7 @@
 	g.opts.Metrics.InFlight.Inc()
 	defer g.opts.Metrics.InFlight.Dec()
 	defer q.log()
+	defer q.refundReservedRetry()
 	if resp := q.admit(); resp != nil {
 		q.respond(*resp)
 		return
@@ -148,6 +149,8 @@
 	body     []byte
 	deadline time.Time
 	record   accessRecord
+	// retryReserved is set while a retry is paid for that has not been made.
+	retryReserved atomic.Bool
 }
 
 // admit reads and validates a request and looks up its route, organisation and service. It returns
@@ -256,6 +259,13 @@
 	return common
 }
 
+// refundReservedRetry returns a reserved retry to the budget that the request did not need after all.
+func (q *request) refundReservedRetry() {
+	if q.takeReservedRetry() {
+		q.gw.opts.RetryBudgets.For(q.service).Refund()
+	}
+}
+
 // clientGone reports whether the client has disconnected.
 func (q *request) clientGone() bool { return q.r.Context().Err() != nil }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,14 +10,16 @@
 	"github.com/azurelead/azurelead/placement"
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/roster"
+	"github.com/azurelead/azurelead/upstream"
 )
 
 const (
 	// silenceGapFactor multiplies the route's EventGapTarget to give the silence after which a stream
 	// is resumed at another endpoint.
-	silenceGapFactor = 1.5
-	// minSilenceTimeout is the shortest silence after which a resumable stream is ended.
-	minSilenceTimeout = 500 * time.Millisecond
+	silenceGapFactor = 4
+	// minSilenceTimeout is the shortest silence after which a resumable stream is resumed elsewhere.
+	// A sound engine pauses for shorter times when it preempts a request.
+	minSilenceTimeout = time.Second
 	// firstEventFactor multiplies the expected time to the first event to give the timeout after
 	// which another endpoint is tried.
 	firstEventFactor = 4
@@ -89,7 +91,7 @@
 		case final != nil:
 			s.abortConnection(final.reason)
 		}
-		if s.record.reachedEndpoint() && !s.record.noteRetry(budget.TryWithdraw()) {
+		if s.record.reachedEndpoint() && !s.record.noteRetry(s.takeReservedRetry() || budget.TryWithdraw()) {
 			s.fail(ctx, "retry budget spent")
 			return
 		}
@@ -148,9 +150,9 @@
 	s.sends++
 	tryCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := newSilenceTimer(cancel)
-	defer silence.stop()
-	if s.mayRunAgain() {
+	silence := newSilenceTimer(func() bool { return s.abandonSilent(cancel) })
+	defer silence.disable()
+	if s.route.Repeatable() && s.runs+1 < s.route.MaxAttempts {
 		silence.reset(s.firstEventTimeout())
 	}
 	fwd := fleet.Forwarding{Inputs: s.output.handles, LastEventID: s.lastEventID}
@@ -178,13 +180,13 @@
 	return s.relay(ctx, a, silence)
 }
 
-// mayRunAgain reports whether the request may run once more after the current attempt.
-func (s *stream) mayRunAgain() bool { return s.route.Repeatable() && s.runs+1 < s.route.MaxAttempts }
+// mayRunAgain reports whether the request may run once more after the runs that it had.
+func (s *stream) mayRunAgain() bool { return s.route.Repeatable() && s.runs < s.route.MaxAttempts }
 
 // retryOrFail returns nil if the request may run at another endpoint, and the final response
 // otherwise.
 func (s *stream) retryOrFail(ctx context.Context, reason string) *response {
-	if ctx.Err() == nil && s.route.Repeatable() && s.runs < s.route.MaxAttempts {
+	if ctx.Err() == nil && s.mayRunAgain() {
 		return nil
 	}
 	return s.failure(ctx, reason)
@@ -224,7 +226,7 @@
 
 // handleErrorResponse handles a response that is not a stream of events.
 func (s *stream) handleErrorResponse(ctx context.Context, a *attempt) (bool, *response) {
-	body, err := io.ReadAll(a.resp.Body)
+	body, err := upstream.ReadBody(a.resp, maxResponseBytes)
 	s.runs++
 	if err != nil {
 		s.reportOutcome(ctx, time.Now(), a, roster.ConnectionLost)
@@ -238,29 +240,32 @@
 	return false, s.forwardResponse(&response{status: a.resp.StatusCode, header: a.resp.Header, body: body})
 }
 
-// relay forwards complete events as they arrive.
+// relay forwards complete events as they arrive. Only events that continue the stream count as
+// progress: comments and repeated events may come without end from an endpoint that has stalled.
 func (s *stream) relay(ctx context.Context, a *attempt, silence *silenceTimer) (bool, *response) {
 	events := newEventReader(a.resp.Body)
+	bytesWithoutProgress := 0
 	for {
 		ev, err := events.next()
 		if err != nil {
 			return s.handleStreamEnd(ctx, a, err)
 		}
-		if s.mayRunAgain() {
-			silence.reset(max(time.Duration(silenceGapFactor*float64(s.route.EventGapTarget)), minSilenceTimeout))
-		} else {
-			silence.disable()
-		}
-		if ev.id > 0 && ev.id <= s.lastEventID {
-			continue // the client already has this event
-		}
-		if ev.id > s.lastEventID+1 {
+		switch {
+		case ev.id > s.lastEventID+1:
 			return s.handleStreamEnd(ctx, a, Error.New("event %d follows %d", ev.id, s.lastEventID))
+		case ev.id > s.lastEventID:
+			bytesWithoutProgress = 0
+			s.allowGap(silence)
+		default:
+			if bytesWithoutProgress += len(ev.raw); bytesWithoutProgress > maxEventBytes {
+				return s.handleStreamEnd(ctx, a, errNoProgress)
+			}
+			if ev.id > 0 {
+				continue // the client already has this event
+			}
 		}
 		s.startResponse(a)
-		if ev.id > 0 {
-			s.lastEventID = ev.id
-		}
+		s.lastEventID = max(s.lastEventID, ev.id)
 		if _, err := s.w.Write(ev.raw); err != nil {
 			s.record.outcome = "client left"
 			return true, nil
@@ -269,6 +274,15 @@
 	}
 }
 
+// allowGap sets the time allowed until the next event.
+func (s *stream) allowGap(silence *silenceTimer) {
+	if s.mayRunAgain() {
+		silence.reset(max(time.Duration(silenceGapFactor*float64(s.route.EventGapTarget)), minSilenceTimeout))
+	} else {
+		silence.disable()
+	}
+}
+
 // startResponse is called before each event is forwarded and at the regular end of a stream. The
 // first call writes the header of the endpoint's response, as until then the request may still go to
 // another endpoint. It also releases the results of the stages, which the engine has read by then.
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -41,7 +41,7 @@
 	// idleTimeout is the time after which idle client connections are closed. It is longer than the
 	// idle time that the operators' limits allow clients.
 	idleTimeout = 75 * time.Second
-	// maxHeaderBytes bounds the size of a request header.
+	// maxHeaderBytes bounds the size of a request header, and of a response header of the store.
 	maxHeaderBytes = 128 << 10
 	// maxAcceptDelay is how long new connections wait for a starting process to learn the
 	// platform's state. It is well below the second after which clients give up. acceptPollInterval
@@ -163,6 +163,8 @@
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     10 * time.Second,
 		DisableCompression:  true,
+		// The default is sized for browsers.
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/gatewaydaemon/faults_test.go
+++ b/gatewaydaemon/faults_test.go
@@ -204,3 +204,119 @@
 		t.Errorf("the endpoints got %d requests, want one each before the pause and one after it", n)
 	}
 }
+
+// events returns the first n events of a fleettest stream.
+func events(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// A slow but sound stream, and a slow response, must be delivered whole when no retry could replace
+// them: the retry budget is spent, or there is no other endpoint.
+func TestSlowResponsesAreNotCut(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(d *deployment, api, engine *fleettest.Server)
+	}{
+		{"the retry budget is spent", func(d *deployment, _, _ *fleettest.Server) {
+			for _, service := range []string{"api", "llm"} {
+				for d.entries[0].daemon.retryBudgets.For(service).TryWithdraw() {
+				}
+			}
+		}},
+		{"no other endpoint", func(d *deployment, api, engine *fleettest.Server) {
+			d.store.Delete(fleet.KindEndpoints, api.ID)
+			d.store.Delete(fleet.KindEndpoints, engine.ID)
+			d.eventually("the endpoints are gone", func() bool {
+				r := d.entries[0].daemon.roster
+				return len(r.Endpoints(time.Now(), "api")) == 1 && len(r.Endpoints(time.Now(), "llm")) == 1
+			})
+		}},
+	} {
+		d := newDeployment(t, 1)
+		api1, api2, engine1, engine2, _ := d.startEndpoints(nil)
+		for _, s := range []*fleettest.Server{engine1, engine2} {
+			s.SetStream(3, 1800*time.Millisecond) // the longest first event and gap allowed are 1.2 and 1.6 s
+		}
+		slow := func(int, *http.Request) fleettest.Behaviour {
+			time.Sleep(2200 * time.Millisecond) // the longest attempt allowed is 2 s
+			return fleettest.Serve
+		}
+		api1.SetBehaviour(slow)
+		api2.SetBehaviour(slow)
+		d.waitReady()
+		c.prepare(d, api1, engine1)
+		header := http.Header{"Azurelead-Timeout-Ms": {"6000"}}
+		if r := d.send(d.entries[0], "POST", "/stream/again/x", header); r.err != nil || r.body != events(3) {
+			t.Errorf("%s: slow stream: %+v", c.name, r)
+		}
+		if r := d.send(d.entries[0], "GET", "/look/x", nil); r.status != 200 || !strings.HasSuffix(r.body, " to "+r.id) {
+			t.Errorf("%s: slow response: %+v", c.name, r)
+		}
+	}
+}
+
+// A stream that has stalled must not be kept alive by bytes that are no events, whether they come
+// now and then or without end. If it may be resumed, another endpoint continues it.
+func TestStalledStreamsAreResumed(t *testing.T) {
+	for name, b := range map[string]fleettest.Behaviour{"a comment now and then": fleettest.Trickle, "comments without end": fleettest.EndlessStream} {
+		d := newDeployment(t, 1)
+		_, _, engine1, engine2, _ := d.startEndpoints(nil)
+		var stalled atomic.Bool
+		for _, s := range []*fleettest.Server{engine1, engine2} {
+			s.SetStream(6, 0)
+			s.SetBehaviour(func(int, *http.Request) fleettest.Behaviour {
+				if stalled.CompareAndSwap(false, true) {
+					return b
+				}
+				return fleettest.Serve
+			})
+		}
+		d.waitReady()
+		r := d.send(d.entries[0], "POST", "/stream/again/x", nil)
+		var numbered strings.Builder
+		for _, event := range strings.SplitAfter(r.body, "\n\n") {
+			if !strings.HasPrefix(event, ":") {
+				numbered.WriteString(event)
+			}
+		}
+		if r.err != nil || numbered.String() != events(6) {
+			t.Errorf("%s: error %v, status %d, events %q", name, r.err, r.status, numbered.String())
+		}
+		if len(r.body) > 2<<20 {
+			t.Errorf("%s: %d bytes reached the client", name, len(r.body))
+		}
+	}
+}
+
+// Endless bytes in place of a response to a buffered request must not be collected: the request is
+// answered by another endpoint.
+func TestEndlessResponsesAreReplaced(t *testing.T) {
+	for _, b := range []fleettest.Behaviour{fleettest.EndlessHeader, fleettest.EndlessInterim, fleettest.EndlessBody} {
+		d := newDeployment(t, 1)
+		api1, _, _, _, _ := d.startEndpoints(nil)
+		api1.SetBehaviour(alwaysBehave(b))
+		d.waitReady()
+		for range 4 {
+			if r := d.send(d.entries[0], "GET", "/look/x", nil); r.status != 200 || !strings.HasSuffix(r.body, " to "+r.id) {
+				t.Errorf("behaviour %d: status %d, %d bytes, %v", b, r.status, len(r.body), r.err)
+			}
+		}
+		d.eventually("the endless response was closed", func() bool {
+			for _, run := range api1.Runs() {
+				select {
+				case <-run.Closed:
+				default:
+					return false
+				}
+			}
+			return true
+		})
+		if n := api1.EndlessBytes(); n > 64<<20 {
+			t.Errorf("behaviour %d: %d bytes were read", b, n)
+		}
+	}
+}
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -52,6 +52,13 @@
 	return true
 }
 
+// Refund returns the token of a retry that was not made.
+func (b *Budget) Refund() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.tokens+1, cmp.Or(b.burst, defaultBurst))
+}
+
 // Set holds one budget for each service. The zero value is ready to use, and a Set
 // is safe for concurrent use.
 type Set struct {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -16,9 +17,14 @@
 	// readBufferSize is the size of a read buffer, in bytes. It is enough for the header of a
 	// response and a few events.
 	readBufferSize = 4 << 10
-	// maxMismatchedBody bounds the body of a mismatched response that is read and discarded, in
-	// bytes.
-	maxMismatchedBody = 256 << 10
+	// maxHeadBytes bounds what is read of a connection, in bytes, until the header of the response
+	// has been read, without the bodies of mismatched responses.
+	maxHeadBytes = 256 << 10
+	// maxMismatched bounds the mismatched responses that are skipped before that of a request.
+	maxMismatched = 4
+	// maxMismatchedBody bounds the body of a mismatched response that is read and discarded, and
+	// that of a response that is matched by its body, in bytes.
+	maxMismatchedBody = 1 << 20
 	// inlineBodySize is the size, in bytes, up to which a body is written without a goroutine of
 	// its own, because the socket accepts it without blocking.
 	inlineBodySize = 2 << 10
@@ -33,6 +39,8 @@
 	client *Client
 	id     string
 	raw    net.Conn
+	// input reads from raw, with a limit while the head of a response is read.
+	input  limitedInput
 	reused bool
 	// idleUntil is the time after which the endpoint may close the idle connection.
 	idleUntil time.Time
@@ -63,7 +71,7 @@
 }
 
 func newConn(c *Client, id string, raw net.Conn) *conn {
-	cn := &conn{client: c, id: id, raw: raw}
+	cn := &conn{client: c, id: id, raw: raw, input: limitedInput{r: raw}}
 	go cn.readLoop()
 	return cn
 }
@@ -168,7 +176,7 @@
 
 // readLoop reads responses until the connection fails or is closed.
 func (cn *conn) readLoop() {
-	br := bufio.NewReaderSize(cn.raw, readBufferSize)
+	br := bufio.NewReaderSize(&cn.input, readBufferSize)
 	for {
 		_, err := br.Peek(1)
 		cn.mu.Lock()
@@ -198,50 +206,112 @@
 
 // readResponse reads the response of x and reports whether the connection can be used again.
 func (cn *conn) readResponse(br *bufio.Reader, x *exchange) bool {
-	for {
+	cn.input.limit(maxHeadBytes)
+	resp, err := cn.readMatching(br, x)
+	if err != nil {
+		x.response <- result{err: err}
+		return false
+	}
+	cn.input.unlimit()
+	cn.setIdleUntil(resp.Header)
+	x.response <- result{resp: resp}
+	if complete := <-x.bodyDone; !complete || resp.Close {
+		return false
+	}
+	<-x.written
+	cn.mu.Lock()
+	cn.current = nil
+	closed := cn.closed
+	cn.mu.Unlock()
+	if closed {
+		return false
+	}
+	cn.client.putIdle(cn)
+	return true
+}
+
+// readMatching returns the first response that matches the request of x. It skips interim responses
+// and up to maxMismatched mismatched ones.
+func (cn *conn) readMatching(br *bufio.Reader, x *exchange) (*http.Response, error) {
+	for mismatched := 0; mismatched <= maxMismatched; {
 		resp, err := http.ReadResponse(br, x.responseTo)
 		if err != nil {
-			x.response <- result{err: err}
-			return false
+			return nil, err
 		}
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
-		if x.request.Matches != nil && !x.request.Matches(resp.StatusCode, resp.Header) {
-			cn.client.o.Metrics.MismatchedResponses.Inc()
-			if !discardMismatched(resp) {
-				x.response <- result{err: errMismatched}
-				return false
-			}
-			continue
-		}
-		cn.setIdleUntil(resp.Header)
-		x.response <- result{resp: resp}
-		if complete := <-x.bodyDone; !complete || resp.Close {
-			return false
+		matches, err := cn.matches(x.request, resp)
+		if matches || err != nil {
+			return resp, err
 		}
-		<-x.written
-		cn.mu.Lock()
-		cn.current = nil
-		closed := cn.closed
-		cn.mu.Unlock()
-		if closed {
-			return false
+		mismatched++
+		cn.client.o.Metrics.MismatchedResponses.Inc()
+		if resp.Close {
+			break
 		}
-		cn.client.putIdle(cn)
-		return true
 	}
+	return nil, errMismatched
+}
+
+// matches reports whether a response belongs to a request. It reads the body of a response that does
+// not, and of one that is matched by its body.
+func (cn *conn) matches(r Request, resp *http.Response) (bool, error) {
+	ok := r.Matches == nil || r.Matches(resp.StatusCode, resp.Header)
+	if ok && r.MatchesBody == nil {
+		return true, nil
+	}
+	cn.input.unlimit()
+	defer cn.input.limit(maxHeadBytes)
+	body, err := ReadBody(resp, maxMismatchedBody)
+	if err != nil {
+		return false, err
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(body))
+	return ok && r.MatchesBody(resp.StatusCode, body), nil
 }
 
 var errMismatched = Lost.New("answer to another request")
 
-// discardMismatched reads the rest of a response that belongs to another request. It reports
-// whether the connection can still be used.
-func discardMismatched(resp *http.Response) bool {
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBody))
-	return err == nil && n < maxMismatchedBody && !resp.Close
+// ReadBody reads the body of a response. A body of more than limit bytes is an error.
+func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, Lost.Wrap(err)
+	}
+	if int64(len(body)) > limit {
+		return nil, Lost.New("body of more than %d bytes", limit)
+	}
+	return body, nil
+}
+
+// limitedInput reads from r and fails after a number of bytes while a limit is set. An endpoint in
+// trouble may send header lines without end.
+type limitedInput struct {
+	r       io.Reader
+	limited bool
+	left    int
 }
 
+func (l *limitedInput) limit(n int) { l.limited, l.left = true, n }
+
+func (l *limitedInput) unlimit() { l.limited = false }
+
+// Read implements io.Reader.
+func (l *limitedInput) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.r.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.r.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+var errHeadTooLarge = Lost.New("head of more than %d bytes", maxHeadBytes)
+
 // setIdleUntil sets idleUntil from the idle time-out that the endpoint announces in Keep-Alive.
 func (cn *conn) setIdleUntil(h http.Header) {
 	idle := cn.client.o.IdleTimeout
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -41,6 +41,9 @@
 	// Matches reports whether a response with this status and header belongs to the call. If it is
 	// nil, every response does.
 	Matches func(status int, h http.Header) bool
+	// MatchesBody reports whether a response with this status and body belongs to the call. If it
+	// is set, the body is read before Do returns; its size is bounded.
+	MatchesBody func(status int, body []byte) bool
 }
 
 // Options configures a Client. Fields that are zero take the defaults below.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -186,3 +186,69 @@
 		t.Errorf("the endpoint received %q", got)
 	}
 }
+
+// An endpoint in trouble may send bytes that are no response until the caller closes the connection.
+// The call must end after a bounded number of them, long before its time-out.
+func TestEndlessResponsesAreEnded(t *testing.T) {
+	for name, b := range map[string]fleettest.Behaviour{
+		"header": fleettest.EndlessHeader, "interim responses": fleettest.EndlessInterim, "body": fleettest.EndlessBody,
+	} {
+		c := New(Options{})
+		s := newServer(t, b)
+		resp, err := c.Do(t.Context(), Target{ID: s.ID, Address: s.Address()}, Request{Method: "GET", URI: "/x", Host: "h", Header: http.Header{}})
+		if err == nil {
+			var body []byte
+			body, err = ReadBody(resp, 1<<20)
+			if len(body) > 1<<20 {
+				t.Errorf("%s: %d bytes were read", name, len(body))
+			}
+			_ = resp.Body.Close()
+		}
+		if !Lost.Has(err) {
+			t.Errorf("%s: error is %v, want Lost", name, err)
+		}
+		<-s.Runs()[0].Closed
+		c.Close()
+	}
+}
+
+// A response that belongs to another call by its body is skipped, however often it comes, up to a
+// bound.
+func TestResponsesAreMatchedByBody(t *testing.T) {
+	for _, c := range []struct {
+		copies int
+		ok     bool
+	}{{0, true}, {1, true}, {maxMismatched, true}, {maxMismatched + 1, false}} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 4096))
+			for range c.copies {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown")
+		}()
+		client := New(Options{})
+		resp, err := client.Do(t.Context(), Target{ID: "x", Address: l.Addr().String()}, Request{
+			Method: "GET", URI: "/x", Host: "h", Header: http.Header{},
+			MatchesBody: func(_ int, body []byte) bool { return string(body) == "own" },
+		})
+		if err == nil {
+			var body []byte
+			if body, err = ReadBody(resp, 100); string(body) != "own" {
+				t.Errorf("%d copies: body %q", c.copies, body)
+			}
+		}
+		if (err == nil) != c.ok {
+			t.Errorf("%d copies: error %v", c.copies, err)
+		}
+		client.Close()
+		_ = l.Close()
+	}
+}
