End stages before clients abandon the stream

Cause: clients abandon a stream that is silent for 2 s, four latency targets or eight gap targets, whichever is longest. Change: the deadline of a job is that of the first event.

--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -6,6 +6,7 @@
 
 	"github.com/azurelead/azurelead/catalog"
 	"github.com/azurelead/azurelead/dispatch"
+	"github.com/azurelead/azurelead/platform/fleet"
 )
 
 const (
@@ -24,7 +25,7 @@
 func (q *request) stageJob() (dispatch.Job, bool) {
 	j := dispatch.Job{
 		ID: q.headers.AttemptID, Key: q.headers.TaskKey, Rank: catalog.Rank(q.route, q.org),
-		Target: q.started.Add(q.route.LatencyTarget), Deadline: q.deadline,
+		Target: q.started.Add(q.route.LatencyTarget), Deadline: q.firstEventDeadline(),
 		Prompt: dispatch.Prompt{Service: q.service, Tokens: q.headers.PromptTokens},
 	}
 	for _, p := range q.headers.PromptPrefix {
@@ -43,6 +44,16 @@
 	return j, tasks > 0 || service != nil && service.Engine
 }
 
+// firstEventDeadline returns when the first event has to reach the client. Clients abandon a stream
+// that stays silent long before the deadline of a long one.
+func (q *request) firstEventDeadline() time.Time {
+	abandoned := q.started.Add(fleet.ClientPatience(q.route.LatencyTarget, q.route.EventGapTarget) - deadlineMargin)
+	if q.route.Kind == catalog.Streaming && abandoned.Before(q.deadline) {
+		return abandoned
+	}
+	return q.deadline
+}
+
 // sessionKey identifies a client that retries, as its next attempt has another ID.
 func (q *request) sessionKey() string {
 	lastPart := ""
