Hand over jobs when another entry is elected dispatcher

Cause: a dispatcher that was stopped, or that had dispatched before its links were there, went on with its jobs while the next one started new ones: both filled the same endpoints, and neither knew of the other's calls and results. The election itself changed hands about three seconds after a start, as entries passed the required uptime one by one. Change: an entry that is not the elected one any more, or is leaving, starts no further call; once the calls of a job have ended its submitter takes it, with all results, to the elected one. A leaving entry says so at once. Entries that started together reach the required uptime together.

--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -219,13 +219,12 @@
 	for {
 		select {
 		case r := <-w.result:
+			if r.HandedOver {
+				c.report(w, onResults)
+			}
 			return c.recordResult(j, r)
 		case <-w.notify:
-			c.mu.Lock()
-			results := w.unreported
-			w.unreported = nil
-			c.mu.Unlock()
-			onResults(results)
+			c.report(w, onResults)
 		case <-ctx.Done():
 			c.mu.Lock()
 			w.result, w.orphanedAt = nil, time.Now()
@@ -235,8 +234,24 @@
 	}
 }
 
+// report passes the stage results that the submitter does not know yet to onResults.
+func (c *Coordinator) report(w *waiter, onResults func([]dispatch.StageResults)) {
+	c.mu.Lock()
+	results := w.unreported
+	w.unreported = nil
+	c.mu.Unlock()
+	if len(results) > 0 {
+		onResults(results)
+	}
+}
+
 // recordResult counts and logs the result of a job and returns its outcome.
 func (c *Coordinator) recordResult(j peers.Job, r dispatch.JobResult) peers.Outcome {
+	if r.HandedOver {
+		c.o.Metrics.Jobs.WithLabelValues("moved").Inc()
+		c.o.Logger.Info("stages handed over", "request", j.ID)
+		return peers.MovedOutcome(false)
+	}
 	if r.Problem != "" {
 		c.o.Metrics.Jobs.WithLabelValues("failed").Inc()
 		c.o.Logger.Info("stages failed", "request", j.ID, "reason", r.Problem)
@@ -259,6 +274,15 @@
 	c.flush()
 }
 
+// HandOver makes the submitters of all jobs in progress submit them to the dispatcher that is elected
+// now, once the calls of each have ended. The entry calls it when another one takes its place.
+func (c *Coordinator) HandOver() {
+	c.mu.Lock()
+	c.dispatcher.HandOver(time.Now())
+	c.mu.Unlock()
+	c.flush()
+}
+
 // Release implements peers.JobHandler.
 func (c *Coordinator) Release(id string, engineFailed bool) {
 	c.mu.Lock()
@@ -342,7 +366,12 @@
 		}
 	}
 	for _, r := range c.dispatcher.TakeJobResults() {
-		if w := c.waiters[r.ID]; w != nil && w.deliver(r) {
+		w := c.waiters[r.ID]
+		if w == nil {
+			continue
+		}
+		w.unreported = append(w.unreported, r.StageResults...)
+		if w.deliver(r) {
 			delete(c.waiters, r.ID)
 		}
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -173,6 +173,10 @@
 	FetchFrom string
 	// Problem says why the job failed; empty if it succeeded.
 	Problem string
+	// HandedOver is set if the job is to be submitted to another dispatcher. StageResults are then
+	// its results that were not returned by TakeStageResults.
+	HandedOver   bool
+	StageResults []StageResults
 }
 
 // Dispatcher tracks the jobs and the state of the endpoints. It is not safe for
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -75,6 +75,8 @@
 	// complete is set once all results are available, ended once the job is removed.
 	complete bool
 	ended    bool
+	// handingOver is set once no further calls are to be started for the job.
+	handingOver bool
 }
 
 // newJob returns a job with a group for each stage that has tasks. Dependencies on
@@ -114,6 +116,21 @@
 	return true
 }
 
+// running reports whether any task of the job is part of a call in progress.
+func (j *job) running() bool {
+	for _, g := range j.groups {
+		if g == nil {
+			continue
+		}
+		for i := range g.tasks {
+			if g.tasks[i].state == taskRunning {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // ready reports whether all results that a group reads are available.
 func (j *job) ready(g *group) bool {
 	for _, dep := range g.dependsOn {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -260,10 +260,13 @@
 	rate.add(now, float64(g.waiting))
 }
 
-// requeue returns one task of a group to the queue.
+// requeue returns one task of a group to the queue, unless its job is being handed over.
 func (p *pool) requeue(g *group, index int) {
 	g.tasks[index].state = taskWaiting
 	g.tasks[index].handle = ""
+	if g.job.handingOver {
+		return
+	}
 	g.waiting++
 	g.readySince = time.Time{}
 	p.backlog[g.job.dataCentre]++
--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -22,6 +22,7 @@
 	d.recordStageResults(c)
 	for _, ref := range c.tasks {
 		d.advanceJob(now, ref.group)
+		d.finishHandOver(now, ref.group.job)
 	}
 }
 
@@ -37,6 +38,9 @@
 	for _, ref := range c.tasks {
 		d.retryTask(now, ref, f != Refused)
 	}
+	for _, ref := range c.tasks {
+		d.finishHandOver(now, ref.group.job)
+	}
 }
 
 // handleTaskResult records the result of one task of a call.
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -96,6 +96,8 @@
 	entrySyncRequests chan struct{}
 	started           time.Time
 	stopping          atomic.Bool
+	// dispatching is set while this entry is the elected dispatcher.
+	dispatching atomic.Bool
 	// endpoints is accessed only by objectsChanged, whose calls do not overlap.
 	endpoints endpointCache
 	// listInterval is the interval at which the entries are listed.
@@ -139,7 +141,7 @@
 	}
 	d.mesh = peers.New(peers.Options{
 		Self:    self,
-		Started: d.started, Follower: d.follower, Jobs: d.coordinator, Suspects: suspects, OnPeersChanged: d.updateShares, Logger: logger,
+		Started: d.started, Follower: d.follower, Jobs: d.coordinator, Suspects: suspects, OnPeersChanged: d.peersChanged, Logger: logger,
 		OnPeerRemoved: d.removeDeadEntry,
 	})
 	d.gateway = gateway.New(gateway.Options{
@@ -181,6 +183,7 @@
 	go d.follower.Run(workCtx)
 	go d.coordinator.Run(workCtx)
 	go d.syncEntries(workCtx)
+	go d.watchElection(workCtx)
 	d.watchSettings(ctx, workCtx, c.SettingsPath, hup)
 	d.stop(server)
 	return nil
@@ -325,6 +328,12 @@
 	d.upstream.Retain(d.roster.Known)
 }
 
+// peersChanged adapts this entry to a change of its live peers.
+func (d *daemon) peersChanged() {
+	d.updateShares()
+	d.handOverIfReplaced()
+}
+
 // updateShares recomputes this entry's share of what all entries together may use: requests to cold
 // endpoints, idle connections and retries.
 func (d *daemon) updateShares() {
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -160,6 +160,28 @@
 	}
 }
 
+// handOverInterval is the interval at which an entry checks whether it still is the dispatcher. The
+// checks after changes of the links find nearly all changes of the election.
+const handOverInterval = 250 * time.Millisecond
+
+// watchElection hands over the jobs in progress whenever another entry is elected in place of this one,
+// until ctx is done.
+func (d *daemon) watchElection(ctx context.Context) {
+	for sleep(ctx, handOverInterval) {
+		d.handOverIfReplaced()
+	}
+}
+
+// handOverIfReplaced hands over the jobs in progress if another entry has been elected since the last
+// call.
+func (d *daemon) handOverIfReplaced() {
+	dispatches := d.mesh.Dispatches()
+	if d.dispatching.Swap(dispatches) && !dispatches {
+		d.logger.Info("another entry dispatches now")
+		d.coordinator.HandOver()
+	}
+}
+
 // stageRunner submits jobs to the entry that dispatches stages.
 type stageRunner struct {
 	self  peers.Identity
@@ -167,8 +189,8 @@
 	local *coordinate.Coordinator
 }
 
-// maxSubmissions bounds the number of times that one job is submitted over a link before this entry
-// dispatches it itself.
+// maxSubmissions bounds the number of times that one job is submitted before this entry dispatches it
+// itself.
 const maxSubmissions = 4
 
 // Submit implements gateway.StageRunner.
@@ -180,18 +202,24 @@
 		link := s.mesh.Dispatcher(ctx, excluded)
 		j.PriorResults = collected.snapshot()
 		if link == nil {
-			return s.submitLocal(ctx, j, sessionKey)
+			outcome, results, err := s.submitLocal(ctx, j, sessionKey, collected.add)
+			if outcome.Moved && err == nil {
+				continue // another entry was elected meanwhile
+			}
+			return outcome, results, err
 		}
 		outcome, err := link.Submit(ctx, peers.NewJob(time.Now(), j, sessionKey, s.self), collected.add)
 		outcome.Dispatcher = link.Peer.Name
-		if err == nil {
+		switch {
+		case err == nil && outcome.Moved:
+			continue
+		case err == nil:
 			if outcome.Refused {
 				// Only this entry knows the handles of results made before the refusal.
 				s.local.FreeHandles(handlesOf(j.PriorResults))
 			}
 			return outcome, remoteResults{link: link, id: j.ID, handles: outcome.Handles, local: s.local}, nil
-		}
-		if ctx.Err() != nil {
+		case ctx.Err() != nil:
 			go link.Cancel(j.ID)
 			return outcome, nil, err
 		}
@@ -201,12 +229,13 @@
 			excluded[link.Peer.Name] = true
 		}
 	}
-	return s.submitLocal(ctx, j, sessionKey)
+	j.PriorResults = collected.snapshot()
+	return s.submitLocal(ctx, j, sessionKey, collected.add)
 }
 
 // submitLocal submits the job to this entry's own coordinator.
-func (s *stageRunner) submitLocal(ctx context.Context, j dispatch.Job, sessionKey string) (peers.Outcome, gateway.JobResults, error) {
-	outcome := s.local.Submit(ctx, peers.NewJob(time.Now(), j, sessionKey, s.self), func([]dispatch.StageResults) {})
+func (s *stageRunner) submitLocal(ctx context.Context, j dispatch.Job, sessionKey string, onResults func([]dispatch.StageResults)) (peers.Outcome, gateway.JobResults, error) {
+	outcome := s.local.Submit(ctx, peers.NewJob(time.Now(), j, sessionKey, s.self), onResults)
 	outcome.Dispatcher = s.self.Name
 	if outcome.Refused {
 		s.local.FreeHandles(handlesOf(j.PriorResults))
--- a/gatewaydaemon/faults_test.go
+++ b/gatewaydaemon/faults_test.go
@@ -320,3 +320,56 @@
 		}
 	}
 }
+
+// In a roll-out, the entry that dispatches is stopped while stages of other entries' requests are in
+// progress. The requests must go on at the next dispatcher without repeating a call that has ended.
+func TestStoppingDispatcherHandsOver(t *testing.T) {
+	d := newDeployment(t, 3)
+	_, _, _, _, portal := d.startEndpoints(nil)
+	var runCalls atomic.Int64
+	firstStage, secondStage := make(chan struct{}, 1), make(chan struct{})
+	portal.SetBehaviour(func(_ int, r *http.Request) fleettest.Behaviour {
+		if r.URL.Path == "/stage-run" && runCalls.Add(1) == 1 {
+			firstStage <- struct{}{}
+			<-secondStage // holds the first stage until the dispatcher stops
+		}
+		return fleettest.Serve
+	})
+	d.waitReady()
+	var dispatcher, client *entry
+	d.eventually("all elect one dispatcher", func() bool {
+		dispatchers := 0
+		for _, e := range d.entries {
+			if len(e.daemon.mesh.LivePeers()) < 2 {
+				return false
+			}
+			if e.daemon.mesh.Dispatches() {
+				dispatchers++
+				dispatcher = e
+			} else {
+				client = e
+			}
+		}
+		return dispatchers == 1
+	})
+	answered := make(chan result, 1)
+	go func() {
+		answered <- d.send(client, "POST", "/stream/staged/x", http.Header{"Azurelead-Chunks": {"1,2"}, "Azurelead-Chunk-Key": {"k"}})
+	}()
+	<-firstStage
+	dispatcher.stop()
+	d.eventually("another entry is elected", func() bool {
+		link := client.daemon.mesh.Dispatcher(t.Context(), nil)
+		return link == nil || link.Peer.Name != dispatcher.daemon.settings.Name
+	})
+	close(secondStage)
+	if r := <-answered; r.status != 200 || r.body != events(3) {
+		t.Errorf("%+v", r)
+	}
+	if n := runCalls.Load(); n != 2 {
+		t.Errorf("%d stage calls, want 2: one for each stage", n)
+	}
+	if n, _ := dispatcher.metric(t, "azurelead_stages_jobs_total", map[string]string{"outcome": "moved"}); n != 1 {
+		t.Errorf("the stopped dispatcher handed over %v jobs, want 1", n)
+	}
+}
--- a/gatewaydaemon/stop.go
+++ b/gatewaydaemon/stop.go
@@ -43,6 +43,8 @@
 	d.logger.Info("stop", "refuse_after_ms", plan.reject.Milliseconds(), "end_after_ms", plan.cutoff.Milliseconds())
 	d.stopping.Store(true)
 	d.mesh.SetLeaving()
+	d.mesh.PingAll()
+	d.handOverIfReplaced()
 	d.gateway.DisableKeepAlives()
 	go d.withdraw()
 	time.Sleep(plan.reject)
--- a/peers/elect.go
+++ b/peers/elect.go
@@ -68,11 +68,18 @@
 	return &Link{Peer: l.identity, conn: l.conn, mesh: m, peer: l}, false
 }
 
-// recordJobAnswer records that a peer has just answered a job.
-func (m *Mesh) recordJobAnswer(l *peerLink) {
+// Dispatches reports whether this entry is the elected dispatcher.
+func (m *Mesh) Dispatches() bool {
+	link, reconnecting := m.electDispatcher(nil)
+	return link == nil && !reconnecting
+}
+
+// recordJobAnswer records that a peer has just answered a job, and whether it is leaving.
+func (m *Mesh) recordJobAnswer(l *peerLink, o Outcome) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	l.lastJobAnswer = time.Now()
+	l.leaving = l.leaving || o.Leaving
 }
 
 // Candidate is an entry that may be elected as dispatcher.
@@ -86,13 +93,15 @@
 // have run for minDispatchUptime and have a strong processor, it picks one of the
 // longest-running by rendezvous hashing; if there is none, it relaxes these conditions step
 // by step. A restarted entry does not take the role back from an entry that kept running,
-// as each change of dispatcher costs the results that endpoints hold.
+// as each change of dispatcher costs the results that endpoints hold. The choice between
+// entries that keep running does not change with time.
 func Elect(candidates []Candidate) string {
+	uptime := requiredUptime(candidates)
 	for _, accepts := range []func(Candidate, float64) bool{
 		func(c Candidate, best float64) bool {
-			return !c.Leaving && c.Uptime >= minDispatchUptime && c.Identity.CPU >= best*minCPUFraction
+			return !c.Leaving && c.Uptime >= uptime && c.Identity.CPU >= best*minCPUFraction
 		},
-		func(c Candidate, _ float64) bool { return !c.Leaving && c.Uptime >= minDispatchUptime },
+		func(c Candidate, _ float64) bool { return !c.Leaving && c.Uptime >= uptime },
 		func(c Candidate, best float64) bool { return !c.Leaving && c.Identity.CPU >= best*minCPUFraction },
 		func(Candidate, float64) bool { return true },
 	} {
@@ -103,6 +112,19 @@
 	return ""
 }
 
+// requiredUptime returns how long an entry must have run to be preferred as dispatcher:
+// minDispatchUptime, or less if all entries have started recently, so that those that
+// started together reach it together.
+func requiredUptime(candidates []Candidate) time.Duration {
+	var longest time.Duration
+	for _, c := range candidates {
+		if !c.Leaving {
+			longest = max(longest, c.Uptime)
+		}
+	}
+	return min(minDispatchUptime, max(longest-uptimeTolerance, 0))
+}
+
 // eligible returns the candidates for which accepts returns true. The second argument of
 // accepts is the highest CPU share among the candidates that are not leaving.
 func eligible(candidates []Candidate, accepts func(Candidate, float64) bool) []Candidate {
@@ -138,8 +160,8 @@
 }
 
 // uptimeTolerance is the difference in uptime up to which entries count as started at
-// the same time.
-const uptimeTolerance = 5 * time.Second
+// the same time. Machines that start together do so within a fraction of it.
+const uptimeTolerance = time.Second
 
 // minCPUFraction is the fraction of the strongest entry's CPU share that an entry must have
 // to dispatch or to be a hub.
--- a/peers/elect_test.go
+++ b/peers/elect_test.go
@@ -38,6 +38,23 @@
 	}
 }
 
+// Entries that started within a fraction of a second of each other elect one dispatcher and keep it:
+// each change hands over all jobs.
+func TestElectionDoesNotChangeWithTime(t *testing.T) {
+	startedAfter := []time.Duration{0, 90 * time.Millisecond, 180 * time.Millisecond, 270 * time.Millisecond, 350 * time.Millisecond}
+	elected := make(map[string]bool)
+	for now := 400 * time.Millisecond; now < 10*time.Second; now += 50 * time.Millisecond {
+		var list []Candidate
+		for i, started := range startedAfter {
+			list = append(list, candidate(fmt.Sprint("e", i), 0.3, now-started))
+		}
+		elected[Elect(list)] = true
+	}
+	if len(elected) != 1 {
+		t.Errorf("elected %v in turn, want one entry", elected)
+	}
+}
+
 // Entries that know the same candidates elect the same one, whatever their order.
 func TestElectIgnoresOrder(t *testing.T) {
 	var list []Candidate
--- a/peers/link.go
+++ b/peers/link.go
@@ -29,7 +29,7 @@
 	var o Outcome
 	err := l.conn.Call(ctx, methodSubmit, j, &o)
 	if err == nil {
-		l.mesh.recordJobAnswer(l.peer)
+		l.mesh.recordJobAnswer(l.peer, o)
 		return o, nil
 	}
 	var refusal *jsonrpc2.Error
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -154,6 +154,29 @@
 	m.leaving = true
 }
 
+// isLeaving reports whether this entry is shutting down.
+func (m *Mesh) isLeaving() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaving
+}
+
+// markLeaving records that a peer has announced that it is shutting down.
+func (m *Mesh) markLeaving(name string) {
+	m.mu.Lock()
+	changed := false
+	for _, l := range m.links {
+		if l.identity.Name == name && l.conn != nil {
+			changed = changed || !l.leaving
+			l.leaving = true
+		}
+	}
+	m.mu.Unlock()
+	if changed {
+		m.o.OnPeersChanged()
+	}
+}
+
 // Add starts links to the entries at the addresses, up to maxLearnedLinks in all. It
 // skips entries that are already linked and, in a large deployment, those that are not
 // hubs.
@@ -214,6 +237,9 @@
 			return nil, Error.Wrap(err)
 		}
 		m.o.Suspects.Merge(p.Suspects)
+		if p.Leaving {
+			m.markLeaving(p.Name)
+		}
 		m.fetchFromSender(ctx, p)
 		return m.ping(p.DigestHash), nil
 	case methodStates:
@@ -227,6 +253,9 @@
 		if err := json.Unmarshal(params, &j); err != nil {
 			return nil, Error.Wrap(err)
 		}
+		if m.isLeaving() {
+			return MovedOutcome(true), nil
+		}
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		go func() {
@@ -276,15 +305,15 @@
 // ping returns the ping for a peer whose digests last had the hash peerHash; the
 // digests are left out if the hashes are equal.
 func (m *Mesh) ping(peerHash string) Ping {
-	m.mu.Lock()
-	leaving := m.leaving
-	m.mu.Unlock()
 	digests := m.o.Follower.Digests()
 	p := Ping{
-		DigestHash: follow.Fingerprint(digests), Leaving: leaving, StoreAgeMS: -1, Suspects: m.o.Suspects.Suspects(),
+		DigestHash: follow.Fingerprint(digests), Leaving: m.isLeaving(), StoreAgeMS: -1, Suspects: m.o.Suspects.Suspects(),
 	}
 	if p.DigestHash != peerHash {
-		p.Name, p.Digests = m.o.Self.Name, digests
+		p.Digests = digests
+	}
+	if p.Leaving || p.Digests != nil {
+		p.Name = m.o.Self.Name
 	}
 	if at := m.o.Follower.LastContact(); !at.IsZero() {
 		p.StoreAgeMS = time.Since(at).Milliseconds()
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -47,7 +47,7 @@
 
 // Ping is the periodic liveness check of a link, and the reply to it.
 type Ping struct {
-	// Name is the sender's name; it is set only together with Digests.
+	// Name is the sender's name; it is set only together with Digests or Leaving.
 	Name string `json:"name,omitempty"`
 	// StoreAgeMS is the time since the store last answered the sender itself, in
 	// milliseconds; negative if it never has.
@@ -122,6 +122,11 @@
 	Refused      bool   `json:"refused,omitempty"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
 	Problem      string `json:"problem,omitempty"`
+	// Moved is set if the job is to be submitted to the dispatcher that is elected now, with the
+	// results that were reported. Leaving is set with it if the sender is shutting down. Problem is
+	// set as well, for entries that do not know Moved.
+	Moved   bool `json:"moved,omitempty"`
+	Leaving bool `json:"leaving,omitempty"`
 	// ForecastMS is the expected duration of the stages, in milliseconds.
 	ForecastMS int64 `json:"forecast_ms,omitempty"`
 	// TimeToFirstEventMS is the expected time from the results to the first event, in
@@ -132,6 +137,11 @@
 	Dispatcher string `json:"-"`
 }
 
+// MovedOutcome returns the outcome of a job that another entry is to dispatch.
+func MovedOutcome(leaving bool) Outcome {
+	return Outcome{Moved: true, Leaving: leaving, Problem: "another entry dispatches"}
+}
+
 // JobParams are the parameters of notifications about a job.
 type JobParams struct {
 	ID string `json:"id"`
