Ask for the endpoints' free memory before dispatching; dial back a peer that dials

Causes: after a restart of all entries the results of lost requests fill the memory of the stage endpoints for seconds; a new dispatcher learnt that by calls that found no room, each nearly as long as a useful one, and forgot it after 400 ms. Entries that restarted together linked after up to 0.6 s, as each paused after a dial that came before the other listened. Change: a dispatcher that has had no jobs for 4 s, or has handed over, asks every endpoint first, and again every 250 ms while it reports results that are not known. A peer that dials is dialled back at once.

--- a/coordinate/call.go
+++ b/coordinate/call.go
@@ -64,16 +64,16 @@
 		return
 	}
 	_, body, err := c.send(e, fleet.ReportCall(e.ID), controlTimeout, nil)
-	var freeBytes int64
+	var free, limit int64
 	if err == nil {
-		freeBytes, err = fleet.DecodeFreeBytes(body)
+		free, limit, err = fleet.DecodeFreeBytes(body)
 	}
 	if err != nil {
 		c.o.Logger.Info("could not read the free memory of an endpoint", "endpoint", e.ID, "error", err)
 		return
 	}
 	c.mu.Lock()
-	c.dispatcher.SetFreeMemory(time.Now(), e.Service, e.ID, freeBytes)
+	c.dispatcher.SetFreeMemory(time.Now(), e.Service, e.ID, free, limit)
 	c.mu.Unlock()
 	c.flush()
 }
--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -31,6 +31,9 @@
 	maxResponseBytes = 1 << 20
 	// orphanTTL is how long a job is kept after its link is lost; redialling takes a fraction of it.
 	orphanTTL = 700 * time.Millisecond
+	// forgetAfter is the time without jobs after which another entry may have dispatched, so that the
+	// memory of the endpoints is not known any more. It is about the time for which they store results.
+	forgetAfter = 4 * time.Second
 	// retryWindow is how long a refused client is recognised as a returning one after the time at
 	// which it was told to retry.
 	retryWindow = 2 * time.Second
@@ -61,7 +64,9 @@
 	// services are the declared services by name.
 	services    map[string]*catalog.Service
 	lastRefresh time.Time
-	responses   recentResponses
+	// lastSubmit is when the last job was submitted; zero if another entry has dispatched since.
+	lastSubmit time.Time
+	responses  recentResponses
 }
 
 // waiter tracks an admitted job and the submitter that waits for its result. A job whose link is
@@ -166,6 +171,10 @@
 		return c.resume(ctx, j, w, onResults)
 	}
 	c.refreshEndpoints(now)
+	if now.Sub(c.lastSubmit) > forgetAfter {
+		c.dispatcher.ForgetMemory(now)
+	}
+	c.lastSubmit = now
 	job := j.Dispatch(now)
 	job.Retry = j.Subject != "" && now.Before(c.retryUntil[j.Subject])
 	a := c.dispatcher.Submit(now, job)
@@ -279,6 +288,7 @@
 func (c *Coordinator) HandOver() {
 	c.mu.Lock()
 	c.dispatcher.HandOver(time.Now())
+	c.lastSubmit = time.Time{}
 	c.mu.Unlock()
 	c.flush()
 }
--- a/dispatch/assign.go
+++ b/dispatch/assign.go
@@ -66,7 +66,7 @@
 func (p *pool) idleEndpoints(now time.Time) []*endpoint {
 	var list []*endpoint
 	for _, e := range p.usableEndpoints {
-		if e.activeCalls < p.limits.Slots && !now.Before(e.retryAt) {
+		if e.activeCalls < p.limits.Slots && !now.Before(e.retryAt) && !now.Before(e.reportDue) {
 			list = append(list, e)
 		}
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -370,6 +370,7 @@
 	for _, p := range d.pools {
 		for _, e := range p.endpoints {
 			e.expireResults(now)
+			e.refreshUntracked(now, p.limits.ResultTTL)
 		}
 	}
 	for _, p := range d.enginePools {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -49,14 +49,16 @@
 	// slowdown is the smoothed ratio of the actual to the declared duration of calls.
 	slowdown float64
 	// failures counts consecutive failures; no call is sent before retryAt.
-	failures int
-	retryAt  time.Time
-	// untrackedBytes is the size of stored results that the dispatcher does not know
-	// of. They are assumed to be gone at untrackedUntil.
-	untrackedBytes int64
-	untrackedUntil time.Time
+	failures  int
+	retryAt   time.Time
+	untracked untrackedMemory
+	// fullUntil is the time until which the endpoint is taken to have no memory left.
+	fullUntil time.Time
 	// queryMemory is set if the endpoint has to be asked for its free memory.
 	queryMemory bool
+	// reportDue is the time until which the endpoint gets no calls unless it reports its
+	// free memory.
+	reportDue time.Time
 }
 
 func newPool(l catalog.StageLimits) *pool {
@@ -216,14 +218,6 @@
 // as time.
 const largeTransferCost = 300 * time.Millisecond
 
-// memoryDelay estimates the time until the endpoint has memory for a group's results.
-func (e *endpoint) memoryDelay(now time.Time, p *pool, g *group) time.Duration {
-	if e.freeMemory(now, p) >= min(g.totalBytes(), int64(p.limits.Batch)*g.resultBytes) {
-		return 0
-	}
-	return p.limits.CallTime
-}
-
 // rankQueueDelay returns the expected queueing time of a new group of a rank: the
 // time for the tasks queued ahead of it, and for tasks of more urgent ranks that
 // arrive meanwhile. A group that will be late waits for tasks of every rank.
@@ -293,78 +287,6 @@
 	}
 }
 
-// freeMemory returns the memory that is left for results, in bytes.
-func (e *endpoint) freeMemory(now time.Time, p *pool) int64 {
-	free := int64(usableMemoryShare*float64(p.limits.ResultMemory)) - e.storedBytes - e.reservedBytes
-	if now.Before(e.untrackedUntil) {
-		free -= e.untrackedBytes
-	}
-	return free
-}
-
-// storeResult records a stored result. It may be recorded already if its job was
-// abandoned and submitted again; it then counts once.
-func (e *endpoint) storeResult(handle string, bytes int64, expires time.Time) {
-	e.removeResult(handle)
-	e.results[handle] = storedResult{bytes: bytes, expires: expires}
-	e.storedBytes += bytes
-}
-
-// removeResult removes a result from the record of stored results.
-func (e *endpoint) removeResult(handle string) {
-	if h, found := e.results[handle]; found {
-		e.storedBytes -= h.bytes
-		delete(e.results, handle)
-	}
-}
-
-// expireResults removes the results that the endpoint no longer stores.
-func (e *endpoint) expireResults(now time.Time) {
-	for handle, h := range e.results {
-		if now.After(h.expires) {
-			e.removeResult(handle)
-		}
-	}
-}
-
-// markFull records that the endpoint's memory is full with untracked results: those
-// of an earlier dispatcher, or results that are larger than declared. The endpoint
-// gets no tasks until it has reported its free memory or untrackedTTL has passed.
-func (e *endpoint) markFull(now time.Time, limit int64) {
-	e.untrackedBytes, e.untrackedUntil, e.queryMemory = limit, now.Add(untrackedTTL), true
-}
-
-// untrackedTTL is how long untracked results are assumed to stay. It is about the time
-// in which the results at an endpoint are read.
-const untrackedTTL = 400 * time.Millisecond
-
-// TakeMemoryQueries returns the endpoints whose memory was found full since the last call.
-// The caller is to ask them for their free memory.
-func (d *Dispatcher) TakeMemoryQueries() []catalog.Endpoint {
-	var list []catalog.Endpoint
-	for _, p := range d.pools {
-		for _, e := range p.endpoints {
-			if e.queryMemory && e.usable {
-				list = append(list, e.Endpoint)
-			}
-			e.queryMemory = false
-		}
-	}
-	return list
-}
-
-// SetFreeMemory records the free memory for results that an endpoint has reported, in
-// bytes.
-func (d *Dispatcher) SetFreeMemory(now time.Time, service, id string, free int64) {
-	p := d.pools[service]
-	if p == nil || p.endpoints[id] == nil {
-		return
-	}
-	e := p.endpoints[id]
-	e.untrackedBytes = max(p.limits.ResultMemory-e.storedBytes-e.reservedBytes-free, 0)
-	e.untrackedUntil = now.Add(untrackedTTL)
-}
-
 // callFinished records that a call has returned results.
 func (e *endpoint) callFinished(now time.Time, c *call) {
 	e.activeCalls--
--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -60,7 +60,7 @@
 	case stage.InputMissing:
 		d.recomputeInputs(now, ref)
 	case stage.MemoryFull:
-		c.endpoint.markFull(now, c.pool.limits.ResultMemory)
+		c.endpoint.markFull(now)
 		d.retryTask(now, ref, false)
 	default:
 		d.retryTask(now, ref, true)
--- a/gatewaydaemon/faults_test.go
+++ b/gatewaydaemon/faults_test.go
@@ -161,6 +161,10 @@
 	stage := func() result {
 		return d.send(e, "POST", "/stream/staged/x", http.Header{"Azurelead-Chunks": {"1,0"}, "Azurelead-Chunk-Key": {"k"}})
 	}
+	if r := stage(); r.status != 200 {
+		t.Errorf("%+v", r)
+	}
+	d.eventually("the results are freed", func() bool { return portal.HeldResults() == 0 })
 	portal.SetLeaving()
 	if r := stage(); r.status != 200 {
 		t.Errorf("the stage call that brought the news: %+v", r)
--- a/peers/link_test.go
+++ b/peers/link_test.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/azurelead/azurelead/dispatch"
+	"github.com/azurelead/azurelead/platform/fleettest"
 )
 
 // resultJobs is a JobHandler that reports some results before each job ends.
@@ -96,3 +97,23 @@
 		}
 	}
 }
+
+// Entries that restart together dial each other before all of them listen. An entry that is dialled
+// by a peer must dial it back at once instead of pausing first: until both links are there, the two
+// may elect different dispatchers.
+func TestDialledEntryDialsBack(t *testing.T) {
+	meshes, members := largeMesh(t, 2)
+	meshes[0].redialDelay = time.Hour
+	address := fleettest.FreeAddress() // the peer does not listen yet
+	meshes[1].o.Self.Address = address
+	meshes[0].Add(t.Context(), []string{address})
+	time.Sleep(100 * time.Millisecond) // the dial has failed
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go meshes[1].Serve(t.Context(), l)
+	meshes[1].Add(t.Context(), []string{members[0].Address})
+	await(t, "the entry to dial back", func() bool { return len(meshes[0].LivePeers()) == 1 })
+}
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -102,6 +102,8 @@
 // large deployment only to the hubs. It is safe for concurrent use.
 type Mesh struct {
 	o Options
+	// redialDelay is the delay before the first redial of a peer.
+	redialDelay time.Duration
 
 	mu      sync.Mutex
 	leaving bool
@@ -120,7 +122,7 @@
 	address string
 	cancel  context.CancelFunc
 
-	// The fields below, but for pingRequests, are guarded by the mesh's mu.
+	// The fields below, but for the channels, are guarded by the mesh's mu.
 	conn     *jsonrpc2.Conn
 	identity Identity
 	// started is when the peer's process started, according to its Hello.
@@ -129,8 +131,10 @@
 	leaving bool
 	// lastStoreResponse is when the store last answered the peer, according to its pings.
 	lastStoreResponse time.Time
-	// pingRequests holds a value while an immediate ping is requested.
+	// pingRequests holds a value while an immediate ping is requested, dialRequests while an
+	// immediate dial is.
 	pingRequests chan struct{}
+	dialRequests chan struct{}
 	// reconnecting is set while the link is redialled after its connection was closed:
 	// a reset does not mean that the peer is down.
 	reconnecting bool
@@ -144,7 +148,7 @@
 
 // New returns a mesh without links.
 func New(o Options) *Mesh {
-	return &Mesh{o: o, links: make(map[string]*peerLink), resultHandlers: make(map[string]func([]dispatch.StageResults))}
+	return &Mesh{o: o, redialDelay: minRedialDelay, links: make(map[string]*peerLink), resultHandlers: make(map[string]func([]dispatch.StageResults))}
 }
 
 // SetLeaving makes this entry tell its peers that it is shutting down.
@@ -191,7 +195,7 @@
 			continue
 		}
 		linkCtx, cancel := context.WithCancel(ctx)
-		l := &peerLink{address: a, cancel: cancel, pingRequests: make(chan struct{}, 1)}
+		l := &peerLink{address: a, cancel: cancel, pingRequests: make(chan struct{}, 1), dialRequests: make(chan struct{}, 1)}
 		m.links[a] = l
 		go m.maintain(linkCtx, l, func(addresses []string) {
 			// The parent context lets these links outlive the one that reported them.
@@ -230,6 +234,7 @@
 			return nil, Error.Wrap(err)
 		}
 		m.Add(ctx, append(h.Peers, h.Identity.Address))
+		m.dialNow(h.Identity.Address)
 		return m.hello(), nil
 	case methodPing:
 		var p Ping
@@ -341,11 +346,11 @@
 // maintain keeps a peer linked, redialling it with a growing delay, until ctx ends or
 // the peer is removed. Addresses that the peer reports are passed to onAddresses.
 func (m *Mesh) maintain(ctx context.Context, l *peerLink, onAddresses func(addresses []string)) {
-	delay := minRedialDelay
+	delay := m.redialDelay
 	lastLinked := time.Now()
 	for ctx.Err() == nil {
 		if m.runSession(ctx, l, onAddresses) {
-			delay, lastLinked = minRedialDelay, time.Now()
+			delay, lastLinked = m.redialDelay, time.Now()
 			if m.isReconnecting(l) {
 				continue
 			}
@@ -358,12 +363,28 @@
 		select {
 		case <-ctx.Done():
 		case <-t.C:
+		case <-l.dialRequests:
 		}
 		t.Stop()
 		delay = min(2*delay, maxRedialDelay)
 	}
 }
 
+// dialNow ends the pause before the next dial of a peer that has just dialled this entry: entries that
+// start together otherwise find each other only after their pauses.
+func (m *Mesh) dialNow(address string) {
+	m.mu.Lock()
+	l := m.links[address]
+	m.mu.Unlock()
+	if l == nil {
+		return
+	}
+	select {
+	case l.dialRequests <- struct{}{}:
+	default: // a request is already pending
+	}
+}
+
 // remove ends the link to a peer that has been unreachable for peerRemovalTimeout.
 func (m *Mesh) remove(l *peerLink) {
 	m.mu.Lock()
@@ -400,6 +421,10 @@
 // runSession dials a peer and runs the link until it is lost. It reports whether the
 // link was established.
 func (m *Mesh) runSession(ctx context.Context, l *peerLink, onAddresses func(addresses []string)) bool {
+	select {
+	case <-l.dialRequests: // this dial meets the request
+	default:
+	}
 	dialer := upstream.Dialer(dialTimeout, tcpUserTimeout)
 	raw, err := dialer.DialContext(ctx, "tcp", l.address)
 	if err != nil {
