Free the inputs of a stage call once its endpoint has fetched them

Cause: the results of one stage stayed stored until the calls of the next that read them had ended, 350 ms after they had been fetched. If such a call fails, its inputs are computed again.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -221,6 +221,8 @@
 	started time.Time
 	// expected is the declared duration of the call.
 	expected time.Duration
+	// inputsRead is set once the endpoint has fetched the inputs of the tasks.
+	inputsRead bool
 }
 
 // taskRef refers to one task of a group.
@@ -373,6 +375,7 @@
 			e.refreshUntracked(now, p.limits.ResultTTL)
 		}
 	}
+	d.freeReadInputs(now)
 	for _, p := range d.enginePools {
 		p.pruneParts(now)
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -14,6 +14,8 @@
 // task is one task of a group.
 type task struct {
 	state taskState
+	// inputsRead is set while the task is running and its endpoint has fetched the inputs.
+	inputsRead bool
 	// tries counts the failed calls of the task.
 	tries int
 	// handle identifies the result; empty if there is none or it was freed.
@@ -143,14 +145,14 @@
 	return true
 }
 
-// consumed reports whether every group that reads a stage's results is done.
+// consumed reports whether no task reads a stage's results any more.
 func (j *job) consumed(stage int) bool {
 	for _, g := range j.groups {
 		if g == nil {
 			continue
 		}
 		for _, dep := range g.dependsOn {
-			if dep == stage && !g.done() {
+			if dep == stage && !g.hasReadInputs() {
 				return false
 			}
 		}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -258,6 +258,7 @@
 func (p *pool) requeue(g *group, index int) {
 	g.tasks[index].state = taskWaiting
 	g.tasks[index].handle = ""
+	g.tasks[index].inputsRead = false
 	if g.job.handingOver {
 		return
 	}
--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -102,6 +102,9 @@
 		return
 	}
 	d.pools[g.service].requeue(g, ref.index)
+	if !g.job.handingOver && g.job.inputsFreed(g) {
+		d.recomputeDependencies(g)
+	}
 }
 
 // recomputeInputs queues a task again whose inputs an endpoint has lost. The inputs are
@@ -152,11 +155,7 @@
 	if j.ended || j.complete || !g.done() {
 		return
 	}
-	for _, dep := range g.dependsOn {
-		if j.consumed(dep) {
-			d.freeGroupResults(j.groups[dep])
-		}
-	}
+	d.freeConsumedInputs(g)
 	if !j.done() {
 		return
 	}
