Free stage results once the engine has fetched them; order equal organisations by their routes

And the priority of an organisation, the same for nearly all, hid that of the routes: under overload the least urgent kind was served like the most urgent. Change: an entry frees the results 80 ms after it has sent the request; if an engine finds them gone, the delay doubles and returns after 20 s, as that of stage calls. Requests of one priority are ordered by their routes. An endpoint that is idle for want of memory waits for up to three quarters of a call's fixed time rather than start a call of less than half a batch.

--- a/catalog/table.go
+++ b/catalog/table.go
@@ -66,11 +66,16 @@
 	return r.Services[len(r.Services)-1].Service
 }
 
-// Rank returns the priority of a request: that of its organisation if it has one, else that of the
-// route. 0 is the most urgent.
+// routeRanks is the number of ranks of requests whose organisations have the same priority.
+const routeRanks = 4
+
+// Rank returns the place of a request in the order of urgency; 0 is the most urgent. The priority of the
+// organisation, if it has one, takes precedence over that of the route. Requests of the same priority
+// are ordered by the priorities of their routes.
 func Rank(r *Route, o *Organisation) int {
+	priority := r.Priority
 	if o != nil && o.Priority != nil {
-		return *o.Priority
+		priority = *o.Priority
 	}
-	return r.Priority
+	return priority*routeRanks + min(max(r.Priority, 0), routeRanks-1)
 }
--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -293,6 +293,14 @@
 	c.flush()
 }
 
+// InputsRead implements peers.JobHandler.
+func (c *Coordinator) InputsRead(id string) {
+	c.mu.Lock()
+	c.dispatcher.InputsRead(id)
+	c.mu.Unlock()
+	c.flush()
+}
+
 // Release implements peers.JobHandler.
 func (c *Coordinator) Release(id string, engineFailed bool) {
 	c.mu.Lock()
--- a/dispatch/assign.go
+++ b/dispatch/assign.go
@@ -18,6 +18,8 @@
 	maxTasks int
 	// memoryLeft is the endpoint's memory that is left for further results, in bytes.
 	memoryLeft int64
+	// memoryShort is set once a task did not fit into the memory.
+	memoryShort bool
 }
 
 // readyGroup is a group that can start, with the keys of its scheduling order.
@@ -46,12 +48,10 @@
 	if len(batches) == 0 {
 		return nil
 	}
-	loads := p.dataCentreLoads(now)
-	for _, next := range ready {
-		if next.group.job.ended {
-			continue
-		}
-		d.fill(now, p, next, batches, loads)
+	d.fillAll(now, p, ready, batches)
+	if kept := p.withoutMemoryWaits(now, batches); len(kept) < len(batches) {
+		batches = kept
+		d.fillAll(now, p, ready, batches)
 	}
 	var calls []Call
 	for _, b := range batches {
@@ -62,6 +62,45 @@
 	return calls
 }
 
+// fillAll adds the waiting tasks of the ready groups to the batches.
+func (d *Dispatcher) fillAll(now time.Time, p *pool, ready []readyGroup, batches []*batch) {
+	loads := p.dataCentreLoads(now)
+	for _, next := range ready {
+		if !next.group.job.ended && next.group.waiting > 0 {
+			d.fill(now, p, next, batches, loads)
+		}
+	}
+}
+
+// withoutMemoryWaits returns the batches to send now. A batch that is small for want of memory is
+// emptied again, and its endpoint waits for results to be freed.
+//
+// The load that it answers is a burst that fills the memory of a stage: each result that is freed
+// would start a call of its own, which takes nearly as long as a full one.
+func (p *pool) withoutMemoryWaits(now time.Time, batches []*batch) []*batch {
+	kept := make([]*batch, 0, len(batches))
+	for _, b := range batches {
+		waited := now.Sub(b.endpoint.idleAt)
+		if b.memoryShort && len(b.tasks) < b.maxTasks/2 && waited < time.Duration(memoryWaitShare*float64(p.limits.CallTime)) {
+			p.empty(b)
+			continue
+		}
+		kept = append(kept, b)
+	}
+	return kept
+}
+
+// memoryWaitShare is the share of a call's fixed duration for which an idle endpoint waits for memory.
+const memoryWaitShare = 0.75
+
+// empty returns the tasks of a batch to the queue.
+func (p *pool) empty(b *batch) {
+	for _, ref := range b.tasks {
+		p.unmarkRunning(ref.group, ref.index)
+	}
+	b.tasks = nil
+}
+
 // idleEndpoints lists the endpoints that can take a call now.
 func (p *pool) idleEndpoints(now time.Time) []*endpoint {
 	var list []*endpoint
@@ -304,7 +343,11 @@
 func pickBatch(batches []*batch, g *group, costs []time.Duration) *batch {
 	var best *batch
 	for _, b := range batches {
-		if len(b.tasks) >= b.maxTasks || b.memoryLeft < g.resultBytes {
+		if len(b.tasks) >= b.maxTasks {
+			continue
+		}
+		if b.memoryLeft < g.resultBytes {
+			b.memoryShort = true
 			continue
 		}
 		if best == nil || b.betterThan(best, g, costs) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -189,6 +189,8 @@
 	jobs        map[string]*job
 	calls       map[uint64]*call
 	lastCallID  uint64
+	// readDelay is the time after which a stage call is taken to have fetched its inputs.
+	readDelay *ReadDelay
 	// jobResults, freeRequests by endpoint and stageResults by job accumulate until
 	// the caller takes them.
 	jobResults   []JobResult
@@ -205,7 +207,7 @@
 		o.TransferCostPerMB = DefaultTransferCostPerMB
 	}
 	return &Dispatcher{
-		options: o, pools: make(map[string]*pool), enginePools: make(map[string]*enginePool), jobs: make(map[string]*job),
+		options: o, readDelay: NewReadDelay(stageReadDelay), pools: make(map[string]*pool), enginePools: make(map[string]*enginePool), jobs: make(map[string]*job),
 		calls: make(map[uint64]*call), freeRequests: make(map[string]*FreeRequest), stageResults: make(map[string][]StageResults),
 	}
 }
--- a/dispatch/inputs.go
+++ b/dispatch/inputs.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// inputReadTime is the time from the start of a call until an endpoint that was idle has fetched the
-// inputs of its tasks: several round trips and the transfer of all inputs of a call.
-const inputReadTime = 60 * time.Millisecond
+// stageReadDelay is the initial ReadDelay of stage calls: several round trips and the transfer of all
+// inputs of a call to an endpoint that was idle.
+const stageReadDelay = 60 * time.Millisecond
 
 // freeReadInputs frees the results that only calls in progress read, once these have fetched them. If
 // such a call fails, its inputs are computed again.
@@ -12,8 +12,9 @@
 // The load that it answers is a burst on a chain of stages: results that stay stored while the next
 // stage works on them fill the memory of their endpoints, and the calls there stay small.
 func (d *Dispatcher) freeReadInputs(now time.Time) {
+	delay := d.readDelay.Get(now)
 	for _, c := range d.calls {
-		if c.inputsRead || now.Sub(c.started) < inputReadTime || !c.endpoint.startsAtOnce() {
+		if c.inputsRead || now.Sub(c.started) < delay || !c.endpoint.startsAtOnce() {
 			continue
 		}
 		c.inputsRead = true
@@ -47,6 +48,17 @@
 	}
 }
 
+// InputsRead frees the results of a finished job that its engine has fetched but not worked off yet.
+func (d *Dispatcher) InputsRead(id string) {
+	j := d.jobs[id]
+	if j == nil || !j.complete {
+		return
+	}
+	for _, i := range j.outputs {
+		d.freeGroupResults(j.groups[i])
+	}
+}
+
 // hasReadInputs reports whether no task of the group reads its inputs any more.
 func (g *group) hasReadInputs() bool {
 	for i := range g.tasks {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -278,6 +278,17 @@
 	p.backlog[g.job.dataCentre]--
 }
 
+// unmarkRunning reverts markRunning.
+func (p *pool) unmarkRunning(g *group, index int) {
+	g.tasks[index].state = taskWaiting
+	g.waiting++
+	p.backlog[g.job.dataCentre]++
+	if !g.queued {
+		p.queue = append(p.queue, g)
+		g.queued = true
+	}
+}
+
 // discard removes a group and its waiting tasks from the queue and the backlog.
 func (p *pool) discard(g *group) {
 	p.backlog[g.job.dataCentre] -= g.waiting
--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azurelead/azurelead/stage"
@@ -14,6 +15,9 @@
 	}
 	delete(d.calls, id)
 	c.endpoint.callFinished(now, c)
+	if c.inputsRead && slices.ContainsFunc(results, func(r stage.Result) bool { return r.Problem == stage.InputMissing }) {
+		d.readDelay.Missed(now)
+	}
 	for i, ref := range c.tasks {
 		if i < len(results) {
 			d.handleTaskResult(now, c, ref, results[i])
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,9 @@
 	unconfiguredRetryAfter = 300 * time.Millisecond
 	// busyRetryAfter is the retry delay sent while no endpoint accepts work.
 	busyRetryAfter = 500 * time.Millisecond
+	// engineReadDelay is the initial ReadDelay of engines: opening a connection, sending a prompt over a
+	// slow link, and fetching large results.
+	engineReadDelay = 80 * time.Millisecond
 	// stoppingRetryAfter is the retry delay sent by a stopping entry; the retry goes to another
 	// entry.
 	stoppingRetryAfter = 50 * time.Millisecond
@@ -56,6 +59,8 @@
 
 // JobResults holds the results of one job's stages until they are released.
 type JobResults interface {
+	// InputsRead frees the results that the engine has fetched, while it still works on the prompt.
+	InputsRead()
 	// Release frees the results after the engine has read them or when they are no longer needed.
 	// engineFailed reports that the engine that was to read them failed.
 	Release(engineFailed bool)
@@ -83,8 +88,10 @@
 
 // Gateway is the HTTP handler for clients' requests. It is safe for concurrent use.
 type Gateway struct {
-	opts               Options
-	crashes            *crashTracker
+	opts    Options
+	crashes *crashTracker
+	// readDelay is the time after which an engine is taken to have fetched the results of the stages.
+	readDelay          *dispatch.ReadDelay
 	keepAlivesDisabled atomic.Bool
 	rejectingNew       atomic.Bool
 }
@@ -97,7 +104,7 @@
 	if opts.Suspects == nil {
 		opts.Suspects = suspect.New(suspect.Options{})
 	}
-	return &Gateway{opts: opts, crashes: newCrashTracker(opts.Suspects)}
+	return &Gateway{opts: opts, crashes: newCrashTracker(opts.Suspects), readDelay: dispatch.NewReadDelay(engineReadDelay)}
 }
 
 // DisableKeepAlives makes every response close its connection, so that clients move to other
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/azurelead/azurelead/placement"
@@ -57,11 +58,24 @@
 	// fetchFrom is the address of an engine that has read parts of the prompt.
 	fetchFrom string
 	results   JobResults
+	// inputsRead is set once the results were freed because the engine is taken to have fetched them.
+	inputsRead *atomic.Bool
 }
 
+// markRead frees the results that the engine has fetched. It is safe for concurrent use with release.
+func (out stageOutput) markRead() {
+	if !out.inputsRead.Swap(true) {
+		out.results.InputsRead()
+	}
+}
+
+// wereRead reports whether the results were freed because an engine was taken to have fetched them.
+func (out stageOutput) wereRead() bool { return out.inputsRead != nil && out.inputsRead.Load() }
+
 // release frees the results of the stages, if there are any, and clears the output.
 func (out *stageOutput) release(engineFailed bool) {
 	if out.results != nil {
+		out.inputsRead.Store(true) // nothing is left for markRead
 		out.results.Release(engineFailed)
 	}
 	*out = stageOutput{}
@@ -124,7 +138,9 @@
 	case outcome.Problem != "":
 		return notRunResponse(outcome.Problem, minStageRetryAfter)
 	}
-	s.output = stageOutput{handles: outcome.Handles, engine: outcome.Engine, fetchFrom: outcome.FetchFrom, results: results}
+	s.output = stageOutput{
+		handles: outcome.Handles, engine: outcome.Engine, fetchFrom: outcome.FetchFrom, results: results, inputsRead: new(atomic.Bool),
+	}
 	return nil
 }
 
@@ -139,6 +155,12 @@
 	if ctx.Err() != nil {
 		return s.clientGone(), s.failure(ctx, "deadline")
 	}
+	if s.output.wereRead() {
+		// The results were freed for an engine that did not answer.
+		if final := s.rerunStages(ctx); final != nil {
+			return false, final
+		}
+	}
 	c, found := s.chooseEngine()
 	if !found || s.sends >= maxSends {
 		return false, s.failure(ctx, "no endpoint took the request")
@@ -159,6 +181,9 @@
 	if c.ID == s.output.engine {
 		fwd.FetchFrom = s.output.fetchFrom
 	}
+	if s.output.results != nil && len(s.output.handles) > 0 {
+		defer time.AfterFunc(s.gw.readDelay.Get(time.Now()), s.output.markRead).Stop()
+	}
 	a := s.send(tryCtx, c, fwd)
 	defer a.finish(s.gw.opts.Roster)
 	if (a.result == resultNotSent || a.result == resultLost) && c.ID == s.output.engine && !s.clientGone() {
@@ -210,18 +235,26 @@
 	if a.resp.StatusCode != http.StatusConflict {
 		return nil // another endpoint may accept it
 	}
+	if s.output.wereRead() {
+		s.gw.readDelay.Missed(time.Now())
+	}
 	if s.stageReruns++; s.stageReruns > maxStageReruns {
 		return s.failure(ctx, "the results of the stages were lost")
 	}
 	delete(s.tried, a.endpoint.ID)
-	s.output.release(false)
-	if final := s.runStages(ctx); final != nil {
-		if s.runs > 0 {
-			return unknownOutcomeResponse(final.reason)
-		}
-		return final
-	}
-	return nil
+	return s.rerunStages(ctx)
+}
+
+// rerunStages runs the stages again, as their results are lost or freed. It returns a response if the
+// request ends here.
+func (s *stream) rerunStages(ctx context.Context) *response {
+	s.output.release(s.engineFailed)
+	s.engineFailed = false
+	final := s.runStages(ctx)
+	if final != nil && s.runs > 0 {
+		return unknownOutcomeResponse(final.reason)
+	}
+	return final
 }
 
 // handleErrorResponse handles a response that is not a stream of events.
@@ -319,9 +352,7 @@
 	}
 	if len(s.output.handles) == 0 && s.headerSent {
 		// The results were released after the first event.
-		if final := s.runStages(ctx); final != nil {
-			return false, unknownOutcomeResponse(final.reason)
-		}
+		return false, s.rerunStages(ctx)
 	}
 	return false, nil
 }
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -281,6 +281,9 @@
 	local   *coordinate.Coordinator
 }
 
+// InputsRead implements gateway.JobResults.
+func (r remoteResults) InputsRead() { go r.link.InputsRead(r.id) }
+
 // Release implements gateway.JobResults.
 func (r remoteResults) Release(engineFailed bool) {
 	go func() {
@@ -297,6 +300,9 @@
 	id   string
 }
 
+// InputsRead implements gateway.JobResults.
+func (r localResults) InputsRead() { r.jobs.InputsRead(r.id) }
+
 // Release implements gateway.JobResults.
 func (r localResults) Release(engineFailed bool) { r.jobs.Release(r.id, engineFailed) }
 
--- a/gatewaydaemon/faults_test.go
+++ b/gatewaydaemon/faults_test.go
@@ -377,3 +377,27 @@
 		t.Errorf("the stopped dispatcher handed over %v jobs, want 1", n)
 	}
 }
+
+// The results of the stages are freed while the engine reads the prompt: their memory bounds a burst.
+func TestResultsAreFreedBeforeFirstEvent(t *testing.T) {
+	d := newDeployment(t, 2)
+	_, _, engine1, engine2, portal := d.startEndpoints(nil)
+	firstEvent := make(chan struct{})
+	for _, s := range []*fleettest.Server{engine1, engine2} {
+		s.SetBehaviour(func(int, *http.Request) fleettest.Behaviour {
+			<-firstEvent
+			return fleettest.Serve
+		})
+	}
+	d.waitReady()
+	answered := make(chan result, 1)
+	go func() {
+		answered <- d.send(d.entries[0], "POST", "/stream/staged/x", http.Header{"Azurelead-Chunks": {"1,2"}, "Azurelead-Chunk-Key": {"k"}})
+	}()
+	d.eventually("the engine has the request", func() bool { return engine1.Requests()+engine2.Requests() > 0 })
+	d.eventually("the results are freed", func() bool { return portal.HeldResults() == 0 })
+	close(firstEvent)
+	if r := <-answered; r.status != 200 || r.body != events(3) {
+		t.Errorf("%+v", r)
+	}
+}
--- a/peers/link.go
+++ b/peers/link.go
@@ -56,6 +56,9 @@
 // Cancel tells the dispatcher that nobody waits for the job any more.
 func (l *Link) Cancel(id string) { l.notify(methodCancel, JobParams{ID: id}) }
 
+// InputsRead tells the dispatcher that the job's engine has fetched the results.
+func (l *Link) InputsRead(id string) { l.notify(methodRelease, JobParams{ID: id, InputsRead: true}) }
+
 // Release tells the dispatcher that the job's results are not needed any more, and
 // whether the job's engine failed. It reports whether the notification was sent.
 func (l *Link) Release(id string, engineFailed bool) bool {
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -76,6 +76,8 @@
 	Submit(ctx context.Context, j Job, onResults func([]dispatch.StageResults)) Outcome
 	// Cancel drops a job whose outcome nobody waits for any more.
 	Cancel(id string)
+	// InputsRead frees the results that a job's engine has fetched but not worked off yet.
+	InputsRead(id string)
 	// Release frees a job's results; engineFailed says that the engine that was to
 	// read them failed.
 	Release(id string, engineFailed bool)
@@ -280,9 +282,12 @@
 		if err := json.Unmarshal(params, &notification); err != nil {
 			return nil, Error.Wrap(err)
 		}
-		if r.Method == methodCancel {
+		switch {
+		case r.Method == methodCancel:
 			m.o.Jobs.Cancel(notification.ID)
-		} else {
+		case notification.InputsRead:
+			m.o.Jobs.InputsRead(notification.ID)
+		default:
 			m.o.Jobs.Release(notification.ID, notification.EngineFailed)
 		}
 		return nil, nil
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -147,4 +147,7 @@
 	ID string `json:"id"`
 	// EngineFailed is set in a release if the engine that the dispatcher chose failed.
 	EngineFailed bool `json:"engine_failed,omitempty"`
+	// InputsRead is set in a release if the engine has fetched the results but has not sent its first
+	// event yet; another release follows.
+	InputsRead bool `json:"inputs_read,omitempty"`
 }
