--- a/peers/states.go
+++ b/peers/states.go
@@ -64,14 +64,25 @@
 	stale := m.o.Follower.StaleKinds(digests)
 	for round := 0; len(stale) > 0 && round < maxFetchRounds; round++ {
 		var states []follow.State
+		start := time.Now()
 		if err := call(ctx, conn, timeout, methodStates, StatesParams{Since: stale}, &states); err != nil {
-			m.o.Logger.Warn("fetching states from a peer failed", "peer", l.address, "error", err)
+			m.o.Logger.Warn("fetching states from a peer failed", "peer", l.address, "kinds", kindsOf(stale),
+				"took_ms", time.Since(start).Milliseconds(), "error", err)
 			return
 		}
 		var newer []string
 		newer, stale = m.o.Follower.ApplyStates(states)
 		if len(newer) > 0 {
-			m.o.Logger.Info("states learnt from a peer", "peer", l.address, "kinds", newer)
+			m.o.Logger.Info("states learnt from a peer", "peer", l.address, "kinds", newer, "took_ms", time.Since(start).Milliseconds())
 		}
 	}
 }
+
+// kindsOf returns the kinds of positions, for the log.
+func kindsOf(positions []follow.Position) []string {
+	kinds := make([]string, 0, len(positions))
+	for _, p := range positions {
+		kinds = append(kinds, p.Kind)
+	}
+	return kinds
+}
