--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -97,7 +97,9 @@
 	// OnPeerRemoved is called when the entry at an address was unreachable for so long
 	// that it is no longer dialled; it may be nil.
 	OnPeerRemoved func(address string)
-	Logger        *slog.Logger
+	// Dial opens a connection to the entry at an address; nil dials TCP.
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
+	Logger *slog.Logger
 }
 
 // Mesh maintains this entry's links to the other entries: to all of them, or in a
@@ -150,9 +152,18 @@
 
 // New returns a mesh without links.
 func New(o Options) *Mesh {
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
 	return &Mesh{o: o, redialDelay: minRedialDelay, links: make(map[string]*peerLink), resultHandlers: make(map[string]func([]dispatch.StageResults))}
 }
 
+// dialTCP dials the entry at an address.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := upstream.Dialer(dialTimeout, tcpUserTimeout)
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // SetLeaving makes this entry tell its peers that it is shutting down.
 func (m *Mesh) SetLeaving() {
 	m.mu.Lock()
@@ -430,8 +441,7 @@
 	case <-l.dialRequests: // this dial meets the request
 	default:
 	}
-	dialer := upstream.Dialer(dialTimeout, tcpUserTimeout)
-	raw, err := dialer.DialContext(ctx, "tcp", l.address)
+	raw, err := m.o.Dial(ctx, l.address)
 	if err != nil {
 		m.endReconnect(l)
 		return false
