Bound reads of the store by their progress, not by their size

Cause: a page of a list had 1 s and a watch 1.8 s in all, however much arrived. A configuration of 1 MB takes 0.84 s over a link of 10 Mbit/s that carries nothing else; beside requests it fails, and begins anew each time. Change: a stall timeout that each 4 KB of the response extends. What trickles more slowly is left as before. TestSlowPageIsReadWhileItMakesProgress failed before ("0 objects after 1s, context deadline exceeded"). The bound on a whole list is gone: its pages bound themselves.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -21,10 +21,9 @@
 	// limit on the time to apply a configuration, because a watch whose connection has gone silent
 	// delivers nothing until it ends.
 	watchTimeout = 1400 * time.Millisecond
-	// watchSlack is how much longer than watchTimeout a watch may take to answer.
+	// watchSlack is how much longer than watchTimeout a watch may take to answer. Once it answers, it
+	// may take as long as it makes progress.
 	watchSlack = 400 * time.Millisecond
-	// listTimeout bounds one list, which may have many pages with time-outs of their own.
-	listTimeout = 10 * time.Second
 	// coalesceDelay is the pause after a change, so that further changes in quick succession are
 	// read in one call.
 	coalesceDelay = 80 * time.Millisecond
@@ -41,7 +40,9 @@
 
 // Store is the part of the platform's store that a Follower needs.
 type Store interface {
+	// List returns all objects of a kind. It ends by itself if the store does not answer.
 	List(ctx context.Context, kind string, stale bool) (fleet.Changes, error)
+	// Watch returns the changes after a revision. It records its progress in ctx.
 	Watch(ctx context.Context, kind string, after int64, wait time.Duration) (fleet.Changes, error)
 }
 
@@ -225,8 +226,6 @@
 func (f *Follower) listOrWatch(ctx context.Context, name string, list bool) error {
 	at, _ := f.position(name)
 	if list {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
 		changes, err := f.o.Store.List(ctx, name, false)
 		if err != nil {
 			return err
@@ -237,11 +236,11 @@
 		f.replaceState(name, point{changes.Era, changes.Revision}, changes.Objects, true)
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout+watchSlack)
+	watchCtx, cancel := fleet.WithStallTimeout(ctx, watchTimeout+watchSlack)
 	defer cancel()
-	changes, err := f.o.Store.Watch(ctx, name, at.revision, watchTimeout)
+	changes, err := f.o.Store.Watch(watchCtx, name, at.revision, watchTimeout)
 	switch {
-	case errors.Is(err, context.DeadlineExceeded):
+	case err != nil && errors.Is(context.Cause(watchCtx), context.DeadlineExceeded):
 		return fleet.HistoryGone.New("watch did not answer within its wait time")
 	case err != nil:
 		return err
