Send large states in compressed parts and read overdue ones from the store

Cause: a peer's reply with a state had 900 ms in all. The configuration is one object, so nothing compressed it or sent it in parts; with 2,850 routes it does not fit through 10 Mbit/s beside other traffic. Each retry began anew while the abandoned reply still filled the sender's link; pings, jobs and small kinds waited behind it, and the two slots for fetches were taken. An entry that never got the state never asked the store. Change: what is large is compressed (by bytes) and referred to by a hash; the receiver reads parts of 32 KB, each bounded by pingTimeout, and goes on at another peer where one failed. Two receivers at a time are served, the others wait or turn to those that have it. A state announced for 0.7 s that has not arrived is read from the store. Entries of an older build get the compressed state in one message.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -33,6 +33,12 @@
 	// startPollInterval is how often a starting entry checks whether it still has to wait for
 	// states of other entries.
 	startPollInterval = 10 * time.Millisecond
+	// maxBehind is how long a peer may be known to have a newer state before an entry that leaves the
+	// store to others reads the store itself. Together with a read over a slow link it is less than the
+	// operators' limit on the time to apply a configuration.
+	maxBehind = 700 * time.Millisecond
+	// overdueReadLead is how long such a read has the link to itself before peers are asked again.
+	overdueReadLead = time.Second
 	// minBackoff and maxBackoff bound the delay between calls while the store does not answer.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = time.Second
@@ -81,6 +87,8 @@
 	kinds map[string]*kindState
 	// applyMu serialises changes of state and their calls of OnChange. It is taken before mu.
 	applyMu sync.Mutex
+	// contents holds the compressed states that peers read.
+	contents contentCache
 }
 
 // kindState is what is known of one kind of objects.
@@ -92,10 +100,16 @@
 	checksum    uint64
 	lastContact time.Time
 	published   bool
-	// compressed holds all objects in compressed form. It is valid while checksum equals
-	// compressedChecksum.
-	compressed         []byte
-	compressedChecksum uint64
+	// announced and announcedChecksum are of the newest state that a peer has announced, announcedAt is
+	// when one first did. behindSince is when a peer first announced a newer state than the known one;
+	// zero if none has.
+	announced         point
+	announcedChecksum uint64
+	announcedAt       time.Time
+	behindSince       time.Time
+	// overdueReadStart is when the current read of the store because of an overdue state began; zero if
+	// there is none.
+	overdueReadStart time.Time
 	// deletions are the latest deletions, oldest first, at most maxDeletions.
 	deletions []Deletion
 }
@@ -120,6 +134,31 @@
 	k.synced, k.at, k.objects, k.checksum = true, at, objects, checksumOf(at.era, objects)
 }
 
+// recordAnnouncement notes that a peer has a newer state.
+func (k *kindState) recordAnnouncement(at point, checksum uint64, now time.Time) {
+	if k.announced.before(at) {
+		if checksum != k.announcedChecksum {
+			k.announcedAt = now
+		}
+		k.announced, k.announcedChecksum = at, checksum
+	}
+	if k.behindSince.IsZero() {
+		k.behindSince = now
+	}
+}
+
+// recordProgress notes that a newer state was taken. If a peer has announced one that is newer still,
+// this entry is behind since that announcement.
+func (k *kindState) recordProgress() {
+	if k.behindSince.IsZero() {
+		return
+	}
+	k.behindSince = k.announcedAt
+	if !k.at.before(k.announced) || k.checksum == k.announcedChecksum {
+		k.behindSince = time.Time{}
+	}
+}
+
 // recordDeletions records the known objects that are not among the new ones.
 func (k *kindState) recordDeletions(revision int64, objects map[string]fleet.Object) {
 	for name := range k.objects {
@@ -189,7 +228,7 @@
 	for ctx.Err() == nil {
 		_, synced := f.position(name)
 		switch {
-		case synced && !f.o.ReadsStore():
+		case synced && !f.o.ReadsStore() && !f.isOverdue(name):
 			sleep(ctx, idlePollInterval)
 			continue
 		case !synced && f.o.AwaitsPeers():
@@ -197,7 +236,9 @@
 			continue
 		}
 		listing := mustList || !synced
+		f.setOverdueRead(name, f.isOverdue(name))
 		err := f.listOrWatch(ctx, name, listing)
+		f.setOverdueRead(name, false)
 		switch {
 		case err == nil:
 			mustList, justListed, backoff = false, listing, minBackoff
@@ -220,6 +261,25 @@
 	}
 }
 
+// isOverdue reports whether the peers have announced a newer state for maxBehind without it having
+// arrived.
+func (f *Follower) isOverdue(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since := f.kinds[name].behindSince
+	return !since.IsZero() && time.Since(since) > maxBehind
+}
+
+// setOverdueRead records that a read of the store because of an overdue state begins or ends.
+func (f *Follower) setOverdueRead(name string, begins bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.kinds[name].overdueReadStart = time.Time{}
+	if begins {
+		f.kinds[name].overdueReadStart = time.Now()
+	}
+}
+
 // listOrWatch makes one call: a list, or a watch from the current revision. A watch that does not
 // answer in time, or that answers in another era, counts as lost history, so that the objects are
 // listed again.
@@ -279,6 +339,7 @@
 		byName[o.Name] = o
 	}
 	k.set(at, byName)
+	k.recordProgress()
 	f.publish(change, k, oldChecksum)
 	return true
 }
@@ -302,6 +363,7 @@
 		k.set(at, applyChanges(k.objects, changes.Objects))
 	}
 	k.at = at
+	k.recordProgress()
 	f.publish(change, k, oldChecksum)
 	return true
 }
--- a/follow/states.go
+++ b/follow/states.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -30,9 +31,10 @@
 	Deletions []Deletion     `json:"gone,omitempty"`
 	// Names are the sorted names of all objects, if the receiver asked for them.
 	Names []string `json:"names,omitempty"`
-	// Compressed replaces Objects in a full state of many objects: their JSON, compressed with
-	// gzip.
+	// Compressed replaces large Objects: their JSON, compressed with gzip.
 	Compressed []byte `json:"packed,omitempty"`
+	// Content replaces Compressed for a receiver that reads it in parts.
+	Content *ContentRef `json:"content,omitempty"`
 }
 
 // Deletion records that an object was deleted.
@@ -51,6 +53,8 @@
 	Revision int64 `json:"revision"`
 	// WantNames asks for the names of all objects, because deletions were missed.
 	WantNames bool `json:"names,omitempty"`
+	// ReadsParts says that the receiver reads large objects in parts.
+	ReadsParts bool `json:"parts,omitempty"`
 }
 
 // Digest identifies the state of a kind.
@@ -86,40 +90,64 @@
 }
 
 // StaleKinds returns the kinds for which another entry's digests show a newer state, with the
-// positions from which to ask for it.
+// positions from which to ask for it. A kind that is being read from the store because its state is
+// overdue is left out at first.
 func (f *Follower) StaleKinds(digests []Digest) []Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := time.Now()
 	var stale []Position
 	for _, d := range digests {
 		k := f.kinds[d.Kind]
-		if k != nil && (!k.synced || k.at.before(point{d.Era, d.Revision}) && d.Checksum != k.checksum) {
-			stale = append(stale, Position{Kind: d.Kind, Era: k.at.era, Revision: k.at.revision})
+		if k == nil {
+			continue
+		}
+		at := point{d.Era, d.Revision}
+		if !k.synced || k.at.before(at) && d.Checksum != k.checksum {
+			k.recordAnnouncement(at, d.Checksum, now)
+			if !k.overdueReadStart.IsZero() && now.Sub(k.overdueReadStart) < overdueReadLead {
+				continue
+			}
+			stale = append(stale, Position{Kind: d.Kind, Era: k.at.era, Revision: k.at.revision, ReadsParts: true})
 		}
 	}
 	return stale
 }
 
-// StatesSince returns the changes of the kinds since the given positions.
-func (f *Follower) StatesSince(since []Position) []State {
+// Knows reports whether the local state of a kind is at least as new as the given one.
+func (f *Follower) Knows(s State) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	k := f.kinds[s.Kind]
+	return k != nil && k.synced && !k.at.before(point{s.Era, s.Revision})
+}
+
+// StatesSince returns the changes of the kinds since the given positions.
+func (f *Follower) StatesSince(since []Position) []State {
 	var states []State
 	for _, p := range since {
-		if k := f.kinds[p.Kind]; k != nil && k.synced {
-			s, err := k.stateSince(p)
-			if err != nil {
-				f.o.Logger.Warn("state not compressed, sending it uncompressed", "kind", p.Kind, "objects", len(s.Objects), "error", err)
-			}
-			states = append(states, s)
+		s, found := f.stateSince(p)
+		if !found {
+			continue
+		}
+		s, err := f.encode(s, p.ReadsParts)
+		if err != nil {
+			f.o.Logger.Warn("state not compressed, sending it uncompressed", "kind", p.Kind, "objects", len(s.Objects), "error", err)
 		}
+		states = append(states, s)
 	}
 	return states
 }
 
-// stateSince returns the state for an entry that has it up to a position. If compressing fails, the
-// state is returned uncompressed with the error.
-func (k *kindState) stateSince(p Position) (State, error) {
+// stateSince returns the state of a kind for an entry that has it up to a position, and false if the
+// kind is not known.
+func (f *Follower) stateSince(p Position) (State, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.kinds[p.Kind]
+	if k == nil || !k.synced {
+		return State{}, false
+	}
 	s := State{
 		Kind: p.Kind, Era: k.at.era, Revision: k.at.revision, Checksum: k.checksum,
 		Full: p.Revision == 0 || p.Era != k.at.era,
@@ -132,7 +160,6 @@
 	}
 	switch {
 	case s.Full:
-		return k.compress(s)
 	case p.WantNames:
 		s.Names = names
 	default:
@@ -142,13 +169,18 @@
 			}
 		}
 	}
-	return s, nil
+	return s, true
 }
 
 // ApplyStates merges states of another entry. It returns the kinds whose states were newer and were
 // taken, and what to ask for next where a state could not be completed.
 func (f *Follower) ApplyStates(states []State) (newer []string, missing []Position) {
 	for _, s := range states {
+		s, err := s.decompress()
+		if err != nil {
+			f.o.Logger.Warn("compressed state of a peer not decoded", "kind", s.Kind, "error", err)
+			continue
+		}
 		objects, request := f.merge(s)
 		switch {
 		case request != nil:
@@ -161,7 +193,7 @@
 }
 
 // merge completes a state with the local objects that have not changed since. It returns nil for a
-// state that is not newer or cannot be decoded. If the checksum shows that something is missing, it
+// state that is not newer. If the checksum shows that something is missing, it
 // returns what to ask for next: first the names of all objects, then the full state.
 func (f *Follower) merge(s State) ([]fleet.Object, *Position) {
 	f.mu.Lock()
@@ -171,17 +203,12 @@
 		return nil, nil
 	}
 	if !s.Full && s.Era != k.at.era {
-		return nil, &Position{Kind: s.Kind}
+		return nil, &Position{Kind: s.Kind, ReadsParts: true}
 	}
 	merged := k.objects
 	if s.Full {
 		merged = nil
 	}
-	s, err := s.decompress()
-	if err != nil {
-		f.o.Logger.Warn("compressed state of a peer not decoded", "kind", s.Kind, "error", err)
-		return nil, nil
-	}
 	merged = applyChanges(merged, s.changes())
 	if len(s.Names) > 0 {
 		maps.DeleteFunc(merged, func(name string, _ fleet.Object) bool {
@@ -193,9 +220,9 @@
 	case s.Full || checksumOf(s.Era, merged) == s.Checksum:
 		return slices.AppendSeq([]fleet.Object{}, maps.Values(merged)), nil
 	case len(s.Names) > 0:
-		return nil, &Position{Kind: s.Kind}
+		return nil, &Position{Kind: s.Kind, ReadsParts: true}
 	}
-	return nil, &Position{Kind: s.Kind, Era: k.at.era, Revision: k.at.revision, WantNames: true}
+	return nil, &Position{Kind: s.Kind, Era: k.at.era, Revision: k.at.revision, WantNames: true, ReadsParts: true}
 }
 
 // changes returns the deletions followed by the objects, because a name may have been used again
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -115,6 +115,10 @@
 	hubs map[string]bool
 	// activeFetches counts the fetches of states in progress.
 	activeFetches int
+	// transfers are the large states that are being read from peers, by kind.
+	transfers map[string]*transfer
+	// served are the peers that read large states from this entry.
+	served transferQueue
 	// links holds the links by address.
 	links map[string]*peerLink
 	// resultHandlers receive the results of submitted jobs, by job ID.
@@ -133,6 +137,8 @@
 	started time.Time
 	// leaving is set while the peer's pings say that it is shutting down.
 	leaving bool
+	// digests are of the states that the peer last announced.
+	digests []follow.Digest
 	// lastStoreResponse is when the store last answered the peer, according to its pings.
 	lastStoreResponse time.Time
 	// pingRequests holds a value while an immediate ping is requested, dialRequests while an
@@ -155,7 +161,7 @@
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
-	return &Mesh{o: o, redialDelay: minRedialDelay, links: make(map[string]*peerLink), resultHandlers: make(map[string]func([]dispatch.StageResults))}
+	return &Mesh{o: o, redialDelay: minRedialDelay, links: make(map[string]*peerLink), transfers: make(map[string]*transfer), served: newTransferQueue(), resultHandlers: make(map[string]func([]dispatch.StageResults))}
 }
 
 // dialTCP dials the entry at an address.
@@ -266,6 +272,15 @@
 			return nil, Error.Wrap(err)
 		}
 		return m.o.Follower.StatesSince(p.Since), nil
+	case methodPart:
+		var r follow.PartRequest
+		if err := json.Unmarshal(params, &r); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		return m.servePart(ctx, conn, r), nil
+	case methodEndParts:
+		m.endServing(conn)
+		return nil, nil
 	case methodSubmit:
 		var j Job
 		if err := json.Unmarshal(params, &j); err != nil {
@@ -513,6 +528,9 @@
 		if p.StoreAgeMS >= 0 {
 			l.lastStoreResponse = time.Now().Add(-time.Duration(p.StoreAgeMS) * time.Millisecond)
 		}
+		if p.Digests != nil {
+			l.digests = p.Digests
+		}
 		m.mu.Unlock()
 		if leavingChanged {
 			m.o.OnPeersChanged()
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -13,13 +13,15 @@
 
 // The methods of the links. The side that dialled calls them, except for methodResults.
 const (
-	methodHello   = "hello"
-	methodPing    = "ping"
-	methodStates  = "changes"
-	methodSubmit  = "submit"
-	methodResults = "made"    // notification, sent to the side that submitted the job
-	methodCancel  = "cancel"  // notification
-	methodRelease = "release" // notification
+	methodHello    = "hello"
+	methodPing     = "ping"
+	methodStates   = "changes"
+	methodPart     = "part"
+	methodEndParts = "end_parts" // notification, of a peer that needs no further parts
+	methodSubmit   = "submit"
+	methodResults  = "made"    // notification, sent to the side that submitted the job
+	methodCancel   = "cancel"  // notification
+	methodRelease  = "release" // notification
 )
 
 // Identity identifies one incarnation of an entry.
--- a/peers/states.go
+++ b/peers/states.go
@@ -19,6 +19,7 @@
 	for _, l := range m.links {
 		if l.conn != nil && l.identity.Name == p.Name {
 			sender = l
+			l.digests = p.Digests
 		}
 	}
 	m.mu.Unlock()
@@ -57,21 +58,34 @@
 	if m.o.Follower.HasSynced() && m.ReadsStore() {
 		time.Sleep(fetchDelay)
 	}
-	timeout := pingTimeout
-	if !m.o.Follower.HasSynced() {
-		timeout = initialFetchTimeout
-	}
-	stale := m.o.Follower.StaleKinds(digests)
-	for round := 0; len(stale) > 0 && round < maxFetchRounds; round++ {
+	m.fetchRounds(ctx, l, conn, m.withoutTransfers(m.o.Follower.StaleKinds(digests)))
+}
+
+// fetchRounds fetches the states since the positions from a peer, and what is missing then. Large
+// states are read in the background, so that they do not delay small ones.
+func (m *Mesh) fetchRounds(ctx context.Context, l *peerLink, conn *jsonrpc2.Conn, positions []follow.Position) {
+	for round := 0; len(positions) > 0 && round < maxFetchRounds; round++ {
+		timeout := pingTimeout
+		if !m.o.Follower.HasSynced() {
+			timeout = initialFetchTimeout
+		}
 		var states []follow.State
 		start := time.Now()
-		if err := call(ctx, conn, timeout, methodStates, StatesParams{Since: stale}, &states); err != nil {
-			m.o.Logger.Warn("fetching states from a peer failed", "peer", l.address, "kinds", kindsOf(stale),
+		if err := call(ctx, conn, timeout, methodStates, StatesParams{Since: positions}, &states); err != nil {
+			m.o.Logger.Warn("fetching states from a peer failed", "peer", l.address, "kinds", kindsOf(positions),
 				"took_ms", time.Since(start).Milliseconds(), "error", err)
 			return
 		}
+		var small []follow.State
+		for _, s := range states {
+			if s.Content != nil {
+				go m.fetchContent(ctx, l, conn, s)
+			} else {
+				small = append(small, s)
+			}
+		}
 		var newer []string
-		newer, stale = m.o.Follower.ApplyStates(states)
+		newer, positions = m.o.Follower.ApplyStates(small)
 		if len(newer) > 0 {
 			m.o.Logger.Info("states learnt from a peer", "peer", l.address, "kinds", newer, "took_ms", time.Since(start).Milliseconds())
 		}
