Let entries with strong processors read the store for the others

Cause: the three readers were chosen by name alone. Change: the readers come from the entries with strong processors where there are three or more, as the hubs and the dispatcher do already. TestStoreReadersAreStrong fails with the new condition taken out (weak readers beside 3 and 8 strong entries). During a roll-out old and new builds may choose different readers; each choice is complete by itself.

--- a/peers/elect.go
+++ b/peers/elect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -173,29 +174,33 @@
 func (m *Mesh) ReadsStore() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	dataCentres := make(map[string][]string)
+	var entries []Identity
 	if m.isHub(m.o.Self.Address) {
-		dataCentres[m.o.Self.DataCentre] = []string{m.o.Self.Name}
+		entries = append(entries, m.o.Self)
 	}
 	peerReachesStore := false
 	for _, l := range m.links {
 		if l.conn == nil || l.identity.Name == m.o.Self.Name || !m.isHub(l.address) {
 			continue
 		}
-		dataCentres[l.identity.DataCentre] = append(dataCentres[l.identity.DataCentre], l.identity.Name)
+		entries = append(entries, l.identity)
 		peerReachesStore = peerReachesStore || l.storeReachable()
 	}
-	return !peerReachesStore || slices.Contains(StoreReaders(dataCentres), m.o.Self.Name)
+	return !peerReachesStore || slices.Contains(StoreReaders(entries), m.o.Self.Name)
 }
 
-// StoreReaders returns the names of the entries that read the store on behalf of all,
-// given the entries of each data centre. It spreads them over the data centres.
-func StoreReaders(dataCentres map[string][]string) []string {
-	names := make([]string, 0, len(dataCentres))
-	for dc := range dataCentres {
-		names = append(names, dc)
+// StoreReaders returns the names of the entries that read the store on behalf of all. It
+// picks them from the entries with strong processors, which also have the faster links,
+// if there are enough of these, and spreads them over the data centres.
+func StoreReaders(entries []Identity) []string {
+	if strong := strongest(entries, func(e Identity) float64 { return e.CPU }); len(strong) >= storeReaderCount {
+		entries = strong
+	}
+	dataCentres := make(map[string][]string)
+	for _, e := range entries {
+		dataCentres[e.DataCentre] = append(dataCentres[e.DataCentre], e.Name)
 	}
-	slices.Sort(names)
+	names := slices.Sorted(maps.Keys(dataCentres))
 	var chosen []string
 	for round := 0; len(chosen) < storeReaderCount; round++ {
 		countBefore := len(chosen)
--- a/peers/elect_test.go
+++ b/peers/elect_test.go
@@ -83,7 +83,13 @@
 		{map[string][]string{"a": {"1", "2"}, "b": {"3", "4"}}, 3, 2},
 	}
 	for _, c := range cases {
-		got := StoreReaders(c.entries)
+		var entries []Identity
+		for dc, names := range c.entries {
+			for _, name := range names {
+				entries = append(entries, Identity{Name: name, DataCentre: dc})
+			}
+		}
+		got := StoreReaders(entries)
 		dataCentres := map[string]bool{}
 		for _, name := range got {
 			for dc, list := range c.entries {
@@ -97,7 +103,7 @@
 		if len(got) != c.want || len(dataCentres) != c.dataCentres {
 			t.Errorf("entries %v: store readers %v", c.entries, got)
 		}
-		if diff := cmp.Diff(got, StoreReaders(c.entries)); diff != "" {
+		if diff := cmp.Diff(got, StoreReaders(entries)); diff != "" {
 			t.Error(diff)
 		}
 	}
@@ -107,11 +113,12 @@
 // its peers.
 func TestReadsStore(t *testing.T) {
 	m := New(Options{Self: Identity{Name: "self", DataCentre: "dc0"}})
+	entries := []Identity{m.o.Self}
 	for i, name := range []string{"a", "b", "c", "d"} {
 		m.links[name] = &peerLink{address: name, conn: &jsonrpc2.Conn{}, identity: Identity{Name: name, DataCentre: fmt.Sprint("dc", i)}}
+		entries = append(entries, m.links[name].identity)
 	}
-	dataCentres := map[string][]string{"dc0": {"self", "a"}, "dc1": {"b"}, "dc2": {"c"}, "dc3": {"d"}}
-	if slices.Contains(StoreReaders(dataCentres), "self") {
+	if slices.Contains(StoreReaders(entries), "self") {
 		t.Fatal("the test needs an entry that is not a store reader")
 	}
 	if !m.ReadsStore() {
@@ -126,3 +133,27 @@
 		t.Error("the store has stopped answering the peers, but this entry does not read it")
 	}
 }
+
+// What the readers learn leaves through their links, so weak entries, which have slow links, read the
+// store only if there are too few others.
+func TestStoreReadersAreStrong(t *testing.T) {
+	for _, strong := range []int{0, 2, 3, 8} {
+		var entries []Identity
+		for i := range 20 {
+			e := Identity{Name: fmt.Sprint("e-", i), DataCentre: fmt.Sprint("dc", i%4), CPU: 0.144}
+			if i < strong {
+				e.CPU = 0.8
+			}
+			entries = append(entries, e)
+		}
+		readers := StoreReaders(entries)
+		if len(readers) != storeReaderCount {
+			t.Errorf("%d strong entries: readers %v, want %d", strong, readers, storeReaderCount)
+		}
+		for _, e := range entries {
+			if strong >= storeReaderCount && e.CPU < 0.8 && slices.Contains(readers, e.Name) {
+				t.Errorf("%d strong entries: the weak entry %s reads the store", strong, e.Name)
+			}
+		}
+	}
+}
--- a/peers/hubs.go
+++ b/peers/hubs.go
@@ -46,19 +46,19 @@
 	perDataCentre := max(minHubsPerDataCentre, (hubCount+len(dataCentres)-1)/len(dataCentres))
 	var hubs []Member
 	for _, members := range dataCentres {
-		hubs = append(hubs, pickMembers(strongestMembers(members), perDataCentre)...)
+		hubs = append(hubs, pickMembers(strongest(members, func(m Member) float64 { return m.CPU }), perDataCentre)...)
 	}
 	return hubs
 }
 
-// strongestMembers returns the members whose CPU share is at least minCPUFraction of the
+// strongest returns the entries of a list whose CPU share is at least minCPUFraction of the
 // highest.
-func strongestMembers(list []Member) []Member {
+func strongest[T any](list []T, cpu func(T) float64) []T {
 	best := 0.0
-	for _, m := range list {
-		best = max(best, m.CPU)
+	for _, e := range list {
+		best = max(best, cpu(e))
 	}
-	return slices.DeleteFunc(slices.Clone(list), func(m Member) bool { return m.CPU < best*minCPUFraction })
+	return slices.DeleteFunc(slices.Clone(list), func(e T) bool { return cpu(e) < best*minCPUFraction })
 }
 
 // pickMembers picks n members by rendezvous hashing of their names.
