Report no contact with the store while one kind was never answered

An entry that reads one overdue kind would tell its peers at random that it follows the store, and they could leave reading it to that entry. Change: zero if any kind was never answered. TestLastContactIsOfAllKinds failed before.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -208,13 +208,13 @@
 }
 
 // LastContact returns when the store last answered for every kind: the oldest of the kinds' last
-// answers.
+// answers, or zero if it never answered for one of them.
 func (f *Follower) LastContact() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var oldest time.Time
+	oldest := time.Now()
 	for _, k := range f.kinds {
-		if oldest.IsZero() || k.lastContact.Before(oldest) {
+		if k.lastContact.Before(oldest) {
 			oldest = k.lastContact
 		}
 	}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -402,3 +402,19 @@
 		t.Errorf("the reissued object is %s, want %s", got, reissued.Spec)
 	}
 }
+
+// An entry that has read only one kind, because its state was overdue, does not follow the store: its
+// peers must not rely on it.
+func TestLastContactIsOfAllKinds(t *testing.T) {
+	for range 20 { // the order of a map is random
+		f := New(Options{Kinds: []string{"k", "other"}, OnChange: func(Change) {}, Logger: slog.New(slog.DiscardHandler)})
+		f.replaceState("k", point{revision: 1}, nil, true)
+		if at := f.LastContact(); !at.IsZero() {
+			t.Fatalf("last contact %v, although the store never answered for one kind", at)
+		}
+		f.replaceState("other", point{revision: 1}, nil, true)
+		if f.LastContact().IsZero() {
+			t.Fatal("no last contact after the store answered for all kinds")
+		}
+	}
+}
