Take only a silence of the store towards all entries for an outage

Cause: an entry that leaves the store to others judged outages by the store's last answer to itself. One that had read it once, at its start or now because a state was overdue, took every later change for one after an outage, and kept endpoints that had disappeared from the list in use for 1.8 s: beside the delay of the change more than the 2 s of draining of the small sites (DRAIN).

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -62,6 +62,9 @@
 	// AwaitsPeers reports whether other entries are expected to send the states that this entry
 	// lacks, so that it need not read the store. If it is nil, the entry never waits.
 	AwaitsPeers func() bool
+	// PeersContact returns when the store last answered a peer. If it is nil, only answers to this entry
+	// are known.
+	PeersContact func() time.Time
 	// OnChange is called after the objects of a kind have changed. Calls do not overlap.
 	OnChange func(Change)
 	Logger   *slog.Logger
@@ -72,7 +75,8 @@
 	Kind string
 	// Objects are all objects of the kind by name.
 	Objects map[string]fleet.Object
-	// Gap is set if the store had not answered for several seconds before.
+	// Gap is set if the store has just answered again after several seconds in which it answered no
+	// entry.
 	Gap bool
 	// Restored is set if the store was restored from a backup since the last change. Acknowledged
 	// writes may be missing until their writers repeat them.
@@ -89,6 +93,8 @@
 	applyMu sync.Mutex
 	// contents holds the compressed states that peers read.
 	contents contentCache
+	// outage is guarded by mu.
+	outage outageDetector
 }
 
 // kindState is what is known of one kind of objects.
@@ -179,6 +185,9 @@
 	if o.AwaitsPeers == nil {
 		o.AwaitsPeers = func() bool { return false }
 	}
+	if o.PeersContact == nil {
+		o.PeersContact = func() time.Time { return time.Time{} }
+	}
 	f := &Follower{o: o, kinds: make(map[string]*kindState)}
 	for _, k := range o.Kinds {
 		f.kinds[k] = &kindState{objects: make(map[string]fleet.Object)}
@@ -229,6 +238,7 @@
 		_, synced := f.position(name)
 		switch {
 		case synced && !f.o.ReadsStore() && !f.isOverdue(name):
+			f.recordPeersContact()
 			sleep(ctx, idlePollInterval)
 			continue
 		case !synced && f.o.AwaitsPeers():
@@ -326,13 +336,14 @@
 func (f *Follower) replaceState(name string, at point, objects []fleet.Object, fromStore bool) bool {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
+	peersContact := f.o.PeersContact()
 	f.mu.Lock()
 	k := f.kinds[name]
 	if k.synced && (at.before(k.at) || at == k.at && !fromStore) {
 		f.mu.Unlock()
 		return false
 	}
-	change := Change{Kind: name, Gap: f.recordContact(k, fromStore), Restored: k.synced && at.era != k.at.era}
+	change := Change{Kind: name, Gap: f.recordContact(k, fromStore, peersContact), Restored: k.synced && at.era != k.at.era}
 	oldChecksum := k.checksum
 	byName := make(map[string]fleet.Object, len(objects))
 	for _, o := range objects {
@@ -350,13 +361,14 @@
 func (f *Follower) applyWatch(name string, changes fleet.Changes) bool {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
+	peersContact := f.o.PeersContact()
 	f.mu.Lock()
 	k := f.kinds[name]
 	if changes.Era != k.at.era {
 		f.mu.Unlock()
 		return false
 	}
-	change := Change{Kind: name, Gap: f.recordContact(k, true)}
+	change := Change{Kind: name, Gap: f.recordContact(k, true, peersContact)}
 	oldChecksum := k.checksum
 	at := point{changes.Era, max(k.at.revision, changes.Revision)}
 	if len(changes.Objects) > 0 {
@@ -386,19 +398,24 @@
 	return merged
 }
 
-// outageThreshold is how long the store has to be unreachable before objects may have expired in it
-// although their endpoints still run.
-const outageThreshold = 3 * time.Second
-
-// recordContact notes an answer of the store, if the state came from there, and reports whether the
-// store had not answered for longer than outageThreshold before.
-func (f *Follower) recordContact(k *kindState, fromStore bool) bool {
+// recordContact notes an answer of the store, to this entry if the state came from there or else to its
+// peers, and reports whether the store has just recovered from an outage. The caller holds mu.
+func (f *Follower) recordContact(k *kindState, fromStore bool, peersContact time.Time) (gap bool) {
 	now := time.Now()
-	gap := !k.lastContact.IsZero() && now.Sub(k.lastContact) > outageThreshold
+	f.outage.recordAnswer(peersContact, now)
 	if fromStore {
 		k.lastContact = now
+		f.outage.recordAnswer(now, now)
 	}
-	return gap
+	return f.outage.recovers(now)
+}
+
+// recordPeersContact notes when the store last answered a peer.
+func (f *Follower) recordPeersContact() {
+	at := f.o.PeersContact()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outage.recordAnswer(at, time.Now())
 }
 
 // publish completes a change, logs it and calls OnChange if the state has changed. The caller holds
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -133,6 +133,7 @@
 	d.follower = follow.New(follow.Options{
 		Store: d.store, Kinds: []string{fleet.KindConfiguration, fleet.KindEndpoints, fleet.KindEvacuations},
 		OnChange: d.objectsChanged, Logger: logger, ReadsStore: func() bool { return d.mesh.ReadsStore() }, AwaitsPeers: d.defersToHubs,
+		PeersContact: func() time.Time { return d.mesh.PeersStoreResponse() },
 	})
 	suspects := suspect.New(suspect.Options{Metrics: reg})
 	self := peers.Identity{
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -544,9 +544,19 @@
 // LastStoreResponse returns when the store last answered this entry or, according to
 // their pings, one of its peers.
 func (m *Mesh) LastStoreResponse() time.Time {
-	latest := m.o.Follower.LastContact()
+	own, peers := m.o.Follower.LastContact(), m.PeersStoreResponse()
+	if own.After(peers) {
+		return own
+	}
+	return peers
+}
+
+// PeersStoreResponse returns when the store last answered one of the peers, according to
+// their pings.
+func (m *Mesh) PeersStoreResponse() time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	var latest time.Time
 	for _, l := range m.links {
 		if l.lastStoreResponse.After(latest) {
 			latest = l.lastStoreResponse
