Refuse the prompt part that crashes engines, not the requests beside it

Cause: crashes were counted by the digest of the whole request. Change: suspect.Parts counts the engines that crashed while they began an answer on a part (all but the last of a prompt), as a set that entries merge in any order. An answer that has begun proves its parts sound, and entries tell each other. Entries tell their peers of a crash at once; each send is checked, also a repeat.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,6 +33,8 @@
 	result attemptResult
 	err    error
 	sentAt time.Time
+	// events counts the events of a stream that the endpoint has sent.
+	events int
 }
 
 // finish closes the response, discarding any unread body, and records the end of the attempt in the
@@ -82,7 +84,11 @@
 // client disconnected or because its time ran out before the endpoint had minHangTime to answer.
 func (q *request) reportOutcome(ctx context.Context, now time.Time, a *attempt, outcome roster.Outcome) {
 	if ctx.Err() == nil && outcome == roster.ConnectionLost {
-		q.gw.crashes.recordInterrupted(now, a.endpoint.ID, q.digest())
+		interrupted := interruptedRequest{digest: q.digest(), at: now}
+		if a.events < beginningEvents {
+			interrupted.parts = q.sharedParts()
+		}
+		q.gw.crashes.recordInterrupted(a.endpoint.ID, interrupted)
 		if !q.reachable(ctx, a) {
 			outcome = roster.Unreachable
 		}
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -33,7 +33,7 @@
 	runs := 0
 	var lastResp *response
 	for sends := 0; sends < maxSends && ctx.Err() == nil; sends++ {
-		if runs > 0 && q.gw.crashes.refused(q.digest()) {
+		if runs > 0 && q.gw.crashes.refusal(q) != "" {
 			break
 		}
 		c, found := q.chooseEndpoint(tried)
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -20,12 +20,18 @@
 	// suspectRetryAfter is the delay sent to clients of refused requests. The request stays refused
 	// for longer than that.
 	suspectRetryAfter = 5 * time.Second
+	// beginningEvents is the number of events up to which an endpoint counts as beginning a stream:
+	// what crashes it then may be the prompt. A stream that goes on is proof against that.
+	beginningEvents = 5
 )
 
 // crashTracker correlates interrupted requests with the loss of their endpoint. A lost response
 // alone does not count as a crash.
 type crashTracker struct {
 	suspects *suspect.Table
+	parts    *suspect.Parts
+	// onCrash is called after a crash was recorded.
+	onCrash func()
 
 	mu          sync.Mutex
 	interrupted map[string][]interruptedRequest
@@ -34,18 +40,23 @@
 // interruptedRequest is a request whose connection to an endpoint failed.
 type interruptedRequest struct {
 	digest string
-	at     time.Time
+	// parts are the shared parts of its prompt if the endpoint was beginning the answer.
+	parts []string
+	at    time.Time
 }
 
-func newCrashTracker(suspects *suspect.Table) *crashTracker {
-	return &crashTracker{suspects: suspects, interrupted: make(map[string][]interruptedRequest)}
+// newCrashTracker returns a tracker that reports crashes to the tables of the options.
+func newCrashTracker(opts Options) *crashTracker {
+	return &crashTracker{
+		suspects: opts.Suspects, parts: opts.SuspectParts, onCrash: opts.OnCrash, interrupted: make(map[string][]interruptedRequest),
+	}
 }
 
 // recordInterrupted records a request that was interrupted at an endpoint.
-func (c *crashTracker) recordInterrupted(now time.Time, endpoint, digest string) {
+func (c *crashTracker) recordInterrupted(endpoint string, r interruptedRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.interrupted[endpoint] = append(c.recentlyInterrupted(now, endpoint), interruptedRequest{digest: digest, at: now})
+	c.interrupted[endpoint] = append(c.recentlyInterrupted(r.at, endpoint), r)
 }
 
 // recentlyInterrupted returns the requests interrupted at an endpoint within crashWindow. The
@@ -61,44 +72,56 @@
 }
 
 // endpointLost records that an endpoint is gone. Requests interrupted just before count as in
-// flight at its crash; their digests are returned.
-func (c *crashTracker) endpointLost(now time.Time, endpoint string) []string {
+// flight at its crash; their digests are returned, and the parts of prompts that it was beginning to
+// answer.
+func (c *crashTracker) endpointLost(now time.Time, endpoint string) (digests, parts []string) {
 	c.mu.Lock()
 	recent := c.recentlyInterrupted(now, endpoint)
 	delete(c.interrupted, endpoint)
 	c.mu.Unlock()
-	var digests []string
 	for _, r := range recent {
 		digests = append(digests, r.digest)
+		parts = append(parts, r.parts...)
 	}
 	if len(digests) > 0 {
 		c.suspects.Crashed(digests)
+		c.parts.Crashed(endpoint, parts)
+		c.onCrash()
 	}
-	return digests
+	return digests, parts
 }
 
-// refused reports whether a request has crashed too many endpoints to be run again.
-func (c *crashTracker) refused(digest string) bool {
-	if verdict, _ := c.suspects.Verdict(digest); verdict == suspect.Refused {
-		return true
-	}
+// refusal returns why a request is not run, or "" if it may run.
+func (c *crashTracker) refusal(q *request) string {
+	digest := q.digest()
+	verdict, _ := c.suspects.Verdict(digest)
 	mark := c.suspects.Mark(digest)
-	return mark != nil && mark.Crashes >= refuseAfterCrashes
+	switch {
+	case verdict == suspect.Refused || mark != nil && mark.Crashes >= refuseAfterCrashes:
+		return "the request has crashed the endpoints that ran it"
+	case c.parts.Refused(q.sharedParts()):
+		return "a part of the prompt has crashed the endpoints that began an answer on it"
+	}
+	return ""
 }
 
-// digest identifies a request that is sent again under another attempt ID.
+// digest identifies a request that is sent again under another attempt ID. Its body has been read.
 func (q *request) digest() string {
+	if q.cachedDigest != "" {
+		return q.cachedDigest
+	}
 	h := xxhash.New()
 	// Writes to a hash never fail.
 	_, _ = fmt.Fprintf(h, "%s %s %s %s\n", q.r.Method, q.r.Host, q.r.RequestURI, q.organisationName())
 	_, _ = h.Write(q.body)
-	return fmt.Sprintf("%016x", h.Sum64())
+	q.cachedDigest = fmt.Sprintf("%016x", h.Sum64())
+	return q.cachedDigest
 }
 
 // EndpointLost tells the gateway that an endpoint was removed from the list, has restarted or cannot
 // be reached.
 func (g *Gateway) EndpointLost(id string) {
-	if digests := g.crashes.endpointLost(time.Now(), id); len(digests) > 0 {
-		g.opts.Logger.Warn("endpoint crashed with requests in flight", "endpoint", id, "digests", digests)
+	if digests, parts := g.crashes.endpointLost(time.Now(), id); len(digests) > 0 {
+		g.opts.Logger.Warn("endpoint crashed with requests in flight", "endpoint", id, "digests", digests, "parts", parts)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,8 +82,12 @@
 	RetryPercent func() int
 	// Suspects holds the requests that have crashed endpoints.
 	Suspects *suspect.Table
-	Logger   *slog.Logger
-	Metrics  *Metrics
+	// SuspectParts holds the parts of prompts that have crashed endpoints.
+	SuspectParts *suspect.Parts
+	// OnCrash is called after an endpoint crashed with requests of this entry; it may be nil.
+	OnCrash func()
+	Logger  *slog.Logger
+	Metrics *Metrics
 }
 
 // Gateway is the HTTP handler for clients' requests. It is safe for concurrent use.
@@ -96,7 +100,7 @@
 	rejectingNew       atomic.Bool
 }
 
-// New returns a Gateway. Without metrics or a suspect table in the options it creates its own.
+// New returns a Gateway. Without metrics or suspect tables in the options it creates its own.
 func New(opts Options) *Gateway {
 	if opts.Metrics == nil {
 		opts.Metrics = NewMetrics(nil)
@@ -104,7 +108,13 @@
 	if opts.Suspects == nil {
 		opts.Suspects = suspect.New(suspect.Options{})
 	}
-	return &Gateway{opts: opts, crashes: newCrashTracker(opts.Suspects), readDelay: dispatch.NewReadDelay(engineReadDelay)}
+	if opts.SuspectParts == nil {
+		opts.SuspectParts = suspect.NewParts(nil)
+	}
+	if opts.OnCrash == nil {
+		opts.OnCrash = func() {}
+	}
+	return &Gateway{opts: opts, crashes: newCrashTracker(opts), readDelay: dispatch.NewReadDelay(engineReadDelay)}
 }
 
 // DisableKeepAlives makes every response close its connection, so that clients move to other
@@ -156,6 +166,8 @@
 	body     []byte
 	deadline time.Time
 	record   accessRecord
+	// cachedDigest is the result of digest, which runs in the request's own goroutine.
+	cachedDigest string
 	// retryReserved is set while a retry is paid for that has not been made.
 	retryReserved atomic.Bool
 }
@@ -189,8 +201,8 @@
 	if resp := q.readBody(); resp != nil {
 		return resp
 	}
-	if q.gw.crashes.refused(q.digest()) {
-		return notRunResponse("the request has crashed the endpoints that ran it", suspectRetryAfter)
+	if reason := q.gw.crashes.refusal(q); reason != "" {
+		return notRunResponse(reason, suspectRetryAfter)
 	}
 	return nil
 }
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -66,15 +66,20 @@
 // sharedPrefix returns a key for the part of the prompt that other requests share, and its size in
 // tokens. The last part of the prefix is taken to be the request's own.
 func (q *request) sharedPrefix() (key string, tokens int) {
-	if len(q.headers.PromptPrefix) < 2 {
-		return "", 0
+	ids := q.sharedParts()
+	for _, p := range q.headers.PromptPrefix[:len(ids)] {
+		tokens += p.Tokens
 	}
+	return strings.Join(ids, ","), tokens
+}
+
+// sharedParts returns the IDs of the parts of the prompt that other requests may share: all but the last.
+func (q *request) sharedParts() []string {
 	var ids []string
-	for _, p := range q.headers.PromptPrefix[:len(q.headers.PromptPrefix)-1] {
+	for _, p := range q.headers.PromptPrefix[:max(len(q.headers.PromptPrefix)-1, 0)] {
 		ids = append(ids, p.ID)
-		tokens += p.Tokens
 	}
-	return strings.Join(ids, ","), tokens
+	return ids
 }
 
 // prefillTime estimates the time to the first event of an idle engine that has none of the prompt
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -161,6 +161,10 @@
 			return false, final
 		}
 	}
+	if reason := s.gw.crashes.refusal(s.request); reason != "" {
+		// The crashes were recorded while the stages ran, or are this request's own.
+		return false, s.refuse(reason)
+	}
 	c, found := s.chooseEngine()
 	if !found || s.sends >= maxSends {
 		return false, s.failure(ctx, "no endpoint took the request")
@@ -228,6 +232,14 @@
 	return unknownOutcomeResponse(reason)
 }
 
+// refuse returns the final response to a request that has crashed endpoints.
+func (s *stream) refuse(reason string) *response {
+	if s.runs > 0 {
+		return unknownOutcomeResponse(reason)
+	}
+	return notRunResponse(reason, suspectRetryAfter)
+}
+
 // handleRejection handles a request that the endpoint did not run. It returns nil if the request
 // may be sent again. Status 409 (Conflict) means that the endpoint does not have the results of the
 // stages; the stages are then run again.
@@ -288,6 +300,9 @@
 			return s.handleStreamEnd(ctx, a, Error.New("event %d follows %d", ev.id, s.lastEventID))
 		case ev.id > s.lastEventID:
 			bytesWithoutProgress = 0
+			if a.events++; a.events == beginningEvents {
+				s.gw.opts.SuspectParts.Sound(s.sharedParts())
+			}
 			s.allowGap(silence)
 		default:
 			if bytesWithoutProgress += len(ev.raw); bytesWithoutProgress > maxEventBytes {
@@ -336,6 +351,9 @@
 // handleStreamEnd handles the end of an endpoint's stream, which is complete if err is io.EOF.
 func (s *stream) handleStreamEnd(ctx context.Context, a *attempt, err error) (bool, *response) {
 	if errors.Is(err, io.EOF) {
+		if a.events > 0 {
+			s.gw.opts.SuspectParts.Sound(s.sharedParts())
+		}
 		s.startResponse(a)
 		s.record.status = http.StatusOK
 		return true, nil
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -136,20 +136,21 @@
 		PeersContact: func() time.Time { return d.mesh.PeersStoreResponse() },
 	})
 	suspects := suspect.New(suspect.Options{Metrics: reg})
+	suspectParts := suspect.NewParts(reg)
 	self := peers.Identity{
 		Name: settings.Name, Incarnation: rand.Text(), Address: settings.PeerAddress,
 		DataCentre: settings.DataCentre, CPU: settings.CPUShare,
 	}
 	d.mesh = peers.New(peers.Options{
 		Self:    self,
-		Started: d.started, Follower: d.follower, Jobs: d.coordinator, Suspects: suspects, OnPeersChanged: d.peersChanged, Logger: logger,
+		Started: d.started, Follower: d.follower, Jobs: d.coordinator, Suspects: suspects, SuspectParts: suspectParts, OnPeersChanged: d.peersChanged, Logger: logger,
 		OnPeerRemoved: d.removeDeadEntry,
 	})
 	d.gateway = gateway.New(gateway.Options{
 		DataCentre: settings.DataCentre, Table: d.table.Load, Roster: d.roster, Upstream: d.upstream,
 		Stages: &stageRunner{self: self, mesh: d.mesh, local: d.coordinator}, RetryBudgets: d.retryBudgets,
 		RetryPercent: func() int { return int(100 * d.current.Load().RetryRatio * retryRatioShare) },
-		Suspects:     suspects, Logger: logger, Metrics: gateway.NewMetrics(reg),
+		Suspects:     suspects, SuspectParts: suspectParts, OnCrash: d.mesh.PingAll, Logger: logger, Metrics: gateway.NewMetrics(reg),
 	})
 	d.updateShares()
 	d.registerStateMetrics(reg)
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -92,6 +92,8 @@
 	// Jobs handles the jobs that other entries submit to this one.
 	Jobs     JobHandler
 	Suspects *suspect.Table
+	// SuspectParts are the prompt parts that crash endpoints; nil keeps a table of the mesh's own.
+	SuspectParts *suspect.Parts
 	// OnPeersChanged is called after the set of live peers changed.
 	OnPeersChanged func()
 	// OnPeerRemoved is called when the entry at an address was unreachable for so long
@@ -158,6 +160,9 @@
 
 // New returns a mesh without links.
 func New(o Options) *Mesh {
+	if o.SuspectParts == nil {
+		o.SuspectParts = suspect.NewParts(nil)
+	}
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
@@ -261,6 +266,7 @@
 			return nil, Error.Wrap(err)
 		}
 		m.o.Suspects.Merge(p.Suspects)
+		m.o.SuspectParts.Merge(p.SuspectParts)
 		if p.Leaving {
 			m.markLeaving(p.Name)
 		}
@@ -344,6 +350,7 @@
 	digests := m.o.Follower.Digests()
 	p := Ping{
 		DigestHash: follow.Fingerprint(digests), Leaving: m.isLeaving(), StoreAgeMS: -1, Suspects: m.o.Suspects.Suspects(),
+		SuspectParts: m.o.SuspectParts.Marks(),
 	}
 	if p.DigestHash != peerHash {
 		p.Digests = digests
@@ -522,6 +529,7 @@
 		}
 		peerHash = p.DigestHash
 		m.o.Suspects.Merge(p.Suspects)
+		m.o.SuspectParts.Merge(p.SuspectParts)
 		m.mu.Lock()
 		leavingChanged := l.leaving != p.Leaving
 		l.leaving, l.pingAnswered = p.Leaving, true
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -9,6 +9,7 @@
 	"github.com/azurelead/azurelead/dispatch"
 	"github.com/azurelead/azurelead/follow"
 	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/suspect"
 )
 
 // The methods of the links. The side that dialled calls them, except for methodResults.
@@ -61,6 +62,8 @@
 	Digests    []follow.Digest `json:"digests,omitempty"`
 	// Suspects are the marks of requests that may have crashed endpoints.
 	Suspects []link.Suspect `json:"suspects,omitempty"`
+	// SuspectParts are the marks of prompt parts that may crash endpoints.
+	SuspectParts []suspect.PartMark `json:"suspect_parts,omitempty"`
 }
 
 // StatesParams requests the changes since the given positions.
