Take a connection that ends before the first event for a broken stream

Cause: a stream without length and chunks ends with its connection, and an end between two events counted as complete, also before the first one. An engine that crashed after its header was answered with an empty success, and its request was not tried again. Change: without an event, such an end counts as broken off. TestStreamThatEndsWithItsConnection failed before (status 200, empty body, on both kinds of route).

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -348,8 +348,12 @@
 	s.w.WriteHeader(http.StatusOK)
 }
 
-// handleStreamEnd handles the end of an endpoint's stream, which is complete if err is io.EOF.
+// handleStreamEnd handles the end of an endpoint's stream, which is complete if err is io.EOF. The end of
+// a connection before the first event is no sign of a complete stream: a crash looks the same.
 func (s *stream) handleStreamEnd(ctx context.Context, a *attempt, err error) (bool, *response) {
+	if errors.Is(err, io.EOF) && a.events == 0 && isCloseDelimited(a.resp) {
+		err = io.ErrUnexpectedEOF
+	}
 	if errors.Is(err, io.EOF) {
 		if a.events > 0 {
 			s.gw.opts.SuspectParts.Sound(s.sharedParts())
@@ -375,6 +379,11 @@
 	return false, nil
 }
 
+// isCloseDelimited reports whether the end of a response's body is shown only by the end of its connection.
+func isCloseDelimited(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // forwardResponse returns the endpoint's response for the client. On a route that does not allow
 // retries, a status that promises that the request has not run is replaced: the endpoint did not
 // state that in its header, so the outcome is unknown. If events were sent already, the caller
--- a/gatewaydaemon/faults_test.go
+++ b/gatewaydaemon/faults_test.go
@@ -401,3 +401,42 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// A stream may have neither a length nor chunks and end with its connection. It is complete if it ends after
+// an event; one that ends inside an event, or before the first, was broken off and must be resumed or must
+// look incomplete.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	cases := []struct {
+		name      string
+		behaviour fleettest.Behaviour
+		complete  bool
+	}{
+		{"after the last event", fleettest.CloseDelimited, true},
+		{"inside an event", fleettest.CloseMidEvent, false},
+		{"before the first event", fleettest.CloseBeforeEvents, false},
+	}
+	for _, c := range cases {
+		d := newDeployment(t, 1)
+		_, _, engine1, engine2, _ := d.startEndpoints(nil)
+		var first atomic.Bool
+		for _, s := range []*fleettest.Server{engine1, engine2} {
+			s.SetStream(6, 0)
+			s.SetBehaviour(func(int, *http.Request) fleettest.Behaviour {
+				if first.CompareAndSwap(false, true) {
+					return c.behaviour
+				}
+				return fleettest.Serve
+			})
+		}
+		d.waitReady()
+		if r := d.send(d.entries[0], "POST", "/stream/again/x", nil); r.err != nil || r.body != events(6) {
+			t.Errorf("%s, on a route that may be resumed: %+v", c.name, r)
+		}
+		first.Store(false)
+		r := d.send(d.entries[0], "POST", "/stream/plain/x", nil)
+		looksComplete := r.err == nil && r.status == http.StatusOK
+		if looksComplete != c.complete || c.complete && r.body != events(6) {
+			t.Errorf("%s, on a route that may not be resumed: %+v", c.name, r)
+		}
+	}
+}
