--- a/soak/faults.go
+++ b/soak/faults.go
@@ -84,6 +84,14 @@
 	}},
 	{"store connections reset", func(r *run, _ *rand.Rand, _ time.Duration) { r.storeProxy.reset() }},
 	{"configuration changed", func(r *run, _ *rand.Rand, _ time.Duration) { r.putConfiguration() }},
+	{"configuration grown", func(r *run, _ *rand.Rand, duration time.Duration) {
+		// Three times as many routes come close to the largest object that the store takes.
+		r.addedRoutes.Store(1400)
+		r.putConfiguration()
+		time.Sleep(duration)
+		r.addedRoutes.Store(0)
+		r.putConfiguration()
+	}},
 	{"endpoint bytes dropped", func(r *run, rng *rand.Rand, duration time.Duration) {
 		r.setModeFor(r.randomEndpointProxy(rng), modeDropAll, duration)
 	}},
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -73,6 +74,8 @@
 	// endpointSpecs are the specs of the servers in the store, in the order of servers.
 	endpointSpecs []map[string]any
 	entries       []*entry
+	// addedRoutes is the number of routes beside those that clients use.
+	addedRoutes atomic.Int64
 
 	mu            sync.Mutex
 	report        Report
@@ -182,12 +185,16 @@
 	stages := map[string]any{"resumable": true, "stages": []map[string]any{
 		{"service": "portal", "after": []int{}, "bytes": 8000}, {"service": "portal", "after": []int{0}, "bytes": 6000},
 	}}
-	r.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(version, []map[string]any{
+	routes := []map[string]any{
 		fleettest.Route("look", "/look/", "idempotent", "api", nil),
 		fleettest.Route("book", "/book/", "non_idempotent", "api", nil),
 		fleettest.Route("plain", "/stream/plain/", "streaming", "llm", nil),
 		fleettest.Route("staged", "/stream/staged/", "streaming", "llm", stages),
-	}, []map[string]any{fleettest.Service("api"), fleettest.EngineService("llm"), fleettest.StageService("portal")},
+	}
+	for i := range r.addedRoutes.Load() {
+		routes = append(routes, fleettest.Route(fmt.Sprint("added-", i), fmt.Sprintf("/added/%d/", i), "idempotent", "api", nil))
+	}
+	r.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(version, routes, []map[string]any{fleettest.Service("api"), fleettest.EngineService("llm"), fleettest.StageService("portal")},
 		map[string][]string{"org": {apiKey, fmt.Sprintf("key-of-%d", version)}}))
 }
 
