Tell prompt parts' marks to peers at linking and on changes, not with every ping

Cause: a refused part's mark was part of every ping for 15 minutes; with three engines about 80 B beside the 174 B of a ping and its answer. Change: pings carry marks for 10 s after a change; the greeting of a link carries all, so that an entry that starts later knows them before it serves.

--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -258,6 +258,7 @@
 			return nil, Error.Wrap(err)
 		}
 		m.Add(ctx, append(h.Peers, h.Identity.Address))
+		m.o.SuspectParts.Merge(h.SuspectParts)
 		m.dialNow(h.Identity.Address)
 		return m.hello(), nil
 	case methodPing:
@@ -329,7 +330,7 @@
 
 // hello returns the Hello of this entry.
 func (m *Mesh) hello() Hello {
-	h := Hello{Identity: m.o.Self, UptimeMS: time.Since(m.o.Started).Milliseconds(), Digests: m.o.Follower.Digests()}
+	h := Hello{Identity: m.o.Self, UptimeMS: time.Since(m.o.Started).Milliseconds(), Digests: m.o.Follower.Digests(), SuspectParts: m.o.SuspectParts.AllMarks()}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.hubs != nil {
@@ -481,6 +482,7 @@
 	l.started = time.Now().Add(-time.Duration(h.UptimeMS) * time.Millisecond)
 	m.mu.Unlock()
 	m.o.Logger.Info("peer linked", "peer", h.Identity.Name, "address", l.address, "uptime_ms", h.UptimeMS)
+	m.o.SuspectParts.Merge(h.SuspectParts)
 	onAddresses(h.Peers)
 	m.o.OnPeersChanged()
 	if len(m.o.Follower.StaleKinds(h.Digests)) > 0 {
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -46,6 +46,8 @@
 	// Digests describe the sender's states, so that a starting entry can fetch them
 	// without waiting for a ping.
 	Digests []follow.Digest `json:"digests,omitempty"`
+	// SuspectParts are the marks of prompt parts that may crash endpoints.
+	SuspectParts []suspect.PartMark `json:"suspect_parts,omitempty"`
 }
 
 // Ping is the periodic liveness check of a link, and the reply to it.
@@ -62,7 +64,7 @@
 	Digests    []follow.Digest `json:"digests,omitempty"`
 	// Suspects are the marks of requests that may have crashed endpoints.
 	Suspects []link.Suspect `json:"suspects,omitempty"`
-	// SuspectParts are the marks of prompt parts that may crash endpoints.
+	// SuspectParts are those of such marks for prompt parts that have changed.
 	SuspectParts []suspect.PartMark `json:"suspect_parts,omitempty"`
 }
 
--- a/suspect/parts.go
+++ b/suspect/parts.go
@@ -206,9 +206,19 @@
 	}
 }
 
-// Marks returns the marks to send to peers: those that changed within partGossipPeriod, the ones with
-// the most crashes first.
+// Marks returns the marks to send to linked peers: those that changed within partGossipPeriod.
 func (t *Parts) Marks() []PartMark {
+	return t.selectMarks(func(m partMark, now time.Time) bool { return now.Sub(m.changed) <= partGossipPeriod })
+}
+
+// AllMarks returns the marks to send to a peer when it is linked.
+func (t *Parts) AllMarks() []PartMark {
+	return t.selectMarks(func(partMark, time.Time) bool { return true })
+}
+
+// selectMarks returns at most maxPartMarks of the marks that a function selects, those with the most
+// crashes first. It drops expired ones.
+func (t *Parts) selectMarks(selects func(partMark, time.Time) bool) []PartMark {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
@@ -218,7 +228,7 @@
 		switch {
 		case !now.Before(m.expires):
 			t.marks.Remove(key)
-		case now.Sub(m.changed) <= partGossipPeriod || m.isBlamed(now):
+		case selects(m, now):
 			out = append(out, m.message(key, now))
 		}
 	}
