Suspect the parts of a prompt only where a connection was closed, not where it timed out

Cause, found by reading: in a partition the requests of one session time out at one endpoint after the other. Three of them would mark the session's own part, which nobody else could prove sound, and it would be refused for 15 minutes. Change: a connection that timed out is no evidence against parts of the prompt; crashed processes close or reset theirs.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -37,6 +38,13 @@
 	events int
 }
 
+// mayHaveCrashed reports whether the prompt may have crashed the endpoint: it was beginning the answer, and
+// the connection was closed. A connection that timed out shows a partition instead.
+func (a *attempt) mayHaveCrashed() bool {
+	var timeout interface{ Timeout() bool }
+	return a.events < beginningEvents && !(errors.As(a.err, &timeout) && timeout.Timeout())
+}
+
 // finish closes the response, discarding any unread body, and records the end of the attempt in the
 // roster.
 func (a *attempt) finish(r *roster.Roster) {
@@ -85,7 +93,7 @@
 func (q *request) reportOutcome(ctx context.Context, now time.Time, a *attempt, outcome roster.Outcome) {
 	if ctx.Err() == nil && outcome == roster.ConnectionLost {
 		interrupted := interruptedRequest{digest: q.digest(), at: now}
-		if a.events < beginningEvents {
+		if a.mayHaveCrashed() {
 			interrupted.parts = q.sharedParts()
 		}
 		q.gw.crashes.recordInterrupted(a.endpoint.ID, interrupted)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -274,6 +274,7 @@
 	body, err := upstream.ReadBody(a.resp, maxResponseBytes)
 	s.runs++
 	if err != nil {
+		a.err = err
 		s.reportOutcome(ctx, time.Now(), a, roster.ConnectionLost)
 		return s.clientGone(), s.retryOrFail(ctx, "the answer broke off")
 	}
@@ -362,6 +363,7 @@
 		s.record.status = http.StatusOK
 		return true, nil
 	}
+	a.err = err
 	s.reportOutcome(ctx, time.Now(), a, roster.ConnectionLost)
 	s.engineFailed = s.engineFailed || a.endpoint.ID == s.output.engine
 	if s.clientGone() {
