Send one content to all receivers of a large state

Cause, found by reading: after a restart of a fleet the changed endpoints are a large state too, and a different one for each point that a receiver has. Each was compressed apart, and with three kept the contents that were being read were dropped; the receiver asked again at once, without a pause. Change: above 128 KB of changes a receiver gets all objects, the same content for all; less is compressed into the reply. A state that was not served is asked for again after 50 ms. TestReceiversAtDifferentPointsReadOneContent failed before (no full state in parts).

--- a/follow/content.go
+++ b/follow/content.go
@@ -19,8 +19,13 @@
 var Error = errs.Class("follow")
 
 const (
-	// maxInlineBytes is the size of objects up to which a state carries them as they are.
+	// maxInlineBytes is the size of objects up to which a state carries them as they are, and of compressed
+	// objects up to which it carries those.
 	maxInlineBytes = 16 << 10
+	// maxPartialBytes is the size of changed objects up to which they are sent alone. Above it a receiver
+	// that reads parts gets all objects: these are the same content for all receivers, whatever they
+	// have, so that it is compressed once.
+	maxPartialBytes = 128 << 10
 	// partBytes is the size of the parts in which a peer reads larger content. A link of 10 Mbit/s
 	// carries one in 35 ms, so that pings and small states do not wait long behind it.
 	partBytes = 32 << 10
@@ -56,13 +61,12 @@
 	Last bool `json:"last,omitempty"`
 }
 
-// content is the compressed form of a kind's objects.
+// content is the compressed form of all objects of a kind.
 type content struct {
 	ref  ContentRef
 	data []byte
-	// checksum is that of the kind's state, count the number of the objects: those that changed last.
+	// checksum is that of the kind's state.
 	checksum uint64
-	count    int
 }
 
 // contentCache keeps the contents that were compressed last, by kind and oldest first. After a change
@@ -72,12 +76,12 @@
 	byKind map[string][]content
 }
 
-// get returns the content of a state's objects, and compresses them if it is not cached.
+// get returns the content of a full state, and compresses it if it is not cached.
 func (c *contentCache) get(s State) (content, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, known := range c.byKind[s.Kind] {
-		if known.checksum == s.Checksum && known.count == len(s.Objects) {
+		if known.checksum == s.Checksum {
 			return known, nil
 		}
 	}
@@ -85,10 +89,7 @@
 	if err != nil {
 		return content{}, err
 	}
-	made := content{
-		ref:  ContentRef{ID: contentID(data), Size: len(data)},
-		data: data, checksum: s.Checksum, count: len(s.Objects),
-	}
+	made := content{ref: ContentRef{ID: contentID(data), Size: len(data)}, data: data, checksum: s.Checksum}
 	kept := append(c.byKind[s.Kind], made)
 	if n := len(kept) - maxContents; n > 0 {
 		kept = slices.Delete(kept, 0, n)
@@ -122,6 +123,14 @@
 	if sizeOf(s.Objects) <= maxInlineBytes {
 		return s, nil
 	}
+	if !s.Full {
+		data, err := compress(s.Objects)
+		if err != nil {
+			return s, err
+		}
+		s.Objects, s.Compressed = nil, data
+		return s, nil
+	}
 	c, err := f.contents.get(s)
 	if err != nil {
 		return s, err
--- a/follow/content_test.go
+++ b/follow/content_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -107,6 +108,30 @@
 	}
 }
 
+// Entries that have heard of a fleet's restart up to different points must read one content: compressing
+// another for each of them would evict those that are being read, and none would be read to its end.
+func TestReceiversAtDifferentPointsReadOneContent(t *testing.T) {
+	var objects []fleet.Object
+	for i := range 40 {
+		objects = append(objects, largeObject(fmt.Sprint("e", i), int64(10+i), 8<<10))
+	}
+	f := followerOf(50, objects...)
+	ids := make(map[string]bool)
+	for revision := int64(1); revision < 20; revision++ {
+		s := f.StatesSince([]Position{{Kind: "k", Revision: revision, ReadsParts: true}})[0]
+		if s.Content == nil || !s.Full {
+			t.Fatalf("from revision %d: no full state in parts", revision)
+		}
+		ids[s.Content.ID] = true
+	}
+	if len(ids) != 1 {
+		t.Errorf("%d contents for one state", len(ids))
+	}
+	if s := f.StatesSince([]Position{{Kind: "k", Revision: 45, ReadsParts: true}})[0]; s.Full || len(s.Compressed) == 0 {
+		t.Error("a few changed objects are not sent alone")
+	}
+}
+
 func TestMalformedContentIsRejected(t *testing.T) {
 	ref := func(size int) State {
 		return State{Kind: "k", Content: &ContentRef{ID: contentID([]byte("abcdef")), Size: size}}
--- a/follow/states.go
+++ b/follow/states.go
@@ -130,6 +130,9 @@
 		if !found {
 			continue
 		}
+		if p.ReadsParts && !s.Full && sizeOf(s.Objects) > maxPartialBytes {
+			s, _ = f.stateSince(Position{Kind: p.Kind})
+		}
 		s, err := f.encode(s, p.ReadsParts)
 		if err != nil {
 			f.o.Logger.Warn("state not compressed, sending it uncompressed", "kind", p.Kind, "objects", len(s.Objects), "error", err)
--- a/peers/transfer.go
+++ b/peers/transfer.go
@@ -18,6 +18,8 @@
 	// maxServeWait is how long a peer waits for its turn before it turns to another entry. It is less
 	// than the pingTimeout that bounds the reading of a part.
 	maxServeWait = 300 * time.Millisecond
+	// transferRetryDelay is the pause before a state that a peer did not serve is asked for again.
+	transferRetryDelay = 50 * time.Millisecond
 	// serveExpiryInterval is the interval at which a waiting peer checks whether a served one has given up.
 	serveExpiryInterval = 50 * time.Millisecond
 )
@@ -173,7 +175,7 @@
 	if !complete {
 		m.endTransfer(s.Kind, t, false)
 		if err == nil {
-			m.fetchFromAny(ctx)
+			time.AfterFunc(transferRetryDelay, func() { m.fetchFromAny(ctx) })
 		}
 		return
 	}
