--- a/follow/content_test.go
+++ b/follow/content_test.go
@@ -195,8 +195,11 @@
 			t.Errorf("%d reads before a newer state was announced", len(reads))
 		}
 		announced := time.Now()
-		for range 100 {
+		for i := range 100 {
 			f.StaleKinds(peer.Digests())
+			if i == 5 && f.Behind() != 500*time.Millisecond {
+				t.Errorf("behind by %v half a second after the announcement", f.Behind())
+			}
 			time.Sleep(100 * time.Millisecond)
 		}
 		if len(reads) != 1 || reads[0].Sub(announced) < maxBehind || reads[0].Sub(announced) > maxBehind+2*idlePollInterval {
@@ -205,6 +208,9 @@
 		if f.Digests()[0].Checksum != peer.Digests()[0].Checksum {
 			t.Error("the announced state is still missing")
 		}
+		if f.Behind() != 0 {
+			t.Errorf("behind by %v with the announced state", f.Behind())
+		}
 		cancel()
 		<-done
 	})
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -271,13 +271,32 @@
 	}
 }
 
+// Behind returns for how long peers have announced a newer state of some kind that has not arrived; 0 if
+// there is none.
+func (f *Follower) Behind() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var longest time.Duration
+	for _, k := range f.kinds {
+		longest = max(longest, k.behind())
+	}
+	return longest
+}
+
+// behind returns for how long peers have announced a newer state that has not arrived.
+func (k *kindState) behind() time.Duration {
+	if k.behindSince.IsZero() {
+		return 0
+	}
+	return time.Since(k.behindSince)
+}
+
 // isOverdue reports whether the peers have announced a newer state for maxBehind without it having
 // arrived.
 func (f *Follower) isOverdue(name string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	since := f.kinds[name].behindSince
-	return !since.IsZero() && time.Since(since) > maxBehind
+	return f.kinds[name].behind() > maxBehind
 }
 
 // setOverdueRead records that a read of the store because of an overdue state begins or ends.
--- a/gatewaydaemon/statemetrics.go
+++ b/gatewaydaemon/statemetrics.go
@@ -18,6 +18,9 @@
 	gauge("store_age_seconds", "Time since the store last answered this entry or, as far as reported, a linked one.", func() float64 {
 		return secondsSince(d.mesh.LastStoreResponse())
 	})
+	gauge("behind_seconds", "Time for which linked entries have announced a newer state that this entry lacks; 0 if they have none.", func() float64 {
+		return d.follower.Behind().Seconds()
+	})
 	gauge("configuration_version", "Version of the configuration in force; 0 if there is none yet.", func() float64 {
 		if table := d.table.Load(); table != nil {
 			return float64(table.Version)
--- a/gatewaydaemon/statemetrics_test.go
+++ b/gatewaydaemon/statemetrics_test.go
@@ -67,6 +67,8 @@
 		{"azurelead_belief_configuration_version", map[string]string{}, 1},
 		{"azurelead_belief_usable_endpoints", map[string]string{}, 5},
 		{"azurelead_belief_listed_entries", map[string]string{}, 1},
+		{"azurelead_belief_behind_seconds", map[string]string{}, 0},
+		{"azurelead_suspect_parts", map[string]string{}, 0},
 	}
 	for _, c := range cases {
 		if got, found := e.metric(t, c.name, c.labels); !found || got != c.want {
