--- a/peers/transfer.go
+++ b/peers/transfer.go
@@ -133,12 +133,12 @@
 	return t, nil
 }
 
-// endTransfer lets another peer go on with a transfer, or drops it if it is complete.
-func (m *Mesh) endTransfer(kind string, t *transfer, complete bool) {
+// endTransfer lets another peer go on with a transfer, or drops it if it is not needed any longer.
+func (m *Mesh) endTransfer(kind string, t *transfer, done bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t.active = false
-	if complete {
+	if done {
 		delete(m.transfers, kind)
 	}
 }
@@ -173,7 +173,7 @@
 			"bytes", s.Content.Size, "took_ms", time.Since(start).Milliseconds(), "error", err)
 	}
 	if !complete {
-		m.endTransfer(s.Kind, t, false)
+		m.endTransfer(s.Kind, t, m.o.Follower.Knows(s))
 		if err == nil {
 			time.AfterFunc(transferRetryDelay, func() { m.fetchFromAny(ctx) })
 		}
