--- a/peers/transfer.go
+++ b/peers/transfer.go
@@ -156,8 +156,8 @@
 	return others
 }
 
-// fetchContent reads the large state that a peer has referred to. It ends early if the peer fails or is
-// busy; the next announcement of the state, by any peer, goes on with what is missing.
+// fetchContent reads the large state that a peer has referred to. If the peer fails or is busy, any peer
+// that has announced the state is asked for what is missing.
 func (m *Mesh) fetchContent(ctx context.Context, l *peerLink, conn *jsonrpc2.Conn, s follow.State) {
 	t, err := m.startTransfer(s)
 	if err != nil {
@@ -174,9 +174,7 @@
 	}
 	if !complete {
 		m.endTransfer(s.Kind, t, m.o.Follower.Knows(s))
-		if err == nil {
-			time.AfterFunc(transferRetryDelay, func() { m.fetchFromAny(ctx) })
-		}
+		time.AfterFunc(transferRetryDelay, func() { m.fetchFromAny(ctx) })
 		return
 	}
 	state, err := t.download.State()
