--- a/follow/outage.go
+++ b/follow/outage.go
@@ -11,8 +11,8 @@
 	recoveryTime = 2 * time.Second
 )
 
-// outageDetector notices that the store answers again after an outage. It counts answers to any entry:
-// an entry that leaves the store to others has not been answered for long, and yet nothing has expired.
+// outageDetector notices that the store answers again after an outage. It counts answers to any entry: the
+// store is silent towards an entry that leaves reading it to others, and yet nothing expires.
 type outageDetector struct {
 	lastAnswer    time.Time
 	recoversUntil time.Time
--- a/peers/transfer.go
+++ b/peers/transfer.go
@@ -20,7 +20,7 @@
 	maxServeWait = 300 * time.Millisecond
 	// transferRetryDelay is the pause before a state that a peer did not serve is asked for again.
 	transferRetryDelay = 50 * time.Millisecond
-	// serveExpiryInterval is the interval at which a waiting peer checks whether a served one has given up.
+	// serveExpiryInterval is the interval at which a waiting peer checks whether a served one has stopped reading.
 	serveExpiryInterval = 50 * time.Millisecond
 )
 
@@ -43,7 +43,7 @@
 }
 
 // admit reports whether a peer may read a part at the time now. A peer that has not read for
-// pingTimeout has given up.
+// pingTimeout loses its turn.
 func (q *transferQueue) admit(conn *jsonrpc2.Conn, now time.Time) bool {
 	for c, at := range q.lastRead {
 		if now.Sub(at) > pingTimeout {
--- a/peers/transfer_test.go
+++ b/peers/transfer_test.go
@@ -7,7 +7,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
-// After a change all entries ask the few that know it. Some are served at a time; one that has given up
+// After a change all entries ask the few that know it. Some are served at a time; one that stops reading
 // or has all parts makes room for the next.
 func TestTransferQueue(t *testing.T) {
 	q := newTransferQueue()
@@ -47,6 +47,6 @@
 	}
 	// Of those served, served[1] has not read since the start.
 	if !q.admit(waiting[1], start.Add(pingTimeout+time.Millisecond)) {
-		t.Error("a peer that has given up kept its turn")
+		t.Error("a peer that stopped reading kept its turn")
 	}
 }
