Count each life of an engine that crashes under a prompt part

Cause, found by reading: engines were counted by name, and some start again under the name that they had. A part whose requests always meet the same two engines, as prefix hashing makes them, would never have reached three. Change: the name counts together with the start time that the engine's record states.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -92,7 +92,7 @@
 // client disconnected or because its time ran out before the endpoint had minHangTime to answer.
 func (q *request) reportOutcome(ctx context.Context, now time.Time, a *attempt, outcome roster.Outcome) {
 	if ctx.Err() == nil && outcome == roster.ConnectionLost {
-		interrupted := interruptedRequest{digest: q.digest(), at: now}
+		interrupted := interruptedRequest{digest: q.digest(), incarnation: a.endpoint.Incarnation, at: now}
 		if a.mayHaveCrashed() {
 			interrupted.parts = q.sharedParts()
 		}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -40,6 +40,8 @@
 // interruptedRequest is a request whose connection to an endpoint failed.
 type interruptedRequest struct {
 	digest string
+	// incarnation is that of the endpoint, which may start again under its name.
+	incarnation int64
 	// parts are the shared parts of its prompt if the endpoint was beginning the answer.
 	parts []string
 	at    time.Time
@@ -82,10 +84,10 @@
 	for _, r := range recent {
 		digests = append(digests, r.digest)
 		parts = append(parts, r.parts...)
+		c.parts.Crashed(fmt.Sprintf("%s/%d", endpoint, r.incarnation), r.parts)
 	}
 	if len(digests) > 0 {
 		c.suspects.Crashed(digests)
-		c.parts.Crashed(endpoint, parts)
 		c.onCrash()
 	}
 	return digests, parts
--- a/suspect/parts.go
+++ b/suspect/parts.go
@@ -40,7 +40,7 @@
 	// Epoch is incremented when an answer shows that the part is sound; a higher epoch overrides the
 	// crashes of lower ones.
 	Epoch uint64 `json:"epoch,omitempty"`
-	// Endpoints are the crashed endpoints that were beginning an answer on the part.
+	// Endpoints are the crashed endpoints that were beginning an answer on the part, each life of one apart.
 	Endpoints []string `json:"endpoints,omitempty"`
 	// AgeMS is the time since the first crash, and ExpiresInMS the time until the mark expires, in
 	// milliseconds.
@@ -110,7 +110,8 @@
 	return slices.Compact(keys)
 }
 
-// Crashed records that an endpoint crashed while it began answers on the parts.
+// Crashed records that an endpoint crashed while it began answers on the parts. An endpoint that starts
+// again goes by another name here.
 func (t *Parts) Crashed(endpoint string, ids []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
