--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"strings"
 	"time"
 )
@@ -53,9 +54,13 @@
 
 var resultNames = map[attemptResult]string{resultAnswered: "answered", resultNotSent: "not sent", resultRejected: "rejected", resultLost: "lost"}
 
-// describe returns the attempt's result and error for the request's log line.
+// describe returns the attempt's result, the limit that the endpoint named, and the error for the
+// request's log line.
 func (a *attempt) describe() string {
 	text := resultNames[a.result]
+	if a.info.Limited {
+		text += " limit=" + strconv.FormatFloat(a.info.Limit, 'g', -1, 64) + "/s"
+	}
 	if a.err != nil {
 		text += ": " + a.err.Error()
 	}
