--- /dev/null
+++ b/gatewaydaemon/limit_test.go
@@ -0,0 +1,93 @@
+package gatewaydaemon
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/azurelead/azurelead/platform/fleettest"
+)
+
+const (
+	// limitSettleTime is the time after which all entries keep a limit that an endpoint has named.
+	limitSettleTime = 3 * time.Second
+	// limitWindow, limitTolerance and limitSlack define the largest number of requests that an endpoint
+	// may get in any window: tolerance times what its limit allows, and slack further ones.
+	limitWindow    = 4 * time.Second
+	limitTolerance = 1.5
+	limitSlack     = 5
+)
+
+// checkLimit fails the test if an endpoint that named a limit at a time got too many requests.
+func checkLimit(t *testing.T, s *fleettest.Server, limit float64, namedAt time.Time) {
+	t.Helper()
+	allowed := int(limitTolerance*limit*limitWindow.Seconds() + limitSlack)
+	var window []time.Time
+	most := 0
+	for _, at := range s.Arrivals() {
+		if at.Before(namedAt.Add(limitSettleTime)) {
+			continue
+		}
+		window = append(window, at)
+		for at.Sub(window[0]) > limitWindow {
+			window = window[1:]
+		}
+		most = max(most, len(window))
+	}
+	if most > allowed {
+		t.Errorf("%s got %d requests in %v, allowed %d", s.ID, most, limitWindow, allowed)
+	}
+}
+
+// sendAt sends requests at all entries until the time until, a fixed number of clients at each, and
+// returns how many requests were sent and how many of them were not answered with status 200.
+func (d *deployment) sendAt(until time.Time, method, path string, header http.Header) (sent, failed int64) {
+	const clients = 2
+	var wg sync.WaitGroup
+	var sentCount, failedCount atomic.Int64
+	for _, e := range d.entries {
+		for range clients {
+			wg.Go(func() {
+				for time.Now().Before(until) {
+					sentCount.Add(1)
+					if r := d.send(e, method, path, header); r.status != http.StatusOK || r.err != nil {
+						failedCount.Add(1)
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	return sentCount.Load(), failedCount.Load()
+}
+
+// An endpoint that names a limit gets no more than that from all entries together, while the load stays
+// at a hundred times the limit and all entries have been told. The other endpoint serves the rest.
+func TestEntriesKeepNamedLimitTogether(t *testing.T) {
+	const limit = 1.0
+	d := newDeployment(t, 6)
+	limited, _, _, _, _ := d.startEndpoints(nil)
+	d.waitReady()
+	limited.SetLimit(limit)
+	namedAt := time.Now()
+	sent, failed := d.sendAt(namedAt.Add(limitSettleTime+2*limitWindow), http.MethodGet, "/look/x", nil)
+	checkLimit(t, limited, limit, namedAt)
+	if failed > 0 {
+		t.Errorf("%d of %d requests were not served, though one endpoint has no limit", failed, sent)
+	}
+}
+
+// The calls of the stages keep a limit too.
+func TestStageCallsKeepNamedLimit(t *testing.T) {
+	const limit = 1.0
+	d := newDeployment(t, 2)
+	_, _, _, _, portal := d.startEndpoints(nil)
+	d.waitReady()
+	portal.SetLimit(limit)
+	namedAt := time.Now()
+	d.sendAt(namedAt.Add(limitSettleTime+2*limitWindow), http.MethodPost, "/stream/staged/x", http.Header{"Azurelead-Chunks": {"1,2"}, "Azurelead-Chunk-Key": {"k"}})
+	checkLimit(t, portal, limit, namedAt)
+}
