--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -46,8 +46,10 @@
 	// EntryGone reports whether the process of an entry is known to have ended. If it is nil, no
 	// entry is known to have ended.
 	EntryGone func(name, incarnation string) bool
-	Logger    *slog.Logger
-	Metrics   *Metrics
+	// OnNotice is called after an endpoint stated what the other entries need to know; it may be nil.
+	OnNotice func()
+	Logger   *slog.Logger
+	Metrics  *Metrics
 }
 
 // Coordinator runs a dispatcher and makes its calls. It is safe for concurrent use.
@@ -119,6 +121,9 @@
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics(nil)
 	}
+	if o.OnNotice == nil {
+		o.OnNotice = func() {}
+	}
 	return &Coordinator{
 		o: o, wake: make(chan struct{}, 1), dispatcher: dispatch.New(dispatch.Options{}),
 		waiters: make(map[string]*waiter), retryUntil: make(map[string]time.Time),
@@ -157,6 +162,7 @@
 		switch {
 		case s.Stages != nil:
 			c.dispatcher.SetEndpoints(name, c.o.Roster.Endpoints(now, name))
+			c.dispatcher.SetCallIntervals(name, c.o.Roster.CallIntervals(now, name))
 		case s.Engine:
 			c.dispatcher.SetEngines(s, c.o.Roster.Engines(now, name))
 		}
@@ -179,7 +185,7 @@
 	job.Retry = j.Subject != "" && now.Before(c.retryUntil[j.Subject])
 	a := c.dispatcher.Submit(now, job)
 	if a.Unavailable != "" {
-		a.RetryAfter = cmp.Or(c.o.Roster.ServicePausedFor(now, a.Unavailable), a.RetryAfter)
+		a.RetryAfter = cmp.Or(c.o.Roster.ServiceDelay(now, a.Unavailable), a.RetryAfter)
 	}
 	if !a.Admitted {
 		if j.Subject != "" {
@@ -421,9 +427,14 @@
 }
 
 // freeResults tells an endpoint to free results, after the pause that the endpoint may have asked
-// for. Results that expire before the end of the pause need no call.
+// for. Results that expire before the end of the pause, and those of an endpoint with a limit, are left
+// to expire.
 func (c *Coordinator) freeResults(f dispatch.FreeRequest) {
-	if pause := c.o.Roster.PausedFor(time.Now(), f.Endpoint.ID); pause > 0 {
+	now := time.Now()
+	if c.o.Roster.HasLimit(now, f.Endpoint.ID) {
+		return
+	}
+	if pause := c.o.Roster.PausedFor(now, f.Endpoint.ID); pause > 0 {
 		if pause < c.resultTTL(f.Endpoint.Service) {
 			time.AfterFunc(pause, func() { c.freeResults(f) })
 		}
@@ -455,6 +466,7 @@
 func (c *Coordinator) send(e catalog.Endpoint, out fleet.Call, timeout time.Duration, matches func(status int, body []byte) bool) (*http.Response, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	sentAt := time.Now()
 	resp, err := c.o.Upstream.Do(ctx, upstream.Target{ID: e.ID, Address: e.Address}, upstream.Request{
 		Method: out.Method, URI: out.Path, Host: e.Address, Header: out.Header, Body: out.Body, MatchesBody: matches,
 	})
@@ -463,8 +475,14 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	info := fleet.DecodeResponse(resp.StatusCode, resp.Header)
-	if info.Leaving || info.RetryAfter > 0 {
-		c.o.Roster.RecordStatus(time.Now(), e.ID, roster.Status{Load: -1, Leaving: info.Leaving, RetryAfter: info.RetryAfter})
+	changed := c.o.Roster.RecordStatus(time.Now(), e.ID, roster.Status{
+		Load: -1, Leaving: info.Leaving, RetryAfter: info.RetryAfter,
+		Limit: roster.Limit{Named: info.Limited, PerSecond: info.Limit}, SentAt: sentAt,
+	})
+	if changed {
+		c.o.OnNotice()
+	}
+	if changed || info.Leaving || info.RetryAfter > 0 {
 		c.InvalidateEndpoints()
 	}
 	if resp.StatusCode != http.StatusOK {
--- a/dispatch/assign.go
+++ b/dispatch/assign.go
@@ -105,7 +105,7 @@
 func (p *pool) idleEndpoints(now time.Time) []*endpoint {
 	var list []*endpoint
 	for _, e := range p.usableEndpoints {
-		if e.activeCalls < p.limits.Slots && !now.Before(e.retryAt) && !now.Before(e.reportDue) {
+		if e.activeCalls < p.limits.Slots && !now.Before(e.retryAt) && !now.Before(e.nextCall) && !now.Before(e.reportDue) {
 			list = append(list, e)
 		}
 	}
@@ -235,7 +235,7 @@
 	list := make([]dataCentreLoad, len(p.dataCentres))
 	for _, e := range p.usableEndpoints {
 		load := &list[e.dcIndex]
-		idleIn := max(e.idleAt.Sub(now), e.retryAt.Sub(now))
+		idleIn := e.idleIn(now)
 		if e.activeCalls < p.limits.Slots && idleIn < p.limits.CallTime/2 {
 			// The endpoint is idle but gets no tasks, because its memory is full or it
 			// is slow.
@@ -401,6 +401,9 @@
 	c := &call{id: d.lastCallID, pool: p, endpoint: e, tasks: b.tasks, bytes: b.bytes, started: now, expected: expected}
 	d.calls[c.id] = c
 	e.activeCalls++
+	if e.callInterval > 0 {
+		e.nextCall = now.Add(e.callInterval)
+	}
 	e.reservedBytes += b.bytes
 	e.idleAt = now.Add(time.Duration(float64(expected) * e.slowdown))
 	sent := Call{ID: c.id, Endpoint: e.Endpoint, Timeout: callTimeout(expected, e.slowdown)}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -310,14 +310,19 @@
 	}
 	if p := d.pools[g.service]; p != nil {
 		if e := p.endpoints[t.endpoint]; e != nil {
-			e.removeResult(t.handle)
-			d.queueFree(e, t.handle)
+			d.freeResult(e, t.handle)
 		}
 	}
 	t.handle = ""
 }
 
-func (d *Dispatcher) queueFree(e *endpoint, handle string) {
+// freeResult queues a result to be freed at its endpoint. Endpoints with a limit discard results when
+// these expire, as a call that frees results takes the place of one that makes some.
+func (d *Dispatcher) freeResult(e *endpoint, handle string) {
+	if e.callInterval > 0 {
+		return
+	}
+	e.removeResult(handle)
 	f := d.freeRequests[e.ID]
 	if f == nil {
 		f = &FreeRequest{Endpoint: e.Endpoint}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -331,3 +331,36 @@
 	sim.run(15 * time.Second)
 	return sim, sentBefore
 }
+
+// One of four endpoints names a limit during a burst. Its calls keep the limit, are still used, and the
+// other endpoints take over the rest of the work.
+func TestCallsKeepLimitUnderBurst(t *testing.T) {
+	const interval = time.Second
+	sim := newFourCentreSimulation(t)
+	sim.releaseResultsAfter(150 * time.Millisecond)
+	limited := sim.d.pools["portal"].usableEndpoints[0].ID
+	sim.d.SetCallIntervals("portal", map[string]time.Duration{limited: interval})
+	sim.submitBurst(7, 7*time.Second, 12, 9)
+	sim.run(15 * time.Second)
+	served := 0
+	for _, result := range sim.ended {
+		if result.Problem == "" {
+			served++
+		}
+	}
+	if total := len(sim.ended); served < total*95/100 {
+		t.Errorf("%d of %d requests served, want 95 %%", served, total)
+	}
+	calls := sim.callTimes[limited]
+	for i := 1; i < len(calls); i++ {
+		if gap := calls[i].Sub(calls[i-1]); gap < interval {
+			t.Errorf("two calls within %v, want at least %v", gap, interval)
+		}
+	}
+	if len(calls) < 4 {
+		t.Errorf("%d calls of the endpoint with a limit in 7 s, want 4 or more", len(calls))
+	}
+	if n := sim.freeCalls[limited]; n != 0 {
+		t.Errorf("%d calls free results at the endpoint with a limit, want none", n)
+	}
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -49,9 +49,13 @@
 	// slowdown is the smoothed ratio of the actual to the declared duration of calls.
 	slowdown float64
 	// failures counts consecutive failures; no call is sent before retryAt.
-	failures  int
-	retryAt   time.Time
-	untracked untrackedMemory
+	failures int
+	retryAt  time.Time
+	// callInterval is the least time between two calls; 0 if the endpoint names no limit. No call is
+	// sent before nextCall.
+	callInterval time.Duration
+	nextCall     time.Time
+	untracked    untrackedMemory
 	// fullUntil is the time until which the endpoint is taken to have no memory left.
 	fullUntil time.Time
 	// queryMemory is set if the endpoint has to be asked for its free memory.
@@ -101,6 +105,35 @@
 	p.rebuildIndex()
 }
 
+// SetCallIntervals sets the least time between two calls of those endpoints of a service that name a
+// limit. The others have none.
+func (d *Dispatcher) SetCallIntervals(service string, intervals map[string]time.Duration) {
+	p := d.pools[service]
+	if p == nil {
+		return
+	}
+	for id, e := range p.endpoints {
+		e.callInterval = intervals[id]
+		if e.callInterval == 0 {
+			e.nextCall = time.Time{}
+		}
+	}
+}
+
+// idleIn returns the time until an endpoint can take a call; it is negative if the endpoint is idle.
+func (e *endpoint) idleIn(now time.Time) time.Duration {
+	return max(e.idleAt.Sub(now), e.retryAt.Sub(now), e.nextCall.Sub(now))
+}
+
+// concurrency returns how many calls an endpoint can run at once, in calls of the declared duration.
+func (e *endpoint) concurrency(p *pool) float64 {
+	n := float64(p.limits.Slots) / max(e.slowdown, 0.5)
+	if e.callInterval > 0 {
+		n = min(n, float64(p.limits.CallTime)/float64(e.callInterval))
+	}
+	return n
+}
+
 // rebuildIndex rebuilds the lists of usable endpoints and their data centres.
 func (p *pool) rebuildIndex() {
 	p.usableEndpoints = p.usableEndpoints[:0]
@@ -159,12 +192,13 @@
 
 // capacity returns how many calls the endpoints of a data centre can run at once, or the
 // endpoints of all data centres if dataCentre is empty. The slots of each endpoint are
-// divided by its slowdown. Endpoints with two or more consecutive failures do not count.
+// divided by its slowdown, and bounded by its limit. Endpoints with two or more consecutive failures do
+// not count.
 func (p *pool) capacity(dataCentre string) float64 {
 	var sum float64
 	for _, e := range p.usableEndpoints {
 		if e.failures < 2 && (dataCentre == "" || e.DataCentre == dataCentre) {
-			sum += float64(p.limits.Slots) / max(e.slowdown, 0.5)
+			sum += e.concurrency(p)
 		}
 	}
 	return sum
@@ -209,7 +243,7 @@
 		if e.DataCentre != dataCentre {
 			continue
 		}
-		untilIdle = min(untilIdle, max(e.idleAt.Sub(now), e.retryAt.Sub(now), e.memoryDelay(now, p, g), 0))
+		untilIdle = min(untilIdle, max(e.idleIn(now), e.memoryDelay(now, p, g), 0))
 	}
 	return cost + untilIdle
 }
--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -55,8 +55,7 @@
 	case stage.NoProblem:
 		c.endpoint.storeResult(result.Handle, g.resultBytes, now.Add(c.pool.limits.ResultTTL))
 		if g.job.ended {
-			c.endpoint.removeResult(result.Handle)
-			d.queueFree(c.endpoint, result.Handle)
+			d.freeResult(c.endpoint, result.Handle)
 			return
 		}
 		t := &g.tasks[ref.index]
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -33,8 +33,11 @@
 	callsSent, tasksSent int
 	// tasksAt counts the tasks that were sent to each endpoint, callsAt the calls.
 	tasksAt, callsAt map[string]int
-	handlesMade      int
-	limits           map[string]catalog.StageLimits
+	// callTimes are the times of the calls, freeCalls counts those that free results.
+	callTimes   map[string][]time.Time
+	freeCalls   map[string]int
+	handlesMade int
+	limits      map[string]catalog.StageLimits
 	// slowdown is the ratio of an endpoint's actual to its declared call duration; 0
 	// means 1.
 	slowdown map[string]float64
@@ -82,7 +85,7 @@
 	return &simulation{
 		t: t, d: New(Options{}), now: epoch, activeCalls: map[string]int{}, results: map[string]map[string]bool{},
 		limits: map[string]catalog.StageLimits{}, slowdown: map[string]float64{}, unresponsive: map[string]bool{},
-		ended: map[string]JobResult{}, endedAt: map[string]time.Time{}, submittedAt: map[string]time.Time{}, tasksAt: map[string]int{}, callsAt: map[string]int{}, handleOf: map[string]string{}, reported: map[string][]StageResults{},
+		ended: map[string]JobResult{}, endedAt: map[string]time.Time{}, submittedAt: map[string]time.Time{}, tasksAt: map[string]int{}, callsAt: map[string]int{}, callTimes: map[string][]time.Time{}, freeCalls: map[string]int{}, handleOf: map[string]string{}, reported: map[string][]StageResults{},
 	}
 }
 
@@ -154,6 +157,7 @@
 		}
 	}
 	for _, request := range sim.d.TakeFreeRequests() {
+		sim.freeCalls[request.Endpoint.ID]++
 		for _, handle := range request.Handles {
 			delete(sim.results[request.Endpoint.ID], handle)
 		}
@@ -169,6 +173,7 @@
 	sim.tasksSent += len(c.Tasks)
 	sim.tasksAt[e.ID] += len(c.Tasks)
 	sim.callsAt[e.ID]++
+	sim.callTimes[e.ID] = append(sim.callTimes[e.ID], sim.now)
 	if sim.activeCalls[e.ID]++; sim.activeCalls[e.ID] > declared.Slots {
 		sim.t.Fatalf("%d concurrent calls at %s", sim.activeCalls[e.ID], e.ID)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -154,9 +154,13 @@
 	if a.info.LoadKnown {
 		load = a.info.Running + a.info.Waiting
 	}
-	q.gw.opts.Roster.RecordStatus(now, a.endpoint.ID, roster.Status{
+	changed := q.gw.opts.Roster.RecordStatus(now, a.endpoint.ID, roster.Status{
 		Load: load, ColdRemaining: a.info.ColdRemaining, Leaving: a.info.Leaving, RetryAfter: a.info.RetryAfter,
+		Limit: roster.Limit{Named: a.info.Limited, PerSecond: a.info.Limit}, LimitUnknown: !a.info.Signed && !a.info.NotRun, SentAt: a.sentAt,
 	})
+	if changed {
+		q.gw.opts.OnNotice()
+	}
 	outcome := roster.Answered
 	switch {
 	case a.info.NotRun:
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -82,9 +82,9 @@
 }
 
 // endpointRetryAfter returns the retry delay for a request that no endpoint took: the time until the
-// first endpoint takes requests again if all have asked for a pause.
+// first endpoint takes requests again if all have asked for a pause or have a limit.
 func (q *request) endpointRetryAfter() time.Duration {
-	return cmp.Or(q.gw.opts.Roster.ServicePausedFor(time.Now(), q.service), busyRetryAfter)
+	return cmp.Or(q.gw.opts.Roster.ServiceDelay(time.Now(), q.service), busyRetryAfter)
 }
 
 // tryBuffered sends the request to one endpoint and reads the complete response.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,8 +86,10 @@
 	SuspectParts *suspect.Parts
 	// OnCrash is called after an endpoint crashed with requests of this entry; it may be nil.
 	OnCrash func()
-	Logger  *slog.Logger
-	Metrics *Metrics
+	// OnNotice is called after an endpoint stated what the other entries need to know; it may be nil.
+	OnNotice func()
+	Logger   *slog.Logger
+	Metrics  *Metrics
 }
 
 // Gateway is the HTTP handler for clients' requests. It is safe for concurrent use.
@@ -114,6 +116,9 @@
 	if opts.OnCrash == nil {
 		opts.OnCrash = func() {}
 	}
+	if opts.OnNotice == nil {
+		opts.OnNotice = func() {}
+	}
 	return &Gateway{opts: opts, crashes: newCrashTracker(opts), readDelay: dispatch.NewReadDelay(engineReadDelay)}
 }
 
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -127,7 +127,7 @@
 	d.upstream = upstream.New(upstream.Options{Metrics: upstream.NewMetrics(reg), MaxIdle: d.roster.MaxIdleConnections})
 	d.retryBudgets = &retrybudget.Set{}
 	d.coordinator = coordinate.New(coordinate.Options{
-		Upstream: d.upstream, Roster: d.roster, Logger: logger, Metrics: coordinate.NewMetrics(reg),
+		Upstream: d.upstream, Roster: d.roster, Logger: logger, Metrics: coordinate.NewMetrics(reg), OnNotice: func() { d.mesh.PingAll() },
 		EntryGone: func(name, incarnation string) bool { return d.mesh.KnownDown(name, incarnation) },
 	})
 	d.follower = follow.New(follow.Options{
@@ -144,13 +144,13 @@
 	d.mesh = peers.New(peers.Options{
 		Self:    self,
 		Started: d.started, Follower: d.follower, Jobs: d.coordinator, Suspects: suspects, SuspectParts: suspectParts, OnPeersChanged: d.peersChanged, Logger: logger,
-		OnPeerRemoved: d.removeDeadEntry,
+		Roster: d.roster, OnNotices: d.coordinator.InvalidateEndpoints, OnPeerRemoved: d.removeDeadEntry,
 	})
 	d.gateway = gateway.New(gateway.Options{
 		DataCentre: settings.DataCentre, Table: d.table.Load, Roster: d.roster, Upstream: d.upstream,
 		Stages: &stageRunner{self: self, mesh: d.mesh, local: d.coordinator}, RetryBudgets: d.retryBudgets,
 		RetryPercent: func() int { return int(100 * d.current.Load().RetryRatio * retryRatioShare) },
-		Suspects:     suspects, SuspectParts: suspectParts, OnCrash: d.mesh.PingAll, Logger: logger, Metrics: gateway.NewMetrics(reg),
+		Suspects:     suspects, SuspectParts: suspectParts, OnCrash: d.mesh.PingAll, OnNotice: d.endpointNoticed, Logger: logger, Metrics: gateway.NewMetrics(reg),
 	})
 	d.updateShares()
 	d.registerStateMetrics(reg)
@@ -320,6 +320,12 @@
 		"organisations", len(config.Organisations))
 }
 
+// endpointNoticed passes on what an endpoint has just demanded of all entries.
+func (d *daemon) endpointNoticed() {
+	d.coordinator.InvalidateEndpoints()
+	d.mesh.PingAll()
+}
+
 // applyEndpoints updates the roster with the listed endpoints and reports lost ones to the gateway.
 func (d *daemon) applyEndpoints(now time.Time, objects map[string]fleet.Object, c roster.Continuity) {
 	list, lost := d.endpoints.decode(objects, d.logger)
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -17,6 +17,7 @@
 
 	"github.com/azurelead/azurelead/dispatch"
 	"github.com/azurelead/azurelead/follow"
+	"github.com/azurelead/azurelead/roster"
 	"github.com/azurelead/azurelead/suspect"
 	"github.com/azurelead/azurelead/telemetry"
 	"github.com/azurelead/azurelead/upstream"
@@ -94,6 +95,10 @@
 	Suspects *suspect.Table
 	// SuspectParts are the prompt parts that crash endpoints; nil keeps a table of the mesh's own.
 	SuspectParts *suspect.Parts
+	// Roster holds what endpoints demand of all entries; nil keeps a roster of the mesh's own.
+	Roster *roster.Roster
+	// OnNotices is called after peers have sent notices that changed the roster; it may be nil.
+	OnNotices func()
 	// OnPeersChanged is called after the set of live peers changed.
 	OnPeersChanged func()
 	// OnPeerRemoved is called when the entry at an address was unreachable for so long
@@ -156,6 +161,9 @@
 	// it has answered a ping. Both are reset for a new connection.
 	lastJobAnswer time.Time
 	pingAnswered  bool
+	// noticesSent and noticesReceived are the numbers of the last notices that were sent on the
+	// connection and received on it.
+	noticesSent, noticesReceived uint64
 }
 
 // New returns a mesh without links.
@@ -163,6 +171,12 @@
 	if o.SuspectParts == nil {
 		o.SuspectParts = suspect.NewParts(nil)
 	}
+	if o.Roster == nil {
+		o.Roster = roster.New(nil)
+	}
+	if o.OnNotices == nil {
+		o.OnNotices = func() {}
+	}
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
@@ -271,8 +285,11 @@
 		if p.Leaving {
 			m.markLeaving(p.Name)
 		}
+		m.mergeNotices(p.Notices)
 		m.fetchFromSender(ctx, p)
-		return m.ping(p.DigestHash), nil
+		reply := m.ping(p.DigestHash)
+		reply.Notices, reply.LastNotice = m.o.Roster.NoticesSince(time.Now(), p.NoticesAfter, maxNotices)
+		return reply, nil
 	case methodStates:
 		var p StatesParams
 		if err := json.Unmarshal(params, &p); err != nil {
@@ -479,6 +496,7 @@
 	m.mu.Lock()
 	l.reconnecting = false
 	l.conn, l.identity, l.leaving, l.lastJobAnswer, l.pingAnswered = conn, h.Identity, false, time.Time{}, false
+	l.noticesSent, l.noticesReceived = 0, 0
 	l.started = time.Now().Add(-time.Duration(h.UptimeMS) * time.Millisecond)
 	m.mu.Unlock()
 	m.o.Logger.Info("peer linked", "peer", h.Identity.Name, "address", l.address, "uptime_ms", h.UptimeMS)
@@ -522,8 +540,10 @@
 			}
 		}
 		lastPing = time.Now()
+		request := m.ping(peerHash)
+		lastNotice := m.addNotices(&request, l)
 		var p Ping
-		if err := call(ctx, conn, pingTimeout, methodPing, m.ping(peerHash), &p); err != nil {
+		if err := call(ctx, conn, pingTimeout, methodPing, request, &p); err != nil {
 			if errors.Is(err, jsonrpc2.ErrClosed) {
 				return errConnectionClosed.Wrap(err)
 			}
@@ -532,7 +552,9 @@
 		peerHash = p.DigestHash
 		m.o.Suspects.Merge(p.Suspects)
 		m.o.SuspectParts.Merge(p.SuspectParts)
+		m.mergeNotices(p.Notices)
 		m.mu.Lock()
+		l.noticesSent, l.noticesReceived = lastNotice, p.LastNotice
 		leavingChanged := l.leaving != p.Leaving
 		l.leaving, l.pingAnswered = p.Leaving, true
 		if p.StoreAgeMS >= 0 {
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -9,6 +9,7 @@
 	"github.com/azurelead/azurelead/dispatch"
 	"github.com/azurelead/azurelead/follow"
 	"github.com/azurelead/azurelead/link"
+	"github.com/azurelead/azurelead/roster"
 	"github.com/azurelead/azurelead/suspect"
 )
 
@@ -66,6 +67,11 @@
 	Suspects []link.Suspect `json:"suspects,omitempty"`
 	// SuspectParts are those of such marks for prompt parts that have changed.
 	SuspectParts []suspect.PartMark `json:"suspect_parts,omitempty"`
+	// Notices are what endpoints demanded that the peer has not been sent on this connection. In the
+	// reply, LastNotice is the number of the last of them; the next ping names it in NoticesAfter.
+	Notices      []roster.Notice `json:"notices,omitempty"`
+	LastNotice   uint64          `json:"last_notice,omitempty"`
+	NoticesAfter uint64          `json:"notices_after,omitempty"`
 }
 
 // StatesParams requests the changes since the given positions.
--- /dev/null
+++ b/roster/limit.go
@@ -0,0 +1,157 @@
+package roster
+
+import (
+	"time"
+)
+
+const (
+	// limitShare is the share of an endpoint's limit that the entries together send at, and
+	// callLimitShare that of the calls of the stages. The dispatcher makes these alone; while another
+	// entry takes its place both may.
+	limitShare     = 0.9
+	callLimitShare = 0.7
+	// minLimit replaces lower limits, in requests per second: without any request the entries would
+	// not notice that a limit has ended.
+	minLimit = 0.1
+	// minLimitSenders and limitSendersPerRate bound the number of entries that send to an endpoint with
+	// a limit. Each of them may send one request at any time, so that the number grows with the limit.
+	minLimitSenders     = 4
+	limitSendersPerRate = 1.5
+	// limitTTL is how long a limit is kept that no answer has confirmed, limitRefreshInterval the time
+	// after which an unchanged limit is sent to the peers again.
+	limitTTL             = 10 * time.Minute
+	limitRefreshInterval = 2 * time.Minute
+	// minLimitChange is the relative change of a limit from which it is sent to the peers.
+	minLimitChange = 0.1
+)
+
+// Limit is the number of requests per second that an endpoint accepts from all entries together.
+type Limit struct {
+	// Named is false if the endpoint names no limit.
+	Named     bool
+	PerSecond float64
+}
+
+// sameAs reports whether two limits do not differ enough to send the change to the peers.
+func (l Limit) sameAs(other Limit) bool {
+	if l.Named != other.Named {
+		return false
+	}
+	return max(l.PerSecond, other.PerSecond)*(1-minLimitChange) <= min(l.PerSecond, other.PerSecond)
+}
+
+// sharedRate is a rate of requests to one endpoint that several entries share. Each of the senders
+// keeps the same time between its requests, so that no messages are needed for a request; the entries
+// agree on the senders by rank.
+type sharedRate struct {
+	// perSecond is the rate of all senders together.
+	perSecond float64
+	senders   int
+}
+
+// spacing returns the least time between two requests of one sender.
+func (s sharedRate) spacing() time.Duration {
+	return time.Duration(float64(time.Second) * float64(s.senders) / s.perSecond)
+}
+
+// rateOf returns the rate that the entries share for a limit.
+func (r *Roster) rateOf(l Limit) sharedRate {
+	perSecond := max(l.PerSecond, minLimit)
+	return sharedRate{
+		perSecond: perSecond * limitShare,
+		senders:   min(r.entryCount, minLimitSenders+int(perSecond*limitSendersPerRate)),
+	}
+}
+
+// limit returns the limit that a member names.
+func (m *member) limit(now time.Time) Limit {
+	if now.Sub(m.limitAt) > limitTTL {
+		return Limit{}
+	}
+	return m.namedLimit
+}
+
+// recordLimit records the limit that a response names. The response to a request that was sent before
+// the known limit was named does not end that limit: it may have been overtaken.
+func (r *Roster) recordLimit(now time.Time, m *member, sentAt time.Time, l Limit) (changed bool) {
+	if !l.Named && m.namedLimit.Named && sentAt.Before(m.limitAt) {
+		return false
+	}
+	return r.setLimit(m, l, now)
+}
+
+// setLimit sets the limit that a member named at a time, and makes it a notice to the peers if it has
+// changed or was last sent to them long ago. It reports whether it has changed.
+func (r *Roster) setLimit(m *member, l Limit, at time.Time) (changed bool) {
+	changed = !l.sameAs(m.namedLimit)
+	if changed || l.Named && at.Sub(m.limitNoticedAt) > limitRefreshInterval {
+		m.limitNoticedAt = at
+		r.notice(m)
+	}
+	m.namedLimit, m.limitAt = l, at
+	return changed
+}
+
+// sendDelay returns the time until this entry may send the next request to a member: its turn in the
+// rates that the entries share while the endpoint is cold or has a limit. An entry that is not among
+// the senders has to wait for as long as a sender does after a request.
+func (r *Roster) sendDelay(now time.Time, m *member) time.Duration {
+	var delay time.Duration
+	for _, rate := range r.sharedRates(now, m) {
+		if r.rank(m) >= rate.senders {
+			delay = max(delay, rate.spacing())
+		} else {
+			delay = max(delay, m.lastSend.Add(rate.spacing()).Sub(now))
+		}
+	}
+	return delay
+}
+
+// sharedRates returns the rates that hold for a member now.
+func (r *Roster) sharedRates(now time.Time, m *member) []sharedRate {
+	var rates []sharedRate
+	if r.cold(now, m) {
+		rates = append(rates, sharedRate{
+			perSecond: r.services[m.Service].ColdRate * coldRateShare, senders: min(r.entryCount, maxColdSenders),
+		})
+	}
+	if l := m.limit(now); l.Named {
+		rates = append(rates, r.rateOf(l))
+	}
+	return rates
+}
+
+// CallIntervals returns the least time between two calls of the stages for each endpoint of a service
+// that names a limit.
+func (r *Roster) CallIntervals(now time.Time, service string) map[string]time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	intervals := make(map[string]time.Duration)
+	for _, m := range r.byService[service] {
+		if l := m.limit(now); l.Named {
+			intervals[m.ID] = time.Duration(float64(time.Second) / (max(l.PerSecond, minLimit) * callLimitShare))
+		}
+	}
+	return intervals
+}
+
+// HasLimit reports whether an endpoint names a limit.
+func (r *Roster) HasLimit(now time.Time, id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[id]
+	return m != nil && m.limit(now).Named
+}
+
+// LimitedCount returns the number of endpoints that name a limit.
+func (r *Roster) LimitedCount(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, m := range r.members {
+		if m.limit(now).Named {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/roster/notice.go
@@ -0,0 +1,105 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// noticeTransit is added to the age of what a notice states, once for each entry that passes it on, so
+// that a notice that returns to its origin does not count as newer there.
+const noticeTransit = 50 * time.Millisecond
+
+// Notice is what an endpoint demanded of all entries, as one entry tells the others.
+type Notice struct {
+	Endpoint    string       `json:"endpoint"`
+	Incarnation int64        `json:"incarnation,omitempty"`
+	Limit       *LimitNotice `json:"limit,omitempty"`
+}
+
+// LimitNotice is the limit that an endpoint named.
+type LimitNotice struct {
+	Named     bool    `json:"named,omitempty"`
+	PerSecond float64 `json:"per_second,omitempty"`
+	// AgeMS is the time since the endpoint named it, in milliseconds.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// notice makes a member's demands a notice to the peers. The caller holds mu.
+func (r *Roster) notice(m *member) {
+	r.noticeCount++
+	m.noticeNumber = r.noticeCount
+}
+
+// NoticesSince returns the notices after the one with the number after, at most limit of them in the
+// order of their numbers, and the number of the last. Each endpoint has one notice, which gets a new
+// number when it changes.
+func (r *Roster) NoticesSince(now time.Time, after uint64, limit int) (list []Notice, last uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.noticeCount <= after {
+		return nil, after
+	}
+	var members []*member
+	for _, m := range r.members {
+		if m.noticeNumber > after {
+			members = append(members, m)
+		}
+	}
+	slices.SortFunc(members, func(a, b *member) int { return cmp.Compare(a.noticeNumber, b.noticeNumber) })
+	if len(members) <= limit {
+		last = r.noticeCount
+	} else {
+		members = members[:limit]
+		last = members[limit-1].noticeNumber
+	}
+	for _, m := range members {
+		list = append(list, m.message(now))
+	}
+	return list, last
+}
+
+// message returns the member's notice.
+func (m *member) message(now time.Time) Notice {
+	n := Notice{Endpoint: m.ID, Incarnation: m.Incarnation}
+	if !m.limitAt.IsZero() {
+		n.Limit = &LimitNotice{
+			Named: m.namedLimit.Named, PerSecond: m.namedLimit.PerSecond, AgeMS: (now.Sub(m.limitAt) + noticeTransit).Milliseconds(),
+		}
+	}
+	return n
+}
+
+// MergeNotices takes in the notices of a peer and reports whether any of them has changed what is known.
+// Notices of unknown endpoints and of other incarnations are dropped.
+func (r *Roster) MergeNotices(now time.Time, list []Notice) (changed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range list {
+		m := r.members[n.Endpoint]
+		if m == nil || m.Incarnation != n.Incarnation {
+			continue
+		}
+		if n.Limit != nil && r.mergeLimit(now, m, *n.Limit) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+// mergeLimit takes in the limit that a peer knows of a member, if it is newer than what is known here.
+// If what is known here is newer, it becomes a notice: a response that names no limit is none by itself.
+// The caller holds mu.
+func (r *Roster) mergeLimit(now time.Time, m *member, n LimitNotice) (changed bool) {
+	l := Limit{Named: n.Named, PerSecond: n.PerSecond}
+	at := now.Add(-time.Duration(max(n.AgeMS, 0)) * time.Millisecond)
+	switch {
+	case n.PerSecond < 0:
+		return false
+	case at.After(m.limitAt):
+		return r.setLimit(m, l, at)
+	case m.limitAt.Sub(at) > 2*noticeTransit && !l.sameAs(m.namedLimit):
+		r.notice(m)
+	}
+	return false
+}
--- /dev/null
+++ b/roster/notice_test.go
@@ -0,0 +1,97 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// exchange sends the notices of one roster to another, a transit time later.
+func exchange(now time.Time, from, to *Roster, sent *uint64, transit time.Duration) {
+	list, last := from.NoticesSince(now, *sent, 2)
+	*sent = last
+	to.MergeNotices(now.Add(transit), list)
+}
+
+// Entries learn limits and their ends from endpoints and from each other, in any order and over any time.
+// When nothing new is learnt, a few rounds of messages make them all know what the endpoints said last,
+// and then there is nothing left to send.
+func TestNoticesConverge(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(2, 6).Draw(rt, "entries")
+		endpoints := makeEndpoints(3, "a")
+		entries := make([]*Roster, n)
+		sent := make([][]uint64, n)
+		for i := range n {
+			entries[i] = newRoster(endpoints)
+			sent[i] = make([]uint64, n)
+		}
+		now := epoch
+		latest := make(map[string]Limit)
+		round := func() (messages int) {
+			for i := range n {
+				for k := range n {
+					if i == k {
+						continue
+					}
+					before := sent[i][k]
+					exchange(now, entries[i], entries[k], &sent[i][k], time.Duration(rapid.IntRange(0, 40).Draw(rt, "transit"))*time.Millisecond)
+					if sent[i][k] != before {
+						messages++
+					}
+					now = now.Add(50 * time.Millisecond)
+				}
+			}
+			return messages
+		}
+		for range rapid.IntRange(1, 20).Draw(rt, "responses") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(rt, "ms")) * time.Millisecond)
+			id := endpoints[rapid.IntRange(0, 2).Draw(rt, "endpoint")].ID
+			l := Limit{Named: rapid.Bool().Draw(rt, "named")}
+			if l.Named {
+				l.PerSecond = float64(rapid.IntRange(1, 9).Draw(rt, "limit"))
+			}
+			e := entries[rapid.IntRange(0, n-1).Draw(rt, "entry")]
+			e.RecordStatus(now, id, Status{Load: -1, Limit: l, SentAt: now})
+			latest[id] = l
+			now = now.Add(200 * time.Millisecond) // above noticeTransit, so that the order of events is known everywhere
+			if rapid.Bool().Draw(rt, "exchange") {
+				round()
+			}
+		}
+		for range 8 {
+			round()
+		}
+		if messages := round(); messages != 0 {
+			rt.Errorf("%d messages are sent although nothing has changed", messages)
+		}
+		for id, want := range latest {
+			for i, e := range entries {
+				e.mu.Lock()
+				got := e.members[id].namedLimit
+				e.mu.Unlock()
+				if got != want && (got.Named || want.Named) {
+					rt.Errorf("entry %d knows limit %+v of %s, want %+v", i, got, id, want)
+				}
+			}
+		}
+	})
+}
+
+// Notices of endpoints that an entry does not know, of another incarnation, and malformed ones change
+// nothing.
+func TestForeignNoticesAreDropped(t *testing.T) {
+	r := newRoster(makeEndpoints(1, "a"))
+	limit := &LimitNotice{Named: true, PerSecond: 1}
+	for _, n := range []Notice{
+		{Endpoint: "unknown", Incarnation: 1, Limit: limit},
+		{Endpoint: "e0", Incarnation: 2, Limit: limit},
+		{Endpoint: "e0", Incarnation: 1, Limit: &LimitNotice{Named: true, PerSecond: -1}},
+		{Endpoint: "e0", Incarnation: 1},
+	} {
+		if r.MergeNotices(epoch, []Notice{n}) || r.HasLimit(epoch, "e0") {
+			t.Errorf("notice %+v is taken in", n)
+		}
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -83,6 +83,12 @@
 	leaving bool
 	// pausedUntil is the time before which the endpoint wants no requests.
 	pausedUntil time.Time
+	// namedLimit is the limit that the endpoint named at limitAt, limitNoticedAt when it was last made a
+	// notice to the peers.
+	namedLimit              Limit
+	limitAt, limitNoticedAt time.Time
+	// noticeNumber is the number of the latest notice of these demands; 0 if there is none.
+	noticeNumber uint64
 }
 
 // departedMember is kept of an endpoint that was removed.
@@ -117,8 +123,8 @@
 	// it has recovered.
 	down    bool
 	probing bool
-	// nextColdSend is when this entry may send the next request to the endpoint while it is cold.
-	nextColdSend time.Time
+	// lastSend is when this entry last sent a request to the endpoint.
+	lastSend time.Time
 	// rank is this entry's rank for the endpoint, computed when entriesVersion was
 	// rankVersion.
 	rank        int
@@ -142,11 +148,13 @@
 	regions           map[string]string
 	// initialised is set after the first list of endpoints.
 	initialised bool
-	// rankFor returns this entry's rank among the entries that may send to a cold endpoint.
+	// rankFor returns this entry's rank among the entries that share an endpoint's rate.
 	// entriesVersion counts the changes of the entries.
 	entryCount     int
 	rankFor        func(endpoint string) int
 	entriesVersion int
+	// noticeCount is the number of the latest notice.
+	noticeCount uint64
 }
 
 // New returns an empty roster. regions maps data centres to their regions.
@@ -166,8 +174,8 @@
 	r.services = services
 }
 
-// SetEntries sets the number of entries that share the rate of cold endpoints, and the function
-// that returns this entry's rank among them for an endpoint.
+// SetEntries sets the number of entries that share the rates of cold and limited endpoints, and the
+// function that returns this entry's rank among them for an endpoint.
 func (r *Roster) SetEntries(n int, rankFor func(endpoint string) int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -358,27 +366,34 @@
 	return list
 }
 
-// Engines returns the model engines of a service that may receive work and have not failed. If all
-// of them have failed, it returns the failed ones.
+// Engines returns the model engines of a service that may receive work, have not failed and name no
+// limit. If there are none, it returns those with a limit, else the failed ones: the dispatcher that
+// books engines does not know the share of the limit that is left to the entry that sends the request.
 func (r *Roster) Engines(now time.Time, service string) []dispatch.Engine {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var list, failed []dispatch.Engine
+	var list, limited, failed []dispatch.Engine
 	for _, m := range r.byService[service] {
 		if !r.usable(now, m) {
 			continue
 		}
 		e := dispatch.Engine{Endpoint: m.Endpoint, Cold: r.cold(now, m)}
-		if m.down {
+		switch {
+		case m.down:
 			failed = append(failed, e)
-			continue
+		case m.limit(now).Named:
+			limited = append(limited, e)
+		default:
+			list = append(list, e)
 		}
-		list = append(list, e)
 	}
-	if len(list) == 0 {
-		return failed
+	switch {
+	case len(list) > 0:
+		return list
+	case len(limited) > 0:
+		return limited
 	}
-	return list
+	return failed
 }
 
 // MaxIdleConnections returns how many idle connections this entry may keep to an endpoint: its
@@ -430,8 +445,9 @@
 }
 
 // Candidates returns the endpoints of a service in the given regions, or in all if there are none,
-// that may receive one more request now: they are usable, not backed off, and within their rate
-// while cold. If there are none, it returns those in backoff.
+// that may receive one more request now: they are usable, not backed off, and within the rates that
+// the entries share while an endpoint is cold or has a limit. If there are none, it returns those in
+// backoff.
 func (r *Roster) Candidates(now time.Time, service string, regions []string) []Candidate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -443,13 +459,12 @@
 		if len(regions) > 0 && !slices.Contains(regions, r.regions[m.DataCentre]) {
 			continue
 		}
-		cold := r.cold(now, m)
-		if cold && !r.allowsColdSend(now, m) {
+		if r.sendDelay(now, m) > 0 {
 			continue
 		}
 		c := Candidate{
 			Endpoint: m.Endpoint, Load: m.load(now), FailureRate: m.currentFailureRate(now),
-			Latency: time.Duration(m.latency * float64(time.Second)), Cold: cold,
+			Latency: time.Duration(m.latency * float64(time.Second)), Cold: r.cold(now, m),
 		}
 		if m.down && (m.probing || now.Before(m.retryAt)) {
 			failed = append(failed, c)
@@ -469,11 +484,6 @@
 	return s != nil && s.ColdRate > 0 && now.Before(m.coldUntil)
 }
 
-// allowsColdSend reports whether this entry may send a request to a cold endpoint now.
-func (r *Roster) allowsColdSend(now time.Time, m *member) bool {
-	return r.rank(m) < maxColdSenders && !now.Before(m.nextColdSend)
-}
-
 // rank returns this entry's rank for an endpoint. It is computed once per set of entries, because
 // it hashes each of them.
 func (r *Roster) rank(m *member) int {
@@ -483,12 +493,6 @@
 	return m.rank
 }
 
-// coldSpacing returns the minimum time between two requests of this entry to a cold endpoint.
-func (r *Roster) coldSpacing(m *member) time.Duration {
-	rate := r.services[m.Service].ColdRate * coldRateShare / float64(min(r.entryCount, maxColdSenders))
-	return time.Duration(float64(time.Second) / rate)
-}
-
 // load combines the load that the endpoint reported with this entry's own requests in flight.
 func (m *member) load(now time.Time) int {
 	if now.Sub(m.reportedLoadAt) > reportedLoadTTL {
@@ -513,12 +517,10 @@
 	if m == nil || !r.usable(now, m) {
 		return false
 	}
-	if r.cold(now, m) {
-		if !r.allowsColdSend(now, m) {
-			return false
-		}
-		m.nextColdSend = now.Add(r.coldSpacing(m))
+	if r.sendDelay(now, m) > 0 {
+		return false
 	}
+	m.lastSend = now
 	if m.down {
 		m.probing = true
 	}
@@ -584,16 +586,23 @@
 	Leaving bool
 	// RetryAfter is how long the endpoint wants no requests from this entry.
 	RetryAfter time.Duration
-}
-
-// RecordStatus records what an endpoint reported of itself. A cold time or a pause that ends sooner
-// than the known one does not shorten it.
-func (r *Roster) RecordStatus(now time.Time, id string, s Status) {
+	// Limit is the limit that the response names. A response that may not be the endpoint's own sets
+	// LimitUnknown.
+	Limit        Limit
+	LimitUnknown bool
+	// SentAt is when the request was sent that the response answers.
+	SentAt time.Time
+}
+
+// RecordStatus records what an endpoint reported of itself, and reports whether that changed what the
+// other entries need to know. A cold time or a pause that ends sooner than the known one does not
+// shorten it.
+func (r *Roster) RecordStatus(now time.Time, id string, s Status) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.members[id]
 	if m == nil {
-		return
+		return false
 	}
 	if s.Load >= 0 {
 		m.reportedLoad, m.reportedLoadAt = s.Load, now
@@ -605,6 +614,7 @@
 	if s.RetryAfter > 0 {
 		m.pausedUntil = laterOf(m.pausedUntil, now.Add(s.RetryAfter))
 	}
+	return !s.LimitUnknown && r.recordLimit(now, m, s.SentAt, s.Limit)
 }
 
 // PausedFor returns how long an endpoint wants no requests from this entry; 0 if it takes them.
@@ -620,9 +630,9 @@
 	return 0
 }
 
-// ServicePausedFor returns the time until the first endpoint of a service takes requests again, if
-// pauses alone keep all of them out of use. It returns 0 otherwise.
-func (r *Roster) ServicePausedFor(now time.Time, service string) time.Duration {
+// ServiceDelay returns the time until the first endpoint of a service takes a request of this entry, if
+// only pauses and limits keep all of them out of use. It returns 0 otherwise.
+func (r *Roster) ServiceDelay(now time.Time, service string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var shortest time.Duration
@@ -630,12 +640,12 @@
 		if !r.inService(now, m) {
 			continue
 		}
-		pause := m.pausedUntil.Sub(now)
-		if pause <= 0 {
+		delay := max(m.pausedUntil.Sub(now), r.sendDelay(now, m))
+		if delay <= 0 {
 			return 0
 		}
-		if shortest == 0 || pause < shortest {
-			shortest = pause
+		if shortest == 0 || delay < shortest {
+			shortest = delay
 		}
 	}
 	return shortest
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -270,7 +270,7 @@
 		if got := len(r.Candidates(now, "llm", nil)); got != s.candidates || len(r.Endpoints(now, "llm")) != s.candidates {
 			t.Errorf("after %v: %d candidates, want %d", s.after, got, s.candidates)
 		}
-		if got := r.ServicePausedFor(now, "llm"); got != s.pause {
+		if got := r.ServiceDelay(now, "llm"); got != s.pause {
 			t.Errorf("after %v: paused for %v, want %v", s.after, got, s.pause)
 		}
 	}
