Tell the other entries that an endpoint leaves

Each other one sent it a request first, which may be cut off. It is part of the endpoint's notice now.

--- a/roster/notice.go
+++ b/roster/notice.go
@@ -15,6 +15,7 @@
 	Endpoint    string       `json:"endpoint"`
 	Incarnation int64        `json:"incarnation,omitempty"`
 	Limit       *LimitNotice `json:"limit,omitempty"`
+	Leaving     bool         `json:"leaving,omitempty"`
 }
 
 // LimitNotice is the limit that an endpoint named.
@@ -61,7 +62,7 @@
 
 // message returns the member's notice.
 func (m *member) message(now time.Time) Notice {
-	n := Notice{Endpoint: m.ID, Incarnation: m.Incarnation}
+	n := Notice{Endpoint: m.ID, Incarnation: m.Incarnation, Leaving: m.leaving}
 	if !m.limitAt.IsZero() {
 		n.Limit = &LimitNotice{
 			Named: m.namedLimit.Named, PerSecond: m.namedLimit.PerSecond, AgeMS: (now.Sub(m.limitAt) + noticeTransit).Milliseconds(),
@@ -83,6 +84,20 @@
 		if n.Limit != nil && r.mergeLimit(now, m, *n.Limit) {
 			changed = true
 		}
+		if n.Leaving && r.setLeaving(m) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+// setLeaving records that a member leaves and makes it a notice to the peers. It reports whether that was
+// not known before. The notice needs the incarnation, as the endpoint's next life may use the same ID.
+func (r *Roster) setLeaving(m *member) (changed bool) {
+	changed = !m.leaving
+	m.leaving = true
+	if changed && m.Incarnation != 0 {
+		r.notice(m)
 	}
 	return changed
 }
--- a/roster/notice_test.go
+++ b/roster/notice_test.go
@@ -89,6 +89,7 @@
 		{Endpoint: "e0", Incarnation: 2, Limit: limit},
 		{Endpoint: "e0", Incarnation: 1, Limit: &LimitNotice{Named: true, PerSecond: -1}},
 		{Endpoint: "e0", Incarnation: 1},
+		{Endpoint: "e0", Incarnation: 2, Leaving: true},
 	} {
 		if r.MergeNotices(epoch, []Notice{n}) || r.HasLimit(epoch, "e0") {
 			t.Errorf("notice %+v is taken in", n)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -610,11 +610,16 @@
 	if s.ColdRemaining > 0 {
 		m.coldUntil = laterOf(m.coldUntil, now.Add(s.ColdRemaining))
 	}
-	m.leaving = m.leaving || s.Leaving
+	if s.Leaving && r.setLeaving(m) {
+		changed = true
+	}
 	if s.RetryAfter > 0 {
 		m.pausedUntil = laterOf(m.pausedUntil, now.Add(s.RetryAfter))
 	}
-	return !s.LimitUnknown && r.recordLimit(now, m, s.SentAt, s.Limit)
+	if !s.LimitUnknown && r.recordLimit(now, m, s.SentAt, s.Limit) {
+		changed = true
+	}
+	return changed
 }
 
 // PausedFor returns how long an endpoint wants no requests from this entry; 0 if it takes them.
