--- a/gatewaydaemon/limit_test.go
+++ b/gatewaydaemon/limit_test.go
@@ -118,3 +118,24 @@
 		d.eventually("the entry knows that the endpoint leaves", func() bool { return !e.daemon.roster.Usable(time.Now(), leaving.ID) })
 	}
 }
+
+// An endpoint tells one entry that it is cold again. All entries soon share its cold rate.
+func TestColdTimeIsToldToOtherEntries(t *testing.T) {
+	d, _, engine := linkedDeployment(t)
+	isCold := func(e *entry) bool {
+		for _, c := range e.daemon.roster.Engines(time.Now(), "llm") {
+			if c.ID == engine.ID {
+				return c.Cold
+			}
+		}
+		return false
+	}
+	engine.SetCold(time.Hour)
+	d.eventually("the cold engine has answered", func() bool {
+		d.send(d.entries[0], "POST", "/stream/plain/x", nil)
+		return isCold(d.entries[0])
+	})
+	for _, e := range d.entries {
+		d.eventually("the entry knows that the engine is cold", func() bool { return isCold(e) })
+	}
+}
--- a/roster/notice.go
+++ b/roster/notice.go
@@ -10,12 +10,22 @@
 // that a notice that returns to its origin does not count as newer there.
 const noticeTransit = 50 * time.Millisecond
 
+const (
+	// minColdChange is the difference between two stated cold times that the peers need not know: the
+	// time that responses and notices take.
+	minColdChange = time.Second
+	// maxStatedCold bounds the cold time that a peer's notice may state.
+	maxStatedCold = time.Hour
+)
+
 // Notice is what an endpoint demanded of all entries, as one entry tells the others.
 type Notice struct {
 	Endpoint    string       `json:"endpoint"`
 	Incarnation int64        `json:"incarnation,omitempty"`
 	Limit       *LimitNotice `json:"limit,omitempty"`
 	Leaving     bool         `json:"leaving,omitempty"`
+	// ColdMS is how much longer the endpoint remains cold, in milliseconds.
+	ColdMS int64 `json:"cold_ms,omitempty"`
 }
 
 // LimitNotice is the limit that an endpoint named.
@@ -62,7 +72,7 @@
 
 // message returns the member's notice.
 func (m *member) message(now time.Time) Notice {
-	n := Notice{Endpoint: m.ID, Incarnation: m.Incarnation, Leaving: m.leaving}
+	n := Notice{Endpoint: m.ID, Incarnation: m.Incarnation, Leaving: m.leaving, ColdMS: max(m.statedColdUntil.Sub(now), 0).Milliseconds()}
 	if !m.limitAt.IsZero() {
 		n.Limit = &LimitNotice{
 			Named: m.namedLimit.Named, PerSecond: m.namedLimit.PerSecond, AgeMS: (now.Sub(m.limitAt) + noticeTransit).Milliseconds(),
@@ -87,10 +97,25 @@
 		if n.Leaving && r.setLeaving(m) {
 			changed = true
 		}
+		if remaining := time.Duration(min(n.ColdMS, maxStatedCold.Milliseconds())) * time.Millisecond; remaining > 0 && r.setCold(m, now.Add(remaining)) {
+			changed = true
+		}
 	}
 	return changed
 }
 
+// setCold records that a member has stated to be cold until a time, and makes that a notice to the peers if
+// it is much later than what it has stated before. It reports whether it was.
+func (r *Roster) setCold(m *member, until time.Time) (changed bool) {
+	m.coldUntil = laterOf(m.coldUntil, until)
+	if until.Sub(m.statedColdUntil) < minColdChange {
+		return false
+	}
+	m.statedColdUntil = until
+	r.notice(m)
+	return true
+}
+
 // setLeaving records that a member leaves and makes it a notice to the peers. It reports whether that was
 // not known before. The notice needs the incarnation, as the endpoint's next life may use the same ID.
 func (r *Roster) setLeaving(m *member) (changed bool) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -81,6 +81,8 @@
 type demands struct {
 	// leaving is set once the endpoint has announced that it leaves.
 	leaving bool
+	// statedColdUntil is the end of the cold time that responses have stated.
+	statedColdUntil time.Time
 	// pausedUntil is the time before which the endpoint wants no requests.
 	pausedUntil time.Time
 	// namedLimit is the limit that the endpoint named at limitAt, limitNoticedAt when it was last made a
@@ -607,8 +609,8 @@
 	if s.Load >= 0 {
 		m.reportedLoad, m.reportedLoadAt = s.Load, now
 	}
-	if s.ColdRemaining > 0 {
-		m.coldUntil = laterOf(m.coldUntil, now.Add(s.ColdRemaining))
+	if s.ColdRemaining > 0 && r.setCold(m, now.Add(s.ColdRemaining)) {
+		changed = true
 	}
 	if s.Leaving && r.setLeaving(m) {
 		changed = true
