--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -153,4 +153,6 @@
 	ColdRemaining time.Duration
 	// Incarnation is the start time of the endpoint in Unix milliseconds; 0 if it is not reported.
 	Incarnation int64
+	// Version is the version of the endpoint's software. What two versions write does not fit together.
+	Version string
 }
--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -34,7 +34,7 @@
 
 // addAttempt records an attempt and its result.
 func (r *accessRecord) addAttempt(a *attempt) {
-	r.sends = append(r.sends, a.endpoint.ID+"@"+a.endpoint.DataCentre+" "+a.describe())
+	r.sends = append(r.sends, a.endpoint.ID+"@"+a.endpoint.DataCentre+" "+a.endpoint.Version+" "+a.describe())
 	if a.result != resultNotSent {
 		r.reached = true
 	}
@@ -92,5 +92,5 @@
 		"reason", rec.reason, "took_ms", duration.Milliseconds(), "left_ms", q.remaining().Milliseconds(),
 		"sends", strings.Join(rec.sends, "; "), "dispatcher", rec.dispatcher, "stages_ms", rec.stageDuration.Milliseconds(),
 		"forecast_ms", rec.stageForecast.Milliseconds(), "tail_ms", rec.firstEventForecast.Milliseconds(), "prompt", q.headers.PromptTokens, "first_event_ms", rec.timeToFirstEvent.Milliseconds(), "events", rec.events,
-		"resumed", rec.resumptions, "retry_after_ms", rec.retryAfter.Milliseconds())
+		"resumes", q.headers.Resumes, "after_event", q.headers.LastEventID, "resumed", rec.resumptions, "retry_after_ms", rec.retryAfter.Milliseconds())
 }
