Resume a stream only at the software version that began it, within one answer

Callers got streams with events of two software versions, which do not fit together: an entry that resumed a broken stream took any engine, and so did the dispatcher that books one when the stages run again. The version was not decoded.

The version of the first event that is passed on selects the candidates from then on, also those that have failed if no other is left, and travels with the prompt to the dispatcher, which places the stages near engines of that version. If none serves any more, the answer is broken off at once and no stages are run for it.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -120,7 +120,7 @@
 	}
 	var best choice
 	for _, e := range s.pool.sortedEngines {
-		if e.Cold && s.now.Before(e.nextColdRequest) {
+		if e.Cold && s.now.Before(e.nextColdRequest) || !s.mayServe(e) {
 			continue
 		}
 		c := s.cost(e)
@@ -141,6 +141,11 @@
 	return &best
 }
 
+// mayServe reports whether an engine has the software version that the prompt requires.
+func (s *engineScorer) mayServe(e *engine) bool {
+	return s.prompt.Version == "" || s.prompt.Version == e.Version
+}
+
 // cost returns the expected delay and cost of an engine, without those that depend on
 // the stages' results.
 func (s *engineScorer) cost(e *engine) choice {
@@ -252,6 +257,9 @@
 	return time.Duration(float64(bytes) / 1e6 * float64(d.options.TransferCostPerMB))
 }
 
+// noEngineCost is the cost of a data centre without an engine that may serve, as time.
+const noEngineCost = time.Hour
+
 // bestDataCentre returns the data centre with the lowest total cost of an engine and of
 // the stages whose large results the engine reads. It is empty for jobs without large
 // results.
@@ -261,9 +269,12 @@
 	}
 	costs := make([]time.Duration, len(scorer.pool.dataCentres))
 	for i := range costs {
-		costs[i] = math.MaxInt64
+		costs[i] = noEngineCost
 	}
 	for _, e := range scorer.pool.sortedEngines {
+		if !scorer.mayServe(e) {
+			continue
+		}
 		cost := scorer.cost(e).cost
 		if e == scorer.preferred {
 			cost -= preferredEngineBonus
--- a/dispatch/engines.go
+++ b/dispatch/engines.go
@@ -62,6 +62,8 @@
 	Parts   []Part
 	// Tokens is the length of the whole prompt.
 	Tokens int
+	// Version is the only software version of engines that may serve; empty allows all.
+	Version string `json:",omitempty"`
 }
 
 // Engine is a model engine that may get requests.
--- a/dispatch/engines_test.go
+++ b/dispatch/engines_test.go
@@ -90,3 +90,49 @@
 		}
 	}
 }
+
+// A prompt that requires a software version is booked at engines of that version only, whatever else speaks
+// for the others, and the stages that precede it run near those.
+func TestEngineHasRequiredVersion(t *testing.T) {
+	list := engineList(4, 1) // in the data centres a, b, a, b
+	for i := range list {
+		list[i].Version = []string{"v1", "v2"}[i%2]
+	}
+	service := &catalog.Service{Name: "llm", Engine: true, KVCacheTokens: 100_000}
+	for _, c := range []struct {
+		version string
+		want    []string
+		centre  string
+	}{
+		{"v1", []string{"llm-0", "llm-2"}, "a"},
+		{"v2", []string{"llm-1", "llm-3"}, "b"},
+		{"v3", []string{""}, ""},
+		{"", []string{"llm-0", "llm-1", "llm-2", "llm-3"}, ""},
+	} {
+		d := New(Options{})
+		d.SetService("portal", portalLimits)
+		d.SetEndpoints("portal", endpointsOf("portal", 2, "a", "b"))
+		d.SetEngines(service, list)
+		for i := range 12 {
+			j := Job{ID: fmt.Sprint("r", i), Target: epoch.Add(time.Second), Deadline: epoch.Add(8 * time.Second), Prompt: promptOf("llm", "shared", 8)}
+			j.Prompt.Version = c.version
+			d.Submit(epoch, j)
+			for _, r := range d.TakeJobResults() {
+				if !slices.Contains(c.want, r.Engine) {
+					t.Errorf("version %q: engine %q, want one of %q", c.version, r.Engine, c.want)
+				}
+			}
+		}
+		if c.centre == "" {
+			continue
+		}
+		staged := Job{
+			ID: "staged", Target: epoch.Add(time.Second), Deadline: epoch.Add(8 * time.Second), Prompt: Prompt{Service: "llm", Version: c.version},
+			Stages: []Stage{{Service: "portal", Tasks: 1, ResultBytes: 3e6}},
+		}
+		d.Submit(epoch, staged)
+		if got := d.jobs["staged"].dataCentre; got != c.centre {
+			t.Errorf("version %q: the stages run in data centre %q, want %q", c.version, got, c.centre)
+		}
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -130,7 +130,7 @@
 // to another endpoint: there is one, and the retry budget pays for it. Otherwise the attempt goes on,
 // because the endpoint may only be slow. It is safe for concurrent use with the attempt.
 func (q *request) abandonSilent(cancel context.CancelFunc) bool {
-	if len(q.gw.opts.Roster.Candidates(time.Now(), q.service, q.allowedRegions())) < 2 {
+	if len(q.gw.opts.Roster.Candidates(time.Now(), q.filter())) < 2 {
 		return false
 	}
 	if !q.gw.opts.RetryBudgets.For(q.service).TryWithdraw() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -163,11 +163,14 @@
 	started time.Time
 
 	// headers are the client's platform headers.
-	headers  fleet.Request
-	table    *catalog.Table
-	route    *catalog.Route
-	org      *catalog.Organisation
-	service  string
+	headers fleet.Request
+	table   *catalog.Table
+	route   *catalog.Route
+	org     *catalog.Organisation
+	service string
+	// version is the software version that has sent events of the stream; empty if none has. It is set in
+	// the request's own goroutine, and read by its silence timer.
+	version  atomic.Pointer[string]
 	body     []byte
 	deadline time.Time
 	record   accessRecord
@@ -283,6 +286,15 @@
 	return common
 }
 
+// filter selects the endpoints that may serve the request.
+func (q *request) filter() roster.Filter {
+	f := roster.Filter{Service: q.service, Regions: q.allowedRegions()}
+	if v := q.version.Load(); v != nil {
+		f.Version = *v
+	}
+	return f
+}
+
 // refundReservedRetry returns a reserved retry to the budget that the request did not need after all.
 func (q *request) refundReservedRetry() {
 	if q.takeReservedRetry() {
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -26,7 +26,7 @@
 	j := dispatch.Job{
 		ID: q.headers.AttemptID, Key: q.headers.TaskKey, Rank: catalog.Rank(q.route, q.org),
 		Target: q.started.Add(q.route.LatencyTarget), Deadline: q.firstEventDeadline(),
-		Prompt: dispatch.Prompt{Service: q.service, Tokens: q.headers.PromptTokens},
+		Prompt: dispatch.Prompt{Service: q.service, Tokens: q.headers.PromptTokens, Version: q.filter().Version},
 	}
 	for _, p := range q.headers.PromptPrefix {
 		j.Prompt.Parts = append(j.Prompt.Parts, dispatch.Part{ID: p.ID, Tokens: p.Tokens})
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -161,6 +161,9 @@
 			return false, final
 		}
 	}
+	if !s.versionServes() {
+		return false, s.failure(ctx, versionGoneReason)
+	}
 	if reason := s.gw.crashes.refusal(s.request); reason != "" {
 		// The crashes were recorded while the stages ran, or are this request's own.
 		return false, s.refuse(reason)
@@ -209,6 +212,15 @@
 	return s.relay(ctx, a, silence)
 }
 
+// versionGoneReason is the reason of responses to streams whose software version serves no more.
+const versionGoneReason = "no endpoint of the stream's software version serves"
+
+// versionServes reports whether any endpoint serves that may go on with the stream.
+func (s *stream) versionServes() bool {
+	f := s.filter()
+	return f.Version == "" || s.gw.opts.Roster.Serves(time.Now(), f)
+}
+
 // mayRunAgain reports whether the request may run once more after the runs that it had.
 func (s *stream) mayRunAgain() bool { return s.route.Repeatable() && s.runs < s.route.MaxAttempts }
 
@@ -344,6 +356,7 @@
 		return
 	}
 	s.headerSent = true
+	s.version.Store(&a.endpoint.Version)
 	s.record.timeToFirstEvent = time.Since(s.started)
 	fleet.CopyResponseHeader(s.w.Header(), a.resp.Header)
 	s.w.WriteHeader(http.StatusOK)
@@ -374,7 +387,7 @@
 	if final := s.retryOrFail(ctx, "the stream broke off: "+err.Error()); final != nil {
 		return false, final
 	}
-	if len(s.output.handles) == 0 && s.headerSent {
+	if len(s.output.handles) == 0 && s.headerSent && s.versionServes() {
 		// The results were released after the first event.
 		return false, s.rerunStages(ctx)
 	}
@@ -422,7 +435,7 @@
 // chooseEngine returns the next endpoint to try: the engine that the dispatcher booked, else the
 // one that hashing assigns to the shared part of the prompt, else the one expected to answer first.
 func (s *stream) chooseEngine() (roster.Candidate, bool) {
-	candidates := s.gw.opts.Roster.Candidates(time.Now(), s.service, s.allowedRegions())
+	candidates := s.gw.opts.Roster.Candidates(time.Now(), s.filter())
 	var ordered []roster.Candidate
 	if key, tokens := s.sharedPrefix(); tokens >= minAffinityTokens {
 		ordered = placement.ByPrefix(key, candidates)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -446,19 +446,36 @@
 	Cold    bool
 }
 
-// Candidates returns the endpoints of a service in the given regions, or in all if there are none,
-// that may receive one more request now: they are usable, not backed off, and within the rates that
+// Filter selects endpoints.
+type Filter struct {
+	Service string
+	// Regions are the regions that may serve; none allows all.
+	Regions []string
+	// Version is the only software version that may serve; empty allows all.
+	Version string
+}
+
+// matches reports whether the filter selects a member of its service. The caller holds mu.
+func (r *Roster) matches(f Filter, m *member) bool {
+	return (len(f.Regions) == 0 || slices.Contains(f.Regions, r.regions[m.DataCentre])) && (f.Version == "" || f.Version == m.Version)
+}
+
+// Serves reports whether any selected endpoint may receive work.
+func (r *Roster) Serves(now time.Time, f Filter) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.byService[f.Service], func(m *member) bool { return r.inService(now, m) && r.matches(f, m) })
+}
+
+// Candidates returns the selected endpoints that may receive one more request now: they are usable, not backed off, and within the rates that
 // the entries share while an endpoint is cold or has a limit. If there are none, it returns those in
 // backoff.
-func (r *Roster) Candidates(now time.Time, service string, regions []string) []Candidate {
+func (r *Roster) Candidates(now time.Time, f Filter) []Candidate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list, failed []Candidate
-	for _, m := range r.byService[service] {
-		if !r.usable(now, m) {
-			continue
-		}
-		if len(regions) > 0 && !slices.Contains(regions, r.regions[m.DataCentre]) {
+	for _, m := range r.byService[f.Service] {
+		if !r.usable(now, m) || !r.matches(f, m) {
 			continue
 		}
 		if r.sendDelay(now, m) > 0 {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -65,7 +65,7 @@
 	for _, c := range cases {
 		r := newRoster(makeEndpoints(2, "a"))
 		c.change(r)
-		if got := len(r.Candidates(epoch, "llm", nil)); got != c.want {
+		if got := len(r.Candidates(epoch, Filter{Service: "llm"})); got != c.want {
 			t.Errorf("%s: %d candidates, want %d", c.name, got, c.want)
 		}
 	}
@@ -90,7 +90,7 @@
 
 func TestRegions(t *testing.T) {
 	r := newRoster(makeEndpoints(2, "a", "b"))
-	if c := r.Candidates(epoch, "llm", []string{"r2"}); len(c) != 1 || c[0].DataCentre != "b" {
+	if c := r.Candidates(epoch, Filter{Service: "llm", Regions: []string{"r2"}}); len(c) != 1 || c[0].DataCentre != "b" {
 		t.Errorf("candidates are %v, want only the one in data centre b", c)
 	}
 }
@@ -101,15 +101,15 @@
 	r := newRoster(makeEndpoints(2, "a"))
 	r.Report(epoch, "e0", Unreachable, 0)
 	now := epoch.Add(minBackoff + time.Millisecond)
-	if len(r.Candidates(now, "llm", nil)) != 2 || !r.Begin(now, "e0") {
+	if len(r.Candidates(now, Filter{Service: "llm"})) != 2 || !r.Begin(now, "e0") {
 		t.Fatal("the failed endpoint is not probed")
 	}
-	if len(r.Candidates(now, "llm", nil)) != 1 {
+	if len(r.Candidates(now, Filter{Service: "llm"})) != 1 {
 		t.Error("the failed endpoint gets a second request during the probe")
 	}
 	r.Report(now, "e0", Answered, time.Millisecond)
 	now = now.Add(time.Second) // a failed endpoint also counts as cold for a while
-	if len(r.Candidates(now, "llm", nil)) != 2 {
+	if len(r.Candidates(now, Filter{Service: "llm"})) != 2 {
 		t.Error("the endpoint gets no requests after it answered the probe")
 	}
 }
@@ -157,16 +157,16 @@
 func TestColdStatusFromResponseAndRecord(t *testing.T) {
 	r := newRoster(makeEndpoints(1, "a"))
 	r.RecordStatus(epoch, "e0", Status{Load: 3, ColdRemaining: time.Second})
-	if c := r.Candidates(epoch, "llm", nil); !c[0].Cold || c[0].Load != 3 {
+	if c := r.Candidates(epoch, Filter{Service: "llm"}); !c[0].Cold || c[0].Load != 3 {
 		t.Errorf("after the response: candidate %+v, want cold with load 3", c)
 	}
-	if c := r.Candidates(epoch.Add(1100*time.Millisecond), "llm", nil); c[0].Cold || c[0].Load != 0 {
+	if c := r.Candidates(epoch.Add(1100*time.Millisecond), Filter{Service: "llm"}); c[0].Cold || c[0].Load != 0 {
 		t.Errorf("after the cold time: candidate %+v, want warm with load 0", c)
 	}
 	restarted := makeEndpoints(1, "a")
 	restarted[0].Incarnation, restarted[0].ColdRemaining = 2, 2*time.Second
 	r.SetEndpoints(epoch, restarted, Continuous)
-	if c := r.Candidates(epoch, "llm", nil); !c[0].Cold {
+	if c := r.Candidates(epoch, Filter{Service: "llm"}); !c[0].Cold {
 		t.Error("a restarted endpoint is not cold")
 	}
 }
@@ -267,7 +267,7 @@
 	for _, s := range steps {
 		now := epoch.Add(s.after)
 		r.SetEndpoints(now, makeEndpoints(2, "a"), AfterRestore)
-		if got := len(r.Candidates(now, "llm", nil)); got != s.candidates || len(r.Endpoints(now, "llm")) != s.candidates {
+		if got := len(r.Candidates(now, Filter{Service: "llm"})); got != s.candidates || len(r.Endpoints(now, "llm")) != s.candidates {
 			t.Errorf("after %v: %d candidates, want %d", s.after, got, s.candidates)
 		}
 		if got := r.ServiceDelay(now, "llm"); got != s.pause {
@@ -312,7 +312,7 @@
 		t.Error("the data centre is back in service before its evacuation could be repeated")
 	}
 	later := epoch.Add(restoreConfirmTime)
-	if c := r.Candidates(later, "llm", nil); len(c) != 1 || !c[0].Cold {
+	if c := r.Candidates(later, Filter{Service: "llm"}); len(c) != 1 || !c[0].Cold {
 		t.Errorf("candidates are %+v, want one cold endpoint", c)
 	}
 	r.SetEvacuated(later, out, Continuous) // repeated
