Let clients take up streams only at the software version that began them

Callers who took up a stream at another entry got events of another software version: Resumes was not read, and what an entry knew of a stream ended with its process.

The first event that an entry passes on makes a record of the attempt, its service and its version. Weighed: telling every entry of every stream does not fit 2 KB/s at 380 entries; choosing the version by a hash of the id fails when the versions' shares change, and takes the placement's freedom; asking only on demand loses what died.

- While a service has one version, records stay in the process and cost no bytes.
When a second version is listed, those of unfinished streams are told, and new ones before their first event is passed on: to two peers chosen by rendezvous hashing, in other data centres.
- An entry that gets an attempt with Resumes looks at its own records, then asks all linked peers (the hubs, in a large deployment), 150 ms at most, also over links that are being redialled.
This does not depend on an agreed set of entries.
- A known origin selects the service, if the route still uses it, and the version.
If that version serves no more, or the origin is unknown while or shortly after the service had several versions, the client is refused at once as not run.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -3,7 +3,10 @@
 // and does not change afterwards.
 package catalog
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind says whether the requests of a route may be repeated.
 type Kind int
@@ -63,6 +66,11 @@
 	Regions []string
 }
 
+// MayUse reports whether the route sends requests to a service.
+func (r *Route) MayUse(service string) bool {
+	return slices.ContainsFunc(r.Services, func(s WeightedService) bool { return s.Service == service })
+}
+
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,8 @@
 	Suspects *suspect.Table
 	// SuspectParts holds the parts of prompts that have crashed endpoints.
 	SuspectParts *suspect.Parts
+	// Origins knows where streams began; nil knows none.
+	Origins Origins
 	// OnCrash is called after an endpoint crashed with requests of this entry; it may be nil.
 	OnCrash func()
 	// OnNotice is called after an endpoint stated what the other entries need to know; it may be nil.
@@ -113,6 +115,9 @@
 	if opts.SuspectParts == nil {
 		opts.SuspectParts = suspect.NewParts(nil)
 	}
+	if opts.Origins == nil {
+		opts.Origins = noOrigins{}
+	}
 	if opts.OnCrash == nil {
 		opts.OnCrash = func() {}
 	}
--- /dev/null
+++ b/gateway/origin.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/azurelead/azurelead/origin"
+)
+
+// Origins knows at which service and software version streams began.
+type Origins interface {
+	// Begin records the origin of a stream before its first event is passed on.
+	Begin(attemptID, service, version string)
+	// End forgets a stream whose client has got all of it.
+	End(attemptID string)
+	// Find returns the origin of the stream that an attempt began, which a client wants to take up at a
+	// service.
+	Find(ctx context.Context, attemptID, service string) Origin
+}
+
+// Origin is what is known of where a stream began.
+type Origin struct {
+	origin.Record
+	Known bool
+	// Ambiguous is set if the origin is not known and may be another version than a new stream would get.
+	Ambiguous bool
+}
+
+// noOrigins knows no streams, and takes every service to have one version.
+type noOrigins struct{}
+
+func (noOrigins) Begin(string, string, string) {}
+
+func (noOrigins) End(string) {}
+
+func (noOrigins) Find(context.Context, string, string) Origin { return Origin{} }
+
+// bindToOrigin makes a stream that the client takes up go on at the service and the version that began it.
+// It returns a response if it cannot.
+func (s *stream) bindToOrigin(ctx context.Context) *response {
+	if !s.takesUp() {
+		return nil
+	}
+	began := s.gw.opts.Origins.Find(ctx, s.headers.Resumes, s.service)
+	switch {
+	case began.Ambiguous:
+		return notRunResponse("the software version that began the stream is not known", busyRetryAfter)
+	case !began.Known:
+		return nil
+	}
+	if began.Service != s.service {
+		if !s.route.MayUse(began.Service) {
+			return nil // the route has moved, and versions of two services have nothing in common
+		}
+		s.service = began.Service
+	}
+	s.version.Store(&began.Version)
+	if !s.versionServes() {
+		return notRunResponse(versionGoneReason, s.endpointRetryAfter())
+	}
+	return nil
+}
+
+// takesUp reports whether the client has events of the stream from an earlier attempt.
+func (s *stream) takesUp() bool { return s.route.Resumable && s.headers.LastEventID > 0 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -88,6 +88,10 @@
 	defer func() { s.output.release(s.engineFailed) }()
 	// Bounds the relay by the deadline even if the client does not read.
 	_ = s.controller.SetWriteDeadline(q.deadline.Add(writeMargin))
+	if resp := s.bindToOrigin(ctx); resp != nil {
+		q.respond(*resp)
+		return
+	}
 	if resp := s.runStages(ctx); resp != nil {
 		q.respond(*resp)
 		return
@@ -357,6 +361,9 @@
 	}
 	s.headerSent = true
 	s.version.Store(&a.endpoint.Version)
+	if s.route.Resumable {
+		s.gw.opts.Origins.Begin(s.headers.AttemptID, s.service, a.endpoint.Version)
+	}
 	s.record.timeToFirstEvent = time.Since(s.started)
 	fleet.CopyResponseHeader(s.w.Header(), a.resp.Header)
 	s.w.WriteHeader(http.StatusOK)
@@ -373,6 +380,7 @@
 			s.gw.opts.SuspectParts.Sound(s.sharedParts())
 		}
 		s.startResponse(a)
+		s.gw.opts.Origins.End(s.headers.AttemptID)
 		s.record.status = http.StatusOK
 		return true, nil
 	}
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/azurelead/azurelead/coordinate"
 	"github.com/azurelead/azurelead/follow"
 	"github.com/azurelead/azurelead/gateway"
+	"github.com/azurelead/azurelead/origin"
 	"github.com/azurelead/azurelead/peers"
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/retrybudget"
@@ -89,6 +90,7 @@
 	upstream          *upstream.Client
 	gateway           *gateway.Gateway
 	retryBudgets      *retrybudget.Set
+	origins           *streamOrigins
 	table             atomic.Pointer[catalog.Table]
 	entriesListed     chan struct{}
 	entriesListedOnce sync.Once
@@ -135,6 +137,7 @@
 		OnChange: d.objectsChanged, Logger: logger, ReadsStore: func() bool { return d.mesh.ReadsStore() }, AwaitsPeers: d.defersToHubs,
 		PeersContact: func() time.Time { return d.mesh.PeersStoreResponse() },
 	})
+	d.origins = &streamOrigins{table: origin.New(), roster: d.roster, started: d.started}
 	suspects := suspect.New(suspect.Options{Metrics: reg})
 	suspectParts := suspect.NewParts(reg)
 	self := peers.Identity{
@@ -144,13 +147,14 @@
 	d.mesh = peers.New(peers.Options{
 		Self:    self,
 		Started: d.started, Follower: d.follower, Jobs: d.coordinator, Suspects: suspects, SuspectParts: suspectParts, OnPeersChanged: d.peersChanged, Logger: logger,
-		Roster: d.roster, OnNotices: d.coordinator.InvalidateEndpoints, OnPeerRemoved: d.removeDeadEntry,
+		Roster: d.roster, Origins: d.origins.table, OnNotices: d.coordinator.InvalidateEndpoints, OnPeerRemoved: d.removeDeadEntry,
 	})
+	d.origins.mesh = d.mesh
 	d.gateway = gateway.New(gateway.Options{
 		DataCentre: settings.DataCentre, Table: d.table.Load, Roster: d.roster, Upstream: d.upstream,
 		Stages: &stageRunner{self: self, mesh: d.mesh, local: d.coordinator}, RetryBudgets: d.retryBudgets,
 		RetryPercent: func() int { return int(100 * d.current.Load().RetryRatio * retryRatioShare) },
-		Suspects:     suspects, SuspectParts: suspectParts, OnCrash: d.mesh.PingAll, OnNotice: d.endpointNoticed, Logger: logger, Metrics: gateway.NewMetrics(reg),
+		Suspects:     suspects, SuspectParts: suspectParts, Origins: d.origins, OnCrash: d.mesh.PingAll, OnNotice: d.endpointNoticed, Logger: logger, Metrics: gateway.NewMetrics(reg),
 	})
 	d.updateShares()
 	d.registerStateMetrics(reg)
@@ -333,6 +337,7 @@
 		d.gateway.EndpointLost(id)
 	}
 	d.roster.SetEndpoints(now, list, c)
+	go d.origins.tellMixed()
 	d.upstream.Retain(d.roster.Known)
 }
 
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -17,6 +17,7 @@
 
 	"github.com/azurelead/azurelead/dispatch"
 	"github.com/azurelead/azurelead/follow"
+	"github.com/azurelead/azurelead/origin"
 	"github.com/azurelead/azurelead/roster"
 	"github.com/azurelead/azurelead/suspect"
 	"github.com/azurelead/azurelead/telemetry"
@@ -97,6 +98,8 @@
 	SuspectParts *suspect.Parts
 	// Roster holds what endpoints demand of all entries; nil keeps a roster of the mesh's own.
 	Roster *roster.Roster
+	// Origins holds the origins of streams; nil keeps a table of the mesh's own.
+	Origins *origin.Table
 	// OnNotices is called after peers have sent notices that changed the roster; it may be nil.
 	OnNotices func()
 	// OnPeersChanged is called after the set of live peers changed.
@@ -174,6 +177,9 @@
 	if o.Roster == nil {
 		o.Roster = roster.New(nil)
 	}
+	if o.Origins == nil {
+		o.Origins = origin.New()
+	}
 	if o.OnNotices == nil {
 		o.OnNotices = func() {}
 	}
@@ -305,6 +311,19 @@
 	case methodEndParts:
 		m.endServing(conn)
 		return nil, nil
+	case methodOrigins:
+		var told OriginRecords
+		if err := json.Unmarshal(params, &told); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		m.o.Origins.Merge(time.Now(), told.Records)
+		return nil, nil
+	case methodFindOrigin:
+		var p FindOriginParams
+		if err := json.Unmarshal(params, &p); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		return m.origin(p), nil
 	case methodSubmit:
 		var j Job
 		if err := json.Unmarshal(params, &j); err != nil {
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -24,6 +24,9 @@
 	methodResults  = "made"    // notification, sent to the side that submitted the job
 	methodCancel   = "cancel"  // notification
 	methodRelease  = "release" // notification
+	methodOrigins  = "origins" // notification
+	// methodFindOrigin asks for the origin of a stream.
+	methodFindOrigin = "find_origin"
 )
 
 // Identity identifies one incarnation of an entry.
--- /dev/null
+++ b/peers/origins.go
@@ -0,0 +1,199 @@
+package peers
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/azurelead/azurelead/origin"
+)
+
+const (
+	// originHolders is the number of peers that are told the origin of a stream, in different data
+	// centres if possible. With the entry that serves the stream, three know it.
+	originHolders = 2
+	// tellTimeout bounds the time for which the first event of a stream waits until its origin is written
+	// to the links: only a link that does not take any bytes needs longer.
+	tellTimeout = 25 * time.Millisecond
+	// findTimeout bounds the search for an origin, as a peer may be down without having been noticed.
+	findTimeout = 150 * time.Millisecond
+)
+
+// OriginRecords tells a peer the origins of streams.
+type OriginRecords struct {
+	Records []origin.Record `json:"records"`
+}
+
+// FindOriginParams asks a peer for the origin of a stream that a client wants to take up at a service.
+type FindOriginParams struct {
+	Key     string `json:"key"`
+	Service string `json:"service"`
+}
+
+// FindOriginResult is the reply.
+type FindOriginResult struct {
+	// Record is nil if the peer does not know the origin.
+	Record *origin.Record `json:"record,omitempty"`
+	// Mixed is set if the peer knows that the service has or recently had several versions.
+	Mixed bool `json:"mixed,omitempty"`
+}
+
+// originPeer is a linked peer that may hold origins.
+type originPeer struct {
+	Identity
+	conn *jsonrpc2.Conn
+}
+
+// originLinks returns the links to peers that every entry is linked to, also those that are being
+// redialled.
+func (m *Mesh) originLinks() []*peerLink {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []*peerLink
+	for _, l := range m.links {
+		if (l.conn != nil || l.reconnecting) && m.isHub(l.address) && l.identity.Name != m.o.Self.Name {
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
+// originPeers returns the peers that can be told origins now.
+func (m *Mesh) originPeers() []originPeer {
+	links := m.originLinks()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []originPeer
+	for _, l := range links {
+		if l.conn != nil && !l.leaving {
+			list = append(list, originPeer{Identity: l.identity, conn: l.conn})
+		}
+	}
+	return list
+}
+
+// originHoldersFor picks the peers that are told the origin of a stream: by rendezvous hashing, those in
+// data centres of their own first.
+func originHoldersFor(key, dataCentre string, list []originPeer) []originPeer {
+	weights := make(map[string]uint64, len(list))
+	for _, p := range list {
+		weights[p.Name] = xxhash.Sum64String(key + "/" + p.Name)
+	}
+	slices.SortFunc(list, func(a, b originPeer) int {
+		return cmp.Or(cmp.Compare(weights[b.Name], weights[a.Name]), cmp.Compare(a.Name, b.Name))
+	})
+	used := map[string]bool{dataCentre: true}
+	var holders, others []originPeer
+	for _, p := range list {
+		if used[p.DataCentre] {
+			others = append(others, p)
+			continue
+		}
+		used[p.DataCentre] = true
+		holders = append(holders, p)
+	}
+	holders = append(holders, others...)
+	return holders[:min(len(holders), originHolders)]
+}
+
+// TellOrigins tells peers the origins of streams, so that they are known when this entry is down. It
+// returns when they have been written to the links, or after tellTimeout.
+func (m *Mesh) TellOrigins(records []origin.Record) {
+	list := m.originPeers()
+	byHolder := make(map[originPeer][]origin.Record)
+	for _, r := range records {
+		for _, p := range originHoldersFor(r.Key, m.o.Self.DataCentre, list) {
+			byHolder[p] = append(byHolder[p], r)
+		}
+	}
+	var wg sync.WaitGroup
+	for p, records := range byHolder {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+			defer cancel()
+			if err := p.conn.Notify(ctx, methodOrigins, OriginRecords{Records: records}); err != nil {
+				m.o.Logger.Warn("telling a peer the origins of streams failed", "peer", p.Name, "streams", len(records), "error", err)
+			}
+		})
+	}
+	written := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(written)
+	}()
+	t := time.NewTimer(tellTimeout)
+	defer t.Stop()
+	select {
+	case <-written:
+	case <-t.C:
+	}
+}
+
+// FindOrigin asks the peers for the origin of a stream that a client wants to take up at a service. The
+// result has no record if none of them knows it within findTimeout.
+func (m *Mesh) FindOrigin(ctx context.Context, p FindOriginParams) FindOriginResult {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	links := m.originLinks()
+	replies := make(chan FindOriginResult, len(links))
+	for _, l := range links {
+		go func() { replies <- m.askOrigin(ctx, l, p) }()
+	}
+	var result FindOriginResult
+	for range links {
+		reply := <-replies
+		if reply.Record != nil {
+			return reply
+		}
+		result.Mixed = result.Mixed || reply.Mixed
+	}
+	return result
+}
+
+// askOrigin asks one peer for an origin. While the link is redialled it waits: the reset that made a client
+// take up its stream may have hit the link too.
+func (m *Mesh) askOrigin(ctx context.Context, l *peerLink, p FindOriginParams) FindOriginResult {
+	for {
+		m.mu.Lock()
+		conn, reconnecting := l.conn, l.reconnecting
+		m.mu.Unlock()
+		if conn != nil {
+			var reply FindOriginResult
+			err := conn.Call(ctx, methodFindOrigin, p, &reply)
+			if err == nil {
+				return reply
+			}
+			m.o.Logger.Info("asking a peer for the origin of a stream failed", "address", l.address, "error", err)
+			var refusal *jsonrpc2.Error
+			if errors.As(err, &refusal) || ctx.Err() != nil {
+				return FindOriginResult{}
+			}
+			m.markBroken(l, conn)
+		} else if !reconnecting {
+			return FindOriginResult{}
+		}
+		t := time.NewTimer(reconnectPollInterval)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return FindOriginResult{}
+		case <-t.C:
+		}
+	}
+}
+
+// origin returns what this entry knows of the origin of a stream.
+func (m *Mesh) origin(p FindOriginParams) FindOriginResult {
+	now := time.Now()
+	result := FindOriginResult{Mixed: m.o.Roster.HasMixedVersions(now, p.Service, origin.TTL)}
+	if r, found := m.o.Origins.Find(now, p.Key); found {
+		result.Record = &r
+	}
+	return result
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -157,6 +157,8 @@
 	entriesVersion int
 	// noticeCount is the number of the latest notice.
 	noticeCount uint64
+	// versionListedAt is when each service last had a listed endpoint of each software version.
+	versionListedAt map[string]map[string]time.Time
 }
 
 // New returns an empty roster. regions maps data centres to their regions.
@@ -165,7 +167,7 @@
 		members: make(map[string]*member), departed: make(map[string]departedMember),
 		evacuated: make(map[string]bool), presumedEvacuated: make(map[string]time.Time),
 		services: make(map[string]*catalog.Service), regions: regions, entryCount: 1,
-		rankFor: func(string) int { return 0 },
+		rankFor: func(string) int { return 0 }, versionListedAt: make(map[string]map[string]time.Time),
 	}
 }
 
@@ -191,6 +193,7 @@
 func (r *Roster) SetEndpoints(now time.Time, list []catalog.Endpoint, c Continuity) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.recordVersions(now)
 	for _, m := range r.members {
 		m.listed = false
 	}
@@ -211,6 +214,7 @@
 	r.forgetDeparted(now)
 	r.initialised = true
 	r.rebuildIndex()
+	r.recordVersions(now)
 }
 
 // setListed updates the member of a listed endpoint, or adds one. The caller holds mu.
