Fetch KV caches only from engines of the same software version

Memory is neither moved nor backed up here, so this is the only place.

TestFetchStaysWithinVersion failed before.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -37,10 +37,15 @@
 	holders map[*engine]bool
 	// preferred is the engine that rendezvous hashing selects for the shared parts.
 	preferred *engine
-	// fetchSource is the engine that has cached most of the shared parts, fetchParts
-	// the number of these parts.
-	fetchSource *engine
-	fetchParts  int
+	// fetchSources are the engines to fetch shared parts from, by software version.
+	fetchSources map[string]fetchSource
+}
+
+// fetchSource is the engine of a version that has cached most tokens of the shared parts. parts is the
+// number of these parts.
+type fetchSource struct {
+	engine *engine
+	parts  int
 }
 
 // newScorer returns a scorer of the pool's engines for a prompt, or nil if the pool is nil.
@@ -67,7 +72,7 @@
 	}
 	s.holders = p.holders[shared[0].ID]
 	s.preferred = p.preferredEngine(shared[len(shared)-1].ID)
-	s.findFetchSource()
+	s.findFetchSources()
 	return s
 }
 
@@ -87,20 +92,22 @@
 	return n
 }
 
-// findFetchSource sets fetchSource to the engine that has cached most tokens of the
-// shared parts. Engines that failed recently are left out.
-func (s *engineScorer) findFetchSource() {
+// findFetchSources sets fetchSources. The KV caches of two versions do not fit together. Engines that
+// failed recently are left out.
+func (s *engineScorer) findFetchSources() {
 	if s.pool.tokenFetchTime == 0 {
 		return
 	}
-	mostTokens := 0
+	s.fetchSources = make(map[string]fetchSource)
 	for e := range s.holders {
 		if s.now.Before(e.suspectUntil) {
 			continue
 		}
 		n := s.cachedParts(e)
-		if tokens := s.prefixTokens[n]; tokens > mostTokens || tokens == mostTokens && s.fetchSource != nil && e.ID < s.fetchSource.ID {
-			s.fetchSource, s.fetchParts, mostTokens = e, n, tokens
+		most, found := s.fetchSources[e.Version]
+		tokens, mostTokens := s.prefixTokens[n], s.prefixTokens[most.parts]
+		if tokens > mostTokens || tokens == mostTokens && found && e.ID < most.engine.ID {
+			s.fetchSources[e.Version] = fetchSource{engine: e, parts: n}
 		}
 	}
 }
@@ -154,8 +161,8 @@
 	c := choice{engine: e}
 	c.prefillTime = s.pool.expectedPrefillTime(cached, s.prompt.Tokens-cached)
 	c.cost = time.Duration(s.duplicateTokens[n]) * duplicatePrefillCost
-	if s.fetchSource != nil && s.fetchSource != e {
-		s.considerFetch(&c, cached)
+	if source, found := s.fetchSources[e.Version]; found && source.engine != e {
+		s.considerFetch(&c, source, cached)
 	}
 	c.firstEventDelay = c.prefillTime + max(e.prefillsUntil.Sub(s.now), 0) + time.Duration(len(e.pendingPrefills))*activeRequestCost
 	c.cost += c.firstEventDelay
@@ -168,23 +175,23 @@
 	return c
 }
 
-// considerFetch plans to fetch the parts that fetchSource has cached and the engine has
+// considerFetch plans to fetch the parts that the source has cached and the engine has
 // not, if that is cheaper than reading them. cached is the number of tokens that the
 // engine has cached itself.
-func (s *engineScorer) considerFetch(c *choice, cached int) {
-	sourceTokens, duplicate := s.prefixTokens[s.fetchParts], s.duplicateTokens[s.fetchParts]
+func (s *engineScorer) considerFetch(c *choice, source fetchSource, cached int) {
+	sourceTokens, duplicate := s.prefixTokens[source.parts], s.duplicateTokens[source.parts]
 	tokens := sourceTokens - cached
 	if tokens < minFetchTokens {
 		return
 	}
 	transfer := time.Duration(tokens) * s.pool.tokenFetchTime
-	if s.fetchSource.DataCentre != c.engine.DataCentre {
+	if source.engine.DataCentre != c.engine.DataCentre {
 		transfer *= 2
 	}
 	total := transfer + s.pool.expectedPrefillTime(sourceTokens, s.prompt.Tokens-sourceTokens)
 	cost := time.Duration(tokens)*fetchCost + time.Duration(duplicate)*duplicatePrefillCost
 	if total+cost < c.prefillTime+c.cost {
-		c.prefillTime, c.cost, c.fetchSource = total, cost, s.fetchSource
+		c.prefillTime, c.cost, c.fetchSource = total, cost, source.engine
 	}
 }
 
--- a/dispatch/engines_test.go
+++ b/dispatch/engines_test.go
@@ -136,3 +136,30 @@
 		}
 	}
 }
+
+// An engine fetches parts of a prompt only from engines of its own software version: the KV caches of two
+// versions do not fit together.
+func TestFetchStaysWithinVersion(t *testing.T) {
+	for _, c := range []struct {
+		versions [2]string
+		fetches  bool
+	}{
+		{[2]string{"v1", "v1"}, true},
+		{[2]string{"v1", "v2"}, false},
+	} {
+		d := New(Options{})
+		list := engineList(2, 1)
+		list[0].Version, list[1].Version = c.versions[0], c.versions[1]
+		d.SetEngines(&catalog.Service{Name: "llm", Engine: true, KVCacheTokens: 100_000, TokenFetchTime: 2 * time.Microsecond}, list)
+		fetched := false
+		for i := range 10 { // all at once, so that the first engine becomes busy
+			d.Submit(epoch, Job{ID: fmt.Sprint("r", i), Target: epoch.Add(time.Second), Deadline: epoch.Add(8 * time.Second), Prompt: promptOf("llm", fmt.Sprint(i), 8)})
+			for _, r := range d.TakeJobResults() {
+				fetched = fetched || r.FetchFrom != ""
+			}
+		}
+		if fetched != c.fetches {
+			t.Errorf("versions %v: fetched %t, want %t", c.versions, fetched, c.fetches)
+		}
+	}
+}
