--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -274,7 +274,9 @@
 	}
 	c.o.Metrics.Jobs.WithLabelValues("done").Inc()
 	c.o.Logger.Info("engine booked", "request", j.ID, "engine", r.Engine, "fetch_from", r.FetchFrom, "results", len(r.Handles))
-	return peers.Outcome{Handles: r.Handles, Engine: r.Engine, FetchFrom: r.FetchFrom}
+	return peers.Outcome{
+		Handles: r.Handles, Engine: r.Engine, FetchFrom: r.FetchFrom, TurnBooked: r.TurnBooked, StartAfterMS: r.StartAfter.Milliseconds(),
+	}
 }
 
 // Cancel implements peers.JobHandler.
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -18,7 +18,9 @@
 	pending.firstEventDelay = scorer.forecastFirstEvent(pending.Target)
 	forecast := d.forecast(now, pending)
 	a := Admission{Forecast: forecast, FirstEventDelay: pending.firstEventDelay}
-	end := now.Add(forecast + pending.firstEventDelay)
+	limited := scorer.nextTurn()
+	turnDelay := limited.delayUntilTurn(now, forecast)
+	end := now.Add(forecast + turnDelay + pending.firstEventDelay)
 	latest := j.Deadline.Add(-admissionMargin)
 	if j.Retry {
 		latest = j.Deadline.Add(-admissionMargin / 2)
@@ -28,7 +30,13 @@
 		a.RetryAfter = max(end.Sub(latest), minRetryAfter)
 		return a
 	}
+	if excess := turnDelay - maxTurnDelay(j); excess > 0 {
+		a.Reason = "the limits of the engines leave no turn"
+		a.RetryAfter = max(excess, minRetryAfter)
+		return a
+	}
 	a.Admitted = true
+	pending.reservation = limited.reserve(now, forecast)
 	d.jobs[j.ID] = pending
 	for _, g := range pending.groups {
 		if g != nil {
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -19,6 +19,8 @@
 	prefillTime time.Duration
 	// fetchSource is the engine to fetch parts of the prompt from; nil for none.
 	fetchSource *engine
+	// reserved is set if the engine's turn was taken when the job was admitted.
+	reserved bool
 }
 
 // engineScorer computes the cost of a pool's engines for one prompt at one time.
@@ -127,7 +129,7 @@
 	}
 	var best choice
 	for _, e := range s.pool.sortedEngines {
-		if e.Cold && s.now.Before(e.nextColdRequest) || !s.mayServe(e) {
+		if e.Cold && s.now.Before(e.nextColdRequest) || !s.mayServe(e) || e.RequestInterval > 0 && s.now.Before(e.nextTurn) {
 			continue
 		}
 		c := s.cost(e)
@@ -169,6 +171,9 @@
 	if e.Cold {
 		c.cost += coldCost
 	}
+	if e.RequestInterval > 0 {
+		c.cost += limitCost
+	}
 	if s.now.Before(e.suspectUntil) {
 		c.cost += suspectCost
 	}
@@ -231,22 +236,42 @@
 	return c.firstEventDelay
 }
 
-// chooseEngine selects the engine of a job whose results are available and assigns the
-// request to it. It returns the engine's id and the address of the engine to fetch
-// cached parts from; both may be empty.
-func (d *Dispatcher) chooseEngine(now time.Time, j *job) (engine, fetchFrom string) {
+// chooseEngine selects the engine of a job whose results are available, assigns the
+// request to it, and adds it to the job's result. There may be none.
+func (d *Dispatcher) chooseEngine(now time.Time, j *job, result *JobResult) {
 	p := d.enginePools[j.Prompt.Service]
-	c := p.newScorer(now, j.Prompt).best(j.Target, func(dataCentre string) time.Duration { return d.resultTransferCost(j, dataCentre) })
+	scorer := p.newScorer(now, j.Prompt)
+	c := scorer.reservedChoice(j.reservation)
+	if c == nil {
+		c = scorer.best(j.Target, func(dataCentre string) time.Duration { return d.resultTransferCost(j, dataCentre) })
+	}
 	if c == nil {
-		return "", ""
+		return
 	}
 	j.engine = c.engine.ID
 	j.dataCentre = c.engine.DataCentre
 	p.bookRequest(now, c, j.ID, j.Prompt)
+	result.Engine, result.TurnBooked = j.engine, c.engine.RequestInterval > 0
+	if c.reserved {
+		result.StartAfter = max(j.reservation.turn.Sub(now), 0)
+	}
 	if c.fetchSource != nil {
-		fetchFrom = c.fetchSource.Address
+		result.FetchFrom = c.fetchSource.Address
+	}
+}
+
+// reservedChoice returns the choice of a reservation, or nil if there is none or its engine has left.
+func (s *engineScorer) reservedChoice(r reservation) *choice {
+	if s == nil || r.engine == "" {
+		return nil
+	}
+	e := s.pool.engines[r.engine]
+	if e == nil || !s.mayServe(e) {
+		return nil
 	}
-	return j.engine, fetchFrom
+	c := s.cost(e)
+	c.reserved = true
+	return &c
 }
 
 // resultTransferCost returns the cost of transferring a job's results to a data centre,
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -171,6 +171,10 @@
 	// FetchFrom is the address of an engine that has cached parts of the prompt that
 	// Engine has not; empty if nothing is worth fetching.
 	FetchFrom string
+	// TurnBooked is set if Engine has a limit and the dispatcher has booked a turn for the request, which
+	// comes after StartAfter.
+	TurnBooked bool
+	StartAfter time.Duration
 	// Problem says why the job failed; empty if it succeeded.
 	Problem string
 	// HandedOver is set if the job is to be submitted to another dispatcher. StageResults are then
--- a/dispatch/engines.go
+++ b/dispatch/engines.go
@@ -24,6 +24,8 @@
 	// addition to its time. Fewer than minFetchTokens are not worth a fetch.
 	fetchCost      = 12 * time.Microsecond
 	minFetchTokens = 1024
+	// limitCost ranks an engine with a limit after those without one that are otherwise equal.
+	limitCost = 200 * time.Millisecond
 	// recentPrefillWindow is how long some engine is assumed to have a part cached after
 	// the part was last read.
 	recentPrefillWindow = 10 * time.Second
@@ -72,6 +74,9 @@
 	// Cold reports whether the engine has started recently and may get only a limited
 	// rate of requests.
 	Cold bool
+	// RequestInterval is the least time between two requests that the dispatcher books; 0 if the engine
+	// names no limit.
+	RequestInterval time.Duration
 }
 
 // engine is the state of one model engine.
@@ -89,8 +94,10 @@
 	cachedTokens int
 	// suspectUntil is until when the engine is avoided after a failure.
 	suspectUntil time.Time
-	// nextColdRequest is when the engine may get the next request while it is cold.
+	// nextColdRequest is when the engine may get the next request while it is cold, nextTurn when it may
+	// while it has a limit.
 	nextColdRequest time.Time
+	nextTurn        time.Time
 }
 
 // pendingPrefill is a prompt that an engine is reading.
@@ -233,6 +240,9 @@
 		e.prefillsUntil = now
 	}
 	e.prefillsUntil = e.prefillsUntil.Add(expected)
+	if !c.reserved {
+		e.takeTurn(now)
+	}
 	if e.Cold && p.coldRate > 0 {
 		e.nextColdRequest = now.Add(time.Duration(float64(time.Second) / (p.coldRate * coldRateShare)))
 	}
@@ -241,6 +251,17 @@
 	}
 }
 
+// takeTurn takes an engine's next turn and returns its time. Engines without a limit take a request at any
+// time.
+func (e *engine) takeTurn(now time.Time) time.Time {
+	turn := now
+	if e.nextTurn.After(now) {
+		turn = e.nextTurn
+	}
+	e.nextTurn = turn.Add(e.RequestInterval)
+	return turn
+}
+
 // cachePart records that an engine has cached a part. The least recently used parts are
 // evicted if the cache would overflow.
 func (p *enginePool) cachePart(now time.Time, e *engine, part Part) {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -72,6 +72,8 @@
 	// engine is the id of the engine that the request is assigned to, until the engine has
 	// read the prompt.
 	engine string
+	// reservation is the turn of an engine that was taken at admission, if all of them have limits.
+	reservation reservation
 	// recomputes counts how often lost inputs were recomputed.
 	recomputes int
 	// complete is set once all results are available, ended once the job is removed.
--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -171,7 +171,7 @@
 	j.complete = true
 	delete(d.stageResults, j.ID) // the job result contains the remaining handles
 	result := JobResult{ID: j.ID}
-	result.Engine, result.FetchFrom = d.chooseEngine(now, j)
+	d.chooseEngine(now, j, &result)
 	for _, i := range j.outputs {
 		for _, t := range j.groups[i].tasks {
 			result.Handles = append(result.Handles, t.handle)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -57,7 +57,11 @@
 	engine string
 	// fetchFrom is the address of an engine that has read parts of the prompt.
 	fetchFrom string
-	results   JobResults
+	// turnBooked is set until the request has been sent to an engine with a limit at the turn that the
+	// dispatcher has booked, which comes at turn.
+	turnBooked bool
+	turn       time.Time
+	results    JobResults
 	// inputsRead is set once the results were freed because the engine is taken to have fetched them.
 	inputsRead *atomic.Bool
 }
@@ -144,6 +148,7 @@
 	}
 	s.output = stageOutput{
 		handles: outcome.Handles, engine: outcome.Engine, fetchFrom: outcome.FetchFrom, results: results, inputsRead: new(atomic.Bool),
+		turnBooked: outcome.TurnBooked, turn: time.Now().Add(time.Duration(outcome.StartAfterMS) * time.Millisecond),
 	}
 	return nil
 }
@@ -172,12 +177,15 @@
 		// The crashes were recorded while the stages ran, or are this request's own.
 		return false, s.refuse(reason)
 	}
+	if s.output.turnBooked && !s.awaitTurn(ctx) {
+		return s.clientGone(), s.failure(ctx, "deadline")
+	}
 	c, found := s.chooseEngine()
 	if !found || s.sends >= maxSends {
 		return false, s.failure(ctx, "no endpoint took the request")
 	}
 	s.tried[c.ID] = true
-	if !s.gw.opts.Roster.Begin(time.Now(), c.ID) {
+	if !s.begin(c) {
 		return s.tryEndpoint(ctx)
 	}
 	s.sends++
@@ -216,6 +224,28 @@
 	return s.relay(ctx, a, silence)
 }
 
+// awaitTurn waits for the turn of the request at its engine. It reports false if ctx ended first.
+func (s *stream) awaitTurn(ctx context.Context) bool {
+	t := time.NewTimer(time.Until(s.output.turn))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// begin counts a request that is about to be sent, and reports whether the endpoint may still receive it. A
+// turn is used once.
+func (s *stream) begin(c roster.Candidate) bool {
+	if c.TurnBooked {
+		s.output.turnBooked = false
+		return s.gw.opts.Roster.BeginBooked(time.Now(), c.ID)
+	}
+	return s.gw.opts.Roster.Begin(time.Now(), c.ID)
+}
+
 // versionGoneReason is the reason of responses to streams whose software version serves no more.
 const versionGoneReason = "no endpoint of the stream's software version serves"
 
@@ -450,6 +480,11 @@
 	} else {
 		ordered = placement.ByLoad(s.gw.opts.DataCentre, candidates, s.headers.AttemptID)
 	}
+	if s.output.turnBooked && !s.tried[s.output.engine] {
+		if c, found := s.gw.opts.Roster.BookedCandidate(time.Now(), s.filter(), s.output.engine); found {
+			return c, true
+		}
+	}
 	if s.output.engine != "" {
 		for _, c := range candidates {
 			if c.ID == s.output.engine && !s.tried[c.ID] {
--- a/gatewaydaemon/limit_test.go
+++ b/gatewaydaemon/limit_test.go
@@ -92,6 +92,29 @@
 	checkLimit(t, portal, limit, namedAt)
 }
 
+// All engines of a service name limits far below the load. Together the entries use at least half of what
+// the limits allow, and requests that find no engine are refused before their stages run.
+func TestLimitedEnginesAreSharedOut(t *testing.T) {
+	const limit, seconds = 4.0, 10
+	d := newDeployment(t, 3)
+	_, _, engine1, engine2, portal := d.startEndpoints(nil)
+	d.waitReady()
+	engine1.SetLimit(limit)
+	engine2.SetLimit(limit)
+	namedAt := time.Now()
+	sent, failed := d.sendAt(namedAt.Add(seconds*time.Second), http.MethodPost, "/stream/staged/x", http.Header{"Azurelead-Chunks": {"1,0"}, "Azurelead-Chunk-Key": {"k"}})
+	for _, engine := range []*fleettest.Server{engine1, engine2} {
+		checkLimit(t, engine, limit, namedAt)
+	}
+	served, made := sent-failed, int64(portal.MadeResults())
+	if allowed := int64(2 * limit * seconds); served < allowed/2 {
+		t.Errorf("%d of %d requests served, want at least half of the %d that the limits allow", served, sent, allowed)
+	}
+	if wasted := made - served; wasted > served/4 {
+		t.Errorf("stages ran for %d requests, %d of them in vain", made, wasted)
+	}
+}
+
 // linkedDeployment starts three entries and waits until they are linked and know the engines.
 func linkedDeployment(t *testing.T) (d *deployment, api, engine *fleettest.Server) {
 	t.Helper()
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -134,6 +134,10 @@
 	Engine string `json:"engine,omitempty"`
 	// FetchFrom is the address of an engine that has already read parts of the prompt.
 	FetchFrom string `json:"fetch_from,omitempty"`
+	// TurnBooked is set if the engine has a limit and the dispatcher has booked a turn for the request,
+	// which comes after StartAfterMS, in milliseconds.
+	TurnBooked   bool  `json:"turn_booked,omitempty"`
+	StartAfterMS int64 `json:"start_after_ms,omitempty"`
 	// Refused is set if the job was not admitted; no work was done then.
 	Refused      bool   `json:"refused,omitempty"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
--- a/roster/limit.go
+++ b/roster/limit.go
@@ -10,6 +10,11 @@
 	// entry takes its place both may.
 	limitShare     = 0.9
 	callLimitShare = 0.7
+	// bookingLimitShare is the share of an engine's limit that the dispatcher books. The entries keep
+	// fallbackLimitShare for requests that the booked engine did not take, and few of them send these.
+	bookingLimitShare  = 0.6
+	fallbackLimitShare = 0.25
+	fallbackSenders    = 3
 	// minLimit replaces lower limits, in requests per second: without any request the entries would
 	// not notice that a limit has ended.
 	minLimit = 0.1
@@ -54,9 +59,17 @@
 	return time.Duration(float64(time.Second) * float64(s.senders) / s.perSecond)
 }
 
-// rateOf returns the rate that the entries share for a limit.
-func (r *Roster) rateOf(l Limit) sharedRate {
+// interval returns the least time between two requests at a share of the limit.
+func (l Limit) interval(share float64) time.Duration {
+	return time.Duration(float64(time.Second) / (max(l.PerSecond, minLimit) * share))
+}
+
+// rateOf returns the rate that the entries share for a limit of an endpoint.
+func (r *Roster) rateOf(m *member, l Limit) sharedRate {
 	perSecond := max(l.PerSecond, minLimit)
+	if s := r.services[m.Service]; s != nil && s.Engine {
+		return sharedRate{perSecond: perSecond * fallbackLimitShare, senders: min(r.entryCount, fallbackSenders)}
+	}
 	return sharedRate{
 		perSecond: perSecond * limitShare,
 		senders:   min(r.entryCount, minLimitSenders+int(perSecond*limitSendersPerRate)),
@@ -93,32 +106,32 @@
 }
 
 // sendDelay returns the time until this entry may send the next request to a member: its turn in the
-// rates that the entries share while the endpoint is cold or has a limit. An entry that is not among
-// the senders has to wait for as long as a sender does after a request.
+// rates that the entries share while the endpoint is cold or has a limit.
 func (r *Roster) sendDelay(now time.Time, m *member) time.Duration {
-	var delay time.Duration
-	for _, rate := range r.sharedRates(now, m) {
-		if r.rank(m) >= rate.senders {
-			delay = max(delay, rate.spacing())
-		} else {
-			delay = max(delay, m.lastSend.Add(rate.spacing()).Sub(now))
-		}
+	delay := r.coldDelay(now, m)
+	if l := m.limit(now); l.Named {
+		delay = max(delay, r.delayAt(now, m, r.rateOf(m, l)))
 	}
 	return delay
 }
 
-// sharedRates returns the rates that hold for a member now.
-func (r *Roster) sharedRates(now time.Time, m *member) []sharedRate {
-	var rates []sharedRate
-	if r.cold(now, m) {
-		rates = append(rates, sharedRate{
-			perSecond: r.services[m.Service].ColdRate * coldRateShare, senders: min(r.entryCount, maxColdSenders),
-		})
+// coldDelay is like sendDelay, but for the cold rate alone.
+func (r *Roster) coldDelay(now time.Time, m *member) time.Duration {
+	if !r.cold(now, m) {
+		return 0
 	}
-	if l := m.limit(now); l.Named {
-		rates = append(rates, r.rateOf(l))
+	return r.delayAt(now, m, sharedRate{
+		perSecond: r.services[m.Service].ColdRate * coldRateShare, senders: min(r.entryCount, maxColdSenders),
+	})
+}
+
+// delayAt returns the time until this entry may send the next request to a member at a shared rate. An entry
+// that is not among the senders has to wait for as long as a sender does after a request.
+func (r *Roster) delayAt(now time.Time, m *member, rate sharedRate) time.Duration {
+	if r.rank(m) >= rate.senders {
+		return rate.spacing()
 	}
-	return rates
+	return m.lastSend.Add(rate.spacing()).Sub(now)
 }
 
 // CallIntervals returns the least time between two calls of the stages for each endpoint of a service
@@ -129,7 +142,7 @@
 	intervals := make(map[string]time.Duration)
 	for _, m := range r.byService[service] {
 		if l := m.limit(now); l.Named {
-			intervals[m.ID] = time.Duration(float64(time.Second) / (max(l.PerSecond, minLimit) * callLimitShare))
+			intervals[m.ID] = l.interval(callLimitShare)
 		}
 	}
 	return intervals
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -372,34 +372,30 @@
 	return list
 }
 
-// Engines returns the model engines of a service that may receive work, have not failed and name no
-// limit. If there are none, it returns those with a limit, else the failed ones: the dispatcher that
-// books engines does not know the share of the limit that is left to the entry that sends the request.
+// Engines returns the model engines of a service that may receive work and have not failed. If all
+// of them have failed, it returns the failed ones.
 func (r *Roster) Engines(now time.Time, service string) []dispatch.Engine {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var list, limited, failed []dispatch.Engine
+	var list, failed []dispatch.Engine
 	for _, m := range r.byService[service] {
 		if !r.usable(now, m) {
 			continue
 		}
 		e := dispatch.Engine{Endpoint: m.Endpoint, Cold: r.cold(now, m)}
-		switch {
-		case m.down:
+		if l := m.limit(now); l.Named {
+			e.RequestInterval = l.interval(bookingLimitShare)
+		}
+		if m.down {
 			failed = append(failed, e)
-		case m.limit(now).Named:
-			limited = append(limited, e)
-		default:
-			list = append(list, e)
+			continue
 		}
+		list = append(list, e)
 	}
-	switch {
-	case len(list) > 0:
-		return list
-	case len(limited) > 0:
-		return limited
+	if len(list) == 0 {
+		return failed
 	}
-	return failed
+	return list
 }
 
 // MaxIdleConnections returns how many idle connections this entry may keep to an endpoint: its
@@ -448,6 +444,30 @@
 	// Latency is the average time to the first byte; 0 if not known.
 	Latency time.Duration
 	Cold    bool
+	// TurnBooked is set if the dispatcher has booked a turn for the request within the endpoint's limit.
+	TurnBooked bool
+}
+
+// candidate returns a member as a candidate. The caller holds mu.
+func (r *Roster) candidate(now time.Time, m *member) Candidate {
+	return Candidate{
+		Endpoint: m.Endpoint, Load: m.load(now), FailureRate: m.currentFailureRate(now),
+		Latency: time.Duration(m.latency * float64(time.Second)), Cold: r.cold(now, m),
+	}
+}
+
+// BookedCandidate returns a selected endpoint for which the dispatcher has booked a turn within its limit,
+// if it may receive the request otherwise.
+func (r *Roster) BookedCandidate(now time.Time, f Filter, id string) (Candidate, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[id]
+	if m == nil || m.Service != f.Service || !r.usable(now, m) || !r.matches(f, m) || m.down || r.coldDelay(now, m) > 0 {
+		return Candidate{}, false
+	}
+	c := r.candidate(now, m)
+	c.TurnBooked = true
+	return c, true
 }
 
 // Filter selects endpoints.
@@ -485,10 +505,7 @@
 		if r.sendDelay(now, m) > 0 {
 			continue
 		}
-		c := Candidate{
-			Endpoint: m.Endpoint, Load: m.load(now), FailureRate: m.currentFailureRate(now),
-			Latency: time.Duration(m.latency * float64(time.Second)), Cold: r.cold(now, m),
-		}
+		c := r.candidate(now, m)
 		if m.down && (m.probing || now.Before(m.retryAt)) {
 			failed = append(failed, c)
 			continue
@@ -533,14 +550,17 @@
 
 // Begin counts a request that is about to be sent and reports whether the endpoint may still
 // receive it. If not, the request is not counted.
-func (r *Roster) Begin(now time.Time, id string) bool {
+func (r *Roster) Begin(now time.Time, id string) bool { return r.begin(now, id, r.sendDelay) }
+
+// BeginBooked is like Begin for a request for which the dispatcher has booked a turn within the endpoint's
+// limit.
+func (r *Roster) BeginBooked(now time.Time, id string) bool { return r.begin(now, id, r.coldDelay) }
+
+func (r *Roster) begin(now time.Time, id string, delay func(time.Time, *member) time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.members[id]
-	if m == nil || !r.usable(now, m) {
-		return false
-	}
-	if r.sendDelay(now, m) > 0 {
+	if m == nil || !r.usable(now, m) || delay(now, m) > 0 {
 		return false
 	}
 	m.lastSend = now
