Count the streams that clients take up by what is known of their origin

Operators could not see how many clients are refused because the version that began their stream is not known or has gone; the log has a line for each only.

--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -41,23 +41,31 @@
 		return nil
 	}
 	began := s.gw.opts.Origins.Find(ctx, s.headers.Resumes, s.service)
+	verdict, resp := s.bindTo(began)
+	s.gw.opts.Metrics.TakenUp.WithLabelValues(s.service, verdict).Inc()
+	return resp
+}
+
+// bindTo binds the stream to where it began. It returns the label of the metric, and a response if the stream
+// cannot go on.
+func (s *stream) bindTo(began Origin) (verdict string, resp *response) {
 	switch {
 	case began.Ambiguous:
-		return notRunResponse("the software version that began the stream is not known", busyRetryAfter)
+		return "ambiguous", notRunResponse("the software version that began the stream is not known", busyRetryAfter)
 	case !began.Known:
-		return nil
+		return "unknown", nil
 	}
 	if began.Service != s.service {
 		if !s.route.MayUse(began.Service) {
-			return nil // the route has moved, and versions of two services have nothing in common
+			return "unknown", nil // the route has moved, and versions of two services have nothing in common
 		}
 		s.service = began.Service
 	}
 	s.version.Store(&began.Version)
 	if !s.versionServes() {
-		return notRunResponse(versionGoneReason, s.endpointRetryAfter())
+		return "gone", notRunResponse(versionGoneReason, s.endpointRetryAfter())
 	}
-	return nil
+	return "known", nil
 }
 
 // takesUp reports whether the client has events of the stream from an earlier attempt.
