Let the soak's endpoints name limits and check that the entries keep them

The busiest endpoint of a service names a limit of 1 to 4 requests a second, one at a time; from 3 s on, until an entry is killed, paused or stopped, it may get one and a half times that and 5 more in any 4 s.

--- a/gatewaydaemon/limit_test.go
+++ b/gatewaydaemon/limit_test.go
@@ -24,18 +24,7 @@
 func checkLimit(t *testing.T, s *fleettest.Server, limit float64, namedAt time.Time) {
 	t.Helper()
 	allowed := int(limitTolerance*limit*limitWindow.Seconds() + limitSlack)
-	var window []time.Time
-	most := 0
-	for _, at := range s.Arrivals() {
-		if at.Before(namedAt.Add(limitSettleTime)) {
-			continue
-		}
-		window = append(window, at)
-		for at.Sub(window[0]) > limitWindow {
-			window = window[1:]
-		}
-		most = max(most, len(window))
-	}
+	most := s.MostArrivals(namedAt.Add(limitSettleTime), limitWindow)
 	if most > allowed {
 		t.Errorf("%s got %d requests in %v, allowed %d", s.ID, most, limitWindow, allowed)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -29,6 +29,7 @@
 		}
 		defer e.faultMu.Unlock()
 		e.setDisrupted(true)
+		r.disruptions.Add(1)
 		e.signal(syscall.SIGKILL)
 		<-e.exited()
 		time.Sleep(duration / 4)
@@ -41,6 +42,7 @@
 		}
 		defer e.faultMu.Unlock()
 		e.setDisrupted(true)
+		r.disruptions.Add(1)
 		e.signal(syscall.SIGSTOP)
 		time.Sleep(duration)
 		e.signal(syscall.SIGCONT)
@@ -52,6 +54,7 @@
 		}
 		defer e.faultMu.Unlock()
 		e.setDisrupted(false)
+		r.disruptions.Add(1)
 		start := time.Now()
 		e.signal(syscall.SIGTERM)
 		select {
@@ -112,6 +115,9 @@
 		time.Sleep(duration)
 		s.SetBehaviour(func(int, *http.Request) fleettest.Behaviour { return fleettest.Serve })
 	}},
+	{"endpoint names a limit", func(r *run, rng *rand.Rand, duration time.Duration) {
+		r.nameLimit(r.busiest(rng.IntN(len(r.servers))), float64(1+rng.IntN(4)), limitSettleTime+limitWindow+duration)
+	}},
 	{"endpoint's clock steps", func(r *run, rng *rand.Rand, duration time.Duration) {
 		i := rng.IntN(len(r.servers))
 		skewedSpec := maps.Clone(r.endpointSpecs[i])
@@ -141,6 +147,48 @@
 	p.reset()
 }
 
+// busiest returns the endpoint that got most requests of those of the service of an endpoint.
+func (r *run) busiest(i int) *fleettest.Server {
+	busiest := r.servers[i]
+	for k, s := range r.servers {
+		if r.endpointSpecs[k]["service"] == r.endpointSpecs[i]["service"] && s.Requests() > busiest.Requests() {
+			busiest = s
+		}
+	}
+	return busiest
+}
+
+const (
+	// limitSettleTime is the time after which the entries keep a limit that an endpoint has named.
+	limitSettleTime = 3 * time.Second
+	// In any limitWindow the endpoint may get limitTolerance times what its limit allows, and limitSlack
+	// further requests.
+	limitWindow    = 4 * time.Second
+	limitTolerance = 1.5
+	limitSlack     = 5
+)
+
+// nameLimit makes an endpoint name a limit, in requests per second, for a while. It checks that the entries
+// keep it until one of them is disrupted: a process that starts again has not been told.
+func (r *run) nameLimit(s *fleettest.Server, limit float64, duration time.Duration) {
+	if !r.limitMu.TryLock() {
+		return
+	}
+	defer r.limitMu.Unlock()
+	disruptions := r.disruptions.Load()
+	s.SetLimit(limit)
+	namedAt := time.Now()
+	for time.Since(namedAt) < duration && r.disruptions.Load() == disruptions {
+		time.Sleep(10 * time.Millisecond)
+	}
+	got := s.MostArrivals(namedAt.Add(limitSettleTime), limitWindow)
+	if allowed := int(limitTolerance*limit*limitWindow.Seconds() + limitSlack); got > allowed {
+		r.recordViolation("%s named a limit of %g a second and got %d requests in %v, allowed %d", s.ID, limit, got, limitWindow, allowed)
+	}
+	time.Sleep(time.Until(namedAt.Add(duration)))
+	s.ClearLimit()
+}
+
 // randomEndpointProxy returns the proxy of a random endpoint. The first proxy is the store's.
 func (r *run) randomEndpointProxy(rng *rand.Rand) *proxy {
 	return r.proxies[1+rng.IntN(len(r.proxies)-1)]
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -79,6 +79,10 @@
 	entries       []*entry
 	// addedRoutes is the number of routes beside those that clients use.
 	addedRoutes atomic.Int64
+	// disruptions counts the faults that stop or pause an entry.
+	disruptions atomic.Int64
+	// limitMu is held while an endpoint names a limit, so that no other fault ends it.
+	limitMu sync.Mutex
 
 	mu            sync.Mutex
 	report        Report
