Test that streams are taken up after the entry at which they began died

The tests before asked entries of which one still knew the stream. Without the message to two peers TestStreamIsTakenUpAfterItsEntryDied fails, without the one when a second version is listed TestStreamsOfTheFirstVersionAreKnownLater.

--- a/gatewaydaemon/versions_test.go
+++ b/gatewaydaemon/versions_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/azurelead/azurelead/origin"
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/platform/fleettest"
 )
@@ -220,3 +221,61 @@
 		}
 	}
 }
+
+// forget makes an entry know nothing of a stream, as after a restart.
+func (e *entry) forget(attempt string) { e.daemon.origins.End(attempt) }
+
+// The entry at which a stream began starts again and knows nothing of it. The stream goes on at its version.
+func TestStreamIsTakenUpAfterItsEntryDied(t *testing.T) {
+	d := newDeployment(t, 4)
+	engines := d.versionedEngines("v1", "v1.1")
+	var wg sync.WaitGroup
+	for i := range 16 {
+		wg.Go(func() {
+			first := d.startStream(d.entries[i%4], 3)
+			want := versionsOf(engines, first)
+			d.entries[i%4].forget(first)
+			r := d.takeUp(d.entries[(i+i/4)%4], first, 3)
+			if got := versionsOf(engines, r.id); r.status != http.StatusOK || !sameVersion(append(got, want...)) {
+				t.Errorf("%s began at %v, and is taken up with status %d at %v", first, want, r.status, got)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// A stream begins while there is one version. Then a second one starts to serve, and the entry at which the
+// stream began dies.
+func TestStreamsOfTheFirstVersionAreKnownLater(t *testing.T) {
+	d := newDeployment(t, 3)
+	engines := d.versionedEngines("v1")
+	ids := make([]string, 6)
+	for i := range ids {
+		ids[i] = d.startStream(d.entries[i%3], 3)
+	}
+	for i := range 4 { // more than of the first version, so that a stream that is not bound goes there
+		s := fleettest.NewServer(fmt.Sprintf("engine-next-%d", i))
+		t.Cleanup(s.Close)
+		spec := s.EndpointSpec("models", "north")
+		spec["version"] = "v2"
+		d.store.Put(fleet.KindEndpoints, s.ID, spec)
+		engines["v2"] = append(engines["v2"], s)
+	}
+	for i, id := range ids {
+		// Entries are told of streams as soon as their peers know the second version.
+		d.eventually("the origin is known to other entries", func() bool {
+			known := 0
+			for _, e := range d.entries {
+				if _, found := e.daemon.origins.table.Find(time.Now(), origin.Key(id)); found {
+					known++
+				}
+			}
+			return known == 3
+		})
+		d.entries[i%3].forget(id)
+		r := d.takeUp(d.entries[(i+1)%3], id, 3)
+		if got := versionsOf(engines, r.id); r.status != http.StatusOK || !sameVersion(append(got, "v1")) {
+			t.Errorf("%s is taken up with status %d at %v, want v1", id, r.status, got)
+		}
+	}
+}
