Bound the pings that pass on what endpoints demand

An endpoint whose limit changes with every response would have made a round of pings to all peers for each; there is at most one in 200 ms now. A limit that drifts in small steps was never passed on, since each step was compared with the one before; it is compared with what was last passed on (TestDriftingLimitIsNoticed).

--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -96,8 +96,10 @@
 	entriesListedOnce sync.Once
 	// entrySyncRequests holds a value while the entries are to be listed at once.
 	entrySyncRequests chan struct{}
-	started           time.Time
-	stopping          atomic.Bool
+	// notices holds a value while the peers are to be told what endpoints demand.
+	notices  chan struct{}
+	started  time.Time
+	stopping atomic.Bool
 	// dispatching is set while this entry is the elected dispatcher.
 	dispatching atomic.Bool
 	// endpoints is accessed only by objectsChanged, whose calls do not overlap.
@@ -122,14 +124,14 @@
 
 // newDaemon creates and connects the parts of a gateway without starting them.
 func newDaemon(settings fleet.Settings, logger *slog.Logger, reg prometheus.Registerer) *daemon {
-	d := &daemon{settings: settings, logger: logger, entriesListed: make(chan struct{}), entrySyncRequests: make(chan struct{}, 1), started: time.Now(), listInterval: entryListInterval}
+	d := &daemon{settings: settings, logger: logger, entriesListed: make(chan struct{}), entrySyncRequests: make(chan struct{}, 1), notices: make(chan struct{}, 1), started: time.Now(), listInterval: entryListInterval}
 	d.current.Store(&settings)
 	d.store = fleet.NewStore(settings.StoreAddress, newStoreTransport())
 	d.roster = roster.New(settings.Regions)
 	d.upstream = upstream.New(upstream.Options{Metrics: upstream.NewMetrics(reg), MaxIdle: d.roster.MaxIdleConnections})
 	d.retryBudgets = &retrybudget.Set{}
 	d.coordinator = coordinate.New(coordinate.Options{
-		Upstream: d.upstream, Roster: d.roster, Logger: logger, Metrics: coordinate.NewMetrics(reg), OnNotice: func() { d.mesh.PingAll() },
+		Upstream: d.upstream, Roster: d.roster, Logger: logger, Metrics: coordinate.NewMetrics(reg), OnNotice: d.endpointNoticed,
 		EntryGone: func(name, incarnation string) bool { return d.mesh.KnownDown(name, incarnation) },
 	})
 	d.follower = follow.New(follow.Options{
@@ -190,6 +192,7 @@
 	go d.coordinator.Run(workCtx)
 	go d.syncEntries(workCtx)
 	go d.watchElection(workCtx)
+	go d.announceNotices(workCtx)
 	d.watchSettings(ctx, workCtx, c.SettingsPath, hup)
 	d.stop(server)
 	return nil
@@ -324,10 +327,32 @@
 		"organisations", len(config.Organisations))
 }
 
+// noticeInterval is the least time between two rounds of pings that pass on what endpoints demand. An
+// endpoint whose limit changes with every response must not make a round for each.
+const noticeInterval = 200 * time.Millisecond
+
 // endpointNoticed passes on what an endpoint has just demanded of all entries.
 func (d *daemon) endpointNoticed() {
 	d.coordinator.InvalidateEndpoints()
-	d.mesh.PingAll()
+	select {
+	case d.notices <- struct{}{}:
+	default: // a round is already due
+	}
+}
+
+// announceNotices pings all peers when an endpoint has demanded something, until ctx is done.
+func (d *daemon) announceNotices(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.notices:
+			d.mesh.PingAll()
+		}
+		if !sleep(ctx, noticeInterval) {
+			return
+		}
+	}
 }
 
 // applyEndpoints updates the roster with the listed endpoints and reports lost ones to the gateway.
--- a/roster/limit.go
+++ b/roster/limit.go
@@ -96,9 +96,9 @@
 // setLimit sets the limit that a member named at a time, and makes it a notice to the peers if it has
 // changed or was last sent to them long ago. It reports whether it has changed.
 func (r *Roster) setLimit(m *member, l Limit, at time.Time) (changed bool) {
-	changed = !l.sameAs(m.namedLimit)
+	changed = !l.sameAs(m.noticedLimit)
 	if changed || l.Named && at.Sub(m.limitNoticedAt) > limitRefreshInterval {
-		m.limitNoticedAt = at
+		m.noticedLimit, m.limitNoticedAt = l, at
 		r.notice(m)
 	}
 	m.namedLimit, m.limitAt = l, at
--- a/roster/notice_test.go
+++ b/roster/notice_test.go
@@ -96,3 +96,18 @@
 		}
 	}
 }
+
+// A limit that drifts makes a notice whenever it has moved by a tenth since the last, and none for less.
+func TestDriftingLimitIsNoticed(t *testing.T) {
+	r := newRoster(makeEndpoints(1, "a"))
+	notices := 0
+	for i := range 100 {
+		now := epoch.Add(time.Duration(i) * 100 * time.Millisecond)
+		if r.RecordStatus(now, "e0", Status{Load: -1, Limit: Limit{Named: true, PerSecond: 10 + 0.1*float64(i)}, SentAt: now}) {
+			notices++
+		}
+	}
+	if notices < 5 || notices > 10 {
+		t.Errorf("%d notices of a limit that doubles in steps of a hundredth, want 5 to 10", notices)
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -85,10 +85,10 @@
 	statedColdUntil time.Time
 	// pausedUntil is the time before which the endpoint wants no requests.
 	pausedUntil time.Time
-	// namedLimit is the limit that the endpoint named at limitAt, limitNoticedAt when it was last made a
-	// notice to the peers.
-	namedLimit              Limit
-	limitAt, limitNoticedAt time.Time
+	// namedLimit is the limit that the endpoint named at limitAt. noticedLimit is the one that was last made
+	// a notice to the peers, at limitNoticedAt.
+	namedLimit, noticedLimit Limit
+	limitAt, limitNoticedAt  time.Time
 	// noticeNumber is the number of the latest notice of these demands; 0 if there is none.
 	noticeNumber uint64
 }
