--- a/coordinate/call.go
+++ b/coordinate/call.go
@@ -60,7 +60,7 @@
 // queryFreeMemory reads from an endpoint how much memory it has left for results and passes it to
 // the dispatcher.
 func (c *Coordinator) queryFreeMemory(e catalog.Endpoint) {
-	if now := time.Now(); !c.o.Roster.Usable(now, e.ID) || c.o.Roster.HasLimit(now, e.ID) {
+	if now := time.Now(); !c.o.Roster.Usable(now, e.ID) || c.o.Roster.HasRateLimit(now, e.ID) {
 		return
 	}
 	_, body, err := c.send(e, fleet.ReportCall(e.ID), controlTimeout, nil)
--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -433,7 +433,7 @@
 // to expire.
 func (c *Coordinator) freeResults(f dispatch.FreeRequest) {
 	now := time.Now()
-	if c.o.Roster.HasLimit(now, f.Endpoint.ID) {
+	if c.o.Roster.HasRateLimit(now, f.Endpoint.ID) {
 		return
 	}
 	if pause := c.o.Roster.PausedFor(now, f.Endpoint.ID); pause > 0 {
@@ -479,7 +479,7 @@
 	info := fleet.DecodeResponse(resp.StatusCode, resp.Header)
 	changed := c.o.Roster.RecordStatus(time.Now(), e.ID, roster.Status{
 		Load: -1, Leaving: info.Leaving, RetryAfter: info.RetryAfter,
-		Limit: roster.Limit{Named: info.Limited, PerSecond: info.Limit}, SentAt: sentAt,
+		Limit: roster.RateLimit{Active: info.Limited, PerSecond: info.Limit}, SentAt: sentAt,
 	})
 	if changed {
 		c.o.OnNotice()
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -332,7 +332,7 @@
 	return sim, sentBefore
 }
 
-// One of four endpoints names a limit during a burst. Its calls keep the limit, are still used, and the
+// One of four endpoints states a rate limit during a burst. Its calls keep the limit, are still used, and the
 // other endpoints take over the rest of the work.
 func TestCallsKeepLimitUnderBurst(t *testing.T) {
 	const interval = time.Second
--- a/dispatch/engines.go
+++ b/dispatch/engines.go
@@ -75,7 +75,7 @@
 	// rate of requests.
 	Cold bool
 	// RequestInterval is the least time between two requests that the dispatcher books; 0 if the engine
-	// names no limit.
+	// states no rate limit.
 	RequestInterval time.Duration
 }
 
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -51,7 +51,7 @@
 	// failures counts consecutive failures; no call is sent before retryAt.
 	failures int
 	retryAt  time.Time
-	// callInterval is the least time between two calls; 0 if the endpoint names no limit. No call is
+	// callInterval is the least time between two calls; 0 if the endpoint states no rate limit. No call is
 	// sent before nextCall.
 	callInterval time.Duration
 	nextCall     time.Time
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -11,8 +11,8 @@
 // nextTurn returns the engine with a limit that has the earliest turn, or nil if an engine without one may
 // serve the prompt, or none may.
 //
-// The load that it answers is a service whose engines all name limits below the load. Their turns are given
-// out at admission, so that no stages run for requests that no engine would take.
+// The load that it answers is a service whose engines all state rate limits below the load. Their turns are
+// reserved at admission, so that no stages run for requests that no engine would take.
 func (s *engineScorer) nextTurn() *engine {
 	if s == nil {
 		return nil
@@ -32,7 +32,7 @@
 
 const (
 	// topTurnDelay is how long the most urgent requests may wait for a turn after their stages. Each rank
-	// waits turnDelayStep less, so that urgent requests find turns that others have left.
+	// waits turnDelayStep less, which leaves turns for more urgent requests.
 	topTurnDelay  = time.Second
 	turnDelayStep = 200 * time.Millisecond
 	minTurnDelay  = 200 * time.Millisecond
@@ -41,7 +41,7 @@
 )
 
 // maxTurnDelay returns how long a job may wait for a turn after its stages. It does not depend on the
-// deadline: jobs with late ones would take all turns before those with early ones come.
+// deadline, because jobs with a late deadline would reserve all turns before those with an early one arrive.
 func maxTurnDelay(j Job) time.Duration {
 	delay := max(topTurnDelay-time.Duration(j.Rank)*turnDelayStep, minTurnDelay)
 	if j.Retry {
@@ -51,7 +51,7 @@
 }
 
 // delayUntilTurn returns how long a job has to wait for a turn after its stages, which take the time
-// forecast.
+// forecast. It returns 0 for a nil engine.
 func (e *engine) delayUntilTurn(now time.Time, forecast time.Duration) time.Duration {
 	if e == nil {
 		return 0
@@ -59,7 +59,8 @@
 	return max(e.nextTurn.Sub(now.Add(forecast)), 0)
 }
 
-// reserve takes the engine's next turn for a job whose stages take the time forecast.
+// reserve takes the engine's next turn for a job whose stages take the time forecast. It reserves nothing
+// at a nil engine.
 func (e *engine) reserve(now time.Time, forecast time.Duration) reservation {
 	if e == nil {
 		return reservation{}
--- a/dispatch/reservation_test.go
+++ b/dispatch/reservation_test.go
@@ -17,7 +17,7 @@
 	return list
 }
 
-// The engines of a service all name limits, and four times as many requests come as these allow, half of
+// The engines of a service all state rate limits, and four times as many requests come as these allow, half of
 // them of the most urgent rank. No engine gets two requests within its interval, nearly all turns are used,
 // urgent requests are served more often, and no stages run for requests that find no engine.
 func TestTurnsAreGivenOutAtAdmission(t *testing.T) {
--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -54,7 +54,7 @@
 
 var resultNames = map[attemptResult]string{resultAnswered: "answered", resultNotSent: "not sent", resultRejected: "rejected", resultLost: "lost"}
 
-// describe returns the attempt's result, the limit that the endpoint named, and the error for the
+// describe returns the attempt's result, the rate limit that the endpoint stated, and the error for the
 // request's log line.
 func (a *attempt) describe() string {
 	text := resultNames[a.result]
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -156,7 +156,7 @@
 	}
 	changed := q.gw.opts.Roster.RecordStatus(now, a.endpoint.ID, roster.Status{
 		Load: load, ColdRemaining: a.info.ColdRemaining, Leaving: a.info.Leaving, RetryAfter: a.info.RetryAfter,
-		Limit: roster.Limit{Named: a.info.Limited, PerSecond: a.info.Limit}, LimitUnknown: !a.info.Signed && !a.info.NotRun, SentAt: a.sentAt,
+		Limit: roster.RateLimit{Active: a.info.Limited, PerSecond: a.info.Limit}, LimitUnknown: !a.info.Signed && !a.info.NotRun, SentAt: a.sentAt,
 	})
 	if changed {
 		q.gw.opts.OnNotice()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,9 +19,9 @@
 	StageDuration        *prometheus.HistogramVec
 	Retries              *prometheus.CounterVec
 	RetryBudget          *prometheus.CounterVec
-	// TakenUp is labelled by what is known of where the stream began.
-	TakenUp  *prometheus.CounterVec
-	InFlight prometheus.Gauge
+	// ClientResumptions is labelled by what is known of where the stream began.
+	ClientResumptions *prometheus.CounterVec
+	InFlight          prometheus.Gauge
 
 	routeLabels, organisationLabels telemetry.LabelLimiter
 }
@@ -47,13 +47,13 @@
 		StageDuration:        histogram("stages_seconds", "Duration of a request's stages, including queueing."),
 		Retries:              counter("retries_total", "Times that requests were sent to a further endpoint.", "service"),
 		RetryBudget:          counter("retry_budget_total", "Retries granted by the retry budget, and requests that were denied a retry.", "service", "verdict"),
-		TakenUp:              counter("taken_up_total", "Streams that clients took up, by whether their origin is known, unknown, ambiguous or gone.", "service", "origin"),
+		ClientResumptions:    counter("client_resumptions_total", "Streams that clients resume, by whether their origin is known, unknown, ambiguous or gone.", "service", "origin"),
 		InFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "azurelead", Subsystem: "gateway", Name: "in_flight", Help: "Requests in progress.",
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.Requests, m.OrganisationRequests, m.Duration, m.TimeToFirstEvent, m.StageDuration, m.Retries, m.RetryBudget, m.TakenUp, m.InFlight)
+		r.MustRegister(m.Requests, m.OrganisationRequests, m.Duration, m.TimeToFirstEvent, m.StageDuration, m.Retries, m.RetryBudget, m.ClientResumptions, m.InFlight)
 	}
 	return m
 }
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -10,10 +10,9 @@
 type Origins interface {
 	// Begin records the origin of a stream before its first event is passed on.
 	Begin(attemptID, service, version string)
-	// End forgets a stream whose client has got all of it.
+	// End forgets a stream that the client has received completely.
 	End(attemptID string)
-	// Find returns the origin of the stream that an attempt began, which a client wants to take up at a
-	// service.
+	// Find returns the origin of the stream that an attempt began and that a client resumes at a service.
 	Find(ctx context.Context, attemptID, service string) Origin
 }
 
@@ -34,15 +33,15 @@
 
 func (noOrigins) Find(context.Context, string, string) Origin { return Origin{} }
 
-// bindToOrigin makes a stream that the client takes up go on at the service and the version that began it.
+// bindToOrigin makes a stream that the client resumes continue at the service and the version that began it.
 // It returns a response if it cannot.
 func (s *stream) bindToOrigin(ctx context.Context) *response {
-	if !s.takesUp() {
+	if !s.isClientResumption() {
 		return nil
 	}
 	began := s.gw.opts.Origins.Find(ctx, s.headers.Resumes, s.service)
 	verdict, resp := s.bindTo(began)
-	s.gw.opts.Metrics.TakenUp.WithLabelValues(s.service, verdict).Inc()
+	s.gw.opts.Metrics.ClientResumptions.WithLabelValues(s.service, verdict).Inc()
 	return resp
 }
 
@@ -68,5 +67,5 @@
 	return "known", nil
 }
 
-// takesUp reports whether the client has events of the stream from an earlier attempt.
-func (s *stream) takesUp() bool { return s.route.Resumable && s.headers.LastEventID > 0 }
+// isClientResumption reports whether the client has received events of the stream in an earlier attempt.
+func (s *stream) isClientResumption() bool { return s.route.Resumable && s.headers.LastEventID > 0 }
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -96,7 +96,7 @@
 	entriesListedOnce sync.Once
 	// entrySyncRequests holds a value while the entries are to be listed at once.
 	entrySyncRequests chan struct{}
-	// notices holds a value while the peers are to be told what endpoints demand.
+	// notices holds a value while there are notices to send to the peers.
 	notices  chan struct{}
 	started  time.Time
 	stopping atomic.Bool
@@ -327,11 +327,11 @@
 		"organisations", len(config.Organisations))
 }
 
-// noticeInterval is the least time between two rounds of pings that pass on what endpoints demand. An
-// endpoint whose limit changes with every response must not make a round for each.
+// noticeInterval is the minimum time between two rounds of pings that carry notices. A rate limit that
+// changes with every response must not cause a round for each.
 const noticeInterval = 200 * time.Millisecond
 
-// endpointNoticed passes on what an endpoint has just demanded of all entries.
+// endpointNoticed requests that the latest notices are sent to the peers.
 func (d *daemon) endpointNoticed() {
 	d.coordinator.InvalidateEndpoints()
 	select {
@@ -340,7 +340,7 @@
 	}
 }
 
-// announceNotices pings all peers when an endpoint has demanded something, until ctx is done.
+// announceNotices pings all peers when there are notices to send, until ctx is done.
 func (d *daemon) announceNotices(ctx context.Context) {
 	for {
 		select {
@@ -362,7 +362,7 @@
 		d.gateway.EndpointLost(id)
 	}
 	d.roster.SetEndpoints(now, list, c)
-	go d.origins.tellMixed()
+	go d.origins.announceMixed()
 	d.upstream.Retain(d.roster.Known)
 }
 
--- a/gatewaydaemon/limit_test.go
+++ b/gatewaydaemon/limit_test.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// limitSettleTime is the time after which all entries keep a limit that an endpoint has named.
+	// limitSettleTime is the time after which all entries keep a limit that an endpoint has stated.
 	limitSettleTime = 3 * time.Second
 	// limitWindow, limitTolerance and limitSlack define the largest number of requests that an endpoint
 	// may get in any window: tolerance times what its limit allows, and slack further ones.
@@ -20,7 +20,7 @@
 	limitSlack     = 5
 )
 
-// checkLimit fails the test if an endpoint that named a limit at a time got too many requests.
+// checkLimit fails the test if an endpoint that stated a rate limit at a time got too many requests.
 func checkLimit(t *testing.T, s *fleettest.Server, limit float64, namedAt time.Time) {
 	t.Helper()
 	allowed := int(limitTolerance*limit*limitWindow.Seconds() + limitSlack)
@@ -53,7 +53,7 @@
 	return sentCount.Load(), failedCount.Load()
 }
 
-// An endpoint that names a limit gets no more than that from all entries together, while the load stays
+// An endpoint that states a rate limit gets no more than that from all entries together, while the load stays
 // at a hundred times the limit and all entries have been told. The other endpoint serves the rest.
 func TestEntriesKeepNamedLimitTogether(t *testing.T) {
 	const limit = 1.0
@@ -81,7 +81,7 @@
 	checkLimit(t, portal, limit, namedAt)
 }
 
-// All engines of a service name limits far below the load. Together the entries use at least half of what
+// All engines of a service state rate limits far below the load. Together the entries use at least half of what
 // the limits allow, and requests that find no engine are refused before their stages run.
 func TestLimitedEnginesAreSharedOut(t *testing.T) {
 	const limit, seconds = 4.0, 10
--- a/gatewaydaemon/origins.go
+++ b/gatewaydaemon/origins.go
@@ -11,7 +11,7 @@
 )
 
 // streamOrigins implements gateway.Origins. While the endpoints of a service have one version, the origins of
-// its streams stay in this process; peers are told them, in few bytes, only while there are several.
+// its streams stay in this process; they are announced to peers only while there are several.
 type streamOrigins struct {
 	table   *origin.Table
 	roster  *roster.Roster
@@ -24,7 +24,7 @@
 	now := time.Now()
 	o.table.Begin(now, origin.Record{Key: origin.Key(attemptID), Service: service, Version: version})
 	if o.roster.HasMixedVersions(now, service, 0) {
-		o.tell(service)
+		o.announce(service)
 	}
 }
 
@@ -51,17 +51,17 @@
 	return gateway.Origin{Record: *answer.Record, Known: true}
 }
 
-// tell tells the peers the origins of a service's streams that they have not been told.
-func (o *streamOrigins) tell(service string) {
-	if records := o.table.TakeUntold(time.Now(), service); len(records) > 0 {
-		o.mesh.TellOrigins(records)
+// announce announces the origins of a service's streams that are not announced yet.
+func (o *streamOrigins) announce(service string) {
+	if records := o.table.TakeUnannounced(time.Now(), service); len(records) > 0 {
+		o.mesh.AnnounceOrigins(records)
 	}
 }
 
-// tellMixed tells the peers the origins of streams that began while their services had one version and that
-// have several now.
-func (o *streamOrigins) tellMixed() {
+// announceMixed announces the origins of streams that began while their services had one version, for services
+// that have several now.
+func (o *streamOrigins) announceMixed() {
 	for _, service := range o.roster.MixedServices() {
-		o.tell(service)
+		o.announce(service)
 	}
 }
--- a/gatewaydaemon/statemetrics.go
+++ b/gatewaydaemon/statemetrics.go
@@ -38,7 +38,7 @@
 		listed, _ := d.roster.Count(time.Now())
 		return float64(listed)
 	})
-	gauge("limited_endpoints", "Endpoints that name a limit for the requests of all entries.", func() float64 {
+	gauge("limited_endpoints", "Endpoints that state a rate limit for the requests of all entries.", func() float64 {
 		return float64(d.roster.LimitedCount(time.Now()))
 	})
 	gauge("usable_endpoints", "Endpoints that may receive requests.", func() float64 {
--- a/gatewaydaemon/versions_test.go
+++ b/gatewaydaemon/versions_test.go
@@ -103,7 +103,7 @@
 }
 
 // takeUp sends a further attempt of a stream that began as another one.
-func (d *deployment) takeUp(e *entry, first string, lastEvent int) result {
+func (d *deployment) resume(e *entry, first string, lastEvent int) result {
 	return d.send(e, http.MethodPost, "/stream/ask/x", http.Header{"Resumes": {first}, "Last-Event-Id": {strconv.Itoa(lastEvent)}})
 }
 
@@ -159,9 +159,9 @@
 				first := d.startStream(d.entries[i%4], 3)
 				want := versionsOf(engines, first)
 				for step := 1; step <= 3; step++ {
-					r := d.takeUp(d.entries[(i+k+step)%4], first, 3)
+					r := d.resume(d.entries[(i+k+step)%4], first, 3)
 					if r.status != http.StatusOK {
-						t.Errorf("%s is not taken up: status %d", first, r.status)
+						t.Errorf("%s is not resumed: status %d", first, r.status)
 						continue
 					}
 					if got := versionsOf(engines, r.id); !sameVersion(append(got, want...)) {
@@ -174,7 +174,7 @@
 	wg.Wait()
 }
 
-// The attempt that a client names is itself one that took up a stream.
+// The attempt that a client names has itself resumed a stream.
 func TestResumedAttemptIsTakenUpInItsTurn(t *testing.T) {
 	d := newDeployment(t, 3)
 	engines := d.versionedEngines("v1", "v1.1")
@@ -184,8 +184,8 @@
 			for range 2 {
 				first := d.startStream(d.entries[i%3], 2)
 				want := versionsOf(engines, first)
-				second := d.takeUp(d.entries[(i+1)%3], first, 2)
-				third := d.takeUp(d.entries[(i+2)%3], second.id, 5)
+				second := d.resume(d.entries[(i+1)%3], first, 2)
+				third := d.resume(d.entries[(i+2)%3], second.id, 5)
 				got := append(versionsOf(engines, second.id), versionsOf(engines, third.id)...)
 				if len(got) != 2 || !sameVersion(append(got, want...)) {
 					t.Errorf("%s began at %v and goes on at %v", first, want, got)
@@ -212,7 +212,7 @@
 	}
 	for _, e := range d.entries {
 		d.eventually("the engines of v1 are gone", func() bool { return len(e.daemon.roster.Endpoints(time.Now(), "models")) == 2 })
-		r := d.takeUp(e, first, 3)
+		r := d.resume(e, first, 3)
 		if r.status != http.StatusServiceUnavailable || r.header.Get("Retry-After") == "" || len(versionsOf(engines, r.id)) > 0 {
 			t.Errorf("status %d, runs at %v; want a refusal", r.status, versionsOf(engines, r.id))
 		}
@@ -235,9 +235,9 @@
 			first := d.startStream(d.entries[i%4], 3)
 			want := versionsOf(engines, first)
 			d.entries[i%4].forget(first)
-			r := d.takeUp(d.entries[(i+i/4)%4], first, 3)
+			r := d.resume(d.entries[(i+i/4)%4], first, 3)
 			if got := versionsOf(engines, r.id); r.status != http.StatusOK || !sameVersion(append(got, want...)) {
-				t.Errorf("%s began at %v, and is taken up with status %d at %v", first, want, r.status, got)
+				t.Errorf("%s began at %v, and is resumed with status %d at %v", first, want, r.status, got)
 			}
 		})
 	}
@@ -273,9 +273,9 @@
 			return known == 3
 		})
 		d.entries[i%3].forget(id)
-		r := d.takeUp(d.entries[(i+1)%3], id, 3)
+		r := d.resume(d.entries[(i+1)%3], id, 3)
 		if got := versionsOf(engines, r.id); r.status != http.StatusOK || !sameVersion(append(got, "v1")) {
-			t.Errorf("%s is taken up with status %d at %v, want v1", id, r.status, got)
+			t.Errorf("%s is resumed with status %d at %v, want v1", id, r.status, got)
 		}
 	}
 }
--- a/origin/table.go
+++ b/origin/table.go
@@ -1,5 +1,5 @@
 // Package origin remembers where streams began: at which service and at which version of its software. What
-// two versions write does not fit together, so that a client that takes up a stream must get the version
+// two versions write does not fit together, so that a client that resumes a stream must get the version
 // that began it, at whichever entry it arrives.
 package origin
 
@@ -13,7 +13,7 @@
 )
 
 const (
-	// TTL is how long the origin of a stream is kept. Clients take up a stream within its deadline.
+	// TTL is how long the origin of a stream is kept. Clients resume a stream within its deadline.
 	TTL = time.Minute
 	// capacity bounds the origins that are kept.
 	capacity = 8192
@@ -21,7 +21,7 @@
 
 // Record is the origin of one stream.
 type Record struct {
-	// Key identifies the attempt that brought the first event.
+	// Key identifies the attempt in which the client received the first event.
 	Key string `json:"k"`
 	// Service and Version are those of the endpoint that sent it.
 	Service string `json:"s"`
@@ -41,18 +41,18 @@
 type Table struct {
 	mu      sync.Mutex
 	entries *simplelru.LRU[string, entry]
-	// untold are the keys of the streams of this process that no other has been told of.
-	untold map[string]bool
+	// unannounced are the keys of the streams of this process that no peer knows yet.
+	unannounced map[string]bool
 }
 
 // New returns an empty table.
 func New() *Table {
-	untold := make(map[string]bool)
-	entries, err := simplelru.NewLRU(capacity, func(key string, _ entry) { delete(untold, key) })
+	unannounced := make(map[string]bool)
+	entries, err := simplelru.NewLRU(capacity, func(key string, _ entry) { delete(unannounced, key) })
 	if err != nil {
 		panic(err) // the capacity is positive
 	}
-	return &Table{entries: entries, untold: untold}
+	return &Table{entries: entries, unannounced: unannounced}
 }
 
 // Begin records a stream that begins in this process.
@@ -60,10 +60,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.add(now, r)
-	t.untold[r.Key] = true
+	t.unannounced[r.Key] = true
 }
 
-// Merge records streams that other processes have told of.
+// Merge records streams that other processes have announced.
 func (t *Table) Merge(now time.Time, records []Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -77,7 +77,7 @@
 	t.entries.Add(r.Key, entry{Record: r, expires: now.Add(TTL)})
 }
 
-// End removes a stream whose client has got all of it.
+// End removes a stream that the client has received completely.
 func (t *Table) End(key string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -95,18 +95,18 @@
 	return e.Record, true
 }
 
-// TakeUntold returns the streams of a service that began in this process and have not been returned
+// TakeUnannounced returns the streams of a service that began in this process and have not been returned
 // before.
-func (t *Table) TakeUntold(now time.Time, service string) []Record {
+func (t *Table) TakeUnannounced(now time.Time, service string) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var records []Record
-	for key := range t.untold {
+	for key := range t.unannounced {
 		e, _ := t.entries.Peek(key)
 		if e.Service != service {
 			continue
 		}
-		delete(t.untold, key)
+		delete(t.unannounced, key)
 		if !now.After(e.expires) {
 			records = append(records, e.Record)
 		}
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -52,14 +52,14 @@
 	table.Begin(epoch, Record{Key: Key("other"), Service: "other", Version: "v1"})
 	table.Merge(epoch, []Record{recordOf("peer's")})
 	table.End(Key("ended"))
-	if diff := cmp.Diff([]Record{recordOf("open")}, table.TakeUntold(epoch, "llm")); diff != "" {
+	if diff := cmp.Diff([]Record{recordOf("open")}, table.TakeUnannounced(epoch, "llm")); diff != "" {
 		t.Error(diff)
 	}
-	if again := table.TakeUntold(epoch, "llm"); again != nil {
+	if again := table.TakeUnannounced(epoch, "llm"); again != nil {
 		t.Errorf("%v is returned twice", again)
 	}
 	table.Begin(epoch, recordOf("late"))
-	if late := table.TakeUntold(epoch.Add(TTL+time.Second), "llm"); late != nil {
+	if late := table.TakeUnannounced(epoch.Add(TTL+time.Second), "llm"); late != nil {
 		t.Errorf("%v is returned after its TTL", late)
 	}
 }
@@ -70,7 +70,7 @@
 	for i := range 3 * capacity {
 		table.Begin(epoch, recordOf(fmt.Sprint(i)))
 	}
-	if n := len(table.TakeUntold(epoch, "llm")); n != capacity || table.entries.Len() != capacity || len(table.untold) != 0 {
-		t.Errorf("%d untold of %d streams, %d left, want %d", n, table.entries.Len(), len(table.untold), capacity)
+	if n := len(table.TakeUnannounced(epoch, "llm")); n != capacity || table.entries.Len() != capacity || len(table.unannounced) != 0 {
+		t.Errorf("%d unannounced of %d streams, %d left, want %d", n, table.entries.Len(), len(table.unannounced), capacity)
 	}
 }
--- a/peers/notices_test.go
+++ b/peers/notices_test.go
@@ -13,7 +13,7 @@
 // nameLimit makes a roster know of a limit by a response of the endpoint.
 func nameLimit(r *roster.Roster, endpoint string, perSecond float64) {
 	now := time.Now()
-	r.RecordStatus(now, endpoint, roster.Status{Load: -1, Limit: roster.Limit{Named: true, PerSecond: perSecond}, SentAt: now})
+	r.RecordStatus(now, endpoint, roster.Status{Load: -1, Limit: roster.RateLimit{Active: true, PerSecond: perSecond}, SentAt: now})
 }
 
 // In a large deployment one spoke is told an endpoint's limit. It reaches every entry through the hubs,
@@ -31,7 +31,7 @@
 	known := func(want bool) func() bool {
 		return func() bool {
 			for _, m := range meshes {
-				if m.o.Roster.HasLimit(time.Now(), "e") != want {
+				if m.o.Roster.HasRateLimit(time.Now(), "e") != want {
 					return false
 				}
 			}
--- a/peers/origins.go
+++ b/peers/origins.go
@@ -15,22 +15,22 @@
 )
 
 const (
-	// originHolders is the number of peers that are told the origin of a stream, in different data
+	// originHolders is the number of peers to which the origin of a stream is announced, in different data
 	// centres if possible. With the entry that serves the stream, three know it.
 	originHolders = 2
-	// tellTimeout bounds the time for which the first event of a stream waits until its origin is written
+	// announceTimeout bounds the time for which the first event of a stream waits until its origin is written
 	// to the links: only a link that does not take any bytes needs longer.
-	tellTimeout = 25 * time.Millisecond
+	announceTimeout = 25 * time.Millisecond
 	// findTimeout bounds the search for an origin, as a peer may be down without having been noticed.
 	findTimeout = 150 * time.Millisecond
 )
 
-// OriginRecords tells a peer the origins of streams.
+// OriginRecords announces the origins of streams to a peer.
 type OriginRecords struct {
 	Records []origin.Record `json:"records"`
 }
 
-// FindOriginParams asks a peer for the origin of a stream that a client wants to take up at a service.
+// FindOriginParams asks a peer for the origin of a stream that a client resumes at a service.
 type FindOriginParams struct {
 	Key     string `json:"key"`
 	Service string `json:"service"`
@@ -64,7 +64,7 @@
 	return list
 }
 
-// originPeers returns the peers that can be told origins now.
+// originPeers returns the peers to which origins can be announced now.
 func (m *Mesh) originPeers() []originPeer {
 	links := m.originLinks()
 	m.mu.Lock()
@@ -78,7 +78,7 @@
 	return list
 }
 
-// originHoldersFor picks the peers that are told the origin of a stream: by rendezvous hashing, those in
+// originHoldersFor picks the peers to which the origin of a stream is announced: by rendezvous hashing, those in
 // data centres of their own first.
 func originHoldersFor(key, dataCentre string, list []originPeer) []originPeer {
 	weights := make(map[string]uint64, len(list))
@@ -102,9 +102,9 @@
 	return holders[:min(len(holders), originHolders)]
 }
 
-// TellOrigins tells peers the origins of streams, so that they are known when this entry is down. It
-// returns when they have been written to the links, or after tellTimeout.
-func (m *Mesh) TellOrigins(records []origin.Record) {
+// AnnounceOrigins announces the origins of streams to peers, so that they are known when this entry is down.
+// It returns when they have been written to the links, or after announceTimeout.
+func (m *Mesh) AnnounceOrigins(records []origin.Record) {
 	list := m.originPeers()
 	byHolder := make(map[originPeer][]origin.Record)
 	for _, r := range records {
@@ -118,7 +118,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 			defer cancel()
 			if err := p.conn.Notify(ctx, methodOrigins, OriginRecords{Records: records}); err != nil {
-				m.o.Logger.Warn("telling a peer the origins of streams failed", "peer", p.Name, "streams", len(records), "error", err)
+				m.o.Logger.Warn("announcing the origins of streams to a peer failed", "peer", p.Name, "streams", len(records), "error", err)
 			}
 		})
 	}
@@ -127,7 +127,7 @@
 		wg.Wait()
 		close(written)
 	}()
-	t := time.NewTimer(tellTimeout)
+	t := time.NewTimer(announceTimeout)
 	defer t.Stop()
 	select {
 	case <-written:
@@ -135,7 +135,7 @@
 	}
 }
 
-// FindOrigin asks the peers for the origin of a stream that a client wants to take up at a service. The
+// FindOrigin asks the peers for the origin of a stream that a client resumes at a service. The
 // result has no record if none of them knows it within findTimeout.
 func (m *Mesh) FindOrigin(ctx context.Context, p FindOriginParams) FindOriginResult {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
@@ -156,8 +156,8 @@
 	return result
 }
 
-// askOrigin asks one peer for an origin. While the link is redialled it waits: the reset that made a client
-// take up its stream may have hit the link too.
+// askOrigin asks one peer for an origin. While the link is redialled it waits: the reset that broke the
+// client's stream may have broken the link too.
 func (m *Mesh) askOrigin(ctx context.Context, l *peerLink, p FindOriginParams) FindOriginResult {
 	for {
 		m.mu.Lock()
--- a/peers/origins_test.go
+++ b/peers/origins_test.go
@@ -40,7 +40,7 @@
 	for i := range 20 {
 		r := origin.Record{Key: origin.Key(fmt.Sprint("stream ", i)), Service: "llm", Version: "v1"}
 		first := meshes[i%len(meshes)]
-		first.TellOrigins([]origin.Record{r})
+		first.AnnounceOrigins([]origin.Record{r})
 		holders := func() (list []*Mesh) {
 			for _, m := range meshes {
 				if _, found := m.o.Origins.Find(time.Now(), r.Key); found {
@@ -62,7 +62,7 @@
 	}
 }
 
-// A reset breaks all links at the moment at which a client takes up its stream. The search waits for the
+// A reset breaks all links at the moment at which a client resumes its stream. The search waits for the
 // links to be redialled.
 func TestOriginIsFoundWhileLinksAreRedialled(t *testing.T) {
 	meshes := linkedMeshes(t, 3)
--- a/roster/limit.go
+++ b/roster/limit.go
@@ -30,16 +30,16 @@
 	minLimitChange = 0.1
 )
 
-// Limit is the number of requests per second that an endpoint accepts from all entries together.
-type Limit struct {
-	// Named is false if the endpoint names no limit.
-	Named     bool
+// RateLimit is the number of requests per second that an endpoint accepts from all entries together.
+type RateLimit struct {
+	// Active is false if the endpoint states no rate limit.
+	Active    bool
 	PerSecond float64
 }
 
 // sameAs reports whether two limits do not differ enough to send the change to the peers.
-func (l Limit) sameAs(other Limit) bool {
-	if l.Named != other.Named {
+func (l RateLimit) sameAs(other RateLimit) bool {
+	if l.Active != other.Active {
 		return false
 	}
 	return max(l.PerSecond, other.PerSecond)*(1-minLimitChange) <= min(l.PerSecond, other.PerSecond)
@@ -60,12 +60,12 @@
 }
 
 // interval returns the least time between two requests at a share of the limit.
-func (l Limit) interval(share float64) time.Duration {
+func (l RateLimit) interval(share float64) time.Duration {
 	return time.Duration(float64(time.Second) / (max(l.PerSecond, minLimit) * share))
 }
 
 // rateOf returns the rate that the entries share for a limit of an endpoint.
-func (r *Roster) rateOf(m *member, l Limit) sharedRate {
+func (r *Roster) rateOf(m *member, l RateLimit) sharedRate {
 	perSecond := max(l.PerSecond, minLimit)
 	if s := r.services[m.Service]; s != nil && s.Engine {
 		return sharedRate{perSecond: perSecond * fallbackLimitShare, senders: min(r.entryCount, fallbackSenders)}
@@ -76,32 +76,32 @@
 	}
 }
 
-// limit returns the limit that a member names.
-func (m *member) limit(now time.Time) Limit {
+// limit returns the rate limit that a member states.
+func (m *member) limit(now time.Time) RateLimit {
 	if now.Sub(m.limitAt) > limitTTL {
-		return Limit{}
+		return RateLimit{}
 	}
-	return m.namedLimit
+	return m.rateLimit
 }
 
-// recordLimit records the limit that a response names. The response to a request that was sent before
-// the known limit was named does not end that limit: it may have been overtaken.
-func (r *Roster) recordLimit(now time.Time, m *member, sentAt time.Time, l Limit) (changed bool) {
-	if !l.Named && m.namedLimit.Named && sentAt.Before(m.limitAt) {
+// recordLimit records the limit that a response states. The response to a request that was sent before
+// the known limit was stated does not end that limit: it may have been overtaken.
+func (r *Roster) recordLimit(now time.Time, m *member, sentAt time.Time, l RateLimit) (changed bool) {
+	if !l.Active && m.rateLimit.Active && sentAt.Before(m.limitAt) {
 		return false
 	}
 	return r.setLimit(m, l, now)
 }
 
-// setLimit sets the limit that a member named at a time, and makes it a notice to the peers if it has
+// setLimit sets the limit that a member stated at a time, and makes it a notice to the peers if it has
 // changed or was last sent to them long ago. It reports whether it has changed.
-func (r *Roster) setLimit(m *member, l Limit, at time.Time) (changed bool) {
+func (r *Roster) setLimit(m *member, l RateLimit, at time.Time) (changed bool) {
 	changed = !l.sameAs(m.noticedLimit)
-	if changed || l.Named && at.Sub(m.limitNoticedAt) > limitRefreshInterval {
+	if changed || l.Active && at.Sub(m.limitNoticedAt) > limitRefreshInterval {
 		m.noticedLimit, m.limitNoticedAt = l, at
 		r.notice(m)
 	}
-	m.namedLimit, m.limitAt = l, at
+	m.rateLimit, m.limitAt = l, at
 	return changed
 }
 
@@ -109,7 +109,7 @@
 // rates that the entries share while the endpoint is cold or has a limit.
 func (r *Roster) sendDelay(now time.Time, m *member) time.Duration {
 	delay := r.coldDelay(now, m)
-	if l := m.limit(now); l.Named {
+	if l := m.limit(now); l.Active {
 		delay = max(delay, r.delayAt(now, m, r.rateOf(m, l)))
 	}
 	return delay
@@ -135,34 +135,34 @@
 }
 
 // CallIntervals returns the least time between two calls of the stages for each endpoint of a service
-// that names a limit.
+// that states a rate limit.
 func (r *Roster) CallIntervals(now time.Time, service string) map[string]time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	intervals := make(map[string]time.Duration)
 	for _, m := range r.byService[service] {
-		if l := m.limit(now); l.Named {
+		if l := m.limit(now); l.Active {
 			intervals[m.ID] = l.interval(callLimitShare)
 		}
 	}
 	return intervals
 }
 
-// HasLimit reports whether an endpoint names a limit.
-func (r *Roster) HasLimit(now time.Time, id string) bool {
+// HasRateLimit reports whether an endpoint states a rate limit.
+func (r *Roster) HasRateLimit(now time.Time, id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.members[id]
-	return m != nil && m.limit(now).Named
+	return m != nil && m.limit(now).Active
 }
 
-// LimitedCount returns the number of endpoints that name a limit.
+// LimitedCount returns the number of endpoints that state a rate limit.
 func (r *Roster) LimitedCount(now time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := 0
 	for _, m := range r.members {
-		if m.limit(now).Named {
+		if m.limit(now).Active {
 			n++
 		}
 	}
--- a/roster/limit_test.go
+++ b/roster/limit_test.go
@@ -15,7 +15,7 @@
 	for i := range n {
 		r := newRoster(makeEndpoints(1, "a"))
 		r.SetEntries(n, func(string) int { return i })
-		r.RecordStatus(epoch, "e0", Status{Load: -1, Limit: Limit{Named: true, PerSecond: limit}, SentAt: epoch})
+		r.RecordStatus(epoch, "e0", Status{Load: -1, Limit: RateLimit{Active: true, PerSecond: limit}, SentAt: epoch})
 		entries = append(entries, r)
 	}
 	return entries
@@ -33,7 +33,7 @@
 	return most
 }
 
-// An endpoint names a limit while all entries send at once. In any 4 s it must receive at most one and a
+// An endpoint states a rate limit while all entries send at once. In any 4 s it must receive at most one and a
 // half times what the limit allows plus five requests, for any limit, any number of entries and any times
 // of the requests.
 func TestEntriesShareNamedLimit(t *testing.T) {
@@ -113,18 +113,18 @@
 	}
 }
 
-// A limit holds from the response that names it until one to a later request names none, also while the
+// A limit holds from the response that states it until one to a later request states none, also while the
 // endpoint's record is missing, and not for the endpoint's next life.
-func TestLimitHoldsAsLongAsItIsNamed(t *testing.T) {
+func TestLimitHoldsAsLongAsItIsStated(t *testing.T) {
 	at := func(seconds float64) time.Time { return epoch.Add(time.Duration(seconds * float64(time.Second))) }
-	named := Status{Load: -1, Limit: Limit{Named: true, PerSecond: 2}, SentAt: at(1)}
+	stated := Status{Load: -1, Limit: RateLimit{Active: true, PerSecond: 2}, SentAt: at(1)}
 	cases := []struct {
 		name   string
 		change func(r *Roster)
 		want   bool
 	}{
-		{"named", func(*Roster) {}, true},
-		{"no longer named", func(r *Roster) { r.RecordStatus(at(3), "e0", Status{Load: -1, SentAt: at(2.5)}) }, false},
+		{"stated", func(*Roster) {}, true},
+		{"no longer stated", func(r *Roster) { r.RecordStatus(at(3), "e0", Status{Load: -1, SentAt: at(2.5)}) }, false},
 		{"overtaken response", func(r *Roster) { r.RecordStatus(at(3), "e0", Status{Load: -1, SentAt: at(1.5)}) }, true},
 		{"response of unknown origin", func(r *Roster) { r.RecordStatus(at(3), "e0", Status{Load: -1, SentAt: at(2.5), LimitUnknown: true}) }, true},
 		{"record missing for a while", func(r *Roster) {
@@ -140,12 +140,12 @@
 	}
 	for _, c := range cases {
 		r := newRoster(makeEndpoints(1, "a"))
-		r.RecordStatus(at(2), "e0", named)
+		r.RecordStatus(at(2), "e0", stated)
 		c.change(r)
-		if got := r.HasLimit(at(5), "e0"); got != c.want {
+		if got := r.HasRateLimit(at(5), "e0"); got != c.want {
 			t.Errorf("%s: limit holds %t, want %t", c.name, got, c.want)
 		}
-		if r.HasLimit(at(2).Add(limitTTL+time.Second), "e0") {
+		if r.HasRateLimit(at(2).Add(limitTTL+time.Second), "e0") {
 			t.Errorf("%s: the limit holds although nothing has confirmed it for %v", c.name, limitTTL)
 		}
 	}
--- a/roster/notice.go
+++ b/roster/notice.go
@@ -28,11 +28,11 @@
 	ColdMS int64 `json:"cold_ms,omitempty"`
 }
 
-// LimitNotice is the limit that an endpoint named.
+// LimitNotice is the rate limit that an endpoint stated.
 type LimitNotice struct {
-	Named     bool    `json:"named,omitempty"`
+	Active    bool    `json:"active,omitempty"`
 	PerSecond float64 `json:"per_second,omitempty"`
-	// AgeMS is the time since the endpoint named it, in milliseconds.
+	// AgeMS is the time since the endpoint stated it, in milliseconds.
 	AgeMS int64 `json:"age_ms"`
 }
 
@@ -75,7 +75,7 @@
 	n := Notice{Endpoint: m.ID, Incarnation: m.Incarnation, Leaving: m.leaving, ColdMS: max(m.statedColdUntil.Sub(now), 0).Milliseconds()}
 	if !m.limitAt.IsZero() {
 		n.Limit = &LimitNotice{
-			Named: m.namedLimit.Named, PerSecond: m.namedLimit.PerSecond, AgeMS: (now.Sub(m.limitAt) + noticeTransit).Milliseconds(),
+			Active: m.rateLimit.Active, PerSecond: m.rateLimit.PerSecond, AgeMS: (now.Sub(m.limitAt) + noticeTransit).Milliseconds(),
 		}
 	}
 	return n
@@ -128,17 +128,17 @@
 }
 
 // mergeLimit takes in the limit that a peer knows of a member, if it is newer than what is known here.
-// If what is known here is newer, it becomes a notice: a response that names no limit is none by itself.
+// If what is known here is newer, it becomes a notice: a response that states no rate limit is none by itself.
 // The caller holds mu.
 func (r *Roster) mergeLimit(now time.Time, m *member, n LimitNotice) (changed bool) {
-	l := Limit{Named: n.Named, PerSecond: n.PerSecond}
+	l := RateLimit{Active: n.Active, PerSecond: n.PerSecond}
 	at := now.Add(-time.Duration(max(n.AgeMS, 0)) * time.Millisecond)
 	switch {
 	case n.PerSecond < 0:
 		return false
 	case at.After(m.limitAt):
 		return r.setLimit(m, l, at)
-	case m.limitAt.Sub(at) > 2*noticeTransit && !l.sameAs(m.namedLimit):
+	case m.limitAt.Sub(at) > 2*noticeTransit && !l.sameAs(m.rateLimit):
 		r.notice(m)
 	}
 	return false
--- a/roster/notice_test.go
+++ b/roster/notice_test.go
@@ -28,7 +28,7 @@
 			sent[i] = make([]uint64, n)
 		}
 		now := epoch
-		latest := make(map[string]Limit)
+		latest := make(map[string]RateLimit)
 		round := func() (messages int) {
 			for i := range n {
 				for k := range n {
@@ -48,8 +48,8 @@
 		for range rapid.IntRange(1, 20).Draw(rt, "responses") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(rt, "ms")) * time.Millisecond)
 			id := endpoints[rapid.IntRange(0, 2).Draw(rt, "endpoint")].ID
-			l := Limit{Named: rapid.Bool().Draw(rt, "named")}
-			if l.Named {
+			l := RateLimit{Active: rapid.Bool().Draw(rt, "named")}
+			if l.Active {
 				l.PerSecond = float64(rapid.IntRange(1, 9).Draw(rt, "limit"))
 			}
 			e := entries[rapid.IntRange(0, n-1).Draw(rt, "entry")]
@@ -69,9 +69,9 @@
 		for id, want := range latest {
 			for i, e := range entries {
 				e.mu.Lock()
-				got := e.members[id].namedLimit
+				got := e.members[id].rateLimit
 				e.mu.Unlock()
-				if got != want && (got.Named || want.Named) {
+				if got != want && (got.Active || want.Active) {
 					rt.Errorf("entry %d knows limit %+v of %s, want %+v", i, got, id, want)
 				}
 			}
@@ -83,15 +83,15 @@
 // nothing.
 func TestForeignNoticesAreDropped(t *testing.T) {
 	r := newRoster(makeEndpoints(1, "a"))
-	limit := &LimitNotice{Named: true, PerSecond: 1}
+	limit := &LimitNotice{Active: true, PerSecond: 1}
 	for _, n := range []Notice{
 		{Endpoint: "unknown", Incarnation: 1, Limit: limit},
 		{Endpoint: "e0", Incarnation: 2, Limit: limit},
-		{Endpoint: "e0", Incarnation: 1, Limit: &LimitNotice{Named: true, PerSecond: -1}},
+		{Endpoint: "e0", Incarnation: 1, Limit: &LimitNotice{Active: true, PerSecond: -1}},
 		{Endpoint: "e0", Incarnation: 1},
 		{Endpoint: "e0", Incarnation: 2, Leaving: true},
 	} {
-		if r.MergeNotices(epoch, []Notice{n}) || r.HasLimit(epoch, "e0") {
+		if r.MergeNotices(epoch, []Notice{n}) || r.HasRateLimit(epoch, "e0") {
 			t.Errorf("notice %+v is taken in", n)
 		}
 	}
@@ -103,7 +103,7 @@
 	notices := 0
 	for i := range 100 {
 		now := epoch.Add(time.Duration(i) * 100 * time.Millisecond)
-		if r.RecordStatus(now, "e0", Status{Load: -1, Limit: Limit{Named: true, PerSecond: 10 + 0.1*float64(i)}, SentAt: now}) {
+		if r.RecordStatus(now, "e0", Status{Load: -1, Limit: RateLimit{Active: true, PerSecond: 10 + 0.1*float64(i)}, SentAt: now}) {
 			notices++
 		}
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -85,10 +85,10 @@
 	statedColdUntil time.Time
 	// pausedUntil is the time before which the endpoint wants no requests.
 	pausedUntil time.Time
-	// namedLimit is the limit that the endpoint named at limitAt. noticedLimit is the one that was last made
+	// rateLimit is the rate limit that the endpoint stated at limitAt. noticedLimit is the one that was last made
 	// a notice to the peers, at limitNoticedAt.
-	namedLimit, noticedLimit Limit
-	limitAt, limitNoticedAt  time.Time
+	rateLimit, noticedLimit RateLimit
+	limitAt, limitNoticedAt time.Time
 	// noticeNumber is the number of the latest notice of these demands; 0 if there is none.
 	noticeNumber uint64
 }
@@ -383,7 +383,7 @@
 			continue
 		}
 		e := dispatch.Engine{Endpoint: m.Endpoint, Cold: r.cold(now, m)}
-		if l := m.limit(now); l.Named {
+		if l := m.limit(now); l.Active {
 			e.RequestInterval = l.interval(bookingLimitShare)
 		}
 		if m.down {
@@ -629,9 +629,9 @@
 	Leaving bool
 	// RetryAfter is how long the endpoint wants no requests from this entry.
 	RetryAfter time.Duration
-	// Limit is the limit that the response names. A response that may not be the endpoint's own sets
+	// Limit is the rate limit that the response states. A response that may not be the endpoint's own sets
 	// LimitUnknown.
-	Limit        Limit
+	Limit        RateLimit
 	LimitUnknown bool
 	// SentAt is when the request was sent that the response answers.
 	SentAt time.Time
--- a/soak/check.go
+++ b/soak/check.go
@@ -22,8 +22,8 @@
 	requestTimeout = 3 * time.Second
 )
 
-// maxTakeUps bounds the further attempts by which a client takes up one stream.
-const maxTakeUps = 3
+// maxResumptions bounds the further attempts by which a client resumes one stream.
+const maxResumptions = 3
 
 // response is the outcome of one request as its client saw it.
 type response struct {
@@ -32,9 +32,9 @@
 	body     string
 	err      error
 	latency  time.Duration
-	// takenUp are the further attempts of a stream that broke, wentOn counts those that brought events.
-	takenUp []string
-	wentOn  int
+	// resumptions are the further attempts of a stream that broke, continued counts those that yielded events.
+	resumptions []string
+	continued   int
 }
 
 var requestKinds = []struct{ name, method, path string }{
@@ -48,8 +48,8 @@
 	for ctx.Err() == nil {
 		k := requestKinds[rng.IntN(len(requestKinds))]
 		resp := r.sendRequest(ctx, client, e, k.name, fmt.Sprintf("%s-%016x", k.name, rng.Uint64()))
-		for k.name == "staged" && resp.isBroken() && len(resp.takenUp) < maxTakeUps && resp.latency < requestTimeout/2 {
-			r.takeUp(ctx, client, r.entries[rng.IntN(len(r.entries))], &resp, fmt.Sprintf("%s-%016x", k.name, rng.Uint64()))
+		for k.name == "staged" && resp.isBroken() && len(resp.resumptions) < maxResumptions && resp.latency < requestTimeout/2 {
+			r.resume(ctx, client, r.entries[rng.IntN(len(r.entries))], &resp, fmt.Sprintf("%s-%016x", k.name, rng.Uint64()))
 		}
 		r.mu.Lock()
 		r.responses = append(r.responses, resp)
@@ -58,7 +58,7 @@
 	}
 }
 
-// isBroken reports whether a stream broke after it had brought events.
+// isBroken reports whether a stream broke after it had yielded events.
 func (resp *response) isBroken() bool {
 	return resp.status == http.StatusOK && resp.err != nil && resp.events() > 0
 }
@@ -66,19 +66,19 @@
 // events returns the number of whole events of a stream.
 func (resp *response) events() int { return strings.Count(resp.body, "\n\n") }
 
-// takeUp sends a further attempt of a broken stream at an entry and adds what it brings.
-func (r *run) takeUp(ctx context.Context, client *http.Client, e *entry, resp *response, id string) {
+// resume sends a further attempt of a broken stream to an entry and appends its events.
+func (r *run) resume(ctx context.Context, client *http.Client, e *entry, resp *response, id string) {
 	resp.body = resp.body[:strings.LastIndex(resp.body, "\n\n")+2]
 	header := http.Header{"Resumes": {resp.id}, "Last-Event-Id": {strconv.Itoa(resp.events())}}
 	next := r.send(ctx, client, e, resp.kind, id, header)
-	resp.takenUp = append(resp.takenUp, id)
+	resp.resumptions = append(resp.resumptions, id)
 	resp.latency += next.latency
 	if next.status != http.StatusOK {
 		return // refused, or ended without an answer: the stream stays broken
 	}
 	resp.body, resp.err = resp.body+next.body, next.err
 	if next.events() > 0 {
-		resp.wentOn++
+		resp.continued++
 	}
 }
 
@@ -129,7 +129,7 @@
 	sent := make(map[string]bool)
 	for _, resp := range r.responses {
 		sent[resp.id] = true
-		for _, id := range resp.takenUp {
+		for _, id := range resp.resumptions {
 			sent[id] = true
 		}
 		r.countResponse(resp)
@@ -149,8 +149,8 @@
 
 func (r *run) countResponse(resp response) {
 	r.report.Requests++
-	r.report.TakenUp += len(resp.takenUp)
-	r.report.WentOn += resp.wentOn
+	r.report.Resumptions += len(resp.resumptions)
+	r.report.Continued += resp.continued
 	switch {
 	case resp.err == nil && resp.status == http.StatusOK:
 		r.report.Served++
@@ -181,7 +181,7 @@
 		return
 	}
 	if !isStreamOfOneVersion(resp.body, resp.err == nil) {
-		r.recordViolation("%s, taken up by %v, got the unexpected stream %q, which ended with error %v", resp.id, resp.takenUp, resp.body, resp.err)
+		r.recordViolation("%s, resumed by %v, got the unexpected stream %q, which ended with error %v", resp.id, resp.resumptions, resp.body, resp.err)
 	}
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -115,7 +115,7 @@
 		time.Sleep(duration)
 		s.SetBehaviour(func(int, *http.Request) fleettest.Behaviour { return fleettest.Serve })
 	}},
-	{"endpoint names a limit", func(r *run, rng *rand.Rand, duration time.Duration) {
+	{"endpoint states a rate limit", func(r *run, rng *rand.Rand, duration time.Duration) {
 		r.nameLimit(r.busiest(rng.IntN(len(r.servers))), float64(1+rng.IntN(4)), limitSettleTime+limitWindow+duration)
 	}},
 	{"endpoint's clock steps", func(r *run, rng *rand.Rand, duration time.Duration) {
@@ -159,7 +159,7 @@
 }
 
 const (
-	// limitSettleTime is the time after which the entries keep a limit that an endpoint has named.
+	// limitSettleTime is the time after which the entries keep a limit that an endpoint has stated.
 	limitSettleTime = 3 * time.Second
 	// In any limitWindow the endpoint may get limitTolerance times what its limit allows, and limitSlack
 	// further requests.
@@ -168,7 +168,7 @@
 	limitSlack     = 5
 )
 
-// nameLimit makes an endpoint name a limit, in requests per second, for a while. It checks that the entries
+// nameLimit makes an endpoint state a rate limit, in requests per second, for a while. It checks that the entries
 // keep it until one of them is disrupted: a process that starts again has not been told.
 func (r *run) nameLimit(s *fleettest.Server, limit float64, duration time.Duration) {
 	if !r.limitMu.TryLock() {
@@ -183,7 +183,7 @@
 	}
 	got := s.MostArrivals(namedAt.Add(limitSettleTime), limitWindow)
 	if allowed := int(limitTolerance*limit*limitWindow.Seconds() + limitSlack); got > allowed {
-		r.recordViolation("%s named a limit of %g a second and got %d requests in %v, allowed %d", s.ID, limit, got, limitWindow, allowed)
+		r.recordViolation("%s stated a rate limit of %g a second and got %d requests in %v, allowed %d", s.ID, limit, got, limitWindow, allowed)
 	}
 	time.Sleep(time.Until(namedAt.Add(duration)))
 	s.ClearLimit()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -56,9 +56,9 @@
 	Served   int
 	Refused  int
 	Failed   int
-	// TakenUp counts the further attempts by which clients took up broken streams, WentOn those of them that
-	// brought events.
-	TakenUp, WentOn int
+	// Resumptions counts the further attempts by which clients resumed broken streams, Continued those of
+	// them that yielded events.
+	Resumptions, Continued int
 	// Faults lists the scheduled faults with their start times and durations.
 	Faults []string
 	// Violations describes the invariant violations that were found.
@@ -81,7 +81,7 @@
 	addedRoutes atomic.Int64
 	// disruptions counts the faults that stop or pause an entry.
 	disruptions atomic.Int64
-	// limitMu is held while an endpoint names a limit, so that no other fault ends it.
+	// limitMu is held while an endpoint states a rate limit, so that no other fault ends it.
 	limitMu sync.Mutex
 
 	mu            sync.Mutex
