--- a/origin/table.go
+++ b/origin/table.go
@@ -16,7 +16,7 @@
 	// TTL is how long the origin of a stream is kept. Clients resume a stream within its deadline.
 	TTL = time.Minute
 	// capacity bounds the origins that are kept.
-	capacity = 8192
+	capacity = 32768
 )
 
 // Record is the origin of one stream.
