Bound the age and the rate in notices of peers

A malformed notice whose age overflows in nanoseconds dated a limit into the future, so that no later response could end it. TestExtremeNoticesAreBounded failed before.

--- a/roster/limit.go
+++ b/roster/limit.go
@@ -22,6 +22,8 @@
 	// a limit. Each of them may send one request at any time, so that the number grows with the limit.
 	minLimitSenders     = 4
 	limitSendersPerRate = 1.5
+	// maxRateLimit is far above any rate that one endpoint serves, in requests per second.
+	maxRateLimit = 1e9
 	// limitTTL is how long a limit is kept that no answer has confirmed, limitRefreshInterval the time
 	// after which an unchanged limit is sent to the peers again.
 	limitTTL             = 10 * time.Minute
--- a/roster/notice.go
+++ b/roster/notice.go
@@ -131,8 +131,9 @@
 // If what is known here is newer, it becomes a notice: a response that states no rate limit is none by itself.
 // The caller holds mu.
 func (r *Roster) mergeLimit(now time.Time, m *member, n LimitNotice) (changed bool) {
-	l := RateLimit{Active: n.Active, PerSecond: n.PerSecond}
-	at := now.Add(-time.Duration(max(n.AgeMS, 0)) * time.Millisecond)
+	l := RateLimit{Active: n.Active, PerSecond: min(n.PerSecond, maxRateLimit)}
+	age := min(max(n.AgeMS, 0), limitTTL.Milliseconds())
+	at := now.Add(-time.Duration(age) * time.Millisecond)
 	switch {
 	case n.PerSecond < 0:
 		return false
--- a/roster/notice_test.go
+++ b/roster/notice_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -111,3 +112,26 @@
 		t.Errorf("%d notices of a limit that doubles in steps of a hundredth, want 5 to 10", notices)
 	}
 }
+
+// Notices with extreme values come from a faulty peer. They do not stop the traffic to an endpoint for good,
+// and a later response of the endpoint replaces them.
+func TestExtremeNoticesAreBounded(t *testing.T) {
+	for _, limit := range []LimitNotice{
+		{Active: true, PerSecond: math.MaxFloat64, AgeMS: 1},
+		{Active: true, PerSecond: 5, AgeMS: math.MaxInt64},
+		{Active: true, PerSecond: 5, AgeMS: math.MaxInt64 / 1_000_000 * 101 / 100}, // overflows in nanoseconds
+		{Active: true, PerSecond: 5, AgeMS: math.MinInt64},
+		{Active: true, PerSecond: math.SmallestNonzeroFloat64, AgeMS: 1},
+	} {
+		r := newRoster(makeEndpoints(1, "a"))
+		r.MergeNotices(epoch, []Notice{{Endpoint: "e0", Incarnation: 1, Limit: &limit, ColdMS: math.MaxInt64}})
+		later := epoch.Add(time.Minute)
+		if delay := r.ServiceDelay(epoch, "llm"); delay < 0 || delay > time.Minute {
+			t.Errorf("%+v: delay %v", limit, delay)
+		}
+		r.RecordStatus(later, "e0", Status{Load: -1, SentAt: later})
+		if r.HasRateLimit(later, "e0") {
+			t.Errorf("%+v: the limit holds although the endpoint states none", limit)
+		}
+	}
+}
