--- a/dispatch/engines.go
+++ b/dispatch/engines.go
@@ -74,7 +74,7 @@
 	// Cold reports whether the engine has started recently and may get only a limited
 	// rate of requests.
 	Cold bool
-	// RequestInterval is the least time between two requests that the dispatcher books; 0 if the engine
+	// RequestInterval is the minimum time between two requests that the dispatcher books; 0 if the engine
 	// states no rate limit.
 	RequestInterval time.Duration
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -51,7 +51,7 @@
 	// failures counts consecutive failures; no call is sent before retryAt.
 	failures int
 	retryAt  time.Time
-	// callInterval is the least time between two calls; 0 if the endpoint states no rate limit. No call is
+	// callInterval is the minimum time between two calls; 0 if the endpoint states no rate limit. No call is
 	// sent before nextCall.
 	callInterval time.Duration
 	nextCall     time.Time
@@ -105,7 +105,7 @@
 	p.rebuildIndex()
 }
 
-// SetCallIntervals sets the least time between two calls of those endpoints of a service that name a
+// SetCallIntervals sets the minimum time between two calls of those endpoints of a service that name a
 // limit. The others have none.
 func (d *Dispatcher) SetCallIntervals(service string, intervals map[string]time.Duration) {
 	p := d.pools[service]
--- a/gatewaydaemon/limit_test.go
+++ b/gatewaydaemon/limit_test.go
@@ -54,7 +54,7 @@
 }
 
 // An endpoint that states a rate limit gets no more than that from all entries together, while the load stays
-// at a hundred times the limit and all entries have been told. The other endpoint serves the rest.
+// at a hundred times the limit. The other endpoint serves the rest.
 func TestEntriesKeepNamedLimitTogether(t *testing.T) {
 	const limit = 1.0
 	d := newDeployment(t, 6)
--- a/gatewaydaemon/versions_test.go
+++ b/gatewaydaemon/versions_test.go
@@ -262,7 +262,7 @@
 		engines["v2"] = append(engines["v2"], s)
 	}
 	for i, id := range ids {
-		// Entries are told of streams as soon as their peers know the second version.
+		// Origins are announced as soon as their entry knows the second version.
 		d.eventually("the origin is known to other entries", func() bool {
 			known := 0
 			for _, e := range d.entries {
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// Peers are told only the streams of this process that have not ended, each once.
+// Only the streams of this process that have not ended are announced, each once.
 func TestUntoldOrigins(t *testing.T) {
 	table := New()
 	table.Begin(epoch, recordOf("ended"))
@@ -64,7 +64,7 @@
 	}
 }
 
-// The memory of a table is bounded, also for what has not been told.
+// The memory of a table is bounded, also that of streams that are not announced yet.
 func TestTableIsBounded(t *testing.T) {
 	table := New()
 	for i := range 3 * capacity {
--- a/peers/notices_test.go
+++ b/peers/notices_test.go
@@ -16,7 +16,7 @@
 	r.RecordStatus(now, endpoint, roster.Status{Load: -1, Limit: roster.RateLimit{Active: true, PerSecond: perSecond}, SentAt: now})
 }
 
-// In a large deployment one spoke is told an endpoint's limit. It reaches every entry through the hubs,
+// In a large deployment one spoke learns an endpoint's limit. It reaches every entry through the hubs,
 // and so does the news that it has ended.
 func TestNoticesReachAllEntriesThroughHubs(t *testing.T) {
 	meshes, members := largeMesh(t, 40)
--- a/peers/origins_test.go
+++ b/peers/origins_test.go
@@ -33,8 +33,8 @@
 	})
 }
 
-// The origin of a stream is found at any entry, also when the entry at which the stream began and one more
-// do not know it any more.
+// The origin of a stream is found at any entry, also after the entry at which the stream began and one holder
+// have lost it.
 func TestOriginOutlivesItsEntry(t *testing.T) {
 	meshes := linkedMeshes(t, 6)
 	for i := range 20 {
@@ -49,7 +49,7 @@
 			}
 			return list
 		}
-		await(t, "the holders to be told", func() bool { return len(holders()) == originHolders })
+		await(t, "the holders to know the origin", func() bool { return len(holders()) == originHolders })
 		holders()[0].o.Origins.End(r.Key) // as after a restart
 		for _, m := range meshes {
 			if _, found := m.o.Origins.Find(time.Now(), r.Key); found {
--- a/roster/limit.go
+++ b/roster/limit.go
@@ -10,8 +10,8 @@
 	// entry takes its place both may.
 	limitShare     = 0.9
 	callLimitShare = 0.7
-	// bookingLimitShare is the share of an engine's limit that the dispatcher books. The entries keep
-	// fallbackLimitShare for requests that the booked engine did not take, and few of them send these.
+	// bookingLimitShare is the share of an engine's limit that the dispatcher books. fallbackLimitShare is
+	// left for requests that the booked engine did not take; fallbackSenders entries may send these.
 	bookingLimitShare  = 0.6
 	fallbackLimitShare = 0.25
 	fallbackSenders    = 3
@@ -56,12 +56,12 @@
 	senders   int
 }
 
-// spacing returns the least time between two requests of one sender.
+// spacing returns the minimum time between two requests of one sender.
 func (s sharedRate) spacing() time.Duration {
 	return time.Duration(float64(time.Second) * float64(s.senders) / s.perSecond)
 }
 
-// interval returns the least time between two requests at a share of the limit.
+// interval returns the minimum time between two requests at a share of the limit.
 func (l RateLimit) interval(share float64) time.Duration {
 	return time.Duration(float64(time.Second) / (max(l.PerSecond, minLimit) * share))
 }
@@ -136,7 +136,7 @@
 	return m.lastSend.Add(rate.spacing()).Sub(now)
 }
 
-// CallIntervals returns the least time between two calls of the stages for each endpoint of a service
+// CallIntervals returns the minimum time between two calls of the stages for each endpoint of a service
 // that states a rate limit.
 func (r *Roster) CallIntervals(now time.Time, service string) map[string]time.Duration {
 	r.mu.Lock()
--- a/roster/notice.go
+++ b/roster/notice.go
@@ -105,7 +105,7 @@
 }
 
 // setCold records that a member has stated to be cold until a time, and makes that a notice to the peers if
-// it is much later than what it has stated before. It reports whether it was.
+// it is later by minColdChange or more than the one stated before. It reports whether it is.
 func (r *Roster) setCold(m *member, until time.Time) (changed bool) {
 	m.coldUntil = laterOf(m.coldUntil, until)
 	if until.Sub(m.statedColdUntil) < minColdChange {
--- a/roster/notice_test.go
+++ b/roster/notice_test.go
@@ -16,8 +16,8 @@
 }
 
 // Entries learn limits and their ends from endpoints and from each other, in any order and over any time.
-// When nothing new is learnt, a few rounds of messages make them all know what the endpoints said last,
-// and then there is nothing left to send.
+// Without further responses, a few rounds of messages bring all of them to the last stated limits, after which
+// no more messages are sent.
 func TestNoticesConverge(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.IntRange(2, 6).Draw(rt, "entries")
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -169,7 +169,7 @@
 )
 
 // nameLimit makes an endpoint state a rate limit, in requests per second, for a while. It checks that the entries
-// keep it until one of them is disrupted: a process that starts again has not been told.
+// keep it until one of them is disrupted: a restarted process does not know the limit.
 func (r *run) nameLimit(s *fleettest.Server, limit float64, duration time.Duration) {
 	if !r.limitMu.TryLock() {
 		return
