--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -327,34 +327,6 @@
 		"organisations", len(config.Organisations))
 }
 
-// noticeInterval is the minimum time between two rounds of pings that carry notices. A rate limit that
-// changes with every response must not cause a round for each.
-const noticeInterval = 200 * time.Millisecond
-
-// endpointNoticed requests that the latest notices are sent to the peers.
-func (d *daemon) endpointNoticed() {
-	d.coordinator.InvalidateEndpoints()
-	select {
-	case d.notices <- struct{}{}:
-	default: // a round is already due
-	}
-}
-
-// announceNotices pings all peers when there are notices to send, until ctx is done.
-func (d *daemon) announceNotices(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-d.notices:
-			d.mesh.PingAll()
-		}
-		if !sleep(ctx, noticeInterval) {
-			return
-		}
-	}
-}
-
 // applyEndpoints updates the roster with the listed endpoints and reports lost ones to the gateway.
 func (d *daemon) applyEndpoints(now time.Time, objects map[string]fleet.Object, c roster.Continuity) {
 	list, lost := d.endpoints.decode(objects, d.logger)
