Try failed endpoints when a request has tried all others

Found while tracing TestStreamResumesAtItsVersion, which failed in 1 of 8 copies with -race beside each other: streams broke off with "no endpoint took the request" after one send. Endpoints in backoff were candidates only if no other was, also if the request had tried all others already; with streams bound to a version there are few others. Candidates leaves out what was tried before it falls back (TestFailedEndpointIsTriedLast).

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -119,11 +119,11 @@
 
 // chooseEndpoint returns the endpoint that is expected to answer first among those not tried yet.
 func (q *request) chooseEndpoint(tried map[string]bool) (roster.Candidate, bool) {
-	candidates := q.gw.opts.Roster.Candidates(time.Now(), q.filter())
-	for _, c := range placement.ByLoad(q.gw.opts.DataCentre, candidates, q.headers.AttemptID) {
-		if !tried[c.ID] {
-			return c, true
-		}
+	f := q.filter()
+	f.Tried = tried
+	ordered := placement.ByLoad(q.gw.opts.DataCentre, q.gw.opts.Roster.Candidates(time.Now(), f), q.headers.AttemptID)
+	if len(ordered) == 0 {
+		return roster.Candidate{}, false
 	}
-	return roster.Candidate{}, false
+	return ordered[0], true
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -473,31 +473,29 @@
 // chooseEngine returns the next endpoint to try: the engine that the dispatcher booked, else the
 // one that hashing assigns to the shared part of the prompt, else the one expected to answer first.
 func (s *stream) chooseEngine() (roster.Candidate, bool) {
-	candidates := s.gw.opts.Roster.Candidates(time.Now(), s.filter())
+	f := s.filter()
+	f.Tried = s.tried
+	if s.output.turnBooked {
+		if c, found := s.gw.opts.Roster.BookedCandidate(time.Now(), f, s.output.engine); found {
+			return c, true
+		}
+	}
+	candidates := s.gw.opts.Roster.Candidates(time.Now(), f)
+	for _, c := range candidates {
+		if c.ID == s.output.engine {
+			return c, true
+		}
+	}
 	var ordered []roster.Candidate
 	if key, tokens := s.sharedPrefix(); tokens >= minAffinityTokens {
 		ordered = placement.ByPrefix(key, candidates)
 	} else {
 		ordered = placement.ByLoad(s.gw.opts.DataCentre, candidates, s.headers.AttemptID)
 	}
-	if s.output.turnBooked && !s.tried[s.output.engine] {
-		if c, found := s.gw.opts.Roster.BookedCandidate(time.Now(), s.filter(), s.output.engine); found {
-			return c, true
-		}
-	}
-	if s.output.engine != "" {
-		for _, c := range candidates {
-			if c.ID == s.output.engine && !s.tried[c.ID] {
-				return c, true
-			}
-		}
-	}
-	for _, c := range ordered {
-		if !s.tried[c.ID] {
-			return c, true
-		}
+	if len(ordered) == 0 {
+		return roster.Candidate{}, false
 	}
-	return roster.Candidate{}, false
+	return ordered[0], true
 }
 
 // promisesNotRun reports whether a status code tells clients that the request has not run.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -477,11 +477,13 @@
 	Regions []string
 	// Version is the only software version that may serve; empty allows all.
 	Version string
+	// Tried holds the IDs of endpoints that are left out.
+	Tried map[string]bool
 }
 
 // matches reports whether the filter selects a member of its service. The caller holds mu.
 func (r *Roster) matches(f Filter, m *member) bool {
-	return (len(f.Regions) == 0 || slices.Contains(f.Regions, r.regions[m.DataCentre])) && (f.Version == "" || f.Version == m.Version)
+	return (len(f.Regions) == 0 || slices.Contains(f.Regions, r.regions[m.DataCentre])) && (f.Version == "" || f.Version == m.Version) && !f.Tried[m.ID]
 }
 
 // Serves reports whether any selected endpoint may receive work.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -321,3 +321,25 @@
 		t.Error("the data centre is out of service after its repeated evacuation has ended")
 	}
 }
+
+// An endpoint that counts as failed is tried when a request has tried all others.
+func TestFailedEndpointIsTriedLast(t *testing.T) {
+	r := newRoster(makeEndpoints(2, "a"))
+	r.Report(epoch, "e1", Unreachable, 0)
+	for _, c := range []struct {
+		tried map[string]bool
+		want  string
+	}{
+		{nil, "e0"},
+		{map[string]bool{"e0": true}, "e1"},
+		{map[string]bool{"e0": true, "e1": true}, ""},
+	} {
+		got := ""
+		for _, candidate := range r.Candidates(epoch, Filter{Service: "llm", Tried: c.tried}) {
+			got += candidate.ID
+		}
+		if got != c.want {
+			t.Errorf("after %v: candidates %q, want %q", c.tried, got, c.want)
+		}
+	}
+}
