Let streams wait for a short time for endpoints that are cold or paused

A stream was broken off, or refused after its stages had run, if each endpoint that it might use was within its cold rate's pause, 0.1 s at times. Found by TestStreamResumesAtItsVersion, which failed in 1 of 8 copies with -race beside each other (9 of 12 processes with 8 runs each): engines that break off a stream are taken for cold after the second time, and a stream that is bound to a version has few others.

TestStreamsWaitForColdEngines failed before with 4 of 6 streams refused.

--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -185,7 +185,7 @@
 	job.Retry = j.Subject != "" && now.Before(c.retryUntil[j.Subject])
 	a := c.dispatcher.Submit(now, job)
 	if a.Unavailable != "" {
-		a.RetryAfter = cmp.Or(c.o.Roster.ServiceDelay(now, a.Unavailable), a.RetryAfter)
+		a.RetryAfter = cmp.Or(c.o.Roster.Delay(now, roster.Filter{Service: a.Unavailable}), a.RetryAfter)
 	}
 	if !a.Admitted {
 		if j.Subject != "" {
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -84,7 +84,7 @@
 // endpointRetryAfter returns the retry delay for a request that no endpoint took: the time until the
 // first endpoint takes requests again if all have asked for a pause or have a limit.
 func (q *request) endpointRetryAfter() time.Duration {
-	return cmp.Or(q.gw.opts.Roster.ServiceDelay(time.Now(), q.service), busyRetryAfter)
+	return cmp.Or(q.gw.opts.Roster.Delay(time.Now(), q.filter()), busyRetryAfter)
 }
 
 // tryBuffered sends the request to one endpoint and reads the complete response.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -48,6 +48,8 @@
 	// engineFailed is set when the engine that the dispatcher booked failed.
 	engineFailed bool
 	stageReruns  int
+	// endpointWait is how long the request has waited for endpoints to take it.
+	endpointWait time.Duration
 }
 
 // stageOutput holds what the request's stages produced.
@@ -181,6 +183,9 @@
 		return s.clientGone(), s.failure(ctx, "deadline")
 	}
 	c, found := s.chooseEngine()
+	if !found && s.awaitEndpoint(ctx) {
+		return s.tryEndpoint(ctx)
+	}
 	if !found || s.sends >= maxSends {
 		return false, s.failure(ctx, "no endpoint took the request")
 	}
@@ -225,8 +230,11 @@
 }
 
 // awaitTurn waits for the turn of the request at its engine. It reports false if ctx ended first.
-func (s *stream) awaitTurn(ctx context.Context) bool {
-	t := time.NewTimer(time.Until(s.output.turn))
+func (s *stream) awaitTurn(ctx context.Context) bool { return sleep(ctx, time.Until(s.output.turn)) }
+
+// sleep waits for d. It reports false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -236,6 +244,25 @@
 	}
 }
 
+// awaitEndpoint waits until an endpoint that was not tried takes the request, if shared rates or pauses keep
+// all of them out of use for a short time. It reports whether there is one to try.
+//
+// The load that it answers is a stream that is bound to the few engines of one software version, of which
+// some have just failed and count as cold.
+func (s *stream) awaitEndpoint(ctx context.Context) bool {
+	f := s.filter()
+	f.Tried = s.tried
+	delay := s.gw.opts.Roster.Delay(time.Now(), f)
+	if delay <= 0 || s.endpointWait+delay > maxEndpointWait {
+		return false
+	}
+	s.endpointWait += delay
+	return sleep(ctx, delay)
+}
+
+// maxEndpointWait bounds the time for which one request waits for endpoints to take it.
+const maxEndpointWait = 500 * time.Millisecond
+
 // begin counts a request that is about to be sent, and reports whether the endpoint may still receive it. A
 // turn is used once.
 func (s *stream) begin(c roster.Candidate) bool {
--- a/gatewaydaemon/faults_test.go
+++ b/gatewaydaemon/faults_test.go
@@ -5,12 +5,14 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/platform/fleettest"
+	"github.com/azurelead/azurelead/roster"
 )
 
 // Requests are served although every third stage call runs and then loses its connection.
@@ -440,3 +442,25 @@
 		}
 	}
 }
+
+// Both engines of a service are cold, and more streams come at once than the engines' cold rate allows at a
+// time. The streams wait for the short time until an engine takes them.
+func TestStreamsWaitForColdEngines(t *testing.T) {
+	d := newDeployment(t, 1)
+	_, _, engine1, engine2, _ := d.startEndpoints(nil)
+	d.waitReady()
+	e := d.entries[0]
+	for _, engine := range []*fleettest.Server{engine1, engine2} {
+		engine.SetCold(time.Hour)
+		e.daemon.roster.RecordStatus(time.Now(), engine.ID, roster.Status{Load: -1, ColdRemaining: time.Hour, LimitUnknown: true})
+	}
+	var wg sync.WaitGroup
+	for range 6 {
+		wg.Go(func() {
+			if r := d.send(e, "POST", "/stream/plain/x", nil); r.status != http.StatusOK {
+				t.Errorf("status %d, want a stream", r.status)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/roster/limit_test.go
+++ b/roster/limit_test.go
@@ -158,10 +158,10 @@
 		t.Fatal("the first request is not allowed")
 	}
 	want := 555 * time.Millisecond // a request every 1 / (0.9 * 2) s
-	if got := r.ServiceDelay(epoch, "llm").Truncate(time.Millisecond); got != want {
+	if got := r.Delay(epoch, Filter{Service: "llm"}).Truncate(time.Millisecond); got != want {
 		t.Errorf("delay %v, want %v", got, want)
 	}
-	if got := r.ServiceDelay(epoch.Add(time.Second), "llm"); got != 0 {
+	if got := r.Delay(epoch.Add(time.Second), Filter{Service: "llm"}); got != 0 {
 		t.Errorf("delay %v after the endpoint's turn, want none", got)
 	}
 }
--- a/roster/notice_test.go
+++ b/roster/notice_test.go
@@ -126,7 +126,7 @@
 		r := newRoster(makeEndpoints(1, "a"))
 		r.MergeNotices(epoch, []Notice{{Endpoint: "e0", Incarnation: 1, Limit: &limit, ColdMS: math.MaxInt64}})
 		later := epoch.Add(time.Minute)
-		if delay := r.ServiceDelay(epoch, "llm"); delay < 0 || delay > time.Minute {
+		if delay := r.Delay(epoch, Filter{Service: "llm"}); delay < 0 || delay > time.Minute {
 			t.Errorf("%+v: delay %v", limit, delay)
 		}
 		r.RecordStatus(later, "e0", Status{Load: -1, SentAt: later})
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -680,14 +680,14 @@
 	return 0
 }
 
-// ServiceDelay returns the time until the first endpoint of a service takes a request of this entry, if
-// only pauses and limits keep all of them out of use. It returns 0 otherwise.
-func (r *Roster) ServiceDelay(now time.Time, service string) time.Duration {
+// Delay returns the time until the first of the selected endpoints takes a request of this entry, if only
+// pauses and shared rates keep all of them out of use. It returns 0 otherwise.
+func (r *Roster) Delay(now time.Time, f Filter) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var shortest time.Duration
-	for _, m := range r.byService[service] {
-		if !r.inService(now, m) {
+	for _, m := range r.byService[f.Service] {
+		if !r.inService(now, m) || !r.matches(f, m) {
 			continue
 		}
 		delay := max(m.pausedUntil.Sub(now), r.sendDelay(now, m))
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -270,7 +270,7 @@
 		if got := len(r.Candidates(now, Filter{Service: "llm"})); got != s.candidates || len(r.Endpoints(now, "llm")) != s.candidates {
 			t.Errorf("after %v: %d candidates, want %d", s.after, got, s.candidates)
 		}
-		if got := r.ServiceDelay(now, "llm"); got != s.pause {
+		if got := r.Delay(now, Filter{Service: "llm"}); got != s.pause {
 			t.Errorf("after %v: paused for %v, want %v", s.after, got, s.pause)
 		}
 	}
