--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -183,7 +183,7 @@
 		return s.clientGone(), s.failure(ctx, "deadline")
 	}
 	c, found := s.chooseEngine()
-	if !found && s.awaitEndpoint(ctx) {
+	if !found && s.sends < maxSends && s.awaitEndpoint(ctx) {
 		return s.tryEndpoint(ctx)
 	}
 	if !found || s.sends >= maxSends {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -493,9 +493,9 @@
 	return slices.ContainsFunc(r.byService[f.Service], func(m *member) bool { return r.inService(now, m) && r.matches(f, m) })
 }
 
-// Candidates returns the selected endpoints that may receive one more request now: they are usable, not backed off, and within the rates that
-// the entries share while an endpoint is cold or has a limit. If there are none, it returns those in
-// backoff.
+// Candidates returns the selected endpoints that may receive one more request now: they are usable, not
+// backed off, and within the rates that the entries share while an endpoint is cold or has a limit. If
+// there are none, it returns those in backoff.
 func (r *Roster) Candidates(now time.Time, f Filter) []Candidate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
