Let the review's streams ask for different things

Cause: the requesters of three cases sent the same body, so that all of their requests were one request to the gateways.

Change: each requester sends a body of its own.

--- a/review/standin/restart.go
+++ b/review/standin/restart.go
@@ -70,7 +70,7 @@
 			}
 			touch, got := inTouch(), 0
 			a := r.send(newChannels(), r.gateways[(i+try)%len(r.gateways)], id, request{
-				method: "POST", path: "/stream/tip/q", body: "tip", timeout: time.Until(deadline), headers: headers,
+				method: "POST", path: "/stream/tip/q", body: fmt.Sprint("tip ", i), timeout: time.Until(deadline), headers: headers,
 				onEvent: func(event int, _ string) {
 					if first == "" {
 						first = id
--- a/review/standin/takeup.go
+++ b/review/standin/takeup.go
@@ -85,7 +85,7 @@
 				tookUp = true
 			}
 			a := r.send(newChannels(), g, id, request{
-				method: "POST", path: "/stream/tip/q", body: "tip", timeout: time.Until(deadline), headers: headers,
+				method: "POST", path: "/stream/tip/q", body: fmt.Sprint("tip ", i), timeout: time.Until(deadline), headers: headers,
 				onEvent: func(event int, _ string) {
 					if first == "" {
 						first = id
--- a/review/standin/versions.go
+++ b/review/standin/versions.go
@@ -105,7 +105,7 @@
 			headers["Last-Event-Id"], headers["Resumes"] = fmt.Sprint(last), first
 		}
 		a := r.send(newChannels(), g, id, request{
-			method: "POST", path: "/stream/tip/q", body: "tip", timeout: time.Until(deadline), headers: headers,
+			method: "POST", path: "/stream/tip/q", body: fmt.Sprint("tip ", i), timeout: time.Until(deadline), headers: headers,
 			onEvent: func(event int, text string) {
 				if first == "" {
 					first = id
