Move the review's stand-ins out of a folder of their own

Cause: every folder of review/ is taken for a case, and that of the stand-ins has no claim.

Change: their sources lie in review/ itself; build.sh follows. The code is the same, but for its name in a comment and in the usage line.

--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the cases' scripts start. The gateway comes from the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -tags review -o target/review-standin ./review/standin
+go build -tags review -o target/review-standin ./review
--- a/review/standin/main.go
+++ b/review/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command standin plays the cases of the review that cannot be put as a day of the bench. It starts the
+// Command review plays the cases of the review that cannot be put as a day of the bench. It starts the
 // project's gateway as separate processes with the command of the deploy file, plays the platform, the servers
 // and the requesters around them, and checks one rule.
 package main
@@ -25,7 +25,7 @@
 
 func main() {
 	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE GATEWAY RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-standin CASE GATEWAY RECORD")
 		os.Exit(failed)
 	}
 	play, known := cases[os.Args[1]]
