--- /dev/null
+++ b/gatewaydaemon/silentendpoint_test.go
@@ -0,0 +1,91 @@
+package gatewaydaemon
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/azurelead/azurelead/platform/fleet"
+	"github.com/azurelead/azurelead/platform/fleettest"
+)
+
+// silentDeployment starts one entry with endpoints of every service, and a resumable route with stages whose
+// clients wait two seconds for an event.
+func silentDeployment(t *testing.T) (d *deployment, engines []*fleettest.Server, portal *fleettest.Server) {
+	d = newDeployment(t, 1)
+	_, _, engine1, engine2, portal := d.startEndpoints(nil)
+	d.putSilentRoutes(2, nil)
+	d.waitReady()
+	d.eventually("the route is in force", func() bool {
+		table := d.entries[0].daemon.table.Load()
+		return table != nil && table.Version == 2
+	})
+	return d, []*fleettest.Server{engine1, engine2}, portal
+}
+
+// putSilentRoutes stores a configuration with changed fields of the route.
+func (d *deployment) putSilentRoutes(version int, changes map[string]any) {
+	fields := map[string]any{
+		"resumable": true, "timeoutMs": 9000, "targetLatencyMs": 400, "targetGapMs": 100,
+		"stages": []map[string]any{{"service": "portal", "after": []int{}, "bytes": 8000}},
+	}
+	for k, v := range changes {
+		fields[k] = v
+	}
+	d.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(version,
+		[]map[string]any{
+			fleettest.Route("look", "/look/", "idempotent", "api", nil),
+			fleettest.Route("long", "/stream/long/", "streaming", "llm", fields),
+		},
+		[]map[string]any{fleettest.Service("api"), fleettest.EngineService("llm"), fleettest.StageService("portal")}, nil))
+}
+
+// A sound endpoint falls silent in the middle of a stream and goes on. The stream must reach its end, whether
+// or not another endpoint could take it over.
+func TestSilentStreamIsNotCut(t *testing.T) {
+	const silence = 1300 * time.Millisecond
+	cases := []struct {
+		name string
+		// before is how long the stream runs before the silence, in events of 100 ms.
+		before int
+		// prepare takes away what a replacement needs.
+		prepare func(d *deployment, engines []*fleettest.Server, portal *fleettest.Server)
+	}{
+		{"later than clients wait for a first event", 22, func(*deployment, []*fleettest.Server, *fleettest.Server) {}},
+		{"the stages are refused", 5, func(_ *deployment, _ []*fleettest.Server, portal *fleettest.Server) {
+			portal.SetBehaviour(alwaysBehave(fleettest.Shed))
+		}},
+		{"the stages have no endpoint", 5, func(d *deployment, _ []*fleettest.Server, portal *fleettest.Server) {
+			d.store.Delete(fleet.KindEndpoints, portal.ID)
+			d.eventually("the endpoint is gone", func() bool { return len(d.entries[0].daemon.roster.Endpoints(time.Now(), "portal")) == 0 })
+		}},
+		{"the route moves to another service", 5, func(d *deployment, _ []*fleettest.Server, _ *fleettest.Server) {
+			d.putSilentRoutes(3, map[string]any{"service": "api", "timeoutMs": 2000})
+			d.eventually("the route has moved", func() bool { return d.entries[0].daemon.table.Load().Version == 3 })
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d, engines, portal := silentDeployment(t)
+			for _, e := range engines {
+				e.SetStream(c.before+3, 100*time.Millisecond)
+			}
+			answered := make(chan result, 1)
+			go func() {
+				answered <- d.send(d.entries[0], "POST", "/stream/long/x", http.Header{"Azurelead-Chunks": {"1"}, "Azurelead-Chunk-Key": {"k"}, "Azurelead-Timeout-Ms": {"9000"}})
+			}()
+			d.eventually("the engine has the request", func() bool { return len(engines[0].Runs())+len(engines[1].Runs()) > 0 })
+			time.Sleep(time.Duration(c.before) * 100 * time.Millisecond)
+			c.prepare(d, engines, portal)
+			for _, e := range engines {
+				if len(e.Runs()) > 0 {
+					e.FallSilent(silence)
+				}
+			}
+			if r := <-answered; r.err != nil || r.body != events(c.before+3) {
+				t.Errorf("status %d, error %v, events %q", r.status, r.err, r.body)
+			}
+		})
+	}
+}
