Answer a request whose handler panics, and log the panic

The handler now logs the panic with its stack, counts it in azurelead_gateway_panics_total and answers 502, which promises nothing; a response that has begun is cut. What net/http itself reports is logged as a warning.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -147,6 +148,7 @@
 	defer g.opts.Metrics.InFlight.Dec()
 	defer q.log()
 	defer q.refundReservedRetry()
+	defer q.answerAfterPanic()
 	if resp := q.admit(); resp != nil {
 		q.respond(*resp)
 		return
@@ -181,10 +183,31 @@
 	record   accessRecord
 	// cachedDigest is the result of digest, which runs in the request's own goroutine.
 	cachedDigest string
+	// headerSent is set once the header of a response has been written to the client.
+	headerSent bool
 	// retryReserved is set while a retry is paid for that has not been made.
 	retryReserved atomic.Bool
 }
 
+// answerAfterPanic is deferred. It logs a panic and answers the request, for which net/http would close the
+// connection without an answer. A response that has begun is cut.
+func (q *request) answerAfterPanic() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if p == http.ErrAbortHandler {
+		panic(p)
+	}
+	q.gw.opts.Metrics.Panics.Inc()
+	q.gw.opts.Logger.Error("request handler panicked", "request", q.headers.AttemptID, "panic", p, "stack", string(debug.Stack()))
+	if q.headerSent {
+		q.record.outcome = "broken off"
+		panic(http.ErrAbortHandler)
+	}
+	q.respond(*unknownOutcomeResponse("internal error"))
+}
+
 // admit reads and validates a request and looks up its route, organisation and service. It returns
 // a response if the request must not proceed, and nil otherwise.
 func (q *request) admit() *response {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -22,6 +22,7 @@
 	// ClientResumptions is labelled by what is known of where the stream began.
 	ClientResumptions *prometheus.CounterVec
 	InFlight          prometheus.Gauge
+	Panics            prometheus.Counter
 
 	routeLabels, organisationLabels telemetry.LabelLimiter
 }
@@ -48,12 +49,15 @@
 		Retries:              counter("retries_total", "Times that requests were sent to a further endpoint.", "service"),
 		RetryBudget:          counter("retry_budget_total", "Retries granted by the retry budget, and requests that were denied a retry.", "service", "verdict"),
 		ClientResumptions:    counter("client_resumptions_total", "Streams that clients resume, by whether their origin is known, unknown, ambiguous or gone.", "service", "origin"),
+		Panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "azurelead", Subsystem: "gateway", Name: "panics_total", Help: "Requests whose handler panicked.",
+		}),
 		InFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "azurelead", Subsystem: "gateway", Name: "in_flight", Help: "Requests in progress.",
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.Requests, m.OrganisationRequests, m.Duration, m.TimeToFirstEvent, m.StageDuration, m.Retries, m.RetryBudget, m.ClientResumptions, m.InFlight)
+		r.MustRegister(m.Requests, m.OrganisationRequests, m.Duration, m.TimeToFirstEvent, m.StageDuration, m.Retries, m.RetryBudget, m.ClientResumptions, m.InFlight, m.Panics)
 	}
 	return m
 }
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -55,6 +55,7 @@
 		q.record.outcome = "client left"
 		return
 	}
+	q.headerSent = true
 	h := q.w.Header()
 	if !resp.local {
 		fleet.CopyResponseHeader(h, resp.header)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -35,8 +35,6 @@
 type stream struct {
 	*request
 	controller *http.ResponseController
-	// headerSent is set once the response header has been written.
-	headerSent bool
 	// lastEventID is the number of the last event that the client has received.
 	lastEventID int64
 	// runs counts the attempts that may have run the request, sends all attempts.
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -210,7 +210,7 @@
 	}
 	server := &http.Server{
 		Handler: d.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelWarn),
 	}
 	go func() {
 		d.awaitInitialState(ctx)
