Count the deadline of a broken stream's stages from its last event

What callers saw: a stream that broke off later than clients wait for a first event (4 s and more on the users' deployments, 2 s in the test) was always cut, whatever room there was, if its stages had to run again to resume it.

Cause: the stages of a resumed stream were submitted with the deadline of the first event, which counts from the arrival of the request and had passed, so that the dispatcher refused them. The same wait made a silent stream that was given to another endpoint end in the middle (LOST).

Change: clients wait for the next event from the last one on, so the deadline and the target count from there.

TestStreamThatBreaksLateIsResumed got 40 of 80 events and an unexpected EOF before; 80 of 80 after, twice.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -179,6 +179,8 @@
 	// the request's own goroutine, and read by its silence timer.
 	version atomic.Pointer[string]
 	body    []byte
+	// lastEventAfter is the time from started to the last event of the stream, in nanoseconds; 0 before the first.
+	lastEventAfter atomic.Int64
 	// stageRuns counts how often the stages have been submitted.
 	stageRuns int
 	deadline  time.Time
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -25,7 +25,7 @@
 func (q *request) stageJob() (dispatch.Job, bool) {
 	j := dispatch.Job{
 		ID: q.headers.AttemptID, Run: q.stageRuns, Key: q.headers.TaskKey, Rank: catalog.Rank(q.route, q.org),
-		Target: q.started.Add(q.route.LatencyTarget), Deadline: q.firstEventDeadline(),
+		Target: q.waitingSince().Add(q.route.LatencyTarget), Deadline: q.nextEventDeadline(),
 		Prompt: dispatch.Prompt{Service: q.service, Tokens: q.headers.PromptTokens, Version: q.filter().Version},
 	}
 	for _, p := range q.headers.PromptPrefix {
@@ -44,10 +44,16 @@
 	return j, tasks > 0 || service != nil && service.Engine
 }
 
-// firstEventDeadline returns when the first event has to reach the client. Clients abandon a stream
+// waitingSince returns when the client began to wait for the next event: when the last one was sent, or when the
+// request arrived.
+func (q *request) waitingSince() time.Time {
+	return q.started.Add(time.Duration(q.lastEventAfter.Load()))
+}
+
+// nextEventDeadline returns when the next event has to reach the client. Clients abandon a stream
 // that stays silent long before the deadline of a long one.
-func (q *request) firstEventDeadline() time.Time {
-	abandoned := q.started.Add(fleet.ClientPatience(q.route.LatencyTarget, q.route.EventGapTarget) - deadlineMargin)
+func (q *request) nextEventDeadline() time.Time {
+	abandoned := q.waitingSince().Add(fleet.ClientPatience(q.route.LatencyTarget, q.route.EventGapTarget) - deadlineMargin)
 	if q.route.Kind == catalog.Streaming && abandoned.Before(q.deadline) {
 		return abandoned
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -373,6 +373,7 @@
 			return s.handleStreamEnd(ctx, a, Error.New("event %d follows %d", ev.id, s.lastEventID))
 		case ev.id > s.lastEventID:
 			bytesWithoutProgress = 0
+			s.lastEventAfter.Store(int64(time.Since(s.started)))
 			if a.events++; a.events == beginningEvents {
 				s.gw.opts.SuspectParts.Sound(s.sharedParts())
 			}
--- a/gatewaydaemon/silentendpoint_test.go
+++ b/gatewaydaemon/silentendpoint_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,6 +42,11 @@
 		[]map[string]any{fleettest.Service("api"), fleettest.EngineService("llm"), fleettest.StageService("portal")}, nil))
 }
 
+// sendLong sends a request to the route of putSilentRoutes.
+func (d *deployment) sendLong() result {
+	return d.send(d.entries[0], "POST", "/stream/long/x", http.Header{"Azurelead-Chunks": {"1"}, "Azurelead-Chunk-Key": {"k"}, "Azurelead-Timeout-Ms": {"9000"}})
+}
+
 // A sound endpoint falls silent in the middle of a stream and goes on. The stream must reach its end, whether
 // or not another endpoint could take it over.
 func TestSilentStreamIsNotCut(t *testing.T) {
@@ -73,7 +80,7 @@
 			}
 			answered := make(chan result, 1)
 			go func() {
-				answered <- d.send(d.entries[0], "POST", "/stream/long/x", http.Header{"Azurelead-Chunks": {"1"}, "Azurelead-Chunk-Key": {"k"}, "Azurelead-Timeout-Ms": {"9000"}})
+				answered <- d.sendLong()
 			}()
 			d.eventually("the engine has the request", func() bool { return len(engines[0].Runs())+len(engines[1].Runs()) > 0 })
 			time.Sleep(time.Duration(c.before) * 100 * time.Millisecond)
@@ -89,3 +96,23 @@
 		})
 	}
 }
+
+// A stream that breaks off later than clients wait for a first event must go on: the wait counts from its last
+// event.
+func TestStreamThatBreaksLateIsResumed(t *testing.T) {
+	const eventCount = 80
+	d, engines, _ := silentDeployment(t)
+	var broken atomic.Bool
+	for _, e := range engines {
+		e.SetStream(eventCount, 60*time.Millisecond)
+		e.SetBehaviour(func(int, *http.Request) fleettest.Behaviour {
+			if broken.CompareAndSwap(false, true) {
+				return fleettest.ResetMidResponse
+			}
+			return fleettest.Serve
+		})
+	}
+	if r := d.sendLong(); r.err != nil || r.body != events(eventCount) {
+		t.Errorf("status %d, error %v, %d of %d events", r.status, r.err, strings.Count(r.body, "\n\n"), eventCount)
+	}
+}
