End an attempt at a silent endpoint only for a secured replacement

What callers saw: a sound endpoint was silent for a second or two and went on, but the client's stream ended in the middle, or its request was answered 502 (LOST).

Cause: an attempt was ended once its endpoint had been silent for long enough and the retry budget paid. Only then did it show whether the stages are admitted again, an endpoint takes the request, or the time is enough. The check for another endpoint counted those that the request had tried already. The class: what works is given away before what is to replace it is there.

Change: - A stream's attempt goes on while a replacement is secured: the budget, the stages if their results were freed, an engine that accepts a connection, the time to the first event. If that fails, the attempt continues and the next try comes after the same silence; if the endpoint goes on meanwhile, what was secured is returned. - A buffered request that may be repeated is hedged: it is sent to another endpoint beside the silent one, and the first answer counts. attempts of the route and the retry budget bound it as before. - A resumable stream is silent after 1.5 s at least (1 s before), as sound endpoints may be silent for a second or so. - azurelead_gateway_silent_attempts_total counts such attempts.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -34,6 +34,8 @@
 	result attemptResult
 	err    error
 	sentAt time.Time
+	// patience is the time without an answer after which the endpoint counts as hung if another one has answered.
+	patience time.Duration
 	// events counts the events of a stream that the endpoint has sent.
 	events int
 }
@@ -54,9 +56,10 @@
 	r.End(a.endpoint.ID)
 }
 
-// send sends the request to an endpoint. The caller must call finish on the attempt.
-func (q *request) send(ctx context.Context, c roster.Candidate, fwd fleet.Forwarding) *attempt {
-	a := &attempt{endpoint: c, sentAt: time.Now()}
+// send sends the request to an endpoint. The caller must call finish on the attempt. It is safe for concurrent
+// use.
+func (q *request) send(ctx context.Context, c roster.Candidate, fwd fleet.Forwarding, patience time.Duration) *attempt {
+	a := &attempt{endpoint: c, sentAt: time.Now(), patience: patience}
 	fwd.Timeout = q.remaining()
 	fwd.Endpoint = c.ID
 	fwd.Organisation = q.organisationName()
@@ -84,7 +87,6 @@
 		a.info = fleet.DecodeResponse(a.resp.StatusCode, a.resp.Header)
 		q.recordResponse(now, a)
 	}
-	q.record.addAttempt(a)
 	return a
 }
 
@@ -97,7 +99,7 @@
 			interrupted.parts = q.sharedParts()
 		}
 		q.gw.crashes.recordInterrupted(a.endpoint.ID, interrupted)
-		if !q.reachable(ctx, a) {
+		if !q.reachable(ctx, a.endpoint) {
 			outcome = roster.Unreachable
 		}
 	}
@@ -109,41 +111,25 @@
 	}
 }
 
-// reachable tries to open a new connection to an endpoint whose connection failed. A refused
-// connection distinguishes a crash from a lost response before the request is sent elsewhere.
-func (q *request) reachable(ctx context.Context, a *attempt) bool {
-	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
-	defer cancel()
-	return q.gw.opts.Upstream.Reachable(ctx, upstream.Target{ID: a.endpoint.ID, Address: a.endpoint.Address})
-}
-
-// crashProbeTimeout bounds the connection attempt that checks whether an endpoint is still up. It
-// allows several round trips between data centres.
-const crashProbeTimeout = 100 * time.Millisecond
-
 // endedBySilence reports whether an attempt was cancelled because the endpoint did not answer.
 func (q *request) endedBySilence(ctx context.Context, now time.Time, a *attempt) bool {
-	return ctx.Err() != nil && !q.clientGone() && now.Sub(a.sentAt) > minHangTime
+	hangTime := minHangTime
+	if errors.Is(context.Cause(ctx), errAnsweredElsewhere) {
+		hangTime = a.patience
+	}
+	return ctx.Err() != nil && !q.clientGone() && now.Sub(a.sentAt) > hangTime
 }
 
-// abandonSilent ends an attempt whose endpoint has been silent for too long, if the request may be sent
-// to another endpoint: there is one, and the retry budget pays for it. Otherwise the attempt goes on,
-// because the endpoint may only be slow. It is safe for concurrent use with the attempt.
-func (q *request) abandonSilent(cancel context.CancelFunc) bool {
-	if len(q.gw.opts.Roster.Candidates(time.Now(), q.filter())) < 2 {
-		return false
-	}
-	if !q.gw.opts.RetryBudgets.For(q.service).TryWithdraw() {
-		return false
+// abandonFor returns a function that ends an attempt by cancel, because its endpoint is silent and a replacement
+// is secured.
+func (q *request) abandonFor(cancel context.CancelFunc) func(*replacement) {
+	return func(r *replacement) {
+		q.secured.Store(r)
+		q.gw.opts.Metrics.SilentAttempts.WithLabelValues(q.service).Inc()
+		cancel()
 	}
-	q.retryReserved.Store(true)
-	cancel()
-	return true
 }
 
-// takeReservedRetry reports whether abandonSilent has paid for the next retry.
-func (q *request) takeReservedRetry() bool { return q.retryReserved.Swap(false) }
-
 // minHangTime is the shortest time without an answer after which an endpoint counts as hung.
 const minHangTime = 250 * time.Millisecond
 
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -8,6 +8,7 @@
 
 	"github.com/azurelead/azurelead/placement"
 	"github.com/azurelead/azurelead/platform/fleet"
+	"github.com/azurelead/azurelead/retrybudget"
 	"github.com/azurelead/azurelead/roster"
 	"github.com/azurelead/azurelead/upstream"
 )
@@ -16,69 +17,179 @@
 	// maxSends bounds the number of endpoints that a request is sent to, including those that did
 	// not run it.
 	maxSends = 4
-	// attemptTimeoutShare is the share of the remaining time that one attempt may take if another
-	// endpoint may be tried after it.
+	// attemptTimeoutShare is the share of the remaining time that one attempt may take before another
+	// endpoint is tried beside it.
 	attemptTimeoutShare = 0.4
 	// maxResponseBytes bounds a response that is read completely before it is forwarded.
 	maxResponseBytes = 8 << 20
-	// minAttemptTimeout is the lower bound of the timeout after which another endpoint is tried.
+	// minAttemptTimeout is the lower bound of the time after which another endpoint is tried.
 	minAttemptTimeout = 300 * time.Millisecond
 )
 
-// serveBuffered serves a request whose response is read completely before it is forwarded.
+// buffered is one request whose response is read completely before it is forwarded.
+type buffered struct {
+	*request
+	ctx    context.Context
+	budget *retrybudget.Budget
+	// tried holds the IDs of the endpoints that are not tried again.
+	tried map[string]bool
+	// sends counts all attempts, runs those that have ended and may have run the request, inFlight those
+	// that have not ended.
+	sends, runs, inFlight int
+	// ended receives the attempts as they end.
+	ended chan bufferedAttempt
+	// hedgeAt is when another endpoint is tried beside the silent one.
+	hedgeAt time.Time
+	// lastResp is the last response that is no final answer.
+	lastResp *response
+}
+
+// bufferedAttempt is an attempt that has ended, and the response if there is a complete one.
+type bufferedAttempt struct {
+	*attempt
+	resp *response
+}
+
+// errAnsweredElsewhere ends the attempts that are still in flight when another one has been answered.
+var errAnsweredElsewhere = Error.New("answered by another endpoint")
+
+// serveBuffered serves a request whose response is read completely before it is forwarded. If an endpoint is
+// silent, a request that may be repeated is sent to another one as well, and the first answer counts: the silent
+// endpoint may be sound and the only one that answers.
 func (q *request) serveBuffered(ctx context.Context) response {
-	budget := q.gw.opts.RetryBudgets.For(q.service)
-	budget.Deposit(q.gw.opts.RetryPercent())
-	tried := make(map[string]bool)
-	runs := 0
-	var lastResp *response
-	for sends := 0; sends < maxSends && ctx.Err() == nil; sends++ {
-		if runs > 0 && q.gw.crashes.refusal(q) != "" {
-			break
+	ctx, cancel := context.WithCancelCause(ctx)
+	b := &buffered{
+		request: q, ctx: ctx, budget: q.gw.opts.RetryBudgets.For(q.service),
+		tried: make(map[string]bool), ended: make(chan bufferedAttempt, maxSends),
+	}
+	defer b.drain()
+	defer cancel(errAnsweredElsewhere)
+	b.budget.Deposit(q.gw.opts.RetryPercent())
+	for b.inFlight > 0 || b.start() {
+		a, ended := b.await()
+		if !ended {
+			b.hedge()
+			continue
 		}
-		c, found := q.chooseEndpoint(tried)
+		if resp := b.finalResponse(a); resp != nil {
+			return *resp
+		}
+	}
+	return b.failure()
+}
+
+// mayStart reports whether the request may be sent to one more endpoint beside those that may have run it.
+func (b *buffered) mayStart() bool {
+	runs := b.runs + b.inFlight
+	switch {
+	case b.sends >= maxSends || b.ctx.Err() != nil:
+		return false
+	case runs == 0:
+		return true
+	}
+	return b.route.Repeatable() && runs < b.route.MaxAttempts && b.gw.crashes.refusal(b.request) == ""
+}
+
+// start sends the request to one more endpoint. It reports false if it must not be sent again, or if there is no
+// endpoint.
+func (b *buffered) start() bool {
+	for b.mayStart() {
+		c, found := b.chooseEndpoint()
 		if !found {
-			break
+			return false
 		}
-		if sends > 0 && q.record.reachedEndpoint() && !q.record.noteRetry(q.takeReservedRetry() || budget.TryWithdraw()) {
-			q.record.reason = "retry budget spent"
-			break
+		repeats := b.inFlight > 0 || b.record.reachedEndpoint()
+		if repeats && !b.record.noteRetry(b.budget.TryWithdraw()) {
+			b.record.reason = "retry budget spent"
+			return false
 		}
-		if !q.gw.opts.Roster.Begin(time.Now(), c.ID) {
-			tried[c.ID] = true
-			continue
+		b.tried[c.ID] = true
+		b.sends++
+		if b.gw.opts.Roster.Begin(time.Now(), c.ID) {
+			b.launch(c)
+			return true
 		}
-		tried[c.ID] = true
-		a, resp := q.tryBuffered(ctx, c, runs+1 < q.route.MaxAttempts)
-		switch a.result {
-		case resultNotSent, resultRejected:
-			continue
-		case resultAnswered:
-			if resp.status < http.StatusInternalServerError && !promisesNotRun(resp.status) {
-				return *resp
-			}
-			if !q.route.Repeatable() {
-				if promisesNotRun(resp.status) {
-					return *unknownOutcomeResponse("an endpoint's refusal does not say that it did not run the request")
-				}
-				return *resp
-			}
+		if repeats {
+			b.budget.Refund()
 		}
-		runs++
-		lastResp = resp
-		if !q.route.Repeatable() || runs >= q.route.MaxAttempts {
-			break
+	}
+	return false
+}
+
+// launch starts an attempt in a goroutine of its own.
+func (b *buffered) launch(c roster.Candidate) {
+	patience := b.attemptTimeout(c)
+	b.hedgeAt = time.Now().Add(patience)
+	b.inFlight++
+	go func() { b.ended <- b.tryEndpoint(c, patience) }()
+}
+
+// await waits for the end of an attempt. It reports false if another endpoint should be tried first.
+func (b *buffered) await() (a bufferedAttempt, ended bool) {
+	var silent <-chan time.Time
+	if b.route.Repeatable() && b.inFlight == 1 && b.mayStart() {
+		t := time.NewTimer(time.Until(b.hedgeAt))
+		defer t.Stop()
+		silent = t.C
+	}
+	select {
+	case a = <-b.ended:
+		b.inFlight--
+		b.record.addAttempt(a.attempt)
+		return a, true
+	case <-silent:
+		return bufferedAttempt{}, false
+	}
+}
+
+// hedge sends the request to another endpoint beside the silent one. If there is none, it is called again after the
+// same time.
+func (b *buffered) hedge() {
+	if b.start() {
+		b.gw.opts.Metrics.SilentAttempts.WithLabelValues(b.service).Inc()
+		return
+	}
+	b.hedgeAt = time.Now().Add(minAttemptTimeout)
+}
+
+// drain waits for the attempts in flight, which have been cancelled.
+func (b *buffered) drain() {
+	for ; b.inFlight > 0; b.inFlight-- {
+		b.record.addAttempt((<-b.ended).attempt)
+	}
+}
+
+// finalResponse returns the response to the client if the end of an attempt decides it, and nil otherwise.
+func (b *buffered) finalResponse(a bufferedAttempt) *response {
+	switch a.result {
+	case resultNotSent, resultRejected:
+		return nil
+	case resultAnswered:
+		switch {
+		case a.resp.status < http.StatusInternalServerError && !promisesNotRun(a.resp.status):
+			return a.resp
+		case !b.route.Repeatable() && promisesNotRun(a.resp.status):
+			return unknownOutcomeResponse("an endpoint's refusal does not say that it did not run the request")
+		case !b.route.Repeatable():
+			return a.resp
 		}
 	}
+	b.runs++
+	b.lastResp = cmp.Or(a.resp, b.lastResp)
+	return nil
+}
+
+// failure returns the response to a request that no endpoint has answered.
+func (b *buffered) failure() response {
 	switch {
-	case lastResp != nil:
-		return *lastResp
-	case runs > 0 && ctx.Err() != nil:
+	case b.lastResp != nil:
+		return *b.lastResp
+	case b.runs > 0 && b.ctx.Err() != nil:
 		return *deadlineResponse()
-	case runs > 0:
+	case b.runs > 0:
 		return *unknownOutcomeResponse("an endpoint got the request and its answer was lost")
 	}
-	return *notRunResponse("no endpoint took the request", q.endpointRetryAfter())
+	return *notRunResponse("no endpoint took the request", b.endpointRetryAfter())
 }
 
 // endpointRetryAfter returns the retry delay for a request that no endpoint took: the time until the
@@ -87,28 +198,21 @@
 	return cmp.Or(q.gw.opts.Roster.Delay(time.Now(), q.filter()), busyRetryAfter)
 }
 
-// tryBuffered sends the request to one endpoint and reads the complete response.
-func (q *request) tryBuffered(ctx context.Context, c roster.Candidate, canRetry bool) (*attempt, *response) {
-	if canRetry && q.route.Repeatable() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithCancel(ctx)
-		defer cancel()
-		silence := newSilenceTimer(func() bool { return q.abandonSilent(cancel) })
-		defer silence.disable()
-		silence.reset(q.attemptTimeout(c))
-	}
-	a := q.send(ctx, c, fleet.Forwarding{})
-	defer a.finish(q.gw.opts.Roster)
+// tryEndpoint sends the request to one endpoint and reads the complete response. An endpoint that is silent for
+// longer than patience counts as hung. It is safe for concurrent use.
+func (b *buffered) tryEndpoint(c roster.Candidate, patience time.Duration) bufferedAttempt {
+	a := b.send(b.ctx, c, fleet.Forwarding{}, patience)
+	defer a.finish(b.gw.opts.Roster)
 	if a.result != resultAnswered {
-		return a, nil
+		return bufferedAttempt{attempt: a}
 	}
 	body, err := upstream.ReadBody(a.resp, maxResponseBytes)
 	if err != nil {
 		a.result, a.err = resultLost, err
-		q.reportOutcome(ctx, time.Now(), a, roster.ConnectionLost)
-		return a, nil
+		b.reportOutcome(b.ctx, time.Now(), a, roster.ConnectionLost)
+		return bufferedAttempt{attempt: a}
 	}
-	return a, &response{status: a.resp.StatusCode, header: a.resp.Header, body: body}
+	return bufferedAttempt{a, &response{status: a.resp.StatusCode, header: a.resp.Header, body: body}}
 }
 
 // attemptTimeout returns how long an endpoint may take before another one is tried.
@@ -118,10 +222,8 @@
 }
 
 // chooseEndpoint returns the endpoint that is expected to answer first among those not tried yet.
-func (q *request) chooseEndpoint(tried map[string]bool) (roster.Candidate, bool) {
-	f := q.filter()
-	f.Tried = tried
-	ordered := placement.ByLoad(q.gw.opts.DataCentre, q.gw.opts.Roster.Candidates(time.Now(), f), q.headers.AttemptID)
+func (b *buffered) chooseEndpoint() (roster.Candidate, bool) {
+	ordered := placement.ByLoad(b.gw.opts.DataCentre, b.gw.opts.Roster.Candidates(time.Now(), b.untried(b.tried)), b.headers.AttemptID)
 	if len(ordered) == 0 {
 		return roster.Candidate{}, false
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,7 +147,7 @@
 	g.opts.Metrics.InFlight.Inc()
 	defer g.opts.Metrics.InFlight.Dec()
 	defer q.log()
-	defer q.refundReservedRetry()
+	defer q.discardSecured()
 	defer q.answerAfterPanic()
 	if resp := q.admit(); resp != nil {
 		q.respond(*resp)
@@ -182,15 +182,15 @@
 	// lastEventAfter is the time from started to the last event of the stream, in nanoseconds; 0 before the first.
 	lastEventAfter atomic.Int64
 	// stageRuns counts how often the stages have been submitted.
-	stageRuns int
+	stageRuns atomic.Int64
 	deadline  time.Time
 	record    accessRecord
 	// cachedDigest is the result of digest, which runs in the request's own goroutine.
 	cachedDigest string
 	// headerSent is set once the header of a response has been written to the client.
 	headerSent bool
-	// retryReserved is set while a retry is paid for that has not been made.
-	retryReserved atomic.Bool
+	// secured is the replacement for which the last attempt was abandoned, until it is used.
+	secured atomic.Pointer[replacement]
 }
 
 // answerAfterPanic is deferred. It logs a panic and answers the request, for which net/http would close the
@@ -327,10 +327,17 @@
 	return f
 }
 
-// refundReservedRetry returns a reserved retry to the budget that the request did not need after all.
-func (q *request) refundReservedRetry() {
-	if q.takeReservedRetry() {
-		q.gw.opts.RetryBudgets.For(q.service).Refund()
+// untried selects the endpoints that may serve the request and have not been tried.
+func (q *request) untried(tried map[string]bool) roster.Filter {
+	f := q.filter()
+	f.Tried = tried
+	return f
+}
+
+// discardSecured returns a secured replacement that the request did not use.
+func (q *request) discardSecured() {
+	if r := q.secured.Swap(nil); r != nil {
+		r.discard()
 	}
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,6 +23,8 @@
 	ClientResumptions *prometheus.CounterVec
 	InFlight          prometheus.Gauge
 	Panics            prometheus.Counter
+	// SilentAttempts counts the attempts that were ended because their endpoint was silent.
+	SilentAttempts *prometheus.CounterVec
 
 	routeLabels, organisationLabels telemetry.LabelLimiter
 }
@@ -52,12 +54,13 @@
 		Panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "azurelead", Subsystem: "gateway", Name: "panics_total", Help: "Requests whose handler panicked.",
 		}),
+		SilentAttempts: counter("silent_attempts_total", "Attempts that were ended in favour of another endpoint because theirs was silent.", "service"),
 		InFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "azurelead", Subsystem: "gateway", Name: "in_flight", Help: "Requests in progress.",
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.Requests, m.OrganisationRequests, m.Duration, m.TimeToFirstEvent, m.StageDuration, m.Retries, m.RetryBudget, m.ClientResumptions, m.InFlight, m.Panics)
+		r.MustRegister(m.Requests, m.OrganisationRequests, m.Duration, m.TimeToFirstEvent, m.StageDuration, m.Retries, m.RetryBudget, m.ClientResumptions, m.InFlight, m.Panics, m.SilentAttempts)
 	}
 	return m
 }
--- /dev/null
+++ b/gateway/replacement.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/azurelead/azurelead/retrybudget"
+	"github.com/azurelead/azurelead/roster"
+	"github.com/azurelead/azurelead/upstream"
+)
+
+// replacement is what a request needs to go on at another endpoint. It is secured before an attempt at a silent
+// endpoint is ended, because the silent endpoint may be sound and the only one that answers.
+type replacement struct {
+	// budget has paid for the retry.
+	budget *retrybudget.Budget
+	// stages are the stages that ran again for the next endpoint; nil if they did not have to.
+	stages *stageRun
+}
+
+// discard returns what was secured.
+func (r *replacement) discard() {
+	r.budget.Refund()
+	if r.stages != nil {
+		r.stages.output.release(false)
+	}
+}
+
+// reserveRetry reserves a retry at one of the selected endpoints. It returns nil if the request may get none.
+func (q *request) reserveRetry(f roster.Filter) *replacement {
+	if len(q.gw.opts.Roster.Candidates(time.Now(), f)) == 0 || q.gw.crashes.refusal(q) != "" {
+		return nil
+	}
+	budget := q.gw.opts.RetryBudgets.For(q.service)
+	if !budget.TryWithdraw() {
+		return nil
+	}
+	return &replacement{budget: budget}
+}
+
+// secureStream secures another endpoint for a stream, for which the stages run again if their results were
+// freed. It is safe for concurrent use with the attempt.
+func (s *stream) secureStream(ctx context.Context, tried map[string]bool, out stageOutput) *replacement {
+	f := s.untried(tried)
+	r := s.reserveRetry(f)
+	if r == nil {
+		return nil
+	}
+	if job, needed := s.stageJob(); needed && (s.hasBegun() || out.wereRead()) {
+		run := s.submitStages(ctx, job)
+		if run.failure != nil {
+			r.discard()
+			return nil
+		}
+		r.stages, out = run, run.output
+	}
+	c, found := s.chooseEngine(f, out)
+	if !found || !s.reachable(ctx, c) || s.nextEventDeadline().Before(time.Now().Add(s.prefillTime())) {
+		r.discard()
+		return nil
+	}
+	return r
+}
+
+// reachable tries to open a new connection to an endpoint, which is kept for the next request.
+func (q *request) reachable(ctx context.Context, c roster.Candidate) bool {
+	ctx, cancel := context.WithTimeout(ctx, reachableTimeout)
+	defer cancel()
+	return q.gw.opts.Upstream.Reachable(ctx, upstream.Target{ID: c.ID, Address: c.Address})
+}
+
+// reachableTimeout bounds the attempt to open a connection that checks whether an endpoint is up. It allows
+// several round trips between data centres.
+const reachableTimeout = 100 * time.Millisecond
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -1,14 +1,19 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 )
 
-// silenceTimer calls giveUp when an endpoint has made no progress for longer than allowed. If giveUp
-// declines, it is called again after the same time.
+// silenceTimer ends an attempt in favour of another endpoint when its own has made no progress for longer than
+// allowed. The endpoint may be sound and go on, so the attempt continues until a replacement is secured.
 type silenceTimer struct {
-	giveUp func() bool
+	// secure returns a replacement, or nil to let the attempt continue. It is called in a goroutine of its own; ctx
+	// ends with the silence.
+	secure func(ctx context.Context) *replacement
+	// abandon ends the attempt in favour of a replacement. It is called with mu held.
+	abandon func(*replacement)
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -16,12 +21,13 @@
 	limit time.Duration
 	// due is when the time without progress ends.
 	due time.Time
+	// endSecure ends a call of secure in progress; nil if there is none.
+	endSecure context.CancelFunc
 }
 
-// newSilenceTimer returns a disabled timer. giveUp ends the attempt, or returns false to let it
-// continue; it is called in a goroutine of its own.
-func newSilenceTimer(giveUp func() bool) *silenceTimer {
-	t := &silenceTimer{giveUp: giveUp}
+// newSilenceTimer returns a disabled timer.
+func newSilenceTimer(secure func(context.Context) *replacement, abandon func(*replacement)) *silenceTimer {
+	t := &silenceTimer{secure: secure, abandon: abandon}
 	t.timer = time.AfterFunc(time.Hour, t.expire)
 	t.timer.Stop()
 	return t
@@ -31,6 +37,7 @@
 func (t *silenceTimer) reset(limit time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.endSilence()
 	t.limit, t.due = limit, time.Now().Add(limit)
 	t.timer.Reset(limit)
 }
@@ -39,24 +46,44 @@
 func (t *silenceTimer) disable() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.endSilence()
 	t.limit = 0
 	t.timer.Stop()
 }
 
-// expire gives the attempt up unless there was progress meanwhile.
+// endSilence ends the search for a replacement. The caller holds mu.
+func (t *silenceTimer) endSilence() {
+	if t.endSecure != nil {
+		t.endSecure()
+	}
+}
+
+// isSilent reports whether there has been no progress for longer than allowed. The caller holds mu.
+func (t *silenceTimer) isSilent() bool { return t.limit > 0 && !time.Now().Before(t.due) }
+
+// expire looks for a replacement, and abandons the attempt for it unless there was progress meanwhile. Without a
+// replacement it is called again after the same time.
 func (t *silenceTimer) expire() {
 	t.mu.Lock()
-	if t.limit == 0 || time.Now().Before(t.due) {
+	if !t.isSilent() || t.endSecure != nil {
 		t.mu.Unlock()
 		return
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.endSecure = cancel
 	t.mu.Unlock()
-	if t.giveUp() {
-		return
-	}
+	r := t.secure(ctx)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.limit > 0 {
+	cancel()
+	t.endSecure = nil
+	switch {
+	case r != nil && t.isSilent():
+		t.limit = 0
+		t.abandon(r)
+	case r != nil:
+		r.discard()
+	case t.isSilent():
 		t.due = time.Now().Add(t.limit)
 		t.timer.Reset(t.limit)
 	}
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -24,7 +24,7 @@
 // submitted: it has tasks, or its engine is chosen by the dispatcher.
 func (q *request) stageJob() (dispatch.Job, bool) {
 	j := dispatch.Job{
-		ID: q.headers.AttemptID, Run: q.stageRuns, Key: q.headers.TaskKey, Rank: catalog.Rank(q.route, q.org),
+		ID: q.headers.AttemptID, Key: q.headers.TaskKey, Rank: catalog.Rank(q.route, q.org),
 		Target: q.waitingSince().Add(q.route.LatencyTarget), Deadline: q.nextEventDeadline(),
 		Prompt: dispatch.Prompt{Service: q.service, Tokens: q.headers.PromptTokens, Version: q.filter().Version},
 	}
@@ -50,6 +50,9 @@
 	return q.started.Add(time.Duration(q.lastEventAfter.Load()))
 }
 
+// hasBegun reports whether an event has been sent to the client.
+func (q *request) hasBegun() bool { return q.lastEventAfter.Load() > 0 }
+
 // nextEventDeadline returns when the next event has to reach the client. Clients abandon a stream
 // that stays silent long before the deadline of a long one.
 func (q *request) nextEventDeadline() time.Time {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/azurelead/azurelead/dispatch"
+	"github.com/azurelead/azurelead/peers"
 	"github.com/azurelead/azurelead/placement"
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/roster"
@@ -19,8 +22,8 @@
 	// is resumed at another endpoint.
 	silenceGapFactor = 4
 	// minSilenceTimeout is the shortest silence after which a resumable stream is resumed elsewhere.
-	// A sound engine pauses for shorter times when it preempts a request.
-	minSilenceTimeout = time.Second
+	// A sound engine may be silent for a second or so, and pauses when it preempts a request.
+	minSilenceTimeout = 1500 * time.Millisecond
 	// firstEventFactor multiplies the expected time to the first event to give the timeout after
 	// which another endpoint is tried.
 	firstEventFactor = 4
@@ -113,7 +116,10 @@
 		case final != nil:
 			s.abortConnection(final.reason)
 		}
-		if s.record.reachedEndpoint() && !s.record.noteRetry(s.takeReservedRetry() || budget.TryWithdraw()) {
+		if s.adoptSecured() {
+			continue
+		}
+		if s.record.reachedEndpoint() && !s.record.noteRetry(budget.TryWithdraw()) {
 			s.fail(ctx, "retry budget spent")
 			return
 		}
@@ -130,28 +136,68 @@
 	if !needed {
 		return nil
 	}
-	s.stageRuns++
+	return s.useStages(s.submitStages(ctx, job))
+}
+
+// stageRun is one run of a request's stages.
+type stageRun struct {
+	outcome  peers.Outcome
+	duration time.Duration
+	output   stageOutput
+	// failure is the response to the request if the run has no output.
+	failure *response
+}
+
+// submitStages runs the request's stages. It is safe for concurrent use with an attempt.
+func (s *stream) submitStages(ctx context.Context, job dispatch.Job) *stageRun {
+	job.Run = int(s.stageRuns.Add(1) - 1)
 	start := time.Now()
 	outcome, results, err := s.gw.opts.Stages.Submit(ctx, job, s.sessionKey())
-	s.record.stageDuration += time.Since(start)
-	s.record.dispatcher = outcome.Dispatcher
-	s.record.stageForecast = time.Duration(outcome.ForecastMS) * time.Millisecond
-	s.record.firstEventForecast = time.Duration(outcome.TimeToFirstEventMS) * time.Millisecond
+	run := &stageRun{outcome: outcome, duration: time.Since(start)}
 	switch {
 	case err != nil && ctx.Err() != nil:
-		return notRunResponse("the stages were not done before the deadline", minStageRetryAfter)
+		run.failure = notRunResponse("the stages were not done before the deadline", minStageRetryAfter)
 	case err != nil:
-		return notRunResponse("the stages could not be dispatched", busyRetryAfter)
+		run.failure = notRunResponse("the stages could not be dispatched", busyRetryAfter)
 	case outcome.Refused:
-		return notRunResponse(outcome.Problem, max(time.Duration(outcome.RetryAfterMS)*time.Millisecond, minStageRetryAfter))
+		run.failure = notRunResponse(outcome.Problem, max(time.Duration(outcome.RetryAfterMS)*time.Millisecond, minStageRetryAfter))
 	case outcome.Problem != "":
-		return notRunResponse(outcome.Problem, minStageRetryAfter)
+		run.failure = notRunResponse(outcome.Problem, minStageRetryAfter)
+	default:
+		run.output = stageOutput{
+			handles: outcome.Handles, engine: outcome.Engine, fetchFrom: outcome.FetchFrom, results: results, inputsRead: new(atomic.Bool),
+			turnBooked: outcome.TurnBooked, turn: time.Now().Add(time.Duration(outcome.StartAfterMS) * time.Millisecond),
+		}
+	}
+	return run
+}
+
+// useStages records a run of the stages and makes its output that of the stream. It returns the failure of the run.
+func (s *stream) useStages(run *stageRun) *response {
+	s.record.stageDuration += run.duration
+	s.record.dispatcher = run.outcome.Dispatcher
+	s.record.stageForecast = time.Duration(run.outcome.ForecastMS) * time.Millisecond
+	s.record.firstEventForecast = time.Duration(run.outcome.TimeToFirstEventMS) * time.Millisecond
+	if run.failure == nil {
+		s.output = run.output
+	}
+	return run.failure
+}
+
+// adoptSecured makes the stream go on with the replacement for which its last attempt was abandoned. It reports
+// whether there is one.
+func (s *stream) adoptSecured() bool {
+	r := s.secured.Swap(nil)
+	if r == nil {
+		return false
 	}
-	s.output = stageOutput{
-		handles: outcome.Handles, engine: outcome.Engine, fetchFrom: outcome.FetchFrom, results: results, inputsRead: new(atomic.Bool),
-		turnBooked: outcome.TurnBooked, turn: time.Now().Add(time.Duration(outcome.StartAfterMS) * time.Millisecond),
+	s.record.noteRetry(true)
+	if r.stages != nil {
+		s.output.release(s.engineFailed)
+		s.engineFailed = false
+		s.useStages(r.stages)
 	}
-	return nil
+	return true
 }
 
 // minStageRetryAfter is the lower bound of the retry delay sent when the stages did not succeed. It is
@@ -181,7 +227,7 @@
 	if s.output.turnBooked && !s.awaitTurn(ctx) {
 		return s.clientGone(), s.failure(ctx, "deadline")
 	}
-	c, found := s.chooseEngine()
+	c, found := s.chooseEngine(s.untried(s.tried), s.output)
 	if !found && s.sends < maxSends && s.awaitEndpoint(ctx) {
 		return s.tryEndpoint(ctx)
 	}
@@ -195,9 +241,9 @@
 	s.sends++
 	tryCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := newSilenceTimer(func() bool { return s.abandonSilent(cancel) })
+	silence := s.newSilenceTimer(cancel)
 	defer silence.disable()
-	if s.route.Repeatable() && s.runs+1 < s.route.MaxAttempts {
+	if s.route.Repeatable() && s.runs+1 < s.route.MaxAttempts && s.sends < maxSends {
 		silence.reset(s.firstEventTimeout())
 	}
 	fwd := fleet.Forwarding{Inputs: s.output.handles, LastEventID: s.lastEventID}
@@ -207,7 +253,8 @@
 	if s.output.results != nil && len(s.output.handles) > 0 {
 		defer time.AfterFunc(s.gw.readDelay.Get(time.Now()), s.output.markRead).Stop()
 	}
-	a := s.send(tryCtx, c, fwd)
+	a := s.send(tryCtx, c, fwd, minHangTime)
+	s.record.addAttempt(a)
 	defer a.finish(s.gw.opts.Roster)
 	if (a.result == resultNotSent || a.result == resultLost) && c.ID == s.output.engine && !s.clientGone() {
 		s.engineFailed = true
@@ -228,6 +275,12 @@
 	return s.relay(ctx, a, silence)
 }
 
+// newSilenceTimer returns the disabled silence timer of the next attempt, which cancel ends.
+func (s *stream) newSilenceTimer(cancel context.CancelFunc) *silenceTimer {
+	tried, out := maps.Clone(s.tried), s.output
+	return newSilenceTimer(func(ctx context.Context) *replacement { return s.secureStream(ctx, tried, out) }, s.abandonFor(cancel))
+}
+
 // awaitTurn waits for the turn of the request at its engine. It reports false if ctx ended first.
 func (s *stream) awaitTurn(ctx context.Context) bool { return sleep(ctx, time.Until(s.output.turn)) }
 
@@ -249,8 +302,7 @@
 // The load that it answers is a stream that is bound to the few engines of one software version, of which
 // some have just failed and count as cold.
 func (s *stream) awaitEndpoint(ctx context.Context) bool {
-	f := s.filter()
-	f.Tried = s.tried
+	f := s.untried(s.tried)
 	delay := s.gw.opts.Roster.Delay(time.Now(), f)
 	if delay <= 0 || s.endpointWait+delay > maxEndpointWait {
 		return false
@@ -398,7 +450,7 @@
 
 // allowGap sets the time allowed until the next event.
 func (s *stream) allowGap(silence *silenceTimer) {
-	if s.mayRunAgain() {
+	if s.mayRunAgain() && s.sends < maxSends {
 		silence.reset(max(time.Duration(silenceGapFactor*float64(s.route.EventGapTarget)), minSilenceTimeout))
 	} else {
 		silence.disable()
@@ -449,6 +501,9 @@
 		return true, nil
 	}
 	s.record.resumptions++
+	if s.secured.Load() != nil {
+		return false, nil
+	}
 	if final := s.retryOrFail(ctx, "the stream broke off: "+err.Error()); final != nil {
 		return false, final
 	}
@@ -499,17 +554,15 @@
 
 // chooseEngine returns the next endpoint to try: the engine that the dispatcher booked, else the
 // one that hashing assigns to the shared part of the prompt, else the one expected to answer first.
-func (s *stream) chooseEngine() (roster.Candidate, bool) {
-	f := s.filter()
-	f.Tried = s.tried
-	if s.output.turnBooked {
-		if c, found := s.gw.opts.Roster.BookedCandidate(time.Now(), f, s.output.engine); found {
+func (s *stream) chooseEngine(f roster.Filter, out stageOutput) (roster.Candidate, bool) {
+	if out.turnBooked {
+		if c, found := s.gw.opts.Roster.BookedCandidate(time.Now(), f, out.engine); found {
 			return c, true
 		}
 	}
 	candidates := s.gw.opts.Roster.Candidates(time.Now(), f)
 	for _, c := range candidates {
-		if c.ID == s.output.engine {
+		if c.ID == out.engine {
 			return c, true
 		}
 	}
