Take no abandoned attempt for a crash of its endpoint

What callers saw: a request was refused with 503, 'the request has crashed the endpoints that ran it', after its stream had twice been taken away from a silent endpoint that then was restarted or could not be reached.

Cause: when a stream of which an event had been sent was abandoned, the context of the request was asked whether the attempt had been ended here, not that of the attempt. The lost connection then counted as an interruption by the endpoint, and with the endpoint's next loss as a crash, for the request and for the parts of its prompt. The class: one's own act is taken for evidence about another.

Change: an attempt for which a replacement is secured is ended here. Buffered requests asked the right context.

TestAbandonedStreamIsNotSuspected got 503 at its third request before; it passes now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -91,9 +91,11 @@
 }
 
 // reportOutcome records the outcome of an attempt in the roster, unless the attempt ended because the
-// client disconnected or because its time ran out before the endpoint had minHangTime to answer.
+// client disconnected or because its time ran out before the endpoint had minHangTime to answer. An attempt that
+// was ended here shows nothing about a crash.
 func (q *request) reportOutcome(ctx context.Context, now time.Time, a *attempt, outcome roster.Outcome) {
-	if ctx.Err() == nil && outcome == roster.ConnectionLost {
+	ended := ctx.Err() != nil || q.secured.Load() != nil
+	if !ended && outcome == roster.ConnectionLost {
 		interrupted := interruptedRequest{digest: q.digest(), incarnation: a.endpoint.Incarnation, at: now}
 		if a.mayHaveCrashed() {
 			interrupted.parts = q.sharedParts()
@@ -106,18 +108,18 @@
 	if outcome == roster.Unreachable {
 		q.gw.EndpointLost(a.endpoint.ID)
 	}
-	if ctx.Err() == nil || q.endedBySilence(ctx, now, a) {
+	if !ended || q.wasSilent(ctx, now, a) {
 		q.gw.opts.Roster.Report(now, a.endpoint.ID, outcome, now.Sub(a.sentAt))
 	}
 }
 
-// endedBySilence reports whether an attempt was cancelled because the endpoint did not answer.
-func (q *request) endedBySilence(ctx context.Context, now time.Time, a *attempt) bool {
+// wasSilent reports whether an attempt was ended here because its endpoint did not answer.
+func (q *request) wasSilent(ctx context.Context, now time.Time, a *attempt) bool {
 	hangTime := minHangTime
 	if errors.Is(context.Cause(ctx), errAnsweredElsewhere) {
 		hangTime = a.patience
 	}
-	return ctx.Err() != nil && !q.clientGone() && now.Sub(a.sentAt) > hangTime
+	return !q.clientGone() && now.Sub(a.sentAt) > hangTime
 }
 
 // abandonFor returns a function that ends an attempt by cancel, because its endpoint is silent and a replacement
--- a/gatewaydaemon/silentendpoint_test.go
+++ b/gatewaydaemon/silentendpoint_test.go
@@ -148,3 +148,34 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// A stream that the entry itself takes away from a silent endpoint is no evidence that its request crashes endpoints, even
+// if the endpoint is lost just after.
+func TestAbandonedStreamIsNotSuspected(t *testing.T) {
+	d, engines, _ := silentDeployment(t)
+	for _, e := range engines {
+		e.SetStream(3, 10*time.Millisecond)
+	}
+	e := d.entries[0].daemon
+	for range 3 {
+		e.retryBudgets.For("llm").Deposit(1000)
+		var taken atomic.Bool
+		for _, engine := range engines {
+			engine.SetBehaviour(func(int, *http.Request) fleettest.Behaviour {
+				if taken.CompareAndSwap(false, true) {
+					return fleettest.StallAfterEvent
+				}
+				return fleettest.Serve
+			})
+		}
+		if r := d.sendLong(); r.err != nil || r.body != events(3) {
+			t.Fatalf("status %d, error %v, events %q", r.status, r.err, r.body)
+		}
+		for _, engine := range engines {
+			e.gateway.EndpointLost(engine.ID)
+		}
+	}
+	if r := d.sendLong(); r.status != http.StatusOK {
+		t.Errorf("%+v", r)
+	}
+}
