--- a/soak/check.go
+++ b/soak/check.go
@@ -18,8 +18,10 @@
 const (
 	apiKey       = "the-soak's-key"
 	streamEvents = 12
-	// requestTimeout is the deadline that the clients send.
-	requestTimeout = 3 * time.Second
+	// defaultRequestTimeout is the deadline that the clients send, and defaultEventGap the pause before each event of a
+	// stream, unless there is planned work only.
+	defaultRequestTimeout = 3 * time.Second
+	defaultEventGap       = 15 * time.Millisecond
 )
 
 // maxResumptions bounds the further attempts by which a client resumes one stream.
@@ -48,7 +50,7 @@
 	for ctx.Err() == nil {
 		k := requestKinds[rng.IntN(len(requestKinds))]
 		resp := r.sendRequest(ctx, client, e, k.name, fmt.Sprintf("%s-%016x", k.name, rng.Uint64()))
-		for k.name == "staged" && resp.isBroken() && len(resp.resumptions) < maxResumptions && resp.latency < requestTimeout/2 {
+		for k.name == "staged" && !r.o.PlannedOnly && resp.isBroken() && len(resp.resumptions) < maxResumptions && resp.latency < r.requestTimeout()/2 {
 			r.resume(ctx, client, r.entries[rng.IntN(len(r.entries))], &resp, fmt.Sprintf("%s-%016x", k.name, rng.Uint64()))
 		}
 		r.mu.Lock()
@@ -90,7 +92,7 @@
 func (r *run) send(ctx context.Context, client *http.Client, e *entry, kind, id string, header http.Header) response {
 	start := time.Now()
 	result := response{id: id, kind: kind}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout+time.Second)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.requestTimeout()+time.Second)
 	defer cancel()
 	for _, k := range requestKinds {
 		if k.name != kind {
@@ -102,7 +104,7 @@
 			return result
 		}
 		req.Host = "shop.example"
-		fleettest.SetClientHeaders(req.Header, id, apiKey, requestTimeout)
+		fleettest.SetClientHeaders(req.Header, id, apiKey, r.requestTimeout())
 		maps.Copy(req.Header, header)
 		resp, err := client.Do(req)
 		if err != nil {
@@ -134,6 +136,7 @@
 		}
 		r.countResponse(resp)
 		r.checkResponse(resp, runs[resp.id])
+		r.checkAnswered(resp, len(runs[resp.id]) > 0)
 	}
 	for id, endpointRuns := range runs {
 		if !sent[id] && !strings.HasPrefix(id, "recovery-") {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -132,6 +132,8 @@
 		time.Sleep(duration)
 		r.store.Delete(fleet.KindEvacuations, name)
 	}},
+	{"time-outs changed", (*run).changeTimeouts},
+	{"endpoint silent", (*run).silenceEndpoints},
 }
 
 // maxClockError is the maximum clock error of an endpoint, in either direction. An endpoint states
@@ -213,8 +215,9 @@
 		}
 	}
 	var injections sync.WaitGroup
+	schedulable := r.schedulable()
 	for offset := time.Duration(0); offset < r.o.Duration; {
-		f := faults[r.rng.IntN(len(faults))]
+		f := schedulable[r.rng.IntN(len(schedulable))]
 		duration := time.Duration(300+r.rng.IntN(2500)) * time.Millisecond
 		rng := rand.New(rand.NewPCG(r.rng.Uint64(), 2))
 		r.report.Faults = append(r.report.Faults, fmt.Sprintf("%.1f s %s (%v)", offset.Seconds(), f.name, duration))
--- /dev/null
+++ b/soak/planned.go
@@ -0,0 +1,102 @@
+package soak
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+)
+
+// plannedFaults are the faults in a run of planned work only: what operators do, and silence of sound endpoints. None
+// of them excuses a request that gets no complete answer.
+var plannedFaults = []string{
+	"entry stopped", "settings reloaded", "configuration changed", "configuration grown", "time-outs changed", "endpoint silent",
+}
+
+// schedulable returns the faults that the schedule of the run is drawn from.
+func (r *run) schedulable() []fault {
+	if !r.o.PlannedOnly {
+		return faults
+	}
+	return slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !slices.Contains(plannedFaults, f.name) })
+}
+
+const (
+	// routeTimeoutFactor and longRouteTimeoutFactor are the time-outs of routes as multiples of that of the clients.
+	routeTimeoutFactor     = 1
+	longRouteTimeoutFactor = 1.5
+	// plannedRequestTimeout and plannedEventGap leave time for a silence in the middle of a stream.
+	plannedRequestTimeout = 9 * time.Second
+	plannedEventGap       = 250 * time.Millisecond
+	// silencePause is the time between two silences.
+	silencePause = 2 * time.Second
+	// minSilence and maxSilence bound the silence of a sound endpoint.
+	minSilence = 800 * time.Millisecond
+	maxSilence = 1900 * time.Millisecond
+	// heldShare is the share of its time after which a request counts as held without an answer.
+	heldShare = 0.7
+)
+
+// changeTimeouts changes the time-outs of all routes and changes them back.
+func (r *run) changeTimeouts(_ *rand.Rand, duration time.Duration) {
+	r.setRouteTimeout(longRouteTimeoutFactor)
+	r.putConfiguration()
+	time.Sleep(duration)
+	r.setRouteTimeout(routeTimeoutFactor)
+	r.putConfiguration()
+}
+
+// setRouteTimeout sets the time-out of routes in the configurations that are stored from now on.
+func (r *run) setRouteTimeout(factor float64) {
+	r.timeoutMS.Store(int64(factor * float64(r.requestTimeout().Milliseconds())))
+}
+
+// requestTimeout returns the deadline that the clients send.
+func (r *run) requestTimeout() time.Duration {
+	if r.o.PlannedOnly {
+		return plannedRequestTimeout
+	}
+	return defaultRequestTimeout
+}
+
+// eventGap returns the pause before each event of a stream.
+func (r *run) eventGap() time.Duration {
+	if r.o.PlannedOnly {
+		return plannedEventGap
+	}
+	return defaultEventGap
+}
+
+// silentServices are the services whose endpoints fall silent. Most silences meet streams.
+var silentServices = []string{"llm", "llm", "portal", "api"}
+
+// silenceEndpoints makes some endpoints of one service silent for a while, unless others are or were until just now.
+func (r *run) silenceEndpoints(rng *rand.Rand, _ time.Duration) {
+	if !r.silenceMu.TryLock() {
+		return
+	}
+	defer r.silenceMu.Unlock()
+	service := silentServices[rng.IntN(len(silentServices))]
+	silence := minSilence + time.Duration(rng.Int64N(int64(maxSilence-minSilence)))
+	for i, s := range r.servers {
+		if r.endpointSpecs[i]["service"] == service && rng.IntN(2) == 0 {
+			s.FallSilent(silence)
+		}
+	}
+	time.Sleep(silence + silencePause)
+}
+
+// checkAnswered checks, in a run of planned work only, that a request got a complete answer in time. A connection that
+// was closed before an endpoint ran the request carries no request that the entry has taken.
+func (r *run) checkAnswered(resp response, ran bool) {
+	if !r.o.PlannedOnly {
+		return
+	}
+	var opErr *net.OpError
+	refused := errors.As(resp.err, &opErr) && opErr.Op == "dial"
+	held := resp.latency.Seconds() > heldShare*r.requestTimeout().Seconds()
+	if held || resp.err != nil && !refused && ran {
+		r.recordViolation("%s got no complete answer after %v: status %d, %d events, %v", resp.id, resp.latency, resp.status, resp.events(), resp.err)
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -45,6 +45,9 @@
 	Entries int
 	// Duration is the period within which faults are started. A fault may end after it.
 	Duration time.Duration
+	// PlannedOnly limits the faults to planned work and silence of sound endpoints. Every request must then get a
+	// complete answer.
+	PlannedOnly bool
 	// LogDir is the directory for the processes' logs; if it is empty, they are discarded.
 	LogDir string
 }
@@ -79,10 +82,14 @@
 	entries       []*entry
 	// addedRoutes is the number of routes beside those that clients use.
 	addedRoutes atomic.Int64
+	// timeoutMS is the time-out of routes, in milliseconds.
+	timeoutMS atomic.Int64
 	// disruptions counts the faults that stop or pause an entry.
 	disruptions atomic.Int64
 	// limitMu is held while an endpoint states a rate limit, so that no other fault ends it.
 	limitMu sync.Mutex
+	// silenceMu is held while endpoints are silent, and some time longer.
+	silenceMu sync.Mutex
 
 	mu            sync.Mutex
 	report        Report
@@ -113,6 +120,7 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	r := &run{o: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), dir: dir, store: fleettest.NewStore(), report: Report{Seed: o.Seed}}
+	r.setRouteTimeout(routeTimeoutFactor)
 	defer r.close()
 	if err := r.start(ctx); err != nil {
 		return r.report, err
@@ -178,7 +186,7 @@
 	if err != nil {
 		return err
 	}
-	s.SetStream(streamEvents, 15*time.Millisecond)
+	s.SetStream(streamEvents, r.eventGap())
 	if service == "llm" {
 		s.SetVersion(engineVersions[len(r.servers)%len(engineVersions)])
 	}
@@ -207,6 +215,13 @@
 	for i := range r.addedRoutes.Load() {
 		routes = append(routes, fleettest.Route(fmt.Sprint("added-", i), fmt.Sprintf("/added/%d/", i), "idempotent", "api", nil))
 	}
+	for _, route := range routes {
+		route["timeoutMs"] = r.timeoutMS.Load()
+		if r.o.PlannedOnly {
+			// Clients wait for two seconds for an event.
+			route["targetLatencyMs"], route["targetGapMs"] = 400, 100
+		}
+	}
 	r.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(version, routes, []map[string]any{fleettest.Service("api"), fleettest.EngineService("llm"), fleettest.StageService("portal")},
 		map[string][]string{"org": {apiKey, fmt.Sprintf("key-of-%d", version)}}))
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,11 +14,18 @@
 	51005, // streams went on at another software version within one answer
 }
 
-func TestSeeds(t *testing.T) {
+// buildGateway builds the gateway program and returns its path.
+func buildGateway(t *testing.T) string {
+	t.Helper()
 	gateway := filepath.Join(t.TempDir(), "azurelead-gateway")
 	if out, err := exec.Command("go", "build", "-o", gateway, "github.com/azurelead/azurelead/cmd/azurelead-gateway").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
+	return gateway
+}
+
+func TestSeeds(t *testing.T) {
+	gateway := buildGateway(t)
 	for _, seed := range seeds {
 		report, err := Run(t.Context(), Options{Gateway: gateway, Seed: seed, Entries: 3, Duration: 5 * time.Second, LogDir: t.ArtifactDir()})
 		if err != nil {
@@ -41,3 +48,18 @@
 		t.Error("a run with a missing program returned no error")
 	}
 }
+
+// A run of planned work beside silent endpoints: every request must get a complete answer. Seed 361003 found streams
+// that were cut and requests that were held until their deadline.
+func TestPlannedWorkBesideSilentEndpoints(t *testing.T) {
+	report, err := Run(t.Context(), Options{Gateway: buildGateway(t), Seed: 361003, Entries: 3, Duration: 14 * time.Second, PlannedOnly: true, LogDir: t.ArtifactDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, violation := range report.Violations {
+		t.Error(violation)
+	}
+	if report.Served == 0 {
+		t.Errorf("no request was served: %+v", report)
+	}
+}
