--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -146,7 +147,8 @@
 	g.opts.Metrics.InFlight.Inc()
 	defer g.opts.Metrics.InFlight.Dec()
 	defer q.log()
-	defer q.refundReservedRetry()
+	defer q.discardSecured()
+	defer q.answerAfterPanic()
 	if resp := q.admit(); resp != nil {
 		q.respond(*resp)
 		return
@@ -175,14 +177,39 @@
 	service string
 	// version is the software version that has sent events of the stream; empty if none has. It is set in
 	// the request's own goroutine, and read by its silence timer.
-	version  atomic.Pointer[string]
-	body     []byte
-	deadline time.Time
-	record   accessRecord
+	version atomic.Pointer[string]
+	body    []byte
+	// lastEventAfter is the time from started to the last event of the stream, in nanoseconds; 0 before the first.
+	lastEventAfter atomic.Int64
+	// stageRuns counts how often the stages have been submitted.
+	stageRuns atomic.Int64
+	deadline  time.Time
+	record    accessRecord
 	// cachedDigest is the result of digest, which runs in the request's own goroutine.
 	cachedDigest string
-	// retryReserved is set while a retry is paid for that has not been made.
-	retryReserved atomic.Bool
+	// headerSent is set once the header of a response has been written to the client.
+	headerSent bool
+	// secured is the replacement for which the last attempt was abandoned, until it is used.
+	secured atomic.Pointer[replacement]
+}
+
+// answerAfterPanic is deferred. It logs a panic and answers the request, for which net/http would close the
+// connection without an answer. A response that has begun is cut.
+func (q *request) answerAfterPanic() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if p == http.ErrAbortHandler {
+		panic(p)
+	}
+	q.gw.opts.Metrics.Panics.Inc()
+	q.gw.opts.Logger.Error("request handler panicked", "request", q.headers.AttemptID, "panic", p, "stack", string(debug.Stack()))
+	if q.headerSent {
+		q.record.outcome = "broken off"
+		panic(http.ErrAbortHandler)
+	}
+	q.respond(*unknownOutcomeResponse("internal error"))
 }
 
 // admit reads and validates a request and looks up its route, organisation and service. It returns
@@ -300,10 +327,17 @@
 	return f
 }
 
-// refundReservedRetry returns a reserved retry to the budget that the request did not need after all.
-func (q *request) refundReservedRetry() {
-	if q.takeReservedRetry() {
-		q.gw.opts.RetryBudgets.For(q.service).Refund()
+// untried selects the endpoints that may serve the request and have not been tried.
+func (q *request) untried(tried map[string]bool) roster.Filter {
+	f := q.filter()
+	f.Tried = tried
+	return f
+}
+
+// discardSecured returns a secured replacement that the request did not use.
+func (q *request) discardSecured() {
+	if r := q.secured.Swap(nil); r != nil {
+		r.discard()
 	}
 }
 
