Take only whole lines for the number of an event

Callers: a stream whose last event had a long data line could end as complete without that event. In the middle of a stream the event was left out as a repeat, and the next one then broke the stream off as a gap.

Cause: a line longer than the read buffer of 2,048 bytes is read in fragments, and its last fragment was parsed as a line of its own. Text of a model that reads "id: 1" at that place was taken for the number of the event. Class of fault: a part of a record is parsed as a record.

Evidence: TestFragmentOfLongLineIsNoEventNumber failed before ("2042 bytes before the text: got 1 events, number 1").

Change: a line that began in an earlier fragment is not parsed for a number.

Result: go test ./gateway passes.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -37,6 +37,7 @@
 // and io.ErrUnexpectedEOF if it ended within one.
 func (e *eventReader) next() (event, error) {
 	var ev event
+	lineBegun := false
 	for {
 		line, err := e.br.ReadSlice('\n')
 		ev.raw = append(ev.raw, line...)
@@ -44,6 +45,7 @@
 			if len(ev.raw) > maxEventBytes {
 				return event{}, errEventTooLarge
 			}
+			lineBegun = true
 			continue
 		}
 		if err != nil {
@@ -59,11 +61,12 @@
 		if len(text) == 0 && endsEvent(ev.raw) {
 			return ev, nil
 		}
-		if value, found := bytes.CutPrefix(text, []byte("id:")); found {
+		if value, found := bytes.CutPrefix(text, []byte("id:")); found && !lineBegun {
 			if id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 				ev.id = id
 			}
 		}
+		lineBegun = false
 	}
 }
 
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -76,3 +76,15 @@
 		}
 	})
 }
+
+// A line that is longer than the read buffer was read in fragments, and one that began with "id:" was taken for the
+// number of the event: a last event with an earlier number was left out of a stream that looked complete.
+func TestFragmentOfLongLineIsNoEventNumber(t *testing.T) {
+	for n := 2000; n < 2100; n++ {
+		text := "id: 2\ndata: " + strings.Repeat("x", n) + "id: 1\n\n"
+		got, err := readAll(strings.NewReader(text))
+		if len(got) != 1 || got[0].id != 2 || !errors.Is(err, io.EOF) {
+			t.Fatalf("%d bytes before the text: got %d events, number %d, error %v", n, len(got), got[0].id, err)
+		}
+	}
+}
