Pass on only what is an event of the stream

Callers: the text of an error, or the whole head and text of an error response, in the middle of a stream that then ended as if it were complete. A stream had begun, its engine broke it off, and the next one answered with success and an error in place of events; or an engine wrote an error response into its own unframed stream.

Cause: whatever stood between two empty lines was taken for an event, and what had no number was passed on as a comment. Class of fault: input is passed on because nothing about it is known to be wrong, in place of what is known to be right.

Change: the reader checks each event for the form of the platform's events (fields of the event-stream format or of the platform, one positive number, one kind of line end), and an event with data must have a number. What is not in the form ends the attempt as broken off: the stream goes on at another engine where its route allows it, or is broken off. Comments still pass.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"strconv"
 )
 
 // maxEventBytes bounds the size of one event of a stream.
@@ -16,6 +15,12 @@
 	errEventTooLarge = Error.New("event larger than %d bytes", maxEventBytes)
 	// errNoProgress ends a stream of more than maxEventBytes without a new event.
 	errNoProgress = Error.New("more than %d bytes without a new event", maxEventBytes)
+	// errNotAnEvent ends a stream that contains bytes that are not an event in the platform's form, such as
+	// an error response that an endpoint has written into it.
+	errNotAnEvent = Error.New("bytes that are not an event")
+	// errUnnumberedEvent ends a stream with an event that carries data and no number. The platform's engines number
+	// all of their events, so that it is an error or the event of another stream.
+	errUnnumberedEvent = Error.New("event without a number")
 )
 
 // eventReader reads complete server-sent events. It never returns an event that the endpoint left
@@ -33,11 +38,10 @@
 
 func newEventReader(r io.Reader) *eventReader { return &eventReader{br: bufio.NewReaderSize(r, 2048)} }
 
-// next returns the next complete event. It returns io.EOF if the stream ended between two events
-// and io.ErrUnexpectedEOF if it ended within one.
+// next returns the next complete event. It returns io.EOF if the stream ended between two events,
+// io.ErrUnexpectedEOF if it ended within one, and errNotAnEvent for bytes that are not an event.
 func (e *eventReader) next() (event, error) {
 	var ev event
-	lineBegun := false
 	for {
 		line, err := e.br.ReadSlice('\n')
 		ev.raw = append(ev.raw, line...)
@@ -45,7 +49,6 @@
 			if len(ev.raw) > maxEventBytes {
 				return event{}, errEventTooLarge
 			}
-			lineBegun = true
 			continue
 		}
 		if err != nil {
@@ -57,16 +60,10 @@
 		if len(ev.raw) > maxEventBytes {
 			return event{}, errEventTooLarge
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 && endsEvent(ev.raw) {
-			return ev, nil
+		if len(bytes.TrimRight(line, "\r\n")) == 0 && endsEvent(ev.raw) {
+			ev.id, err = parseEvent(ev.raw)
+			return ev, err
 		}
-		if value, found := bytes.CutPrefix(text, []byte("id:")); found && !lineBegun {
-			if id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
-				ev.id = id
-			}
-		}
-		lineBegun = false
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -370,6 +370,8 @@
 			return s.handleStreamEnd(ctx, a, err)
 		}
 		switch {
+		case ev.id == 0 && ev.carriesData():
+			return s.handleStreamEnd(ctx, a, errUnnumberedEvent)
 		case ev.id > s.lastEventID+1:
 			return s.handleStreamEnd(ctx, a, Error.New("event %d follows %d", ev.id, s.lastEventID))
 		case ev.id > s.lastEventID:
--- /dev/null
+++ b/gatewaydaemon/brokenstream_test.go
@@ -0,0 +1,122 @@
+package gatewaydaemon
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/azurelead/azurelead/platform/fleet"
+	"github.com/azurelead/azurelead/platform/fleettest"
+)
+
+// streamFaults are the ways in which an engine may answer in place of going on with a stream.
+var streamFaults = map[string]fleettest.Behaviour{
+	"status 500":               fleettest.FailAfterRun,
+	"refusal":                  fleettest.Shed,
+	"unsigned stream":          fleettest.Unsigned,
+	"reset before the answer":  fleettest.ResetAfterRun,
+	"end before the events":    fleettest.CloseBeforeEvents,
+	"page with success":        fleettest.ErrorPage,
+	"error event":              fleettest.ErrorEvent,
+	"error between two events": fleettest.ErrorBetweenEvents,
+	"error inside of an event": fleettest.ErrorInsideEvent,
+	"end inside of an event":   fleettest.CloseMidEvent,
+	"reset inside of an event": fleettest.ResetMidEvent,
+	"reset between two events": fleettest.ResetMidResponse,
+}
+
+// behaveInTurn makes the engines together handle the first requests in these ways, and serve the later ones.
+func behaveInTurn(engines []*fleettest.Server, behaviours ...fleettest.Behaviour) {
+	var mu sync.Mutex
+	for _, s := range engines {
+		s.SetBehaviour(func(int, *http.Request) fleettest.Behaviour {
+			mu.Lock()
+			defer mu.Unlock()
+			if len(behaviours) == 0 {
+				return fleettest.Serve
+			}
+			b := behaviours[0]
+			behaviours = behaviours[1:]
+			return b
+		})
+	}
+}
+
+// startEngines starts engines with streams of 12 events, and a route for them whose streams may be resumed, with
+// this number of attempts.
+func (d *deployment) startEngines(engines, attempts int) []*fleettest.Server {
+	_, _, engine1, engine2, _ := d.startEndpoints(nil)
+	list := []*fleettest.Server{engine1, engine2}
+	for len(list) < engines {
+		s := fleettest.NewServer("more-" + string(rune('a'+len(list))))
+		d.t.Cleanup(s.Close)
+		d.store.Put(fleet.KindEndpoints, s.ID, s.EndpointSpec("llm", "north"))
+		list = append(list, s)
+	}
+	for _, s := range list {
+		s.SetStream(12, 0)
+	}
+	overrides := map[string]any{"resumable": true, "attempts": attempts}
+	d.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(2,
+		[]map[string]any{
+			fleettest.Route("again", "/stream/again/", "streaming", "llm", overrides),
+			fleettest.Route("plain", "/stream/plain/", "streaming", "llm", nil),
+		},
+		[]map[string]any{fleettest.EngineService("llm"), fleettest.StageService("portal")}, nil))
+	d.waitReady()
+	e := d.entries[0]
+	d.eventually("the engines and the route are known", func() bool {
+		return len(e.daemon.roster.Endpoints(time.Now(), "llm")) == engines && d.send(e, "GET", "/look/x", nil).status == http.StatusNotFound
+	})
+	return list
+}
+
+// A stream had begun and broke off, and the next engine answers with an error. No byte of the error may reach the
+// client, and what the client gets must not look complete.
+func TestErrorOfNextEngineStaysOutOfStream(t *testing.T) {
+	for name, b := range streamFaults {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 1)
+			engines := d.startEngines(2, 2)
+			behaveInTurn(engines, fleettest.ResetMidEvent, b, b, b)
+			r := d.send(d.entries[0], "POST", "/stream/again/x", nil)
+			if r.status != http.StatusOK || r.err == nil || !strings.HasPrefix(events(12), r.body) || r.body == "" {
+				t.Errorf("status %d, error %v, stream %q", r.status, r.err, r.body)
+			}
+		})
+	}
+}
+
+// A stream goes on at a third engine where the route allows it, whatever the second one answers.
+func TestStreamGoesOnAfterErrorOfNextEngine(t *testing.T) {
+	for name, b := range streamFaults {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 1)
+			engines := d.startEngines(3, 3)
+			behaveInTurn(engines, fleettest.ResetMidEvent, b)
+			r := d.send(d.entries[0], "POST", "/stream/again/x", nil)
+			if r.status != http.StatusOK || r.err != nil || r.body != events(12) {
+				t.Errorf("status %d, error %v, stream %q", r.status, r.err, r.body)
+			}
+		})
+	}
+}
+
+// An engine that sends an error in place of its stream, or inside it, has not answered: the client of a stream that
+// may not be resumed gets no success that looks complete.
+func TestErrorInPlaceOfStreamIsNoSuccess(t *testing.T) {
+	for _, name := range []string{"page with success", "error event", "error between two events", "error inside of an event"} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 1)
+			engines := d.startEngines(2, 2)
+			behaveInTurn(engines, streamFaults[name])
+			r := d.send(d.entries[0], "POST", "/stream/plain/x", nil)
+			complete := r.status == http.StatusOK && r.err == nil
+			if complete || r.status == http.StatusOK && !strings.HasPrefix(events(12), r.body) {
+				t.Errorf("status %d, error %v, stream %q", r.status, r.err, r.body)
+			}
+		})
+	}
+}
