Relay only responses that are streams of events

Callers: a page of another type with success, without text, ended a stream that had begun and broken off as if it were complete; as the first answer it was passed on as a complete stream without events.

Cause: on a streaming route every response with status 200 was relayed as events, whatever its header says it is.

Evidence: with the stand-in's behaviour EmptyPage (text/html) the case "empty page with success" of TestErrorOfNextEngineStaysOutOfStream, TestStreamGoesOnAfterErrorOfNextEngine and TestErrorInPlaceOfStreamIsNoSuccess failed before ("status 200, error <nil>").

Change: a response that states another type than text/event-stream, or an encoding, ends the attempt as broken off. The platform promises streams on these routes, and that its servers' bodies have no encoding. A response that states no type is judged by its events.

Result: the tests pass; go test ./gateway passes.

--- a/gateway/eventformat.go
+++ b/gateway/eventformat.go
@@ -2,9 +2,23 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strconv"
+	"strings"
 )
 
+// checkEventStream returns an error if the header of a response states that its body is not a stream of events.
+func checkEventStream(h http.Header) error {
+	mediaType, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	if mediaType = strings.TrimSpace(mediaType); mediaType != "" && !strings.EqualFold(mediaType, "text/event-stream") {
+		return Error.New("%q in place of a stream of events", mediaType)
+	}
+	if encoding := h.Get("Content-Encoding"); encoding != "" && encoding != "identity" {
+		return Error.New("a stream of events with encoding %q", encoding)
+	}
+	return nil
+}
+
 // eventFields are the fields of the event-stream format.
 var eventFields = [][]byte{[]byte("id"), []byte("event"), []byte("data"), []byte("retry")}
 
--- a/gateway/eventformat_test.go
+++ b/gateway/eventformat_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 )
@@ -62,3 +63,26 @@
 		}
 	}
 }
+
+// A response of another type is not relayed as a stream, even if its text can be taken for one.
+func TestResponseOfAnotherTypeIsNoStream(t *testing.T) {
+	cases := []struct {
+		contentType, encoding string
+		ok                    bool
+	}{
+		{"text/event-stream", "", true},
+		{"Text/Event-Stream; charset=utf-8", "identity", true},
+		{"", "", true},
+		{"text/plain; charset=utf-8", "", false},
+		{"application/json", "", false},
+		{"text/html", "", false},
+		{"text/event-streams", "", false},
+		{"text/event-stream", "gzip", false},
+	}
+	for _, c := range cases {
+		err := checkEventStream(http.Header{"Content-Type": {c.contentType}, "Content-Encoding": {c.encoding}})
+		if (err == nil) != c.ok {
+			t.Errorf("%q, %q: %v", c.contentType, c.encoding, err)
+		}
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -362,6 +362,9 @@
 // relay forwards complete events as they arrive. Only events that continue the stream count as
 // progress: comments and repeated events may come without end from an endpoint that has stalled.
 func (s *stream) relay(ctx context.Context, a *attempt, silence *silenceTimer) (bool, *response) {
+	if err := checkEventStream(a.resp.Header); err != nil {
+		return s.handleStreamEnd(ctx, a, err)
+	}
 	events := newEventReader(a.resp.Body)
 	bytesWithoutProgress := 0
 	for {
--- a/gatewaydaemon/brokenstream_test.go
+++ b/gatewaydaemon/brokenstream_test.go
@@ -19,6 +19,7 @@
 	"reset before the answer":  fleettest.ResetAfterRun,
 	"end before the events":    fleettest.CloseBeforeEvents,
 	"page with success":        fleettest.ErrorPage,
+	"empty page with success":  fleettest.EmptyPage,
 	"error event":              fleettest.ErrorEvent,
 	"error between two events": fleettest.ErrorBetweenEvents,
 	"error inside of an event": fleettest.ErrorInsideEvent,
@@ -107,7 +108,7 @@
 // An engine that sends an error in place of its stream, or inside it, has not answered: the client of a stream that
 // may not be resumed gets no success that looks complete.
 func TestErrorInPlaceOfStreamIsNoSuccess(t *testing.T) {
-	for _, name := range []string{"page with success", "error event", "error between two events", "error inside of an event"} {
+	for _, name := range []string{"page with success", "empty page with success", "error event", "error between two events", "error inside of an event"} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t, 1)
 			engines := d.startEngines(2, 2)
