Do not take an empty continuation for the end of a stream

Callers: a stream that had begun and broke off ended as if it were complete, without its last events, when the next engine answered with a stream without events.

Cause: a response that ends by its framing was taken for complete also where it was to continue a broken stream. Class of fault: the absence of an error is taken for evidence.

Both sides: an engine can fail between the last event of a stream and its end, and then the empty continuation is right. A stream that is called broken off costs the client one further attempt, which gets the empty end as the answer of its own engine; a truncated stream that is called complete can't be mended by anyone. So the stream is tried at a further engine where its route allows it, and broken off otherwise. The empty answer is not counted against its engine.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -21,6 +21,10 @@
 	// errUnnumberedEvent ends a stream with an event that carries data and no number. The platform's engines number
 	// all of their events, so that it is an error or the event of another stream.
 	errUnnumberedEvent = Error.New("event without a number")
+	// errNothingFollows ends an attempt that was to continue a stream and has no events. The endpoint before
+	// may have failed between the last event and the end of the stream, but an endpoint in trouble answers
+	// alike: the client resumes the stream if it needs to.
+	errNothingFollows = Error.New("a complete response without the events that follow")
 )
 
 // eventReader reads complete server-sent events. It never returns an event that the endpoint left
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -432,10 +432,16 @@
 }
 
 // handleStreamEnd handles the end of an endpoint's stream, which is complete if err is io.EOF. The end of
-// a connection before the first event is no sign of a complete stream: a crash looks the same.
+// a connection before the first event is no sign of a complete stream: a crash looks the same. Nor is a response
+// without events that is to continue a stream that broke off.
 func (s *stream) handleStreamEnd(ctx context.Context, a *attempt, err error) (bool, *response) {
-	if errors.Is(err, io.EOF) && a.events == 0 && isCloseDelimited(a.resp) {
-		err = io.ErrUnexpectedEOF
+	if errors.Is(err, io.EOF) && a.events == 0 {
+		switch {
+		case isCloseDelimited(a.resp):
+			err = io.ErrUnexpectedEOF
+		case s.lastEventID > s.headers.LastEventID:
+			err = errNothingFollows
+		}
 	}
 	if errors.Is(err, io.EOF) {
 		if a.events > 0 {
@@ -447,8 +453,10 @@
 		return true, nil
 	}
 	a.err = err
-	s.reportOutcome(ctx, time.Now(), a, roster.ConnectionLost)
-	s.engineFailed = s.engineFailed || a.endpoint.ID == s.output.engine
+	if !errors.Is(err, errNothingFollows) {
+		s.reportOutcome(ctx, time.Now(), a, roster.ConnectionLost)
+		s.engineFailed = s.engineFailed || a.endpoint.ID == s.output.engine
+	}
 	if s.clientGone() {
 		s.record.outcome = "client left"
 		return true, nil
--- a/gatewaydaemon/brokenstream_test.go
+++ b/gatewaydaemon/brokenstream_test.go
@@ -20,6 +20,7 @@
 	"end before the events":    fleettest.CloseBeforeEvents,
 	"page with success":        fleettest.ErrorPage,
 	"empty page with success":  fleettest.EmptyPage,
+	"empty stream":             fleettest.EmptyStream,
 	"error event":              fleettest.ErrorEvent,
 	"error between two events": fleettest.ErrorBetweenEvents,
 	"error inside of an event": fleettest.ErrorInsideEvent,
@@ -121,3 +122,19 @@
 		})
 	}
 }
+
+// An engine broke off a stream after its last event and before its end. The next one has nothing to add, which shows
+// no complete stream; the client resumes it and then gets its end.
+func TestStreamThatBrokeOffBeforeItsEnd(t *testing.T) {
+	d := newDeployment(t, 1)
+	engines := d.startEngines(2, 2)
+	behaveInTurn(engines, fleettest.CloseBeforeEnd)
+	r := d.send(d.entries[0], "POST", "/stream/again/x", nil)
+	if r.status != http.StatusOK || r.err == nil || r.body != events(12) {
+		t.Errorf("status %d, error %v, stream %q", r.status, r.err, r.body)
+	}
+	r = d.send(d.entries[0], "POST", "/stream/again/x", http.Header{"Resumes": {r.id}, "Last-Event-Id": {"12"}})
+	if r.status != http.StatusOK || r.err != nil || r.body != "" {
+		t.Errorf("resumed: status %d, error %v, stream %q", r.status, r.err, r.body)
+	}
+}
