Let a stream go on after any error of the next engine

Callers: a resumable stream was broken off although its route allowed a third engine, if the second one answered with a status below 500, such as 404 or 204.

Cause: such a status is final for a request that has not begun, and was handled alike for the rest of a stream, of which it can't be the answer. Its head and text did not reach the client before either: the connection was closed.

Change: once the header has been sent, every other response than a stream sends the request to a further engine, where the attempts of its route and the budget allow it, and breaks the stream off otherwise.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -342,7 +343,8 @@
 	return final
 }
 
-// handleErrorResponse handles a response that is not a stream of events.
+// handleErrorResponse handles a response that is not a stream of events. None can be the rest of a stream that has
+// begun, whatever its status.
 func (s *stream) handleErrorResponse(ctx context.Context, a *attempt) (bool, *response) {
 	body, err := upstream.ReadBody(a.resp, maxResponseBytes)
 	s.runs++
@@ -351,6 +353,9 @@
 		s.reportOutcome(ctx, time.Now(), a, roster.ConnectionLost)
 		return s.clientGone(), s.retryOrFail(ctx, "the answer broke off")
 	}
+	if s.headerSent {
+		return s.clientGone(), s.retryOrFail(ctx, fmt.Sprintf("status %d in place of the rest of the stream", a.resp.StatusCode))
+	}
 	if a.resp.StatusCode >= http.StatusInternalServerError {
 		if final := s.retryOrFail(ctx, ""); final == nil {
 			return false, nil
@@ -479,8 +484,7 @@
 
 // forwardResponse returns the endpoint's response for the client. On a route that does not allow
 // retries, a status that promises that the request has not run is replaced: the endpoint did not
-// state that in its header, so the outcome is unknown. If events were sent already, the caller
-// aborts the connection instead.
+// state that in its header, so the outcome is unknown.
 func (s *stream) forwardResponse(resp *response) *response {
 	if s.runs > 0 && !s.route.Repeatable() && promisesNotRun(resp.status) {
 		return unknownOutcomeResponse("an endpoint's refusal does not say that it did not run the request")
--- a/gatewaydaemon/brokenstream_test.go
+++ b/gatewaydaemon/brokenstream_test.go
@@ -13,6 +13,8 @@
 
 // streamFaults are the ways in which an engine may answer in place of going on with a stream.
 var streamFaults = map[string]fleettest.Behaviour{
+	"status 404":               fleettest.NotFoundAfterRun,
+	"status 204":               fleettest.NoContentAfterRun,
 	"status 500":               fleettest.FailAfterRun,
 	"refusal":                  fleettest.Shed,
 	"unsigned stream":          fleettest.Unsigned,
