Close the connection of a client that has left

Callers: a client that had closed its side of the connection for writing, and still read, got the regular end of its stream after a part of the events, or a success without a signature and without a body where no engine had answered.

Cause: such a client counts as gone, as net/http reports the end of its bytes, and the handler returned. net/http then sends what a returning handler means: status 200, and the last chunk. Class of fault: a default of a library speaks where the program meant to say nothing.

Change: a request whose client has left ends with http.ErrAbortHandler, as a stream that is broken off does. Streams return normally only after their regular end.

--- a/gateway/response.go
+++ b/gateway/response.go
@@ -48,12 +48,18 @@
 	Reason string `json:"reason"`
 }
 
+// abandon ends a request whose client has left. A client that has only closed its side of the connection can still
+// read: returning from the handler would send it a success, or the regular end of its stream.
+func (q *request) abandon() {
+	q.record.outcome = "client left"
+	panic(http.ErrAbortHandler)
+}
+
 // respond writes a complete response to the client.
 func (q *request) respond(resp response) {
 	q.record.status, q.record.local, q.record.reason = resp.status, resp.local, resp.reason
 	if q.clientGone() {
-		q.record.outcome = "client left"
-		return
+		q.abandon()
 	}
 	h := q.w.Header()
 	if !resp.local {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -38,6 +38,8 @@
 	controller *http.ResponseController
 	// headerSent is set once the response header has been written.
 	headerSent bool
+	// complete is set once the stream has ended regularly.
+	complete bool
 	// lastEventID is the number of the last event that the client has received.
 	lastEventID int64
 	// runs counts the attempts that may have run the request, sends all attempts.
@@ -108,8 +110,10 @@
 	for {
 		done, final := s.tryEndpoint(ctx)
 		switch {
-		case done:
+		case done && s.complete:
 			return
+		case done:
+			s.abandon()
 		case final != nil && !s.headerSent:
 			q.respond(*final)
 			return
@@ -399,8 +403,7 @@
 		s.startResponse(a)
 		s.lastEventID = max(s.lastEventID, ev.id)
 		if _, err := s.w.Write(ev.raw); err != nil {
-			s.record.outcome = "client left"
-			return true, nil
+			return true, nil // the client has left
 		}
 		_ = s.controller.Flush() // the next write fails if the client disconnected
 	}
@@ -455,6 +458,7 @@
 		s.startResponse(a)
 		s.gw.opts.Origins.End(s.headers.AttemptID)
 		s.record.status = http.StatusOK
+		s.complete = true
 		return true, nil
 	}
 	a.err = err
@@ -463,7 +467,6 @@
 		s.engineFailed = s.engineFailed || a.endpoint.ID == s.output.engine
 	}
 	if s.clientGone() {
-		s.record.outcome = "client left"
 		return true, nil
 	}
 	s.record.resumptions++
--- a/gatewaydaemon/brokenstream_test.go
+++ b/gatewaydaemon/brokenstream_test.go
@@ -1,6 +1,10 @@
 package gatewaydaemon
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -140,3 +144,55 @@
 		t.Errorf("resumed: status %d, error %v, stream %q", r.status, r.err, r.body)
 	}
 }
+
+// A client that closes its side of the connection for writing counts as gone, and may still read. What it has got
+// must not look complete, and it must not get a success that no engine has sent.
+func TestClosedClientGetsNoCompleteAnswer(t *testing.T) {
+	cases := []struct {
+		name, path string
+		behaviour  fleettest.Behaviour
+		begun      bool
+	}{
+		{"stream that has begun", "/stream/again/x", fleettest.Trickle, true},
+		{"stream that has begun and may not be resumed", "/stream/plain/x", fleettest.Trickle, true},
+		{"stream that has not begun", "/stream/plain/x", fleettest.Hang, false},
+		{"whole answer", "/look/x", fleettest.Hang, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDeployment(t, 1)
+			api1, api2, engine1, engine2, _ := d.startEndpoints(nil)
+			servers := []*fleettest.Server{api1, api2, engine1, engine2}
+			for _, s := range servers {
+				s.SetBehaviour(alwaysBehave(c.behaviour))
+			}
+			d.waitReady()
+			conn, err := net.Dial("tcp", d.entries[0].front)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: shop.example\r\nAzurelead-Attempt-Id: left\r\nAzurelead-Timeout-Ms: 60000\r\nContent-Length: 0\r\n\r\n", c.path)
+			d.eventually("the request runs", func() bool {
+				return len(api1.Runs())+len(api2.Runs())+len(engine1.Runs())+len(engine2.Runs()) > 0
+			})
+			br := bufio.NewReader(conn)
+			if c.begun {
+				_, err = br.Peek(1)
+			}
+			if closeErr := conn.(*net.TCPConn).CloseWrite(); err != nil || closeErr != nil {
+				t.Fatal(err, closeErr)
+			}
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil && !c.begun {
+				return
+			}
+			if err != nil || !c.begun {
+				t.Fatalf("response %+v, error %v", resp, err)
+			}
+			if body, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("the stream ended as complete: %q", body)
+			}
+		})
+	}
+}
