--- a/soak/faults.go
+++ b/soak/faults.go
@@ -225,6 +225,7 @@
 		})
 		offset += time.Duration(100+r.rng.IntN(900)) * time.Millisecond
 	}
+	injections.Go(r.breakStreams(rand.New(rand.NewPCG(r.o.Seed, 3))))
 	injections.Wait()
 	r.checkRecovery(ctx)
 	stop()
