Test what continues a stream by numbers and lengths

Cause: three ways in which a next engine may disturb a stream had no test: it starts the stream again from its first event, it leaves out an event, or the first engine states a length that the whole stream does not keep.

Change: stand-ins' behaviours and tests for them, and the first two in the soak.

--- a/gatewaydaemon/brokenstream_test.go
+++ b/gatewaydaemon/brokenstream_test.go
@@ -32,6 +32,7 @@
 	"error inside of an event": fleettest.ErrorInsideEvent,
 	"end inside of an event":   fleettest.CloseMidEvent,
 	"reset inside of an event": fleettest.ResetMidEvent,
+	"gap between two events":   fleettest.SkipEvent,
 	"reset between two events": fleettest.ResetMidResponse,
 }
 
@@ -112,6 +113,28 @@
 	}
 }
 
+// An engine that starts a stream again from its first event adds only what the client does not have.
+func TestRestartedStreamRepeatsNothing(t *testing.T) {
+	d := newDeployment(t, 1)
+	engines := d.startEngines(2, 2)
+	behaveInTurn(engines, fleettest.CloseMidEvent, fleettest.RestartStream)
+	r := d.send(d.entries[0], "POST", "/stream/again/x", nil)
+	if r.status != http.StatusOK || r.err != nil || r.body != events(12) {
+		t.Errorf("status %d, error %v, stream %q", r.status, r.err, r.body)
+	}
+}
+
+// The length that an engine states for its stream does not bound a stream that goes on at another engine.
+func TestStreamOfStatedLengthGoesOn(t *testing.T) {
+	d := newDeployment(t, 1)
+	engines := d.startEngines(2, 2)
+	behaveInTurn(engines, fleettest.CloseSized)
+	r := d.send(d.entries[0], "POST", "/stream/again/x", nil)
+	if r.status != http.StatusOK || r.err != nil || r.body != events(12) || r.header.Get("Content-Length") != "" {
+		t.Errorf("status %d, error %v, header %v, stream %q", r.status, r.err, r.header, r.body)
+	}
+}
+
 // An engine that sends an error in place of its stream, or inside it, has not answered: the client of a stream that
 // may not be resumed gets no success that looks complete.
 func TestErrorInPlaceOfStreamIsNoSuccess(t *testing.T) {
--- a/soak/brokenstreams.go
+++ b/soak/brokenstreams.go
@@ -15,11 +15,12 @@
 		fleettest.ResetMidResponse, fleettest.ResetMidEvent, fleettest.CloseMidEvent, fleettest.CloseBeforeEnd,
 		fleettest.ErrorBetweenEvents, fleettest.ErrorInsideEvent,
 	}
-	// errorAnswers are the ways in which engines answer in place of going on with a stream that broke off.
+	// errorAnswers are the ways in which engines answer in place of going on with a stream that broke off; one that
+	// starts it again is sound.
 	errorAnswers = []fleettest.Behaviour{
 		fleettest.FailAfterRun, fleettest.NotFoundAfterRun, fleettest.NoContentAfterRun, fleettest.Unsigned,
 		fleettest.ErrorPage, fleettest.EmptyPage, fleettest.ErrorEvent, fleettest.EmptyStream,
-		fleettest.ErrorBetweenEvents, fleettest.ErrorInsideEvent,
+		fleettest.ErrorBetweenEvents, fleettest.ErrorInsideEvent, fleettest.RestartStream, fleettest.SkipEvent,
 	}
 )
 
