Log why each attempt of a stream broke off

Cause: the log line of a stream that went on at another engine said "answered" for the engine that broke it off. Logs could not tell an error in place of events from a lost connection.

Change: the attempt states how many events came, and why no more.

--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -40,6 +41,11 @@
 	}
 }
 
+// addStreamEnd adds to the last attempt why it did not complete its stream.
+func (r *accessRecord) addStreamEnd(a *attempt) {
+	r.sends[len(r.sends)-1] += fmt.Sprintf(" with %d events: %v", a.events, a.err)
+}
+
 // reachedEndpoint reports whether an endpoint may have received the request.
 func (r *accessRecord) reachedEndpoint() bool { return r.reached }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -358,7 +357,9 @@
 		return s.clientGone(), s.retryOrFail(ctx, "the answer broke off")
 	}
 	if s.headerSent {
-		return s.clientGone(), s.retryOrFail(ctx, fmt.Sprintf("status %d in place of the rest of the stream", a.resp.StatusCode))
+		a.err = Error.New("status %d in place of the rest of the stream", a.resp.StatusCode)
+		s.record.addStreamEnd(a)
+		return s.clientGone(), s.retryOrFail(ctx, a.err.Error())
 	}
 	if a.resp.StatusCode >= http.StatusInternalServerError {
 		if final := s.retryOrFail(ctx, ""); final == nil {
@@ -462,6 +463,7 @@
 		return true, nil
 	}
 	a.err = err
+	s.record.addStreamEnd(a)
 	if !errors.Is(err, errNothingFollows) {
 		s.reportOutcome(ctx, time.Now(), a, roster.ConnectionLost)
 		s.engineFailed = s.engineFailed || a.endpoint.ID == s.output.engine
