--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -38,6 +38,8 @@
 type stream struct {
 	*request
 	controller *http.ResponseController
+	// complete is set once the stream has ended regularly.
+	complete bool
 	// lastEventID is the number of the last event that the client has received.
 	lastEventID int64
 	// runs counts the attempts that may have run the request, sends all attempts.
@@ -108,8 +110,10 @@
 	for {
 		done, final := s.tryEndpoint(ctx)
 		switch {
-		case done:
+		case done && s.complete:
 			return
+		case done:
+			s.abandon()
 		case final != nil && !s.headerSent:
 			q.respond(*final)
 			return
@@ -393,7 +397,8 @@
 	return final
 }
 
-// handleErrorResponse handles a response that is not a stream of events.
+// handleErrorResponse handles a response that is not a stream of events. None can be the rest of a stream that has
+// begun, whatever its status.
 func (s *stream) handleErrorResponse(ctx context.Context, a *attempt) (bool, *response) {
 	body, err := upstream.ReadBody(a.resp, maxResponseBytes)
 	s.runs++
@@ -402,6 +407,11 @@
 		s.reportOutcome(ctx, time.Now(), a, roster.ConnectionLost)
 		return s.clientGone(), s.retryOrFail(ctx, "the answer broke off")
 	}
+	if s.headerSent {
+		a.err = Error.New("status %d in place of the rest of the stream", a.resp.StatusCode)
+		s.record.addStreamEnd(a)
+		return s.clientGone(), s.retryOrFail(ctx, a.err.Error())
+	}
 	if a.resp.StatusCode >= http.StatusInternalServerError {
 		if final := s.retryOrFail(ctx, ""); final == nil {
 			return false, nil
@@ -413,6 +423,9 @@
 // relay forwards complete events as they arrive. Only events that continue the stream count as
 // progress: comments and repeated events may come without end from an endpoint that has stalled.
 func (s *stream) relay(ctx context.Context, a *attempt, silence *silenceTimer) (bool, *response) {
+	if err := checkEventStream(a.resp.Header); err != nil {
+		return s.handleStreamEnd(ctx, a, err)
+	}
 	events := newEventReader(a.resp.Body)
 	bytesWithoutProgress := 0
 	for {
@@ -421,6 +434,8 @@
 			return s.handleStreamEnd(ctx, a, err)
 		}
 		switch {
+		case ev.id == 0 && ev.carriesData():
+			return s.handleStreamEnd(ctx, a, errUnnumberedEvent)
 		case ev.id > s.lastEventID+1:
 			return s.handleStreamEnd(ctx, a, Error.New("event %d follows %d", ev.id, s.lastEventID))
 		case ev.id > s.lastEventID:
@@ -441,8 +456,7 @@
 		s.startResponse(a)
 		s.lastEventID = max(s.lastEventID, ev.id)
 		if _, err := s.w.Write(ev.raw); err != nil {
-			s.record.outcome = "client left"
-			return true, nil
+			return true, nil // the client has left
 		}
 		_ = s.controller.Flush() // the next write fails if the client disconnected
 	}
@@ -479,10 +493,16 @@
 }
 
 // handleStreamEnd handles the end of an endpoint's stream, which is complete if err is io.EOF. The end of
-// a connection before the first event is no sign of a complete stream: a crash looks the same.
+// a connection before the first event is no sign of a complete stream: a crash looks the same. Nor is a response
+// without events that is to continue a stream that broke off.
 func (s *stream) handleStreamEnd(ctx context.Context, a *attempt, err error) (bool, *response) {
-	if errors.Is(err, io.EOF) && a.events == 0 && isCloseDelimited(a.resp) {
-		err = io.ErrUnexpectedEOF
+	if errors.Is(err, io.EOF) && a.events == 0 {
+		switch {
+		case isCloseDelimited(a.resp):
+			err = io.ErrUnexpectedEOF
+		case s.lastEventID > s.headers.LastEventID:
+			err = errNothingFollows
+		}
 	}
 	if errors.Is(err, io.EOF) {
 		if a.events > 0 {
@@ -491,13 +511,16 @@
 		s.startResponse(a)
 		s.gw.opts.Origins.End(s.headers.AttemptID)
 		s.record.status = http.StatusOK
+		s.complete = true
 		return true, nil
 	}
 	a.err = err
-	s.reportOutcome(ctx, time.Now(), a, roster.ConnectionLost)
-	s.engineFailed = s.engineFailed || a.endpoint.ID == s.output.engine
+	s.record.addStreamEnd(a)
+	if !errors.Is(err, errNothingFollows) {
+		s.reportOutcome(ctx, time.Now(), a, roster.ConnectionLost)
+		s.engineFailed = s.engineFailed || a.endpoint.ID == s.output.engine
+	}
 	if s.clientGone() {
-		s.record.outcome = "client left"
 		return true, nil
 	}
 	s.record.resumptions++
@@ -521,8 +544,7 @@
 
 // forwardResponse returns the endpoint's response for the client. On a route that does not allow
 // retries, a status that promises that the request has not run is replaced: the endpoint did not
-// state that in its header, so the outcome is unknown. If events were sent already, the caller
-// aborts the connection instead.
+// state that in its header, so the outcome is unknown.
 func (s *stream) forwardResponse(resp *response) *response {
 	if s.runs > 0 && !s.route.Repeatable() && promisesNotRun(resp.status) {
 		return unknownOutcomeResponse("an endpoint's refusal does not say that it did not run the request")
