Keep the schedules of the soak's earlier seeds

The faults of planned work are a list of their own, so that the seeds of before play what they played; and a run of planned work has no broken streams.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -132,8 +132,6 @@
 		time.Sleep(duration)
 		r.store.Delete(fleet.KindEvacuations, name)
 	}},
-	{"time-outs changed", (*run).changeTimeouts},
-	{"endpoint silent", (*run).silenceEndpoints},
 }
 
 // maxClockError is the maximum clock error of an endpoint, in either direction. An endpoint states
@@ -228,7 +226,9 @@
 		})
 		offset += time.Duration(100+r.rng.IntN(900)) * time.Millisecond
 	}
-	injections.Go(r.breakStreams(rand.New(rand.NewPCG(r.o.Seed, 3))))
+	if !r.o.PlannedOnly {
+		injections.Go(r.breakStreams(rand.New(rand.NewPCG(r.o.Seed, 3))))
+	}
 	injections.Wait()
 	r.checkRecovery(ctx)
 	stop()
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -10,16 +10,22 @@
 
 // plannedFaults are the faults in a run of planned work only: what operators do, and silence of sound endpoints. None
 // of them excuses a request that gets no complete answer.
-var plannedFaults = []string{
-	"entry stopped", "settings reloaded", "configuration changed", "configuration grown", "time-outs changed", "endpoint silent",
+var plannedFaults = append(faultsNamed("entry stopped", "settings reloaded", "configuration changed", "configuration grown"),
+	fault{"time-outs changed", (*run).changeTimeouts},
+	fault{"endpoint silent", (*run).silenceEndpoints},
+)
+
+// faultsNamed returns the faults with the given names.
+func faultsNamed(names ...string) []fault {
+	return slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !slices.Contains(names, f.name) })
 }
 
 // schedulable returns the faults that the schedule of the run is drawn from.
 func (r *run) schedulable() []fault {
-	if !r.o.PlannedOnly {
-		return faults
+	if r.o.PlannedOnly {
+		return plannedFaults
 	}
-	return slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !slices.Contains(plannedFaults, f.name) })
+	return faults
 }
 
 const (
