--- a/follow/follow.go
+++ b/follow/follow.go
@@ -322,6 +322,7 @@
 		if changes.Era < at.era {
 			return fleet.Unavailable.New("list of era %d, era %d is known", changes.Era, at.era)
 		}
+		f.logUnidentified(name, changes)
 		f.replaceState(name, point{changes.Era, changes.Revision}, changes.Objects, true)
 		return nil
 	}
@@ -336,12 +337,20 @@
 	case !f.applyWatch(name, changes):
 		return fleet.HistoryGone.New("watch of era %d answered in era %d", at.era, changes.Era)
 	}
+	f.logUnidentified(name, changes)
 	if len(changes.Objects) > 0 {
 		sleep(ctx, coalesceDelay)
 	}
 	return nil
 }
 
+// logUnidentified logs that there are objects without a readable name or revision.
+func (f *Follower) logUnidentified(name string, changes fleet.Changes) {
+	if n := len(changes.Unidentified); n > 0 {
+		f.o.Logger.Warn("skipped objects without a readable name or revision", "kind", name, "objects", n, "error", changes.Unidentified[0])
+	}
+}
+
 // position returns the point up to which a kind is known.
 func (f *Follower) position(name string) (at point, synced bool) {
 	f.mu.Lock()
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -108,6 +108,8 @@
 	listInterval time.Duration
 	// members are the entries of the last list read from the store.
 	members atomic.Pointer[[]peers.Member]
+	// malformedEndpoints is the number of listed objects that describe no usable endpoint.
+	malformedEndpoints atomic.Int64
 }
 
 // Run serves requests until ctx ends and then shuts down without interrupting requests in flight.
@@ -330,6 +332,7 @@
 // applyEndpoints updates the roster with the listed endpoints and reports lost ones to the gateway.
 func (d *daemon) applyEndpoints(now time.Time, objects map[string]fleet.Object, c roster.Continuity) {
 	list, lost := d.endpoints.decode(objects, d.logger)
+	d.malformedEndpoints.Store(int64(len(objects) - len(list)))
 	for _, id := range lost {
 		d.gateway.EndpointLost(id)
 	}
--- a/gatewaydaemon/statemetrics.go
+++ b/gatewaydaemon/statemetrics.go
@@ -38,6 +38,9 @@
 		listed, _ := d.roster.Count(time.Now())
 		return float64(listed)
 	})
+	gauge("malformed_endpoints", "Listed objects that describe no usable endpoint.", func() float64 {
+		return float64(d.malformedEndpoints.Load())
+	})
 	gauge("limited_endpoints", "Endpoints that state a rate limit for the requests of all entries.", func() float64 {
 		return float64(d.roster.LimitedCount(time.Now()))
 	})
