--- a/gatewaydaemon/malformed_test.go
+++ b/gatewaydaemon/malformed_test.go
@@ -59,7 +59,7 @@
 		d.store.PutRaw(fleet.KindEndpoints, fmt.Sprint("odd-", odd), spec)
 	}
 	awaitState(2, odd)
-	for _, inUse := range []string{"nested in lists", "unknown state"} {
+	for _, inUse := range []string{"nested in lists", "slots too large", `address "10.0.0.1:65536"`} {
 		d.store.PutRaw(fleet.KindEndpoints, api2.ID, specs[inUse])
 		awaitState(1, odd+1)
 		d.store.Put(fleet.KindEndpoints, api2.ID, valid)
