Reject malformed objects among those of the entries

What callers would see: above 32 entries, those with the strongest processors of a data centre are linked to by all others. One object of another program that states 1e300 cores leaves no other entry of its data centre to link to.

Cause: the same class as for endpoints, at the objects by which entries announce themselves: neither numbers nor addresses were checked, and null counted as an entry. A malformed object was also logged at each list, every 6 s.

Evidence: TestMalformedEntryIsRejected on the code before, with its decoding in place of DecodeEntry: '"cpu":1e300 ... error <nil>', the same for ports 65536 and 0, a negative processor and null. The effect on the links was read from the code, not played.

Change: DecodeEntry checks both; an object that describes no entry is logged once for each revision.

--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -108,6 +108,8 @@
 	listInterval time.Duration
 	// members are the entries of the last list read from the store.
 	members atomic.Pointer[[]peers.Member]
+	// malformedEntries are the revisions of the objects in that list that describe no entry, by name.
+	malformedEntries atomic.Pointer[map[string]int64]
 	// malformedEndpoints is the number of listed objects that describe no usable endpoint.
 	malformedEndpoints atomic.Int64
 }
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"slices"
@@ -22,13 +21,6 @@
 	"github.com/azurelead/azurelead/upstream"
 )
 
-// entrySpec is the store object of an entry.
-type entrySpec struct {
-	Address    string  `json:"address"`
-	DataCentre string  `json:"data_centre"`
-	CPU        float64 `json:"cpu"`
-}
-
 // syncEntries announces this entry in the store, again if it is missing from the list, and lists
 // the entries at an interval to find those that start later.
 func (d *daemon) syncEntries(ctx context.Context) {
@@ -80,7 +72,7 @@
 func (d *daemon) announce(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	err := d.store.Put(ctx, fleet.KindEntries, d.settings.Name, entrySpec{
+	err := d.store.Put(ctx, fleet.KindEntries, d.settings.Name, fleet.Entry{
 		Address: d.settings.PeerAddress, DataCentre: d.settings.DataCentre, CPU: d.settings.CPUShare,
 	})
 	if err != nil {
@@ -119,16 +111,8 @@
 		d.logger.Warn("failed to list the entries", "error", err)
 		return false, false
 	}
-	var members []peers.Member
-	for _, o := range changes.Objects {
-		var spec entrySpec
-		if err := json.Unmarshal(o.Spec, &spec); err != nil {
-			d.logger.Warn("failed to decode an entry object", "entry", o.Name, "error", err)
-			continue
-		}
-		ownListed = ownListed || o.Name == d.settings.Name
-		members = append(members, peers.Member{Name: o.Name, Address: spec.Address, DataCentre: spec.DataCentre, CPU: spec.CPU})
-	}
+	members := d.decodeMembers(changes)
+	ownListed = slices.ContainsFunc(members, func(m peers.Member) bool { return m.Name == d.settings.Name })
 	d.members.Store(&members)
 	d.mesh.SetMembers(ctx, members)
 	d.entriesListedOnce.Do(func() { close(d.entriesListed) })
@@ -136,6 +120,32 @@
 	return true, ownListed
 }
 
+// decodeMembers returns the entries that the objects describe. An object that describes none is logged once
+// for each of its revisions.
+func (d *daemon) decodeMembers(changes fleet.Changes) []peers.Member {
+	var members []peers.Member
+	malformed := make(map[string]int64)
+	report := func(name string, revision int64, err error) {
+		malformed[name] = revision
+		if known := d.malformedEntries.Load(); known == nil || (*known)[name] != revision {
+			d.logger.Warn("failed to decode an entry object", "entry", name, "revision", revision, "error", err)
+		}
+	}
+	for _, o := range changes.Objects {
+		e, err := fleet.DecodeEntry(o)
+		if err == nil {
+			members = append(members, peers.Member{Name: o.Name, Address: e.Address, DataCentre: e.DataCentre, CPU: e.CPU})
+			continue
+		}
+		report(o.Name, o.Revision, err)
+	}
+	if n := len(changes.Unidentified); n > 0 {
+		report("", int64(n), changes.Unidentified[0]) // the number of them stands for a revision
+	}
+	d.malformedEntries.Store(&malformed)
+	return members
+}
+
 const (
 	// initialListWait is how long a starting entry waits for the list of entries before it reads
 	// the other objects from the store.
--- a/gatewaydaemon/malformed_test.go
+++ b/gatewaydaemon/malformed_test.go
@@ -1,7 +1,9 @@
 package gatewaydaemon
 
 import (
+	"errors"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"sync"
 	"testing"
@@ -74,3 +76,25 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// An entry's malformed object was logged each time that the entries were listed. It names no entry, and is
+// logged once for each of its revisions.
+func TestMalformedEntryIsLoggedOnce(t *testing.T) {
+	logged := &countingHandler{}
+	d := &daemon{logger: slog.New(logged)}
+	objects := []fleet.Object{
+		{Name: "entry-1", Revision: 1, Spec: []byte(`{"address":"10.0.0.1:80","data_centre":"north","cpu":0.3}`)},
+		{Name: "odd", Revision: 2, Spec: []byte(`{"address":"10.0.0.2:65536","data_centre":"north","cpu":1e300}`)},
+	}
+	for revision := range int64(3) {
+		objects[1].Revision = 2 + revision
+		for range 2 {
+			if members := d.decodeMembers(fleet.Changes{Objects: objects, Unidentified: []error{errors.New("no name")}}); len(members) != 1 || members[0].Name != "entry-1" {
+				t.Errorf("the members are %+v", members)
+			}
+		}
+	}
+	if logged.records != 3+1 {
+		t.Errorf("%d records for 3 revisions of an object and one without a name", logged.records)
+	}
+}
