--- a/follow/malformed_test.go
+++ b/follow/malformed_test.go
@@ -14,7 +14,7 @@
 // A spec that no decoder accepts kept entries from following the store and from learning the state from each
 // other. Those that read the store and those that learn from them must agree on the objects.
 func TestMalformedSpecPassesBetweenEntries(t *testing.T) {
-	valid := map[string]any{"service": "api", "address": "10.0.0.1:80", "zone": "north", "slots": 6, "state": "ready", "born": 1000}
+	valid := map[string]any{"service": "api", "address": "127.0.0.1:80", "zone": "north", "slots": 6, "state": "ready", "born": 1000}
 	specs := fleettest.MalformedSpecs(valid)
 	store := fleettest.NewStore()
 	defer store.Close()
--- a/gatewaydaemon/malformed_test.go
+++ b/gatewaydaemon/malformed_test.go
@@ -61,7 +61,7 @@
 		d.store.PutRaw(fleet.KindEndpoints, fmt.Sprint("odd-", odd), spec)
 	}
 	awaitState(2, odd)
-	for _, inUse := range []string{"nested in lists", "slots too large", `address "10.0.0.1:65536"`} {
+	for _, inUse := range []string{"nested in lists", "slots too large", `address "127.0.0.1:65536"`} {
 		d.store.PutRaw(fleet.KindEndpoints, api2.ID, specs[inUse])
 		awaitState(1, odd+1)
 		d.store.Put(fleet.KindEndpoints, api2.ID, valid)
@@ -83,7 +83,7 @@
 	logged := &countingHandler{}
 	d := &daemon{logger: slog.New(logged)}
 	objects := []fleet.Object{
-		{Name: "entry-1", Revision: 1, Spec: []byte(`{"address":"10.0.0.1:80","data_centre":"north","cpu":0.3}`)},
+		{Name: "entry-1", Revision: 1, Spec: []byte(`{"address":"127.0.0.1:80","data_centre":"north","cpu":0.3}`)},
 		{Name: "odd", Revision: 2, Spec: []byte(`{"address":"10.0.0.2:65536","data_centre":"north","cpu":1e300}`)},
 	}
 	for revision := range int64(3) {
