Believe no answer that names no call on a connection that carried others

Cause: correlation by what an answer happens to hold. A request took any response without an Azurelead-Attempt-Id for its own. Calls to stage endpoints had no id; copies showed by handles seen before, which an answer with reasons only does not have, and from then on each call got the answer to the one before it.

Change: a call has an ID, stage calls a random one of their own. A response is that of the call if it names the ID. One that names none is believed only as the first on its connection, where nothing else can have been answered, and the connection is closed after it; on a connection that was used it proves nothing, so that neither its status nor its headers are used, the call counts as lost and the connection is closed. The matching by handles is removed: nothing depends on it.

TestResponsesAreMatchedByBody is replaced: bodies match no more. Its cases are played with ids in TestResponsesAreMatchedByID, which also checks answers without an id and whether the connection is kept.

--- a/coordinate/call.go
+++ b/coordinate/call.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return nil, dispatch.ResponseLost, err
 	}
-	resp, body, err := c.send(call.Endpoint, out, call.Timeout, func(status int, body []byte) bool { return c.isResponseTo(call, status, body) })
+	resp, body, err := c.send(call.Endpoint, out, call.Timeout)
 	switch {
 	case upstream.NotSent.Has(err):
 		return nil, dispatch.Unreachable, err
@@ -41,29 +41,13 @@
 	return results, 0, nil
 }
 
-// isResponseTo reports whether a response can be that to a stage call. It has no id of the call, so
-// that a second copy of an earlier response shows only by its handles, which are those of other
-// tasks. Responses to other calls of the endpoint have another number of results.
-func (c *Coordinator) isResponseTo(call dispatch.Call, status int, body []byte) bool {
-	if status != http.StatusOK {
-		return true
-	}
-	results, err := fleet.DecodeStageRunResponse(body, len(call.Tasks))
-	if err != nil {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.responses.record(time.Now(), call, results)
-}
-
 // queryFreeMemory reads from an endpoint how much memory it has left for results and passes it to
 // the dispatcher.
 func (c *Coordinator) queryFreeMemory(e catalog.Endpoint) {
 	if now := time.Now(); !c.o.Roster.Usable(now, e.ID) || c.o.Roster.HasRateLimit(now, e.ID) {
 		return
 	}
-	_, body, err := c.send(e, fleet.ReportCall(e.ID), controlTimeout, nil)
+	_, body, err := c.send(e, fleet.ReportCall(e.ID), controlTimeout)
 	var free, limit int64
 	if err == nil {
 		free, limit, err = fleet.DecodeFreeBytes(body)
--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -68,7 +68,6 @@
 	lastRefresh time.Time
 	// lastSubmit is when the last job was submitted; zero if another entry has dispatched since.
 	lastSubmit time.Time
-	responses  recentResponses
 }
 
 // waiter tracks an admitted job and the submitter that waits for its result. A job whose link is
@@ -372,7 +371,6 @@
 			delete(c.retryUntil, subject)
 		}
 	}
-	c.responses.prune(now)
 	return c.dispatcher.Busy()
 }
 
@@ -447,7 +445,7 @@
 		c.o.Logger.Error("could not encode a call to free results", "error", err)
 		return
 	}
-	if _, _, err := c.send(f.Endpoint, out, controlTimeout, nil); err != nil {
+	if _, _, err := c.send(f.Endpoint, out, controlTimeout); err != nil {
 		// The endpoint discards the results when their TTL ends.
 		c.o.Metrics.CallFailures.Inc()
 	}
@@ -463,14 +461,14 @@
 	return 0
 }
 
-// send makes a call to an endpoint and reads its response, which matches must accept unless it is
-// nil. It records what the endpoint reports of itself. The body is read for status 200 only.
-func (c *Coordinator) send(e catalog.Endpoint, out fleet.Call, timeout time.Duration, matches func(status int, body []byte) bool) (*http.Response, []byte, error) {
+// send makes a call to an endpoint and reads its response. It records what the endpoint reports of itself.
+// The body is read for status 200 only.
+func (c *Coordinator) send(e catalog.Endpoint, out fleet.Call, timeout time.Duration) (*http.Response, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	sentAt := time.Now()
 	resp, err := c.o.Upstream.Do(ctx, upstream.Target{ID: e.ID, Address: e.Address}, upstream.Request{
-		Method: out.Method, URI: out.Path, Host: e.Address, Header: out.Header, Body: out.Body, MatchesBody: matches,
+		ID: out.ID, Method: out.Method, URI: out.Path, Host: e.Address, Header: out.Header, Body: out.Body,
 	})
 	if err != nil {
 		return nil, nil, err
@@ -488,8 +486,6 @@
 		c.InvalidateEndpoints()
 	}
 	if resp.StatusCode != http.StatusOK {
-		// The body is left unread, which closes the connection: a second copy of a refusal could
-		// not be told from the response to the next call.
 		return resp, nil, nil
 	}
 	body, err := upstream.ReadBody(resp, maxResponseBytes)
--- a/coordinate/coordinate_test.go
+++ b/coordinate/coordinate_test.go
@@ -17,6 +17,7 @@
 	"github.com/azurelead/azurelead/catalog"
 	"github.com/azurelead/azurelead/dispatch"
 	"github.com/azurelead/azurelead/peers"
+	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/platform/fleettest"
 	"github.com/azurelead/azurelead/roster"
 	"github.com/azurelead/azurelead/stage"
@@ -30,7 +31,7 @@
 	r := roster.New(nil)
 	r.SetServices(services)
 	r.SetEndpoints(time.Now(), []catalog.Endpoint{{ID: s.ID, Service: "portal", Address: s.Address(), DataCentre: "north", Slots: 1}}, roster.Continuous)
-	c := New(Options{Upstream: upstream.New(upstream.Options{}), Roster: r, Logger: slog.New(slog.DiscardHandler)})
+	c := New(Options{Upstream: upstream.New(upstream.Options{ResponseID: fleet.ResponseID}), Roster: r, Logger: slog.New(slog.DiscardHandler)})
 	c.SetServices(services)
 	go c.Run(t.Context())
 	return c
@@ -158,9 +159,8 @@
 	}
 }
 
-// The response to a stage call does not name the call. A second copy of an earlier response that
-// arrives on the connection in use must not be taken for the response to the next call: its handles
-// are the results of another request.
+// A second copy of an earlier response that arrives on the connection in use must not be taken for the
+// response to the next call: its handles are the results of another request.
 func TestDuplicateStageResponseIsDiscarded(t *testing.T) {
 	s := fleettest.NewServer("portal-1")
 	t.Cleanup(s.Close)
@@ -189,6 +189,46 @@
 	}
 }
 
+// A second copy of an answer that holds only reasons was taken for the answer to the next call: from then on each
+// call got the answer to the call before it, with the results of other requests.
+func TestSecondCopyOfReasonsIsNoAnswer(t *testing.T) {
+	for name, kind := range map[string]fleettest.Copy{"exact": fleettest.ExactCopy, "unnamed": fleettest.UnnamedCopy} {
+		s := fleettest.NewServer("portal-1")
+		t.Cleanup(s.Close)
+		s.SetBehaviour(func(n int, _ *http.Request) fleettest.Behaviour {
+			if n%5 == 1 {
+				return fleettest.FailStages
+			}
+			return fleettest.Serve
+		})
+		s.SetCopies(func(*http.Request, int) fleettest.Copy {
+			if s.Requests()%5 == 2 { // the request that was just answered with reasons
+				return kind
+			}
+			return fleettest.NoCopy
+		})
+		c := newTestCoordinator(t, s)
+		endpoint := c.o.Roster.Endpoints(time.Now(), "portal")[0]
+		for i := range 20 {
+			id := fmt.Sprintf("request-%d", i)
+			results, _, err := c.runTasks(dispatch.Call{Endpoint: endpoint, Tasks: []stage.Task{{AttemptID: id, Key: "k"}}, Timeout: 10 * time.Second})
+			switch {
+			case err != nil:
+				if kind == fleettest.ExactCopy || !upstream.Lost.Has(err) {
+					t.Errorf("%s copies: the call for %s ended with %v", name, id, err)
+				}
+			case results[0].Handle == "" && i%5 != 1:
+				t.Errorf("%s copies: the call for %s was answered with reasons", name, id)
+			case results[0].Handle != "" && !strings.Contains(results[0].Handle, "/"+id+"-"):
+				t.Errorf("%s copies: %s was given the result %s", name, id, results[0].Handle)
+			}
+		}
+		if s.SentCopies() == 0 {
+			t.Errorf("%s copies: none was sent", name)
+		}
+	}
+}
+
 // After a restart of all entries, the results of lost requests fill the memory of the endpoints for
 // seconds. The new dispatcher must ask for the free memory before its first call, and again until the
 // memory is free: a call that finds it full takes nearly as long as a useful one.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -60,17 +60,13 @@
 	fwd.Timeout = q.remaining()
 	fwd.Endpoint = c.ID
 	fwd.Organisation = q.organisationName()
-	id := q.headers.AttemptID
 	a.resp, a.err = q.gw.opts.Upstream.Do(ctx, upstream.Target{ID: c.ID, Address: c.Address}, upstream.Request{
 		Method: q.r.Method,
 		URI:    q.r.RequestURI,
 		Host:   q.r.Host,
 		Header: fleet.ForwardHeader(q.r.Header, fwd),
 		Body:   q.body,
-		Matches: func(status int, h http.Header) bool {
-			echoed := fleet.DecodeResponse(status, h).AttemptID
-			return echoed == "" || echoed == id
-		},
+		ID:     q.headers.AttemptID,
 	})
 	now := time.Now()
 	switch {
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -128,7 +128,9 @@
 	d.current.Store(&settings)
 	d.store = fleet.NewStore(settings.StoreAddress, newStoreTransport())
 	d.roster = roster.New(settings.Regions)
-	d.upstream = upstream.New(upstream.Options{Metrics: upstream.NewMetrics(reg), MaxIdle: d.roster.MaxIdleConnections})
+	d.upstream = upstream.New(upstream.Options{
+		Metrics: upstream.NewMetrics(reg), MaxIdle: d.roster.MaxIdleConnections, ResponseID: fleet.ResponseID,
+	})
 	d.retryBudgets = &retrybudget.Set{}
 	d.coordinator = coordinate.New(coordinate.Options{
 		Upstream: d.upstream, Roster: d.roster, Logger: logger, Metrics: coordinate.NewMetrics(reg), OnNotice: d.endpointNoticed,
--- a/gatewaydaemon/faults_test.go
+++ b/gatewaydaemon/faults_test.go
@@ -464,3 +464,47 @@
 	}
 	wg.Wait()
 }
+
+// A faulty endpoint wrote an earlier refusal once more on a kept connection: requests that may run at most once
+// were answered as not run although they ran, or ran at a second endpoint.
+func TestSecondCopyOfARefusalIsNoAnswer(t *testing.T) {
+	for name, kind := range map[string]fleettest.Copy{"exact": fleettest.ExactCopy, "unnamed": fleettest.UnnamedCopy} {
+		d := newDeployment(t, 1)
+		api1, api2, engine1, engine2, _ := d.startEndpoints(nil)
+		servers := []*fleettest.Server{api1, api2, engine1, engine2}
+		for _, s := range servers {
+			s.SetBehaviour(func(n int, _ *http.Request) fleettest.Behaviour {
+				if n%5 == 1 {
+					return fleettest.Shed
+				}
+				return fleettest.Serve
+			})
+			s.SetCopies(func(_ *http.Request, status int) fleettest.Copy {
+				if status == http.StatusServiceUnavailable {
+					return kind
+				}
+				return fleettest.NoCopy
+			})
+		}
+		d.waitReady()
+		for i := range 60 {
+			r := d.send(d.entries[0], "POST", []string{"/book/x", "/stream/plain/x"}[i%2], nil)
+			ran := 0
+			for _, s := range servers {
+				for _, run := range s.Runs() {
+					if run.AttemptID == r.id {
+						ran++
+					}
+				}
+			}
+			if ran > 1 || ran == 1 && (r.status == 503 || r.status == 429) {
+				t.Errorf("%s copies: ran %d times, response %+v", name, ran, r)
+			}
+		}
+		for _, s := range servers {
+			if s.SentCopies() == 0 {
+				t.Errorf("%s copies: %s sent none", name, s.ID)
+			}
+		}
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -22,8 +21,7 @@
 	maxHeadBytes = 256 << 10
 	// maxMismatched bounds the mismatched responses that are skipped before that of a request.
 	maxMismatched = 4
-	// maxMismatchedBody bounds the body of a mismatched response that is read and discarded, and
-	// that of a response that is matched by its body, in bytes.
+	// maxMismatchedBody bounds the body of a mismatched response that is read and discarded, in bytes.
 	maxMismatchedBody = 1 << 20
 	// inlineBodySize is the size, in bytes, up to which a body is written without a goroutine of
 	// its own, because the socket accepts it without blocking.
@@ -44,6 +42,8 @@
 	reused bool
 	// idleUntil is the time after which the endpoint may close the idle connection.
 	idleUntil time.Time
+	// used is set once a request has been sent.
+	used bool
 
 	mu        sync.Mutex
 	current   *exchange
@@ -54,6 +54,10 @@
 // exchange is one request on a connection and its response.
 type exchange struct {
 	request Request
+	// first is set if no request was sent on the connection before.
+	first bool
+	// correlated is set once a response has named the call.
+	correlated bool
 	// responseTo tells the parser of the response which method was used.
 	responseTo *http.Request
 	response   chan result
@@ -105,6 +109,7 @@
 		cn.mu.Unlock()
 		return nil, NotSent.New("connection closed while idle")
 	}
+	x.first, cn.used = !cn.used, true
 	cn.current = x
 	cn.mu.Unlock()
 	if ctx.Err() != nil {
@@ -207,7 +212,7 @@
 // readResponse reads the response of x and reports whether the connection can be used again.
 func (cn *conn) readResponse(br *bufio.Reader, x *exchange) bool {
 	cn.input.limit(maxHeadBytes)
-	resp, err := cn.readMatching(br, x)
+	resp, err := cn.readCorrelated(br, x)
 	if err != nil {
 		x.response <- result{err: err}
 		return false
@@ -215,7 +220,7 @@
 	cn.input.unlimit()
 	cn.setIdleUntil(resp.Header)
 	x.response <- result{resp: resp}
-	if complete := <-x.bodyDone; !complete || resp.Close {
+	if complete := <-x.bodyDone; !complete || resp.Close || !x.correlated {
 		return false
 	}
 	<-x.written
@@ -230,9 +235,10 @@
 	return true
 }
 
-// readMatching returns the first response that matches the request of x. It skips interim responses
-// and up to maxMismatched mismatched ones.
-func (cn *conn) readMatching(br *bufio.Reader, x *exchange) (*http.Response, error) {
+// readCorrelated returns the response that names the call of x. It skips interim responses and up to
+// maxMismatched responses that name another call. A response that names no call is that of x only if nothing
+// else can have been answered on the connection.
+func (cn *conn) readCorrelated(br *bufio.Reader, x *exchange) (*http.Response, error) {
 	for mismatched := 0; mismatched <= maxMismatched; {
 		resp, err := http.ReadResponse(br, x.responseTo)
 		if err != nil {
@@ -241,37 +247,42 @@
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
-		matches, err := cn.matches(x.request, resp)
-		if matches || err != nil {
-			return resp, err
+		id := cn.client.o.ResponseID(resp.Header)
+		if id == "" {
+			cn.client.o.Metrics.UncorrelatedResponses.Inc()
+			if !x.first || mismatched > 0 {
+				return nil, errUncorrelated
+			}
+			return resp, nil
+		}
+		if id == x.request.ID {
+			x.correlated = true
+			return resp, nil
 		}
 		mismatched++
 		cn.client.o.Metrics.MismatchedResponses.Inc()
 		if resp.Close {
 			break
 		}
+		if err := cn.discard(resp); err != nil {
+			return nil, err
+		}
 	}
 	return nil, errMismatched
 }
 
-// matches reports whether a response belongs to a request. It reads the body of a response that does
-// not, and of one that is matched by its body.
-func (cn *conn) matches(r Request, resp *http.Response) (bool, error) {
-	ok := r.Matches == nil || r.Matches(resp.StatusCode, resp.Header)
-	if ok && r.MatchesBody == nil {
-		return true, nil
-	}
+// discard reads the body of a mismatched response.
+func (cn *conn) discard(resp *http.Response) error {
 	cn.input.unlimit()
 	defer cn.input.limit(maxHeadBytes)
-	body, err := ReadBody(resp, maxMismatchedBody)
-	if err != nil {
-		return false, err
-	}
-	resp.Body = io.NopCloser(bytes.NewReader(body))
-	return ok && r.MatchesBody(resp.StatusCode, body), nil
+	_, err := ReadBody(resp, maxMismatchedBody)
+	return err
 }
 
-var errMismatched = Lost.New("answer to another request")
+var (
+	errMismatched   = Lost.New("answer to another request")
+	errUncorrelated = Lost.New("answer that names no request, on a connection that carried others")
+)
 
 // ReadBody reads the body of a response. A body of more than limit bytes is an error.
 func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -4,9 +4,10 @@
 
 // Metrics counts events on connections to endpoints.
 type Metrics struct {
-	Dials               prometheus.Counter
-	DialFailures        prometheus.Counter
-	MismatchedResponses prometheus.Counter
+	Dials                 prometheus.Counter
+	DialFailures          prometheus.Counter
+	MismatchedResponses   prometheus.Counter
+	UncorrelatedResponses prometheus.Counter
 }
 
 // NewMetrics returns the metrics and registers them with r unless r is nil.
@@ -15,12 +16,13 @@
 		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: "azurelead", Subsystem: "upstream", Name: name, Help: help})
 	}
 	m := &Metrics{
-		Dials:               counter("dials_total", "Connections opened to endpoints."),
-		DialFailures:        counter("dial_failures_total", "Failed attempts to open a connection to an endpoint."),
-		MismatchedResponses: counter("foreign_answers_total", "Responses that belonged to another request."),
+		Dials:                 counter("dials_total", "Connections opened to endpoints."),
+		DialFailures:          counter("dial_failures_total", "Failed attempts to open a connection to an endpoint."),
+		MismatchedResponses:   counter("foreign_answers_total", "Responses that belonged to another request."),
+		UncorrelatedResponses: counter("unnamed_answers_total", "Responses that named no request; their connections were closed."),
 	}
 	if r != nil {
-		r.MustRegister(m.Dials, m.DialFailures, m.MismatchedResponses)
+		r.MustRegister(m.Dials, m.DialFailures, m.MismatchedResponses, m.UncorrelatedResponses)
 	}
 	return m
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -38,12 +38,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response with this status and header belongs to the call. If it is
-	// nil, every response does.
-	Matches func(status int, h http.Header) bool
-	// MatchesBody reports whether a response with this status and body belongs to the call. If it
-	// is set, the body is read before Do returns; its size is bounded.
-	MatchesBody func(status int, body []byte) bool
+	// ID is what the response names if the endpoint states to which call it responds; empty if the call has
+	// none. It must differ from those of all other calls on the connection: before a caller repeats a call
+	// with the same ID, it closes the response without reading it to its end.
+	ID string
 }
 
 // Options configures a Client. Fields that are zero take the defaults below.
@@ -57,7 +55,10 @@
 	// MaxIdle returns the maximum number of idle connections to an endpoint. It is called with the
 	// client's lock held.
 	MaxIdle func(id string) int
-	Metrics *Metrics
+	// ResponseID returns the ID of the call that a response names, or "" if it names none. A connection is
+	// kept only after a response that names its call. If ResponseID is nil, no response does.
+	ResponseID func(h http.Header) string
+	Metrics    *Metrics
 }
 
 // Defaults of Options.
@@ -99,6 +100,9 @@
 	if o.MaxIdle == nil {
 		o.MaxIdle = func(string) int { return DefaultMaxIdle }
 	}
+	if o.ResponseID == nil {
+		o.ResponseID = func(http.Header) string { return "" }
+	}
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics(nil)
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -1,7 +1,9 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,11 +13,17 @@
 	"github.com/azurelead/azurelead/platform/fleettest"
 )
 
+// newClient returns a client of endpoints that name the request in their responses.
+func newClient(o Options) *Client {
+	o.ResponseID = func(h http.Header) string { return h.Get("Azurelead-Attempt-Id") }
+	return New(o)
+}
+
 func get(t *testing.T, c *Client, s *fleettest.Server, id string) (string, error) {
 	t.Helper()
 	resp, err := c.Do(t.Context(), Target{ID: s.ID, Address: s.Address()}, Request{
 		Method: "GET", URI: "/x", Host: "h", Header: http.Header{"Azurelead-Attempt-Id": {id}},
-		Matches: func(_ int, h http.Header) bool { return h.Get("Azurelead-Attempt-Id") == id },
+		ID: id,
 	})
 	if err != nil {
 		return "", err
@@ -33,7 +41,7 @@
 }
 
 func TestConnectionsAreReused(t *testing.T) {
-	c := New(Options{})
+	c := newClient(Options{})
 	defer c.Close()
 	s := newServer(t, fleettest.Serve)
 	for range 5 {
@@ -49,13 +57,15 @@
 // After a burst of requests, no more connections may stay idle than the endpoint's share for this
 // client.
 func TestIdleConnectionsAreBounded(t *testing.T) {
-	c := New(Options{MaxIdle: func(id string) int { return len(id) }})
+	c := newClient(Options{MaxIdle: func(id string) int { return len(id) }})
 	defer c.Close()
 	s := newServer(t, fleettest.Serve)
 	s.ID = "s2"
 	var burst []*http.Response
 	for range 6 {
-		resp, err := c.Do(t.Context(), Target{ID: s.ID, Address: s.Address()}, Request{Method: "GET", URI: "/x", Host: "h"})
+		resp, err := c.Do(t.Context(), Target{ID: s.ID, Address: s.Address()}, Request{
+			ID: "a", Method: "GET", URI: "/x", Host: "h", Header: http.Header{"Azurelead-Attempt-Id": {"a"}},
+		})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -77,7 +87,7 @@
 // An endpoint that cannot be reached has not received the request. One whose connection failed
 // later may have.
 func TestNotSentOnlyIfNothingWasSent(t *testing.T) {
-	c := New(Options{})
+	c := newClient(Options{})
 	defer c.Close()
 	closed := newServer(t, fleettest.Serve)
 	closed.Close()
@@ -94,7 +104,7 @@
 // An endpoint that answers a request twice must not have its second response taken for that of the
 // next request, however late it arrives.
 func TestDuplicateResponsesAreDiscarded(t *testing.T) {
-	c := New(Options{})
+	c := newClient(Options{})
 	defer c.Close()
 	s := newServer(t, fleettest.DuplicateResponse)
 	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
@@ -105,7 +115,7 @@
 }
 
 func TestCloseDelimitedResponsesAreComplete(t *testing.T) {
-	c := New(Options{})
+	c := newClient(Options{})
 	defer c.Close()
 	s := newServer(t, fleettest.CloseDelimited)
 	for range 3 {
@@ -117,7 +127,7 @@
 
 // Cancelling a call must close its connection, which tells the endpoint to drop the request.
 func TestCancelClosesTheConnection(t *testing.T) {
-	c := New(Options{})
+	c := newClient(Options{})
 	defer c.Close()
 	s := newServer(t, fleettest.Hang)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -139,7 +149,7 @@
 // Connections to an incarnation that has ended must not be used for the next one at the same
 // address.
 func TestConnectionsBelongToAnIncarnation(t *testing.T) {
-	c := New(Options{})
+	c := newClient(Options{})
 	defer c.Close()
 	s := newServer(t, fleettest.Serve)
 	if _, err := get(t, c, s, "a"); err != nil {
@@ -177,7 +187,7 @@
 		received <- string(buffer[:n])
 		_ = conn.Close()
 	}()
-	c := New(Options{})
+	c := newClient(Options{})
 	defer c.Close()
 	_, _ = c.Do(t.Context(), Target{ID: "x", Address: l.Addr().String()}, Request{
 		Method: "POST", URI: "/a%2fb?c=d", Host: "h", Header: http.Header{"X": {"1\r\nSmuggled: 2"}}, Body: []byte("POST /other HTTP/1.1\r\n\r\n"),
@@ -193,7 +203,7 @@
 	for name, b := range map[string]fleettest.Behaviour{
 		"header": fleettest.EndlessHeader, "interim responses": fleettest.EndlessInterim, "body": fleettest.EndlessBody,
 	} {
-		c := New(Options{})
+		c := newClient(Options{})
 		s := newServer(t, b)
 		resp, err := c.Do(t.Context(), Target{ID: s.ID, Address: s.Address()}, Request{Method: "GET", URI: "/x", Host: "h", Header: http.Header{}})
 		if err == nil {
@@ -212,13 +222,23 @@
 	}
 }
 
-// A response that belongs to another call by its body is skipped, however often it comes, up to a
-// bound.
-func TestResponsesAreMatchedByBody(t *testing.T) {
+// A response that names another call is skipped, however often it comes, up to a bound. One that names no call
+// is believed only as the first on its connection, and the connection is not used again after it.
+func TestResponsesAreMatchedByID(t *testing.T) {
+	const foreign, own, unnamed = "other", "own", ""
 	for _, c := range []struct {
-		copies int
-		ok     bool
-	}{{0, true}, {1, true}, {maxMismatched, true}, {maxMismatched + 1, false}} {
+		responses []string
+		// body is that of the response that the call gets; empty if it gets none.
+		body string
+		kept bool
+	}{
+		{[]string{own}, own, true},
+		{[]string{foreign, own}, own, true},
+		{[]string{foreign, foreign, foreign, foreign, own}, own, true},
+		{[]string{foreign, foreign, foreign, foreign, foreign, own}, "", false},
+		{[]string{unnamed}, "none", false},
+		{[]string{foreign, unnamed, own}, "", false},
+	} {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
@@ -229,26 +249,74 @@
 				return
 			}
 			_, _ = conn.Read(make([]byte, 4096))
-			for range c.copies {
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
+			for _, id := range c.responses {
+				named := ""
+				if id != unnamed {
+					named = "Azurelead-Attempt-Id: " + id + "\r\n"
+				}
+				body := cmp.Or(id, "none")
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", named, len(body), body)
 			}
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown")
 		}()
-		client := New(Options{})
-		resp, err := client.Do(t.Context(), Target{ID: "x", Address: l.Addr().String()}, Request{
-			Method: "GET", URI: "/x", Host: "h", Header: http.Header{},
-			MatchesBody: func(_ int, body []byte) bool { return string(body) == "own" },
-		})
+		client := newClient(Options{})
+		target := Target{ID: "x", Address: l.Addr().String()}
+		resp, err := client.Do(t.Context(), target, Request{ID: own, Method: "GET", URI: "/x", Host: "h", Header: http.Header{}})
+		var body []byte
 		if err == nil {
-			var body []byte
-			if body, err = ReadBody(resp, 100); string(body) != "own" {
-				t.Errorf("%d copies: body %q", c.copies, body)
-			}
+			body, err = ReadBody(resp, 100)
+			_ = resp.Body.Close()
+		}
+		if string(body) != c.body || (err == nil) != (c.body != "") || err != nil && !Lost.Has(err) {
+			t.Errorf("%q: body %q, error %v, want body %q", c.responses, body, err, c.body)
 		}
-		if (err == nil) != c.ok {
-			t.Errorf("%d copies: error %v", c.copies, err)
+		if kept := client.takeIdle("x") != nil; kept != c.kept {
+			t.Errorf("%q: connection kept: %v, want %v", c.responses, kept, c.kept)
 		}
 		client.Close()
 		_ = l.Close()
 	}
 }
+
+// A faulty endpoint wrote an earlier refusal once more on a kept connection, where the answer to a request that it
+// ran was expected. It must not be taken for that answer, whether it names its own request or none.
+func TestSecondCopyOfARefusalIsNoAnswer(t *testing.T) {
+	for name, kind := range map[string]fleettest.Copy{"exact": fleettest.ExactCopy, "unnamed": fleettest.UnnamedCopy} {
+		c := newClient(Options{})
+		s := newServer(t, fleettest.Serve)
+		s.SetBehaviour(func(n int, _ *http.Request) fleettest.Behaviour {
+			if n%4 == 1 {
+				return fleettest.Shed
+			}
+			return fleettest.Serve
+		})
+		s.SetCopies(func(_ *http.Request, status int) fleettest.Copy {
+			if status == http.StatusServiceUnavailable {
+				return kind
+			}
+			return fleettest.NoCopy
+		})
+		for i := range 16 {
+			id := fmt.Sprint("request-", i)
+			resp, err := c.Do(t.Context(), Target{ID: s.ID, Address: s.Address()}, Request{
+				Method: "GET", URI: "/x", Host: "h", Header: http.Header{"Azurelead-Attempt-Id": {id}},
+				ID: id,
+			})
+			if err != nil {
+				if kind == fleettest.ExactCopy || !Lost.Has(err) {
+					t.Errorf("%s copies: %s ended with %v", name, id, err)
+				}
+				continue
+			}
+			runs := s.Runs()
+			if resp.StatusCode == http.StatusServiceUnavailable && runs[len(runs)-1].AttemptID == id {
+				t.Errorf("%s copies: %s ran and was answered as refused", name, id)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+		if s.SentCopies() == 0 {
+			t.Errorf("%s copies: none was sent", name)
+		}
+		c.Close()
+	}
+}
