Use connections after unnamed answers for calls that free results

Cause: an endpoint that names no call in its answers gets a new connection for each call of the dispatcher. Half of these calls free results; nothing depends on their answers, so that it does no harm if such an answer is to an earlier call.

Change: after an unnamed answer the connection is not closed but kept apart, at most four for each endpoint, for calls that take any answer. It never carries another call again. Of an answer to such a call only what restrains the entry is recorded: a pause, a limit, that the endpoint leaves. That it states no limit is not taken as one that has ended. Idle connections that the endpoint has closed no longer count towards the bound, so that they do not displace usable ones.

--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -469,6 +469,7 @@
 	sentAt := time.Now()
 	resp, err := c.o.Upstream.Do(ctx, upstream.Target{ID: e.ID, Address: e.Address}, upstream.Request{
 		ID: out.ID, Method: out.Method, URI: out.Path, Host: e.Address, Header: out.Header, Body: out.Body,
+		AnyAnswer: out.AnyAnswer,
 	})
 	if err != nil {
 		return nil, nil, err
@@ -478,6 +479,8 @@
 	changed := c.o.Roster.RecordStatus(time.Now(), e.ID, roster.Status{
 		Load: -1, Leaving: info.Leaving, RetryAfter: info.RetryAfter,
 		Limit: roster.RateLimit{Active: info.Limited, PerSecond: info.Limit}, SentAt: sentAt,
+		// The answer may be to an earlier call: what it states still restrains the entry, what it does not state may hold.
+		LimitUnknown: out.AnyAnswer && !info.Limited,
 	})
 	if changed {
 		c.o.OnNotice()
--- a/coordinate/coordinate_test.go
+++ b/coordinate/coordinate_test.go
@@ -229,6 +229,37 @@
 	}
 }
 
+// The answers of endpoints that name no call are correlated by their connections: each call whose answer decides
+// something has one of its own, and calls that free results use those that are left. An answer that was late to
+// such a call must not be taken for the answer to a later stage call.
+func TestCallsToEndpointsThatNameNoCall(t *testing.T) {
+	s := fleettest.NewServer("portal-1")
+	t.Cleanup(s.Close)
+	s.SetUnnamed()
+	s.SetCopies(func(r *http.Request, _ int) fleettest.Copy {
+		if strings.HasSuffix(r.URL.Path, "free") {
+			return fleettest.ExactCopy
+		}
+		return fleettest.NoCopy
+	})
+	c := newTestCoordinator(t, s)
+	endpoint := c.o.Roster.Endpoints(time.Now(), "portal")[0]
+	for i := range 10 {
+		id := fmt.Sprintf("request-%d", i)
+		results, _, err := c.runTasks(dispatch.Call{Endpoint: endpoint, Tasks: []stage.Task{{AttemptID: id, Key: "k"}}, Timeout: 10 * time.Second})
+		if err != nil || !strings.Contains(results[0].Handle, "/"+id+"-") {
+			t.Fatalf("%s was given %+v, error %v", id, results, err)
+		}
+		c.freeResults(dispatch.FreeRequest{Endpoint: endpoint, Handles: []string{results[0].Handle}})
+	}
+	if n := s.Connections(); n != 10 {
+		t.Errorf("%d connections for 10 stage calls and 10 calls that free results, want 10", n)
+	}
+	if s.HeldResults() > 0 {
+		t.Errorf("%d results were not freed", s.HeldResults())
+	}
+}
+
 // After a restart of all entries, the results of lost requests fill the memory of the endpoints for
 // seconds. The new dispatcher must ask for the free memory before its first call, and again until the
 // memory is free: a call that finds it full takes nearly as long as a useful one.
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -44,6 +44,9 @@
 	idleUntil time.Time
 	// used is set once a request has been sent.
 	used bool
+	// uncorrelated is set once an answer was read that need not be that of its call. From then on responses
+	// show which call they answer only by their IDs.
+	uncorrelated bool
 
 	mu        sync.Mutex
 	current   *exchange
@@ -56,8 +59,6 @@
 	request Request
 	// first is set if no request was sent on the connection before.
 	first bool
-	// correlated is set once a response has named the call.
-	correlated bool
 	// responseTo tells the parser of the response which method was used.
 	responseTo *http.Request
 	response   chan result
@@ -220,7 +221,7 @@
 	cn.input.unlimit()
 	cn.setIdleUntil(resp.Header)
 	x.response <- result{resp: resp}
-	if complete := <-x.bodyDone; !complete || resp.Close || !x.correlated {
+	if complete := <-x.bodyDone; !complete || resp.Close {
 		return false
 	}
 	<-x.written
@@ -237,7 +238,7 @@
 
 // readCorrelated returns the response that names the call of x. It skips interim responses and up to
 // maxMismatched responses that name another call. A response that names no call is that of x only if nothing
-// else can have been answered on the connection.
+// else can have been answered on the connection. If x takes any answer, so is every response.
 func (cn *conn) readCorrelated(br *bufio.Reader, x *exchange) (*http.Response, error) {
 	for mismatched := 0; mismatched <= maxMismatched; {
 		resp, err := http.ReadResponse(br, x.responseTo)
@@ -248,17 +249,19 @@
 			continue
 		}
 		id := cn.client.o.ResponseID(resp.Header)
+		if id != "" && id == x.request.ID {
+			return resp, nil
+		}
 		if id == "" {
 			cn.client.o.Metrics.UncorrelatedResponses.Inc()
-			if !x.first || mismatched > 0 {
-				return nil, errUncorrelated
-			}
-			return resp, nil
 		}
-		if id == x.request.ID {
-			x.correlated = true
+		if x.request.AnyAnswer || id == "" && x.first && mismatched == 0 {
+			cn.uncorrelated = true
 			return resp, nil
 		}
+		if id == "" {
+			return nil, errUncorrelated
+		}
 		mismatched++
 		cn.client.o.Metrics.MismatchedResponses.Inc()
 		if resp.Close {
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -19,7 +19,7 @@
 		Dials:                 counter("dials_total", "Connections opened to endpoints."),
 		DialFailures:          counter("dial_failures_total", "Failed attempts to open a connection to an endpoint."),
 		MismatchedResponses:   counter("foreign_answers_total", "Responses that belonged to another request."),
-		UncorrelatedResponses: counter("unnamed_answers_total", "Responses that named no request; their connections were closed."),
+		UncorrelatedResponses: counter("unnamed_answers_total", "Responses that named no request."),
 	}
 	if r != nil {
 		r.MustRegister(m.Dials, m.DialFailures, m.MismatchedResponses, m.UncorrelatedResponses)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -42,6 +43,9 @@
 	// none. It must differ from those of all other calls on the connection: before a caller repeats a call
 	// with the same ID, it closes the response without reading it to its end.
 	ID string
+	// AnyAnswer is set if the caller uses nothing of the response that depends on the call. Such a call may go
+	// over a connection on which the answer to an earlier one may still come.
+	AnyAnswer bool
 }
 
 // Options configures a Client. Fields that are zero take the defaults below.
@@ -55,8 +59,9 @@
 	// MaxIdle returns the maximum number of idle connections to an endpoint. It is called with the
 	// client's lock held.
 	MaxIdle func(id string) int
-	// ResponseID returns the ID of the call that a response names, or "" if it names none. A connection is
-	// kept only after a response that names its call. If ResponseID is nil, no response does.
+	// ResponseID returns the ID of the call that a response names, or "" if it names none. After a response
+	// that names none, its connection is kept for calls that take any answer only. If ResponseID is nil, no
+	// response names its call.
 	ResponseID func(h http.Header) string
 	Metrics    *Metrics
 }
@@ -83,9 +88,18 @@
 	dialer net.Dialer
 
 	mu   sync.Mutex
-	idle map[string][]*conn
+	idle map[idleKey][]*conn
 }
 
+// idleKey selects the idle connections to an endpoint.
+type idleKey struct {
+	id           string
+	uncorrelated bool
+}
+
+// maxUncorrelated bounds the idle connections to an endpoint that are kept for calls that take any answer.
+const maxUncorrelated = 4
+
 // New returns a client without connections.
 func New(o Options) *Client {
 	if o.DialTimeout == 0 {
@@ -106,7 +120,7 @@
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics(nil)
 	}
-	return &Client{o: o, dialer: Dialer(o.DialTimeout, o.TCPUserTimeout), idle: make(map[string][]*conn)}
+	return &Client{o: o, dialer: Dialer(o.DialTimeout, o.TCPUserTimeout), idle: make(map[idleKey][]*conn)}
 }
 
 // Dialer returns a dialer whose connections fail when the peer does not acknowledge data within
@@ -133,7 +147,7 @@
 // to drop the request.
 func (c *Client) Do(ctx context.Context, t Target, r Request) (*http.Response, error) {
 	for {
-		cn, err := c.conn(ctx, t)
+		cn, err := c.conn(ctx, t, r.AnyAnswer)
 		if err != nil {
 			return nil, err
 		}
@@ -161,8 +175,13 @@
 	return true
 }
 
-func (c *Client) conn(ctx context.Context, t Target) (*conn, error) {
-	if cn := c.takeIdle(t.ID); cn != nil {
+func (c *Client) conn(ctx context.Context, t Target, anyAnswer bool) (*conn, error) {
+	if anyAnswer {
+		if cn := c.takeIdle(idleKey{id: t.ID, uncorrelated: true}); cn != nil {
+			return cn, nil
+		}
+	}
+	if cn := c.takeIdle(idleKey{id: t.ID}); cn != nil {
 		return cn, nil
 	}
 	raw, err := c.dialer.DialContext(ctx, "tcp", t.Address)
@@ -174,46 +193,61 @@
 	return newConn(c, t.ID, raw), nil
 }
 
-func (c *Client) takeIdle(id string) *conn {
+func (c *Client) takeIdle(k idleKey) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := c.idle[id]
-	for len(list) > 0 {
-		cn := list[len(list)-1]
-		list = list[:len(list)-1]
-		c.idle[id] = list
-		if time.Now().Before(cn.idleUntil) && cn.isOpen() {
-			cn.reused = true
-			return cn
-		}
-		cn.close()
+	list := usable(c.idle[k])
+	if len(list) == 0 {
+		delete(c.idle, k)
+		return nil
 	}
-	delete(c.idle, id)
-	return nil
+	cn := list[len(list)-1]
+	c.idle[k] = list[:len(list)-1]
+	cn.reused = true
+	return cn
 }
 
 func (c *Client) putIdle(cn *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[cn.id]) >= c.o.MaxIdle(cn.id) {
+	k := idleKey{id: cn.id, uncorrelated: cn.uncorrelated}
+	limit := c.o.MaxIdle(cn.id)
+	if k.uncorrelated {
+		limit = min(limit, maxUncorrelated)
+	}
+	list := usable(c.idle[k])
+	if len(list) < limit {
+		list = append(list, cn)
+	} else {
 		cn.close()
-		return
 	}
-	c.idle[cn.id] = append(c.idle[cn.id], cn)
+	c.idle[k] = list
+}
+
+// usable closes the idle connections that the endpoint may close or has closed, and returns the others.
+func usable(list []*conn) []*conn {
+	now := time.Now()
+	return slices.DeleteFunc(list, func(cn *conn) bool {
+		if now.Before(cn.idleUntil) && cn.isOpen() {
+			return false
+		}
+		cn.close()
+		return true
+	})
 }
 
 // Retain closes the idle connections of all endpoints except those for which keep returns true.
 func (c *Client) Retain(keep func(id string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id, list := range c.idle {
-		if keep(id) {
+	for k, list := range c.idle {
+		if keep(k.id) {
 			continue
 		}
 		for _, cn := range list {
 			cn.close()
 		}
-		delete(c.idle, id)
+		delete(c.idle, k)
 	}
 }
 
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -79,7 +79,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n := len(c.idle[s.ID]); n != 2 {
+	if n := len(c.idle[idleKey{id: s.ID}]); n != 2 {
 		t.Errorf("%d idle connections, want 2", n)
 	}
 }
@@ -164,7 +164,7 @@
 		t.Errorf("%d connections, want one for each incarnation", n)
 	}
 	c.Retain(func(id string) bool { return id == "next" })
-	if c.takeIdle(s.ID) != nil {
+	if c.takeIdle(idleKey{id: s.ID}) != nil {
 		t.Error("a connection of the previous incarnation is still idle")
 	}
 }
@@ -269,7 +269,7 @@
 		if string(body) != c.body || (err == nil) != (c.body != "") || err != nil && !Lost.Has(err) {
 			t.Errorf("%q: body %q, error %v, want body %q", c.responses, body, err, c.body)
 		}
-		if kept := client.takeIdle("x") != nil; kept != c.kept {
+		if kept := client.takeIdle(idleKey{id: "x"}) != nil; kept != c.kept {
 			t.Errorf("%q: connection kept: %v, want %v", c.responses, kept, c.kept)
 		}
 		client.Close()
@@ -320,3 +320,30 @@
 		c.Close()
 	}
 }
+
+// An answer that names no call leaves open what comes next on its connection. The connection then carries only calls
+// that take any answer, also after further answers.
+func TestConnectionsAfterUnnamedAnswersCarryNoOtherCalls(t *testing.T) {
+	c := New(Options{})
+	defer c.Close()
+	s := newServer(t, fleettest.Serve)
+	call := func(anyAnswer bool, connections int) {
+		t.Helper()
+		resp, err := c.Do(t.Context(), Target{ID: s.ID, Address: s.Address()}, Request{
+			Method: "GET", URI: "/x", Host: "h", Header: http.Header{}, AnyAnswer: anyAnswer,
+		})
+		if err == nil {
+			_, err = ReadBody(resp, 100)
+			_ = resp.Body.Close()
+		}
+		if n := s.Connections(); err != nil || n != connections {
+			t.Errorf("error %v, %d connections, want %d", err, n, connections)
+		}
+	}
+	call(false, 1)
+	call(true, 1)
+	call(true, 1)
+	call(false, 2)
+	call(false, 3)
+	call(true, 3)
+}
