--- a/soak/check.go
+++ b/soak/check.go
@@ -143,8 +143,22 @@
 			if endpointRun.Body != "body of "+id || endpointRun.Organisation != "org" || endpointRun.APIKey != "" {
 				r.recordViolation("an endpoint ran %s with body %q for organisation %q, key %q", id, endpointRun.Body, endpointRun.Organisation, endpointRun.APIKey)
 			}
+			if strings.HasPrefix(id, "staged-") && !areResultsOf(id, endpointRun.Inputs) {
+				r.recordViolation("an endpoint ran %s with the inputs %q", id, endpointRun.Inputs)
+			}
+		}
+	}
+}
+
+// areResultsOf reports whether inputs are the handles of two different results of a request's last stage.
+func areResultsOf(id, inputs string) bool {
+	handles := strings.Split(inputs, ",")
+	for i, h := range handles {
+		if !strings.Contains(h, fmt.Sprintf("/%s-1-%d-", id, i)) {
+			return false
 		}
 	}
+	return len(handles) == 2
 }
 
 func (r *run) countResponse(resp response) {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -134,6 +135,60 @@
 	}},
 }
 
+// repeatedBehaviours are the behaviours whose answers an endpoint sends once more.
+var repeatedBehaviours = []fleettest.Behaviour{
+	fleettest.Serve, fleettest.Shed, fleettest.FailAfterRun, fleettest.Pause, fleettest.FailStages, fleettest.Unsigned,
+}
+
+// repeatAnswers makes the endpoints of a service send a second copy of some of their answers, where the answer to
+// a later request is expected.
+func (r *run) repeatAnswers(service string, rng *rand.Rand, duration time.Duration) {
+	behaviour := repeatedBehaviours[rng.IntN(len(repeatedBehaviours))]
+	kind := fleettest.ExactCopy + fleettest.Copy(rng.IntN(2))
+	every, interval := uint64(1+rng.IntN(4)), uint64(2+rng.IntN(4))
+	for i, s := range r.servers {
+		if r.endpointSpecs[i]["service"] != service {
+			continue
+		}
+		s.SetBehaviour(func(n int, _ *http.Request) fleettest.Behaviour {
+			if uint64(n)%interval == 0 {
+				return behaviour
+			}
+			return fleettest.Serve
+		})
+		var answers atomic.Uint64
+		s.SetCopies(func(*http.Request, int) fleettest.Copy {
+			if answers.Add(1)%every == 0 {
+				return kind
+			}
+			return fleettest.NoCopy
+		})
+	}
+	time.Sleep(duration)
+	for i, s := range r.servers {
+		if r.endpointSpecs[i]["service"] == service {
+			s.SetBehaviour(func(int, *http.Request) fleettest.Behaviour { return fleettest.Serve })
+			s.SetCopies(nil)
+		}
+	}
+}
+
+// scheduleRepeats draws for each service when its endpoints repeat answers. It has a source of random numbers of
+// its own, so that the other faults of a seed stay what they were.
+func (r *run) scheduleRepeats(injections *sync.WaitGroup) {
+	rng := rand.New(rand.NewPCG(r.o.Seed, 3))
+	for _, s := range endpointServices {
+		delay := time.Duration(rng.Int64N(int64(r.o.Duration)))
+		duration := time.Duration(300+rng.IntN(2500)) * time.Millisecond
+		rng := rand.New(rand.NewPCG(rng.Uint64(), 2))
+		r.report.Faults = append(r.report.Faults, fmt.Sprintf("%.1f s endpoints of %s repeat answers (%v)", delay.Seconds(), s.name, duration))
+		injections.Go(func() {
+			time.Sleep(delay)
+			r.repeatAnswers(s.name, rng, duration)
+		})
+	}
+}
+
 // maxClockError is the maximum clock error of an endpoint, in either direction. An endpoint states
 // its start time by its own clock, so it may seem to have started earlier than it did, or in the
 // future.
@@ -225,6 +280,7 @@
 		})
 		offset += time.Duration(100+r.rng.IntN(900)) * time.Millisecond
 	}
+	r.scheduleRepeats(&injections)
 	injections.Wait()
 	r.checkRecovery(ctx)
 	stop()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -182,6 +182,9 @@
 	if service == "llm" {
 		s.SetVersion(engineVersions[len(r.servers)%len(engineVersions)])
 	}
+	if service == "portal" && r.o.Seed%2 == 0 {
+		s.SetUnnamed()
+	}
 	r.servers, r.proxies = append(r.servers, s), append(r.proxies, p)
 	s.SetListedAddress(p.address())
 	spec := s.EndpointSpec(service, fmt.Sprintf("dc-%d", len(r.servers)%dataCentres))
