Use each connection to the store for one call

What callers saw: nothing yet; found by the search for the same cause. The answers of the store name neither their call nor the kind. A second copy of one, written where the answer to the next call was expected, is taken for that answer: a list of the entries replaces that of the endpoints. The protocol names no such fault of the store.

--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -166,15 +166,13 @@
 	return d
 }
 
-// newStoreTransport returns a transport that keeps an idle connection for each watch. Calls are
+// newStoreTransport returns a transport for calls of the store, which use each connection once. Calls are
 // bounded by their contexts.
 func newStoreTransport() *http.Transport {
 	dialer := upstream.Dialer(upstream.DefaultDialTimeout, upstream.DefaultTCPUserTimeout)
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     10 * time.Second,
-		DisableCompression:  true,
+		DialContext:        dialer.DialContext,
+		DisableCompression: true,
 		// The default is sized for browsers.
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
