Try another engine for a long prompt while its client still waits

What callers saw: with a long prompt at an engine that hung, nothing until they left after 4 s (neither an answer nor a refusal), although other engines were free.

Cause: the time allowed to the first event grows with the prompt and was bounded by half of the time to the deadline of the request, which is later than the client's patience: 3.5 s for 40,000 tokens, with clients that leave after 4 s. The class: a bound that counts to the wrong moment.

TestFirstEventTimeoutLeavesTimeForAnotherEndpoint failed before: 3.57 s instead of 1.99 s.

Change: the bound is half of the client's patience.

--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/azurelead/azurelead/catalog"
 	"github.com/azurelead/azurelead/retrybudget"
 )
 
@@ -87,3 +88,28 @@
 		}
 	})
 }
+
+// A long prompt at an endpoint that hangs must be tried elsewhere while its client still waits, also if the deadline of
+// the request is much later.
+func TestFirstEventTimeoutLeavesTimeForAnotherEndpoint(t *testing.T) {
+	const deadline = 20 * time.Second
+	cases := []struct {
+		name   string
+		tokens int
+		want   time.Duration
+	}{
+		{"short prompt", 100, minFirstEventTimeout},
+		{"long prompt", 50000, 2*time.Second - deadlineMargin/2},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			started := time.Now()
+			route := catalog.Route{Kind: catalog.Streaming, LatencyTarget: time.Second}
+			q := &request{started: started, deadline: started.Add(deadline), route: &route}
+			q.headers.PromptTokens = c.tokens
+			if got := (&stream{request: q}).firstEventTimeout(); got != c.want {
+				t.Errorf("%s: %v, want %v", c.name, got, c.want)
+			}
+		})
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -568,10 +568,10 @@
 }
 
 // firstEventTimeout returns how long an endpoint may take to send the first event before another
-// one is tried.
+// one is tried. It leaves half of the client's patience for that one.
 func (s *stream) firstEventTimeout() time.Duration {
 	timeout := firstEventFactor * max(s.prefillTime(), s.record.firstEventForecast)
-	return min(max(timeout, minFirstEventTimeout), max(s.remaining()/2, minFirstEventTimeout))
+	return min(max(timeout, minFirstEventTimeout), max(time.Until(s.nextEventDeadline())/2, minFirstEventTimeout))
 }
 
 // chooseEngine returns the next endpoint to try: the engine that the dispatcher booked, else the
