State why no other endpoint takes over from a silent one

The log line of a request has the last verdict on a silent endpoint (silence), and azurelead_gateway_silent_attempts_total counts them.

--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -73,6 +73,14 @@
 	return text
 }
 
+// silenceVerdict returns the last verdict on a silent endpoint, or "" if none was silent.
+func (q *request) silenceVerdict() string {
+	if v := q.silence.Load(); v != nil {
+		return *v
+	}
+	return ""
+}
+
 // log writes the request's log line and updates the metrics when the request has ended.
 func (q *request) log() {
 	rec := &q.record
@@ -96,7 +104,7 @@
 	q.gw.opts.Logger.Info("request", "request", q.headers.AttemptID, "route", routeName, "organisation", q.organisationName(),
 		"service", q.service, "shared", q.sharedPrefixName(), "configuration", version, "outcome", outcome, "status", rec.status, "own", rec.local,
 		"reason", rec.reason, "took_ms", duration.Milliseconds(), "left_ms", q.remaining().Milliseconds(),
-		"sends", strings.Join(rec.sends, "; "), "dispatcher", rec.dispatcher, "stages_ms", rec.stageDuration.Milliseconds(),
+		"sends", strings.Join(rec.sends, "; "), "silence", q.silenceVerdict(), "dispatcher", rec.dispatcher, "stages_ms", rec.stageDuration.Milliseconds(),
 		"forecast_ms", rec.stageForecast.Milliseconds(), "tail_ms", rec.firstEventForecast.Milliseconds(), "prompt", q.headers.PromptTokens, "first_event_ms", rec.timeToFirstEvent.Milliseconds(), "events", rec.events,
 		"resumes", q.headers.Resumes, "after_event", q.headers.LastEventID, "resumed", rec.resumptions, "retry_after_ms", rec.retryAfter.Milliseconds())
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -123,7 +123,7 @@
 func (q *request) abandonFor(cancel context.CancelFunc) func(*replacement) {
 	return func(r *replacement) {
 		q.secured.Store(r)
-		q.gw.opts.Metrics.SilentAttempts.WithLabelValues(q.service).Inc()
+		q.noteSilence(silenceReplaced)
 		cancel()
 	}
 }
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -146,7 +146,7 @@
 // same time.
 func (b *buffered) hedge() {
 	if b.start() {
-		b.gw.opts.Metrics.SilentAttempts.WithLabelValues(b.service).Inc()
+		b.noteSilence(silenceReplaced)
 		return
 	}
 	b.hedgeAt = time.Now().Add(minAttemptTimeout)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -189,6 +189,8 @@
 	cachedDigest string
 	// headerSent is set once the header of a response has been written to the client.
 	headerSent bool
+	// silence is the last verdict on a silent endpoint; nil if none was silent.
+	silence atomic.Pointer[string]
 	// secured is the replacement for which the last attempt was abandoned, until it is used.
 	secured atomic.Pointer[replacement]
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,7 +23,7 @@
 	ClientResumptions *prometheus.CounterVec
 	InFlight          prometheus.Gauge
 	Panics            prometheus.Counter
-	// SilentAttempts counts the attempts that were ended because their endpoint was silent.
+	// SilentAttempts counts the verdicts on silent endpoints.
 	SilentAttempts *prometheus.CounterVec
 
 	routeLabels, organisationLabels telemetry.LabelLimiter
@@ -54,7 +54,7 @@
 		Panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "azurelead", Subsystem: "gateway", Name: "panics_total", Help: "Requests whose handler panicked.",
 		}),
-		SilentAttempts: counter("silent_attempts_total", "Attempts that were ended in favour of another endpoint because theirs was silent.", "service"),
+		SilentAttempts: counter("silent_attempts_total", "Attempts whose endpoint was silent, by whether another one took over, or why not.", "service", "verdict"),
 		InFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "azurelead", Subsystem: "gateway", Name: "in_flight", Help: "Requests in progress.",
 		}),
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -26,16 +26,37 @@
 	}
 }
 
+// Verdicts on a silent endpoint: another one takes over, or why none does.
+const (
+	silenceReplaced  = "replaced"
+	silenceNoOther   = "no other endpoint"
+	silenceSuspect   = "request is suspected of crashes"
+	silenceNoBudget  = "retry budget spent"
+	silenceNoStages  = "stages failed"
+	silenceNoContact = "other endpoint unreachable"
+	silenceTooLate   = "too late"
+)
+
+// noteSilence records the verdict on a silent endpoint. It is safe for concurrent use with the attempt.
+func (q *request) noteSilence(verdict string) {
+	q.silence.Store(&verdict)
+	q.gw.opts.Metrics.SilentAttempts.WithLabelValues(q.service, verdict).Inc()
+}
+
 // reserveRetry reserves a retry at one of the selected endpoints. It returns nil if the request may get none.
 func (q *request) reserveRetry(f roster.Filter) *replacement {
-	if len(q.gw.opts.Roster.Candidates(time.Now(), f)) == 0 || q.gw.crashes.refusal(q) != "" {
-		return nil
-	}
 	budget := q.gw.opts.RetryBudgets.For(q.service)
-	if !budget.TryWithdraw() {
-		return nil
+	switch {
+	case len(q.gw.opts.Roster.Candidates(time.Now(), f)) == 0:
+		q.noteSilence(silenceNoOther)
+	case q.gw.crashes.refusal(q) != "":
+		q.noteSilence(silenceSuspect)
+	case !budget.TryWithdraw():
+		q.noteSilence(silenceNoBudget)
+	default:
+		return &replacement{budget: budget}
 	}
-	return &replacement{budget: budget}
+	return nil
 }
 
 // secureStream secures another endpoint for a stream, for which the stages run again if their results were
@@ -49,19 +70,29 @@
 	if job, needed := s.stageJob(); needed && (s.hasBegun() || out.wereRead()) {
 		run := s.submitStages(ctx, job)
 		if run.failure != nil {
-			r.discard()
-			return nil
+			return s.giveBack(r, silenceNoStages)
 		}
 		r.stages, out = run, run.output
 	}
 	c, found := s.chooseEngine(f, out)
-	if !found || !s.reachable(ctx, c) || s.nextEventDeadline().Before(time.Now().Add(s.prefillTime())) {
-		r.discard()
-		return nil
+	switch {
+	case !found:
+		return s.giveBack(r, silenceNoOther)
+	case !s.reachable(ctx, c):
+		return s.giveBack(r, silenceNoContact)
+	case s.nextEventDeadline().Before(time.Now().Add(s.prefillTime())):
+		return s.giveBack(r, silenceTooLate)
 	}
 	return r
 }
 
+// giveBack discards a replacement that is not complete, and records why.
+func (s *stream) giveBack(r *replacement, verdict string) *replacement {
+	r.discard()
+	s.noteSilence(verdict)
+	return nil
+}
+
 // reachable tries to open a new connection to an endpoint, which is kept for the next request.
 func (q *request) reachable(ctx context.Context, c roster.Candidate) bool {
 	ctx, cancel := context.WithTimeout(ctx, reachableTimeout)
