Let the soak write malformed endpoint objects and check that the list is followed

Cause: the soak had no other writer, and its check of recovery saw only endpoints that were known before the faults, so that an entry that had stopped following the list passed.

Change: a fault writes a malformed object, over that of an endpoint for a while or under a name of its own, which stays. After the last fault an endpoint of a further service is registered, and every entry must serve requests there.

--- a/soak/check.go
+++ b/soak/check.go
@@ -37,7 +37,14 @@
 	continued   int
 }
 
-var requestKinds = []struct{ name, method, path string }{
+// requestKind is a kind of requests, each on a route of its own.
+type requestKind struct{ name, method, path string }
+
+// lateKind are requests for the service whose endpoint is registered after the last fault.
+var lateKind = requestKind{"late", "GET", "/late/x"}
+
+// requestKinds are those that clients send.
+var requestKinds = []requestKind{
 	{"look", "GET", "/look/x"}, {"book", "POST", "/book/x"}, {"plain", "POST", "/stream/plain/x"}, {"staged", "POST", "/stream/staged/x"},
 }
 
@@ -92,7 +99,7 @@
 	result := response{id: id, kind: kind}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout+time.Second)
 	defer cancel()
-	for _, k := range requestKinds {
+	for _, k := range append(slices.Clone(requestKinds), lateKind) {
 		if k.name != kind {
 			continue
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -126,6 +127,21 @@
 		time.Sleep(duration)
 		r.store.Put(fleet.KindEndpoints, r.servers[i].ID, r.endpointSpecs[i])
 	}},
+	{"malformed endpoint object", func(r *run, rng *rand.Rand, duration time.Duration) {
+		i := rng.IntN(len(r.servers))
+		specs := fleettest.MalformedSpecs(r.endpointSpecs[i])
+		kinds := slices.Sorted(maps.Keys(specs))
+		spec := specs[kinds[rng.IntN(len(kinds))]]
+		if rng.IntN(2) == 0 {
+			// Another program writes over the object of an endpoint that is in use.
+			r.store.PutRaw(fleet.KindEndpoints, r.servers[i].ID, spec)
+			time.Sleep(duration)
+			r.store.Put(fleet.KindEndpoints, r.servers[i].ID, r.endpointSpecs[i])
+			return
+		}
+		// Nothing removes an object of its own.
+		r.store.PutRaw(fleet.KindEndpoints, fmt.Sprintf("odd-%016x", rng.Uint64()), spec)
+	}},
 	{"data centre out", func(r *run, rng *rand.Rand, duration time.Duration) {
 		name := fmt.Sprintf("dc-%d", rng.IntN(dataCentres))
 		r.store.Put(fleet.KindEvacuations, name, map[string]any{})
@@ -226,13 +242,17 @@
 		offset += time.Duration(100+r.rng.IntN(900)) * time.Millisecond
 	}
 	injections.Wait()
+	if err := r.addEndpoint(lateService); err != nil {
+		r.recordViolation("no further endpoint was started: %v", err)
+	}
 	r.checkRecovery(ctx)
 	stop()
 	clients.Wait()
 }
 
 // checkRecovery checks that every entry serves requests again within recoveryTimeout of the last
-// fault. It probes them concurrently, so that each has the full time.
+// fault, also at the endpoint that has been registered since. It probes them concurrently, so that each has
+// the full time.
 func (r *run) checkRecovery(ctx context.Context) {
 	deadline := time.Now().Add(recoveryTimeout)
 	var probes sync.WaitGroup
@@ -251,6 +271,11 @@
 }
 
 func (r *run) isServing(ctx context.Context, e *entry) bool {
-	resp := r.sendRequest(ctx, http.DefaultClient, e, "look", "recovery-"+e.name+fmt.Sprint(time.Now().UnixNano()))
-	return resp.status == http.StatusOK
+	for _, kind := range []string{"look", lateKind.name} {
+		resp := r.sendRequest(ctx, http.DefaultClient, e, kind, "recovery-"+e.name+fmt.Sprint(time.Now().UnixNano()))
+		if resp.status != http.StatusOK {
+			return false
+		}
+	}
+	return true
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -145,6 +145,9 @@
 	count int
 }{{"api", 3}, {"llm", 4}, {"portal", 2}}
 
+// lateService is a service whose endpoint is registered after the last fault.
+const lateService = "late"
+
 // engineVersions are the software versions of the engines, which serve side by side.
 var engineVersions = []string{"v1", "v2"}
 
@@ -203,11 +206,12 @@
 		fleettest.Route("book", "/book/", "non_idempotent", "api", nil),
 		fleettest.Route("plain", "/stream/plain/", "streaming", "llm", nil),
 		fleettest.Route("staged", "/stream/staged/", "streaming", "llm", stages),
+		fleettest.Route(lateKind.name, "/late/", "idempotent", lateService, nil),
 	}
 	for i := range r.addedRoutes.Load() {
 		routes = append(routes, fleettest.Route(fmt.Sprint("added-", i), fmt.Sprintf("/added/%d/", i), "idempotent", "api", nil))
 	}
-	r.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(version, routes, []map[string]any{fleettest.Service("api"), fleettest.EngineService("llm"), fleettest.StageService("portal")},
+	r.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(version, routes, []map[string]any{fleettest.Service("api"), fleettest.Service(lateService), fleettest.EngineService("llm"), fleettest.StageService("portal")},
 		map[string][]string{"org": {apiKey, fmt.Sprintf("key-of-%d", version)}}))
 }
 
