--- a/soak/faults.go
+++ b/soak/faults.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -173,6 +174,42 @@
 	}
 }
 
+// malformEndpoint lets another program write a malformed object among those of the endpoints.
+func (r *run) malformEndpoint(rng *rand.Rand, duration time.Duration) {
+	i := rng.IntN(len(r.servers))
+	specs := fleettest.MalformedSpecs(r.endpointSpecs[i])
+	kinds := slices.Sorted(maps.Keys(specs))
+	spec := specs[kinds[rng.IntN(len(kinds))]]
+	if rng.IntN(2) == 0 {
+		// Another program writes over the object of an endpoint that is in use.
+		r.store.PutRaw(fleet.KindEndpoints, r.servers[i].ID, spec)
+		time.Sleep(duration)
+		r.store.Put(fleet.KindEndpoints, r.servers[i].ID, r.endpointSpecs[i])
+		return
+	}
+	// Nothing removes an object of its own.
+	r.store.PutRaw(fleet.KindEndpoints, fmt.Sprintf("odd-%016x", rng.Uint64()), spec)
+}
+
+// scheduleMalformed draws when malformed objects are written. It has a source of random numbers of its own, so
+// that the other faults of a seed stay what they were.
+func (r *run) scheduleMalformed(injections *sync.WaitGroup) {
+	rng := rand.New(rand.NewPCG(r.o.Seed, 5))
+	for range malformedObjects {
+		delay := time.Duration(rng.Int64N(int64(r.o.Duration)))
+		duration := time.Duration(300+rng.IntN(2500)) * time.Millisecond
+		rng := rand.New(rand.NewPCG(rng.Uint64(), 2))
+		r.report.Faults = append(r.report.Faults, fmt.Sprintf("%.1f s malformed endpoint object (%v)", delay.Seconds(), duration))
+		injections.Go(func() {
+			time.Sleep(delay)
+			r.malformEndpoint(rng, duration)
+		})
+	}
+}
+
+// malformedObjects is the number of malformed objects of a run.
+const malformedObjects = 2
+
 // scheduleRepeats draws for each service when its endpoints repeat answers. It has a source of random numbers of
 // its own, so that the other faults of a seed stay what they were.
 func (r *run) scheduleRepeats(injections *sync.WaitGroup) {
@@ -284,15 +321,20 @@
 	if !r.o.PlannedOnly {
 		injections.Go(r.breakStreams(rand.New(rand.NewPCG(r.o.Seed, 3))))
 		r.scheduleRepeats(&injections)
+		r.scheduleMalformed(&injections)
 	}
 	injections.Wait()
+	if err := r.addEndpoint(lateService); err != nil {
+		r.recordViolation("no further endpoint was started: %v", err)
+	}
 	r.checkRecovery(ctx)
 	stop()
 	clients.Wait()
 }
 
 // checkRecovery checks that every entry serves requests again within recoveryTimeout of the last
-// fault. It probes them concurrently, so that each has the full time.
+// fault, also at the endpoint that has been registered since. It probes them concurrently, so that each has
+// the full time.
 func (r *run) checkRecovery(ctx context.Context) {
 	deadline := time.Now().Add(recoveryTimeout)
 	var probes sync.WaitGroup
@@ -311,6 +353,11 @@
 }
 
 func (r *run) isServing(ctx context.Context, e *entry) bool {
-	resp := r.sendRequest(ctx, http.DefaultClient, e, "look", "recovery-"+e.name+fmt.Sprint(time.Now().UnixNano()))
-	return resp.status == http.StatusOK
+	for _, kind := range []string{"look", lateKind.name} {
+		resp := r.sendRequest(ctx, http.DefaultClient, e, kind, "recovery-"+e.name+fmt.Sprint(time.Now().UnixNano()))
+		if resp.status != http.StatusOK {
+			return false
+		}
+	}
+	return true
 }
