Refuse the request that crashes endpoints, not those beside it

Cause: evidence against all that was present, kept as a number. The gateway used the table that was made for agents: a crash counted for each copy and each entry that saw it; the only request of this entry at the endpoint counted as proven, though other entries had requests there; nothing that explains the crash or speaks against it was taken into account, and Table.Cleared was not called.

Change: suspect.Requests. A mark is the set of crashed incarnations, merged as for parts, so that one crash counts once. A good end clears it with a higher epoch, at the peers too. Crashes that a blamed part of other prompts explains do not count; nor do those that another request with as many crashes explains, up to five, so that a true culprit is refused after three crashes, or five at the latest. The marks travel with pings as before, in a field of their own; entries of two versions do not share them. The product's own protocol keeps suspect.Table unchanged. Marks that neither blame nor clear are evicted first, and no longer crowd the others out of the messages; that holds for parts too.

Tests that changed: crash_test.go and three tests of peers set the option that was replaced; nothing else in them.

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -55,6 +55,7 @@
 			continue
 		case resultAnswered:
 			if resp.status < http.StatusInternalServerError && !promisesNotRun(resp.status) {
+				q.endedWell()
 				return *resp
 			}
 			if !q.route.Repeatable() {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,9 +15,6 @@
 	// crashWindow is how long after an interrupted request the loss of its endpoint still counts as
 	// a crash.
 	crashWindow = 2 * time.Second
-	// refuseAfterCrashes is the number of crashes after which a request is refused even if other
-	// requests were in flight at each of them.
-	refuseAfterCrashes = 3
 	// suspectRetryAfter is the delay sent to clients of refused requests. The request stays refused
 	// for longer than that.
 	suspectRetryAfter = 5 * time.Second
@@ -28,7 +26,7 @@
 // crashTracker correlates interrupted requests with the loss of their endpoint. A lost response
 // alone does not count as a crash.
 type crashTracker struct {
-	suspects *suspect.Table
+	requests *suspect.Requests
 	parts    *suspect.Parts
 	// onCrash is called after a crash was recorded.
 	onCrash func()
@@ -50,7 +48,7 @@
 // newCrashTracker returns a tracker that reports crashes to the tables of the options.
 func newCrashTracker(opts Options) *crashTracker {
 	return &crashTracker{
-		suspects: opts.Suspects, parts: opts.SuspectParts, onCrash: opts.OnCrash, interrupted: make(map[string][]interruptedRequest),
+		requests: opts.SuspectRequests, parts: opts.SuspectParts, onCrash: opts.OnCrash, interrupted: make(map[string][]interruptedRequest),
 	}
 }
 
@@ -75,7 +73,7 @@
 
 // endpointLost records that an endpoint is gone. Requests interrupted just before count as in
 // flight at its crash; their digests are returned, and the parts of prompts that it was beginning to
-// answer.
+// answer, each once.
 func (c *crashTracker) endpointLost(now time.Time, endpoint string) (digests, parts []string) {
 	c.mu.Lock()
 	recent := c.recentlyInterrupted(now, endpoint)
@@ -84,22 +82,22 @@
 	for _, r := range recent {
 		digests = append(digests, r.digest)
 		parts = append(parts, r.parts...)
-		c.parts.Crashed(fmt.Sprintf("%s/%d", endpoint, r.incarnation), r.parts)
+		crashed := fmt.Sprintf("%s/%d", endpoint, r.incarnation)
+		c.requests.Crashed(crashed, r.digest)
+		c.parts.Crashed(crashed, r.parts)
 	}
 	if len(digests) > 0 {
-		c.suspects.Crashed(digests)
 		c.onCrash()
 	}
-	return digests, parts
+	slices.Sort(digests)
+	slices.Sort(parts)
+	return slices.Compact(digests), slices.Compact(parts)
 }
 
 // refusal returns why a request is not run, or "" if it may run.
 func (c *crashTracker) refusal(q *request) string {
-	digest := q.digest()
-	verdict, _ := c.suspects.Verdict(digest)
-	mark := c.suspects.Mark(digest)
 	switch {
-	case verdict == suspect.Refused || mark != nil && mark.Crashes >= refuseAfterCrashes:
+	case c.requests.Refused(q.digest(), q.sharedParts()):
 		return "the request has crashed the endpoints that ran it"
 	case c.parts.Refused(q.sharedParts()):
 		return "a part of the prompt has crashed the endpoints that began an answer on it"
@@ -107,6 +105,9 @@
 	return ""
 }
 
+// endedWell records that an endpoint has sent its whole response to the request.
+func (q *request) endedWell() { q.gw.crashes.requests.EndedWell(q.digest()) }
+
 // digest identifies a request that is sent again under another attempt ID. Its body has been read.
 func (q *request) digest() string {
 	if q.cachedDigest != "" {
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -23,7 +23,7 @@
 	for _, c := range cases {
 		synctest.Test(t, func(t *testing.T) {
 			parts := suspect.NewParts(nil)
-			tracker := newCrashTracker(Options{Suspects: suspect.New(suspect.Options{}), SuspectParts: parts, OnCrash: func() {}})
+			tracker := newCrashTracker(Options{SuspectRequests: suspect.NewRequests(parts, nil), SuspectParts: parts, OnCrash: func() {}})
 			for _, incarnation := range c.incarnations {
 				tracker.recordInterrupted("engine", interruptedRequest{incarnation: incarnation, parts: []string{"p"}, at: time.Now()})
 				tracker.endpointLost(time.Now(), "engine")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,10 +80,10 @@
 	RetryBudgets *retrybudget.Set
 	// RetryPercent returns the number of retries that a service may receive per 100 first attempts.
 	RetryPercent func() int
-	// Suspects holds the requests that have crashed endpoints.
-	Suspects *suspect.Table
 	// SuspectParts holds the parts of prompts that have crashed endpoints.
 	SuspectParts *suspect.Parts
+	// SuspectRequests holds the requests that have crashed endpoints.
+	SuspectRequests *suspect.Requests
 	// Origins knows where streams began; nil knows none.
 	Origins Origins
 	// OnCrash is called after an endpoint crashed with requests of this entry; it may be nil.
@@ -109,12 +109,12 @@
 	if opts.Metrics == nil {
 		opts.Metrics = NewMetrics(nil)
 	}
-	if opts.Suspects == nil {
-		opts.Suspects = suspect.New(suspect.Options{})
-	}
 	if opts.SuspectParts == nil {
 		opts.SuspectParts = suspect.NewParts(nil)
 	}
+	if opts.SuspectRequests == nil {
+		opts.SuspectRequests = suspect.NewRequests(opts.SuspectParts, nil)
+	}
 	if opts.Origins == nil {
 		opts.Origins = noOrigins{}
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -435,6 +435,7 @@
 	if errors.Is(err, io.EOF) {
 		if a.events > 0 {
 			s.gw.opts.SuspectParts.Sound(s.sharedParts())
+			s.endedWell()
 		}
 		s.startResponse(a)
 		s.gw.opts.Origins.End(s.headers.AttemptID)
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -140,15 +140,16 @@
 		PeersContact: func() time.Time { return d.mesh.PeersStoreResponse() },
 	})
 	d.origins = &streamOrigins{table: origin.New(), roster: d.roster, started: d.started}
-	suspects := suspect.New(suspect.Options{Metrics: reg})
 	suspectParts := suspect.NewParts(reg)
+	suspectRequests := suspect.NewRequests(suspectParts, reg)
 	self := peers.Identity{
 		Name: settings.Name, Incarnation: rand.Text(), Address: settings.PeerAddress,
 		DataCentre: settings.DataCentre, CPU: settings.CPUShare,
 	}
 	d.mesh = peers.New(peers.Options{
 		Self:    self,
-		Started: d.started, Follower: d.follower, Jobs: d.coordinator, Suspects: suspects, SuspectParts: suspectParts, OnPeersChanged: d.peersChanged, Logger: logger,
+		Started: d.started, Follower: d.follower, Jobs: d.coordinator, SuspectParts: suspectParts, SuspectRequests: suspectRequests,
+		OnPeersChanged: d.peersChanged, Logger: logger,
 		Roster: d.roster, Origins: d.origins.table, OnNotices: d.coordinator.InvalidateEndpoints, OnPeerRemoved: d.removeDeadEntry,
 	})
 	d.origins.mesh = d.mesh
@@ -156,7 +157,7 @@
 		DataCentre: settings.DataCentre, Table: d.table.Load, Roster: d.roster, Upstream: d.upstream,
 		Stages: &stageRunner{self: self, mesh: d.mesh, local: d.coordinator}, RetryBudgets: d.retryBudgets,
 		RetryPercent: func() int { return int(100 * d.current.Load().RetryRatio * retryRatioShare) },
-		Suspects:     suspects, SuspectParts: suspectParts, Origins: d.origins, OnCrash: d.mesh.PingAll, OnNotice: d.endpointNoticed, Logger: logger, Metrics: gateway.NewMetrics(reg),
+		SuspectParts: suspectParts, SuspectRequests: suspectRequests, Origins: d.origins, OnCrash: d.mesh.PingAll, OnNotice: d.endpointNoticed, Logger: logger, Metrics: gateway.NewMetrics(reg),
 	})
 	d.updateShares()
 	d.registerStateMetrics(reg)
--- a/peers/bench_test.go
+++ b/peers/bench_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/azurelead/azurelead/follow"
 	"github.com/azurelead/azurelead/platform/fleet"
-	"github.com/azurelead/azurelead/suspect"
 )
 
 // benchMesh serves a mesh that knows a number of endpoints.
@@ -33,7 +32,7 @@
 	}
 	m := New(Options{
 		Self: Identity{Name: name, Address: l.Addr().String()}, Started: time.Now(), Follower: f,
-		Suspects: suspect.New(suspect.Options{}), OnPeersChanged: func() {}, Logger: slog.New(slog.DiscardHandler),
+		OnPeersChanged: func() {}, Logger: slog.New(slog.DiscardHandler),
 	})
 	go m.Serve(ctx, l)
 	return m, l
--- a/peers/hubs_test.go
+++ b/peers/hubs_test.go
@@ -17,7 +17,6 @@
 
 	"github.com/azurelead/azurelead/follow"
 	"github.com/azurelead/azurelead/platform/fleet"
-	"github.com/azurelead/azurelead/suspect"
 )
 
 // memberList returns n entries in four data centres, every third with a strong processor.
@@ -105,7 +104,7 @@
 				Kinds: []string{"servers"}, Logger: slog.New(slog.DiscardHandler),
 				OnChange: func(follow.Change) {},
 			}),
-			Suspects: suspect.New(suspect.Options{}), OnPeersChanged: func() {}, Logger: slog.New(slog.DiscardHandler),
+			OnPeersChanged: func() {}, Logger: slog.New(slog.DiscardHandler),
 		})
 		go mesh.Serve(t.Context(), l)
 		members, meshes = append(members, m), append(meshes, mesh)
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -92,10 +92,11 @@
 	Started  time.Time
 	Follower *follow.Follower
 	// Jobs handles the jobs that other entries submit to this one.
-	Jobs     JobHandler
-	Suspects *suspect.Table
-	// SuspectParts are the prompt parts that crash endpoints; nil keeps a table of the mesh's own.
-	SuspectParts *suspect.Parts
+	Jobs JobHandler
+	// SuspectParts are the prompt parts that crash endpoints, SuspectRequests the requests that do; nil keeps
+	// tables of the mesh's own.
+	SuspectParts    *suspect.Parts
+	SuspectRequests *suspect.Requests
 	// Roster holds what endpoints demand of all entries; nil keeps a roster of the mesh's own.
 	Roster *roster.Roster
 	// Origins holds the origins of streams; nil keeps a table of the mesh's own.
@@ -174,6 +175,9 @@
 	if o.SuspectParts == nil {
 		o.SuspectParts = suspect.NewParts(nil)
 	}
+	if o.SuspectRequests == nil {
+		o.SuspectRequests = suspect.NewRequests(o.SuspectParts, nil)
+	}
 	if o.Roster == nil {
 		o.Roster = roster.New(nil)
 	}
@@ -278,7 +282,7 @@
 			return nil, Error.Wrap(err)
 		}
 		m.Add(ctx, append(h.Peers, h.Identity.Address))
-		m.o.SuspectParts.Merge(h.SuspectParts)
+		m.mergeSuspects(h.SuspectParts, h.SuspectRequests)
 		m.dialNow(h.Identity.Address)
 		return m.hello(), nil
 	case methodPing:
@@ -286,8 +290,7 @@
 		if err := json.Unmarshal(params, &p); err != nil {
 			return nil, Error.Wrap(err)
 		}
-		m.o.Suspects.Merge(p.Suspects)
-		m.o.SuspectParts.Merge(p.SuspectParts)
+		m.mergeSuspects(p.SuspectParts, p.SuspectRequests)
 		if p.Leaving {
 			m.markLeaving(p.Name)
 		}
@@ -364,9 +367,18 @@
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 }
 
+// mergeSuspects merges a peer's marks of prompt parts and requests that crash endpoints.
+func (m *Mesh) mergeSuspects(parts, requests []suspect.PartMark) {
+	m.o.SuspectParts.Merge(parts)
+	m.o.SuspectRequests.Merge(requests)
+}
+
 // hello returns the Hello of this entry.
 func (m *Mesh) hello() Hello {
-	h := Hello{Identity: m.o.Self, UptimeMS: time.Since(m.o.Started).Milliseconds(), Digests: m.o.Follower.Digests(), SuspectParts: m.o.SuspectParts.AllMarks()}
+	h := Hello{
+		Identity: m.o.Self, UptimeMS: time.Since(m.o.Started).Milliseconds(), Digests: m.o.Follower.Digests(),
+		SuspectParts: m.o.SuspectParts.AllMarks(), SuspectRequests: m.o.SuspectRequests.AllMarks(),
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.hubs != nil {
@@ -386,8 +398,8 @@
 func (m *Mesh) ping(peerHash string) Ping {
 	digests := m.o.Follower.Digests()
 	p := Ping{
-		DigestHash: follow.Fingerprint(digests), Leaving: m.isLeaving(), StoreAgeMS: -1, Suspects: m.o.Suspects.Suspects(),
-		SuspectParts: m.o.SuspectParts.Marks(),
+		DigestHash: follow.Fingerprint(digests), Leaving: m.isLeaving(), StoreAgeMS: -1,
+		SuspectParts: m.o.SuspectParts.Marks(), SuspectRequests: m.o.SuspectRequests.Marks(),
 	}
 	if p.DigestHash != peerHash {
 		p.Digests = digests
@@ -519,7 +531,7 @@
 	l.started = time.Now().Add(-time.Duration(h.UptimeMS) * time.Millisecond)
 	m.mu.Unlock()
 	m.o.Logger.Info("peer linked", "peer", h.Identity.Name, "address", l.address, "uptime_ms", h.UptimeMS)
-	m.o.SuspectParts.Merge(h.SuspectParts)
+	m.mergeSuspects(h.SuspectParts, h.SuspectRequests)
 	onAddresses(h.Peers)
 	m.o.OnPeersChanged()
 	if len(m.o.Follower.StaleKinds(h.Digests)) > 0 {
@@ -569,8 +581,7 @@
 			return err
 		}
 		peerHash = p.DigestHash
-		m.o.Suspects.Merge(p.Suspects)
-		m.o.SuspectParts.Merge(p.SuspectParts)
+		m.mergeSuspects(p.SuspectParts, p.SuspectRequests)
 		m.mergeNotices(p.Notices)
 		m.mu.Lock()
 		l.noticesSent, l.noticesReceived = lastNotice, p.LastNotice
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -8,7 +8,6 @@
 
 	"github.com/azurelead/azurelead/dispatch"
 	"github.com/azurelead/azurelead/follow"
-	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/roster"
 	"github.com/azurelead/azurelead/suspect"
 )
@@ -52,6 +51,8 @@
 	Digests []follow.Digest `json:"digests,omitempty"`
 	// SuspectParts are the marks of prompt parts that may crash endpoints.
 	SuspectParts []suspect.PartMark `json:"suspect_parts,omitempty"`
+	// SuspectRequests are the marks of requests that may crash endpoints.
+	SuspectRequests []suspect.PartMark `json:"suspect_requests,omitempty"`
 }
 
 // Ping is the periodic liveness check of a link, and the reply to it.
@@ -66,10 +67,9 @@
 	// last sent an equal hash, as neither side has newer states then.
 	DigestHash string          `json:"mark"`
 	Digests    []follow.Digest `json:"digests,omitempty"`
-	// Suspects are the marks of requests that may have crashed endpoints.
-	Suspects []link.Suspect `json:"suspects,omitempty"`
-	// SuspectParts are those of such marks for prompt parts that have changed.
-	SuspectParts []suspect.PartMark `json:"suspect_parts,omitempty"`
+	// SuspectParts and SuspectRequests are those of the marks in Hello that have changed.
+	SuspectParts    []suspect.PartMark `json:"suspect_parts,omitempty"`
+	SuspectRequests []suspect.PartMark `json:"suspect_requests,omitempty"`
 	// Notices are what endpoints demanded that the peer has not been sent on this connection. In the
 	// reply, LastNotice is the number of the last of them; the next ping names it in NoticesAfter.
 	Notices      []roster.Notice `json:"notices,omitempty"`
--- a/peers/slowlink_test.go
+++ b/peers/slowlink_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/azurelead/azurelead/follow"
 	"github.com/azurelead/azurelead/platform/fleet"
-	"github.com/azurelead/azurelead/suspect"
 )
 
 // testNetwork connects entries in memory, each behind a link of limited bandwidth, so that tests
@@ -249,7 +248,7 @@
 					onChange(i, c)
 				},
 			}),
-			Suspects: suspect.New(suspect.Options{}), OnPeersChanged: func() {}, Logger: slog.New(slog.DiscardHandler),
+			OnPeersChanged: func() {}, Logger: slog.New(slog.DiscardHandler),
 			Dial: func(ctx context.Context, to string) (net.Conn, error) { return network.dial(ctx, member.Address, to) },
 		})
 		go m.Serve(ctx, l)
