Crash engines beside repeated sound requests in the soak

Change: about half of the seeds run a load of their own beside the drawn faults, from a generator of its own, so that the schedules of the other seeds stay. Engines of a service of their own crash under a part of prompts, under a request that comes again, or under nothing that is sent, while four questions are asked again and again at all entries. Checked: at most three requests that crash engines reach one later than contactMs after the crash that counts, if no entry was disrupted meanwhile; and no more than half of the sound requests at undisturbed entries are refused as their cause.

--- a/cmd/azurelead-soak/main.go
+++ b/cmd/azurelead-soak/main.go
@@ -60,8 +60,9 @@
 			report, err := soak.Run(ctx, seedOpts)
 			mu.Lock()
 			defer mu.Unlock()
-			fmt.Printf("seed %d: %d requests, %d served, %d refused, %d failed, %d of %d resumptions continued, %d faults, %d guarantees broken\n",
-				report.Seed, report.Requests, report.Served, report.Refused, report.Failed, report.Continued, report.Resumptions, len(report.Faults), len(report.Violations))
+			fmt.Printf("seed %d: %d requests, %d served, %d refused, %d failed, %d of %d resumptions continued, %d of %d refused beside %d crashes, %d faults, %d guarantees broken\n",
+				report.Seed, report.Requests, report.Served, report.Refused, report.Failed, report.Continued, report.Resumptions,
+				report.SoundRefused, report.SoundAsked, report.Crashes, len(report.Faults), len(report.Violations))
 			if err != nil || len(report.Violations) > 0 {
 				failedSeeds++
 				fmt.Println("  error:", err)
--- a/soak/check.go
+++ b/soak/check.go
@@ -88,31 +88,36 @@
 
 // send sends a request with additional headers.
 func (r *run) send(ctx context.Context, client *http.Client, e *entry, kind, id string, header http.Header) response {
-	start := time.Now()
 	result := response{id: id, kind: kind}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout+time.Second)
-	defer cancel()
 	for _, k := range requestKinds {
-		if k.name != kind {
-			continue
-		}
-		req, err := http.NewRequestWithContext(ctx, k.method, "http://"+e.clientAddress+k.path, strings.NewReader("body of "+id))
-		if err != nil {
-			result.err = err
-			return result
+		if k.name == kind {
+			result = r.sendTo(ctx, client, e, result, k.method, k.path, "body of "+id, header)
 		}
-		req.Host = "shop.example"
-		fleettest.SetClientHeaders(req.Header, id, apiKey, requestTimeout)
-		maps.Copy(req.Header, header)
-		resp, err := client.Do(req)
-		if err != nil {
-			result.err = err
-			return result
-		}
-		body, err := io.ReadAll(resp.Body)
-		_ = resp.Body.Close()
-		result.status, result.body, result.err = resp.StatusCode, string(body), err
 	}
+	return result
+}
+
+// sendTo sends a request to a path and adds its outcome to a result that names the request.
+func (r *run) sendTo(ctx context.Context, client *http.Client, e *entry, result response, method, path, body string, header http.Header) response {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout+time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.clientAddress+path, strings.NewReader(body))
+	if err != nil {
+		result.err = err
+		return result
+	}
+	req.Host = "shop.example"
+	fleettest.SetClientHeaders(req.Header, result.id, apiKey, requestTimeout)
+	maps.Copy(req.Header, header)
+	resp, err := client.Do(req)
+	if err != nil {
+		result.err = err
+		return result
+	}
+	answer, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	result.status, result.body, result.err = resp.StatusCode, string(answer), err
 	result.latency = time.Since(start)
 	return result
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -45,7 +45,7 @@
 		r.disruptions.Add(1)
 		e.signal(syscall.SIGSTOP)
 		time.Sleep(duration)
-		e.signal(syscall.SIGCONT)
+		e.continueProcess()
 	}},
 	{"entry stopped", func(r *run, rng *rand.Rand, _ time.Duration) {
 		e := r.entries[rng.IntN(len(r.entries))]
@@ -225,6 +225,9 @@
 		})
 		offset += time.Duration(100+r.rng.IntN(900)) * time.Millisecond
 	}
+	if crashRNG := rand.New(rand.NewPCG(r.o.Seed, 3)); crashRNG.IntN(2) == 0 {
+		injections.Go(func() { r.injectCrashes(ctx, crashRNG) })
+	}
 	injections.Wait()
 	r.checkRecovery(ctx)
 	stop()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -59,6 +59,9 @@
 	// Resumptions counts the further attempts by which clients resumed broken streams, Continued those of
 	// them that yielded events.
 	Resumptions, Continued int
+	// Crashes counts the engines that crashed beside repeated sound requests, SoundRefused those of the
+	// SoundAsked ones that were refused as their cause.
+	Crashes, SoundRefused, SoundAsked int
 	// Faults lists the scheduled faults with their start times and durations.
 	Faults []string
 	// Violations describes the invariant violations that were found.
@@ -103,6 +106,9 @@
 	done      chan struct{}
 	endTime   time.Time
 	disrupted bool
+	// disturbed is set during a fault on the process, calmSince is when the last one ended.
+	disturbed bool
+	calmSince time.Time
 }
 
 // Run runs the fault schedule of one seed and reports what was seen.
@@ -203,11 +209,12 @@
 		fleettest.Route("book", "/book/", "non_idempotent", "api", nil),
 		fleettest.Route("plain", "/stream/plain/", "streaming", "llm", nil),
 		fleettest.Route("staged", "/stream/staged/", "streaming", "llm", stages),
+		fleettest.Route("ask", "/stream/ask/", "streaming", "victims", map[string]any{"resumable": true, "sticky": true}),
 	}
 	for i := range r.addedRoutes.Load() {
 		routes = append(routes, fleettest.Route(fmt.Sprint("added-", i), fmt.Sprintf("/added/%d/", i), "idempotent", "api", nil))
 	}
-	r.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(version, routes, []map[string]any{fleettest.Service("api"), fleettest.EngineService("llm"), fleettest.StageService("portal")},
+	r.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(version, routes, []map[string]any{fleettest.Service("api"), fleettest.Service("victims"), fleettest.EngineService("llm"), fleettest.StageService("portal")},
 		map[string][]string{"org": {apiKey, fmt.Sprintf("key-of-%d", version)}}))
 }
 
@@ -246,6 +253,7 @@
 	done := make(chan struct{})
 	e.mu.Lock()
 	e.cmd, e.done, e.endTime = cmd, done, time.Time{}
+	e.disturbed, e.calmSince = false, time.Now()
 	e.mu.Unlock()
 	go func() {
 		_ = cmd.Wait() // an abnormal exit shows in the clients' responses
@@ -274,7 +282,22 @@
 func (e *entry) setDisrupted(disrupted bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.disrupted = disrupted
+	e.disrupted, e.disturbed = disrupted, true
+}
+
+// continueProcess continues a paused process.
+func (e *entry) continueProcess() {
+	e.signal(syscall.SIGCONT)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.disturbed, e.calmSince = false, time.Now()
+}
+
+// isCalm reports whether the process has been undisturbed for contactTime.
+func (e *entry) isCalm() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.disturbed && time.Since(e.calmSince) > contactTime
 }
 
 func (e *entry) isDisrupted() bool {
