Don't blame a part of a prompt for one request that comes again

Callers would see: one request of a session crashes three engines and comes again; from then on all requests of that session are answered 503 "a part of the prompt has crashed the endpoints that began an answer on it" at every entry for 15 minutes, if none of the session had been answered in the 5 minutes before.

Cause: a part counted every crash under it. Once it is refused everywhere, no answer can show that it is sound.

Change: a mark of a part names up to two digests of requests that were at its crashes, and blames the part only from two on. The first two of the sorted union are kept, so marks still merge in any order. A crashing part of requests no two alike is found at the third crash as before; if one request is sent to three endpoints, at the first crash of the next. Marks of peers that name no request count as before.

Tests that changed: TestEachIncarnationOfAnEngineCounts gives each of its interrupted requests a digest of its own, as real ones have; they had none, so the three lives of the engine seemed to end under one request. Its cases and results are the same.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -84,7 +84,7 @@
 		parts = append(parts, r.parts...)
 		crashed := fmt.Sprintf("%s/%d", endpoint, r.incarnation)
 		c.requests.Crashed(crashed, r.digest)
-		c.parts.Crashed(crashed, r.parts)
+		c.parts.Crashed(crashed, r.parts, r.digest)
 	}
 	if len(digests) > 0 {
 		c.onCrash()
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,8 +25,8 @@
 		synctest.Test(t, func(t *testing.T) {
 			parts := suspect.NewParts(nil)
 			tracker := newCrashTracker(Options{SuspectRequests: suspect.NewRequests(parts, nil), SuspectParts: parts, OnCrash: func() {}})
-			for _, incarnation := range c.incarnations {
-				tracker.recordInterrupted("engine", interruptedRequest{incarnation: incarnation, parts: []string{"p"}, at: time.Now()})
+			for i, incarnation := range c.incarnations {
+				tracker.recordInterrupted("engine", interruptedRequest{digest: fmt.Sprint("request ", i), incarnation: incarnation, parts: []string{"p"}, at: time.Now()})
 				tracker.endpointLost(time.Now(), "engine")
 				time.Sleep(time.Second)
 			}
--- a/gatewaydaemon/soundbesidecrash_test.go
+++ b/gatewaydaemon/soundbesidecrash_test.go
@@ -134,3 +134,27 @@
 		}
 	}
 }
+
+// Sound requests of a session were refused at every entry because one of its requests, which was sent again
+// unchanged, had crashed three engines before any other of the session was answered.
+func TestSessionIsServedAfterOneOfItsRequestsCrashedEngines(t *testing.T) {
+	d := newDeployment(t, 2)
+	d.startEndpoints(nil)
+	d.waitReady()
+	d.configureVictims()
+	for i := range 4 {
+		d.crashUnder(fmt.Sprint("victim-", i), []sentRequest{{d.entries[i%2], "POST", "/stream/ask/bad", "first:200,session:100,own:50"}})
+	}
+	time.Sleep(2 * contactTime)
+	d.listVictim("sound", fleettest.Serve)
+	for i, e := range d.entries {
+		bad := sentRequest{e, "POST", "/stream/ask/bad", "first:200,session:100,own:50"}
+		if r := bad.send(d); r.status != http.StatusServiceUnavailable {
+			t.Errorf("the request that crashes engines at entry %d: %+v", i, r)
+		}
+		sound := sentRequest{e, "POST", "/stream/ask/sound", "first:200,session:100,other:50"}
+		if r := sound.send(d); r.status != http.StatusOK {
+			t.Errorf("another request of the session at entry %d: %+v", i, r)
+		}
+	}
+}
--- a/suspect/crashmark.go
+++ b/suspect/crashmark.go
@@ -19,8 +19,9 @@
 	partGossipPeriod = 10 * time.Second
 	maxPartMarks     = 16
 	markTurns        = 4
-	// maxMarkEndpoints bounds the endpoints that a mark names.
+	// maxMarkEndpoints bounds the endpoints that a mark names, maxMarkRequests the requests.
 	maxMarkEndpoints = 32
+	maxMarkRequests  = 2
 	// partCapacity bounds the marks that a table keeps.
 	partCapacity = 1024
 )
@@ -35,6 +36,8 @@
 	// Endpoints are the crashed endpoints that were beginning an answer on the part, or ran the request, each
 	// incarnation of one apart.
 	Endpoints []string `json:"endpoints,omitempty"`
+	// Requests are digests of requests with the part that were at these crashes, at most maxMarkRequests.
+	Requests []string `json:"requests,omitempty"`
 	// AgeMS is the time since the first crash, and ExpiresInMS the time until the mark expires, in
 	// milliseconds.
 	AgeMS       int64 `json:"age_ms"`
@@ -46,8 +49,9 @@
 // not matter.
 type crashMark struct {
 	epoch uint64
-	// endpoints is sorted.
+	// endpoints and requests are sorted. Of more than maxMarkRequests requests the mark names the first.
 	endpoints  []string
+	requests   []string
 	firstCrash time.Time
 	expires    time.Time
 	// changed is when the mark last changed in this process.
@@ -57,9 +61,10 @@
 	cleared int
 }
 
-// isBlamed reports whether enough endpoints crashed to refuse what the mark is of.
+// isBlamed reports whether enough endpoints crashed to refuse what the mark is of. A part is not blamed for what
+// one request has done that came again.
 func (m crashMark) isBlamed(now time.Time) bool {
-	return len(m.endpoints) >= minPartCrashes && now.Before(m.expires)
+	return len(m.endpoints) >= minPartCrashes && len(m.requests) != 1 && now.Before(m.expires)
 }
 
 // withEndpoints returns the mark with further crashed endpoints, the first of which crashed at a time.
@@ -75,12 +80,21 @@
 	return m
 }
 
+// withRequests returns the mark with further requests that were at its crashes.
+func (m crashMark) withRequests(digests []string) crashMark {
+	all := slices.Concat(m.requests, digests)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	m.requests = all[:min(len(all), maxMarkRequests)]
+	return m
+}
+
 // weight is the number of crashes that the mark states, or overrides.
 func (m crashMark) weight() int { return max(len(m.endpoints), m.cleared) }
 
 // message returns the mark as it is sent to peers.
 func (m crashMark) message(key string, now time.Time) PartMark {
-	message := PartMark{Part: key, Epoch: m.epoch, Endpoints: m.endpoints, ExpiresInMS: m.expires.Sub(now).Milliseconds()}
+	message := PartMark{Part: key, Epoch: m.epoch, Endpoints: m.endpoints, Requests: m.requests, ExpiresInMS: m.expires.Sub(now).Milliseconds()}
 	if !m.firstCrash.IsZero() {
 		message.AgeMS = now.Sub(m.firstCrash).Milliseconds()
 	}
@@ -94,12 +108,17 @@
 	age := min(max(time.Duration(s.AgeMS)*time.Millisecond, 0), partMarkTTL)
 	m := crashMark{epoch: s.Epoch, expires: now.Add(ttl), changed: now}
 	if len(s.Endpoints) > 0 {
-		m = m.withEndpoints(s.Endpoints, now.Add(-age), now)
+		m = m.withEndpoints(s.Endpoints, now.Add(-age), now).withRequests(s.Requests)
 		m.expires = now.Add(ttl)
 	}
 	return m
 }
 
+// includes reports whether a peer's mark of the same epoch adds nothing to the mark.
+func (m crashMark) includes(peer crashMark) bool {
+	return containsAll(m.endpoints, peer.endpoints) && slices.Equal(m.withRequests(peer.requests).requests, m.requests)
+}
+
 // contains reports whether a sorted list has an element.
 func contains(sorted []string, e string) bool {
 	_, found := slices.BinarySearch(sorted, e)
@@ -156,10 +175,10 @@
 	t.marks.Add(key, m)
 }
 
-// addCrash adds a crashed endpoint to the mark of a key.
-func (t *crashMarks) addCrash(key, endpoint string, now time.Time) {
+// addCrash adds a crashed endpoint, and the requests that were at the crash, to the mark of a key.
+func (t *crashMarks) addCrash(key, endpoint string, requests []string, now time.Time) {
 	m, _ := t.marks.Peek(key)
-	t.set(key, m.withEndpoints([]string{endpoint}, now, now), now)
+	t.set(key, m.withEndpoints([]string{endpoint}, now, now).withRequests(requests), now)
 }
 
 // clear overrides the crashes of a key, and reports whether there were any.
@@ -181,8 +200,8 @@
 	case !known || own.epoch < peer.epoch:
 		peer.cleared = len(own.endpoints)
 		t.set(s.Part, peer, now)
-	case own.epoch == peer.epoch && !containsAll(own.endpoints, peer.endpoints):
-		merged := own.withEndpoints(peer.endpoints, peer.firstCrash, now)
+	case own.epoch == peer.epoch && !own.includes(peer):
+		merged := own.withEndpoints(peer.endpoints, peer.firstCrash, now).withRequests(peer.requests)
 		merged.expires = peer.expires
 		if own.expires.After(peer.expires) {
 			merged.expires = own.expires
--- a/suspect/parts.go
+++ b/suspect/parts.go
@@ -21,8 +21,8 @@
 )
 
 // Parts finds the parts of prompts that crash endpoints, whatever else a request holds. It counts the
-// endpoints that crashed while they began an answer on a part; an answer that has begun proves its parts
-// sound. A part is refused only together with what would explain its crashes, so that sound parts that
+// endpoints that crashed while they began an answer on a part, in at least two different requests; an answer
+// that has begun proves its parts sound. A part is refused only together with what would explain its crashes, so that sound parts that
 // come with a crashing one are not. It is safe for concurrent use.
 //
 // The load pattern it answers: requests with one part in common, no two alike, come at any entry and crash
@@ -63,15 +63,15 @@
 	return slices.Compact(keys)
 }
 
-// Crashed records that an endpoint crashed while it began answers on the parts. An endpoint that starts
-// again goes by another name here.
-func (t *Parts) Crashed(endpoint string, ids []string) {
+// Crashed records that an endpoint crashed while it began answers on the parts, for requests with the digests.
+// An endpoint that starts again goes by another name here.
+func (t *Parts) Crashed(endpoint string, ids []string, digests ...string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	for _, key := range partKeys(ids) {
 		if !t.isSound(key, now) {
-			t.addCrash(key, endpoint, now)
+			t.addCrash(key, endpoint, digests, now)
 		}
 	}
 }
--- a/suspect/requests.go
+++ b/suspect/requests.go
@@ -49,7 +49,7 @@
 func (t *Requests) Crashed(endpoint, digest string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.addCrash(digest, endpoint, time.Now())
+	t.addCrash(digest, endpoint, nil, time.Now())
 }
 
 // EndedWell records that a request has run to a good end, which clears its mark.
--- a/suspect/requests_test.go
+++ b/suspect/requests_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 func newRequests() *Requests { return NewRequests(NewParts(nil), nil) }
@@ -88,6 +90,37 @@
 	}
 }
 
+// One request that comes again must not get the parts of its prompt refused, which other requests share. Entries that
+// have seen different requests must come to the same result in any order.
+func TestPartIsNotBlamedForOneRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, two := NewParts(nil), NewParts(nil)
+		for i := range 4 {
+			one.Crashed(fmt.Sprint("e", i), []string{"p"}, "bad")
+		}
+		two.Crashed("e5", []string{"p"}, "bad")
+		two.Merge(one.Marks())
+		time.Sleep(partSettleTime)
+		if one.Refused([]string{"p"}) || two.Refused([]string{"p"}) {
+			t.Error("the part of one crashing request is refused")
+		}
+		for i, digest := range []string{"c", "a", "d"} {
+			two.Crashed("e5", []string{"p"}, digest)
+			if !two.Refused([]string{"p"}) {
+				t.Errorf("the part is not refused after crashes under %d requests", i+2)
+			}
+			one.Merge(two.Marks())
+			two.Merge(one.Marks())
+		}
+		if diff := cmp.Diff(one.Marks(), two.Marks()); diff != "" || !one.Refused([]string{"p"}) {
+			t.Errorf("the other entry does not refuse the part: %s", diff)
+		}
+		if n := len(one.Marks()[0].Requests); n != maxMarkRequests {
+			t.Errorf("a mark names %d requests", n)
+		}
+	})
+}
+
 // What ran beside many crashes must neither evict the mark of a crashing request nor keep it, or a cleared one, out of
 // the messages to peers.
 func TestMarksBesideCrashesDoNotHideTheCrashingRequest(t *testing.T) {
@@ -186,7 +219,7 @@
 		entries[q.table] = true
 		l.tables[q.table].Crashed(name, q.digest)
 		if !q.begun {
-			l.tables[q.table].parts.Crashed(name, q.parts)
+			l.tables[q.table].parts.Crashed(name, q.parts, q.digest)
 		}
 	}
 	l.inFlight = left
