--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -167,6 +167,7 @@
 	case resultAnswered:
 		switch {
 		case a.resp.status < http.StatusInternalServerError && !promisesNotRun(a.resp.status):
+			b.endedWell()
 			return a.resp
 		case !b.route.Repeatable() && promisesNotRun(a.resp.status):
 			return unknownOutcomeResponse("an endpoint's refusal does not say that it did not run the request")
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -47,7 +47,7 @@
 		r.disruptions.Add(1)
 		e.signal(syscall.SIGSTOP)
 		time.Sleep(duration)
-		e.signal(syscall.SIGCONT)
+		e.continueProcess()
 	}},
 	{"entry stopped", func(r *run, rng *rand.Rand, _ time.Duration) {
 		e := r.entries[rng.IntN(len(r.entries))]
@@ -322,6 +322,7 @@
 		injections.Go(r.breakStreams(rand.New(rand.NewPCG(r.o.Seed, 3))))
 		r.scheduleRepeats(&injections)
 		r.scheduleMalformed(&injections)
+		r.scheduleCrashes(ctx, &injections)
 	}
 	injections.Wait()
 	if err := r.addEndpoint(lateService); err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -62,6 +62,9 @@
 	// Resumptions counts the further attempts by which clients resumed broken streams, Continued those of
 	// them that yielded events.
 	Resumptions, Continued int
+	// Crashes counts the engines that crashed beside repeated sound requests, SoundRefused those of the
+	// SoundAsked ones that were refused as their cause.
+	Crashes, SoundRefused, SoundAsked int
 	// Faults lists the scheduled faults with their start times and durations.
 	Faults []string
 	// Violations describes the invariant violations that were found.
@@ -110,6 +113,9 @@
 	done      chan struct{}
 	endTime   time.Time
 	disrupted bool
+	// disturbed is set during a fault on the process, calmSince is when the last one ended.
+	disturbed bool
+	calmSince time.Time
 }
 
 // Run runs the fault schedule of one seed and reports what was seen.
@@ -218,6 +224,7 @@
 		fleettest.Route("plain", "/stream/plain/", "streaming", "llm", nil),
 		fleettest.Route("staged", "/stream/staged/", "streaming", "llm", stages),
 		fleettest.Route(lateKind.name, "/late/", "idempotent", lateService, nil),
+		fleettest.Route("ask", "/stream/ask/", "streaming", "victims", map[string]any{"resumable": true, "sticky": true}),
 	}
 	for i := range r.addedRoutes.Load() {
 		routes = append(routes, fleettest.Route(fmt.Sprint("added-", i), fmt.Sprintf("/added/%d/", i), "idempotent", "api", nil))
@@ -229,7 +236,7 @@
 			route["targetLatencyMs"], route["targetGapMs"] = 400, 100
 		}
 	}
-	r.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(version, routes, []map[string]any{fleettest.Service("api"), fleettest.Service(lateService), fleettest.EngineService("llm"), fleettest.StageService("portal")},
+	r.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(version, routes, []map[string]any{fleettest.Service("api"), fleettest.Service(lateService), fleettest.Service("victims"), fleettest.EngineService("llm"), fleettest.StageService("portal")},
 		map[string][]string{"org": {apiKey, fmt.Sprintf("key-of-%d", version)}}))
 }
 
@@ -268,6 +275,7 @@
 	done := make(chan struct{})
 	e.mu.Lock()
 	e.cmd, e.done, e.endTime = cmd, done, time.Time{}
+	e.disturbed, e.calmSince = false, time.Now()
 	e.mu.Unlock()
 	go func() {
 		_ = cmd.Wait() // an abnormal exit shows in the clients' responses
@@ -296,7 +304,22 @@
 func (e *entry) setDisrupted(disrupted bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.disrupted = disrupted
+	e.disrupted, e.disturbed = disrupted, true
+}
+
+// continueProcess continues a paused process.
+func (e *entry) continueProcess() {
+	e.signal(syscall.SIGCONT)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.disturbed, e.calmSince = false, time.Now()
+}
+
+// isCalm reports whether the process has been undisturbed for contactTime.
+func (e *entry) isCalm() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.disturbed && time.Since(e.calmSince) > contactTime
 }
 
 func (e *entry) isDisrupted() bool {
