Announce origins of streams for as long as they are searched for

Cause: two sides of one exchange went by different windows. Begin announced the origin of a stream only while the service had several versions at that moment; Find took an unknown origin as ambiguous for origin.TTL after that. Streams that began in between were known to one entry only, and ambiguous to all others.

Change: streamOrigins.tracks decides for both sides, and Roster.MixedServices takes the same window as HasMixedVersions. Its test now compares both for both windows, which it did for one.

--- a/gatewaydaemon/origins.go
+++ b/gatewaydaemon/origins.go
@@ -10,8 +10,8 @@
 	"github.com/azurelead/azurelead/roster"
 )
 
-// streamOrigins implements gateway.Origins. While the endpoints of a service have one version, the origins of
-// its streams stay in this process; they are announced to peers only while there are several.
+// streamOrigins implements gateway.Origins. The origins of a service's streams stay in this process, except
+// while it tracks the service.
 type streamOrigins struct {
 	table   *origin.Table
 	roster  *roster.Roster
@@ -23,11 +23,18 @@
 func (o *streamOrigins) Begin(attemptID, service, version string) {
 	now := time.Now()
 	o.table.Begin(now, origin.Record{Key: origin.Key(attemptID), Service: service, Version: version})
-	if o.roster.HasMixedVersions(now, service, 0) {
+	if o.tracks(now, service) {
 		o.announce(service)
 	}
 }
 
+// tracks reports whether the streams of a service that may be resumed now can have begun at different versions.
+// Their origins are then announced to peers, and searched for there. Both go by the same window: what one entry
+// does not announce, the others would find ambiguous.
+func (o *streamOrigins) tracks(now time.Time, service string) bool {
+	return o.roster.HasMixedVersions(now, service, origin.TTL)
+}
+
 // End implements gateway.Origins.
 func (o *streamOrigins) End(attemptID string) { o.table.End(origin.Key(attemptID)) }
 
@@ -39,7 +46,7 @@
 	if r, found := o.table.Find(now, key); found {
 		return gateway.Origin{Record: r, Known: true}
 	}
-	mixed := o.roster.HasMixedVersions(now, service, origin.TTL)
+	mixed := o.tracks(now, service)
 	if !mixed && now.Sub(o.started) > origin.TTL {
 		return gateway.Origin{}
 	}
@@ -59,9 +66,9 @@
 }
 
 // announceMixed announces the origins of streams that began while their services had one version, for services
-// that have several now.
+// that are tracked now.
 func (o *streamOrigins) announceMixed() {
-	for _, service := range o.roster.MixedServices() {
+	for _, service := range o.roster.MixedServices(time.Now(), origin.TTL) {
 		o.announce(service)
 	}
 }
--- a/roster/versions.go
+++ b/roster/versions.go
@@ -28,6 +28,11 @@
 func (r *Roster) HasMixedVersions(now time.Time, service string, window time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.hasMixedVersions(now, service, window)
+}
+
+// hasMixedVersions is HasMixedVersions for callers that hold mu.
+func (r *Roster) hasMixedVersions(now time.Time, service string, window time.Duration) bool {
 	versions := make(map[string]bool)
 	for _, m := range r.byService[service] {
 		versions[m.Version] = true
@@ -40,17 +45,14 @@
 	return len(versions) > 1
 }
 
-// MixedServices returns the services whose endpoints have several software versions.
-func (r *Roster) MixedServices() []string {
+// MixedServices returns the services for which HasMixedVersions holds, in no order.
+func (r *Roster) MixedServices(now time.Time, window time.Duration) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var services []string
-	for service, members := range r.byService {
-		for _, m := range members {
-			if m.Version != members[0].Version {
-				services = append(services, service)
-				break
-			}
+	for service := range r.versionListedAt {
+		if r.hasMixedVersions(now, service, window) {
+			services = append(services, service)
 		}
 	}
 	return services
--- a/roster/versions_test.go
+++ b/roster/versions_test.go
@@ -29,11 +29,10 @@
 		now := epoch.Add(s.at)
 		r.SetEndpoints(now, list[s.first:s.end], Continuous)
 		now = now.Add(time.Millisecond)
-		if got := r.HasMixedVersions(now, "llm", 0); got != s.now || (len(r.MixedServices()) == 1) != s.now {
-			t.Errorf("after %v: mixed %t, services %v, want %t", s.at, got, r.MixedServices(), s.now)
-		}
-		if got := r.HasMixedVersions(now, "llm", window); got != s.recently {
-			t.Errorf("after %v: recently mixed %t, want %t", s.at, got, s.recently)
+		for window, want := range map[time.Duration]bool{0: s.now, window: s.recently} {
+			if got, services := r.HasMixedVersions(now, "llm", window), r.MixedServices(now, window); got != want || (len(services) == 1) != want {
+				t.Errorf("after %v: mixed within %v: %t, services %v, want %t", s.at, window, got, services, want)
+			}
 		}
 	}
 }
