Take ignorance of a service's former versions as no evidence of one version

Cause: the absence of knowledge was taken as knowledge of absence. An entry that has just started asked its peers, and if none of them knew of two versions the stream counted as one of a service with one version, although all of them had just started, or did not answer.

Change: a reply to a search states for how long the peer has known the versions of services, and an unknown origin is ambiguous unless this entry or a peer that has answered covers the whole window. It holds no times, so that no clocks are compared: whoever starts takes its versions as listed until now. An entry that does not cover the window yet announces origins as during a release.

Cost: a write when a version comes and one when it has been gone for a minute, a read an entry's start (stale at spokes) and one every 10 s by the dispatcher.

--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -91,6 +91,7 @@
 	gateway           *gateway.Gateway
 	retryBudgets      *retrybudget.Set
 	origins           *streamOrigins
+	versions          *versionHistory
 	table             atomic.Pointer[catalog.Table]
 	entriesListed     chan struct{}
 	entriesListedOnce sync.Once
@@ -139,7 +140,8 @@
 		OnChange: d.objectsChanged, Logger: logger, ReadsStore: func() bool { return d.mesh.ReadsStore() }, AwaitsPeers: d.defersToHubs,
 		PeersContact: func() time.Time { return d.mesh.PeersStoreResponse() },
 	})
-	d.origins = &streamOrigins{table: origin.New(), roster: d.roster, started: d.started}
+	d.versions = newVersionHistory(d)
+	d.origins = &streamOrigins{table: origin.New(), roster: d.roster, versions: d.versions, started: d.started}
 	suspects := suspect.New(suspect.Options{Metrics: reg})
 	suspectParts := suspect.NewParts(reg)
 	self := peers.Identity{
@@ -192,6 +194,7 @@
 	go d.coordinator.Run(workCtx)
 	go d.syncEntries(workCtx)
 	go d.watchElection(workCtx)
+	go d.versions.run(workCtx)
 	go d.announceNotices(workCtx)
 	d.watchSettings(ctx, workCtx, c.SettingsPath, hup)
 	d.stop(server)
@@ -335,6 +338,7 @@
 	}
 	d.roster.SetEndpoints(now, list, c)
 	go d.origins.announceMixed()
+	d.versions.requestSync()
 	d.upstream.Retain(d.roster.Known)
 }
 
--- a/gatewaydaemon/entries.go
+++ b/gatewaydaemon/entries.go
@@ -147,19 +147,24 @@
 	hubWait = 3 * time.Second
 )
 
-// defersToHubs reports whether this entry, which has no state yet, waits instead of reading the store
-// itself: at first for the list of entries, then, in a large deployment, for the hubs to send it
-// their state.
-func (d *daemon) defersToHubs() bool {
-	uptime := time.Since(d.started)
+// awaitsEntryList reports whether the list of entries, which shows which of them are hubs, has not been read yet
+// but may be within initialListWait of the start.
+func (d *daemon) awaitsEntryList() bool {
 	select {
 	case <-d.entriesListed:
-		return uptime < hubWait && d.mesh.IsSpoke()
+		return false
 	default:
-		return uptime < initialListWait
+		return time.Since(d.started) < initialListWait
 	}
 }
 
+// defersToHubs reports whether this entry, which has no state yet, waits instead of reading the store
+// itself: at first for the list of entries, then, in a large deployment, for the hubs to send it
+// their state.
+func (d *daemon) defersToHubs() bool {
+	return d.awaitsEntryList() || time.Since(d.started) < hubWait && d.mesh.IsSpoke()
+}
+
 // handOverInterval is the interval at which an entry checks whether it still is the dispatcher. The
 // checks after changes of the links find nearly all changes of the election.
 const handOverInterval = 250 * time.Millisecond
--- a/gatewaydaemon/origins.go
+++ b/gatewaydaemon/origins.go
@@ -13,10 +13,12 @@
 // streamOrigins implements gateway.Origins. The origins of a service's streams stay in this process, except
 // while it tracks the service.
 type streamOrigins struct {
-	table   *origin.Table
-	roster  *roster.Roster
-	mesh    *peers.Mesh
-	started time.Time
+	table  *origin.Table
+	roster *roster.Roster
+	mesh   *peers.Mesh
+	// versions reads back what services had before this process started.
+	versions *versionHistory
+	started  time.Time
 }
 
 // Begin implements gateway.Origins.
@@ -28,34 +30,46 @@
 	}
 }
 
-// tracks reports whether the streams of a service that may be resumed now can have begun at different versions.
-// Their origins are then announced to peers, and searched for there. Both go by the same window: what one entry
-// does not announce, the others would find ambiguous.
+// tracks reports whether the streams of a service that may be resumed now can have begun at different versions,
+// as far as this entry knows. Their origins are then announced to peers, and searched for there. Both go by the
+// same window: what one entry does not announce, the others would find ambiguous.
 func (o *streamOrigins) tracks(now time.Time, service string) bool {
-	return o.roster.HasMixedVersions(now, service, origin.TTL)
+	return o.roster.HasMixedVersions(now, service, origin.TTL) || !o.coversTTL(now)
+}
+
+// coversTTL reports whether this entry knows the versions that services had within origin.TTL.
+func (o *streamOrigins) coversTTL(now time.Time) bool {
+	return o.roster.VersionsKnownFor(now) >= origin.TTL
 }
 
 // End implements gateway.Origins.
 func (o *streamOrigins) End(attemptID string) { o.table.End(origin.Key(attemptID)) }
 
 // Find implements gateway.Origins. The peers are asked if the service may have had several versions since
-// the stream began: an entry that has started since then knows only the present ones.
+// the stream began, and by an entry that has started since then: its record of the versions may be
+// some seconds old.
+//
+// An unknown origin is ambiguous unless this entry or a peer that answers knows that the service had one version
+// for as long as the stream can have run. Silence, and the ignorance of peers that have just started, say nothing.
 func (o *streamOrigins) Find(ctx context.Context, attemptID, service string) gateway.Origin {
-	now := time.Now()
 	key := origin.Key(attemptID)
-	if r, found := o.table.Find(now, key); found {
+	if r, found := o.table.Find(time.Now(), key); found {
 		return gateway.Origin{Record: r, Known: true}
 	}
-	mixed := o.tracks(now, service)
-	if !mixed && now.Sub(o.started) > origin.TTL {
+	if !o.coversTTL(time.Now()) {
+		o.versions.awaitRead(ctx)
+	}
+	now := time.Now()
+	if !o.tracks(now, service) && now.Sub(o.started) > origin.TTL {
 		return gateway.Origin{}
 	}
 	answer := o.mesh.FindOrigin(ctx, peers.FindOriginParams{Key: key, Service: service})
-	if answer.Record == nil {
-		return gateway.Origin{Ambiguous: mixed || answer.Mixed}
+	if answer.Record != nil {
+		o.table.Merge(now, []origin.Record{*answer.Record})
+		return gateway.Origin{Record: *answer.Record, Known: true}
 	}
-	o.table.Merge(now, []origin.Record{*answer.Record})
-	return gateway.Origin{Record: *answer.Record, Known: true}
+	mixed := answer.Mixed || o.roster.HasMixedVersions(now, service, origin.TTL)
+	return gateway.Origin{Ambiguous: mixed || !o.coversTTL(now) && !answer.Covers(origin.TTL)}
 }
 
 // announce announces the origins of a service's streams that are not announced yet.
--- a/gatewaydaemon/origins_test.go
+++ b/gatewaydaemon/origins_test.go
@@ -1,10 +1,17 @@
 package gatewaydaemon
 
 import (
+	"log/slog"
 	"net/http"
+	"slices"
 	"testing"
+	"time"
 
+	"github.com/azurelead/azurelead/catalog"
+	"github.com/azurelead/azurelead/origin"
+	"github.com/azurelead/azurelead/peers"
 	"github.com/azurelead/azurelead/platform/fleet"
+	"github.com/azurelead/azurelead/roster"
 )
 
 // removeEngines removes the engines of a version from the list, and waits until every entry knows.
@@ -25,6 +32,103 @@
 	}
 }
 
+// restartAll ends all entries as if they were killed, and starts as many that know only what the store holds.
+func (d *deployment) restartAll() {
+	d.t.Helper()
+	for _, e := range d.entries {
+		e.end()
+	}
+	n := len(d.entries)
+	d.entries = nil
+	for range n {
+		d.startEntry()
+	}
+	d.waitReady()
+}
+
+// end ends an entry without a grace period.
+func (e *entry) end() {
+	s := *e.daemon.current.Load()
+	s.GracePeriod = time.Millisecond
+	e.daemon.current.Store(&s)
+	e.stop()
+	<-e.done
+}
+
+// awaitVersionRecord waits until the store holds the versions of the engines' service.
+func (d *deployment) awaitVersionRecord(versions ...string) {
+	d.t.Helper()
+	d.eventually("the versions are recorded", func() bool {
+		recorded, err := d.entries[0].daemon.versions.list(d.t.Context(), false)
+		return err == nil && slices.Equal(recorded["models"], versions)
+	})
+}
+
+// All entries are restarted while the version that began a stream leaves. They must not take each other's
+// ignorance as evidence that the service had one version all the time.
+func TestStreamOfVanishedVersionIsRefusedAfterAllWereRestarted(t *testing.T) {
+	d := newDeployment(t, 3)
+	engines := d.versionedEngines("v1", "v2")
+	d.awaitVersionRecord("v1", "v2")
+	var ids []string
+	for len(ids) < 4 {
+		if id := d.startStream(d.entries[len(ids)%3], 3); sameVersion(append(versionsOf(engines, id), "v1")) {
+			ids = append(ids, id)
+		}
+	}
+	d.removeEngines("engine-v1-0", "engine-v1-1")
+	d.restartAll()
+	for i, id := range ids {
+		r := d.resume(d.entries[i%3], id, 3)
+		if r.status != http.StatusServiceUnavailable || len(versionsOf(engines, r.id)) > 0 {
+			t.Errorf("%s is resumed with status %d at %v, want a refusal", id, r.status, versionsOf(engines, r.id))
+		}
+	}
+}
+
+// All entries are restarted, and the service has had one version all the time, as on most days. Streams go on.
+func TestStreamOfOnlyVersionGoesOnAfterAllWereRestarted(t *testing.T) {
+	d := newDeployment(t, 3)
+	engines := d.versionedEngines("v1")
+	d.awaitVersionRecord("v1")
+	first := d.startStream(d.entries[0], 3)
+	d.restartAll()
+	for _, e := range d.entries {
+		if r := d.resume(e, first, 3); r.status != http.StatusOK || !sameVersion(append(versionsOf(engines, r.id), "v1")) {
+			t.Errorf("resumed with status %d at %v, want v1", r.status, versionsOf(engines, r.id))
+		}
+	}
+}
+
+// An entry has just started and no peer answers. What it does not know is no evidence that the service had one version.
+func TestUnknownVersionHistoryIsNoEvidence(t *testing.T) {
+	cases := []struct {
+		name      string
+		recorded  map[string][]string // nil if the store does not answer
+		ambiguous bool
+	}{
+		{"no record read", nil, true},
+		{"no entry ran before", map[string][]string{}, false},
+		{"one version", map[string][]string{"models": {"v1"}}, false},
+		{"two versions", map[string][]string{"models": {"v0", "v1"}}, true},
+	}
+	for _, c := range cases {
+		now := time.Now()
+		r := roster.New(nil)
+		r.SetEndpoints(now, []catalog.Endpoint{{ID: "a", Service: "models", Version: "v1"}}, roster.Continuous)
+		if c.recorded != nil {
+			r.RestoreVersions(now, origin.TTL, c.recorded)
+		}
+		o := &streamOrigins{
+			table: origin.New(), roster: r, mesh: peers.New(peers.Options{Logger: slog.New(slog.DiscardHandler)}),
+			versions: &versionHistory{read: make(chan struct{})}, started: now,
+		}
+		if got := o.Find(t.Context(), "unknown", "models"); got.Known || got.Ambiguous != c.ambiguous {
+			t.Errorf("%s: an unknown stream is %+v, want ambiguous %t", c.name, got, c.ambiguous)
+		}
+	}
+}
+
 // A stream begins shortly after a release has ended, and its entry dies. Origins were searched for during the minute
 // after a release, but not announced in it.
 func TestStreamThatBeganAfterReleaseIsTakenUp(t *testing.T) {
--- a/peers/origins.go
+++ b/peers/origins.go
@@ -42,6 +42,14 @@
 	Record *origin.Record `json:"record,omitempty"`
 	// Mixed is set if the peer knows that the service has or recently had several versions.
 	Mixed bool `json:"mixed,omitempty"`
+	// VersionsKnownForMS is the length of the time up to now, in milliseconds, for which the peer knows the versions
+	// that services had. Only for that time a reply without Mixed says that the service had one version.
+	VersionsKnownForMS int64 `json:"versions_known_ms,omitempty"`
+}
+
+// Covers reports whether the peer knows the versions that services had within a time window up to now.
+func (f FindOriginResult) Covers(window time.Duration) bool {
+	return f.VersionsKnownForMS >= window.Milliseconds()
 }
 
 // originPeer is a linked peer that may hold origins.
@@ -136,7 +144,8 @@
 }
 
 // FindOrigin asks the peers for the origin of a stream that a client resumes at a service. The
-// result has no record if none of them knows it within findTimeout.
+// result has no record if none of them knows it within findTimeout. Otherwise it has the longest time for which
+// any peer that answered knows the versions.
 func (m *Mesh) FindOrigin(ctx context.Context, p FindOriginParams) FindOriginResult {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
@@ -152,6 +161,7 @@
 			return reply
 		}
 		result.Mixed = result.Mixed || reply.Mixed
+		result.VersionsKnownForMS = max(result.VersionsKnownForMS, reply.VersionsKnownForMS)
 	}
 	return result
 }
@@ -191,7 +201,10 @@
 // origin returns what this entry knows of the origin of a stream.
 func (m *Mesh) origin(p FindOriginParams) FindOriginResult {
 	now := time.Now()
-	result := FindOriginResult{Mixed: m.o.Roster.HasMixedVersions(now, p.Service, origin.TTL)}
+	result := FindOriginResult{
+		Mixed:              m.o.Roster.HasMixedVersions(now, p.Service, origin.TTL),
+		VersionsKnownForMS: m.o.Roster.VersionsKnownFor(now).Milliseconds(),
+	}
 	if r, found := m.o.Origins.Find(now, p.Key); found {
 		result.Record = &r
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -159,6 +159,8 @@
 	noticeCount uint64
 	// versionListedAt is when each service last had a listed endpoint of each software version.
 	versionListedAt map[string]map[string]time.Time
+	// versionsKnownSince is when the time began for which versionListedAt is complete; zero if nothing is known.
+	versionsKnownSince time.Time
 }
 
 // New returns an empty roster. regions maps data centres to their regions.
@@ -215,6 +217,9 @@
 	r.initialised = true
 	r.rebuildIndex()
 	r.recordVersions(now)
+	if r.versionsKnownSince.IsZero() {
+		r.versionsKnownSince = now
+	}
 }
 
 // setListed updates the member of a listed endpoint, or adds one. The caller holds mu.
--- a/roster/versions_test.go
+++ b/roster/versions_test.go
@@ -36,3 +36,28 @@
 		}
 	}
 }
+
+// What a record says of a service counts as listed when it was read, for a window, and as known for a window before.
+func TestRestoredVersions(t *testing.T) {
+	const window = time.Minute
+	list := makeEndpoints(1, "a")
+	list[0].Version = "v2"
+	r := New(nil)
+	if got := r.VersionsKnownFor(epoch); got != 0 {
+		t.Errorf("nothing is known, but the versions for %v", got)
+	}
+	r.SetEndpoints(epoch, list, Continuous)
+	if got := r.VersionsKnownFor(epoch.Add(time.Second)); got != time.Second {
+		t.Errorf("the versions are known for %v, want 1s", got)
+	}
+	r.RestoreVersions(epoch.Add(time.Second), window, map[string][]string{"llm": {"v1"}})
+	if got := r.VersionsKnownFor(epoch.Add(time.Second)); got != window {
+		t.Errorf("the versions are known for %v, want %v", got, window)
+	}
+	for after, want := range map[time.Duration]int{time.Second: 2, time.Second + window: 2, 2*time.Second + window: 1} {
+		now := epoch.Add(after)
+		if got := r.RecentVersions(now, window)["llm"]; len(got) != want || r.HasMixedVersions(now, "llm", window) != (want == 2) {
+			t.Errorf("after %v: versions %v, mixed %t, want %d", after, got, r.HasMixedVersions(now, "llm", window), want)
+		}
+	}
+}
