Keep the origins of streams in the store while a service has several versions

Cause: the origin of a stream lived only as long as the processes that had seen it begin. No machine has a disk.

Change: what is announced to peers also goes to the dispatcher in batches, which writes it to a new object of the store at most once a second and deletes that a minute later. An entry that finds a stream neither in its table nor at a peer, and would refuse it as ambiguous, reads these objects first, at most once a second. Objects are never changed, so neither two dispatchers nor a restarted one overwrite what they do not know.

--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -142,6 +142,7 @@
 	})
 	d.versions = newVersionHistory(d)
 	d.origins = &streamOrigins{table: origin.New(), roster: d.roster, versions: d.versions, started: d.started}
+	d.origins.records = newOriginRecords(d)
 	suspects := suspect.New(suspect.Options{Metrics: reg})
 	suspectParts := suspect.NewParts(reg)
 	self := peers.Identity{
@@ -152,6 +153,7 @@
 		Self:    self,
 		Started: d.started, Follower: d.follower, Jobs: d.coordinator, Suspects: suspects, SuspectParts: suspectParts, OnPeersChanged: d.peersChanged, Logger: logger,
 		Roster: d.roster, Origins: d.origins.table, OnNotices: d.coordinator.InvalidateEndpoints, OnPeerRemoved: d.removeDeadEntry,
+		OnStoreOrigins: d.origins.records.take,
 	})
 	d.origins.mesh = d.mesh
 	d.gateway = gateway.New(gateway.Options{
@@ -195,6 +197,8 @@
 	go d.syncEntries(workCtx)
 	go d.watchElection(workCtx)
 	go d.versions.run(workCtx)
+	go d.origins.records.run(workCtx)
+	go d.origins.records.clean(workCtx)
 	go d.announceNotices(workCtx)
 	d.watchSettings(ctx, workCtx, c.SettingsPath, hup)
 	d.stop(server)
--- a/gatewaydaemon/origins.go
+++ b/gatewaydaemon/origins.go
@@ -18,7 +18,9 @@
 	mesh   *peers.Mesh
 	// versions reads back what services had before this process started.
 	versions *versionHistory
-	started  time.Time
+	// records keeps the origins that are announced in the store too.
+	records *originRecords
+	started time.Time
 }
 
 // Begin implements gateway.Origins.
@@ -69,13 +71,21 @@
 		return gateway.Origin{Record: *answer.Record, Known: true}
 	}
 	mixed := answer.Mixed || o.roster.HasMixedVersions(now, service, origin.TTL)
-	return gateway.Origin{Ambiguous: mixed || !o.coversTTL(now) && !answer.Covers(origin.TTL)}
+	if !mixed && (o.coversTTL(now) || answer.Covers(origin.TTL)) {
+		return gateway.Origin{}
+	}
+	o.records.recall(ctx)
+	if r, found := o.table.Find(time.Now(), key); found {
+		return gateway.Origin{Record: r, Known: true}
+	}
+	return gateway.Origin{Ambiguous: true}
 }
 
 // announce announces the origins of a service's streams that are not announced yet.
 func (o *streamOrigins) announce(service string) {
 	if records := o.table.TakeUnannounced(time.Now(), service); len(records) > 0 {
 		o.mesh.AnnounceOrigins(records)
+		o.records.add(records)
 	}
 }
 
--- a/gatewaydaemon/origins_test.go
+++ b/gatewaydaemon/origins_test.go
@@ -11,6 +11,7 @@
 	"github.com/azurelead/azurelead/origin"
 	"github.com/azurelead/azurelead/peers"
 	"github.com/azurelead/azurelead/platform/fleet"
+	"github.com/azurelead/azurelead/platform/fleettest"
 	"github.com/azurelead/azurelead/roster"
 )
 
@@ -100,6 +101,70 @@
 	}
 }
 
+// Two versions serve all the while, and all entries are restarted. Streams go on at the version that began them.
+func TestStreamsGoOnAtTheirVersionAfterAllWereRestarted(t *testing.T) {
+	d := newDeployment(t, 3)
+	engines := d.versionedEngines("v1", "v2")
+	d.awaitVersionRecord("v1", "v2")
+	ids := make([]string, 9)
+	for i := range ids {
+		ids[i] = d.startStream(d.entries[i%3], 3)
+	}
+	store := &originRecords{store: d.entries[0].daemon.store, table: origin.New(), logger: slog.New(slog.DiscardHandler)}
+	d.eventually("the origins are in the store", func() bool {
+		done := make(chan struct{})
+		store.read(done)
+		for _, id := range ids {
+			if _, found := store.table.Find(time.Now(), origin.Key(id)); !found {
+				return false
+			}
+		}
+		return true
+	})
+	d.restartAll()
+	for i, id := range ids {
+		r := d.resume(d.entries[i%3], id, 3)
+		if got := versionsOf(engines, r.id); r.status != http.StatusOK || !sameVersion(append(got, versionsOf(engines, id)...)) {
+			t.Errorf("%s began at %v, and is resumed with status %d at %v", id, versionsOf(engines, id), r.status, got)
+		}
+	}
+}
+
+// The objects of a dispatcher that is gone are read, and deleted by the next one when streams can no longer ask for
+// them.
+func TestOriginsLeftInTheStoreAreReadAndDeleted(t *testing.T) {
+	store := fleettest.NewStore()
+	t.Cleanup(store.Close)
+	newRecords := func(prefix string) *originRecords {
+		return &originRecords{
+			store: fleet.NewStore(store.Address(), newStoreTransport()), table: origin.New(), logger: slog.New(slog.DiscardHandler),
+			prefix: prefix, expiries: make(map[string]time.Time),
+		}
+	}
+	want := []origin.Record{{Key: "a", Service: "llm", Version: "v1"}, {Key: "b", Service: "llm", Version: "v2"}, {Key: "c", Service: "other", Version: "v1"}}
+	former, next := newRecords("former"), newRecords("next")
+	for i := range want { // one object each
+		former.take(want[i : i+1])
+		former.write(t.Context())
+	}
+	next.recall(t.Context())
+	for _, r := range want {
+		if got, found := next.table.Find(time.Now(), r.Key); !found || got != r {
+			t.Errorf("found %+v, %t, want %+v", got, found, r)
+		}
+	}
+	now := time.Now()
+	next.adopt(t.Context())
+	next.deleteExpired(t.Context(), now)
+	if n := len(store.Names(fleet.KindOrigins)); n != len(want) {
+		t.Errorf("%d objects are left at once, want %d", n, len(want))
+	}
+	next.deleteExpired(t.Context(), now.Add(2*origin.TTL))
+	if names := store.Names(fleet.KindOrigins); len(names) > 0 {
+		t.Errorf("%v are left after their TTL", names)
+	}
+}
+
 // An entry has just started and no peer answers. What it does not know is no evidence that the service had one version.
 func TestUnknownVersionHistoryIsNoEvidence(t *testing.T) {
 	cases := []struct {
@@ -123,6 +188,7 @@
 			table: origin.New(), roster: r, mesh: peers.New(peers.Options{Logger: slog.New(slog.DiscardHandler)}),
 			versions: &versionHistory{read: make(chan struct{})}, started: now,
 		}
+		o.records = &originRecords{store: fleet.NewStore("127.0.0.1:1", http.DefaultTransport), table: o.table, logger: slog.New(slog.DiscardHandler)}
 		if got := o.Find(t.Context(), "unknown", "models"); got.Known || got.Ambiguous != c.ambiguous {
 			t.Errorf("%s: an unknown stream is %+v, want ambiguous %t", c.name, got, c.ambiguous)
 		}
--- a/peers/link.go
+++ b/peers/link.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/azurelead/azurelead/dispatch"
+	"github.com/azurelead/azurelead/origin"
 )
 
 // Link is a link to the dispatching entry.
@@ -65,6 +66,11 @@
 	return l.notify(methodRelease, JobParams{ID: id, EngineFailed: engineFailed})
 }
 
+// StoreOrigins passes origins of streams to the dispatcher, which writes them to the store soon after.
+func (l *Link) StoreOrigins(ctx context.Context, records []origin.Record) error {
+	return call(ctx, l.conn, pingTimeout, methodStoreOrigins, OriginRecords{Records: records}, nil)
+}
+
 // notify sends a notification and reports whether it was sent.
 func (l *Link) notify(method string, params JobParams) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -100,6 +100,8 @@
 	Roster *roster.Roster
 	// Origins holds the origins of streams; nil keeps a table of the mesh's own.
 	Origins *origin.Table
+	// OnStoreOrigins is called with origins that this entry is to write to the store; it may be nil.
+	OnStoreOrigins func(records []origin.Record)
 	// OnNotices is called after peers have sent notices that changed the roster; it may be nil.
 	OnNotices func()
 	// OnPeersChanged is called after the set of live peers changed.
@@ -180,6 +182,9 @@
 	if o.Origins == nil {
 		o.Origins = origin.New()
 	}
+	if o.OnStoreOrigins == nil {
+		o.OnStoreOrigins = func([]origin.Record) {}
+	}
 	if o.OnNotices == nil {
 		o.OnNotices = func() {}
 	}
@@ -318,6 +323,13 @@
 		}
 		m.o.Origins.Merge(time.Now(), told.Records)
 		return nil, nil
+	case methodStoreOrigins:
+		var passed OriginRecords
+		if err := json.Unmarshal(params, &passed); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		m.o.OnStoreOrigins(passed.Records)
+		return nil, nil
 	case methodFindOrigin:
 		var p FindOriginParams
 		if err := json.Unmarshal(params, &p); err != nil {
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -27,6 +27,8 @@
 	methodOrigins  = "origins" // notification
 	// methodFindOrigin asks for the origin of a stream.
 	methodFindOrigin = "find_origin"
+	// methodStoreOrigins passes origins of streams to the dispatcher, which writes them to the store.
+	methodStoreOrigins = "store_origins"
 )
 
 // Identity identifies one incarnation of an entry.
