Kill entries during releases in the soak

A version's engines leave the list one after the other and serve on, then one entry or all are killed and start again; clients wait 0.4 s before they take a stream up again after a refusal or a closed port. The schedule has a random source of its own, so that the faults of a seed stay as they were.

--- a/soak/check.go
+++ b/soak/check.go
@@ -22,6 +22,9 @@
 	requestTimeout = 3 * time.Second
 )
 
+// resumePause is the pause after an attempt to resume a stream that was not served.
+const resumePause = 400 * time.Millisecond
+
 // maxResumptions bounds the further attempts by which a client resumes one stream.
 const maxResumptions = 3
 
@@ -74,6 +77,7 @@
 	resp.resumptions = append(resp.resumptions, id)
 	resp.latency += next.latency
 	if next.status != http.StatusOK {
+		time.Sleep(resumePause)
 		return // refused, or ended without an answer: the stream stays broken
 	}
 	resp.body, resp.err = resp.body+next.body, next.err
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -225,6 +225,8 @@
 		})
 		offset += time.Duration(100+r.rng.IntN(900)) * time.Millisecond
 	}
+	release := rand.New(rand.NewPCG(r.o.Seed, 3))
+	injections.Go(func() { r.killDuringRelease(release) })
 	injections.Wait()
 	r.checkRecovery(ctx)
 	stop()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,7 +11,8 @@
 // the cause of the violation.
 var seeds = []uint64{
 	1, 2,
-	51005, // streams went on at another software version within one answer
+	51005,  // streams went on at another software version within one answer
+	360512, // streams went on at another software version after all entries were killed
 }
 
 func TestSeeds(t *testing.T) {
