--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -91,6 +91,7 @@
 	gateway           *gateway.Gateway
 	retryBudgets      *retrybudget.Set
 	origins           *streamOrigins
+	versions          *versionHistory
 	table             atomic.Pointer[catalog.Table]
 	entriesListed     chan struct{}
 	entriesListedOnce sync.Once
@@ -145,7 +146,9 @@
 		OnChange: d.objectsChanged, Logger: logger, ReadsStore: func() bool { return d.mesh.ReadsStore() }, AwaitsPeers: d.defersToHubs,
 		PeersContact: func() time.Time { return d.mesh.PeersStoreResponse() },
 	})
-	d.origins = &streamOrigins{table: origin.New(), roster: d.roster, started: d.started}
+	d.versions = newVersionHistory(d)
+	d.origins = &streamOrigins{table: origin.New(), roster: d.roster, versions: d.versions, started: d.started}
+	d.origins.records = newOriginRecords(d)
 	suspectParts := suspect.NewParts(reg)
 	suspectRequests := suspect.NewRequests(suspectParts, reg)
 	self := peers.Identity{
@@ -157,6 +160,7 @@
 		Started: d.started, Follower: d.follower, Jobs: d.coordinator, SuspectParts: suspectParts, SuspectRequests: suspectRequests,
 		OnPeersChanged: d.peersChanged, Logger: logger,
 		Roster: d.roster, Origins: d.origins.table, OnNotices: d.coordinator.InvalidateEndpoints, OnPeerRemoved: d.removeDeadEntry,
+		OnStoreOrigins: d.origins.records.take,
 	})
 	d.origins.mesh = d.mesh
 	d.gateway = gateway.New(gateway.Options{
@@ -197,6 +201,9 @@
 	go d.coordinator.Run(workCtx)
 	go d.syncEntries(workCtx)
 	go d.watchElection(workCtx)
+	go d.versions.run(workCtx)
+	go d.origins.records.run(workCtx)
+	go d.origins.records.clean(workCtx)
 	go d.announceNotices(workCtx)
 	d.watchSettings(ctx, workCtx, c.SettingsPath, hup)
 	d.stop(server)
@@ -341,6 +348,7 @@
 	}
 	d.roster.SetEndpoints(now, list, c)
 	go d.origins.announceMixed()
+	d.versions.requestSync()
 	d.upstream.Retain(d.roster.Known)
 }
 
--- a/roster/versions_test.go
+++ b/roster/versions_test.go
@@ -29,11 +29,35 @@
 		now := epoch.Add(s.at)
 		r.SetEndpoints(now, list[s.first:s.end], Continuous)
 		now = now.Add(time.Millisecond)
-		if got := r.HasMixedVersions(now, "llm", 0); got != s.now || (len(r.MixedServices()) == 1) != s.now {
-			t.Errorf("after %v: mixed %t, services %v, want %t", s.at, got, r.MixedServices(), s.now)
+		for window, want := range map[time.Duration]bool{0: s.now, window: s.recently} {
+			if got, services := r.HasMixedVersions(now, "llm", window), r.MixedServices(now, window); got != want || (len(services) == 1) != want {
+				t.Errorf("after %v: mixed within %v: %t, services %v, want %t", s.at, window, got, services, want)
+			}
 		}
-		if got := r.HasMixedVersions(now, "llm", window); got != s.recently {
-			t.Errorf("after %v: recently mixed %t, want %t", s.at, got, s.recently)
+	}
+}
+
+// What a record says of a service counts as listed when it was read, for a window, and as known for a window before.
+func TestRestoredVersions(t *testing.T) {
+	const window = time.Minute
+	list := makeEndpoints(1, "a")
+	list[0].Version = "v2"
+	r := New(nil)
+	if got := r.VersionsKnownFor(epoch); got != 0 {
+		t.Errorf("nothing is known, but the versions for %v", got)
+	}
+	r.SetEndpoints(epoch, list, Continuous)
+	if got := r.VersionsKnownFor(epoch.Add(time.Second)); got != time.Second {
+		t.Errorf("the versions are known for %v, want 1s", got)
+	}
+	r.RestoreVersions(epoch.Add(time.Second), window, map[string][]string{"llm": {"v1"}})
+	if got := r.VersionsKnownFor(epoch.Add(time.Second)); got != window {
+		t.Errorf("the versions are known for %v, want %v", got, window)
+	}
+	for after, want := range map[time.Duration]int{time.Second: 2, time.Second + window: 2, 2*time.Second + window: 1} {
+		now := epoch.Add(after)
+		if got := r.RecentVersions(now, window)["llm"]; len(got) != want || r.HasMixedVersions(now, "llm", window) != (want == 2) {
+			t.Errorf("after %v: versions %v, mixed %t, want %d", after, got, r.HasMixedVersions(now, "llm", window), want)
 		}
 	}
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -323,6 +323,8 @@
 		r.scheduleRepeats(&injections)
 		r.scheduleMalformed(&injections)
 		r.scheduleCrashes(ctx, &injections)
+		release := rand.New(rand.NewPCG(r.o.Seed, 3))
+		injections.Go(func() { r.killDuringRelease(release) })
 	}
 	injections.Wait()
 	if err := r.addEndpoint(lateService); err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,6 +13,7 @@
 	1, 2,
 	51005,  // streams went on at another software version within one answer
 	360404, // repeated sound requests were refused after a prompt part had crashed engines that ran them
+	360512, // streams went on at another software version after all entries were killed
 }
 
 // buildGateway builds the gateway program and returns its path.
