Replace no silent endpoint by one that has failed

What callers would have seen: a stream at a sound, silent engine was taken to one that the roster knows to have failed, and cut at its deadline (LOST).

Cause: where all others are in backoff, the roster offers these, as any of them may have recovered. Beside a silent endpoint that is the worse choice, and a hung engine accepts connections.

Change: Filter.Healthy leaves out endpoints in backoff; hedges and replacements use it.

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -222,9 +222,12 @@
 	return min(timeout, max(time.Duration(attemptTimeoutShare*float64(q.remaining())), minAttemptTimeout))
 }
 
-// chooseEndpoint returns the endpoint that is expected to answer first among those not tried yet.
+// chooseEndpoint returns the endpoint that is expected to answer first among those not tried yet. One that has
+// failed is not tried beside a silent one.
 func (b *buffered) chooseEndpoint() (roster.Candidate, bool) {
-	ordered := placement.ByLoad(b.gw.opts.DataCentre, b.gw.opts.Roster.Candidates(time.Now(), b.untried(b.tried)), b.headers.AttemptID)
+	f := b.untried(b.tried)
+	f.Healthy = b.inFlight > 0
+	ordered := placement.ByLoad(b.gw.opts.DataCentre, b.gw.opts.Roster.Candidates(time.Now(), f), b.headers.AttemptID)
 	if len(ordered) == 0 {
 		return roster.Candidate{}, false
 	}
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -63,6 +63,7 @@
 // freed. It is safe for concurrent use with the attempt.
 func (s *stream) secureStream(ctx context.Context, tried map[string]bool, out stageOutput) *replacement {
 	f := s.untried(tried)
+	f.Healthy = true // the silent endpoint is more likely to go on than one that has failed is to answer
 	r := s.reserveRetry(f)
 	if r == nil {
 		return nil
--- a/gatewaydaemon/silentendpoint_test.go
+++ b/gatewaydaemon/silentendpoint_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/platform/fleettest"
+	"github.com/azurelead/azurelead/roster"
 )
 
 // silentDeployment starts one entry with endpoints of every service, and a resumable route with stages whose
@@ -66,6 +67,16 @@
 			d.store.Delete(fleet.KindEndpoints, portal.ID)
 			d.eventually("the endpoint is gone", func() bool { return len(d.entries[0].daemon.roster.Endpoints(time.Now(), "portal")) == 0 })
 		}},
+		{"the other engine has failed", 5, func(d *deployment, engines []*fleettest.Server, _ *fleettest.Server) {
+			for _, e := range engines {
+				if len(e.Runs()) == 0 {
+					e.SetBehaviour(alwaysBehave(fleettest.Hang))
+					for range 6 {
+						d.entries[0].daemon.roster.Report(time.Now(), e.ID, roster.Unreachable, 0)
+					}
+				}
+			}
+		}},
 		{"the route moves to another service", 5, func(d *deployment, _ []*fleettest.Server, _ *fleettest.Server) {
 			d.putSilentRoutes(3, map[string]any{"service": "api", "timeoutMs": 2000})
 			d.eventually("the route has moved", func() bool { return d.entries[0].daemon.table.Load().Version == 3 })
@@ -179,3 +190,30 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// A request is sent to another endpoint beside a silent one only within the attempts of its route and the retry budget.
+func TestHedgesAreBounded(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		attempts int
+		spend    bool
+	}{{"one attempt", 1, false}, {"retry budget spent", 2, true}} {
+		d := newDeployment(t, 1)
+		api1, api2, _, _, _ := d.startEndpoints(nil)
+		d.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(2,
+			[]map[string]any{fleettest.Route("look", "/look/", "idempotent", "api", map[string]any{"attempts": c.attempts})},
+			[]map[string]any{fleettest.Service("api"), fleettest.StageService("portal")}, nil))
+		d.waitReady()
+		d.eventually("the route is in force", func() bool { return d.entries[0].daemon.table.Load().Version == 2 })
+		for budget := d.entries[0].daemon.retryBudgets.For("api"); c.spend && budget.TryWithdraw(); {
+		}
+		api1.FallSilent(1800 * time.Millisecond)
+		api2.FallSilent(1800 * time.Millisecond)
+		if r := d.send(d.entries[0], "GET", "/look/x", nil); r.status != http.StatusOK {
+			t.Errorf("%s: %+v", c.name, r)
+		}
+		if n := len(api1.Runs()) + len(api2.Runs()); n != 1 {
+			t.Errorf("%s: %d runs, want 1", c.name, n)
+		}
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -484,6 +484,8 @@
 	Version string
 	// Tried holds the IDs of endpoints that are left out.
 	Tried map[string]bool
+	// Healthy leaves out endpoints in backoff, which are selected otherwise if there are no others.
+	Healthy bool
 }
 
 // matches reports whether the filter selects a member of its service. The caller holds mu.
@@ -519,7 +521,7 @@
 		}
 		list = append(list, c)
 	}
-	if len(list) == 0 {
+	if len(list) == 0 && !f.Healthy {
 		// If all have failed, any of them may have recovered first.
 		list = failed
 	}
