Answer a request one of whose attempts panics

What callers would have seen: all requests of the process ended.

Cause: attempts of buffered requests and the search for a replacement run in goroutines of their own since, where the handler's recovery does not reach.

The panic is logged where it happens.

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -48,6 +48,8 @@
 type bufferedAttempt struct {
 	*attempt
 	resp *response
+	// panicked is set, and attempt is nil, if the attempt ended with a panic.
+	panicked any
 }
 
 // errAnsweredElsewhere ends the attempts that are still in flight when another one has been answered.
@@ -121,7 +123,15 @@
 	patience := b.attemptTimeout(c)
 	b.hedgeAt = time.Now().Add(patience)
 	b.inFlight++
-	go func() { b.ended <- b.tryEndpoint(c, patience) }()
+	go func() {
+		defer func() {
+			if p := recover(); p != nil {
+				b.logPanic(p)
+				b.ended <- bufferedAttempt{panicked: p}
+			}
+		}()
+		b.ended <- b.tryEndpoint(c, patience)
+	}()
 }
 
 // await waits for the end of an attempt. It reports false if another endpoint should be tried first.
@@ -135,6 +145,9 @@
 	select {
 	case a = <-b.ended:
 		b.inFlight--
+		if a.panicked != nil {
+			panic(a.panicked) // the handler answers
+		}
 		b.record.addAttempt(a.attempt)
 		return a, true
 	case <-silent:
@@ -155,7 +168,9 @@
 // drain waits for the attempts in flight, which have been cancelled.
 func (b *buffered) drain() {
 	for ; b.inFlight > 0; b.inFlight-- {
-		b.record.addAttempt((<-b.ended).attempt)
+		if a := <-b.ended; a.panicked == nil {
+			b.record.addAttempt(a.attempt)
+		}
 	}
 }
 
@@ -213,7 +228,7 @@
 		b.reportOutcome(b.ctx, time.Now(), a, roster.ConnectionLost)
 		return bufferedAttempt{attempt: a}
 	}
-	return bufferedAttempt{a, &response{status: a.resp.StatusCode, header: a.resp.Header, body: body}}
+	return bufferedAttempt{attempt: a, resp: &response{status: a.resp.StatusCode, header: a.resp.Header, body: body}}
 }
 
 // attemptTimeout returns how long an endpoint may take before another one is tried.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -205,8 +205,7 @@
 	if p == http.ErrAbortHandler {
 		panic(p)
 	}
-	q.gw.opts.Metrics.Panics.Inc()
-	q.gw.opts.Logger.Error("request handler panicked", "request", q.headers.AttemptID, "panic", p, "stack", string(debug.Stack()))
+	q.logPanic(p)
 	if q.headerSent {
 		q.record.outcome = "broken off"
 		panic(http.ErrAbortHandler)
@@ -214,6 +213,12 @@
 	q.respond(*unknownOutcomeResponse("internal error"))
 }
 
+// logPanic counts and logs a panic with the stack of the deferring goroutine.
+func (q *request) logPanic(p any) {
+	q.gw.opts.Metrics.Panics.Inc()
+	q.gw.opts.Logger.Error("request handler panicked", "request", q.headers.AttemptID, "panic", p, "stack", string(debug.Stack()))
+}
+
 // admit reads and validates a request and looks up its route, organisation and service. It returns
 // a response if the request must not proceed, and nil otherwise.
 func (q *request) admit() *response {
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -61,11 +61,16 @@
 
 // secureStream secures another endpoint for a stream, for which the stages run again if their results were
 // freed. It is safe for concurrent use with the attempt.
-func (s *stream) secureStream(ctx context.Context, tried map[string]bool, out stageOutput) *replacement {
+func (s *stream) secureStream(ctx context.Context, tried map[string]bool, out stageOutput) (r *replacement) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.logPanic(p)
+			r = nil
+		}
+	}()
 	f := s.untried(tried)
 	f.Healthy = true // the silent endpoint is more likely to go on than one that has failed is to answer
-	r := s.reserveRetry(f)
-	if r == nil {
+	if r = s.reserveRetry(f); r == nil {
 		return nil
 	}
 	if job, needed := s.stageJob(); needed && (s.hasBegun() || out.wereRead()) {
