Follow a refused hedge at once

Cause: the time of the next hedge was set by the attempt that was refused, though it is the other one that is silent.

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -149,6 +149,9 @@
 			panic(a.panicked) // the handler answers
 		}
 		b.record.addAttempt(a.attempt)
+		if a.result == resultNotSent || a.result == resultRejected {
+			b.hedgeAt = time.Now() // it was sent because another endpoint is silent
+		}
 		return a, true
 	case <-silent:
 		return bufferedAttempt{}, false
