Take no attempt that was cancelled before it was sent for the loss of its endpoint

What callers could see: a request was refused with 503 as one that crashes endpoints, after other requests at the same endpoint had been cancelled while they opened their connections.

Cause: an attempt that ends before its connection is open counts as one to an unreachable endpoint, also if it was ended here, and the loss makes a crash of what was interrupted at that endpoint in the two seconds before. So did the probe of an endpoint whose connection failed, if the request ended during the probe.

No test of ours shows it; the change is by reading.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -97,11 +97,11 @@
 			interrupted.parts = q.sharedParts()
 		}
 		q.gw.crashes.recordInterrupted(a.endpoint.ID, interrupted)
-		if !q.reachable(ctx, a.endpoint) {
+		if !q.reachable(ctx, a.endpoint) && ctx.Err() == nil {
 			outcome = roster.Unreachable
 		}
 	}
-	if outcome == roster.Unreachable {
+	if outcome == roster.Unreachable && !ended {
 		q.gw.EndpointLost(a.endpoint.ID)
 	}
 	if !ended || q.wasSilent(ctx, now, a) {
