Stop watching an attempt for silence when it has ended

What callers would have seen: nothing; the stages of a request ran once more than needed, paid from the retry budget, when they ran again after a 409 or a broken stream for longer than an endpoint may be silent.

Cause: the silence timer was stopped when the function returned, which is after the stages have run again. It is stopped as soon as the attempt has ended now.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -260,6 +260,9 @@
 	a := s.send(tryCtx, c, fwd, minHangTime)
 	s.record.addAttempt(a)
 	defer a.finish(s.gw.opts.Roster)
+	if a.result != resultAnswered {
+		silence.disable() // the stages may have to run again before the next attempt
+	}
 	if (a.result == resultNotSent || a.result == resultLost) && c.ID == s.output.engine && !s.clientGone() {
 		s.engineFailed = true
 	}
@@ -423,21 +426,32 @@
 // relay forwards complete events as they arrive. Only events that continue the stream count as
 // progress: comments and repeated events may come without end from an endpoint that has stalled.
 func (s *stream) relay(ctx context.Context, a *attempt, silence *silenceTimer) (bool, *response) {
+	err := s.relayEvents(a, silence)
+	silence.disable()
+	if err == nil {
+		return true, nil
+	}
+	return s.handleStreamEnd(ctx, a, err)
+}
+
+// relayEvents forwards the events of an attempt until it ends. It returns why it ended, or nil if the client has
+// left.
+func (s *stream) relayEvents(a *attempt, silence *silenceTimer) error {
 	if err := checkEventStream(a.resp.Header); err != nil {
-		return s.handleStreamEnd(ctx, a, err)
+		return err
 	}
 	events := newEventReader(a.resp.Body)
 	bytesWithoutProgress := 0
 	for {
 		ev, err := events.next()
 		if err != nil {
-			return s.handleStreamEnd(ctx, a, err)
+			return err
 		}
 		switch {
 		case ev.id == 0 && ev.carriesData():
-			return s.handleStreamEnd(ctx, a, errUnnumberedEvent)
+			return errUnnumberedEvent
 		case ev.id > s.lastEventID+1:
-			return s.handleStreamEnd(ctx, a, Error.New("event %d follows %d", ev.id, s.lastEventID))
+			return Error.New("event %d follows %d", ev.id, s.lastEventID)
 		case ev.id > s.lastEventID:
 			bytesWithoutProgress = 0
 			s.lastEventAfter.Store(int64(time.Since(s.started)))
@@ -447,7 +461,7 @@
 			s.allowGap(silence)
 		default:
 			if bytesWithoutProgress += len(ev.raw); bytesWithoutProgress > maxEventBytes {
-				return s.handleStreamEnd(ctx, a, errNoProgress)
+				return errNoProgress
 			}
 			if ev.id > 0 {
 				continue // the client already has this event
@@ -456,7 +470,7 @@
 		s.startResponse(a)
 		s.lastEventID = max(s.lastEventID, ev.id)
 		if _, err := s.w.Write(ev.raw); err != nil {
-			return true, nil // the client has left
+			return nil
 		}
 		_ = s.controller.Flush() // the next write fails if the client disconnected
 	}
