Count the silence of a stream's endpoint from its last event

Cause: an attempt that is ended here counts as one at a hung endpoint if it was sent more than 250 ms ago, whatever the endpoint has sent since. The class: a bound that counts from the wrong moment. No test of ours shows it; the change is by reading.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -36,6 +36,8 @@
 	sentAt time.Time
 	// patience is the time without an answer after which the endpoint counts as hung if another one has answered.
 	patience time.Duration
+	// progressAt is when the endpoint last sent an event that continues a stream; zero if it sent none.
+	progressAt time.Time
 	// events counts the events of a stream that the endpoint has sent.
 	events int
 }
@@ -115,7 +117,11 @@
 	if errors.Is(context.Cause(ctx), errAnsweredElsewhere) {
 		hangTime = a.patience
 	}
-	return !q.clientGone() && now.Sub(a.sentAt) > hangTime
+	since := a.sentAt
+	if a.progressAt.After(since) {
+		since = a.progressAt
+	}
+	return !q.clientGone() && now.Sub(since) > hangTime
 }
 
 // abandonFor returns a function that ends an attempt by cancel, because its endpoint is silent and a replacement
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -454,6 +454,7 @@
 			return Error.New("event %d follows %d", ev.id, s.lastEventID)
 		case ev.id > s.lastEventID:
 			bytesWithoutProgress = 0
+			a.progressAt = time.Now()
 			s.lastEventAfter.Store(int64(time.Since(s.started)))
 			if a.events++; a.events == beginningEvents {
 				s.gw.opts.SuspectParts.Sound(s.sharedParts())
