Tell an endpoint that went on from stages that failed in the verdicts on silence

The search for a replacement ends when the silent endpoint goes on, and its stages then end as failed.

--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -18,7 +18,7 @@
 	stages *stageRun
 }
 
-// discard returns what was secured.
+// discard gives the budget and the results of the stages back.
 func (r *replacement) discard() {
 	r.budget.Refund()
 	if r.stages != nil {
@@ -29,6 +29,7 @@
 // Verdicts on a silent endpoint: another one takes over, or why none does.
 const (
 	silenceReplaced  = "replaced"
+	silenceWentOn    = "endpoint went on"
 	silenceNoOther   = "no other endpoint"
 	silenceSuspect   = "request is suspected of crashes"
 	silenceNoBudget  = "retry budget spent"
@@ -76,25 +77,28 @@
 	if job, needed := s.stageJob(); needed && (s.hasBegun() || out.wereRead()) {
 		run := s.submitStages(ctx, job)
 		if run.failure != nil {
-			return s.giveBack(r, silenceNoStages)
+			return s.giveBack(ctx, r, silenceNoStages)
 		}
 		r.stages, out = run, run.output
 	}
 	c, found := s.chooseEngine(f, out)
 	switch {
 	case !found:
-		return s.giveBack(r, silenceNoOther)
+		return s.giveBack(ctx, r, silenceNoOther)
 	case !s.reachable(ctx, c):
-		return s.giveBack(r, silenceNoContact)
+		return s.giveBack(ctx, r, silenceNoContact)
 	case s.nextEventDeadline().Before(time.Now().Add(s.prefillTime())):
-		return s.giveBack(r, silenceTooLate)
+		return s.giveBack(ctx, r, silenceTooLate)
 	}
 	return r
 }
 
-// giveBack discards a replacement that is not complete, and records why.
-func (s *stream) giveBack(r *replacement, verdict string) *replacement {
+// giveBack discards a replacement that is not complete, and records why, or that the silence has ended.
+func (s *stream) giveBack(ctx context.Context, r *replacement, verdict string) *replacement {
 	r.discard()
+	if ctx.Err() != nil {
+		verdict = silenceWentOn
+	}
 	s.noteSilence(verdict)
 	return nil
 }
