--- a/soak/check.go
+++ b/soak/check.go
@@ -37,6 +37,8 @@
 	body     string
 	err      error
 	latency  time.Duration
+	// excused is set if the entry was at the end of its grace period when the request ended.
+	excused bool
 	// resumptions are the further attempts of a stream that broke, continued counts those that yielded events.
 	resumptions []string
 	continued   int
@@ -131,7 +133,7 @@
 	answer, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
 	result.status, result.body, result.err = resp.StatusCode, string(answer), err
-	result.latency = time.Since(start)
+	result.latency, result.excused = time.Since(start), e.isAtEndOfGrace(start)
 	return result
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -58,6 +58,7 @@
 		e.setDisrupted(false)
 		r.disruptions.Add(1)
 		start := time.Now()
+		e.recordTerm(start)
 		e.signal(syscall.SIGTERM)
 		select {
 		case <-e.exited():
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -102,7 +102,21 @@
 	var opErr *net.OpError
 	refused := errors.As(resp.err, &opErr) && opErr.Op == "dial"
 	held := resp.latency.Seconds() > heldShare*r.requestTimeout().Seconds()
+	if resp.excused {
+		return
+	}
 	if held || resp.err != nil && !refused && ran {
 		r.recordViolation("%s got no complete answer after %v: status %d, %d events, %v", resp.id, resp.latency, resp.status, resp.events(), resp.err)
 	}
 }
+
+// lateStart is how long after SIGTERM a request may be sent that the entry still serves.
+const lateStart = 3 * time.Second
+
+// isAtEndOfGrace reports whether the entry is in the last sixth of its grace period, in which it may cut a request that
+// was sent in the first lateStart of it.
+func (e *entry) isAtEndOfGrace(sentAt time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Since(e.termAt) > gracePeriod*5/6 && sentAt.Before(e.termAt.Add(lateStart)) && !sentAt.Before(e.termAt.Add(-gracePeriod))
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -108,10 +108,12 @@
 	// same time.
 	faultMu sync.Mutex
 
-	mu        sync.Mutex
-	cmd       *exec.Cmd
-	done      chan struct{}
-	endTime   time.Time
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan struct{}
+	endTime time.Time
+	// termAt is when the process was last sent SIGTERM.
+	termAt    time.Time
 	disrupted bool
 	// disturbed is set during a fault on the process, calmSince is when the last one ended.
 	disturbed bool
@@ -292,6 +294,13 @@
 	}
 }
 
+// recordTerm records that the process is sent SIGTERM.
+func (e *entry) recordTerm(at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.termAt = at
+}
+
 // exited returns a channel that is closed when the entry's process has exited, or nil if no process
 // was started.
 func (e *entry) exited() <-chan struct{} {
