Break off a response without a length whose endpoint is gone at its end

What callers saw: streams that ended as complete before their last event (ORDER), and bodies of which the beginning was passed on with status 200 (MIXED), when the process of their endpoint had ended.

Cause: the end of a response without a length or chunks is that of its connection, and an end without a reset counted as regular. The kernel closes the connections of a killed process like that.

The cost is a round trip at the end of responses without a length, and of no others.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -49,6 +49,21 @@
 	return a.events < beginningEvents && !(errors.As(a.err, &timeout) && timeout.Timeout())
 }
 
+// isCloseDelimited reports whether the end of a response's body is shown only by the end of its connection.
+func isCloseDelimited(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// errEndpointGone ends an attempt whose close-delimited response ended with its endpoint.
+var errEndpointGone = Error.New("the endpoint was gone at the end of a response without a length")
+
+// endedWithEndpoint reports whether a response that has been read may be cut off without a sign: its end is that of
+// its connection, and the endpoint is gone. The kernel closes the connections of a process that crashes as regularly
+// as the process itself does.
+func (q *request) endedWithEndpoint(ctx context.Context, a *attempt) bool {
+	return isCloseDelimited(a.resp) && !q.reachable(ctx, a.endpoint)
+}
+
 // finish closes the response, discarding any unread body, and records the end of the attempt in the
 // roster.
 func (a *attempt) finish(r *roster.Roster) {
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -226,6 +226,9 @@
 		return bufferedAttempt{attempt: a}
 	}
 	body, err := upstream.ReadBody(a.resp, maxResponseBytes)
+	if err == nil && b.endedWithEndpoint(b.ctx, a) {
+		err = errEndpointGone
+	}
 	if err != nil {
 		a.result, a.err = resultLost, err
 		b.reportOutcome(b.ctx, time.Now(), a, roster.ConnectionLost)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -519,6 +519,9 @@
 			err = errNothingFollows
 		}
 	}
+	if errors.Is(err, io.EOF) && s.endedWithEndpoint(ctx, a) {
+		err = errEndpointGone
+	}
 	if errors.Is(err, io.EOF) {
 		if a.events > 0 {
 			s.gw.opts.SuspectParts.Sound(s.sharedParts())
@@ -553,11 +556,6 @@
 	return false, nil
 }
 
-// isCloseDelimited reports whether the end of a response's body is shown only by the end of its connection.
-func isCloseDelimited(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // forwardResponse returns the endpoint's response for the client. On a route that does not allow
 // retries, a status that promises that the request has not run is replaced: the endpoint did not
 // state that in its header, so the outcome is unknown.
--- /dev/null
+++ b/gatewaydaemon/unframed_test.go
@@ -0,0 +1,72 @@
+package gatewaydaemon
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/azurelead/azurelead/platform/fleettest"
+)
+
+// The process of an engine ends between two events of a stream without a length. Its kernel closes the connection
+// like that of a complete stream, which the client must not get.
+func TestStreamOfExitedEngineIsNotComplete(t *testing.T) {
+	const eventCount, eventGap = 12, 30 * time.Millisecond
+	for _, c := range []struct {
+		path      string
+		resumable bool
+	}{{"/stream/again/x", true}, {"/stream/plain/x", false}} {
+		t.Run(c.path, func(t *testing.T) {
+			d := newDeployment(t, 1)
+			engines := d.startEngines(2, 2)
+			for _, e := range engines {
+				e.SetStream(eventCount, eventGap)
+				e.SetBehaviour(alwaysBehave(fleettest.CloseDelimited))
+			}
+			answered := make(chan result, 1)
+			go func() { answered <- d.send(d.entries[0], "POST", c.path, nil) }()
+			d.eventually("an engine has the request", func() bool { return len(engines[0].Runs())+len(engines[1].Runs()) > 0 })
+			time.Sleep(4 * eventGap)
+			for _, e := range engines {
+				if len(e.Runs()) > 0 {
+					e.Exit()
+				}
+			}
+			r := <-answered
+			switch {
+			case c.resumable && (r.err != nil || r.body != events(eventCount)):
+				t.Errorf("status %d, error %v, stream %q", r.status, r.err, r.body)
+			case !c.resumable && r.err == nil:
+				t.Errorf("%d of %d events look complete", strings.Count(r.body, "\n\n"), eventCount)
+			}
+		})
+	}
+}
+
+// The process of an endpoint ends in the middle of a body without a length.
+func TestBodyOfExitedEndpointIsNotComplete(t *testing.T) {
+	for _, c := range []struct {
+		method, path string
+		want         int
+	}{{"GET", "/look/x", http.StatusOK}, {"POST", "/book/x", http.StatusBadGateway}} {
+		t.Run(c.path, func(t *testing.T) {
+			d := newDeployment(t, 1)
+			api1, api2, _, _, _ := d.startEndpoints(nil)
+			d.waitReady()
+			for _, s := range []*fleettest.Server{api1, api2} {
+				s.SetBehaviour(func(int, *http.Request) fleettest.Behaviour {
+					if len(api1.Runs())+len(api2.Runs()) > 0 {
+						return fleettest.Serve
+					}
+					return fleettest.ExitMidResponse
+				})
+			}
+			r := d.send(d.entries[0], c.method, c.path, nil)
+			complete := strings.HasSuffix(r.body, " to "+r.id)
+			if r.err != nil || r.status != c.want || r.status == http.StatusOK && !complete {
+				t.Errorf("%+v", r)
+			}
+		})
+	}
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -223,13 +223,16 @@
 // isStreamOfOneVersion reports whether the body of a stream has the events of one version, all of them if it
 // is complete.
 func isStreamOfOneVersion(body string, complete bool) bool {
-	return slices.ContainsFunc(engineVersions, func(version string) bool {
-		want := ""
-		for i := 1; i <= streamEvents; i++ {
-			want += fleettest.Event(i, version)
-		}
-		return body == want || !complete && strings.HasPrefix(want, body)
-	})
+	return slices.ContainsFunc(engineVersions, func(version string) bool { return isStreamOf(version, body, complete) })
+}
+
+// isStreamOf reports whether the body of a stream has the events of a version, all of them if it is complete.
+func isStreamOf(version, body string, complete bool) bool {
+	want := ""
+	for i := 1; i <= streamEvents; i++ {
+		want += fleettest.Event(i, version)
+	}
+	return body == want || !complete && strings.HasPrefix(want, body)
 }
 
 // awaitReady waits until every entry is ready, at most startTimeout.
--- a/soak/crashes.go
+++ b/soak/crashes.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -50,8 +51,10 @@
 
 	mu      sync.Mutex
 	victims []*fleettest.Server
-	boots   int
-	ended   bool
+	// boots counts the engines that were started. Every other one is a process that exits, of which only the end of
+	// the connection shows the end of a stream; the others are machines that are lost.
+	boots int
+	ended bool
 	// times are the times of the crashes.
 	times []time.Time
 	// late counts the requests that crash engines and reached one too late.
@@ -69,12 +72,16 @@
 		return
 	}
 	c.boots++
+	answer := fleettest.Serve
+	if c.exits(c.boots) {
+		answer = fleettest.CloseDelimited
+	}
 	s := fleettest.NewServer(fmt.Sprintf("victim-%d-%d", c.r.o.Seed, c.boots))
 	s.SetStream(streamEvents, 40*time.Millisecond)
 	s.SetBehaviour(func(_ int, q *http.Request) fleettest.Behaviour {
 		time.Sleep(30 * time.Millisecond) // the prompt is read
 		if !strings.Contains(q.Header.Get("Azurelead-Prompt-Prefix"), crashingPart) && q.URL.Path != "/stream/ask/bad" {
-			return fleettest.Serve
+			return answer
 		}
 		c.crash(s, true)
 		return fleettest.Hang
@@ -83,6 +90,9 @@
 	c.r.store.Put(fleet.KindEndpoints, s.ID, s.EndpointSpec("victims", fmt.Sprintf("dc-%d", c.boots%dataCentres)))
 }
 
+// exits reports whether the engine of a boot ends by the exit of its process.
+func (c *crashes) exits(boot int) bool { return boot%2 == 0 }
+
 // crash crashes an engine, which is replaced after a while. A request has caused it unless nothing that was sent did.
 func (c *crashes) crash(s *fleettest.Server, byRequest bool) {
 	c.mu.Lock()
@@ -95,8 +105,12 @@
 		c.late++
 	}
 	c.times = append(c.times, time.Now())
+	end := s.Close
+	if c.exits(slices.Index(c.victims, s) + 1) {
+		end = s.Exit
+	}
 	go func() {
-		s.Close()
+		end()
 		time.Sleep(victimDownTime)
 		c.r.store.Delete(fleet.KindEndpoints, s.ID)
 		c.startVictim()
@@ -124,11 +138,14 @@
 	}
 }
 
-// send sends a request and returns its status and body.
+// send sends a request, checks its answer and returns the status and body.
 func (c *crashes) send(ctx context.Context, e *entry, id, path, prefix string) (status int, body string) {
 	resp := c.r.sendTo(ctx, http.DefaultClient, e, response{id: id, kind: "ask"}, "POST", path, "body of "+path, http.Header{
 		"Azurelead-Prompt-Prefix": {prefix}, "Azurelead-Token-Usage": {"500,20"}, "Azurelead-Model": {"m"},
 	})
+	if resp.status == http.StatusOK && !isStreamOf("", resp.body, resp.err == nil) {
+		c.r.recordViolation("%s beside crashing engines got the unexpected stream %q, which ended with error %v", id, resp.body, resp.err)
+	}
 	return resp.status, resp.body
 }
 
