Pass on no request that a stopping entry has not read or cannot finish

Cause: whether the entry still takes requests was decided when their header had been read, and never again. A body that was complete only after that, or a wait for the stages, was followed by a first attempt at any time until the process ended. The class: a decision that is made on arrival and used later.

Change: the gateway knows how far each request in flight has got. A stop refuses those whose body is not read when it begins to reject, and half-way from there to the end those that no endpoint has been sent; the attempt itself asks once more. All are answered as not run, with a time to return, at once and without waiting for the rest of the body.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -77,6 +77,10 @@
 // use.
 func (q *request) send(ctx context.Context, c roster.Candidate, fwd fleet.Forwarding, patience time.Duration) *attempt {
 	a := &attempt{endpoint: c, sentAt: time.Now(), patience: patience}
+	if !q.progress.advance(phaseSent) {
+		a.result, a.err = resultNotSent, errStopping
+		return a
+	}
 	fwd.Timeout = q.remaining()
 	fwd.Endpoint = c.ID
 	fwd.Organisation = q.organisationName()
@@ -128,6 +132,9 @@
 
 // wasSilent reports whether an attempt was ended here because its endpoint did not answer.
 func (q *request) wasSilent(ctx context.Context, now time.Time, a *attempt) bool {
+	if isStopping(ctx) {
+		return false
+	}
 	hangTime := minHangTime
 	if errors.Is(context.Cause(ctx), errAnsweredElsewhere) {
 		hangTime = a.patience
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -204,9 +204,11 @@
 	case b.lastResp != nil:
 		return *b.lastResp
 	case b.runs > 0 && b.ctx.Err() != nil:
-		return *deadlineResponse()
+		return *endedResponse(b.ctx)
 	case b.runs > 0:
 		return *unknownOutcomeResponse("an endpoint got the request and its answer was lost")
+	case isStopping(b.ctx):
+		return *stoppedResponse()
 	}
 	return *notRunResponse("no endpoint took the request", b.endpointRetryAfter())
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,9 +42,6 @@
 	// engineReadDelay is the initial ReadDelay of engines: opening a connection, sending a prompt over a
 	// slow link, and fetching large results.
 	engineReadDelay = 80 * time.Millisecond
-	// stoppingRetryAfter is the retry delay sent by a stopping entry; the retry goes to another
-	// entry.
-	stoppingRetryAfter = 50 * time.Millisecond
 	// defaultBodyLimit bounds a request body, in bytes, if the configuration sets no limit.
 	defaultBodyLimit = 4 << 20
 )
@@ -102,7 +99,7 @@
 	// readDelay is the time after which an engine is taken to have fetched the results of the stages.
 	readDelay          *dispatch.ReadDelay
 	keepAlivesDisabled atomic.Bool
-	rejectingNew       atomic.Bool
+	inFlight           inFlight
 }
 
 // New returns a Gateway. Without metrics or suspect tables in the options it creates its own.
@@ -125,22 +122,26 @@
 	if opts.OnNotice == nil {
 		opts.OnNotice = func() {}
 	}
-	return &Gateway{opts: opts, crashes: newCrashTracker(opts), readDelay: dispatch.NewReadDelay(engineReadDelay)}
+	return &Gateway{
+		opts: opts, crashes: newCrashTracker(opts), readDelay: dispatch.NewReadDelay(engineReadDelay),
+		inFlight: inFlight{requests: make(map[*progress]bool)},
+	}
 }
 
 // DisableKeepAlives makes every response close its connection, so that clients move to other
 // entries.
 func (g *Gateway) DisableKeepAlives() { g.keepAlivesDisabled.Store(true) }
 
-// RejectNewRequests makes the gateway answer new requests as not run. It is called after
-// DisableKeepAlives, once the balancer sends no new connections.
-func (g *Gateway) RejectNewRequests() { g.rejectingNew.Store(true) }
-
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ctx, span := tracer.Start(r.Context(), "request")
 	defer span.End()
 	q := &request{gw: g, w: w, r: r.WithContext(ctx), started: time.Now()}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	q.progress = &progress{cancel: cancel, unblockBody: unblockBody(w)}
+	g.inFlight.add(q.progress)
+	defer g.inFlight.remove(q.progress)
 	if g.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -153,8 +154,8 @@
 		q.respond(*resp)
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, q.deadline)
-	defer cancel()
+	ctx, cancelDeadline := context.WithDeadline(ctx, q.deadline)
+	defer cancelDeadline()
 	if q.route.Kind == catalog.Streaming {
 		q.serveStream(ctx)
 		return
@@ -168,6 +169,8 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	started time.Time
+	// progress is the phase of the request.
+	progress *progress
 
 	// headers are the client's platform headers.
 	headers fleet.Request
@@ -230,8 +233,8 @@
 	if q.table = q.gw.opts.Table(); q.table == nil {
 		return notRunResponse("no configuration is known yet", unconfiguredRetryAfter)
 	}
-	if q.gw.rejectingNew.Load() {
-		return notRunResponse("this entry is stopping", stoppingRetryAfter)
+	if !q.progress.advance(phaseReading) {
+		return stoppedResponse()
 	}
 	if q.route = q.table.Route(q.r.Host, requestPath(q.r.RequestURI)); q.route == nil {
 		return clientError(http.StatusNotFound, "no route")
@@ -248,6 +251,9 @@
 	if resp := q.readBody(); resp != nil {
 		return resp
 	}
+	if !q.progress.advance(phaseWaiting) {
+		return stoppedResponse()
+	}
 	if reason := q.gw.crashes.refusal(q); reason != "" {
 		return notRunResponse(reason, suspectRetryAfter)
 	}
@@ -286,6 +292,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return clientError(http.StatusRequestEntityTooLarge, "body too large")
+	case err != nil && !q.progress.advance(phaseReading):
+		return stoppedResponse()
 	case err != nil:
 		q.record.outcome = "body not read"
 		return clientError(http.StatusBadRequest, "body not read")
@@ -349,7 +357,7 @@
 }
 
 // clientGone reports whether the client has disconnected.
-func (q *request) clientGone() bool { return q.r.Context().Err() != nil }
+func (q *request) clientGone() bool { return q.r.Context().Err() != nil && !q.progress.wasUnblocked() }
 
 // remaining returns the time until the request's deadline.
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -43,6 +44,17 @@
 	return &response{status: http.StatusGatewayTimeout, local: true, reason: "deadline"}
 }
 
+// stoppedResponse returns the response to a request that has not run because this entry stops.
+func stoppedResponse() *response { return notRunResponse(stoppingReason, stoppingRetryAfter) }
+
+// endedResponse returns the response to a request that may have run and whose context has ended.
+func endedResponse(ctx context.Context) *response {
+	if isStopping(ctx) {
+		return unknownOutcomeResponse(stoppingReason)
+	}
+	return deadlineResponse()
+}
+
 // errorBody is the JSON body of locally generated responses.
 type errorBody struct {
 	Reason string `json:"reason"`
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -159,6 +159,8 @@
 	outcome, results, err := s.gw.opts.Stages.Submit(ctx, job, s.sessionKey())
 	run := &stageRun{outcome: outcome, duration: time.Since(start)}
 	switch {
+	case err != nil && isStopping(ctx):
+		run.failure = stoppedResponse()
 	case err != nil && ctx.Err() != nil:
 		run.failure = notRunResponse("the stages were not done before the deadline", minStageRetryAfter)
 	case err != nil:
@@ -263,7 +265,7 @@
 	if a.result != resultAnswered {
 		silence.disable() // the stages may have to run again before the next attempt
 	}
-	if (a.result == resultNotSent || a.result == resultLost) && c.ID == s.output.engine && !s.clientGone() {
+	if (a.result == resultNotSent || a.result == resultLost) && c.ID == s.output.engine && !s.clientGone() && !isStopping(ctx) {
 		s.engineFailed = true
 	}
 	switch a.result {
@@ -355,10 +357,12 @@
 // failure returns the final response to a request that must not be tried again.
 func (s *stream) failure(ctx context.Context, reason string) *response {
 	switch {
+	case s.runs == 0 && isStopping(ctx):
+		return stoppedResponse()
 	case s.runs == 0:
 		return notRunResponse(reason, s.endpointRetryAfter())
 	case ctx.Err() != nil:
-		return deadlineResponse()
+		return endedResponse(ctx)
 	}
 	return unknownOutcomeResponse(reason)
 }
@@ -537,7 +541,7 @@
 	s.record.addStreamEnd(a)
 	if !errors.Is(err, errNothingFollows) {
 		s.reportOutcome(ctx, time.Now(), a, roster.ConnectionLost)
-		s.engineFailed = s.engineFailed || a.endpoint.ID == s.output.engine
+		s.engineFailed = s.engineFailed || a.endpoint.ID == s.output.engine && !isStopping(ctx)
 	}
 	if s.clientGone() {
 		return true, nil
--- a/gatewaydaemon/stop.go
+++ b/gatewaydaemon/stop.go
@@ -21,9 +21,10 @@
 
 // stopPlan holds the times of the steps of a stop, measured from its start.
 type stopPlan struct {
-	// reject is when the entry starts to answer new requests as not run and closes idle
-	// connections.
+	// reject is when the entry starts to answer new requests as not run.
 	reject time.Duration
+	// refuse is when it answers requests as not run that no endpoint has been sent.
+	refuse time.Duration
 	// cutoff is when requests still in flight are cut.
 	cutoff time.Duration
 }
@@ -32,7 +33,8 @@
 func planStop(grace time.Duration) stopPlan {
 	grace = cmp.Or(grace, defaultGrace)
 	cutoff := max(grace-graceMargin, 0)
-	return stopPlan{reject: min(rejectAfter, cutoff), cutoff: cutoff}
+	reject := min(rejectAfter, cutoff)
+	return stopPlan{reject: reject, refuse: (reject + cutoff) / 2, cutoff: cutoff}
 }
 
 // stop shuts the process down without interrupting requests: the balancer is told first, clients'
@@ -49,6 +51,8 @@
 	go d.withdraw()
 	time.Sleep(plan.reject)
 	d.gateway.RejectNewRequests()
+	d.awaitIdle(start.Add(plan.refuse))
+	d.gateway.RefuseWaiting()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(plan.cutoff))
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
@@ -57,6 +61,16 @@
 	d.logger.Info("stopped", "after_ms", time.Since(start).Milliseconds())
 }
 
+// awaitIdle waits until no request is in flight, or until a deadline.
+func (d *daemon) awaitIdle(deadline time.Time) {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-d.gateway.Idle():
+	case <-timer.C:
+	}
+}
+
 // withdraw removes this entry's object from the store.
 func (d *daemon) withdraw() {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
--- a/gatewaydaemon/stop_test.go
+++ b/gatewaydaemon/stop_test.go
@@ -18,10 +18,13 @@
 		if grace >= 5*time.Second && p.reject < twoFailedProbes+slack {
 			t.Errorf("grace %v: requests are refused from %v on, while the balancer still sends them", grace, p.reject)
 		}
+		if left := p.cutoff - p.refuse; left < (p.cutoff-p.reject)/2 {
+			t.Errorf("grace %v: requests may be passed on %v before they are cut", grace, left)
+		}
 		if grace > 0 && p.cutoff > grace-slack {
 			t.Errorf("grace %v: requests are cut only after %v", grace, p.cutoff)
 		}
-		if p.cutoff < p.reject {
+		if p.refuse < p.reject || p.cutoff < p.refuse {
 			t.Errorf("grace %v: steps out of order: %+v", grace, p)
 		}
 	}
