Answer the requests in flight before a stopping entry ends

Cause: the end of the grace period ended the wait for requests, not the requests. http.Server.Shutdown returned, and the process exited. The class: a bound on waiting that does not reach those who are waited for.

Change: 0.3 s before that the contexts of all requests end, with the stop as their cause. Requests that no endpoint can have run are answered as not run, others with 502, and streams that have begun are broken off, so that clients can resume them elsewhere.

TestRequestsAtEndOfGraceAreAnswered failed before: six of six requests had no end when the entry had ended.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -143,6 +143,10 @@
 // the grace period may be too short to run them.
 func (g *Gateway) RefuseWaiting() { g.inFlight.stop(phaseWaiting) }
 
+// EndRequests answers all requests in flight: as not run, or as possibly run if an endpoint has been sent the
+// request. Streams that have begun are broken off.
+func (g *Gateway) EndRequests() { g.inFlight.stop(phaseSent) }
+
 // Idle returns a channel that is closed when no request is in flight.
 func (g *Gateway) Idle() <-chan struct{} { return g.inFlight.whenIdle() }
 
--- a/gatewaydaemon/stop.go
+++ b/gatewaydaemon/stop.go
@@ -17,6 +17,10 @@
 	rejectAfter = 2800 * time.Millisecond
 	// graceMargin is the part of the platform's grace period left for the process to exit.
 	graceMargin = 700 * time.Millisecond
+	// answerTime is the time to answer the requests that are still in flight at the end.
+	answerTime = 300 * time.Millisecond
+	// protectedShare is the part of the grace period in which no request may be cut that arrived early in it.
+	protectedShare = 5.0 / 6
 )
 
 // stopPlan holds the times of the steps of a stop, measured from its start.
@@ -25,7 +29,9 @@
 	reject time.Duration
 	// refuse is when it answers requests as not run that no endpoint has been sent.
 	refuse time.Duration
-	// cutoff is when requests still in flight are cut.
+	// answer is when it answers the requests that are still in flight.
+	answer time.Duration
+	// cutoff is when it closes the connections that are left.
 	cutoff time.Duration
 }
 
@@ -33,12 +39,15 @@
 func planStop(grace time.Duration) stopPlan {
 	grace = cmp.Or(grace, defaultGrace)
 	cutoff := max(grace-graceMargin, 0)
-	reject := min(rejectAfter, cutoff)
-	return stopPlan{reject: reject, refuse: (reject + cutoff) / 2, cutoff: cutoff}
+	protected := time.Duration(protectedShare * float64(grace))
+	answer := max(min(max(cutoff-answerTime, protected), cutoff), 0)
+	reject := min(rejectAfter, answer)
+	return stopPlan{reject: reject, refuse: (reject + answer) / 2, answer: answer, cutoff: cutoff}
 }
 
 // stop shuts the process down without interrupting requests: the balancer is told first, clients'
-// connections close with their next response, and requests in flight may finish.
+// connections close with their next response, and requests in flight may finish. Those that cannot are answered
+// before the process ends.
 func (d *daemon) stop(server *http.Server) {
 	start := time.Now()
 	plan := planStop(d.current.Load().GracePeriod)
@@ -53,10 +62,12 @@
 	d.gateway.RejectNewRequests()
 	d.awaitIdle(start.Add(plan.refuse))
 	d.gateway.RefuseWaiting()
+	d.awaitIdle(start.Add(plan.answer))
+	d.gateway.EndRequests()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(plan.cutoff))
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
-		d.logger.Warn("requests were cut at the end of the grace period", "error", err)
+		d.logger.Warn("connections were cut at the end of the grace period", "error", err)
 	}
 	d.logger.Info("stopped", "after_ms", time.Since(start).Milliseconds())
 }
--- a/gatewaydaemon/stop_test.go
+++ b/gatewaydaemon/stop_test.go
@@ -18,13 +18,16 @@
 		if grace >= 5*time.Second && p.reject < twoFailedProbes+slack {
 			t.Errorf("grace %v: requests are refused from %v on, while the balancer still sends them", grace, p.reject)
 		}
-		if left := p.cutoff - p.refuse; left < (p.cutoff-p.reject)/2 {
+		if p.answer < min(grace*5/6, p.cutoff) {
+			t.Errorf("grace %v: requests are ended after %v, before its last sixth", grace, p.answer)
+		}
+		if left := p.answer - p.refuse; left < (p.answer-p.reject)/2 {
 			t.Errorf("grace %v: requests may be passed on %v before they are cut", grace, left)
 		}
 		if grace > 0 && p.cutoff > grace-slack {
 			t.Errorf("grace %v: requests are cut only after %v", grace, p.cutoff)
 		}
-		if p.refuse < p.reject || p.cutoff < p.refuse {
+		if p.refuse < p.reject || p.answer < p.refuse || p.cutoff < p.answer {
 			t.Errorf("grace %v: steps out of order: %+v", grace, p)
 		}
 	}
--- a/gatewaydaemon/stoprequests_test.go
+++ b/gatewaydaemon/stoprequests_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -139,3 +141,48 @@
 		t.Error("the entry has not ended")
 	}
 }
+
+// Requests that endpoints still work on at the end of the grace period get an answer that does not claim that they have
+// not run, and a stream that has begun is not left open. The process ends after that, and cuts what is left.
+func TestRequestsAtEndOfGraceAreAnswered(t *testing.T) {
+	cases := []struct {
+		path      string
+		behaviour fleettest.Behaviour
+		begun     bool
+	}{
+		{"/look/x", fleettest.Hang, false}, {"/book/x", fleettest.Hang, false}, {"/stream/plain/x", fleettest.Hang, false}, {"/stream/again/x", fleettest.Hang, false},
+		{"/stream/plain/y", fleettest.StallAfterEvent, true}, {"/stream/again/y", fleettest.StallAfterEvent, true},
+	}
+	d, servers := stoppingDeployment(t, fleettest.Hang)
+	for _, s := range servers {
+		s.SetBehaviour(func(_ int, r *http.Request) fleettest.Behaviour {
+			for _, c := range cases {
+				if c.path == r.URL.Path {
+					return c.behaviour
+				}
+			}
+			return fleettest.Serve
+		})
+	}
+	d.entries[0].stop()
+	conns := make(map[string]net.Conn)
+	for _, c := range cases {
+		conns[c.path] = d.open()
+		_, _ = io.WriteString(conns[c.path], requestHead(c.path, c.path, 0))
+	}
+	for _, c := range cases {
+		d.eventually("the request runs", func() bool { return runsOf(servers, c.path) > 0 })
+	}
+	<-d.entries[0].done
+	for _, c := range cases {
+		_ = conns[c.path].SetReadDeadline(time.Now().Add(time.Second)) // all was sent before the end
+		r := readResult(conns[c.path])
+		var timeout net.Error
+		switch {
+		case c.begun && (r.err == nil || errors.As(r.err, &timeout) && timeout.Timeout() || !strings.HasPrefix(events(2), r.body)):
+			t.Errorf("%s is not broken off: %+v", c.path, r)
+		case !c.begun && (r.err != nil || r.status != http.StatusBadGateway):
+			t.Errorf("%s: %+v", c.path, r)
+		}
+	}
+}
