Answer requests that arrive while a stopping entry ends

What callers saw: a request on a connection that was opened before the stop, sent while the entry still had others in flight, got a closed connection in place of the refusal that says that it has not run.

Cause: http.Server.Shutdown, which was called when the entry began to reject, closes idle connections and the listener, and drops each request that is read from then on without running the handler. So the refusal reached nobody.

TestStoppingEntryAnswersNewRequests fails on: a new connection was refused, and three of three requests on open ones got no answer.

--- /dev/null
+++ b/gatewaydaemon/clients.go
@@ -0,0 +1,60 @@
+package gatewaydaemon
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// connectionPollInterval is the interval at which a closing server counts its connections.
+const connectionPollInterval = 5 * time.Millisecond
+
+// clientServer is the clients' HTTP server. Its close differs from http.Server.Shutdown, which closes connections
+// without an answer to requests that it has read or is reading.
+type clientServer struct {
+	server   *http.Server
+	listener net.Listener
+
+	mu sync.Mutex
+	// busy are the connections that are not idle: a request is in progress, or none has been read yet.
+	busy map[net.Conn]bool
+}
+
+// newClientServer returns a server whose connections are tracked.
+func newClientServer(listener net.Listener, server *http.Server) *clientServer {
+	c := &clientServer{server: server, listener: listener, busy: make(map[net.Conn]bool)}
+	server.ConnState = c.track
+	return c
+}
+
+// track is called at each change of a connection's state.
+func (c *clientServer) track(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == http.StateNew || state == http.StateActive {
+		c.busy[conn] = true
+		return
+	}
+	delete(c.busy, conn)
+}
+
+// countBusy returns the number of connections that are not idle.
+func (c *clientServer) countBusy() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.busy)
+}
+
+// close stops listening and closes idle connections. The others are served until they have been answered, or until
+// the deadline. It returns the number of connections that were cut then.
+func (c *clientServer) close(deadline time.Time) (cut int) {
+	_ = c.listener.Close()
+	c.server.SetKeepAlivesEnabled(false)
+	for c.countBusy() > 0 && time.Now().Before(deadline) {
+		time.Sleep(connectionPollInterval)
+	}
+	cut = c.countBusy()
+	_ = c.server.Close()
+	return cut
+}
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"log/slog"
 	"maps"
 	"net"
@@ -193,7 +194,7 @@
 	hup := notifyHangup()
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	server, err := d.listen(workCtx, c, reg)
+	clients, err := d.listen(workCtx, c, reg)
 	if err != nil {
 		return err
 	}
@@ -206,12 +207,12 @@
 	go d.origins.records.clean(workCtx)
 	go d.announceNotices(workCtx)
 	d.watchSettings(ctx, workCtx, c.SettingsPath, hup)
-	d.stop(server)
+	d.stop(clients)
 	return nil
 }
 
-// listen opens the listeners and starts serving on them.
-func (d *daemon) listen(ctx context.Context, c Config, reg *prometheus.Registry) (*http.Server, error) {
+// listen opens the listeners and starts serving on them. It returns the clients' server.
+func (d *daemon) listen(ctx context.Context, c Config, reg *prometheus.Registry) (*clientServer, error) {
 	clientListener, err := listenTCP(ctx, d.settings.ClientAddress)
 	if err != nil {
 		return nil, err
@@ -220,13 +221,13 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{
+	clients := newClientServer(clientListener, &http.Server{
 		Handler: d.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelWarn),
-	}
+	})
 	go func() {
 		d.awaitInitialState(ctx)
-		d.serve("front", server, clientListener)
+		d.serve("front", clients.server, clientListener)
 	}()
 	d.serve("health", &http.Server{Handler: fleet.ReadyHandler(d.ready), ReadHeaderTimeout: headerTimeout}, healthListener)
 	if d.settings.PeerAddress != "" {
@@ -244,7 +245,7 @@
 		}
 		d.serve("metrics", &http.Server{Handler: metricsHandler(reg), ReadHeaderTimeout: headerTimeout}, l)
 	}
-	return server, nil
+	return clients, nil
 }
 
 // awaitInitialState waits until the configuration and all followed objects are known, for at most
@@ -262,7 +263,7 @@
 // serve runs a server in the background and logs its failure under the listener's name.
 func (d *daemon) serve(name string, s *http.Server, l net.Listener) {
 	go func() {
-		if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
+		if err := s.Serve(l); err != nil && err != http.ErrServerClosed && !errors.Is(err, net.ErrClosed) {
 			d.logger.Error("listener failed", "listener", name, "error", err)
 		}
 	}()
--- a/gatewaydaemon/stop.go
+++ b/gatewaydaemon/stop.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/azurelead/azurelead/platform/fleet"
@@ -19,6 +18,9 @@
 	graceMargin = 700 * time.Millisecond
 	// answerTime is the time to answer the requests that are still in flight at the end.
 	answerTime = 300 * time.Millisecond
+	// lateRequestTime is how long connections on which a request may be arriving stay open when no request is in
+	// flight.
+	lateRequestTime = 500 * time.Millisecond
 	// protectedShare is the part of the grace period in which no request may be cut that arrived early in it.
 	protectedShare = 5.0 / 6
 )
@@ -48,7 +50,7 @@
 // stop shuts the process down without interrupting requests: the balancer is told first, clients'
 // connections close with their next response, and requests in flight may finish. Those that cannot are answered
 // before the process ends.
-func (d *daemon) stop(server *http.Server) {
+func (d *daemon) stop(clients *clientServer) {
 	start := time.Now()
 	plan := planStop(d.current.Load().GracePeriod)
 	d.logger.Info("stop", "refuse_after_ms", plan.reject.Milliseconds(), "end_after_ms", plan.cutoff.Milliseconds())
@@ -64,10 +66,9 @@
 	d.gateway.RefuseWaiting()
 	d.awaitIdle(start.Add(plan.answer))
 	d.gateway.EndRequests()
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(plan.cutoff))
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		d.logger.Warn("connections were cut at the end of the grace period", "error", err)
+	untilCutoff := plan.cutoff - time.Since(start)
+	if cut := clients.close(time.Now().Add(min(lateRequestTime, untilCutoff))); cut > 0 {
+		d.logger.Warn("connections were cut", "connections", cut)
 	}
 	d.logger.Info("stopped", "after_ms", time.Since(start).Milliseconds())
 }
--- a/gatewaydaemon/stoprequests_test.go
+++ b/gatewaydaemon/stoprequests_test.go
@@ -186,3 +186,34 @@
 		}
 	}
 }
+
+// While a stopping entry still has requests in flight, it answers new ones as not run, on whatever connection they come.
+func TestStoppingEntryAnswersNewRequests(t *testing.T) {
+	d, servers := stoppingDeployment(t, fleettest.Serve)
+	used := d.open()
+	_, _ = io.WriteString(used, requestHead("/look/x", "before", 0))
+	if r := readResult(used); r.status != http.StatusOK {
+		t.Fatalf("%+v", r)
+	}
+	conns := map[string]net.Conn{"used": used, "unused": d.open(), "partial": d.open()}
+	const partial = 20 // bytes of the head
+	_, _ = io.WriteString(conns["partial"], requestHead("/book/x", "partial", 0)[:partial])
+	for _, s := range servers {
+		s.SetBehaviour(alwaysBehave(fleettest.Hang))
+	}
+	_, _ = io.WriteString(d.open(), requestHead("/book/x", "hold", 0))
+	d.eventually("a request is in flight", func() bool { return runsOf(servers, "hold") > 0 })
+	d.entries[0].stop()
+	time.Sleep(rejectAfter + 300*time.Millisecond)
+	conns["new"] = d.open()
+	for name, c := range conns {
+		head := requestHead("/book/x", name, 0)
+		if name == "partial" {
+			head = head[partial:]
+		}
+		_, _ = io.WriteString(c, head)
+		if r := readResult(c); r.err != nil || r.status != http.StatusServiceUnavailable || !r.closes || runsOf(servers, name) > 0 {
+			t.Errorf("on a connection that was %s: %d runs, %+v", name, runsOf(servers, name), r)
+		}
+	}
+}
