Write the last log lines of a gateway that ends

The process exited while the lines were queued for the goroutine that writes them.

Change: the process waits up to 0.1 s for the queue.

--- a/cmd/azurelead-gateway/main.go
+++ b/cmd/azurelead-gateway/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/urfave/cli/v3"
@@ -20,6 +21,9 @@
 // exitFailed is the exit code after a failure.
 const exitFailed = 1
 
+// flushTimeout bounds the writing of the last log lines.
+const flushTimeout = 100 * time.Millisecond
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -52,7 +56,12 @@
 			if err := minLevel.UnmarshalText([]byte(level)); err != nil {
 				return err
 			}
-			logger := telemetry.NewBoundedLogger(os.Stdout, minLevel)
+			logger, flush := telemetry.NewBoundedLogger(os.Stdout, minLevel)
+			defer func() {
+				ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+				defer cancel()
+				flush(ctx)
+			}()
 			stopTracing, err := telemetry.SetupTracing(ctx, "azurelead-gateway", c.OTLP)
 			if err != nil {
 				return err
--- a/telemetry/bounded_test.go
+++ b/telemetry/bounded_test.go
@@ -1,6 +1,8 @@
 package telemetry
 
 import (
+	"bytes"
+	"context"
 	"io"
 	"log/slog"
 	"strings"
@@ -11,7 +13,7 @@
 // notice tells it how many lines were dropped.
 func TestSlowReaderDoesNotBlockLogging(t *testing.T) {
 	r, w := io.Pipe()
-	logger := NewBoundedLogger(w, slog.LevelInfo)
+	logger, _ := NewBoundedLogger(w, slog.LevelInfo)
 	for i := range 3 * maxQueuedLines {
 		logger.Info("line", "n", i) // would block forever if it were written to the pipe directly
 	}
@@ -29,3 +31,24 @@
 		t.Error("a line below the level was logged")
 	}
 }
+
+// The last lines of a process that ends tell how its requests ended. A flush writes them, and waits for no stalled reader.
+func TestFlushWritesQueuedLines(t *testing.T) {
+	var written bytes.Buffer
+	logger, flush := NewBoundedLogger(&written, slog.LevelInfo)
+	for i := range 100 {
+		logger.Info("line", "n", i)
+	}
+	flush(t.Context())
+	if n := strings.Count(written.String(), "\n"); n != 100 {
+		t.Errorf("%d of 100 lines were written", n)
+	}
+	_, w := io.Pipe()
+	stalled, flushStalled := NewBoundedLogger(w, slog.LevelInfo)
+	for range 2 * maxQueuedLines {
+		stalled.Info("line")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	flushStalled(ctx)
+}
