Answer the requests that the stop of an entry cannot wait for

What callers of the product's own interface would see: a request that was still in progress a minute after SIGTERM got neither an answer nor a problem; its connection closed when the process exited.

Cause: the end of the time for a stop ended the wait for requests, not the requests, and the servers were shut down with a context that had ended.

Change: callers are answered then with the code shutting_down and the run state that is known, streams by their problem event; the servers have a second of their own to write it.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -52,7 +52,7 @@
 	if !final {
 		run = run.LeastCertain(contract.MayHaveRun) // the run continues for other callers
 	}
-	return deadlineProblem(ctx, run), reports, results
+	return earlyProblem(ctx, run), reports, results
 }
 
 // buildAnswer builds the answer document. Streams omit the text, which they have sent already.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,8 @@
 	// firstLinksTimeout bounds how long readiness waits for links to all agents
 	// at the start.
 	firstLinksTimeout = 2 * time.Second
+	// answerTimeout bounds the time to answer the requests that a stop has ended.
+	answerTimeout = time.Second
 	// firstLinksPollInterval is how often the links are checked meanwhile.
 	firstLinksPollInterval = 5 * time.Millisecond
 )
@@ -37,6 +39,9 @@
 
 	drainMu    sync.Mutex // orders inProgress.Add before inProgress.Wait
 	inProgress sync.WaitGroup
+	// answerCtx ends when a stop no longer waits for requests, which are then answered.
+	answerCtx context.Context
+	answerNow context.CancelFunc
 }
 
 // New starts an Entry. It returns an error if a required option is missing.
@@ -56,6 +61,7 @@
 		ctx:       ctx,
 		stop:      stop,
 	}
+	e.answerCtx, e.answerNow = context.WithCancel(context.Background())
 	e.fleet = newFleet(&e.o, e.m)
 	e.pauseGuard = NewPauseGuard(time.Now(), e.renewSettings)
 	e.linkCache = newLinkCache(e.fleet, e.o.Dial)
@@ -113,8 +119,8 @@
 
 // Shutdown turns readiness off, waits until the load balancer has stopped sending
 // requests, and then refuses new ones. It closes the links once every request in
-// progress has ended. If ctx ends first, the remaining requests are cut and an
-// error is returned.
+// progress has ended. If ctx ends first, the remaining requests are answered with what is
+// known of their run, and an error is returned.
 func (e *Entry) Shutdown(ctx context.Context) error {
 	e.o.Readiness.Set(false)
 	sleep(ctx, e.o.DeregistrationDelay)
@@ -130,6 +136,12 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
+		err = Error.New("requests were ended: %v", ctx.Err())
+	}
+	e.answerNow()
+	select {
+	case <-done:
+	case <-time.After(answerTimeout):
 		err = Error.New("requests were cut: %v", ctx.Err())
 	}
 	e.stop()
--- a/entry/http.go
+++ b/entry/http.go
@@ -41,7 +41,7 @@
 	id := contract.NewRequestID()
 	w.Header().Set("Azurelead-Request-Id", string(id))
 	if !e.beginRequest() {
-		e.refuse(w, started, &Request{ID: id}, shuttingDown())
+		e.refuse(w, started, &Request{ID: id}, shuttingDown(contract.NotRun))
 		return
 	}
 	defer e.inProgress.Done()
@@ -67,7 +67,10 @@
 	}
 	defer e.flights.leave(f)
 	c := &caller{e: e, w: w, req: req, f: f, joined: joined, started: started}
-	waitCtx, cancel := context.WithDeadline(r.Context(), req.Deadline)
+	waitCtx, cancelWait := context.WithCancelCause(r.Context())
+	defer cancelWait(nil)
+	defer context.AfterFunc(e.answerCtx, func() { cancelWait(errShuttingDown) })()
+	waitCtx, cancel := context.WithDeadline(waitCtx, req.Deadline)
 	defer cancel()
 	if req.Body.Stream {
 		c.stream(waitCtx)
@@ -76,8 +79,11 @@
 	c.answer(waitCtx)
 }
 
-func shuttingDown() *contract.Problem {
-	return contract.NewProblem(contract.CodeShuttingDown, contract.NotRun, "this entry is shutting down").WithRetryAfter(retryAfterBusy)
+// errShuttingDown ends the wait of callers that a stop does not wait for.
+var errShuttingDown = Error.New("this entry is shutting down")
+
+func shuttingDown(run contract.RunState) *contract.Problem {
+	return contract.NewProblem(contract.CodeShuttingDown, run, "this entry is shutting down").WithRetryAfter(retryAfterBusy)
 }
 
 // validate performs every check that needs no endpoint, the cheapest first.
@@ -205,9 +211,12 @@
 	_ = json.NewEncoder(w).Encode(ProblemReport{Problem: &doc, Stages: stages})
 }
 
-// deadlineProblem returns the problem of a caller that is answered before the run ends:
-// its own deadline has passed or it has disconnected.
-func deadlineProblem(ctx context.Context, run contract.RunState) *contract.Problem {
+// earlyProblem returns the problem of a caller that is answered before the run ends: the entry
+// stops, the caller's own deadline has passed, or it has disconnected.
+func earlyProblem(ctx context.Context, run contract.RunState) *contract.Problem {
+	if errors.Is(context.Cause(ctx), errShuttingDown) {
+		return shuttingDown(run)
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return contract.NewProblem(contract.CodeDeadlineExceeded, run, "the deadline passed").WithRetryAfter(retryAfterFailure)
 	}
--- a/entrydaemon/daemon.go
+++ b/entrydaemon/daemon.go
@@ -28,6 +28,8 @@
 const (
 	// drainTimeout bounds the wait for requests in progress at shutdown.
 	drainTimeout = 60 * time.Second
+	// closeTimeout bounds the closing of connections after that.
+	closeTimeout = time.Second
 	// headerTimeout bounds the reading of a caller's headers. The entry sets time-outs for
 	// the rest of a request, because a general one would cut long answers.
 	headerTimeout = 5 * time.Second
@@ -224,8 +226,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	err := d.entry.Shutdown(ctx)
+	// All requests have been answered; what is left is to write the answers.
+	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancelClose()
 	for _, s := range d.servers {
-		_ = s.Shutdown(ctx)
+		if closeErr := s.Shutdown(closeCtx); closeErr != nil {
+			d.log.Warn("connections were cut", "error", closeErr)
+		}
 	}
 	d.claims.Close()
 	d.ledger.Close()
