Refuse requests that an entry has read only during its stop

What callers of the product's own interface would see: a request whose body was complete up to ten seconds after the entry had begun to refuse new ones was run, and could be ended by the stop.

Change: the entry asks once more when it has read and checked the request, and refuses it as not run.

TestRequestReadDuringStopIsRefused failed before: the request was answered.

--- a/entry/http.go
+++ b/entry/http.go
@@ -53,6 +53,9 @@
 	snap, problem := e.validate(req, r, started)
 	_ = control.SetReadDeadline(time.Time{})
 	_ = control.SetWriteDeadline(req.Deadline.Add(writeGracePeriod))
+	if problem == nil && e.draining.Load() {
+		problem = shuttingDown(contract.NotRun)
+	}
 	if problem != nil {
 		e.refuse(w, started, req, problem)
 		return
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,3 +44,37 @@
 		})
 	}
 }
+
+// A request whose body is complete only after a stop has begun to refuse requests is refused.
+func TestRequestReadDuringStopIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, nil)
+		gate := make(chan struct{})
+		h.updateAgents("generate", func(a *fakeAgent) { a.gate = gate })
+		var wg sync.WaitGroup
+		wg.Go(func() { h.post(t.Context(), testRequest{pipeline: "ask", body: question}) })
+		body, upload := io.Pipe()
+		rec := httptest.NewRecorder()
+		wg.Go(func() {
+			r := httptest.NewRequest(http.MethodPost, "/v1/pipelines/ask/runs", body)
+			r.Header.Set(HeaderDeadline, "20000")
+			r.Header.Set("Authorization", "Bearer "+token)
+			h.e.Handler().ServeHTTP(rec, r)
+		})
+		synctest.Wait()
+		wg.Go(func() {
+			if err := h.e.Shutdown(t.Context()); err != nil {
+				t.Error(err)
+			}
+		})
+		time.Sleep(time.Second)
+		_, _ = io.WriteString(upload, `{"question":"cold water"}`)
+		_ = upload.Close()
+		synctest.Wait()
+		close(gate)
+		wg.Wait()
+		if p := decode[ProblemReport](t, rec); p.Code != contract.CodeShuttingDown || p.Run != contract.NotRun {
+			t.Errorf("%s", rec.Body)
+		}
+	})
+}
