Take no success without a length and a body for a whole answer

Cause: the end of a response without a length is that of its connection. An endpoint that fails after its head looks like one whose body is empty.

Change: such a success counts as broken off, as a stream without events did already: it is tried elsewhere if it may be repeated, and answered 502 otherwise.

TestAnswerThatBreaksOffInItsHead breaks answers off at every third byte on ten paths: whole answers, interim ones, streams, their continuation, stage calls, 409.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,6 +54,22 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
+// errNoBody ends an attempt whose response has a head without a length, and nothing else.
+var errNoBody = Error.New("a response without a length ended after its head")
+
+// checkEnd returns why a response that was read to the end of its body may not be whole, or nil. An endpoint that
+// fails after it has sent a head without a length closes the connection like one whose body is empty.
+func (q *request) checkEnd(ctx context.Context, a *attempt, body []byte) error {
+	success := a.resp.StatusCode/100 == 2
+	switch {
+	case success && len(body) == 0 && q.r.Method != http.MethodHead && isCloseDelimited(a.resp):
+		return errNoBody
+	case q.endedWithEndpoint(ctx, a):
+		return errEndpointGone
+	}
+	return nil
+}
+
 // errEndpointGone ends an attempt whose close-delimited response ended with its endpoint.
 var errEndpointGone = Error.New("the endpoint was gone at the end of a response without a length")
 
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -228,8 +228,8 @@
 		return bufferedAttempt{attempt: a}
 	}
 	body, err := upstream.ReadBody(a.resp, maxResponseBytes)
-	if err == nil && b.endedWithEndpoint(b.ctx, a) {
-		err = errEndpointGone
+	if err == nil {
+		err = b.checkEnd(b.ctx, a, body)
 	}
 	if err != nil {
 		a.result, a.err = resultLost, err
