--- a/gatewaydaemon/stoprequests_test.go
+++ b/gatewaydaemon/stoprequests_test.go
@@ -92,6 +92,7 @@
 // A request whose body is complete only after a stopping entry has begun to reject must not be passed on: it would be
 // cut at the end of the grace period.
 func TestRequestReadAfterRejectionIsNotPassedOn(t *testing.T) {
+	t.Parallel()
 	d, servers := stoppingDeployment(t, fleettest.Hang)
 	hold := d.open() // keeps the entry from ending early
 	_, _ = io.WriteString(hold, requestHead("/stream/again/x", "hold", 0))
@@ -115,6 +116,7 @@
 
 // A request that waits for its stages must not be passed on so late that it is cut at the end of the grace period.
 func TestWaitingRequestIsRefusedBeforeEndOfGrace(t *testing.T) {
+	t.Parallel()
 	d, servers := stoppingDeployment(t, fleettest.Hang)
 	portal := servers[len(servers)-1]
 	released := make(chan struct{})
@@ -145,6 +147,7 @@
 // Requests that endpoints still work on at the end of the grace period get an answer that does not claim that they have
 // not run, and a stream that has begun is not left open. The process ends after that, and cuts what is left.
 func TestRequestsAtEndOfGraceAreAnswered(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		path      string
 		behaviour fleettest.Behaviour
@@ -189,6 +192,7 @@
 
 // While a stopping entry still has requests in flight, it answers new ones as not run, on whatever connection they come.
 func TestStoppingEntryAnswersNewRequests(t *testing.T) {
+	t.Parallel()
 	d, servers := stoppingDeployment(t, fleettest.Serve)
 	used := d.open()
 	_, _ = io.WriteString(used, requestHead("/look/x", "before", 0))
