Try an endpoint whose turn has come while the wait for it was computed

What callers saw: a stream that could wait for the turn of a cold or limited engine got 503, "no endpoint took the request".

Cause: the endpoints that take a request now, and the time until one does, are looked up one after the other. If the turn comes in between, the second says 0, which also means that no wait helps.

Change: at 0 the endpoints are looked up once more.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -311,9 +311,13 @@
 // The load that it answers is a stream that is bound to the few engines of one software version, of which
 // some have just failed and count as cold.
 func (s *stream) awaitEndpoint(ctx context.Context) bool {
-	f := s.untried(s.tried)
-	delay := s.gw.opts.Roster.Delay(time.Now(), f)
-	if delay <= 0 || s.endpointWait+delay > maxEndpointWait {
+	f, now := s.untried(s.tried), time.Now()
+	delay := s.gw.opts.Roster.Delay(now, f)
+	if delay <= 0 {
+		// A turn may have come since the endpoints were looked up.
+		return len(s.gw.opts.Roster.Candidates(now, f)) > 0
+	}
+	if s.endpointWait+delay > maxEndpointWait {
 		return false
 	}
 	s.endpointWait += delay
