Leave an endpoint untried whose turn another request has taken

What callers saw: of streams that waited for the same cold engine some got 503, "no endpoint took the request", after less than the 0.5 s for which they may wait.

Cause: an endpoint counted as tried before its turn was taken. Requests that wait for one endpoint wake together, all but one find its turn taken, and never considered it again. The same held for requests other than streams, which also counted a send.

Change: an endpoint counts as tried once the request is on its way to it.

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -105,9 +105,9 @@
 			b.record.reason = "retry budget spent"
 			return false
 		}
-		b.tried[c.ID] = true
-		b.sends++
 		if b.gw.opts.Roster.Begin(time.Now(), c.ID) {
+			b.tried[c.ID] = true
+			b.sends++
 			b.launch(c)
 			return true
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -240,10 +240,10 @@
 	if !found || s.sends >= maxSends {
 		return false, s.failure(ctx, "no endpoint took the request")
 	}
-	s.tried[c.ID] = true
 	if !s.begin(c) {
-		return s.tryEndpoint(ctx)
+		return s.tryEndpoint(ctx) // another request has taken the endpoint's turn since it was chosen
 	}
+	s.tried[c.ID] = true
 	s.sends++
 	tryCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/gatewaydaemon/faults_test.go
+++ b/gatewaydaemon/faults_test.go
@@ -508,3 +508,26 @@
 		}
 	}
 }
+
+// Streams that wait for the same cold engine wake at the same time. Those that do not get its turn wait for the next one.
+func TestStreamsWaitForOneColdEngine(t *testing.T) {
+	d := newDeployment(t, 1)
+	_, _, engine1, engine2, _ := d.startEndpoints(nil)
+	d.store.Delete(fleet.KindEndpoints, engine2.ID)
+	d.waitReady()
+	e := d.entries[0]
+	d.eventually("one engine is known", func() bool { return len(e.daemon.roster.Endpoints(time.Now(), "llm")) == 1 })
+	engine1.SetCold(time.Hour)
+	e.daemon.roster.RecordStatus(time.Now(), engine1.ID, roster.Status{Load: -1, ColdRemaining: time.Hour, LimitUnknown: true})
+	for range 12 {
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() {
+				if r := d.send(e, "POST", "/stream/plain/x", nil); r.status != http.StatusOK {
+					t.Errorf("%+v, want a stream", r)
+				}
+			})
+		}
+		wg.Wait()
+	}
+}
