Mark the calls of a crash before any of them returns

Cause: the first call that notices a crash collects all that were in flight and marks them. Another of them found itself collected, and returned its result before the marks were made. The entry repeated the request among others, and a second engine crashed within milliseconds.

Change: the marks are made under the lock that the others wait for.

TestResultsOfACrashCarryTheirMarks failed before: two of three results carried no mark.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -27,7 +27,7 @@
 	settingsVersion atomic.Uint64
 	// coldCount is the limiter's coldCount when a change was last recorded.
 	coldCount atomic.Int64
-	// crashMu is held while the calls in flight at a crash are collected.
+	// crashMu is held while the calls in flight at a crash are marked.
 	crashMu sync.Mutex
 	// probeRequests requests a probe before the next one is due.
 	probeRequests chan struct{}
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -497,3 +497,56 @@
 		}
 	})
 }
+
+// slowSuspects is a Suspects that takes a while to record a crash, and the Gossip of its marks.
+type slowSuspects struct {
+	crashRecorder
+	link.NoGossip
+}
+
+func (s *slowSuspects) Crashed(d []string) {
+	time.Sleep(20 * time.Millisecond)
+	s.crashRecorder.Crashed(d)
+}
+
+func (s *slowSuspects) Suspects() []link.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var marks []link.Suspect
+	for _, crash := range s.crashes {
+		for _, d := range crash {
+			marks = append(marks, link.Suspect{Digest: d, Crashes: 1})
+		}
+	}
+	return marks
+}
+
+// Every result of a call that was in flight at a crash carries its mark: without it an entry repeats the call among others, at
+// an endpoint that crashes too.
+func TestResultsOfACrashCarryTheirMarks(t *testing.T) {
+	crash := make(chan struct{})
+	var running sync.WaitGroup
+	f := &fakeEndpoint{work: func(context.Context, endpoint.Call, func(string)) endpoint.Result {
+		running.Done()
+		<-crash
+		return endpoint.Result{Crashed: true, Problem: contract.NewProblem(contract.CodeEndpointFailed, contract.MayHaveRun, "gone")}
+	}}
+	marks := &slowSuspects{}
+	a := newTestAgent(t, f, Options{Suspects: marks, Gossip: marks, Settings: settings.NewFixed(snapshotWithLimits(3, 3, 1, 4))})
+	defer a.Close()
+	digests := []string{"x", "y", "z"}
+	running.Add(len(digests))
+	var wg sync.WaitGroup
+	for _, d := range digests {
+		wg.Go(func() {
+			p := params(a, contract.AttemptID("attempt "+d))
+			p.Digest = d
+			if r := a.Run(t.Context(), p, discard); len(r.Suspects) != len(digests) {
+				t.Errorf("the result of %s carries %d marks, want %d", d, len(r.Suspects), len(digests))
+			}
+		})
+	}
+	running.Wait()
+	close(crash)
+	wg.Wait()
+}
--- a/agent/run.go
+++ b/agent/run.go
@@ -188,21 +188,29 @@
 		return
 	}
 	a.handleEndpointDown()
+	if n := a.markSuspects(t); n > 0 {
+		a.metrics.crashes.Inc()
+		a.options.Logger.Warn("endpoint crashed with calls in flight", "endpoint", a.options.EndpointName, "in_flight", n)
+		a.options.OnStateChange()
+	}
+}
+
+// markSuspects marks the calls that were in flight at the crash that ended t, and returns their number, or 0 if t was
+// marked before. The mutex serialises calls that end together, so that none of them is marked as the only
+// one in flight, and none returns a result before it is marked.
+func (a *Agent) markSuspects(t *attempt) int {
+	a.crashMu.Lock()
+	defer a.crashMu.Unlock()
 	digests := a.collectSuspects(t)
 	if len(digests) > 0 {
-		a.metrics.crashes.Inc()
-		a.options.Logger.Warn("endpoint crashed with calls in flight", "endpoint", a.options.EndpointName, "in_flight", len(digests))
 		a.options.Suspects.Crashed(digests)
-		a.options.OnStateChange()
 	}
+	return len(digests)
 }
 
 // collectSuspects returns the digests of the calls that were in flight at the crash that ended t,
-// or none if t was reported before. The mutex serialises calls that end together, so that none of
-// them is reported as the only one in flight.
+// or none if t was reported before. The caller holds crashMu.
 func (a *Agent) collectSuspects(t *attempt) []string {
-	a.crashMu.Lock()
-	defer a.crashMu.Unlock()
 	if !t.markCrashReported() {
 		return nil
 	}
