Count no answered call as in flight at a crash

What callers saw: the second cause of TestCrashingRequestLosesFewEndpoints: a request that crashes engines took a fourth one.

Cause: a call that ended well gave its slot to the next one before the agent had forgotten it. A request that ran alone and crashed the engine at once counted as one of two in flight, and the crash not as proven (logs of the failed run: one other call, 3.6 s old, ended at the same time).

Change: a call that ended otherwise than by a crash is marked so before its slot is free, and does not count.

TestAnsweredCallIsNotInFlightAtACrash failed before.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -550,3 +550,42 @@
 	close(crash)
 	wg.Wait()
 }
+
+// clearingSuspects is a Suspects whose Cleared blocks.
+type clearingSuspects struct {
+	crashRecorder
+	clearing, goOn chan struct{}
+}
+
+func (s *clearingSuspects) Cleared(string) {
+	close(s.clearing)
+	<-s.goOn
+}
+
+// A call that has been answered was not in flight at a crash just after that: the call that ran alone would count as one
+// among others, and crash one more endpoint.
+func TestAnsweredCallIsNotInFlightAtACrash(t *testing.T) {
+	f := &fakeEndpoint{work: func(_ context.Context, c endpoint.Call, _ func(string)) endpoint.Result {
+		if c.Attempt == "sound" {
+			return endpoint.Result{}
+		}
+		return endpoint.Result{Crashed: true, Problem: contract.NewProblem(contract.CodeEndpointFailed, contract.MayHaveRun, "gone")}
+	}}
+	suspects := &clearingSuspects{clearing: make(chan struct{}), goOn: make(chan struct{})}
+	a := newTestAgent(t, f, Options{Suspects: suspects})
+	defer a.Close()
+	run := func(id contract.AttemptID, alone bool) {
+		p := params(a, id)
+		p.Digest, p.Alone = string(id), alone
+		a.Run(t.Context(), p, discard)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { run("sound", false) })
+	<-suspects.clearing
+	run("crashing", true)
+	close(suspects.goOn)
+	wg.Wait()
+	if diff := cmp.Diff([][]string{{"crashing"}}, suspects.crashes); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -32,6 +32,8 @@
 	crashReported bool
 	// sent is set once the endpoint may have received the call.
 	sent bool
+	// ended is set once the endpoint has no part in the call any more, before its slot is given to another one.
+	ended bool
 }
 
 func newAttempt(id contract.AttemptID, digest string, nonRepeatable bool, cancel context.CancelCauseFunc) *attempt {
@@ -123,10 +125,18 @@
 	}
 }
 
-func (t *attempt) wasSent() bool {
+// markEnded records that the call ended otherwise than by a crash of the endpoint.
+func (t *attempt) markEnded() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sent
+	t.ended = true
+}
+
+// isInFlight reports whether the endpoint may be working on the call.
+func (t *attempt) isInFlight() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sent && !t.ended
 }
 
 // markCrashReported marks the attempt as reported for a crash, and reports whether it was not
--- a/agent/run.go
+++ b/agent/run.go
@@ -104,6 +104,9 @@
 		emit(token)
 	})
 	elapsed := time.Since(start)
+	if !res.Crashed {
+		t.markEnded()
+	}
 	a.releaseSlot(ctx, w, res, timeToFirstToken, elapsed)
 	a.reportOutcome(t, res)
 	span.SetAttributes(attribute.Int64("azurelead.endpoint_us", elapsed.Microseconds()))
@@ -216,7 +219,7 @@
 	}
 	digests := []string{t.digest}
 	for _, other := range a.attempts.runningAttempts() {
-		if other != t && other.wasSent() && other.markCrashReported() {
+		if other != t && other.isInFlight() && other.markCrashReported() {
 			digests = append(digests, other.digest)
 		}
 	}
