Elect among the entries that may have run for longest

Cause: an entry takes a peer's start from the uptime in its greeting, late by as long as the reply took, up to 0.9 s. Entries that started within milliseconds of each other then differ by about the second that the election tolerates, and entries choose from different candidates.

Change: the uptimes that a peer states bound its start from both sides; a peer whose start is known only to more than 0.1 s is asked again with the next ping. The election takes in all that may have run for as long, so an error leaves nobody out.

--- a/peers/elect.go
+++ b/peers/elect.go
@@ -38,7 +38,7 @@
 	defer m.mu.Unlock()
 	var candidates []Candidate
 	if m.isHub(m.o.Self.Address) {
-		candidates = append(candidates, Candidate{Identity: m.o.Self, Uptime: time.Since(m.o.Started), Leaving: m.leaving})
+		candidates = append(candidates, Candidate{Identity: m.o.Self, Uptime: m.uptime(), Leaving: m.leaving})
 	}
 	byName := map[string]*peerLink{}
 	var previous *peerLink
@@ -50,7 +50,7 @@
 			continue
 		}
 		candidates = append(candidates, Candidate{
-			Identity: l.identity, Uptime: time.Since(l.started), Leaving: l.leaving,
+			Identity: l.identity, Uptime: time.Since(l.started.latest), UptimeError: l.started.error(), Leaving: l.leaving,
 		})
 		byName[l.identity.Name] = l
 	}
@@ -86,10 +86,14 @@
 // Candidate is an entry that may be elected as dispatcher.
 type Candidate struct {
 	Identity Identity
-	Uptime   time.Duration
-	Leaving  bool
+	// Uptime is how long the entry has run at least, and UptimeError by how much that may be too little.
+	Uptime, UptimeError time.Duration
+	Leaving             bool
 }
 
+// maxUptime returns how long the entry has run at most.
+func (c Candidate) maxUptime() time.Duration { return c.Uptime + c.UptimeError }
+
 // Elect returns the name of the entry that dispatches. Of the entries that are not leaving,
 // have run for minDispatchUptime and have a strong processor, it picks one of the
 // longest-running by rendezvous hashing; if there is none, it relaxes these conditions step
@@ -100,9 +104,9 @@
 	uptime := requiredUptime(candidates)
 	for _, accepts := range []func(Candidate, float64) bool{
 		func(c Candidate, best float64) bool {
-			return !c.Leaving && c.Uptime >= uptime && c.Identity.CPU >= best*minCPUFraction
+			return !c.Leaving && c.maxUptime() >= uptime && c.Identity.CPU >= best*minCPUFraction
 		},
-		func(c Candidate, _ float64) bool { return !c.Leaving && c.Uptime >= uptime },
+		func(c Candidate, _ float64) bool { return !c.Leaving && c.maxUptime() >= uptime },
 		func(c Candidate, best float64) bool { return !c.Leaving && c.Identity.CPU >= best*minCPUFraction },
 		func(Candidate, float64) bool { return true },
 	} {
@@ -145,7 +149,8 @@
 }
 
 // longestRunning returns the names of the candidates that have run for longest, to
-// within uptimeTolerance.
+// within uptimeTolerance. Candidates that may have run as long are among them, so that entries that
+// know the uptimes by replies of different age choose from the same candidates.
 func longestRunning(candidates []Candidate) []string {
 	var longest time.Duration
 	for _, c := range candidates {
@@ -153,7 +158,7 @@
 	}
 	var names []string
 	for _, c := range candidates {
-		if c.Uptime >= longest-uptimeTolerance {
+		if c.maxUptime() >= longest-uptimeTolerance {
 			names = append(names, c.Identity.Name)
 		}
 	}
--- a/peers/hubs_test.go
+++ b/peers/hubs_test.go
@@ -356,7 +356,7 @@
 	}
 	for _, h := range hubs {
 		m.links[h.Address] = &peerLink{
-			address: h.Address, reconnecting: true, started: time.Now().Add(-time.Minute), lastStoreResponse: time.Now(),
+			address: h.Address, reconnecting: true, started: startedAt(time.Now().Add(-time.Minute)), lastStoreResponse: time.Now(),
 			identity: Identity{Name: h.Name, CPU: h.CPU, DataCentre: h.DataCentre},
 		}
 	}
--- a/peers/link_test.go
+++ b/peers/link_test.go
@@ -64,7 +64,7 @@
 	m := New(Options{Self: Identity{Name: "self", CPU: 0.1}, Started: time.Now(), Logger: slog.New(slog.DiscardHandler)})
 	conn := jsonrpc2.NewConn(t.Context(), jsonrpc2.NewPlainObjectStream(near), notificationHandler{m})
 	m.links["a"] = &peerLink{
-		address: "a", conn: conn, identity: Identity{Name: "a", CPU: 1}, started: time.Now().Add(-time.Minute), pingRequests: make(chan struct{}, 1),
+		address: "a", conn: conn, identity: Identity{Name: "a", CPU: 1}, started: startedAt(time.Now().Add(-time.Minute)), pingRequests: make(chan struct{}, 1),
 	}
 	link, _ := m.electDispatcher(nil)
 	if link == nil {
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -146,8 +146,8 @@
 	// The fields below, but for the channels, are guarded by the mesh's mu.
 	conn     *jsonrpc2.Conn
 	identity Identity
-	// started is when the peer's process started, according to its Hello.
-	started time.Time
+	// started is when the peer's process started, according to its replies.
+	started startEstimate
 	// leaving is set while the peer's pings say that it is shutting down.
 	leaving bool
 	// digests are of the states that the peer last announced.
@@ -302,6 +302,9 @@
 		m.mergeNotices(p.Notices)
 		m.fetchFromSender(ctx, p)
 		reply := m.ping(p.DigestHash)
+		if p.AsksUptime {
+			reply.UptimeMS = m.uptime().Milliseconds()
+		}
 		reply.Notices, reply.LastNotice = m.o.Roster.NoticesSince(time.Now(), p.NoticesAfter, maxNotices)
 		return reply, nil
 	case methodStates:
@@ -386,10 +389,13 @@
 	m.o.SuspectRequests.Merge(requests)
 }
 
+// uptime returns how long this entry has run.
+func (m *Mesh) uptime() time.Duration { return time.Since(m.o.Started) }
+
 // hello returns the Hello of this entry.
 func (m *Mesh) hello() Hello {
 	h := Hello{
-		Identity: m.o.Self, UptimeMS: time.Since(m.o.Started).Milliseconds(), Digests: m.o.Follower.Digests(),
+		Identity: m.o.Self, UptimeMS: m.uptime().Milliseconds(), Digests: m.o.Follower.Digests(),
 		SuspectParts: m.o.SuspectParts.AllMarks(), SuspectRequests: m.o.SuspectRequests.AllMarks(),
 	}
 	m.mu.Lock()
@@ -533,6 +539,7 @@
 	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(raw), notificationHandler{m}, jsonrpc2.SetLogger(telemetry.RPCLogger{Logger: m.o.Logger}))
 	defer func() { _ = conn.Close() }()
 	var h Hello
+	sentAt := time.Now()
 	if err := call(ctx, conn, pingTimeout, methodHello, m.hello(), &h); err != nil {
 		m.endReconnect(l)
 		return false
@@ -541,7 +548,8 @@
 	l.reconnecting = false
 	l.conn, l.identity, l.leaving, l.lastJobAnswer, l.pingAnswered = conn, h.Identity, false, time.Time{}, false
 	l.noticesSent, l.noticesReceived = 0, 0
-	l.started = time.Now().Add(-time.Duration(h.UptimeMS) * time.Millisecond)
+	l.started = startEstimate{}
+	l.started.observe(sentAt, time.Now(), time.Duration(h.UptimeMS)*time.Millisecond)
 	m.mu.Unlock()
 	m.o.Logger.Info("peer linked", "peer", h.Identity.Name, "address", l.address, "uptime_ms", h.UptimeMS)
 	m.mergeSuspects(h.SuspectParts, h.SuspectRequests)
@@ -585,6 +593,7 @@
 		}
 		lastPing = time.Now()
 		request := m.ping(peerHash)
+		request.AsksUptime = m.asksUptime(l)
 		lastNotice := m.addNotices(&request, l)
 		var p Ping
 		if err := call(ctx, conn, pingTimeout, methodPing, request, &p); err != nil {
@@ -598,6 +607,9 @@
 		m.mergeNotices(p.Notices)
 		m.mu.Lock()
 		l.noticesSent, l.noticesReceived = lastNotice, p.LastNotice
+		if p.UptimeMS > 0 {
+			l.started.observe(lastPing, time.Now(), time.Duration(p.UptimeMS)*time.Millisecond)
+		}
 		leavingChanged := l.leaving != p.Leaving
 		l.leaving, l.pingAnswered = p.Leaving, true
 		if p.StoreAgeMS >= 0 {
@@ -616,6 +628,13 @@
 	}
 }
 
+// asksUptime reports whether the next ping asks the peer for its uptime.
+func (m *Mesh) asksUptime(l *peerLink) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return l.started.error() > maxStartError
+}
+
 // LastStoreResponse returns when the store last answered this entry or, according to
 // their pings, one of its peers.
 func (m *Mesh) LastStoreResponse() time.Time {
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -65,6 +65,10 @@
 	// milliseconds; negative if it never has.
 	StoreAgeMS int64 `json:"store_age_ms"`
 	Leaving    bool  `json:"leaving,omitempty"`
+	// AsksUptime is set while the sender knows the peer's start only roughly. The reply then has UptimeMS, how
+	// long the peer has run, in milliseconds.
+	AsksUptime bool  `json:"asks_uptime,omitempty"`
+	UptimeMS   int64 `json:"uptime_ms,omitempty"`
 	// DigestHash is a hash of the digests of all kinds. Digests is left out if the peer
 	// last sent an equal hash, as neither side has newer states then.
 	DigestHash string          `json:"mark"`
--- a/peers/ping_schedule_test.go
+++ b/peers/ping_schedule_test.go
@@ -89,7 +89,7 @@
 	m := New(Options{Self: Identity{Name: "self"}, Started: time.Now(), OnPeersChanged: func() {}})
 	for _, name := range []string{"a", "b", "c"} {
 		m.links[name] = &peerLink{
-			address: name, reconnecting: true, started: time.Now().Add(-time.Minute),
+			address: name, reconnecting: true, started: startedAt(time.Now().Add(-time.Minute)),
 			identity: Identity{Name: name, CPU: 1}, pingRequests: make(chan struct{}, 1),
 		}
 	}
