Let no stream go on at an engine that has started again

What callers would see: a stream with events of two software versions, as a complete answer (ORDER), when an engine is replaced in place, under its ID and address, and another one is lost before the list of endpoints says so. Listed as suspected since the incident of mixed versions.

Cause: the version is that of the incarnation in the list; the request goes to whatever answers at its address.

Change: a stream that is bound to a version goes on at an endpoint only if its report does not state another start than the list. An unreadable report changes nothing, and endpoints with a rate limit are not asked. As the start is the process's own, any answer on a connection serves.

TestStreamDoesNotGoOnAtRestartedEngine failed before: 4 events of v1, 8 of v2.

--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -85,7 +85,7 @@
 	switch {
 	case !found:
 		return s.giveBack(ctx, r, silenceNoOther)
-	case !s.reachable(ctx, c):
+	case !s.reachable(ctx, c) || !s.mayGoOnAt(ctx, c):
 		return s.giveBack(ctx, r, silenceNoContact)
 	case s.nextEventDeadline().Before(time.Now().Add(s.prefillTime())):
 		return s.giveBack(ctx, r, silenceTooLate)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -240,6 +240,10 @@
 	if !found || s.sends >= maxSends {
 		return false, s.failure(ctx, "no endpoint took the request")
 	}
+	if !s.mayGoOnAt(ctx, c) {
+		s.tried[c.ID] = true
+		return s.tryEndpoint(ctx)
+	}
 	if !s.begin(c) {
 		return s.tryEndpoint(ctx) // another request has taken the endpoint's turn since it was chosen
 	}
--- a/gatewaydaemon/versions_test.go
+++ b/gatewaydaemon/versions_test.go
@@ -5,12 +5,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/azurelead/azurelead/catalog"
 	"github.com/azurelead/azurelead/origin"
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/platform/fleettest"
@@ -279,3 +281,44 @@
 		}
 	}
 }
+
+// An engine has started again under its ID at another software version, and its object does not say so yet. A stream that its
+// own version began must not go on there.
+func TestStreamDoesNotGoOnAtRestartedEngine(t *testing.T) {
+	const eventCount = 12
+	d := newDeployment(t, 1)
+	engines := d.startEngines(3, 3)
+	for _, e := range engines {
+		e.SetVersion("v1")
+		e.SetStream(eventCount, 30*time.Millisecond)
+		spec := e.EndpointSpec("llm", "north")
+		spec["version"] = "v1"
+		d.store.Put(fleet.KindEndpoints, e.ID, spec)
+	}
+	d.eventually("the version is known", func() bool {
+		return !slices.ContainsFunc(d.entries[0].daemon.roster.Endpoints(time.Now(), "llm"), func(e catalog.Endpoint) bool { return e.Version != "v1" })
+	})
+	answered := make(chan result, 1)
+	go func() { answered <- d.send(d.entries[0], "POST", "/stream/again/x", nil) }()
+	var running *fleettest.Server
+	d.eventually("an engine has the request", func() bool {
+		for _, e := range engines {
+			if len(e.Runs()) > 0 {
+				running = e
+			}
+		}
+		return running != nil
+	})
+	time.Sleep(4 * 30 * time.Millisecond)
+	for _, e := range engines {
+		if e != running {
+			if err := e.Restart("v2"); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	running.Exit()
+	if r := <-answered; r.err == nil || strings.Contains(r.body, "v2") {
+		t.Errorf("status %d, error %v, stream %q", r.status, r.err, r.body)
+	}
+}
