--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -32,7 +32,7 @@
 	crashReported bool
 	// sent is set once the endpoint may have received the call.
 	sent bool
-	// ended is set once the endpoint has no part in the call any more, before its slot is given to another one.
+	// ended is set once the call has ended otherwise than by a crash, before its slot is released.
 	ended bool
 }
 
--- a/entrydaemon/daemon.go
+++ b/entrydaemon/daemon.go
@@ -226,7 +226,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	err := d.entry.Shutdown(ctx)
-	// All requests have been answered; what is left is to write the answers.
+	// All requests have been answered, but the answers may still be in the servers' buffers.
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
 	for _, s := range d.servers {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -84,7 +84,7 @@
 	requests map[*progress]bool
 	// rejecting is set once new requests are stopped.
 	rejecting bool
-	// idle is closed when there are no requests; nil if nobody waits.
+	// idle is closed when there are no requests; nil until it is asked for.
 	idle chan struct{}
 }
 
@@ -139,8 +139,8 @@
 // after DisableKeepAlives, once the balancer sends no new connections.
 func (g *Gateway) RejectNewRequests() { g.inFlight.stop(phaseReading) }
 
-// RefuseWaiting also answers requests as not run that no endpoint has been sent. It is called when what is left of
-// the grace period may be too short to run them.
+// RefuseWaiting also answers requests as not run that no endpoint has been sent. It is called when the rest of the
+// grace period may be too short to run them.
 func (g *Gateway) RefuseWaiting() { g.inFlight.stop(phaseWaiting) }
 
 // EndRequests answers all requests in flight: as not run, or as possibly run if an endpoint has been sent the
--- a/gatewaydaemon/stoprequests_test.go
+++ b/gatewaydaemon/stoprequests_test.go
@@ -145,7 +145,7 @@
 }
 
 // Requests that endpoints still work on at the end of the grace period get an answer that does not claim that they have
-// not run, and a stream that has begun is not left open. The process ends after that, and cuts what is left.
+// not run, and a stream that has begun is not left open. The process ends after that.
 func TestRequestsAtEndOfGraceAreAnswered(t *testing.T) {
 	t.Parallel()
 	cases := []struct {
--- a/peers/elect.go
+++ b/peers/elect.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		candidates = append(candidates, Candidate{
-			Identity: l.identity, Uptime: time.Since(l.started.latest), UptimeError: l.started.error(), Leaving: l.leaving,
+			Identity: l.identity, Uptime: time.Since(l.started.latest), UptimeError: l.started.uncertainty(), Leaving: l.leaving,
 		})
 		byName[l.identity.Name] = l
 	}
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -632,7 +632,7 @@
 func (m *Mesh) asksUptime(l *peerLink) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return l.started.error() > maxStartError
+	return l.started.uncertainty() > maxStartUncertainty
 }
 
 // LastStoreResponse returns when the store last answered this entry or, according to
--- a/peers/uptime.go
+++ b/peers/uptime.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// maxStartError is the error of an estimate from which a peer is asked for its uptime again.
-const maxStartError = 100 * time.Millisecond
+// maxStartUncertainty is the uncertainty of an estimate above which a peer is asked for its uptime again.
+const maxStartUncertainty = 100 * time.Millisecond
 
 // startEstimate bounds when a peer's process started, by the uptimes that it has stated. A statement is as old as
 // its reply may have taken, which is up to a second for want of processor time.
@@ -25,5 +25,5 @@
 	}
 }
 
-// error returns by how much the estimate may be late.
-func (e startEstimate) error() time.Duration { return e.latest.Sub(e.earliest) }
+// uncertainty returns by how much latest may be too late.
+func (e startEstimate) uncertainty() time.Duration { return e.latest.Sub(e.earliest) }
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -160,8 +160,8 @@
 	return time.Duration(xxhash.Sum64String(r.RequestURI+r.Header.Get("Azurelead-Attempt-Id")) % uint64(maxWorkTime))
 }
 
-// uploadPause returns the pause in the middle of a request's body. It depends on the id alone, so that the schedule of a
-// seed stays what it is.
+// uploadPause returns the pause in the middle of a request's body. It depends on the id alone, so that it does not
+// change the schedule of a seed.
 func (r *run) uploadPause(id string) time.Duration {
 	h := xxhash.Sum64String(id)
 	if !r.o.PlannedOnly || h%slowUploads > 0 {
