Answer streams whose first event is late before their clients leave

What callers saw: a stream whose engine sent no event, or whose stages did not end, was held until its client left, with neither an answer nor a refusal. Clients abandon a stream after the larger of two seconds, four latency targets and eight gaps, which is half of the deadline on the deep routes.

Cause: the time for which a client waits bounded the stages and the choice of a replacement, but not the request: its context had the deadline only, and waits that ended with the patience had 20 ms to reach the client, which counts from when it opened its connection.

Change: until its response begins, the context of a stream ends 200 ms before its client leaves. An attempt that ends so is no failure of the engine for the dispatcher, as one under load is slow and keeps its cache.

--- a/gateway/response.go
+++ b/gateway/response.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
@@ -38,21 +39,26 @@
 	return &response{status: http.StatusBadGateway, local: true, reason: reason}
 }
 
-// deadlineResponse returns a 504 response, for requests that may have run and whose deadline has
-// passed.
-func deadlineResponse() *response {
-	return &response{status: http.StatusGatewayTimeout, local: true, reason: "deadline"}
+// deadlineResponse returns a 504 response, for requests that may have run and whose time has ended.
+func deadlineResponse(reason string) *response {
+	return &response{status: http.StatusGatewayTimeout, local: true, reason: reason}
 }
 
+// errFirstEventLate is the cause of contexts of streams that have sent no event while their client waits.
+var errFirstEventLate = Error.New("no event within the client's patience")
+
 // stoppedResponse returns the response to a request that has not run because this entry stops.
 func stoppedResponse() *response { return notRunResponse(stoppingReason, stoppingRetryAfter) }
 
 // endedResponse returns the response to a request that may have run and whose context has ended.
 func endedResponse(ctx context.Context) *response {
-	if isStopping(ctx) {
+	switch cause := context.Cause(ctx); {
+	case isStopping(ctx):
 		return unknownOutcomeResponse(stoppingReason)
+	case errors.Is(cause, errFirstEventLate):
+		return deadlineResponse(cause.Error())
 	}
-	return deadlineResponse()
+	return deadlineResponse("deadline")
 }
 
 // errorBody is the JSON body of locally generated responses.
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -53,10 +53,15 @@
 // hasBegun reports whether an event has been sent to the client.
 func (q *request) hasBegun() bool { return q.lastEventAfter.Load() > 0 }
 
+// clientPatience returns how long the client of a stream waits for an event.
+func (q *request) clientPatience() time.Duration {
+	return fleet.ClientPatience(q.route.LatencyTarget, q.route.EventGapTarget)
+}
+
 // nextEventDeadline returns when the next event has to reach the client. Clients abandon a stream
 // that stays silent long before the deadline of a long one.
 func (q *request) nextEventDeadline() time.Time {
-	abandoned := q.waitingSince().Add(fleet.ClientPatience(q.route.LatencyTarget, q.route.EventGapTarget) - deadlineMargin)
+	abandoned := q.waitingSince().Add(q.clientPatience() - deadlineMargin)
 	if q.route.Kind == catalog.Streaming && abandoned.Before(q.deadline) {
 		return abandoned
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -53,6 +53,8 @@
 	stageReruns  int
 	// endpointWait is how long the request has waited for endpoints to take it.
 	endpointWait time.Duration
+	// patience ends the request's context unless the response has begun by then.
+	patience *time.Timer
 }
 
 // stageOutput holds what the request's stages produced.
@@ -97,6 +99,8 @@
 	defer func() { s.output.release(s.engineFailed) }()
 	// Bounds the relay by the deadline even if the client does not read.
 	_ = s.controller.SetWriteDeadline(q.deadline.Add(writeMargin))
+	ctx = s.boundFirstEvent(ctx)
+	defer s.patience.Stop()
 	if resp := s.bindToOrigin(ctx); resp != nil {
 		q.respond(*resp)
 		return
@@ -133,6 +137,25 @@
 // writeMargin is the time after the deadline that is allowed for writing the last bytes.
 const writeMargin = 200 * time.Millisecond
 
+// answerMargin is the time that an answer may take to reach a client before it abandons the request. The client counts
+// from when it opened its connection, and a small instance may be without processor time for a tenth of a second.
+const answerMargin = 200 * time.Millisecond
+
+// boundFirstEvent returns a context that ends shortly before the client abandons the stream, unless its response has
+// begun.
+func (s *stream) boundFirstEvent(ctx context.Context) context.Context {
+	ctx, cancel := context.WithCancelCause(ctx)
+	abandoned := s.started.Add(s.clientPatience())
+	s.patience = time.AfterFunc(time.Until(abandoned.Add(-answerMargin)), func() { cancel(errFirstEventLate) })
+	return ctx
+}
+
+// endedHere reports whether ctx has ended for a reason that says nothing about the engine: this entry stops, or the
+// client would leave. An engine under load is slow, and has not lost its cache.
+func endedHere(ctx context.Context) bool {
+	return isStopping(ctx) || errors.Is(context.Cause(ctx), errFirstEventLate)
+}
+
 // runStages runs the request's stages. It returns a response if the request ends here, and nil
 // otherwise.
 func (s *stream) runStages(ctx context.Context) *response {
@@ -269,7 +292,7 @@
 	if a.result != resultAnswered {
 		silence.disable() // the stages may have to run again before the next attempt
 	}
-	if (a.result == resultNotSent || a.result == resultLost) && c.ID == s.output.engine && !s.clientGone() && !isStopping(ctx) {
+	if (a.result == resultNotSent || a.result == resultLost) && c.ID == s.output.engine && !s.clientGone() && !endedHere(ctx) {
 		s.engineFailed = true
 	}
 	switch a.result {
@@ -480,7 +503,9 @@
 				continue // the client already has this event
 			}
 		}
-		s.startResponse(a)
+		if !s.startResponse(a) {
+			return errFirstEventLate
+		}
 		s.lastEventID = max(s.lastEventID, ev.id)
 		if _, err := s.w.Write(ev.raw); err != nil {
 			return nil
@@ -500,14 +525,18 @@
 
 // startResponse is called before each event is forwarded and at the regular end of a stream. The
 // first call writes the header of the endpoint's response, as until then the request may still go to
-// another endpoint. It also releases the results of the stages, which the engine has read by then.
-func (s *stream) startResponse(a *attempt) {
+// another endpoint. It also releases the results of the stages, which the engine has read by then. It reports false
+// if the time for the first event has ended.
+func (s *stream) startResponse(a *attempt) bool {
+	if !s.headerSent && !s.patience.Stop() {
+		return false
+	}
 	s.record.events++
 	if s.output.results != nil {
 		s.output.release(s.engineFailed)
 	}
 	if s.headerSent {
-		return
+		return true
 	}
 	s.headerSent = true
 	s.version.Store(&a.endpoint.Version)
@@ -517,6 +546,7 @@
 	s.record.timeToFirstEvent = time.Since(s.started)
 	fleet.CopyResponseHeader(s.w.Header(), a.resp.Header)
 	s.w.WriteHeader(http.StatusOK)
+	return true
 }
 
 // handleStreamEnd handles the end of an endpoint's stream, which is complete if err is io.EOF. The end of
@@ -534,12 +564,14 @@
 	if errors.Is(err, io.EOF) && s.endedWithEndpoint(ctx, a) {
 		err = errEndpointGone
 	}
+	if errors.Is(err, io.EOF) && !s.startResponse(a) {
+		err = errFirstEventLate
+	}
 	if errors.Is(err, io.EOF) {
 		if a.events > 0 {
 			s.gw.opts.SuspectParts.Sound(s.sharedParts())
 			s.endedWell()
 		}
-		s.startResponse(a)
 		s.gw.opts.Origins.End(s.headers.AttemptID)
 		s.record.status = http.StatusOK
 		s.complete = true
@@ -549,7 +581,7 @@
 	s.record.addStreamEnd(a)
 	if !errors.Is(err, errNothingFollows) {
 		s.reportOutcome(ctx, time.Now(), a, roster.ConnectionLost)
-		s.engineFailed = s.engineFailed || a.endpoint.ID == s.output.engine && !isStopping(ctx)
+		s.engineFailed = s.engineFailed || a.endpoint.ID == s.output.engine && !endedHere(ctx)
 	}
 	if s.clientGone() {
 		return true, nil
