Dispatch jobs for a stage service that the configuration no longer declares

What callers saw: a request that its entry admitted under a configuration with a stage service was held until its deadline, without an answer, if the dispatcher had read a newer one that removes the service and the service's endpoints changed after that.

Cause: the dispatcher reads the endpoints of declared services only. The pool of a removed service kept those of its last read, so that the job was admitted and every call was stopped just before it was sent, which counts as a refusal of the endpoint and is tried again without a bound. Entries apply a configuration at different times, so that jobs of the older one come for some seconds.

Change: a service that is no longer declared keeps its last declaration, and its endpoints stay those of the roster. Without any, the job is refused at once, as that of every other service is.

--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -63,7 +64,7 @@
 	// retryUntil maps the subject of each refused client to the time until which a new job of it
 	// counts as a retry.
 	retryUntil map[string]time.Time
-	// services are the declared services by name.
+	// services are the services that are or were declared, by name.
 	services    map[string]*catalog.Service
 	lastRefresh time.Time
 	// lastSubmit is when the last job was submitted; zero if another entry has dispatched since.
@@ -125,15 +126,16 @@
 	}
 	return &Coordinator{
 		o: o, wake: make(chan struct{}, 1), dispatcher: dispatch.New(dispatch.Options{}),
-		waiters: make(map[string]*waiter), retryUntil: make(map[string]time.Time),
+		waiters: make(map[string]*waiter), retryUntil: make(map[string]time.Time), services: make(map[string]*catalog.Service),
 	}
 }
 
-// SetServices replaces the declared services.
+// SetServices sets the declared services. One that is no longer declared keeps its last declaration, as entries that
+// have not read the configuration yet submit jobs for it.
 func (c *Coordinator) SetServices(services map[string]*catalog.Service) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.services = services
+	maps.Copy(c.services, services)
 	for name, s := range services {
 		if s.Stages != nil {
 			c.dispatcher.SetService(name, *s.Stages)
--- a/coordinate/coordinate_test.go
+++ b/coordinate/coordinate_test.go
@@ -335,3 +335,31 @@
 	}
 	close(finish)
 }
+
+// Entries that have not read a configuration yet submit jobs for a stage service that it removes. They must go to the
+// endpoints of the service as they are now.
+func TestStagesOfRemovedServiceUseCurrentEndpoints(t *testing.T) {
+	left, current := fleettest.NewServer("portal-1"), fleettest.NewServer("portal-2")
+	t.Cleanup(left.Close)
+	t.Cleanup(current.Close)
+	c := newTestCoordinator(t, left)
+	job := func(id string) peers.Job {
+		return peers.Job{
+			ID: id, Key: "k", TargetMS: 30000, DeadlineMS: 60000,
+			Stages: []dispatch.Stage{{Service: "portal", Tasks: 1, ResultBytes: 1000}},
+		}
+	}
+	if o := c.Submit(t.Context(), job("before"), ignoreResults); len(o.Handles) != 1 {
+		t.Fatalf("outcome before the change is %+v, want one handle", o)
+	}
+	calls := left.Requests()
+	c.SetServices(map[string]*catalog.Service{})
+	c.o.Roster.SetEndpoints(time.Now(), []catalog.Endpoint{{ID: current.ID, Service: "portal", Address: current.Address(), DataCentre: "north", Slots: 1}}, roster.Continuous)
+	c.InvalidateEndpoints()
+	if o := c.Submit(t.Context(), job("after"), ignoreResults); len(o.Handles) != 1 || !strings.HasPrefix(o.Handles[0], current.Address()) {
+		t.Errorf("outcome after the change is %+v, want a handle of %s", o, current.Address())
+	}
+	if n := left.Requests() - calls; n > 0 {
+		t.Errorf("the endpoint that has left got %d calls", n)
+	}
+}
