Take no answer with a status outside of HTTP for an answer

What callers saw: an endpoint in trouble that writes a status line such as "HTTP/1.1 099" closed its caller's connection without an answer. http.ReadResponse accepts any three digits; net/http panics when the gateway passes on a code below 100, after the gateway has noted that the response has begun.

Change: a status below 200 that is not interim, or above 599, is a lost answer, which is tried elsewhere or answered 502.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -19,6 +19,8 @@
 	// maxHeadBytes bounds what is read of a connection, in bytes, until the header of the response
 	// has been read, without the bodies of mismatched responses.
 	maxHeadBytes = 256 << 10
+	// maxStatus is the largest status code of HTTP.
+	maxStatus = 599
 	// maxMismatched bounds the mismatched responses that are skipped before that of a request.
 	maxMismatched = 4
 	// maxMismatchedBody bounds the body of a mismatched response that is read and discarded, in bytes.
@@ -248,6 +250,9 @@
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
+		if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+			return nil, Lost.New("status %d, which is none of HTTP", resp.StatusCode)
+		}
 		id := cn.client.o.ResponseID(resp.Header)
 		if id != "" && id == x.request.ID {
 			return resp, nil
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"cmp"
 	"context"
 	"fmt"
@@ -347,3 +348,29 @@
 	call(false, 3)
 	call(true, 3)
 }
+
+// A status code that HTTP does not have is no answer. net/http panics when it is to send one below 100 to a client.
+func TestStatusOutsideOfHTTPIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			raw, err := l.Accept()
+			if err != nil {
+				return // the test has failed
+			}
+			defer func() { _ = raw.Close() }()
+			_, _ = http.ReadRequest(bufio.NewReader(raw))
+			_, _ = io.WriteString(raw, "HTTP/1.1 "+status+" Odd\r\nAzurelead-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n")
+		}()
+		c := newClient(Options{})
+		resp, err := c.Do(t.Context(), Target{ID: "s", Address: l.Addr().String()}, Request{ID: "a", Method: "GET", URI: "/x", Host: "h", Header: http.Header{}})
+		if !Lost.Has(err) {
+			t.Errorf("status %s: response %v, error %v, want a lost answer", status, resp, err)
+		}
+		c.Close()
+		_ = l.Close()
+	}
+}
