Fail jobs that cannot meet their deadline while no endpoint is idle

What callers saw: a request whose stages were admitted waited until its deadline, or until its client left, if the endpoints of a stage were then all gone, paused or silent.

Cause: whether a job can still meet its deadline was asked only when an endpoint was idle, on the way to filling a call.

Change: the dispatcher asks in each round of its expiry (25 ms while jobs are in progress), with the same rule.

Evidence: TestJobWithoutEndpointsFailsInTime, held until the deadline before.

--- a/dispatch/assign.go
+++ b/dispatch/assign.go
@@ -152,19 +152,30 @@
 	slowProbeInterval = time.Second
 )
 
+// failUnmeetable fails the jobs whose next tasks would miss their deadline if they started now.
+func (d *Dispatcher) failUnmeetable(now time.Time, p *pool) {
+	var unmeetable []*job
+	for _, g := range p.queue {
+		if g.waiting > 0 && g.job.ready(g) && now.Add(d.remainingTime(g)+g.job.firstEventDelay).After(g.job.Deadline) {
+			unmeetable = append(unmeetable, g.job)
+		}
+	}
+	for _, j := range unmeetable {
+		if !j.ended {
+			d.fail(now, j, "the deadline cannot be met any more")
+		}
+	}
+}
+
 // readyGroups lists the groups that can start now, the most urgent first. It fails
 // the jobs that can no longer meet their deadline.
 func (d *Dispatcher) readyGroups(now time.Time, p *pool) []readyGroup {
+	d.failUnmeetable(now, p)
 	list := make([]readyGroup, 0, len(p.queue))
-	var unmeetable []*job
 	for _, g := range p.queue {
 		if g.waiting == 0 || !g.job.ready(g) {
 			continue
 		}
-		if now.Add(d.remainingTime(g) + g.job.firstEventDelay).After(g.job.Deadline) {
-			unmeetable = append(unmeetable, g.job)
-			continue
-		}
 		if g.readySince.IsZero() {
 			g.readySince = now
 		}
@@ -178,11 +189,6 @@
 		}
 		list = append(list, readyGroup{group: g, latestStart: latest, sortKey: key})
 	}
-	for _, j := range unmeetable {
-		if !j.ended {
-			d.fail(now, j, "the deadline cannot be met any more")
-		}
-	}
 	sort.SliceStable(list, func(i, k int) bool { return list[i].sortKey.Before(list[k].sortKey) })
 	return list
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -387,7 +387,7 @@
 	return results
 }
 
-// Expire fails the jobs whose deadline has passed, and removes results that their
+// Expire fails the jobs whose deadline has passed or cannot be met any more, and removes results that their
 // endpoints no longer store and stale entries about parts of prompts.
 func (d *Dispatcher) Expire(now time.Time) {
 	for _, j := range d.jobs {
@@ -396,6 +396,7 @@
 		}
 	}
 	for _, p := range d.pools {
+		d.failUnmeetable(now, p)
 		for _, e := range p.endpoints {
 			e.expireResults(now)
 			e.refreshUntracked(now, p.limits.ResultTTL)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -364,3 +364,32 @@
 		t.Errorf("%d calls free results at the endpoint with a limit, want none", n)
 	}
 }
+
+// A job whose endpoints leave after its admission must fail when its deadline cannot be met any more, and not hold its
+// client until the deadline.
+func TestJobWithoutEndpointsFailsInTime(t *testing.T) {
+	const step = 25 * time.Millisecond
+	start := time.Unix(0, 0)
+	d := New(Options{})
+	d.SetService("portal", portalLimits)
+	d.SetEndpoints("portal", []catalog.Endpoint{{ID: "portal-1", Service: "portal", DataCentre: "a"}})
+	j := largeResultJob("a", start, 3)
+	if a := d.Submit(start, j); !a.Admitted {
+		t.Fatalf("not admitted: %+v", a)
+	}
+	d.SetEndpoints("portal", nil)
+	latest := j.Deadline.Add(-portalLimits.CallTime)
+	for now := start; now.Before(latest.Add(step)); now = now.Add(step) {
+		d.Expire(now)
+		if calls := d.Schedule(now); len(calls) > 0 {
+			t.Fatalf("%d calls without an endpoint", len(calls))
+		}
+		if results := d.TakeJobResults(); len(results) > 0 {
+			if results[0].Problem == "" {
+				t.Errorf("the job ended with %+v", results[0])
+			}
+			return
+		}
+	}
+	t.Errorf("the job has not ended %v before its deadline, which leaves no time for its tasks", portalLimits.CallTime)
+}
