Send a stream that leaves a silent engine to the one that was secured

What callers saw: a stream was cut although its engine was sound and only silent. Its attempt had been ended for another engine, found to be reachable; the engine was then chosen once more, and another one that was chosen could refuse or be down.

Change: the replacement names the engine, which is tried first while it may take requests. A turn that the dispatcher has booked goes before.

--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -14,6 +14,8 @@
 type replacement struct {
 	// budget has paid for the retry.
 	budget *retrybudget.Budget
+	// endpoint is the ID of the endpoint that was found to be reachable.
+	endpoint string
 	// stages are the stages that ran again for the next endpoint; nil if they did not have to.
 	stages *stageRun
 }
@@ -90,6 +92,7 @@
 	case s.nextEventDeadline().Before(time.Now().Add(s.prefillTime())):
 		return s.giveBack(ctx, r, silenceTooLate)
 	}
+	r.endpoint = c.ID
 	return r
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -53,6 +53,8 @@
 	stageReruns  int
 	// endpointWait is how long the request has waited for endpoints to take it.
 	endpointWait time.Duration
+	// securedEngine is the engine of the replacement for which the last attempt was abandoned, until it is tried.
+	securedEngine string
 	// patience ends the request's context unless the response has begun by then.
 	patience *time.Timer
 }
@@ -221,6 +223,7 @@
 		return false
 	}
 	s.record.noteRetry(true)
+	s.securedEngine = r.endpoint
 	if r.stages != nil {
 		s.output.release(s.engineFailed)
 		s.engineFailed = false
@@ -256,7 +259,7 @@
 	if s.output.turnBooked && !s.awaitTurn(ctx) {
 		return s.clientGone(), s.failure(ctx, "deadline")
 	}
-	c, found := s.chooseEngine(s.untried(s.tried), s.output)
+	c, found := s.nextEngine()
 	if !found && s.sends < maxSends && s.awaitEndpoint(ctx) {
 		return s.tryEndpoint(ctx)
 	}
@@ -632,7 +635,22 @@
 	return min(max(timeout, minFirstEventTimeout), max(time.Until(s.nextEventDeadline())/2, minFirstEventTimeout))
 }
 
-// chooseEngine returns the next endpoint to try: the engine that the dispatcher booked, else the
+// nextEngine returns the next endpoint to try: the one that was secured, unless the dispatcher has booked a turn, else the
+// one that chooseEngine returns.
+func (s *stream) nextEngine() (roster.Candidate, bool) {
+	f, secured := s.untried(s.tried), s.securedEngine
+	s.securedEngine = ""
+	if secured != "" && !s.output.turnBooked {
+		for _, c := range s.gw.opts.Roster.Candidates(time.Now(), f) {
+			if c.ID == secured {
+				return c, true
+			}
+		}
+	}
+	return s.chooseEngine(f, s.output)
+}
+
+// chooseEngine returns the best endpoint to try: the engine that the dispatcher booked, else the
 // one that hashing assigns to the shared part of the prompt, else the one expected to answer first.
 func (s *stream) chooseEngine(f roster.Filter, out stageOutput) (roster.Candidate, bool) {
 	if out.turnBooked {
