Take no cut body of an engine's other answers for a whole one

What callers saw: a request for a stream whose engine answered with another success than a stream, without a length, got 201 with an empty body and Content-Length: 0 if the engine closed after its head, and 201 with the four bytes that an engine had sent before it exited.

Cause: the body of an answer that is no stream is read on a path of its own, which did not check whether its end is that of the endpoint. Answers of routes without streams had got that check by.

Change: readWhole reads and checks the body on both paths. A body that may not be whole counts as broken off: it is tried elsewhere if the request may be repeated, and answered 502 otherwise.

TestBodyOfExitedEngineIsNotComplete failed before in both cases ("status:201 body: err:<nil>", "status:201 body:answ err:<nil>"). It held in 20 of 20 runs with the change.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -57,6 +57,15 @@
 // errNoBody ends an attempt whose response has a head without a length, and nothing else.
 var errNoBody = Error.New("a response without a length ended after its head")
 
+// readWhole reads the body of a response that is forwarded only as a whole. It fails if the body may not be whole.
+func (q *request) readWhole(ctx context.Context, a *attempt) ([]byte, error) {
+	body, err := upstream.ReadBody(a.resp, maxResponseBytes)
+	if err == nil {
+		err = q.checkEnd(ctx, a, body)
+	}
+	return body, err
+}
+
 // checkEnd returns why a response that was read to the end of its body may not be whole, or nil. An endpoint that
 // fails after it has sent a head without a length closes the connection like one whose body is empty.
 func (q *request) checkEnd(ctx context.Context, a *attempt, body []byte) error {
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -10,7 +10,6 @@
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/retrybudget"
 	"github.com/azurelead/azurelead/roster"
-	"github.com/azurelead/azurelead/upstream"
 )
 
 const (
@@ -227,10 +226,7 @@
 	if a.result != resultAnswered {
 		return bufferedAttempt{attempt: a}
 	}
-	body, err := upstream.ReadBody(a.resp, maxResponseBytes)
-	if err == nil {
-		err = b.checkEnd(b.ctx, a, body)
-	}
+	body, err := b.readWhole(b.ctx, a)
 	if err != nil {
 		a.result, a.err = resultLost, err
 		b.reportOutcome(b.ctx, time.Now(), a, roster.ConnectionLost)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,7 +14,6 @@
 	"github.com/azurelead/azurelead/placement"
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/roster"
-	"github.com/azurelead/azurelead/upstream"
 )
 
 const (
@@ -415,7 +414,7 @@
 // handleErrorResponse handles a response that is not a stream of events. None can be the rest of a stream that has
 // begun, whatever its status.
 func (s *stream) handleErrorResponse(ctx context.Context, a *attempt) (bool, *response) {
-	body, err := upstream.ReadBody(a.resp, maxResponseBytes)
+	body, err := s.readWhole(ctx, a)
 	s.runs++
 	if err != nil {
 		a.err = err
--- a/gatewaydaemon/unframed_test.go
+++ b/gatewaydaemon/unframed_test.go
@@ -70,3 +70,26 @@
 		})
 	}
 }
+
+// An engine answers with another success than a stream, without a length, and its process or the connection ends before
+// the body does. The client must not get the beginning of the body as a whole answer.
+func TestBodyOfExitedEngineIsNotComplete(t *testing.T) {
+	for name, prepare := range map[string]func(s *fleettest.Server){
+		"the process ends inside of the body": func(s *fleettest.Server) { s.SetBehaviour(alwaysBehave(fleettest.ExitMidCreated)) },
+		"the answer ends after its head": func(s *fleettest.Server) {
+			s.SetBehaviour(alwaysBehave(fleettest.CreatedCloseDelimited))
+			head := len(headOf(t, s.Address(), "/stream/plain/x"))
+			s.SetAnswerLimit(func(*http.Request) (int, bool) { return head, true })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 1)
+			for _, s := range d.startEngines(2, 2) {
+				prepare(s)
+			}
+			if r := d.send(d.entries[0], "POST", "/stream/plain/x", nil); r.err == nil && r.status/100 == 2 {
+				t.Errorf("%+v", r)
+			}
+		})
+	}
+}
