End only the engine that had the stream in TestStreamOfExitedEngineIsNotComplete

The test looked for the engine to end while it ended it: if the stream had been taken up before the second one was checked, both were ended, and the stream was broken off ("status 200, error unexpected EOF" after 4 events, in 1 of 20 runs). A pause of 50 ms between the two checks made 10 of 10 runs fail.

The engine is chosen first now. With a pause between the choice and the end 10 of 10 runs hold, without it 40 of 40. The checks are as they were.

--- a/gatewaydaemon/unframed_test.go
+++ b/gatewaydaemon/unframed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -28,11 +29,8 @@
 			go func() { answered <- d.send(d.entries[0], "POST", c.path, nil) }()
 			d.eventually("an engine has the request", func() bool { return len(engines[0].Runs())+len(engines[1].Runs()) > 0 })
 			time.Sleep(4 * eventGap)
-			for _, e := range engines {
-				if len(e.Runs()) > 0 {
-					e.Exit()
-				}
-			}
+			first := engines[slices.IndexFunc(engines, func(e *fleettest.Server) bool { return len(e.Runs()) > 0 })]
+			first.Exit()
 			r := <-answered
 			switch {
 			case c.resumable && (r.err != nil || r.body != events(eventCount)):
