--- a/gatewaydaemon/brokenhead_test.go
+++ b/gatewaydaemon/brokenhead_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -65,17 +66,26 @@
 		// inHead is set if answers break off up to the end of their head only: nothing shows that the rest is cut, or
 		// that it is not.
 		inHead bool
+		// interim is set if an interim response precedes each answer.
+		interim bool
 	}{
-		{"whole answers", "GET", "/look/x", fleettest.Serve, isRequest, all, false, false},
-		{"one whole answer", "GET", "/look/x", fleettest.Serve, isRequest, 1, true, false},
-		{"answer without a length", "POST", "/book/x", fleettest.CloseDelimited, isRequest, all, false, true},
-		{"answer after an interim one", "POST", "/book/x", fleettest.Interim, isRequest, all, false, false},
-		{"stream that may not be resumed", "POST", "/stream/plain/x", fleettest.Serve, isRequest, all, false, false},
-		{"stream without a length", "POST", "/stream/plain/x", fleettest.CloseDelimited, isRequest, all, false, true},
-		{"one stream", "POST", "/stream/again/x", fleettest.Serve, isRequest, 1, true, true},
-		{"rest of a stream", "POST", "/stream/again/x", fleettest.ResetMidEvent, isContinuation, all, false, false},
-		{"stage call", "POST", "/stream/staged/x", fleettest.Serve, isStageCall, 1, true, false},
-		{"engine without the results", "POST", "/stream/staged/x", fleettest.InputsGone, isRequest, all, false, false},
+		{"whole answers", "GET", "/look/x", fleettest.Serve, isRequest, all, false, false, false},
+		{"one whole answer", "GET", "/look/x", fleettest.Serve, isRequest, 1, true, false, false},
+		{"answer without a length", "POST", "/book/x", fleettest.CloseDelimited, isRequest, all, false, true, false},
+		{"answer after an interim one", "POST", "/book/x", fleettest.Interim, isRequest, all, false, false, false},
+		{"stream that may not be resumed", "POST", "/stream/plain/x", fleettest.Serve, isRequest, all, false, false, false},
+		{"stream without a length", "POST", "/stream/plain/x", fleettest.CloseDelimited, isRequest, all, false, true, false},
+		{"one stream", "POST", "/stream/again/x", fleettest.Serve, isRequest, 1, true, true, false},
+		{"rest of a stream", "POST", "/stream/again/x", fleettest.ResetMidEvent, isContinuation, all, false, false, false},
+		{"stage call", "POST", "/stream/staged/x", fleettest.Serve, isStageCall, 1, true, false, false},
+		{"engine without the results", "POST", "/stream/staged/x", fleettest.InputsGone, isRequest, all, false, false, false},
+		{"interim response before a whole answer without a length", "POST", "/book/x", fleettest.CloseDelimited, isRequest, all, false, true, true},
+		{"interim response before a stream", "POST", "/stream/plain/x", fleettest.Serve, isRequest, all, false, false, true},
+		{"interim response before a stream without a length", "POST", "/stream/plain/x", fleettest.CloseDelimited, isRequest, all, false, true, true},
+		{"interim response before the rest of a stream", "POST", "/stream/again/x", fleettest.ResetMidEvent, isContinuation, all, false, false, true},
+		{"interim response before a stage call", "POST", "/stream/staged/x", fleettest.Serve, isStageCall, 1, true, false, true},
+		{"interim response before an engine without the results", "POST", "/stream/staged/x", fleettest.InputsGone, isRequest, all, false, false, true},
+		{"another success than a stream, without a length", "POST", "/stream/plain/x", fleettest.CreatedCloseDelimited, isRequest, all, false, true, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -99,6 +109,12 @@
 			if c.inHead {
 				limit = len(headOf(t, engine1.Address(), c.path))
 			}
+			if c.interim {
+				limit += len(fleettest.InterimResponse)
+				for _, s := range []*fleettest.Server{api1, api2, engine1, engine2, portal} {
+					s.SetInterim()
+				}
+			}
 			for n := limit; n > 0; n -= headStep {
 				breaker.set(n, c.broken)
 				for _, service := range []string{"api", "llm"} {
@@ -120,18 +136,32 @@
 
 // Half a refusal does not say that the request has not run.
 func TestRefusalThatBreaksOffInItsHead(t *testing.T) {
-	for name, b := range map[string]fleettest.Behaviour{"refusal": fleettest.Shed, "refusal for a time": fleettest.Pause} {
-		t.Run(name, func(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		behaviour fleettest.Behaviour
+		interim   bool
+	}{
+		{"refusal", fleettest.Shed, false},
+		{"refusal for a time", fleettest.Pause, false},
+		{"interim response before a refusal", fleettest.Shed, true},
+		{"interim response before a refusal for a time", fleettest.Pause, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			d := newDeployment(t, 1)
 			api1, api2, _, _, _ := d.startEndpoints(nil)
 			breaker := &answerBreaker{matches: func(*http.Request) bool { return true }}
 			for _, s := range []*fleettest.Server{api1, api2} {
 				s.SetAnswerLimit(breaker.limit)
-				s.SetBehaviour(alwaysBehave(b))
+				s.SetBehaviour(alwaysBehave(c.behaviour))
 			}
 			d.waitReady()
 			head := len(headOf(t, api1.Address(), "/book/x"))
+			if c.interim {
+				head += len(fleettest.InterimResponse)
+				api1.SetInterim()
+				api2.SetInterim()
+			}
 			for n := 1; n < head; n += headStep {
 				breaker.set(n, 1)
 				if r := d.send(d.entries[0], "POST", "/book/x", nil); r.err != nil || r.status != http.StatusBadGateway {
@@ -160,3 +190,55 @@
 	}
 	return string(head)
 }
+
+// A client takes a stream up again, and the next engine closes its connection in the head of its answer.
+func TestResumedStreamThatBreaksOffInItsHead(t *testing.T) {
+	const eventCount, received = 3, 1
+	rest := strings.TrimPrefix(events(eventCount), events(received))
+	for _, c := range []struct {
+		name      string
+		behaviour fleettest.Behaviour
+		interim   bool
+		// broken is the number of answers that break off.
+		broken int
+		inHead bool
+	}{
+		{"one answer in chunks", fleettest.Serve, false, 1, false},
+		{"all answers in chunks", fleettest.Serve, false, 100, false},
+		{"all answers without a length", fleettest.CloseDelimited, false, 100, true},
+		{"one answer after an interim response", fleettest.Serve, true, 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t, 1)
+			_, _, engine1, engine2, _ := d.startEndpoints(nil)
+			breaker := &answerBreaker{matches: func(*http.Request) bool { return true }}
+			for _, s := range []*fleettest.Server{engine1, engine2} {
+				s.SetBehaviour(alwaysBehave(c.behaviour))
+				s.SetAnswerLimit(breaker.limit)
+			}
+			d.waitReady()
+			limit := longestAnswer
+			if c.inHead {
+				limit = len(headOf(t, engine1.Address(), "/stream/again/x"))
+			}
+			if c.interim {
+				engine1.SetInterim()
+				engine2.SetInterim()
+			}
+			for n := limit; n > 0; n -= headStep {
+				d.entries[0].daemon.retryBudgets.For("llm").Deposit(1000)
+				first := d.send(d.entries[0], "POST", "/stream/again/x", nil)
+				breaker.set(n, c.broken)
+				r := d.send(d.entries[0], "POST", "/stream/again/x", http.Header{"Resumes": {first.id}, "Last-Event-Id": {strconv.Itoa(received)}})
+				breaker.set(0, 0)
+				complete := r.err == nil && r.status == http.StatusOK
+				// With nothing to add after the last event, the next engine shows no complete stream.
+				ended := complete || r.body == rest
+				if complete && r.body != rest || c.broken == 1 && !ended || r.status == http.StatusOK && !strings.HasPrefix(rest, r.body) {
+					t.Errorf("after %d bytes: %+v", n, r)
+				}
+			}
+		})
+	}
+}
