Take no number of which an endpoint may have sent only the beginning

What callers would see: a service of the product's own pipelines that answers 12500 without a length or chunks, and whose connection ends after two bytes, gave the result 12.

Cause: an answer that ends with its connection is taken as whole if it is valid JSON. That shows the end of every value but a number.

Change: an answer that only its connection ends, and that ends in a digit, counts as broken off. White space after the number shows that it is whole.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -130,12 +130,22 @@
 	if err != nil {
 		return c.connectionFailed(ctx, err, contract.MayHaveRun, responseBoot(resp))
 	}
+	if mayBeCut(resp, raw) {
+		return failed(contract.CodeEndpointFailed, contract.MayHaveRun, "a number without a length may be cut")
+	}
 	if err := json.Unmarshal(raw, response); err != nil {
 		return failed(contract.CodeEndpointFailed, contract.MayHaveRun, "answer: %v", err)
 	}
 	return nil
 }
 
+// mayBeCut reports whether neither the framing of a response nor its content shows that the body is whole: it ends with
+// its connection and in a number, whose beginning is a number too.
+func mayBeCut(resp *http.Response, body []byte) bool {
+	closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	return closeDelimited && len(body) > 0 && body[len(body)-1] >= '0' && body[len(body)-1] <= '9'
+}
+
 // connectionFailed returns the Result of a call whose connection failed. boot is the boot id of the
 // endpoint process that received the call; empty if it is not known.
 func (c *client) connectionFailed(ctx context.Context, err error, run contract.RunState, boot contract.BootID) *Result {
