Keep the order of the messages about jobs on a link

Cause: a dispatcher handled all messages of a link concurrently. The cancel of a job whose client had left at once could be handled before the job's submission; it named no job then and was lost. The job ran until the deadline of its request.

Change: the submission, the cancellation and the release of jobs on a link take effect in the order in which they were sent. For that, JobHandler admits a job in one step and waits for its outcome in another, which runs concurrently as before. Pings and all other messages do not wait for those about jobs.

Why not to remember the ends of unknown jobs for a time: the dispatcher would keep a table whose entries nothing confirms, and the time would have to cover the longest delay of a goroutine.

--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -168,12 +168,20 @@
 	}
 }
 
-// Submit implements peers.JobHandler.
+// Submit admits a job and waits for its outcome, as described at peers.JobHandler.
 func (c *Coordinator) Submit(ctx context.Context, j peers.Job, onResults func([]dispatch.StageResults)) peers.Outcome {
+	return c.Admit(j)(ctx, onResults)
+}
+
+// awaiting waits for the outcome of a job, as described at peers.JobHandler.
+type awaiting = func(ctx context.Context, onResults func([]dispatch.StageResults)) peers.Outcome
+
+// Admit implements peers.JobHandler.
+func (c *Coordinator) Admit(j peers.Job) awaiting {
 	now := time.Now()
 	c.mu.Lock()
 	if w := c.waiters[j.JobID()]; w != nil && w.result == nil {
-		return c.resume(ctx, j, w, onResults)
+		return c.resume(j, w)
 	}
 	c.refreshEndpoints(now)
 	if now.Sub(c.lastSubmit) > forgetAfter {
@@ -194,7 +202,8 @@
 		c.o.Metrics.Jobs.WithLabelValues("refused").Inc()
 		c.o.Logger.Info("stages refused", "request", j.ID, "reason", a.Reason, "forecast_ms", a.Forecast.Milliseconds(),
 			"deadline_ms", j.DeadlineMS, "tail_ms", a.FirstEventDelay.Milliseconds(), "rank", j.Rank, "retry_after_ms", a.RetryAfter.Milliseconds())
-		return peers.Outcome{Refused: true, Problem: a.Reason, RetryAfterMS: a.RetryAfter.Milliseconds(), ForecastMS: a.Forecast.Milliseconds()}
+		refusal := peers.Outcome{Refused: true, Problem: a.Reason, RetryAfterMS: a.RetryAfter.Milliseconds(), ForecastMS: a.Forecast.Milliseconds()}
+		return func(context.Context, func([]dispatch.StageResults)) peers.Outcome { return refusal }
 	}
 	delete(c.retryUntil, j.Subject)
 	w := newWaiter(a, j)
@@ -205,11 +214,11 @@
 		"made_before", len(j.PriorResults))
 	c.wakeRun()
 	c.flush()
-	return c.awaitOutcome(ctx, j, w, onResults)
+	return c.outcomeOf(j, w)
 }
 
 // resume attaches a submitter to a job whose link was lost. The caller holds mu; resume unlocks it.
-func (c *Coordinator) resume(ctx context.Context, j peers.Job, w *waiter, onResults func([]dispatch.StageResults)) peers.Outcome {
+func (c *Coordinator) resume(j peers.Job, w *waiter) awaiting {
 	w.result, w.orphanedAt = make(chan dispatch.JobResult, 1), time.Time{}
 	if w.keptResult != nil {
 		w.result <- *w.keptResult
@@ -217,14 +226,16 @@
 	}
 	c.mu.Unlock()
 	c.o.Logger.Info("stages resumed on a new link", "request", j.ID)
-	return c.awaitOutcome(ctx, j, w, onResults)
+	return c.outcomeOf(j, w)
 }
 
-// awaitOutcome waits for the job and completes its outcome with the forecasts made at admission.
-func (c *Coordinator) awaitOutcome(ctx context.Context, j peers.Job, w *waiter, onResults func([]dispatch.StageResults)) peers.Outcome {
-	o := c.awaitResult(ctx, j, w, onResults)
-	o.ForecastMS, o.TimeToFirstEventMS = w.forecast.Milliseconds(), w.firstEventDelay.Milliseconds()
-	return o
+// outcomeOf returns a function that waits for a job and completes its outcome with the forecasts made at admission.
+func (c *Coordinator) outcomeOf(j peers.Job, w *waiter) awaiting {
+	return func(ctx context.Context, onResults func([]dispatch.StageResults)) peers.Outcome {
+		o := c.awaitResult(ctx, j, w, onResults)
+		o.ForecastMS, o.TimeToFirstEventMS = w.forecast.Milliseconds(), w.firstEventDelay.Milliseconds()
+		return o
+	}
 }
 
 // awaitResult passes stage results to onResults until the job ends or ctx, which stands for the
--- a/peers/link_test.go
+++ b/peers/link_test.go
@@ -20,11 +20,13 @@
 	results []dispatch.StageResults
 }
 
-func (j resultJobs) Submit(_ context.Context, job Job, onResults func([]dispatch.StageResults)) Outcome {
-	for _, m := range j.results {
-		onResults([]dispatch.StageResults{m})
+func (j resultJobs) Admit(job Job) func(context.Context, func([]dispatch.StageResults)) Outcome {
+	return func(_ context.Context, onResults func([]dispatch.StageResults)) Outcome {
+		for _, m := range j.results {
+			onResults([]dispatch.StageResults{m})
+		}
+		return Outcome{Engine: "engine of " + job.ID}
 	}
-	return Outcome{Engine: "engine of " + job.ID}
 }
 
 // The submitter of a job receives its results before the outcome, and no results of other
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -73,9 +73,10 @@
 
 // JobHandler runs jobs at the dispatching entry. It identifies them by their JobID.
 type JobHandler interface {
-	// Submit runs a job and returns its outcome. Until then it passes results to
-	// onResults as they are produced, one call at a time.
-	Submit(ctx context.Context, j Job, onResults func([]dispatch.StageResults)) Outcome
+	// Admit starts a job, or refuses it, and returns a function that waits for its outcome
+	// until ctx, which stands for the link to the submitter, is done. Meanwhile that passes
+	// results to onResults as they are produced, one call at a time.
+	Admit(j Job) (await func(ctx context.Context, onResults func([]dispatch.StageResults)) Outcome)
 	// Cancel drops a job whose outcome nobody waits for any more.
 	Cancel(id string)
 	// InputsRead frees the results that a job's engine has fetched but not worked off yet.
@@ -267,19 +268,13 @@
 			}
 			return
 		}
-		stream := jsonrpc2.NewPlainObjectStream(c)
-		jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(func(_ context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-			return m.handle(ctx, conn, r)
-		})), jsonrpc2.SetLogger(telemetry.RPCLogger{Logger: m.o.Logger}))
+		jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(c), &servingHandler{m: m, ctx: ctx}, jsonrpc2.SetLogger(telemetry.RPCLogger{Logger: m.o.Logger}))
 	}
 }
 
-// handle serves a call or notification from a peer that dialled this entry.
+// handle serves a call or notification from a peer that dialled this entry, except for messages about jobs.
 func (m *Mesh) handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-	params := json.RawMessage("null")
-	if r.Params != nil {
-		params = *r.Params
-	}
+	params := paramsOf(r)
 	switch r.Method {
 	case methodHello:
 		var h Hello
@@ -342,43 +337,6 @@
 			return nil, Error.Wrap(err)
 		}
 		return m.origin(p), nil
-	case methodSubmit:
-		var j Job
-		if err := json.Unmarshal(params, &j); err != nil {
-			return nil, Error.Wrap(err)
-		}
-		if m.isLeaving() {
-			return MovedOutcome(true), nil
-		}
-		ctx, cancel := context.WithCancel(ctx)
-		defer cancel()
-		go func() {
-			select {
-			case <-conn.DisconnectNotify():
-				cancel()
-			case <-ctx.Done():
-			}
-		}()
-		return m.o.Jobs.Submit(ctx, j, func(results []dispatch.StageResults) {
-			if err := conn.Notify(ctx, methodResults, JobResults{ID: j.ID, Run: j.Run, Results: results}); err != nil {
-				m.o.Logger.Warn("results not sent to the submitter", "request", j.ID, "error", err)
-			}
-		}), nil
-	case methodCancel, methodRelease:
-		var notification JobParams
-		if err := json.Unmarshal(params, &notification); err != nil {
-			return nil, Error.Wrap(err)
-		}
-		job := dispatch.JobID(notification.ID, notification.Run)
-		switch {
-		case r.Method == methodCancel:
-			m.o.Jobs.Cancel(job)
-		case notification.InputsRead:
-			m.o.Jobs.InputsRead(job)
-		default:
-			m.o.Jobs.Release(job, notification.EngineFailed)
-		}
-		return nil, nil
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 }
