Answer both submissions of a job that was submitted twice

Cause: a job that arrives again while a submitter still waits for it, as the loss of the former link has not been noticed, ended and started again, and its waiter was replaced. Two links keep no order: if the submission on the lost link is handled after the one on the new link, the submitter that still waits was the one that was not answered before the deadline of its request.

Change: the latter submission takes over the job that is in progress, and the former is answered with the outcome that makes its submitter submit the job again, over the link that is in use then.

Test: TestJobSubmittedTwiceAnswersBoth; on the code before, the former submission was not answered within 30 s.

coordinate and peers pass.

--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -180,7 +180,7 @@
 func (c *Coordinator) Admit(j peers.Job) awaiting {
 	now := time.Now()
 	c.mu.Lock()
-	if w := c.waiters[j.JobID()]; w != nil && w.result == nil {
+	if w := c.waiters[j.JobID()]; w != nil {
 		return c.resume(j, w)
 	}
 	c.refreshEndpoints(now)
@@ -208,31 +208,38 @@
 	delete(c.retryUntil, j.Subject)
 	w := newWaiter(a, j)
 	c.waiters[j.JobID()] = w
+	result := w.result
 	c.mu.Unlock()
 	c.o.Logger.Info("stages admitted", "request", j.ID, "rank", j.Rank, "stages", len(j.Stages), "returning", job.Retry,
 		"forecast_ms", a.Forecast.Milliseconds(), "tail_ms", a.FirstEventDelay.Milliseconds(), "target_ms", j.TargetMS, "deadline_ms", j.DeadlineMS,
 		"made_before", len(j.PriorResults))
 	c.wakeRun()
 	c.flush()
-	return c.outcomeOf(j, w)
+	return c.outcomeOf(j, w, result)
 }
 
-// resume attaches a submitter to a job whose link was lost. The caller holds mu; resume unlocks it.
+// resume attaches a submitter to a job that was submitted before, on a link that was lost. If that has not been
+// noticed yet, the former submission is answered, as its submitter may be the one that still waits. The caller holds
+// mu; resume unlocks it.
 func (c *Coordinator) resume(j peers.Job, w *waiter) awaiting {
-	w.result, w.orphanedAt = make(chan dispatch.JobResult, 1), time.Time{}
+	if w.result != nil {
+		w.result <- dispatch.JobResult{ID: j.JobID(), HandedOver: true}
+	}
+	result := make(chan dispatch.JobResult, 1)
+	w.result, w.orphanedAt = result, time.Time{}
 	if w.keptResult != nil {
-		w.result <- *w.keptResult
+		result <- *w.keptResult
 		delete(c.waiters, j.JobID())
 	}
 	c.mu.Unlock()
 	c.o.Logger.Info("stages resumed on a new link", "request", j.ID)
-	return c.outcomeOf(j, w)
+	return c.outcomeOf(j, w, result)
 }
 
 // outcomeOf returns a function that waits for a job and completes its outcome with the forecasts made at admission.
-func (c *Coordinator) outcomeOf(j peers.Job, w *waiter) awaiting {
+func (c *Coordinator) outcomeOf(j peers.Job, w *waiter, result chan dispatch.JobResult) awaiting {
 	return func(ctx context.Context, onResults func([]dispatch.StageResults)) peers.Outcome {
-		o := c.awaitResult(ctx, j, w, onResults)
+		o := c.awaitResult(ctx, j, w, result, onResults)
 		o.ForecastMS, o.TimeToFirstEventMS = w.forecast.Milliseconds(), w.firstEventDelay.Milliseconds()
 		return o
 	}
@@ -240,10 +247,10 @@
 
 // awaitResult passes stage results to onResults until the job ends or ctx, which stands for the
 // link to the submitter, is done.
-func (c *Coordinator) awaitResult(ctx context.Context, j peers.Job, w *waiter, onResults func([]dispatch.StageResults)) peers.Outcome {
+func (c *Coordinator) awaitResult(ctx context.Context, j peers.Job, w *waiter, result chan dispatch.JobResult, onResults func([]dispatch.StageResults)) peers.Outcome {
 	for {
 		select {
-		case r := <-w.result:
+		case r := <-result:
 			if r.HandedOver {
 				c.report(w, onResults)
 			}
@@ -252,7 +259,9 @@
 			c.report(w, onResults)
 		case <-ctx.Done():
 			c.mu.Lock()
-			w.result, w.orphanedAt = nil, time.Now()
+			if w.result == result {
+				w.result, w.orphanedAt = nil, time.Now()
+			}
 			c.mu.Unlock()
 			return peers.Outcome{Problem: "link lost"}
 		}
--- a/coordinate/coordinate_test.go
+++ b/coordinate/coordinate_test.go
@@ -81,6 +81,37 @@
 	c.Release("job", false)
 }
 
+// A job that was submitted again on a new link before the loss of the former one was noticed started again, and
+// whoever waited for the former submission was not answered before the deadline.
+func TestJobSubmittedTwiceAnswersBoth(t *testing.T) {
+	s := fleettest.NewServer("portal-1")
+	t.Cleanup(s.Close)
+	finish := make(chan struct{})
+	var calls atomic.Int64
+	s.SetBehaviour(func(_ int, r *http.Request) fleettest.Behaviour {
+		if strings.HasSuffix(r.URL.Path, "run") {
+			calls.Add(1)
+			<-finish
+		}
+		return fleettest.Serve
+	})
+	c := newTestCoordinatorFor(t, s, time.Minute) // the call is held
+	job := peers.Job{ID: "job", Key: "k", TargetMS: 300000, DeadlineMS: 600000, Stages: []dispatch.Stage{{Service: "portal", Tasks: 1, ResultBytes: 1000}}}
+	awaitFirst, awaitSecond := c.Admit(job), c.Admit(job)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	if o := awaitFirst(ctx, ignoreResults); !o.Moved {
+		t.Errorf("outcome of the former submission is %+v, want one to submit the job again", o)
+	}
+	close(finish)
+	if o := awaitSecond(t.Context(), ignoreResults); len(o.Handles) != 1 {
+		t.Errorf("outcome of the latter submission is %+v, want 1 handle", o)
+	}
+	if n := calls.Load(); n != 1 {
+		t.Errorf("the endpoint ran %d calls, want one", n)
+	}
+}
+
 // An endpoint that the roster learns of just after a refresh must be used without waiting for the
 // next one.
 func TestNewEndpointsAreUsedAtOnce(t *testing.T) {
