Ignore reports about a former incarnation of an endpoint

Cause: the roster knew an endpoint by its id only when a request to it ended or its response was read. If the endpoint had started again meanwhile, the outcome, the end and the statements of the former incarnation were recorded for the new one: a sound endpoint that had just started was down and cold, lost one of its requests in flight, or counted as leaving, paused, limited or loaded.

Change: Report, End and RecordStatus take the endpoint that the request was sent to, and ignore it unless the same incarnation at the same address is listed. These are what a list of endpoints already compares.

--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -503,7 +503,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	info := fleet.DecodeResponse(resp.StatusCode, resp.Header)
-	changed := c.o.Roster.RecordStatus(time.Now(), e.ID, roster.Status{
+	changed := c.o.Roster.RecordStatus(time.Now(), e, roster.Status{
 		Load: -1, Leaving: info.Leaving, RetryAfter: info.RetryAfter,
 		Limit: roster.RateLimit{Active: info.Limited, PerSecond: info.Limit}, SentAt: sentAt,
 		// The answer may be to an earlier call: what it states still restrains the entry, what it does not state may hold.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -86,7 +86,7 @@
 	if a.resp != nil {
 		_ = a.resp.Body.Close()
 	}
-	r.End(a.endpoint.ID)
+	r.End(a.endpoint.Endpoint)
 }
 
 // send sends the request to an endpoint. The caller must call finish on the attempt. It is safe for concurrent
@@ -142,7 +142,7 @@
 		q.gw.EndpointLost(a.endpoint.ID)
 	}
 	if !ended || q.wasSilent(ctx, now, a) {
-		q.gw.opts.Roster.Report(now, a.endpoint.ID, outcome, now.Sub(a.sentAt))
+		q.gw.opts.Roster.Report(now, a.endpoint.Endpoint, outcome, now.Sub(a.sentAt))
 	}
 }
 
@@ -182,7 +182,7 @@
 	if a.info.LoadKnown {
 		load = a.info.Running + a.info.Waiting
 	}
-	changed := q.gw.opts.Roster.RecordStatus(now, a.endpoint.ID, roster.Status{
+	changed := q.gw.opts.Roster.RecordStatus(now, a.endpoint.Endpoint, roster.Status{
 		Load: load, ColdRemaining: a.info.ColdRemaining, Leaving: a.info.Leaving, RetryAfter: a.info.RetryAfter,
 		Limit: roster.RateLimit{Active: a.info.Limited, PerSecond: a.info.Limit}, LimitUnknown: !a.info.Signed && !a.info.NotRun, SentAt: a.sentAt,
 	})
@@ -201,5 +201,5 @@
 	case a.resp.StatusCode >= http.StatusInternalServerError:
 		outcome = roster.Failed
 	}
-	q.gw.opts.Roster.Report(now, a.endpoint.ID, outcome, now.Sub(a.sentAt))
+	q.gw.opts.Roster.Report(now, a.endpoint.Endpoint, outcome, now.Sub(a.sentAt))
 }
--- a/gatewaydaemon/daemon_test.go
+++ b/gatewaydaemon/daemon_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/azurelead/azurelead/catalog"
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/platform/fleettest"
 )
@@ -130,6 +131,16 @@
 	}
 }
 
+// listed returns an endpoint of a service as the entry knows it.
+func (e *entry) listed(service string, s *fleettest.Server) catalog.Endpoint {
+	for _, known := range e.daemon.roster.Endpoints(time.Now(), service) {
+		if known.ID == s.ID {
+			return known
+		}
+	}
+	return catalog.Endpoint{}
+}
+
 type result struct {
 	status int
 	body   string
--- a/gatewaydaemon/faults_test.go
+++ b/gatewaydaemon/faults_test.go
@@ -452,7 +452,7 @@
 	e := d.entries[0]
 	for _, engine := range []*fleettest.Server{engine1, engine2} {
 		engine.SetCold(time.Hour)
-		e.daemon.roster.RecordStatus(time.Now(), engine.ID, roster.Status{Load: -1, ColdRemaining: time.Hour, LimitUnknown: true})
+		e.daemon.roster.RecordStatus(time.Now(), e.listed("llm", engine), roster.Status{Load: -1, ColdRemaining: time.Hour, LimitUnknown: true})
 	}
 	var wg sync.WaitGroup
 	for range 6 {
@@ -518,7 +518,7 @@
 	e := d.entries[0]
 	d.eventually("one engine is known", func() bool { return len(e.daemon.roster.Endpoints(time.Now(), "llm")) == 1 })
 	engine1.SetCold(time.Hour)
-	e.daemon.roster.RecordStatus(time.Now(), engine1.ID, roster.Status{Load: -1, ColdRemaining: time.Hour, LimitUnknown: true})
+	e.daemon.roster.RecordStatus(time.Now(), e.listed("llm", engine1), roster.Status{Load: -1, ColdRemaining: time.Hour, LimitUnknown: true})
 	for range 12 {
 		var wg sync.WaitGroup
 		for range 3 {
--- a/gatewaydaemon/silentendpoint_test.go
+++ b/gatewaydaemon/silentendpoint_test.go
@@ -72,7 +72,7 @@
 				if len(e.Runs()) == 0 {
 					e.SetBehaviour(alwaysBehave(fleettest.Hang))
 					for range 6 {
-						d.entries[0].daemon.roster.Report(time.Now(), e.ID, roster.Unreachable, 0)
+						d.entries[0].daemon.roster.Report(time.Now(), d.entries[0].listed("llm", e), roster.Unreachable, 0)
 					}
 				}
 			}
--- a/peers/notices_test.go
+++ b/peers/notices_test.go
@@ -13,7 +13,7 @@
 // nameLimit makes a roster know of a limit by a response of the endpoint.
 func nameLimit(r *roster.Roster, endpoint string, perSecond float64) {
 	now := time.Now()
-	r.RecordStatus(now, endpoint, roster.Status{Load: -1, Limit: roster.RateLimit{Active: true, PerSecond: perSecond}, SentAt: now})
+	r.RecordStatus(now, catalog.Endpoint{ID: endpoint, Incarnation: 1}, roster.Status{Load: -1, Limit: roster.RateLimit{Active: true, PerSecond: perSecond}, SentAt: now})
 }
 
 // In a large deployment one spoke learns an endpoint's limit. It reaches every entry through the hubs,
@@ -44,7 +44,7 @@
 	await(t, "all entries to know the limit", known(true))
 	time.Sleep(100 * time.Millisecond) // the limit's age must be above the allowance for its transit
 	now := time.Now()
-	spoke.o.Roster.RecordStatus(now, "e", roster.Status{Load: -1, SentAt: now})
+	spoke.o.Roster.RecordStatus(now, catalog.Endpoint{ID: "e", Incarnation: 1}, roster.Status{Load: -1, SentAt: now})
 	spoke.PingAll()
 	await(t, "all entries to know that the limit has ended", known(false))
 }
--- a/roster/limit_test.go
+++ b/roster/limit_test.go
@@ -15,7 +15,7 @@
 	for i := range n {
 		r := newRoster(makeEndpoints(1, "a"))
 		r.SetEntries(n, func(string) int { return i })
-		r.RecordStatus(epoch, "e0", Status{Load: -1, Limit: RateLimit{Active: true, PerSecond: limit}, SentAt: epoch})
+		r.RecordStatus(epoch, listed(r, "e0"), Status{Load: -1, Limit: RateLimit{Active: true, PerSecond: limit}, SentAt: epoch})
 		entries = append(entries, r)
 	}
 	return entries
@@ -124,9 +124,11 @@
 		want   bool
 	}{
 		{"stated", func(*Roster) {}, true},
-		{"no longer stated", func(r *Roster) { r.RecordStatus(at(3), "e0", Status{Load: -1, SentAt: at(2.5)}) }, false},
-		{"overtaken response", func(r *Roster) { r.RecordStatus(at(3), "e0", Status{Load: -1, SentAt: at(1.5)}) }, true},
-		{"response of unknown origin", func(r *Roster) { r.RecordStatus(at(3), "e0", Status{Load: -1, SentAt: at(2.5), LimitUnknown: true}) }, true},
+		{"no longer stated", func(r *Roster) { r.RecordStatus(at(3), listed(r, "e0"), Status{Load: -1, SentAt: at(2.5)}) }, false},
+		{"overtaken response", func(r *Roster) { r.RecordStatus(at(3), listed(r, "e0"), Status{Load: -1, SentAt: at(1.5)}) }, true},
+		{"response of unknown origin", func(r *Roster) {
+			r.RecordStatus(at(3), listed(r, "e0"), Status{Load: -1, SentAt: at(2.5), LimitUnknown: true})
+		}, true},
 		{"record missing for a while", func(r *Roster) {
 			r.SetEndpoints(at(3), makeEndpoints(0, "a"), Continuous)
 			r.SetEndpoints(at(4), makeEndpoints(1, "a"), Continuous)
@@ -140,7 +142,7 @@
 	}
 	for _, c := range cases {
 		r := newRoster(makeEndpoints(1, "a"))
-		r.RecordStatus(at(2), "e0", stated)
+		r.RecordStatus(at(2), listed(r, "e0"), stated)
 		c.change(r)
 		if got := r.HasRateLimit(at(5), "e0"); got != c.want {
 			t.Errorf("%s: limit holds %t, want %t", c.name, got, c.want)
--- a/roster/notice_test.go
+++ b/roster/notice_test.go
@@ -54,7 +54,7 @@
 				l.PerSecond = float64(rapid.IntRange(1, 9).Draw(rt, "limit"))
 			}
 			e := entries[rapid.IntRange(0, n-1).Draw(rt, "entry")]
-			e.RecordStatus(now, id, Status{Load: -1, Limit: l, SentAt: now})
+			e.RecordStatus(now, listed(e, id), Status{Load: -1, Limit: l, SentAt: now})
 			latest[id] = l
 			now = now.Add(200 * time.Millisecond) // above noticeTransit, so that the order of events is known everywhere
 			if rapid.Bool().Draw(rt, "exchange") {
@@ -104,7 +104,7 @@
 	notices := 0
 	for i := range 100 {
 		now := epoch.Add(time.Duration(i) * 100 * time.Millisecond)
-		if r.RecordStatus(now, "e0", Status{Load: -1, Limit: RateLimit{Active: true, PerSecond: 10 + 0.1*float64(i)}, SentAt: now}) {
+		if r.RecordStatus(now, listed(r, "e0"), Status{Load: -1, Limit: RateLimit{Active: true, PerSecond: 10 + 0.1*float64(i)}, SentAt: now}) {
 			notices++
 		}
 	}
@@ -129,7 +129,7 @@
 		if delay := r.Delay(epoch, Filter{Service: "llm"}); delay < 0 || delay > time.Minute {
 			t.Errorf("%+v: delay %v", limit, delay)
 		}
-		r.RecordStatus(later, "e0", Status{Load: -1, SentAt: later})
+		r.RecordStatus(later, listed(r, "e0"), Status{Load: -1, SentAt: later})
 		if r.HasRateLimit(later, "e0") {
 			t.Errorf("%+v: the limit holds although the endpoint states none", limit)
 		}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -224,8 +224,8 @@
 
 // setListed updates the member of a listed endpoint, or adds one. The caller holds mu.
 func (r *Roster) setListed(now time.Time, e catalog.Endpoint, c Continuity) {
-	m := r.members[e.ID]
-	if m == nil || m.Incarnation != e.Incarnation || m.Address != e.Address {
+	m := r.incarnation(e)
+	if m == nil {
 		m = r.newMember(now, e, c)
 		r.members[e.ID] = m
 	}
@@ -239,6 +239,15 @@
 	m.Endpoint, m.listed, m.missingSince = e, true, time.Time{}
 }
 
+// incarnation returns the member of an endpoint, or nil if the endpoint is not known or has started again since e was
+// listed. The caller holds mu.
+func (r *Roster) incarnation(e catalog.Endpoint) *member {
+	if m := r.members[e.ID]; m != nil && m.Incarnation == e.Incarnation && m.Address == e.Address {
+		return m
+	}
+	return nil
+}
+
 // newMember returns the member of an endpoint that is listed for the first time or again. The caller
 // holds mu.
 func (r *Roster) newMember(now time.Time, e catalog.Endpoint, c Continuity) *member {
@@ -557,18 +566,35 @@
 	return m.failureRate * math.Exp(-now.Sub(m.failureRateAt).Seconds()/failureDecayTime.Seconds())
 }
 
-// Begin counts a request that is about to be sent and reports whether the endpoint may still
-// receive it. If not, the request is not counted.
-func (r *Roster) Begin(now time.Time, id string) bool { return r.begin(now, id, r.sendDelay) }
+// BeginCandidate counts a request that is about to be sent and reports whether the endpoint may still receive it. If
+// not, as when it has started again since it was chosen, the request is not counted.
+func (r *Roster) BeginCandidate(now time.Time, c Candidate) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delay := r.sendDelay
+	if c.TurnBooked {
+		delay = r.coldDelay
+	}
+	return r.begin(now, r.incarnation(c.Endpoint), delay)
+}
+
+// Begin is like BeginCandidate for the incarnation of an endpoint that is listed now.
+func (r *Roster) Begin(now time.Time, id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.begin(now, r.members[id], r.sendDelay)
+}
 
 // BeginBooked is like Begin for a request for which the dispatcher has booked a turn within the endpoint's
 // limit.
-func (r *Roster) BeginBooked(now time.Time, id string) bool { return r.begin(now, id, r.coldDelay) }
-
-func (r *Roster) begin(now time.Time, id string, delay func(time.Time, *member) time.Duration) bool {
+func (r *Roster) BeginBooked(now time.Time, id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m := r.members[id]
+	return r.begin(now, r.members[id], r.coldDelay)
+}
+
+// begin counts a request to a member, or returns false if m is nil or must not receive it. The caller holds mu.
+func (r *Roster) begin(now time.Time, m *member, delay func(time.Time, *member) time.Duration) bool {
 	if m == nil || !r.usable(now, m) || delay(now, m) > 0 {
 		return false
 	}
@@ -580,12 +606,13 @@
 	return true
 }
 
-// Report records the outcome of a request that Begin counted, as soon as it is known. firstByte is
-// the time from sending to the first byte of the response.
-func (r *Roster) Report(now time.Time, id string, o Outcome, firstByte time.Duration) {
+// Report records the outcome of a request that was counted, as soon as it is known. firstByte is the time from
+// sending to the first byte of the response. Like all reports of requests, it is ignored if the endpoint has started
+// again since the request was sent.
+func (r *Roster) Report(now time.Time, e catalog.Endpoint, o Outcome, firstByte time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m := r.members[id]
+	m := r.incarnation(e)
 	if m == nil {
 		return
 	}
@@ -618,11 +645,11 @@
 	m.failureRate += outcomeWeight * (failure - m.failureRate)
 }
 
-// End removes a request that Begin counted.
-func (r *Roster) End(id string) {
+// End removes a request that was counted.
+func (r *Roster) End(e catalog.Endpoint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if m := r.members[id]; m != nil && m.inFlight > 0 {
+	if m := r.incarnation(e); m != nil && m.inFlight > 0 {
 		m.inFlight--
 		m.probing = false
 	}
@@ -649,10 +676,10 @@
 // RecordStatus records what an endpoint reported of itself, and reports whether that changed what the
 // other entries need to know. A cold time or a pause that ends sooner than the known one does not
 // shorten it.
-func (r *Roster) RecordStatus(now time.Time, id string, s Status) (changed bool) {
+func (r *Roster) RecordStatus(now time.Time, e catalog.Endpoint, s Status) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m := r.members[id]
+	m := r.incarnation(e)
 	if m == nil {
 		return false
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -30,6 +30,9 @@
 	return r
 }
 
+// listed returns an endpoint as it is listed now.
+func listed(r *Roster, id string) catalog.Endpoint { return r.members[id].Endpoint }
+
 func TestCandidatesAreUsable(t *testing.T) {
 	draining := makeEndpoints(2, "a")
 	draining[0].State = catalog.Draining
@@ -48,17 +51,17 @@
 		}, 2},
 		{"one endpoint is unreachable", func(r *Roster) {
 			r.Begin(epoch, "e0")
-			r.Report(epoch, "e0", Unreachable, 0)
-			r.End("e0")
+			r.Report(epoch, listed(r, "e0"), Unreachable, 0)
+			r.End(listed(r, "e0"))
 		}, 1},
 		{"one connection was lost", func(r *Roster) {
 			r.Begin(epoch, "e0")
-			r.Report(epoch, "e0", ConnectionLost, 0)
-			r.End("e0")
+			r.Report(epoch, listed(r, "e0"), ConnectionLost, 0)
+			r.End(listed(r, "e0"))
 		}, 2},
 		{"all endpoints are unreachable: any may have recovered", func(r *Roster) {
 			for _, id := range []string{"e0", "e1"} {
-				r.Report(epoch, id, Unreachable, 0)
+				r.Report(epoch, listed(r, id), Unreachable, 0)
 			}
 		}, 2},
 	}
@@ -99,7 +102,7 @@
 // answered.
 func TestFailedEndpointIsProbedOnce(t *testing.T) {
 	r := newRoster(makeEndpoints(2, "a"))
-	r.Report(epoch, "e0", Unreachable, 0)
+	r.Report(epoch, listed(r, "e0"), Unreachable, 0)
 	now := epoch.Add(minBackoff + time.Millisecond)
 	if len(r.Candidates(now, Filter{Service: "llm"})) != 2 || !r.Begin(now, "e0") {
 		t.Fatal("the failed endpoint is not probed")
@@ -107,7 +110,7 @@
 	if len(r.Candidates(now, Filter{Service: "llm"})) != 1 {
 		t.Error("the failed endpoint gets a second request during the probe")
 	}
-	r.Report(now, "e0", Answered, time.Millisecond)
+	r.Report(now, listed(r, "e0"), Answered, time.Millisecond)
 	now = now.Add(time.Second) // a failed endpoint also counts as cold for a while
 	if len(r.Candidates(now, Filter{Service: "llm"})) != 2 {
 		t.Error("the endpoint gets no requests after it answered the probe")
@@ -156,7 +159,7 @@
 // An endpoint counts as cold whether a response or its record says so.
 func TestColdStatusFromResponseAndRecord(t *testing.T) {
 	r := newRoster(makeEndpoints(1, "a"))
-	r.RecordStatus(epoch, "e0", Status{Load: 3, ColdRemaining: time.Second})
+	r.RecordStatus(epoch, listed(r, "e0"), Status{Load: 3, ColdRemaining: time.Second})
 	if c := r.Candidates(epoch, Filter{Service: "llm"}); !c[0].Cold || c[0].Load != 3 {
 		t.Errorf("after the response: candidate %+v, want cold with load 3", c)
 	}
@@ -206,7 +209,7 @@
 	draining[0].State = catalog.Draining
 	restarted := makeEndpoints(2, "a")
 	restarted[0].Incarnation = 2
-	saysLeaving := func(r *Roster) { r.RecordStatus(epoch, "e0", Status{Load: -1, Leaving: true}) }
+	saysLeaving := func(r *Roster) { r.RecordStatus(epoch, listed(r, "e0"), Status{Load: -1, Leaving: true}) }
 	cases := []struct {
 		name   string
 		change func(r *Roster)
@@ -251,9 +254,9 @@
 // left.
 func TestPausedEndpointGetsNothing(t *testing.T) {
 	r := newRoster(makeEndpoints(2, "a"))
-	r.RecordStatus(epoch, "e0", Status{Load: -1, RetryAfter: 2 * time.Second})
-	r.RecordStatus(epoch, "e0", Status{Load: -1, RetryAfter: time.Second})
-	r.RecordStatus(epoch, "e1", Status{Load: -1, RetryAfter: 3 * time.Second})
+	r.RecordStatus(epoch, listed(r, "e0"), Status{Load: -1, RetryAfter: 2 * time.Second})
+	r.RecordStatus(epoch, listed(r, "e0"), Status{Load: -1, RetryAfter: time.Second})
+	r.RecordStatus(epoch, listed(r, "e1"), Status{Load: -1, RetryAfter: 3 * time.Second})
 	steps := []struct {
 		after      time.Duration
 		candidates int
@@ -325,7 +328,7 @@
 // An endpoint that counts as failed is tried when a request has tried all others.
 func TestFailedEndpointIsTriedLast(t *testing.T) {
 	r := newRoster(makeEndpoints(2, "a"))
-	r.Report(epoch, "e1", Unreachable, 0)
+	r.Report(epoch, listed(r, "e1"), Unreachable, 0)
 	for _, c := range []struct {
 		tried map[string]bool
 		want  string
