--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -170,12 +170,20 @@
 	}
 }
 
-// Submit implements peers.JobHandler.
+// Submit admits a job and waits for its outcome, as described at peers.JobHandler.
 func (c *Coordinator) Submit(ctx context.Context, j peers.Job, onResults func([]dispatch.StageResults)) peers.Outcome {
+	return c.Admit(j)(ctx, onResults)
+}
+
+// awaiting waits for the outcome of a job, as described at peers.JobHandler.
+type awaiting = func(ctx context.Context, onResults func([]dispatch.StageResults)) peers.Outcome
+
+// Admit implements peers.JobHandler.
+func (c *Coordinator) Admit(j peers.Job) awaiting {
 	now := time.Now()
 	c.mu.Lock()
-	if w := c.waiters[j.JobID()]; w != nil && w.result == nil {
-		return c.resume(ctx, j, w, onResults)
+	if w := c.waiters[j.JobID()]; w != nil {
+		return c.resume(j, w)
 	}
 	c.refreshEndpoints(now)
 	if now.Sub(c.lastSubmit) > forgetAfter {
@@ -196,45 +204,55 @@
 		c.o.Metrics.Jobs.WithLabelValues("refused").Inc()
 		c.o.Logger.Info("stages refused", "request", j.ID, "reason", a.Reason, "forecast_ms", a.Forecast.Milliseconds(),
 			"deadline_ms", j.DeadlineMS, "tail_ms", a.FirstEventDelay.Milliseconds(), "rank", j.Rank, "retry_after_ms", a.RetryAfter.Milliseconds())
-		return peers.Outcome{Refused: true, Problem: a.Reason, RetryAfterMS: a.RetryAfter.Milliseconds(), ForecastMS: a.Forecast.Milliseconds()}
+		refusal := peers.Outcome{Refused: true, Problem: a.Reason, RetryAfterMS: a.RetryAfter.Milliseconds(), ForecastMS: a.Forecast.Milliseconds()}
+		return func(context.Context, func([]dispatch.StageResults)) peers.Outcome { return refusal }
 	}
 	delete(c.retryUntil, j.Subject)
 	w := newWaiter(a, j)
 	c.waiters[j.JobID()] = w
+	result := w.result
 	c.mu.Unlock()
 	c.o.Logger.Info("stages admitted", "request", j.ID, "rank", j.Rank, "stages", len(j.Stages), "returning", job.Retry,
 		"forecast_ms", a.Forecast.Milliseconds(), "tail_ms", a.FirstEventDelay.Milliseconds(), "target_ms", j.TargetMS, "deadline_ms", j.DeadlineMS,
 		"made_before", len(j.PriorResults))
 	c.wakeRun()
 	c.flush()
-	return c.awaitOutcome(ctx, j, w, onResults)
+	return c.outcomeOf(j, w, result)
 }
 
-// resume attaches a submitter to a job whose link was lost. The caller holds mu; resume unlocks it.
-func (c *Coordinator) resume(ctx context.Context, j peers.Job, w *waiter, onResults func([]dispatch.StageResults)) peers.Outcome {
-	w.result, w.orphanedAt = make(chan dispatch.JobResult, 1), time.Time{}
+// resume attaches a submitter to a job that was submitted before, on a link that was lost. If that has not been
+// noticed yet, the former submission is answered, as its submitter may be the one that still waits. The caller holds
+// mu; resume unlocks it.
+func (c *Coordinator) resume(j peers.Job, w *waiter) awaiting {
+	if w.result != nil {
+		w.result <- dispatch.JobResult{ID: j.JobID(), HandedOver: true}
+	}
+	result := make(chan dispatch.JobResult, 1)
+	w.result, w.orphanedAt = result, time.Time{}
 	if w.keptResult != nil {
-		w.result <- *w.keptResult
+		result <- *w.keptResult
 		delete(c.waiters, j.JobID())
 	}
 	c.mu.Unlock()
 	c.o.Logger.Info("stages resumed on a new link", "request", j.ID)
-	return c.awaitOutcome(ctx, j, w, onResults)
+	return c.outcomeOf(j, w, result)
 }
 
-// awaitOutcome waits for the job and completes its outcome with the forecasts made at admission.
-func (c *Coordinator) awaitOutcome(ctx context.Context, j peers.Job, w *waiter, onResults func([]dispatch.StageResults)) peers.Outcome {
-	o := c.awaitResult(ctx, j, w, onResults)
-	o.ForecastMS, o.TimeToFirstEventMS = w.forecast.Milliseconds(), w.firstEventDelay.Milliseconds()
-	return o
+// outcomeOf returns a function that waits for a job and completes its outcome with the forecasts made at admission.
+func (c *Coordinator) outcomeOf(j peers.Job, w *waiter, result chan dispatch.JobResult) awaiting {
+	return func(ctx context.Context, onResults func([]dispatch.StageResults)) peers.Outcome {
+		o := c.awaitResult(ctx, j, w, result, onResults)
+		o.ForecastMS, o.TimeToFirstEventMS = w.forecast.Milliseconds(), w.firstEventDelay.Milliseconds()
+		return o
+	}
 }
 
 // awaitResult passes stage results to onResults until the job ends or ctx, which stands for the
 // link to the submitter, is done.
-func (c *Coordinator) awaitResult(ctx context.Context, j peers.Job, w *waiter, onResults func([]dispatch.StageResults)) peers.Outcome {
+func (c *Coordinator) awaitResult(ctx context.Context, j peers.Job, w *waiter, result chan dispatch.JobResult, onResults func([]dispatch.StageResults)) peers.Outcome {
 	for {
 		select {
-		case r := <-w.result:
+		case r := <-result:
 			if r.HandedOver {
 				c.report(w, onResults)
 			}
@@ -243,7 +261,9 @@
 			c.report(w, onResults)
 		case <-ctx.Done():
 			c.mu.Lock()
-			w.result, w.orphanedAt = nil, time.Now()
+			if w.result == result {
+				w.result, w.orphanedAt = nil, time.Now()
+			}
 			c.mu.Unlock()
 			return peers.Outcome{Problem: "link lost"}
 		}
@@ -485,7 +505,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	info := fleet.DecodeResponse(resp.StatusCode, resp.Header)
-	changed := c.o.Roster.RecordStatus(time.Now(), e.ID, roster.Status{
+	changed := c.o.Roster.RecordStatus(time.Now(), e, roster.Status{
 		Load: -1, Leaving: info.Leaving, RetryAfter: info.RetryAfter,
 		Limit: roster.RateLimit{Active: info.Limited, PerSecond: info.Limit}, SentAt: sentAt,
 		// The answer may be to an earlier call: what it states still restrains the entry, what it does not state may hold.
