Count a stream's attempt at the incarnation that was chosen

The gateway's streams counted a request that was about to be sent by the endpoint's id only, unlike buffered requests since: an engine that started again in between was taken for the one that was chosen. TestRequestToFormerIncarnationIsNotBegun covers the roster's side; there is no test of its own for streams.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -361,9 +361,8 @@
 func (s *stream) begin(c roster.Candidate) bool {
 	if c.TurnBooked {
 		s.output.turnBooked = false
-		return s.gw.opts.Roster.BeginBooked(time.Now(), c.ID)
 	}
-	return s.gw.opts.Roster.Begin(time.Now(), c.ID)
+	return s.gw.opts.Roster.BeginCandidate(time.Now(), c)
 }
 
 // versionGoneReason is the reason of responses to streams whose software version serves no more.
