Close clients' connections without resetting what was answered

Cause: net/http closes a connection after its own answers (400, 417, 431, 501, 505) while the client still sends. A socket that is closed with unread data resets its connection: the client's write fails, and on a slow link the reset can take the answer with it.

Change: connections of the gateway's clients linger when they are closed (package linger): the end of the stream is sent at once, and what the client sends is discarded until it ends its side, for at most 2 s without a byte, 5 s and 64 MB.

--- a/gatewaydaemon/clients.go
+++ b/gatewaydaemon/clients.go
@@ -5,16 +5,18 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/azurelead/azurelead/linger"
 )
 
 // connectionPollInterval is the interval at which a closing server counts its connections.
 const connectionPollInterval = 5 * time.Millisecond
 
 // clientServer is the clients' HTTP server. Its close differs from http.Server.Shutdown, which closes connections
-// without an answer to requests that it has read or is reading.
+// without an answer to requests that it has read or is reading. Its connections linger when they are closed.
 type clientServer struct {
 	server   *http.Server
-	listener net.Listener
+	listener *linger.Listener
 
 	mu sync.Mutex
 	// busy are the connections that are not idle: a request is in progress, or none has been read yet.
@@ -23,7 +25,7 @@
 
 // newClientServer returns a server whose connections are tracked.
 func newClientServer(listener net.Listener, server *http.Server) *clientServer {
-	c := &clientServer{server: server, listener: listener, busy: make(map[net.Conn]bool)}
+	c := &clientServer{server: server, listener: linger.NewListener(listener), busy: make(map[net.Conn]bool)}
 	server.ConnState = c.track
 	return c
 }
@@ -58,3 +60,10 @@
 	_ = c.server.Close()
 	return cut
 }
+
+// awaitUploads waits until the clients of closed connections have ended what they were sending, or until the deadline.
+func (c *clientServer) awaitUploads(deadline time.Time) {
+	for c.listener.CountReceiving() > 0 && time.Now().Before(deadline) {
+		time.Sleep(connectionPollInterval)
+	}
+}
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -227,7 +227,7 @@
 	})
 	go func() {
 		d.awaitInitialState(ctx)
-		d.serve("front", clients.server, clientListener)
+		d.serve("front", clients.server, clients.listener)
 	}()
 	d.serve("health", &http.Server{Handler: fleet.ReadyHandler(d.ready), ReadHeaderTimeout: headerTimeout}, healthListener)
 	if d.settings.PeerAddress != "" {
--- a/gatewaydaemon/stoprequests_test.go
+++ b/gatewaydaemon/stoprequests_test.go
@@ -67,8 +67,11 @@
 }
 
 // readResult reads the response to the request on a connection.
-func readResult(c net.Conn) result {
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+func readResult(c net.Conn) result { return readNext(bufio.NewReader(c)) }
+
+// readNext reads the next response on a connection.
+func readNext(reader *bufio.Reader) result {
+	resp, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		return result{err: err}
 	}
--- /dev/null
+++ b/linger/linger.go
@@ -0,0 +1,165 @@
+// Package linger closes TCP connections without losing the response that was sent on them last. Closing a socket
+// that holds unread data, or at which more arrives, resets the connection, and a client that is still writing then
+// fails before it reads the response (RFC 9112, section 9.6).
+package linger
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	// idleTime is how long a closed connection is kept open while its client sends nothing.
+	idleTime = 2 * time.Second
+	// maxTime and maxBytes bound what is read from a connection after it was closed.
+	maxTime  = 5 * time.Second
+	maxBytes = 64 << 20
+)
+
+// Listener accepts TCP connections that linger when they are closed.
+type Listener struct {
+	net.Listener
+
+	mu sync.Mutex
+	// receiving are the closed connections whose clients have sent more since.
+	receiving map[*conn]bool
+}
+
+// NewListener returns a listener that accepts the connections of a TCP listener.
+func NewListener(l net.Listener) *Listener {
+	return &Listener{Listener: l, receiving: make(map[*conn]bool)}
+}
+
+// Accept returns the next connection. Its Close sends what has been written and the end of the stream, returns at
+// once, and goes on discarding what the client sends, within bounds, before the socket is closed.
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	return &conn{TCPConn: tcp, listener: l}, nil
+}
+
+// CountReceiving returns the number of closed connections whose clients are still sending.
+func (l *Listener) CountReceiving() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.receiving)
+}
+
+// setReceiving records whether the client of a closed connection is still sending.
+func (l *Listener) setReceiving(c *conn, receiving bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if receiving {
+		l.receiving[c] = true
+		return
+	}
+	delete(l.receiving, c)
+}
+
+// conn is a TCP connection that lingers when it is closed.
+type conn struct {
+	*net.TCPConn
+	listener *Listener
+
+	// reading is held during each read, so that no read from before the close overlaps those of linger.
+	reading sync.Mutex
+	// mu guards closed, and orders the setting of deadlines against Close.
+	mu     sync.Mutex
+	closed bool
+}
+
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+// Read implements net.Conn. It returns net.ErrClosed after Close.
+func (c *conn) Read(p []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.isClosed() {
+		return 0, net.ErrClosed
+	}
+	n, err := c.TCPConn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.isClosed() {
+		err = net.ErrClosed
+	}
+	return n, err
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed = true
+	if err := c.CloseWrite(); err != nil {
+		return c.TCPConn.Close() // the client has reset the connection
+	}
+	// Ends a pending read, so that linger can begin.
+	if err := c.TCPConn.SetReadDeadline(time.Now()); err != nil {
+		return errors.Join(err, c.TCPConn.Close())
+	}
+	go c.linger()
+	return nil
+}
+
+// linger discards what the client sends until it ends its side of the connection, and closes the socket.
+func (c *conn) linger() {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	defer c.listener.setReceiving(c, false)
+	// The client has the response, or does not read it: there is no one to report an error to.
+	defer func() { _ = c.TCPConn.Close() }()
+	_, _ = io.CopyN(io.Discard, &remainder{conn: c, until: time.Now().Add(maxTime)}, maxBytes)
+}
+
+// remainder reads what a client sends on a closed connection.
+type remainder struct {
+	conn  *conn
+	until time.Time
+}
+
+// Read implements io.Reader. It fails if the client sends nothing for idleTime.
+func (r *remainder) Read(p []byte) (int, error) {
+	deadline := time.Now().Add(idleTime)
+	if deadline.After(r.until) {
+		deadline = r.until
+	}
+	if err := r.conn.TCPConn.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	n, err := r.conn.TCPConn.Read(p)
+	if n > 0 {
+		r.conn.listener.setReceiving(r.conn, true)
+	}
+	return n, err
+}
--- /dev/null
+++ b/linger/linger_test.go
@@ -0,0 +1,86 @@
+package linger
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// dial returns both ends of a connection that lingers.
+func dial(t *testing.T) (client, server net.Conn, l *Listener) {
+	t.Helper()
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l = NewListener(tcp)
+	t.Cleanup(func() { _ = l.Close() })
+	if client, err = net.Dial("tcp", tcp.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	if server, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	return client, server, l
+}
+
+// A client that writes all of its request before it reads must get the response that was sent before the request's end.
+func TestResponseOutlivesUnreadRequest(t *testing.T) {
+	client, server, l := dial(t)
+	go func() {
+		_, _ = io.WriteString(server, "refused")
+		_ = server.Close()
+	}()
+	const size = 16 << 20 // more than the sockets' buffers hold
+	if n, err := client.Write(make([]byte, size)); err != nil {
+		t.Fatalf("wrote %d of %d bytes: %v", n, size, err)
+	}
+	if response, err := io.ReadAll(client); string(response) != "refused" || err != nil {
+		t.Errorf("read %q: %v", response, err)
+	}
+	_ = client.Close()
+	for l.CountReceiving() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A client that neither sends more nor closes must not keep a closed connection for ever.
+func TestIdleClientIsClosed(t *testing.T) {
+	client, server, l := dial(t)
+	_, _ = io.WriteString(client, "x")
+	_ = server.Close()
+	for l.CountReceiving() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for l.CountReceiving() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for err := error(nil); err == nil; _, err = client.Write([]byte("x")) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A read that is pending when the connection is closed must end, and not take what is read while it lingers.
+func TestCloseEndsPendingRead(t *testing.T) {
+	client, server, _ := dial(t)
+	done := make(chan error)
+	go func() {
+		_, err := server.Read(make([]byte, 1))
+		done <- err
+	}()
+	_ = server.Close()
+	if err := <-done; err != net.ErrClosed {
+		t.Errorf("the read returned %v", err)
+	}
+	if _, err := server.Read(make([]byte, 1)); err != net.ErrClosed {
+		t.Errorf("a later read returned %v", err)
+	}
+	if err := server.Close(); err != net.ErrClosed {
+		t.Errorf("a second close returned %v", err)
+	}
+	if _, err := client.Write([]byte("x")); err != nil {
+		t.Error(err)
+	}
+}
