Read a refused request's body before answering

Cause: 401, 404, 413, 400 of a header and 503 without a configuration or in a stop were written before the body had been read. net/http then reads on for 256 KB or half a second and closes. A client that is still uploading fails with a broken pipe, and one that reads only after its request sees neither an answer nor a refusal. This follows every change of the configuration that takes a key or a route away. Likewise an upload that stood still was held without a bound, refused or not.

Change: the refusal is decided as before and written when the body has been read to its end; the body is discarded, and the connection stays usable. A stopping entry answers at once and closes; the lingering close receives the rest of the upload, so that a client that only writes gets the answer too.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,8 +6,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"runtime/debug"
@@ -42,8 +40,6 @@
 	// engineReadDelay is the initial ReadDelay of engines: opening a connection, sending a prompt over a
 	// slow link, and fetching large results.
 	engineReadDelay = 80 * time.Millisecond
-	// defaultBodyLimit bounds a request body, in bytes, if the configuration sets no limit.
-	defaultBodyLimit = 4 << 20
 )
 
 var tracer = otel.Tracer("github.com/azurelead/azurelead/gateway")
@@ -140,6 +136,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	q.progress = &progress{cancel: cancel, unblockBody: unblockBody(w)}
+	q.incoming = newIncomingBody(r, q.progress)
 	g.inFlight.add(q.progress)
 	defer g.inFlight.remove(q.progress)
 	if g.keepAlivesDisabled.Load() {
@@ -151,7 +148,7 @@
 	defer q.discardSecured()
 	defer q.answerAfterPanic()
 	if resp := q.admit(); resp != nil {
-		q.respond(*resp)
+		q.respondAfterBody(*resp)
 		return
 	}
 	ctx, cancelDeadline := context.WithDeadline(ctx, q.deadline)
@@ -181,7 +178,9 @@
 	// version is the software version that has sent events of the stream; empty if none has. It is set in
 	// the request's own goroutine, and read by its silence timer.
 	version atomic.Pointer[string]
-	body    []byte
+	// incoming is the body as it arrives, body what was read of an admitted request.
+	incoming *incomingBody
+	body     []byte
 	// lastEventAfter is the time from started to the last event of the stream, in nanoseconds; 0 before the first.
 	lastEventAfter atomic.Int64
 	// stageRuns counts how often the stages have been submitted.
@@ -213,7 +212,7 @@
 		q.record.outcome = "broken off"
 		panic(http.ErrAbortHandler)
 	}
-	q.respond(*unknownOutcomeResponse("internal error"))
+	q.respondAfterBody(*unknownOutcomeResponse("internal error"))
 }
 
 // logPanic counts and logs a panic with the stack of the deferring goroutine.
@@ -281,27 +280,6 @@
 	return nil
 }
 
-// readBody reads the request body up to the configured limit. It returns a response if that fails.
-func (q *request) readBody() *response {
-	limit := q.table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return clientError(http.StatusRequestEntityTooLarge, "body too large")
-	case err != nil && !q.progress.advance(phaseReading):
-		return stoppedResponse()
-	case err != nil:
-		q.record.outcome = "body not read"
-		return clientError(http.StatusBadRequest, "body not read")
-	}
-	q.body = body
-	return nil
-}
-
 // organisationName returns the name that is forwarded to the endpoint, or "" if there is no
 // organisation.
 func (q *request) organisationName() string {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -90,3 +90,19 @@
 	q.w.WriteHeader(resp.status)
 	_ = json.NewEncoder(q.w).Encode(errorBody{Reason: resp.reason})
 }
+
+// respondAfterBody writes the response to a request that goes no further, once its body has been read: a client may send all of
+// its request before it reads. If the body is not read to its end, the connection is closed after the response.
+func (q *request) respondAfterBody(resp response) {
+	err := q.discardBody()
+	if err == nil {
+		q.respond(resp)
+		return
+	}
+	q.w.Header().Set("Connection", "close")
+	q.respond(resp)
+	// Otherwise net/http waits for the rest of a short body, without a bound.
+	if err := q.setReadDeadline(time.Now()); err != nil {
+		q.gw.opts.Logger.Warn("failed to bound the reading of a body", "request", q.headers.AttemptID, "error", err)
+	}
+}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -19,6 +19,9 @@
 // errStopping is the cause of contexts that end because this entry stops.
 var errStopping = Error.New(stoppingReason)
 
+// errUnblocked is returned by the reading of bodies that are not to be waited for.
+var errUnblocked = Error.New("the body is not waited for")
+
 // isStopping reports whether ctx has ended because this entry stops.
 func isStopping(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopping) }
 
@@ -44,7 +47,8 @@
 
 	mu    sync.Mutex
 	phase phase
-	// unblocked is set once unblockBody has been called, which also ends the context of the client's connection.
+	// unblocked is set once the body is not to be waited for. A read that was ended has also ended the context of
+	// the client's connection.
 	unblocked bool
 }
 
@@ -56,6 +60,30 @@
 	return p.phase != phaseStopped
 }
 
+// reject stops a new request, whose answer does not wait for its body.
+func (p *progress) reject() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.phase, p.unblocked = phaseStopped, true
+}
+
+// boundReading calls set, which bounds the reading of the body, unless the body is not to be waited for.
+func (p *progress) boundReading(set func() error) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.unblocked {
+		return errUnblocked
+	}
+	return set()
+}
+
+// unblock records that the body is not to be waited for.
+func (p *progress) unblock() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unblocked = true
+}
+
 // stop stops a request that has not got further than last.
 func (p *progress) stop(last phase) {
 	p.mu.Lock()
@@ -71,7 +99,7 @@
 	p.cancel(errStopping)
 }
 
-// wasUnblocked reports whether a stop has ended the reading of the body.
+// wasUnblocked reports whether this entry has ended the reading of the body.
 func (p *progress) wasUnblocked() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -94,7 +122,7 @@
 	defer f.mu.Unlock()
 	f.requests[p] = true
 	if f.rejecting {
-		p.advance(phaseStopped)
+		p.reject()
 	}
 }
 
@@ -153,7 +181,7 @@
 // unblockBody returns a function that ends the reading of a request's body.
 func unblockBody(w http.ResponseWriter) func() {
 	return func() {
-		// Without deadlines the body is read until the client has sent it or left.
+		// Without it the body is read until the deadline that bounds its reading.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 	}
 }
