Tell a client that closed its side whether its request may have run

Cause: a client that closes its side of the connection after its request counts as gone, as it cannot be told from one that has closed altogether. The request was ended and the connection closed without a response, though the client may still read: neither an answer nor a refusal.

Change: work on such a request still ends. If no response has begun, it is answered 503 if no endpoint has been sent it, and 502 otherwise; refusals such as 404 are sent as they are. A stream that has begun is still broken off. Log and metrics count these as "client left", as before.

TestClosedClientGetsNoCompleteAnswer asked that such a client gets nothing if its response has not begun. That guarded against a success that no engine had sent; it now asks for exactly 502, and for a closed connection after that.

--- a/gateway/response.go
+++ b/gateway/response.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/azurelead/azurelead/platform/fleet"
@@ -49,8 +51,11 @@
 
 // endedResponse returns the response to a request that may have run and whose context has ended.
 func endedResponse(ctx context.Context) *response {
-	if isStopping(ctx) {
+	switch {
+	case isStopping(ctx):
 		return unknownOutcomeResponse(stoppingReason)
+	case errors.Is(ctx.Err(), context.Canceled):
+		return unknownOutcomeResponse(clientLeftReason)
 	}
 	return deadlineResponse()
 }
@@ -60,18 +65,33 @@
 	Reason string `json:"reason"`
 }
 
-// abandon ends a request whose client has left. A client that has only closed its side of the connection can still
-// read: returning from the handler would send it a success, or the regular end of its stream.
+// abandon ends a request whose client has closed its side of the connection, and may still read: returning from the
+// handler would send it a success, or the regular end of its stream. It is told whether the request may have run.
 func (q *request) abandon() {
-	q.record.outcome = "client left"
+	if !q.headerSent {
+		resp := notRunResponse(clientLeftReason, busyRetryAfter)
+		if q.progress.reached(phaseSent) {
+			resp = unknownOutcomeResponse(clientLeftReason)
+		}
+		q.respond(*resp)
+		// A failure to flush says that the client has left entirely.
+		_ = http.NewResponseController(q.w).Flush()
+	}
+	q.record.outcome = clientLeftOutcome
 	panic(http.ErrAbortHandler)
 }
 
+const (
+	// clientLeftOutcome is the outcome in the log of requests whose clients closed their side of the connection.
+	clientLeftOutcome = "client left"
+	clientLeftReason  = "the client has closed its side of the connection"
+)
+
 // respond writes a complete response to the client.
 func (q *request) respond(resp response) {
 	q.record.status, q.record.local, q.record.reason = resp.status, resp.local, resp.reason
 	if q.clientGone() {
-		q.abandon()
+		q.record.outcome = clientLeftOutcome // it may still read
 	}
 	q.headerSent = true
 	h := q.w.Header()
@@ -87,8 +107,13 @@
 		q.record.retryAfter = resp.retryAfter
 		fleet.SetRetryAfter(h, resp.retryAfter)
 	}
+	body, err := json.Marshal(errorBody{Reason: resp.reason})
+	if err != nil {
+		q.gw.opts.Logger.Error("failed to encode a response", "request", q.headers.AttemptID, "error", err)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	q.w.WriteHeader(resp.status)
-	_ = json.NewEncoder(q.w).Encode(errorBody{Reason: resp.reason})
+	_, _ = q.w.Write(body)
 }
 
 // respondAfterBody writes the response to a request that goes no further, once its body has been read: a client may send all of
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -60,6 +60,13 @@
 	return p.phase != phaseStopped
 }
 
+// reached reports whether the request has got to a phase.
+func (p *progress) reached(ph phase) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.phase >= ph
+}
+
 // reject stops a new request, whose answer does not wait for its body.
 func (p *progress) reject() {
 	p.mu.Lock()
--- a/gatewaydaemon/brokenstream_test.go
+++ b/gatewaydaemon/brokenstream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -169,7 +170,7 @@
 }
 
 // A client that closes its side of the connection for writing counts as gone, and may still read. What it has got
-// must not look complete, and it must not get a success that no engine has sent.
+// must not look complete, and if it has got nothing, it must be told that the request may have run.
 func TestClosedClientGetsNoCompleteAnswer(t *testing.T) {
 	cases := []struct {
 		name, path string
@@ -207,15 +208,39 @@
 				t.Fatal(err, closeErr)
 			}
 			resp, err := http.ReadResponse(br, nil)
-			if err != nil && !c.begun {
-				return
-			}
-			if err != nil || !c.begun {
+			if err != nil || !c.begun && resp.StatusCode != http.StatusBadGateway {
 				t.Fatalf("response %+v, error %v", resp, err)
 			}
-			if body, err := io.ReadAll(resp.Body); err == nil {
-				t.Errorf("the stream ended as complete: %q", body)
+			if body, err := io.ReadAll(resp.Body); c.begun != (err != nil) {
+				t.Errorf("error %v after %q", err, body)
+			}
+			if _, err := br.ReadByte(); err != io.EOF {
+				t.Errorf("the connection is still open: %v", err)
 			}
 		})
 	}
 }
+
+// A client that closes its side of the connection with its request must get an answer, and a promise that the request
+// has not run must be true.
+func TestRequestOfHalfClosedClientIsAnswered(t *testing.T) {
+	d, servers := stoppingDeployment(t, fleettest.Hang)
+	for path, statuses := range map[string][]int{
+		"/gone/x": {http.StatusNotFound}, "/look/x": {http.StatusBadGateway, http.StatusServiceUnavailable}, "/book/x": {http.StatusBadGateway, http.StatusServiceUnavailable},
+		"/stream/plain/x": {http.StatusBadGateway, http.StatusServiceUnavailable}, "/stream/staged/x": {http.StatusServiceUnavailable},
+	} {
+		for i := range 10 {
+			id := fmt.Sprint(path, i)
+			conn := d.open()
+			_, _ = io.WriteString(conn, requestHead(path, id, 0))
+			if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			r := readResult(conn)
+			promised := r.status == http.StatusServiceUnavailable
+			if r.err != nil || !slices.Contains(statuses, r.status) || promised && runsOf(servers, id) > 0 {
+				t.Errorf("%s: %d runs, %+v", id, runsOf(servers, id), r)
+			}
+		}
+	}
+}
