Follow the configured limits of clients' connections

Cause: the header time-out of 5 s and the idle time-out of 75 s were fixed. A configuration may allow more: a client that sends a header within its limit was then answered 400, which is final, and one that reuses a connection after up to four fifths of the idle limit found it closed.

Change: client connections take both times from the configuration in force, and at least the fixed ones, as a client may not know yet that a limit has been lowered. A limit that is raised while a connection waits holds for that wait. net/http cannot change its time-outs while it serves, so the connection replaces the deadlines that it sets.

--- /dev/null
+++ b/gatewaydaemon/clientconn.go
@@ -0,0 +1,119 @@
+package gatewaydaemon
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+// clientLimits are the times that the configuration in force allows clients.
+type clientLimits struct {
+	// header is the time to send a request's header, idle the time between two requests on a connection.
+	header, idle time.Duration
+}
+
+// clientListener accepts connections that follow the limits of the configuration.
+type clientListener struct {
+	net.Listener
+	limits func() clientLimits
+}
+
+// Accept implements net.Listener.
+func (l clientListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{Conn: c, limits: l.limits}, nil
+}
+
+// awaited is what a client connection waits for.
+type awaited int
+
+const (
+	// awaitsNothing: a request is in progress; deadlines are those of the handler.
+	awaitsNothing awaited = iota
+	// awaitsRequest: no byte of the next request has been read.
+	awaitsRequest
+	// awaitsHeader: the header of a request is being read.
+	awaitsHeader
+)
+
+// clientConn replaces the fixed deadlines of net/http by those of the configuration in force, also while it waits: the
+// limits of http.Server can't be changed while it serves, and a client may rely on limits that have been raised.
+type clientConn struct {
+	net.Conn
+	limits func() clientLimits
+
+	mu sync.Mutex
+	// next is what the next deadline of net/http is for, current what the last one is for, since when it was set.
+	next, current awaited
+	since         time.Time
+}
+
+// setState records a change of the connection's state, after which net/http sets the deadlines of that state.
+func (c *clientConn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		c.next = awaitsHeader
+	case http.StateIdle:
+		c.next = awaitsRequest
+	default:
+		c.next, c.current = awaitsNothing, awaitsNothing
+	}
+}
+
+// SetReadDeadline implements net.Conn. The deadlines that net/http sets for what a client has to send are replaced.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current = awaitsNothing
+	if !t.IsZero() && c.next != awaitsNothing {
+		c.current, c.next, c.since = c.next, awaitsHeader, time.Now()
+		t = c.deadline()
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// deadline returns the time until which the connection waits. It is called with the lock held.
+func (c *clientConn) deadline() time.Time {
+	limits := c.limits()
+	if c.current == awaitsRequest {
+		return c.since.Add(limits.idle)
+	}
+	return c.since.Add(limits.header)
+}
+
+// Read implements net.Conn. It goes on after a deadline if the limit has been raised since the deadline was set.
+func (c *clientConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.extend() {
+			return n, err
+		}
+	}
+}
+
+// extend sets the deadline of the configuration in force. It reports whether that is still to come.
+func (c *clientConn) extend() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == awaitsNothing {
+		return false
+	}
+	deadline := c.deadline()
+	return deadline.After(time.Now()) && c.Conn.SetReadDeadline(deadline) == nil
+}
+
+// CloseWrite sends the end of the stream; net/http calls it before it closes.
+func (c *clientConn) CloseWrite() error {
+	if cw, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return cw.CloseWrite()
+	}
+	return nil
+}
--- a/gatewaydaemon/clients.go
+++ b/gatewaydaemon/clients.go
@@ -17,21 +17,31 @@
 type clientServer struct {
 	server   *http.Server
 	listener *linger.Listener
+	limits   func() clientLimits
 
 	mu sync.Mutex
 	// busy are the connections that are not idle: a request is in progress, or none has been read yet.
 	busy map[net.Conn]bool
 }
 
-// newClientServer returns a server whose connections are tracked.
-func newClientServer(listener net.Listener, server *http.Server) *clientServer {
-	c := &clientServer{server: server, listener: linger.NewListener(listener), busy: make(map[net.Conn]bool)}
+// newClientServer returns a server whose connections are tracked. limits replaces the server's
+// time-outs, which must be set.
+func newClientServer(listener net.Listener, server *http.Server, limits func() clientLimits) *clientServer {
+	c := &clientServer{server: server, listener: linger.NewListener(listener), limits: limits, busy: make(map[net.Conn]bool)}
 	server.ConnState = c.track
 	return c
 }
 
+// acceptor returns the listener that the server is to serve.
+func (c *clientServer) acceptor() net.Listener {
+	return clientListener{Listener: c.listener, limits: c.limits}
+}
+
 // track is called at each change of a connection's state.
 func (c *clientServer) track(conn net.Conn, state http.ConnState) {
+	if cc, ok := conn.(*clientConn); ok {
+		cc.setState(state)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if state == http.StateNew || state == http.StateActive {
--- a/gatewaydaemon/clients_test.go
+++ b/gatewaydaemon/clients_test.go
@@ -1,6 +1,7 @@
 package gatewaydaemon
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -8,6 +9,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/azurelead/azurelead/platform/fleet"
+	"github.com/azurelead/azurelead/platform/fleettest"
 )
 
 // A request that arrives while the server closes, on a connection that has carried none, is answered. The server closes
@@ -19,8 +23,8 @@
 	}
 	c := newClientServer(listener, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusServiceUnavailable)
-	})})
-	go func() { _ = c.server.Serve(c.listener) }()
+	})}, func() clientLimits { return clientLimits{} })
+	go func() { _ = c.server.Serve(c.acceptor()) }()
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -74,3 +78,82 @@
 		}
 	}
 }
+
+// A header that comes more slowly than the default time-out, but within the limit of the configuration, is read. The
+// limit may be raised after the connection was opened.
+func TestSlowHeaderWithinRaisedLimitIsAnswered(t *testing.T) {
+	t.Parallel()
+	d, _ := keyedDeployment(t)
+	conn := d.open()
+	head := uploadRequest{path: "/gone/x", key: "known", size: 0}.head("slow")
+	_, _ = io.WriteString(conn, head[:20])
+	config := fleettest.Configuration(3, nil, []map[string]any{fleettest.Service("api")}, map[string][]string{"o": {"known"}})
+	config["limits"] = map[string]any{"headerTimeoutMs": 600000}
+	d.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, config)
+	time.Sleep(headerTimeout + time.Second)
+	_, _ = io.WriteString(conn, head[20:])
+	if r := readResult(conn); r.err != nil || r.status != http.StatusNotFound {
+		t.Errorf("%+v", r)
+	}
+}
+
+// A client that reuses a connection within the idle limit must be answered, also if the limit was raised while the
+// connection was idle.
+func TestIdleConnectionFollowsRaisedLimit(t *testing.T) {
+	const short = 50 * time.Millisecond
+	for name, raisedAfter := range map[string]int{"before the connection is opened": 0, "while it is idle": 2} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		calls := 0 // one connection's: the first header, the wait for the next, and the end of that wait
+		c := newClientServer(listener, &http.Server{IdleTimeout: short, ReadHeaderTimeout: time.Hour, Handler: http.NotFoundHandler()}, func() clientLimits {
+			calls++
+			if calls <= raisedAfter {
+				return clientLimits{header: time.Hour, idle: short}
+			}
+			return clientLimits{header: time.Hour, idle: time.Hour}
+		})
+		go func() { _ = c.server.Serve(c.acceptor()) }()
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		reader := bufio.NewReader(conn)
+		for range 2 {
+			_, _ = io.WriteString(conn, requestHead("/x", "idle", 0))
+			if r := readNext(reader); r.err != nil || r.status != http.StatusNotFound {
+				t.Errorf("raised %s: %+v", name, r)
+			}
+			time.Sleep(4 * short)
+		}
+		_ = conn.Close()
+		_ = c.server.Close()
+	}
+}
+
+// A connection that stays idle for longer than the limit is closed.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newClientServer(listener, &http.Server{IdleTimeout: time.Hour, ReadHeaderTimeout: time.Hour, Handler: http.NotFoundHandler()}, func() clientLimits {
+		return clientLimits{header: time.Hour, idle: time.Millisecond}
+	})
+	go func() { _ = c.server.Serve(c.acceptor()) }()
+	defer func() { _ = c.server.Close() }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, requestHead("/x", "idle", 0))
+	reader := bufio.NewReader(conn)
+	if r := readNext(reader); r.err != nil {
+		t.Fatal(r.err)
+	}
+	if _, err := reader.ReadByte(); err != io.EOF {
+		t.Errorf("the connection is open: %v", err)
+	}
+}
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -38,11 +38,10 @@
 const (
 	// defaultGrace is the grace period if the settings have none.
 	defaultGrace = 8 * time.Second
-	// headerTimeout bounds the time to read a request header.
+	// headerTimeout bounds the time to read a request header, and idleTimeout that for which client
+	// connections may be idle, unless the operators' limits allow more.
 	headerTimeout = 5 * time.Second
-	// idleTimeout is the time after which idle client connections are closed. It is longer than the
-	// idle time that the operators' limits allow clients.
-	idleTimeout = 75 * time.Second
+	idleTimeout   = 75 * time.Second
 	// maxHeaderBytes bounds the size of a request header, and of a response header of the store.
 	maxHeaderBytes = 128 << 10
 	// maxAcceptDelay is how long new connections wait for a starting process to learn the
@@ -224,10 +223,10 @@
 	clients := newClientServer(clientListener, &http.Server{
 		Handler: d.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelWarn),
-	})
+	}, d.clientLimits)
 	go func() {
 		d.awaitInitialState(ctx)
-		d.serve("front", clients.server, clients.listener)
+		d.serve("front", clients.server, clients.acceptor())
 	}()
 	d.serve("health", &http.Server{Handler: fleet.ReadyHandler(d.ready), ReadHeaderTimeout: headerTimeout}, healthListener)
 	if d.settings.PeerAddress != "" {
@@ -248,6 +247,17 @@
 	return clients, nil
 }
 
+// clientLimits returns what the configuration in force allows clients, and at least the default time-outs: a
+// client may not know yet that a limit has been lowered.
+func (d *daemon) clientLimits() clientLimits {
+	limits := clientLimits{header: headerTimeout, idle: idleTimeout}
+	if t := d.table.Load(); t != nil {
+		limits.header = max(limits.header, t.Limits.HeaderTimeout)
+		limits.idle = max(limits.idle, t.Limits.IdleTimeout)
+	}
+	return limits
+}
+
 // awaitInitialState waits until the configuration and all followed objects are known, for at most
 // maxAcceptDelay. Until then new connections wait in the listen queue: otherwise a process that has
 // just started would refuse requests because of state that it learns within milliseconds.
