Answer streams without a first event before their clients' own deadlines

No first event had come, and the answer was due 20 ms before the deadline, too late for an instance with a seventh of a core.

Change: the wait for the first event ends 200 ms before the client leaves, whatever makes it leave; for short waits, a tenth of the wait.

--- a/gateway/patience_test.go
+++ b/gateway/patience_test.go
@@ -34,7 +34,8 @@
 		want   time.Duration
 	}{
 		{"client leaves before the deadline", time.Second, 4*time.Second - answerMargin},
-		{"client waits until the deadline", deadline, deadline - deadlineMargin},
+		{"client waits until the deadline", deadline, deadline - answerMargin},
+		{"the deadline is near", 0, time.Second - 100*time.Millisecond},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			table := catalog.Compile(&catalog.Configuration{
@@ -50,6 +51,9 @@
 			})
 			r := httptest.NewRequest(http.MethodPost, "/x", nil)
 			fleet.SetAttemptID(r.Header, "id")
+			if c.target == 0 {
+				r.Header.Set("Azurelead-Timeout-Ms", "1000")
+			}
 			w := httptest.NewRecorder()
 			start := time.Now()
 			g.ServeHTTP(w, r)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -138,16 +138,21 @@
 // writeMargin is the time after the deadline that is allowed for writing the last bytes.
 const writeMargin = 200 * time.Millisecond
 
-// answerMargin is the time that an answer may take to reach a client before it abandons the request. The client counts
-// from when it opened its connection, and a small instance may be without processor time for a tenth of a second.
-const answerMargin = 200 * time.Millisecond
+const (
+	// answerMargin is the time that an answer may take to reach a client before it abandons the request. The client counts
+	// from when it opened its connection, and a small instance may be without processor time for a tenth of a second.
+	answerMargin = 200 * time.Millisecond
+	// maxMarginShare bounds answerMargin, as a share of the time that the client waits.
+	maxMarginShare = 0.1
+)
 
 // boundFirstEvent returns a context that ends shortly before the client abandons the stream, unless its response has
 // begun.
 func (s *stream) boundFirstEvent(ctx context.Context) context.Context {
 	ctx, cancel := context.WithCancelCause(ctx)
-	abandoned := s.started.Add(s.clientPatience())
-	s.patience = time.AfterFunc(time.Until(abandoned.Add(-answerMargin)), func() { cancel(errFirstEventLate) })
+	waits := min(s.clientPatience(), s.deadline.Sub(s.started)+deadlineMargin)
+	margin := min(answerMargin, time.Duration(maxMarginShare*float64(waits)))
+	s.patience = time.AfterFunc(time.Until(s.started.Add(waits-margin)), func() { cancel(errFirstEventLate) })
 	return ctx
 }
 
