Book no engine again that has had the request

What callers saw: a stream whose engine fell silent left it for one that was too late or not there, and ended without a whole answer. Its stages had run again, and the dispatcher had booked the silent engine once more; the request went to another one, away from its results.

Cause: a job does not say which engines have had its request.

Change: the prompt of a job names them, and the dispatcher leaves them out at admission, in the choice of the data centre and of the engine. An older dispatcher ignores the field.

Evidence: TestTriedEngineIsNotBookedAgain, which fails with the condition taken out.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -150,9 +151,9 @@
 	return &best
 }
 
-// mayServe reports whether an engine has the software version that the prompt requires.
+// mayServe reports whether an engine has the software version that the prompt requires, and has not had the request.
 func (s *engineScorer) mayServe(e *engine) bool {
-	return s.prompt.Version == "" || s.prompt.Version == e.Version
+	return (s.prompt.Version == "" || s.prompt.Version == e.Version) && !slices.Contains(s.prompt.Tried, e.ID)
 }
 
 // cost returns the expected delay and cost of an engine, without those that depend on
--- a/dispatch/engines.go
+++ b/dispatch/engines.go
@@ -66,6 +66,8 @@
 	Tokens int
 	// Version is the only software version of engines that may serve; empty allows all.
 	Version string `json:",omitempty"`
+	// Tried are the IDs of engines that have had the request and are not to get it again.
+	Tried []string `json:",omitempty"`
 }
 
 // Engine is a model engine that may get requests.
--- a/dispatch/engines_test.go
+++ b/dispatch/engines_test.go
@@ -137,6 +137,30 @@
 	}
 }
 
+// Stages that run again after an engine fell silent must be booked at an engine that has not had the request, whatever else
+// speaks for the silent one: the request is not sent there again, and its results lie elsewhere.
+func TestTriedEngineIsNotBookedAgain(t *testing.T) {
+	list := engineList(3, 1)
+	for _, c := range []struct{ tried, want []string }{
+		{nil, []string{"llm-0", "llm-1", "llm-2"}},
+		{[]string{"llm-0", "llm-2"}, []string{"llm-1"}},
+		{[]string{"llm-0", "llm-1", "llm-2"}, []string{""}},
+	} {
+		d := New(Options{})
+		d.SetEngines(&catalog.Service{Name: "llm", Engine: true, KVCacheTokens: 100_000}, list)
+		for i := range 12 {
+			j := Job{ID: fmt.Sprint("r", i), Run: 1, Target: epoch.Add(time.Second), Deadline: epoch.Add(8 * time.Second), Prompt: promptOf("llm", "shared", 8)}
+			j.Prompt.Tried = c.tried
+			d.Submit(epoch, j)
+			for _, r := range d.TakeJobResults() {
+				if !slices.Contains(c.want, r.Engine) {
+					t.Errorf("%q were tried: engine %q, want one of %q", c.tried, r.Engine, c.want)
+				}
+			}
+		}
+	}
+}
+
 // An engine fetches parts of a prompt only from engines of its own software version: the KV caches of two
 // versions do not fit together.
 func TestFetchStaysWithinVersion(t *testing.T) {
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -76,7 +76,7 @@
 	if r = s.reserveRetry(f); r == nil {
 		return nil
 	}
-	if job, needed := s.stageJob(); needed && (s.hasBegun() || out.wereRead()) {
+	if job, needed := s.stageJob(tried); needed && (s.hasBegun() || out.wereRead()) {
 		run := s.submitStages(ctx, job)
 		if run.failure != nil {
 			return s.giveBack(ctx, r, silenceNoStages)
--- a/gateway/stages_test.go
+++ b/gateway/stages_test.go
@@ -25,7 +25,7 @@
 	for _, c := range cases {
 		started := time.Now()
 		q := &request{started: started, deadline: started.Add(deadline), route: &c.route, table: catalog.Compile(&catalog.Configuration{})}
-		if j, _ := q.stageJob(); j.Deadline.Sub(started) != c.want {
+		if j, _ := q.stageJob(nil); j.Deadline.Sub(started) != c.want {
 			t.Errorf("%s: the job's deadline is after %v, want %v", c.name, j.Deadline.Sub(started), c.want)
 		}
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -165,7 +165,7 @@
 // runStages runs the request's stages. It returns a response if the request ends here, and nil
 // otherwise.
 func (s *stream) runStages(ctx context.Context) *response {
-	job, needed := s.stageJob()
+	job, needed := s.stageJob(s.tried)
 	if !needed {
 		return nil
 	}
