Let soak clients keep their connections, lose patience and upload slowly beside series of planned work

Runs of planned work only had clients of net/http, which read while they write and close a connection that they were asked to close, and one fault at a time. They gave a stream up only at its deadline.

Clients of streams now leave after fleet.ClientPatience without an event, other clients at their deadline; a stream that was silent for longer than that is a violation (3.2 s, before 6.3 s). Each entry also has three clients that write a request before they read, keep their connections until the process is gone, and send bodies of up to 1 MB in up to 4 s, also on a route and with a key that come and go. Series of steps overlap: stops of several entries, repeated SIGHUP, and changes of routes, keys, stage services, weights, time-outs and the idle limit.

The targets of the routes give a patience of 3.2 s, which is longer than the longest silence of an endpoint.

Configurations are stored in the order of their versions; before, two faults could store them in the wrong one.

--- a/soak/check.go
+++ b/soak/check.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/azurelead/azurelead/platform/fleettest"
@@ -37,12 +38,17 @@
 	body     string
 	err      error
 	latency  time.Duration
+	// kept is set if the client keeps its connections open; only then is startedAt set, the time of the first byte.
+	kept      bool
+	startedAt time.Time
 	// sentAt is when the last byte of the request was sent, endedAt when the client knew its end.
 	sentAt, endedAt time.Time
 	// longestWait is the longest time for which the client got nothing after it had sent the request.
 	longestWait time.Duration
 	// endOfGrace is set if the entry was at the end of its grace period when the request ended.
 	endOfGrace bool
+	// pastGrace is set if the entry's grace period was about to end when the request of a kept client ended.
+	pastGrace bool
 	// resumptions are the further attempts of a stream that broke, continued counts those that yielded events.
 	resumptions []string
 	continued   int
@@ -119,7 +125,7 @@
 // sendTo sends a request to a path and adds its outcome to a result that names the request.
 func (r *run) sendTo(ctx context.Context, client *http.Client, e *entry, result response, method, path, body string, header http.Header) response {
 	start := time.Now()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.requestTimeout()+time.Second)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.clientTimeout(result))
 	defer cancel()
 	sent := &sentBody{text: body, pause: r.uploadPause(result.id), readAt: start}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.clientAddress+path, sent)
@@ -131,26 +137,91 @@
 	req.Host = "shop.example"
 	fleettest.SetClientHeaders(req.Header, result.id, apiKey, r.requestTimeout())
 	maps.Copy(req.Header, header)
-	result.receive(client, req, sent)
+	wait := eventWait{sent: sent}
+	if r.o.PlannedOnly && result.isStream() {
+		defer wait.limit(ctx, r.patience(), cancel)()
+	}
+	result.receive(client, req, &wait)
 	result.latency = result.endedAt.Sub(start)
 	result.endOfGrace = e.isAtEndOfGrace(result.sentAt)
 	return result
 }
 
+// clientTimeout returns how long a client waits for the end of a response.
+func (r *run) clientTimeout(resp response) time.Duration {
+	if r.o.PlannedOnly && !resp.isStream() {
+		return r.requestTimeout()
+	}
+	return r.requestTimeout() + time.Second
+}
+
+// eventWait measures how long a client waits for an answer or for the next event after it has sent its request.
+type eventWait struct {
+	sent *sentBody
+
+	mu      sync.Mutex
+	last    time.Time
+	longest time.Duration
+}
+
+// elapsed returns how long the client has been waiting.
+func (w *eventWait) elapsed() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.elapsedLocked()
+}
+
+func (w *eventWait) elapsedLocked() time.Duration {
+	if !w.last.IsZero() {
+		return time.Since(w.last)
+	}
+	if !w.sent.isSent() {
+		return 0
+	}
+	return time.Since(w.sent.end())
+}
+
+// end records the end of a wait.
+func (w *eventWait) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.longest = max(w.longest, w.elapsedLocked())
+	w.last = time.Now()
+}
+
+// limit calls abandon when the client has waited for longer than its patience, until the returned function is called.
+func (w *eventWait) limit(ctx context.Context, patience time.Duration, abandon func()) func() {
+	ctx, stop := context.WithCancel(ctx)
+	go func() {
+		for ctx.Err() == nil {
+			if w.elapsed() > patience {
+				abandon()
+				return
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(patience / 100):
+			}
+		}
+	}()
+	return stop
+}
+
 // receive sends a request and reads its response.
-func (resp *response) receive(client *http.Client, req *http.Request, sent *sentBody) {
+func (resp *response) receive(client *http.Client, req *http.Request, wait *eventWait) {
 	answer, err := client.Do(req)
-	resp.err, resp.sentAt, resp.endedAt = err, sent.end(), time.Now()
-	last := resp.sentAt
+	resp.err, resp.sentAt, resp.endedAt = err, wait.sent.end(), time.Now()
 	var text strings.Builder
 	for buf := make([]byte, 4096); resp.err == nil; {
-		resp.longestWait = max(resp.longestWait, time.Since(last))
-		last = time.Now()
+		if !resp.isStream() || strings.Contains(text.String()[max(text.Len()-2, 0):], "\n\n") {
+			wait.end()
+		}
 		var n int
 		n, resp.err = answer.Body.Read(buf)
 		text.Write(buf[:n])
 	}
-	resp.longestWait, resp.endedAt = max(resp.longestWait, time.Since(last)), time.Now()
+	wait.end()
+	resp.longestWait, resp.endedAt = wait.longest, time.Now()
 	if err != nil {
 		return
 	}
@@ -178,17 +249,21 @@
 		}
 		r.countResponse(resp)
 		r.checkResponse(resp, runs[resp.id])
-		r.checkAnswered(resp, runs[resp.id])
+		if resp.kept {
+			r.checkKept(resp, runs[resp.id])
+		} else {
+			r.checkAnswered(resp, runs[resp.id])
+		}
 	}
 	for id, endpointRuns := range runs {
 		if !sent[id] && !strings.HasPrefix(id, "recovery-") {
 			r.recordViolation("an endpoint ran %q, which no client sent", id)
 		}
 		for _, endpointRun := range endpointRuns {
-			if endpointRun.Body != "body of "+id || endpointRun.Organisation != "org" || endpointRun.APIKey != "" {
-				r.recordViolation("an endpoint ran %s with body %q for organisation %q, key %q", id, endpointRun.Body, endpointRun.Organisation, endpointRun.APIKey)
+			if endpointRun.Body != requestBody(id) || endpointRun.Organisation != "org" || endpointRun.APIKey != "" {
+				r.recordViolation("an endpoint ran %s with body %.100q for organisation %q, key %q", id, endpointRun.Body, endpointRun.Organisation, endpointRun.APIKey)
 			}
-			if strings.HasPrefix(id, "staged-") && !areResultsOf(id, endpointRun.Inputs) {
+			if (strings.HasPrefix(id, "staged-") || strings.HasPrefix(id, shiftingKind.name+"-")) && !areResultsOf(id, endpointRun.Inputs) {
 				r.recordViolation("an endpoint ran %s with the inputs %q", id, endpointRun.Inputs)
 			}
 		}
@@ -221,19 +296,20 @@
 }
 
 func (r *run) checkResponse(resp response, runs []fleettest.Run) {
-	atMostOnce := resp.kind == "book" || resp.kind == "plain"
+	atMostOnce := resp.kind == "book" || resp.kind == "plain" || isLarge(resp.id)
+	mayBeDenied := resp.kind == transientKind.name && len(runs) == 0
 	switch {
 	case atMostOnce && len(runs) > 1:
 		r.recordViolation("%s ran %d times", resp.id, len(runs))
 	case resp.status == http.StatusServiceUnavailable && atMostOnce && len(runs) > 0:
 		r.recordViolation("%s was refused as not run, but an endpoint ran it", resp.id)
-	case resp.status == http.StatusUnauthorized || resp.status == http.StatusNotFound || resp.status == http.StatusForbidden:
+	case !mayBeDenied && isDenial(resp.status):
 		r.recordViolation("%s was rejected with status %d", resp.id, resp.status)
 	}
 	if resp.status != http.StatusOK {
 		return
 	}
-	if resp.kind == "look" || resp.kind == "book" {
+	if resp.kind == "look" || resp.kind == "book" || isLarge(resp.id) {
 		if resp.err == nil && (!strings.HasPrefix(resp.body, "answer of ") || !strings.HasSuffix(resp.body, " to "+resp.id)) {
 			r.recordViolation("%s got the unexpected answer %q", resp.id, resp.body)
 		}
@@ -244,6 +320,11 @@
 	}
 }
 
+// isDenial reports whether a status says that the request's route or key is not known.
+func isDenial(status int) bool {
+	return status == http.StatusUnauthorized || status == http.StatusNotFound || status == http.StatusForbidden
+}
+
 // isStreamOfOneVersion reports whether the body of a stream has the events of one version, all of them if it
 // is complete.
 func isStreamOfOneVersion(body string, complete bool) bool {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -50,26 +50,7 @@
 		e.continueProcess()
 	}},
 	{"entry stopped", func(r *run, rng *rand.Rand, _ time.Duration) {
-		e := r.entries[rng.IntN(len(r.entries))]
-		if !e.faultMu.TryLock() {
-			return
-		}
-		defer e.faultMu.Unlock()
-		e.setDisrupted(false)
-		r.disruptions.Add(1)
-		start := time.Now()
-		e.recordTerm(start)
-		e.signal(syscall.SIGTERM)
-		select {
-		case <-e.exited():
-		case <-time.After(gracePeriod):
-			if !e.isDisrupted() {
-				r.recordViolation("%s was still running %v after SIGTERM", e.name, time.Since(start))
-			}
-			e.signal(syscall.SIGKILL)
-			<-e.exited()
-		}
-		r.restart(e)
+		r.stopEntry(r.entries[rng.IntN(len(r.entries))])
 	}},
 	{"settings reloaded", func(r *run, rng *rand.Rand, _ time.Duration) {
 		r.entries[rng.IntN(len(r.entries))].signal(syscall.SIGHUP)
@@ -287,6 +268,29 @@
 	return r.proxies[1+rng.IntN(len(r.proxies)-1)]
 }
 
+// stopEntry stops a process gracefully and starts it again, unless another fault acts on it.
+func (r *run) stopEntry(e *entry) {
+	if !e.faultMu.TryLock() {
+		return
+	}
+	defer e.faultMu.Unlock()
+	e.setDisrupted(false)
+	r.disruptions.Add(1)
+	start := time.Now()
+	e.recordTerm(start)
+	e.signal(syscall.SIGTERM)
+	select {
+	case <-e.exited():
+	case <-time.After(gracePeriod):
+		if !e.isDisrupted() {
+			r.recordViolation("%s was still running %v after SIGTERM", e.name, time.Since(start))
+		}
+		e.signal(syscall.SIGKILL)
+		<-e.exited()
+	}
+	r.restart(e)
+}
+
 func (r *run) restart(e *entry) {
 	if err := r.startProcess(e); err != nil {
 		r.recordViolation("%s could not be restarted: %v", e.name, err)
@@ -299,11 +303,16 @@
 	clientCtx, stop := context.WithCancel(ctx)
 	var clients sync.WaitGroup
 	for i := range r.entries {
-		for c := range clientsPerEntry {
+		for c := range r.clientCount(clientsPerEntry) {
 			clients.Go(func() {
 				r.sendRequests(clientCtx, r.entries[i], rand.New(rand.NewPCG(r.o.Seed, uint64(100+i*clientsPerEntry+c))))
 			})
 		}
+		for c := range r.keptClientCount() {
+			clients.Go(func() {
+				r.sendKept(clientCtx, r.entries[i], rand.New(rand.NewPCG(r.o.Seed, uint64(100_000+i*keptClientsPerEntry+c))))
+			})
+		}
 	}
 	var injections sync.WaitGroup
 	schedulable := r.schedulable()
@@ -319,7 +328,9 @@
 		})
 		offset += time.Duration(100+r.rng.IntN(900)) * time.Millisecond
 	}
-	if !r.o.PlannedOnly {
+	if r.o.PlannedOnly {
+		r.scheduleSeries(&injections)
+	} else {
 		injections.Go(r.breakStreams(rand.New(rand.NewPCG(r.o.Seed, 3))))
 		r.scheduleRepeats(&injections)
 		r.scheduleMalformed(&injections)
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/platform/fleettest"
 )
 
@@ -43,6 +44,10 @@
 	// plannedRequestTimeout and plannedEventGap leave time for a silence in the middle of a stream.
 	plannedRequestTimeout = 9 * time.Second
 	plannedEventGap       = 250 * time.Millisecond
+	// plannedLatencyTarget and plannedGapTarget are the targets of the routes. A client's patience is longer than the
+	// longest silence.
+	plannedLatencyTarget = 800 * time.Millisecond
+	plannedGapTarget     = 100 * time.Millisecond
 	// silencePause is the time between two silences.
 	silencePause = 2 * time.Second
 	// minSilence and maxSilence bound the silence of a sound endpoint.
@@ -110,17 +115,40 @@
 	}
 	var opErr *net.OpError
 	refused := errors.As(resp.err, &opErr) && opErr.Op == "dial"
-	held := resp.longestWait.Seconds() > heldShare*r.requestTimeout().Seconds()
+	held := resp.longestWait > r.longestAllowedWait(resp)
 	cut := resp.err != nil && !refused && (len(runs) > 0 || resp.endedAt.Sub(resp.sentAt) > lossSlack)
 	if cut && resp.endOfGrace && isInProgress(runs, resp.endedAt) {
 		cut = false
 	}
 	if held || cut {
-		r.recordViolation("%s got no complete answer after %v, the longest wait was %v: status %d, %d events, %v",
-			resp.id, resp.latency, resp.longestWait, resp.status, resp.events(), resp.err)
+		r.recordHeld(resp, runs)
 	}
 }
 
+// recordHeld records that a request got no complete answer in time.
+func (r *run) recordHeld(resp response, runs []fleettest.Run) {
+	r.recordViolation("%s got no complete answer after %v, at %s, the longest wait was %v: status %d, %d events, %d runs, %v",
+		resp.id, resp.latency, resp.endedAt.UTC().Format(time.RFC3339Nano), resp.longestWait, resp.status, resp.events(), len(runs), resp.err)
+}
+
+// longestAllowedWait returns the time for which a request may get nothing after it was sent.
+func (r *run) longestAllowedWait(resp response) time.Duration {
+	if resp.isStream() {
+		return r.patience()
+	}
+	return time.Duration(heldShare * float64(r.requestTimeout()))
+}
+
+// patience returns how long clients of streams wait for an event in a run of planned work only.
+func (r *run) patience() time.Duration {
+	return fleet.ClientPatience(plannedLatencyTarget, plannedGapTarget)
+}
+
+// isStream reports whether a request asked for a stream.
+func (resp *response) isStream() bool {
+	return resp.kind == "plain" || resp.kind == "staged" || resp.kind == shiftingKind.name
+}
+
 // lossSlack is the time after the last byte of a request in which an entry may close its connection unanswered.
 const lossSlack = 200 * time.Millisecond
 
@@ -157,6 +185,9 @@
 	if r.Method != http.MethodPost || strings.HasPrefix(r.URL.Path, "/stream/") {
 		return 0
 	}
+	if isLarge(r.Header.Get("Azurelead-Attempt-Id")) {
+		return time.Duration(xxhash.Sum64String(r.Header.Get("Azurelead-Attempt-Id")) % uint64(maxUploadWork))
+	}
 	return time.Duration(xxhash.Sum64String(r.RequestURI+r.Header.Get("Azurelead-Attempt-Id")) % uint64(maxWorkTime))
 }
 
@@ -202,6 +233,13 @@
 	return n, nil
 }
 
+// isSent reports whether the whole body was taken to be sent.
+func (b *sentBody) isSent() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.offset == len(b.text)
+}
+
 // end returns when the last part was taken to be sent.
 func (b *sentBody) end() time.Time {
 	b.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -7,10 +7,12 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -87,6 +89,9 @@
 	addedRoutes atomic.Int64
 	// timeoutMS is the time-out of routes, in milliseconds.
 	timeoutMS atomic.Int64
+	// configMu is held while a configuration is stored, so that versions are stored in their order. It guards planned.
+	configMu sync.Mutex
+	planned  planned
 	// disruptions counts the faults that stop or pause an entry.
 	disruptions atomic.Int64
 	// limitMu is held while an endpoint states a rate limit, so that no other fault ends it.
@@ -155,11 +160,14 @@
 	r.store.Close()
 }
 
-// endpointServices lists the services and the number of endpoints of each.
-var endpointServices = []struct {
+// serviceSize is a service and the number of its endpoints.
+type serviceSize struct {
 	name  string
 	count int
-}{{"api", 3}, {"llm", 4}, {"portal", 2}}
+}
+
+// endpointServices lists the services that have endpoints from the start.
+var endpointServices = []serviceSize{{"api", 3}, {"llm", 4}, {"portal", 2}}
 
 // lateService is a service whose endpoint is registered after the last fault.
 const lateService = "late"
@@ -174,7 +182,11 @@
 	}
 	r.storeProxy = p
 	r.proxies = append(r.proxies, p)
-	for _, s := range endpointServices {
+	services := endpointServices
+	if r.o.PlannedOnly {
+		services = append(slices.Clone(services), plannedServices...)
+	}
+	for _, s := range services {
 		for range s.count {
 			if err := r.addEndpoint(s.name); err != nil {
 				return err
@@ -216,6 +228,8 @@
 }
 
 func (r *run) putConfiguration() {
+	r.configMu.Lock()
+	defer r.configMu.Unlock()
 	r.mu.Lock()
 	r.configVersion++
 	version := r.configVersion
@@ -237,12 +251,21 @@
 	for _, route := range routes {
 		route["timeoutMs"] = r.timeoutMS.Load()
 		if r.o.PlannedOnly {
-			// Clients wait for two seconds for an event.
-			route["targetLatencyMs"], route["targetGapMs"] = 400, 100
+			route["targetLatencyMs"], route["targetGapMs"] = plannedLatencyTarget.Milliseconds(), plannedGapTarget.Milliseconds()
 		}
 	}
-	r.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(version, routes, []map[string]any{fleettest.Service("api"), fleettest.Service(lateService), fleettest.Service("victims"), fleettest.EngineService("llm"), fleettest.StageService("portal")},
-		map[string][]string{"org": {apiKey, fmt.Sprintf("key-of-%d", version)}}))
+	services := []map[string]any{fleettest.Service("api"), fleettest.Service(lateService), fleettest.Service("victims"), fleettest.EngineService("llm"), fleettest.StageService("portal")}
+	keys := []string{apiKey, fmt.Sprintf("key-of-%d", version)}
+	limits := map[string]any{}
+	if r.o.PlannedOnly {
+		changed := r.planned
+		routes, services = append(routes, r.changingRoutes(changed)...), append(services, changed.services()...)
+		keys = append(keys, changed.keys()...)
+		limits["idleTimeoutMs"] = changed.idleLimit().Milliseconds()
+	}
+	spec := fleettest.Configuration(version, routes, services, map[string][]string{"org": keys})
+	maps.Copy(spec["limits"].(map[string]any), limits)
+	r.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, spec)
 }
 
 func (r *run) addEntry(i int) error {
