Let the soak send slow bodies in parts, report processes that end by themselves, and count responses

net/http withheld the head and the first half of a slow body until the second half was there: with a length and less than 4 KB nothing was flushed. An entry that closed the idle connection meanwhile seemed to have cut a request ( with 150 entries: 4 requests of which nothing had been sent). Bodies that are sent in two parts now have 32 KB.

A process that ends without SIGKILL and not with status 0 is a violation in runs of planned work only. In that run, 8 of 150 entries did not start again after a stop, and nothing showed why.

--- a/cmd/azurelead-soak/main.go
+++ b/cmd/azurelead-soak/main.go
@@ -64,6 +64,7 @@
 			fmt.Printf("seed %d: %d requests, %d served, %d refused, %d failed, %d of %d resumptions continued, %d of %d refused beside %d crashes, %d faults, %d guarantees broken\n",
 				report.Seed, report.Requests, report.Served, report.Refused, report.Failed, report.Continued, report.Resumptions,
 				report.SoundRefused, report.SoundAsked, report.Crashes, len(report.Faults), len(report.Violations))
+			fmt.Println("  responses:", report.Statuses)
 			if err != nil || len(report.Violations) > 0 {
 				failedSeeds++
 				fmt.Println("  error:", err)
--- a/soak/check.go
+++ b/soak/check.go
@@ -116,7 +116,7 @@
 	result := response{id: id, kind: kind}
 	for _, k := range append(slices.Clone(requestKinds), lateKind) {
 		if k.name == kind {
-			result = r.sendTo(ctx, client, e, result, k.method, k.path, "body of "+id, header)
+			result = r.sendTo(ctx, client, e, result, k.method, k.path, r.requestBody(id), header)
 		}
 	}
 	return result
@@ -260,7 +260,7 @@
 			r.recordViolation("an endpoint ran %q, which no client sent", id)
 		}
 		for _, endpointRun := range endpointRuns {
-			if endpointRun.Body != requestBody(id) || endpointRun.Organisation != "org" || endpointRun.APIKey != "" {
+			if endpointRun.Body != r.requestBody(id) || endpointRun.Organisation != "org" || endpointRun.APIKey != "" {
 				r.recordViolation("an endpoint ran %s with body %.100q for organisation %q, key %q", id, endpointRun.Body, endpointRun.Organisation, endpointRun.APIKey)
 			}
 			if (strings.HasPrefix(id, "staged-") || strings.HasPrefix(id, shiftingKind.name+"-")) && !areResultsOf(id, endpointRun.Inputs) {
@@ -283,6 +283,7 @@
 
 func (r *run) countResponse(resp response) {
 	r.report.Requests++
+	r.report.Statuses[fmt.Sprintf("%s %d", resp.kind, resp.status)]++
 	r.report.Resumptions += len(resp.resumptions)
 	r.report.Continued += resp.continued
 	switch {
--- a/soak/keptclients.go
+++ b/soak/keptclients.go
@@ -29,6 +29,8 @@
 	maxUploadTime  = 4 * time.Second
 	maxUploadBytes = 1 << 20
 	uploadParts    = 25
+	// slowUploadBytes is the minimum length of a body that is sent in two parts.
+	slowUploadBytes = 32 << 10
 	// maxUploadWork bounds the time that endpoints work on a large request.
 	maxUploadWork = 800 * time.Millisecond
 	// refusedPause is the pause after a request that was refused.
@@ -147,7 +149,7 @@
 		resp.err = err
 		return resp
 	}
-	req, err := http.NewRequest(kind.method, "http://"+c.e.clientAddress+kind.path, strings.NewReader(requestBody(id)))
+	req, err := http.NewRequest(kind.method, "http://"+c.e.clientAddress+kind.path, strings.NewReader(c.r.requestBody(id)))
 	if err != nil {
 		resp.err = err
 		return resp
@@ -264,11 +266,15 @@
 	return strings.HasPrefix(id, uploadKind.name+"-") || strings.HasPrefix(id, transientKind.name+"-")
 }
 
-// requestBody returns the body of a request. Half of the large ones are longer than what net/http discards.
-func requestBody(id string) string {
+// requestBody returns the body of a request. Half of the large ones are longer than what net/http discards. A body that
+// is sent in two parts is longer than the buffer in which net/http withholds the head and the first part.
+func (r *run) requestBody(id string) string {
 	text := "body of " + id
-	if isLarge(id) {
+	switch {
+	case isLarge(id):
 		text += strings.Repeat(".", int(xxhash.Sum64String("size of "+id)%maxUploadBytes))
+	case r.uploadPause(id) > 0:
+		text += strings.Repeat(".", slowUploadBytes)
 	}
 	return text
 }
--- a/soak/series.go
+++ b/soak/series.go
@@ -16,6 +16,10 @@
 	seriesPause = 2500 * time.Millisecond
 	stepPause   = 300 * time.Millisecond
 	maxSteps    = 6
+	// stoppingSeries is the share of series that stop entries, as one in so many.
+	stoppingSeries = 3
+	// maxEntriesAtOnce bounds the entries at which a step acts.
+	maxEntriesAtOnce = 8
 	// hangups is the largest number of SIGHUPs that one step sends to a process.
 	hangups = 4
 	// transientKey is an API key that comes and goes.
@@ -117,15 +121,17 @@
 // seriesStep is a step of a series of planned work, at some of the entries.
 type seriesStep func(r *run, rng *rand.Rand, entries []*entry)
 
-// seriesSteps are the steps that a series is drawn from.
+// stopEntries stops the entries at the same time.
+func stopEntries(r *run, _ *rand.Rand, entries []*entry) {
+	var stops sync.WaitGroup
+	for _, e := range entries {
+		stops.Go(func() { r.stopEntry(e) })
+	}
+	stops.Wait()
+}
+
+// seriesSteps are the steps that a series is drawn from, beside stops of entries.
 var seriesSteps = []seriesStep{
-	func(r *run, _ *rand.Rand, entries []*entry) {
-		var stops sync.WaitGroup
-		for _, e := range entries {
-			stops.Go(func() { r.stopEntry(e) })
-		}
-		stops.Wait()
-	},
 	func(_ *run, rng *rand.Rand, entries []*entry) {
 		for range 1 + rng.IntN(hangups) {
 			for _, e := range entries {
@@ -170,10 +176,14 @@
 // runSeries starts the steps of a series one after the other and waits for all of them.
 func (r *run) runSeries(rng *rand.Rand, steps int) {
 	var running sync.WaitGroup
-	for range steps {
+	stopAt := rng.IntN(steps * stoppingSeries)
+	for i := range steps {
 		step, rng := seriesSteps[rng.IntN(len(seriesSteps))], rand.New(rand.NewPCG(rng.Uint64(), 2))
+		if i == stopAt {
+			step = stopEntries
+		}
 		entries := make([]*entry, 0, len(r.entries))
-		for _, i := range rng.Perm(len(r.entries))[:1+rng.IntN((len(r.entries)+1)/2)] {
+		for _, i := range rng.Perm(len(r.entries))[:1+rng.IntN(min(maxEntriesAtOnce, (len(r.entries)+1)/2))] {
 			entries = append(entries, r.entries[i])
 		}
 		running.Go(func() { step(r, rng, entries) })
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -61,6 +61,8 @@
 	Served   int
 	Refused  int
 	Failed   int
+	// Statuses counts the responses by kind and status; status 0 is no response.
+	Statuses map[string]int
 	// Resumptions counts the further attempts by which clients resumed broken streams, Continued those of
 	// them that yielded events.
 	Resumptions, Continued int
@@ -113,8 +115,10 @@
 	// same time.
 	faultMu sync.Mutex
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// killed is the process that was last sent SIGKILL.
+	killed  *exec.Cmd
 	done    chan struct{}
 	endTime time.Time
 	// termAt is when the process was last sent SIGTERM.
@@ -132,7 +136,7 @@
 		return Report{}, Error.Wrap(err)
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	r := &run{o: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), dir: dir, store: fleettest.NewStore(), report: Report{Seed: o.Seed}}
+	r := &run{o: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), dir: dir, store: fleettest.NewStore(), report: Report{Seed: o.Seed, Statuses: make(map[string]int)}}
 	r.setRouteTimeout(routeTimeoutFactor)
 	defer r.close()
 	if err := r.start(ctx); err != nil {
@@ -306,7 +310,10 @@
 	e.disturbed, e.calmSince = false, time.Now()
 	e.mu.Unlock()
 	go func() {
-		_ = cmd.Wait() // an abnormal exit shows in the clients' responses
+		err := cmd.Wait()
+		if err != nil && r.o.PlannedOnly && !e.wasKilled(cmd) {
+			r.recordViolation("a process of %s ended by itself: %v", e.name, err)
+		}
 		close(done)
 	}()
 	return nil
@@ -316,10 +323,20 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.cmd != nil && e.cmd.Process != nil {
+		if s == syscall.SIGKILL {
+			e.killed = e.cmd
+		}
 		_ = e.cmd.Process.Signal(s) // the process may have exited
 	}
 }
 
+// wasKilled reports whether a process has been sent SIGKILL.
+func (e *entry) wasKilled(cmd *exec.Cmd) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.killed == cmd
+}
+
 // recordTerm records that the process is sent SIGTERM.
 func (e *entry) recordTerm(at time.Time) {
 	e.mu.Lock()
