--- a/soak/keptclients.go
+++ b/soak/keptclients.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -25,10 +26,13 @@
 	maxKeptConnections = 4
 	// maxKeptIdle bounds the pause between two requests of such a client.
 	maxKeptIdle = shortIdleLimit * 3 / 4
-	// maxUploadTime and maxUploadBytes bound the upload of a large body, which is sent in uploadParts parts.
+	// maxUploadTime and maxUploadBytes bound the upload of a large body, which is sent in uploadParts parts at
+	// most.
 	maxUploadTime  = 4 * time.Second
 	maxUploadBytes = 1 << 20
 	uploadParts    = 25
+	// maxRequestHead bounds the head of a request.
+	maxRequestHead = 2 << 10
 	// slowUploadBytes is the minimum length of a body that is sent in two parts.
 	slowUploadBytes = 32 << 10
 	// maxUploadWork bounds the time that endpoints work on a large request.
@@ -174,19 +178,20 @@
 	return resp
 }
 
-// write sends the whole request, a large body in parts.
+// write sends the whole request, a large body in parts of which the first bears the head.
 func (resp *response) write(conn *keptConnection, req *http.Request) error {
-	var text strings.Builder
+	var text bytes.Buffer
 	if err := req.Write(&text); err != nil {
 		return err
 	}
-	parts, pause := 1, time.Duration(0)
+	parts := [][]byte{text.Bytes()}
+	var pause time.Duration
 	if isLarge(resp.id) {
-		parts = uploadParts
+		size := max(text.Len()/uploadParts, maxRequestHead)
+		parts = slices.Collect(slices.Chunk(text.Bytes(), size))
 		pause = time.Duration(xxhash.Sum64String("time of "+resp.id)%uint64(maxUploadTime)) / uploadParts
 	}
-	size := (text.Len() + parts - 1) / parts
-	for part := range slices.Chunk([]byte(text.String()), size) {
+	for _, part := range parts {
 		if resp.sentAt.IsZero() {
 			resp.sentAt = time.Now()
 		} else {
