Excuse streams that are cut at their deadline in planned soak runs

An upload of up to 5 s, a stream of 3 s and a silence of 1.9 s may take longer than the deadline of 9 s. A request that gets nothing for longer than its patience still counts.

--- a/soak/keptclients.go
+++ b/soak/keptclients.go
@@ -187,7 +187,7 @@
 	parts := [][]byte{text.Bytes()}
 	var pause time.Duration
 	if isLarge(resp.id) {
-		size := max(text.Len()/uploadParts, maxRequestHead)
+		size := max((text.Len()+uploadParts-1)/uploadParts, maxRequestHead)
 		parts = slices.Collect(slices.Chunk(text.Bytes(), size))
 		pause = time.Duration(xxhash.Sum64String("time of "+resp.id)%uint64(maxUploadTime)) / uploadParts
 	}
@@ -299,7 +299,7 @@
 	if errors.As(resp.err, &opErr) && opErr.Op == "dial" {
 		return
 	}
-	broken := resp.err != nil && resp.latency < min(r.requestTimeout(), r.shortTimeout())
+	broken := resp.err != nil && !reachedTimeout(resp, min(r.requestTimeout(), r.shortTimeout()))
 	switch {
 	case resp.longestWait > r.longestAllowedWait(resp):
 		r.recordHeld(resp, runs)
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -108,7 +108,8 @@
 
 // checkAnswered checks, in a run of planned work only, that a request got a complete answer in time. A connection that
 // was closed before an endpoint ran the request carries no request that the entry has taken, unless it stayed open
-// for longer than lossSlack. What an endpoint still worked on may be cut at the end of a grace period.
+// for longer than lossSlack. What an endpoint still worked on may be cut at the end of a grace period, and a stream at
+// the request's deadline.
 func (r *run) checkAnswered(resp response, runs []fleettest.Run) {
 	if !r.o.PlannedOnly {
 		return
@@ -117,7 +118,7 @@
 	refused := errors.As(resp.err, &opErr) && opErr.Op == "dial"
 	held := resp.longestWait > r.longestAllowedWait(resp)
 	cut := resp.err != nil && !refused && (len(runs) > 0 || resp.endedAt.Sub(resp.sentAt) > lossSlack)
-	if cut && resp.endOfGrace && isInProgress(runs, resp.endedAt) {
+	if reachedTimeout(resp, r.requestTimeout()) || resp.endOfGrace && isInProgress(runs, resp.endedAt) {
 		cut = false
 	}
 	if held || cut {
@@ -149,6 +150,15 @@
 	return resp.kind == "plain" || resp.kind == "staged" || resp.kind == shiftingKind.name
 }
 
+// reachedTimeout reports whether a request ended at its deadline or at the time-out of its route. An entry counts them
+// from when it has read the request's head, and ends the request a little earlier.
+func reachedTimeout(resp response, timeout time.Duration) bool {
+	return resp.latency >= timeout-timeoutSlack
+}
+
+// timeoutSlack is how long before its deadline a request may end.
+const timeoutSlack = 100 * time.Millisecond
+
 // lossSlack is the time after the last byte of a request in which an entry may close its connection unanswered.
 const lossSlack = 200 * time.Millisecond
 
