--- a/soak/keptclients.go
+++ b/soak/keptclients.go
@@ -288,8 +288,13 @@
 func (e *entry) isPastGrace() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	elapsed := time.Since(e.termAt)
-	return elapsed > gracePeriod*5/6 && elapsed < gracePeriod+lossSlack
+	return slices.ContainsFunc(e.terms, isPastGrace)
+}
+
+// isPastGrace reports whether the grace period of a stop is in its last sixth or has just ended.
+func isPastGrace(termAt time.Time) bool {
+	elapsed := time.Since(termAt)
+	return elapsed > gracePeriod*5/6 && elapsed < gracePeriod+time.Second
 }
 
 // checkKept checks, for a client that keeps its connections, that a request which the entry has taken got a whole
--- a/soak/planned.go
+++ b/soak/planned.go
@@ -178,7 +178,9 @@
 func (e *entry) isAtEndOfGrace(sentAt time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return time.Since(e.termAt) > gracePeriod*5/6 && sentAt.Before(e.termAt.Add(lateStart)) && !sentAt.Before(e.termAt.Add(-gracePeriod))
+	return slices.ContainsFunc(e.terms, func(termAt time.Time) bool {
+		return isPastGrace(termAt) && sentAt.Before(termAt.Add(lateStart)) && !sentAt.Before(termAt.Add(-gracePeriod))
+	})
 }
 
 const (
--- a/soak/series.go
+++ b/soak/series.go
@@ -178,7 +178,7 @@
 	var running sync.WaitGroup
 	stopAt := rng.IntN(steps * stoppingSeries)
 	for i := range steps {
-		step, rng := seriesSteps[rng.IntN(len(seriesSteps))], rand.New(rand.NewPCG(rng.Uint64(), 2))
+		step, stepRNG := seriesSteps[rng.IntN(len(seriesSteps))], rand.New(rand.NewPCG(rng.Uint64(), 2))
 		if i == stopAt {
 			step = stopEntries
 		}
@@ -186,7 +186,7 @@
 		for _, i := range rng.Perm(len(r.entries))[:1+rng.IntN(min(maxEntriesAtOnce, (len(r.entries)+1)/2))] {
 			entries = append(entries, r.entries[i])
 		}
-		running.Go(func() { step(r, rng, entries) })
+		running.Go(func() { step(r, stepRNG, entries) })
 		time.Sleep(time.Duration(rng.Int64N(int64(stepPause))))
 	}
 	running.Wait()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -121,8 +121,8 @@
 	killed  *exec.Cmd
 	done    chan struct{}
 	endTime time.Time
-	// termAt is when the process was last sent SIGTERM.
-	termAt    time.Time
+	// terms are the times at which processes were sent SIGTERM.
+	terms     []time.Time
 	disrupted bool
 	// disturbed is set during a fault on the process, calmSince is when the last one ended.
 	disturbed bool
@@ -341,7 +341,7 @@
 func (e *entry) recordTerm(at time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.termAt = at
+	e.terms = append(e.terms, at)
 }
 
 // exited returns a channel that is closed when the entry's process has exited, or nil if no process
