Log how long a client waits and when it got its last event

The `request` line gets `patience_ms` (0 for other requests than streams) and `last_event_ms`. About 40 bytes a line.

--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -106,5 +106,6 @@
 		"reason", rec.reason, "took_ms", duration.Milliseconds(), "left_ms", q.remaining().Milliseconds(),
 		"sends", strings.Join(rec.sends, "; "), "silence", q.silenceVerdict(), "dispatcher", rec.dispatcher, "stages_ms", rec.stageDuration.Milliseconds(),
 		"forecast_ms", rec.stageForecast.Milliseconds(), "tail_ms", rec.firstEventForecast.Milliseconds(), "prompt", q.headers.PromptTokens, "first_event_ms", rec.timeToFirstEvent.Milliseconds(), "events", rec.events,
+		"last_event_ms", time.Duration(q.lastEventAfter.Load()).Milliseconds(), "patience_ms", q.clientPatience().Milliseconds(),
 		"resumes", q.headers.Resumes, "after_event", q.headers.LastEventID, "resumed", rec.resumptions, "retry_after_ms", rec.retryAfter.Milliseconds())
 }
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -57,8 +57,11 @@
 // hasBegun reports whether an event has been sent to the client.
 func (q *request) hasBegun() bool { return q.lastEventAfter.Load() > 0 }
 
-// clientPatience returns how long the client of a stream waits for an event.
+// clientPatience returns how long the client of a stream waits for an event. It is 0 for other requests.
 func (q *request) clientPatience() time.Duration {
+	if q.route == nil || q.route.Kind != catalog.Streaming {
+		return 0
+	}
 	return fleet.ClientPatience(q.route.LatencyTarget, q.route.EventGapTarget)
 }
 
