Answer a request that is arriving on a kept connection while the entry closes

Cause: to net/http a kept connection is idle until it has read the whole header of the next request, and http.Server.SetKeepAlivesEnabled(false), with which a stopping entry began to close, cuts idle connections at once. A request whose header was arriving got no response.

Change: a connection counts as busy from the first bytes of a header on. While the server closes, each response closes its connection, and idle connections are closed only when no connection is busy, or at the deadline.

Result: TestClosingServerAnswersRequestOnKeptConnection failed on the code before (with sleeps in place of what that code cannot count): unexpected EOF. It passes now, as do the tests of stops, with -race.

What remains: a request that is sent at the very moment at which an idle connection is closed is lost with it, as HTTP/1.1 has it.

--- a/gatewaydaemon/clientconn.go
+++ b/gatewaydaemon/clientconn.go
@@ -18,7 +18,7 @@
 // clientListener accepts connections that follow the limits of the configuration.
 type clientListener struct {
 	net.Listener
-	limits func() clientLimits
+	server *clientServer
 }
 
 // Accept implements net.Listener.
@@ -27,7 +27,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: c, limits: l.limits}, nil
+	return &clientConn{Conn: c, server: l.server}, nil
 }
 
 // awaited is what a client connection waits for.
@@ -46,7 +46,7 @@
 // limits of http.Server can't be changed while it serves, and a client may rely on limits that have been raised.
 type clientConn struct {
 	net.Conn
-	limits func() clientLimits
+	server *clientServer
 
 	mu sync.Mutex
 	// next is what the next deadline of net/http is for, current what the last one is for, since when it was set.
@@ -72,6 +72,9 @@
 func (c *clientConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.current == awaitsRequest && c.next == awaitsHeader && !t.IsZero() {
+		c.server.setBusy(c, true) // to net/http the connection is idle until the whole header has been read
+	}
 	c.current = awaitsNothing
 	if !t.IsZero() && c.next != awaitsNothing {
 		c.current, c.next, c.since = c.next, awaitsHeader, time.Now()
@@ -82,7 +85,7 @@
 
 // deadline returns the time until which the connection waits. It is called with the lock held.
 func (c *clientConn) deadline() time.Time {
-	limits := c.limits()
+	limits := c.server.limits()
 	if c.current == awaitsRequest {
 		return c.since.Add(limits.idle)
 	}
--- a/gatewaydaemon/clients.go
+++ b/gatewaydaemon/clients.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/azurelead/azurelead/linger"
@@ -18,9 +19,11 @@
 	server   *http.Server
 	listener *linger.Listener
 	limits   func() clientLimits
+	// closing is set once each response closes its connection.
+	closing atomic.Bool
 
 	mu sync.Mutex
-	// busy are the connections that are not idle: a request is in progress, or none has been read yet.
+	// busy are the connections that are not idle: a request is arriving or in progress, or none has been read yet.
 	busy map[net.Conn]bool
 }
 
@@ -29,12 +32,24 @@
 func newClientServer(listener net.Listener, server *http.Server, limits func() clientLimits) *clientServer {
 	c := &clientServer{server: server, listener: linger.NewListener(listener), limits: limits, busy: make(map[net.Conn]bool)}
 	server.ConnState = c.track
+	server.Handler = c.closeWhenClosing(server.Handler)
 	return c
 }
 
+// closeWhenClosing returns a handler whose responses close their connections once the server closes. It stands in for
+// http.Server.SetKeepAlivesEnabled, which also cuts connections on which the header of a request is being read.
+func (c *clientServer) closeWhenClosing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // acceptor returns the listener that the server is to serve.
 func (c *clientServer) acceptor() net.Listener {
-	return clientListener{Listener: c.listener, limits: c.limits}
+	return clientListener{Listener: c.listener, server: c}
 }
 
 // track is called at each change of a connection's state.
@@ -42,9 +57,14 @@
 	if cc, ok := conn.(*clientConn); ok {
 		cc.setState(state)
 	}
+	c.setBusy(conn, state == http.StateNew || state == http.StateActive)
+}
+
+// setBusy records whether a connection is busy.
+func (c *clientServer) setBusy(conn net.Conn, busy bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state == http.StateNew || state == http.StateActive {
+	if busy {
 		c.busy[conn] = true
 		return
 	}
@@ -58,11 +78,11 @@
 	return len(c.busy)
 }
 
-// close stops listening and closes idle connections. The others are served until they have been answered, or until
-// the deadline. It returns the number of connections that were cut then.
+// close stops listening, and closes all connections once no request is arriving or in progress, or at the deadline.
+// It returns the number of connections that were cut then.
 func (c *clientServer) close(deadline time.Time) (cut int) {
 	_ = c.listener.Close()
-	c.server.SetKeepAlivesEnabled(false)
+	c.closing.Store(true)
 	for c.countBusy() > 0 && time.Now().Before(deadline) {
 		time.Sleep(connectionPollInterval)
 	}
--- a/gatewaydaemon/clients_test.go
+++ b/gatewaydaemon/clients_test.go
@@ -79,6 +79,47 @@
 	}
 }
 
+// A request whose header is arriving on a kept connection while the server closes is answered.
+func TestClosingServerAnswersRequestOnKeptConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newClientServer(listener, &http.Server{IdleTimeout: time.Hour, ReadHeaderTimeout: time.Hour, Handler: http.NotFoundHandler()},
+		func() clientLimits { return clientLimits{header: time.Hour, idle: time.Hour} })
+	go func() { _ = c.server.Serve(c.acceptor()) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	head := requestHead("/x", "kept", 0)
+	_, _ = io.WriteString(conn, head)
+	if r := readNext(reader); r.err != nil || r.closes {
+		t.Fatalf("%+v", r)
+	}
+	for c.countBusy() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, _ = io.WriteString(conn, head[:20])
+	for c.countBusy() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cut := make(chan int)
+	go func() { cut <- c.close(time.Now().Add(time.Hour)) }()
+	for !c.closing.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	_, _ = io.WriteString(conn, head[20:])
+	if r := readNext(reader); r.err != nil || !r.closes {
+		t.Errorf("%+v", r)
+	}
+	if n := <-cut; n != 0 {
+		t.Errorf("%d connections were cut", n)
+	}
+}
+
 // A header that comes more slowly than the default time-out, but within the limit of the configuration, is read. The
 // limit may be raised after the connection was opened.
 func TestSlowHeaderWithinRaisedLimitIsAnswered(t *testing.T) {
