Let SIGHUP not terminate a gateway that starts

What callers saw: a gateway that had just been started, as after a stop or a release, was gone again when the platform announced new settings.

Cause: SIGHUP terminates a process until it asks for the signal, which the gateway did after it had read its settings and connected its parts.

Change: the program asks for the signal first. A signal between exec and the start of main still terminates the process; no program can prevent that.

TestSettingsAreReadAgain passes the channel, as main does now.

--- a/cmd/azurelead-gateway/main.go
+++ b/cmd/azurelead-gateway/main.go
@@ -25,16 +25,17 @@
 const flushTimeout = 100 * time.Millisecond
 
 func main() {
+	hangups := gatewaydaemon.NotifyHangup()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
+	if err := command(hangups).Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "azurelead-gateway:", err)
 		os.Exit(exitFailed)
 	}
 }
 
-func command() *cli.Command {
-	var c gatewaydaemon.Config
+func command(hangups <-chan os.Signal) *cli.Command {
+	c := gatewaydaemon.Config{Hangups: hangups}
 	var level string
 	stringFlag := func(name, env, usage, value string, dest *string) cli.Flag {
 		return &cli.StringFlag{Name: name, Usage: usage, Value: value, Destination: dest, Sources: cli.EnvVars("AZURELEAD_" + env)}
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -11,6 +11,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -72,6 +73,8 @@
 	// MetricsAddress is the listen address for the operators' metrics; metrics are not served if it
 	// is empty.
 	MetricsAddress string
+	// Hangups receives a value when the settings are to be read again; nil never does.
+	Hangups <-chan os.Signal
 	// OTLP is the URL that traces are exported to; they are not exported if it is empty.
 	OTLP string
 }
@@ -190,7 +193,6 @@
 // run serves until ctx ends and then stops. Background work goes on until the requests in flight have
 // ended.
 func (d *daemon) run(ctx context.Context, c Config, reg *prometheus.Registry) error {
-	hup := notifyHangup()
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	clients, err := d.listen(workCtx, c, reg)
@@ -205,7 +207,7 @@
 	go d.origins.records.run(workCtx)
 	go d.origins.records.clean(workCtx)
 	go d.announceNotices(workCtx)
-	d.watchSettings(ctx, workCtx, c.SettingsPath, hup)
+	d.watchSettings(ctx, workCtx, c.SettingsPath, c.Hangups)
 	d.stop(clients)
 	return nil
 }
--- a/gatewaydaemon/reload.go
+++ b/gatewaydaemon/reload.go
@@ -15,9 +15,9 @@
 // without a signal.
 const settingsPollInterval = 3 * time.Second
 
-// notifyHangup returns a channel of SIGHUP signals. It also keeps SIGHUP from terminating the
-// process while it starts and while it finishes its requests.
-func notifyHangup() <-chan os.Signal {
+// NotifyHangup returns a channel of SIGHUP signals. It also keeps SIGHUP from terminating the
+// process while it starts and while it finishes its requests, so that it is called first.
+func NotifyHangup() <-chan os.Signal {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	return hup
--- a/gatewaydaemon/reload_test.go
+++ b/gatewaydaemon/reload_test.go
@@ -39,7 +39,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
-		done <- Run(ctx, Config{SettingsPath: path}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
+		done <- Run(ctx, Config{SettingsPath: path, Hangups: NotifyHangup()}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
 	}()
 	e := &entry{front: front, health: health}
 	d.eventually("the entry is ready", func() bool {
