Let TestHelloCarriesDigests see all links of the entry that starts

Cause, by reading: the synced peer dials the entry that starts as soon as that says hello, and so the entry links to the peer's own listener too. If it fetches the states there first, the first call on the observed link is a ping, as it should be. The peer now gives the observed listener as its address, and the test sees the calls on all links; the first of them must still be the fetch.

The product is not changed.

--- a/peers/ping_schedule_test.go
+++ b/peers/ping_schedule_test.go
@@ -128,22 +128,25 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
+	synced.o.Self.Address = l.Addr().String() // the entry that starts may link to it twice, as it is dialled as well
 	firstCall := make(chan string, 1)
+	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+		if r.Method != methodHello {
+			select {
+			case firstCall <- r.Method:
+			default:
+			}
+		}
+		return synced.handle(ctx, conn, r)
+	})
 	go func() {
-		raw, err := l.Accept()
-		if err != nil {
-			return
+		for {
+			raw, err := l.Accept()
+			if err != nil {
+				return // the test has ended
+			}
+			jsonrpc2.NewConn(t.Context(), jsonrpc2.NewPlainObjectStream(raw), handler)
 		}
-		jsonrpc2.NewConn(t.Context(), jsonrpc2.NewPlainObjectStream(raw), jsonrpc2.HandlerWithError(
-			func(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-				if r.Method != methodHello {
-					select {
-					case firstCall <- r.Method:
-					default:
-					}
-				}
-				return synced.handle(ctx, conn, r)
-			}))
 	}()
 	starting.Add(t.Context(), []string{l.Addr().String()})
 	if first := <-firstCall; first != methodStates {
