Read a refused request's body before answering, at the product's own entry

Cause: as at the gateway, refusals before the body has been read (unknown key or pipeline, a bad deadline, a body that is too large, a stop) ended uploads. The write deadline of refusals counted from the start of the request, so that a slow upload could use it up.

What both servers share is in package upload.

--- a/entry/http.go
+++ b/entry/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -16,6 +17,7 @@
 	"github.com/azurelead/azurelead/contract"
 	"github.com/azurelead/azurelead/settings"
 	"github.com/azurelead/azurelead/suspect"
+	"github.com/azurelead/azurelead/upload"
 )
 
 // RunsPath is the route on which callers start pipeline runs.
@@ -40,7 +42,9 @@
 	started := time.Now()
 	id := contract.NewRequestID()
 	w.Header().Set("Azurelead-Request-Id", string(id))
+	control := http.NewResponseController(w)
 	if !e.beginRequest() {
+		defer endReading(w, control)()
 		e.refuse(w, started, &Request{ID: id}, shuttingDown(contract.NotRun))
 		return
 	}
@@ -48,11 +52,16 @@
 	e.m.inFlight.Inc()
 	defer e.m.inFlight.Dec()
 	req := &Request{ID: id, Deadline: started}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(started.Add(bodyTimeout))
-	snap, problem := e.validate(req, r, started)
-	_ = control.SetReadDeadline(time.Time{})
-	_ = control.SetWriteDeadline(req.Deadline.Add(writeGracePeriod))
+	body := upload.NewBody(r)
+	if !body.Ended() {
+		_ = control.SetReadDeadline(started.Add(bodyTimeout))
+	}
+	snap, problem := e.validate(req, r, body, started)
+	if err := body.Discard(); err != nil {
+		defer endReading(w, control)()
+	}
+	left := max(time.Until(req.Deadline), 0) // a refusal is written after a slow upload
+	_ = control.SetWriteDeadline(time.Now().Add(left + writeGracePeriod))
 	if problem == nil && e.draining.Load() {
 		problem = shuttingDown(contract.NotRun)
 	}
@@ -82,6 +91,13 @@
 	c.answer(waitCtx)
 }
 
+// endReading makes the response close its connection, whose request is not read to its end. It returns a function to be
+// called after the response: net/http would wait for the rest of a short body, without a bound.
+func endReading(w http.ResponseWriter, control *http.ResponseController) func() {
+	w.Header().Set("Connection", "close")
+	return func() { _ = control.SetReadDeadline(time.Now()) }
+}
+
 // errShuttingDown ends the wait of callers that a stop does not wait for.
 var errShuttingDown = Error.New("this entry is shutting down")
 
@@ -90,7 +106,7 @@
 }
 
 // validate performs every check that needs no endpoint, the cheapest first.
-func (e *Entry) validate(req *Request, r *http.Request, now time.Time) (*settings.Snapshot, *contract.Problem) {
+func (e *Entry) validate(req *Request, r *http.Request, body io.Reader, now time.Time) (*settings.Snapshot, *contract.Problem) {
 	snap := e.o.Settings.Current()
 	if snap == nil {
 		return nil, contract.NewProblem(contract.CodeSettingsMissing, contract.NotRun, "this entry has no settings yet").WithRetryAfter(retryAfterFailure)
@@ -116,7 +132,7 @@
 	if problem = checkKey(p, req.Key); problem != nil {
 		return nil, problem
 	}
-	if req.Body, problem = DecodeBody(r.Body, set.MaxBodyBytes); problem != nil {
+	if req.Body, problem = DecodeBody(body, set.MaxBodyBytes); problem != nil {
 		return nil, problem
 	}
 	req.Digest = requestDigest(req.Organisation, name, req.Body)
--- a/entrydaemon/daemon.go
+++ b/entrydaemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/azurelead/azurelead/contract"
 	"github.com/azurelead/azurelead/entry"
 	"github.com/azurelead/azurelead/gossip"
+	"github.com/azurelead/azurelead/linger"
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/platform"
 	"github.com/azurelead/azurelead/settings"
@@ -56,7 +57,7 @@
 	suspects *suspect.Table
 	entry    *entry.Entry
 
-	callersListener   net.Listener
+	callersListener   *linger.Listener
 	operatorsListener net.Listener
 	servers           []*http.Server
 	serveLoops        sync.WaitGroup
@@ -187,14 +188,15 @@
 
 // listen opens the callers' and the operators' listener and serves both.
 func (d *Daemon) listen(context.Context) error {
-	var err error
-	if d.callersListener, err = net.Listen("tcp", d.config.Listen); err != nil {
+	callersListener, err := net.Listen("tcp", d.config.Listen)
+	if err != nil {
 		return Error.Wrap(err)
 	}
+	d.callersListener = linger.NewListener(callersListener)
 	if d.operatorsListener, err = net.Listen("tcp", d.config.OperatorsAddress); err != nil {
 		return Error.Wrap(err)
 	}
-	callers := d.callersListener
+	callers := net.Listener(d.callersListener)
 	if d.config.TLSCert != "" {
 		id, err := certs.Load(certs.Options{Cert: d.config.TLSCert, Key: d.config.TLSKey})
 		if err != nil {
@@ -234,6 +236,7 @@
 			d.log.Warn("connections were cut", "error", closeErr)
 		}
 	}
+	d.callersListener.AwaitUploads(time.Now().Add(closeTimeout))
 	d.claims.Close()
 	d.ledger.Close()
 	d.stop()
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -5,21 +5,16 @@
 	"io"
 	"net/http"
 	"os"
-	"strings"
 	"time"
 )
 
 const (
 	// defaultBodyLimit bounds a request body, in bytes, if the configuration sets no limit.
 	defaultBodyLimit = 4 << 20
-	// maxDiscardBytes and maxDiscardTime bound what is read of the body of a refused request.
-	maxDiscardBytes = 64 << 20
-	maxDiscardTime  = 30 * time.Second
+	// maxDiscardTime bounds the reading of a refused request's body.
+	maxDiscardTime = 30 * time.Second
 )
 
-// errBodyUnread is returned for bodies whose end is not reached.
-var errBodyUnread = Error.New("the body has not been read to its end")
-
 // readBody reads the request body up to the configured limit, until the request's deadline. It returns a response if
 // that fails.
 func (q *request) readBody() *response {
@@ -55,13 +50,15 @@
 	if err := q.boundReading(deadline); err != nil {
 		return nil, err
 	}
-	return io.ReadAll(io.LimitReader(q.incoming, limit))
+	body, err := io.ReadAll(io.LimitReader(q.incoming, limit))
+	q.noteExpiry(err)
+	return body, err
 }
 
 // boundReading sets the time until which the body is read.
 func (q *request) boundReading(deadline time.Time) error {
-	if q.incoming.ended {
-		return nil // a deadline would end net/http's watch for the client's leaving
+	if q.incoming.Ended() {
+		return nil
 	}
 	return q.progress.boundReading(func() error { return q.setReadDeadline(deadline) })
 }
@@ -70,12 +67,16 @@
 	return http.NewResponseController(q.w).SetReadDeadline(deadline)
 }
 
+// noteExpiry records that a read ended at its deadline, which ends the context of the client's connection.
+func (q *request) noteExpiry(err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		q.progress.unblock()
+	}
+}
+
 // discardBody reads the rest of the body without keeping it. It returns an error if the end is not reached within
-// bounds, or is not to be waited for: the client waits for permission to send, or this entry stops.
+// bounds, or is not to be waited for.
 func (q *request) discardBody() error {
-	if !q.incoming.begun && !q.incoming.ended && strings.EqualFold(q.r.Header.Get("Expect"), "100-continue") {
-		return errBodyUnread
-	}
 	timeout := maxDiscardTime
 	if q.headers.Timeout > 0 {
 		timeout = min(timeout, q.headers.Timeout-deadlineMargin)
@@ -83,38 +84,7 @@
 	if err := q.boundReading(q.started.Add(timeout)); err != nil {
 		return err
 	}
-	_, err := io.CopyN(io.Discard, q.incoming, maxDiscardBytes)
-	switch err {
-	case io.EOF:
-		return nil
-	case nil:
-		return errBodyUnread
-	}
+	err := q.incoming.Discard()
+	q.noteExpiry(err)
 	return err
 }
-
-// incomingBody is a request's body as it arrives.
-type incomingBody struct {
-	body     io.Reader
-	progress *progress
-	// begun is set once the reading has begun, ended once the end has been read.
-	begun, ended bool
-}
-
-// newIncomingBody returns the body of a request.
-func newIncomingBody(r *http.Request, p *progress) *incomingBody {
-	return &incomingBody{body: r.Body, progress: p, ended: r.Body == http.NoBody}
-}
-
-// Read implements io.Reader.
-func (b *incomingBody) Read(p []byte) (int, error) {
-	b.begun = true
-	n, err := b.body.Read(p)
-	switch {
-	case err == io.EOF:
-		b.ended = true
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		b.progress.unblock()
-	}
-	return n, err
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/azurelead/azurelead/retrybudget"
 	"github.com/azurelead/azurelead/roster"
 	"github.com/azurelead/azurelead/suspect"
+	"github.com/azurelead/azurelead/upload"
 	"github.com/azurelead/azurelead/upstream"
 )
 
@@ -136,7 +137,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	q.progress = &progress{cancel: cancel, unblockBody: unblockBody(w)}
-	q.incoming = newIncomingBody(r, q.progress)
+	q.incoming = upload.NewBody(r)
 	g.inFlight.add(q.progress)
 	defer g.inFlight.remove(q.progress)
 	if g.keepAlivesDisabled.Load() {
@@ -179,7 +180,7 @@
 	// the request's own goroutine, and read by its silence timer.
 	version atomic.Pointer[string]
 	// incoming is the body as it arrives, body what was read of an admitted request.
-	incoming *incomingBody
+	incoming *upload.Body
 	body     []byte
 	// lastEventAfter is the time from started to the last event of the stream, in nanoseconds; 0 before the first.
 	lastEventAfter atomic.Int64
--- a/gatewaydaemon/clients.go
+++ b/gatewaydaemon/clients.go
@@ -90,10 +90,3 @@
 	_ = c.server.Close()
 	return cut
 }
-
-// awaitUploads waits until the clients of closed connections have ended what they were sending, or until the deadline.
-func (c *clientServer) awaitUploads(deadline time.Time) {
-	for c.listener.CountReceiving() > 0 && time.Now().Before(deadline) {
-		time.Sleep(connectionPollInterval)
-	}
-}
--- a/gatewaydaemon/stop.go
+++ b/gatewaydaemon/stop.go
@@ -70,7 +70,7 @@
 	if cut := clients.close(time.Now().Add(min(lateRequestTime, untilCutoff))); cut > 0 {
 		d.logger.Warn("connections were cut", "connections", cut)
 	}
-	clients.awaitUploads(start.Add(plan.cutoff))
+	clients.listener.AwaitUploads(start.Add(plan.cutoff))
 	d.logger.Info("stopped", "after_ms", time.Since(start).Milliseconds())
 }
 
--- a/linger/linger.go
+++ b/linger/linger.go
@@ -18,6 +18,8 @@
 	// maxTime and maxBytes bound what is read from a connection after it was closed.
 	maxTime  = 5 * time.Second
 	maxBytes = 64 << 20
+	// pollInterval is the interval at which uploads are counted while they are awaited.
+	pollInterval = 5 * time.Millisecond
 )
 
 // Listener accepts TCP connections that linger when they are closed.
@@ -48,6 +50,13 @@
 	return &conn{TCPConn: tcp, listener: l}, nil
 }
 
+// AwaitUploads waits until the clients of closed connections have ended what they were sending, or until a deadline.
+func (l *Listener) AwaitUploads(deadline time.Time) {
+	for l.CountReceiving() > 0 && time.Now().Before(deadline) {
+		time.Sleep(pollInterval)
+	}
+}
+
 // CountReceiving returns the number of closed connections whose clients are still sending.
 func (l *Listener) CountReceiving() int {
 	l.mu.Lock()
