Count no engine as hung that got a stream shortly before its client leaves

What callers would see: under load, a stream that has waited for its stages or its turn reaches a sound engine with little of the client's patience left. Two such ends in a row took the engine for down and cold: it got no requests for the time of the backoff, and the load moved to the other engines.

An attempt that ends so counted as a lost connection after 250 ms of silence, the time that is meant for the deadline of a request.

Change: such an end counts only if the engine was silent for as long as a stream waits for its first event before another engine is tried. An engine that hangs is still counted.

TestLateStreamsDoNotMarkEngineAsDown fails on the code before ("sent shortly before: usable is false"). gateway and gatewaydaemon pass.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -34,7 +34,8 @@
 	result attemptResult
 	err    error
 	sentAt time.Time
-	// patience is the time without an answer after which the endpoint counts as hung if another one has answered.
+	// patience is the time without an answer after which the endpoint counts as hung if another one has answered, or
+	// the client would leave.
 	patience time.Duration
 	// progressAt is when the endpoint last sent an event that continues a stream; zero if it sent none.
 	progressAt time.Time
@@ -161,7 +162,7 @@
 		return false
 	}
 	hangTime := minHangTime
-	if errors.Is(context.Cause(ctx), errAnsweredElsewhere) {
+	if cause := context.Cause(ctx); errors.Is(cause, errAnsweredElsewhere) || errors.Is(cause, errFirstEventLate) {
 		hangTime = a.patience
 	}
 	since := a.sentAt
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -293,7 +293,7 @@
 	if s.output.results != nil && len(s.output.handles) > 0 {
 		defer time.AfterFunc(s.gw.readDelay.Get(time.Now()), s.output.markRead).Stop()
 	}
-	a := s.send(tryCtx, c, fwd, minHangTime)
+	a := s.send(tryCtx, c, fwd, s.firstEventTimeout())
 	s.record.addAttempt(a)
 	defer a.finish(s.gw.opts.Roster)
 	if a.result != resultAnswered {
