End a stream's context with the time for its first event

What callers would see: none of it directly. A sound engine whose first event came at the end of its client's patience was recorded as having lost the connection: as a possible crash caused by the request, and at the dispatcher as an engine without its cache. The stream could also draw on the retry budget.

Cause: the timer of the patience counts as fired before its function has ended the context. An event in between was refused, and the end of the attempt was then judged with a context that had not ended.

Change: whoever finds that the timer has fired ends the context with the same cause.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -54,8 +54,9 @@
 	endpointWait time.Duration
 	// securedEngine is the engine of the replacement for which the last attempt was abandoned, until it is tried.
 	securedEngine string
-	// patience ends the request's context unless the response has begun by then.
+	// patience calls endWait unless the response has begun by then. endWait ends the request's context.
 	patience *time.Timer
+	endWait  func()
 }
 
 // stageOutput holds what the request's stages produced.
@@ -152,7 +153,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	waits := min(s.clientPatience(), s.deadline.Sub(s.started)+deadlineMargin)
 	margin := min(answerMargin, time.Duration(maxMarginShare*float64(waits)))
-	s.patience = time.AfterFunc(time.Until(s.started.Add(waits-margin)), func() { cancel(errFirstEventLate) })
+	s.endWait = func() { cancel(errFirstEventLate) }
+	s.patience = time.AfterFunc(time.Until(s.started.Add(waits-margin)), s.endWait)
 	return ctx
 }
 
@@ -535,6 +537,7 @@
 // if the time for the first event has ended.
 func (s *stream) startResponse(a *attempt) bool {
 	if !s.headerSent && !s.patience.Stop() {
+		s.endWait() // the timer's own call may still be to come
 		return false
 	}
 	s.record.events++
