Count a connection as receiving from its close on

What callers would see: a client that is uploading to an entry that stops gets a reset instead of the refusal that was sent, if the entry closed its connection just before its process ended.

Cause: a closed connection counted as receiving after the first read of its lingering, which runs in a goroutine of its own. A stop that closes the connections that are left and then asks for their number was told that there are none.

Change: a connection counts from its close on, until its client has had 100 ms to send more. The end of the grace period bounds the stop as before.

Evidence: found by reading. TestUnreadRequestCountsAsReceiving fails on the code before ("0 connections receive, want 1"; 10 runs). linger passes 3 times with -race, and the tests of gatewaydaemon that match Stop|Upload|Close|Refusal|Half pass.

--- a/linger/linger.go
+++ b/linger/linger.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	// settleTime is how long a closed connection counts as receiving while its client has sent nothing.
+	settleTime = 100 * time.Millisecond
 	// idleTime is how long a closed connection is kept open while its client sends nothing.
 	idleTime = 2 * time.Second
 	// maxTime and maxBytes bound what is read from a connection after it was closed.
@@ -25,7 +27,7 @@
 	net.Listener
 
 	mu sync.Mutex
-	// receiving are the closed connections whose clients have sent more since.
+	// receiving are the closed connections whose clients have sent more since, or may still do so.
 	receiving map[*conn]bool
 }
 
@@ -128,6 +130,7 @@
 	if err := c.TCPConn.SetReadDeadline(time.Now()); err != nil {
 		return errors.Join(err, c.TCPConn.Close())
 	}
+	c.listener.setReceiving(c, true)
 	go c.linger()
 	return nil
 }
@@ -146,11 +149,26 @@
 type remainder struct {
 	conn  *conn
 	until time.Time
+	// begun is set once the client had settleTime to send more.
+	begun bool
 }
 
 // Read implements io.Reader. It fails if the client sends nothing for idleTime.
 func (r *remainder) Read(p []byte) (int, error) {
-	deadline := time.Now().Add(idleTime)
+	if !r.begun {
+		r.begun = true
+		n, err := r.readWithin(p, settleTime)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		r.conn.listener.setReceiving(r.conn, false)
+	}
+	return r.readWithin(p, idleTime)
+}
+
+// readWithin reads what a client sends within a time.
+func (r *remainder) readWithin(p []byte, timeout time.Duration) (int, error) {
+	deadline := time.Now().Add(timeout)
 	if deadline.After(r.until) {
 		deadline = r.until
 	}
--- a/linger/linger_test.go
+++ b/linger/linger_test.go
@@ -84,3 +84,18 @@
 		t.Error(err)
 	}
 }
+
+// A connection with an unread part of a request counts as receiving from its close on: a process that ends meanwhile
+// resets it, and the client loses the response.
+func TestUnreadRequestCountsAsReceiving(t *testing.T) {
+	client, server, l := dial(t)
+	_, _ = io.WriteString(client, "x")
+	_ = server.Close()
+	if n := l.CountReceiving(); n != 1 {
+		t.Errorf("%d connections receive, want 1", n)
+	}
+	_ = client.Close()
+	for l.CountReceiving() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
