--- a/entry/http.go
+++ b/entry/http.go
@@ -59,6 +59,8 @@
 	snap, problem := e.validate(req, r, body, started)
 	if err := body.Discard(); err != nil {
 		defer endReading(w, control)()
+	} else {
+		_ = control.SetReadDeadline(time.Time{}) // net/http watches for the caller's leaving
 	}
 	left := max(time.Until(req.Deadline), 0) // a refusal is written after a slow upload
 	_ = control.SetWriteDeadline(time.Now().Add(left + writeGracePeriod))
