Await the answers of silent stage endpoints

Cause: a stage call that was silent for 2.5 times its expected time and 250 ms was ended, its tasks were queued again and, after four such calls, failed their jobs. A sound endpoint may be silent for a second or so and then answer; its work was thrown away, and its requests were refused.

Change: a call that is overdue continues for up to 2 s more. Its tasks are queued again for any other endpoint that is idle, and the first answer counts; results that come second are freed. The silent endpoint keeps its slot, so that without another endpoint nothing is sent meanwhile. A task is tried four times at most, as before, but fails its job only once the last of its calls has failed. An overdue call whose jobs have all ended is ended, so that no endpoint works on for clients that have left; calls were ended at that time before.

What it costs: where one call to the only endpoint of a service is never answered, but a second one would be, the second one comes 2 s later.

The simulation closes calls that the dispatcher ends.

--- a/coordinate/call.go
+++ b/coordinate/call.go
@@ -1,6 +1,7 @@
 package coordinate
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"time"
@@ -13,7 +14,7 @@
 )
 
 // runTasks makes one stage call and decodes its results. The Failure is 0 if err is nil.
-func (c *Coordinator) runTasks(call dispatch.Call) ([]stage.Result, dispatch.Failure, error) {
+func (c *Coordinator) runTasks(ctx context.Context, call dispatch.Call) ([]stage.Result, dispatch.Failure, error) {
 	if !c.o.Roster.Usable(time.Now(), call.Endpoint.ID) {
 		return nil, dispatch.Refused, upstream.NotSent.New("the endpoint may not get work any more")
 	}
@@ -21,7 +22,7 @@
 	if err != nil {
 		return nil, dispatch.ResponseLost, err
 	}
-	resp, body, err := c.send(call.Endpoint, out, call.Timeout)
+	resp, body, err := c.send(ctx, call.Endpoint, out)
 	switch {
 	case upstream.NotSent.Has(err):
 		return nil, dispatch.Unreachable, err
@@ -47,7 +48,9 @@
 	if now := time.Now(); !c.o.Roster.Usable(now, e.ID) || c.o.Roster.HasRateLimit(now, e.ID) {
 		return
 	}
-	_, body, err := c.send(e, fleet.ReportCall(e.ID), controlTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	_, body, err := c.send(ctx, e, fleet.ReportCall(e.ID))
 	var free, limit int64
 	if err == nil {
 		free, limit, err = fleet.DecodeFreeBytes(body)
--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -61,6 +61,8 @@
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
 	waiters    map[string]*waiter
+	// endCall ends each call in progress, by the id of the call.
+	endCall map[uint64]context.CancelFunc
 	// retryUntil maps the subject of each refused client to the time until which a new job of it
 	// counts as a retry.
 	retryUntil map[string]time.Time
@@ -126,7 +128,7 @@
 	}
 	return &Coordinator{
 		o: o, wake: make(chan struct{}, 1), dispatcher: dispatch.New(dispatch.Options{}),
-		waiters: make(map[string]*waiter), retryUntil: make(map[string]time.Time), services: make(map[string]*catalog.Service),
+		waiters: make(map[string]*waiter), endCall: make(map[uint64]context.CancelFunc), retryUntil: make(map[string]time.Time), services: make(map[string]*catalog.Service),
 	}
 }
 
@@ -411,7 +413,14 @@
 	for _, call := range c.dispatcher.Schedule(now) {
 		c.o.Metrics.Calls.Inc()
 		c.o.Metrics.Tasks.Add(float64(len(call.Tasks)))
-		go c.runCall(call)
+		ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
+		c.endCall[call.ID] = cancel
+		go c.runCall(ctx, call)
+	}
+	for _, id := range c.dispatcher.TakeEndedCalls() {
+		if end := c.endCall[id]; end != nil {
+			end()
+		}
 	}
 	for id, results := range c.dispatcher.TakeStageResults() {
 		if w := c.waiters[id]; w != nil {
@@ -437,11 +446,13 @@
 }
 
 // runCall makes one call and reports its outcome to the dispatcher.
-func (c *Coordinator) runCall(call dispatch.Call) {
+func (c *Coordinator) runCall(ctx context.Context, call dispatch.Call) {
 	start := time.Now()
-	results, failure, err := c.runTasks(call)
+	results, failure, err := c.runTasks(ctx, call)
 	now := time.Now()
 	c.mu.Lock()
+	c.endCall[call.ID]()
+	delete(c.endCall, call.ID)
 	if failure != 0 {
 		c.dispatcher.Fail(now, call.ID, failure)
 	} else {
@@ -474,7 +485,9 @@
 		c.o.Logger.Error("could not encode a call to free results", "error", err)
 		return
 	}
-	if _, _, err := c.send(f.Endpoint, out, controlTimeout); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	if _, _, err := c.send(ctx, f.Endpoint, out); err != nil {
 		// The endpoint discards the results when their TTL ends.
 		c.o.Metrics.CallFailures.Inc()
 	}
@@ -492,9 +505,7 @@
 
 // send makes a call to an endpoint and reads its response. It records what the endpoint reports of itself.
 // The body is read for status 200 only.
-func (c *Coordinator) send(e catalog.Endpoint, out fleet.Call, timeout time.Duration) (*http.Response, []byte, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
+func (c *Coordinator) send(ctx context.Context, e catalog.Endpoint, out fleet.Call) (*http.Response, []byte, error) {
 	sentAt := time.Now()
 	resp, err := c.o.Upstream.Do(ctx, upstream.Target{ID: e.ID, Address: e.Address}, upstream.Request{
 		ID: out.ID, Method: out.Method, URI: out.Path, Host: e.Address, Header: out.Header, Body: out.Body,
--- a/coordinate/coordinate_test.go
+++ b/coordinate/coordinate_test.go
@@ -247,7 +247,7 @@
 		endpoint := c.o.Roster.Endpoints(time.Now(), "portal")[0]
 		for i := range 20 {
 			id := fmt.Sprintf("request-%d", i)
-			results, _, err := c.runTasks(dispatch.Call{Endpoint: endpoint, Tasks: []stage.Task{{AttemptID: id, Key: "k"}}, Timeout: 10 * time.Second})
+			results, _, err := c.runTasks(t.Context(), dispatch.Call{Endpoint: endpoint, Tasks: []stage.Task{{AttemptID: id, Key: "k"}}})
 			switch {
 			case err != nil:
 				if kind == fleettest.ExactCopy || !upstream.Lost.Has(err) {
@@ -282,7 +282,7 @@
 	endpoint := c.o.Roster.Endpoints(time.Now(), "portal")[0]
 	for i := range 10 {
 		id := fmt.Sprintf("request-%d", i)
-		results, _, err := c.runTasks(dispatch.Call{Endpoint: endpoint, Tasks: []stage.Task{{AttemptID: id, Key: "k"}}, Timeout: 10 * time.Second})
+		results, _, err := c.runTasks(t.Context(), dispatch.Call{Endpoint: endpoint, Tasks: []stage.Task{{AttemptID: id, Key: "k"}}})
 		if err != nil || !strings.Contains(results[0].Handle, "/"+id+"-") {
 			t.Fatalf("%s was given %+v, error %v", id, results, err)
 		}
--- a/dispatch/assign.go
+++ b/dispatch/assign.go
@@ -404,7 +404,8 @@
 	d.lastCallID++
 	e := b.endpoint
 	expected := p.limits.CallTime + time.Duration(len(b.tasks))*p.limits.TaskTime
-	c := &call{id: d.lastCallID, pool: p, endpoint: e, tasks: b.tasks, bytes: b.bytes, started: now, expected: expected}
+	allowed := callTimeout(expected, e.slowdown)
+	c := &call{id: d.lastCallID, pool: p, endpoint: e, tasks: b.tasks, bytes: b.bytes, started: now, expected: expected, overdueAt: now.Add(allowed)}
 	d.calls[c.id] = c
 	e.activeCalls++
 	if e.callInterval > 0 {
@@ -412,15 +413,16 @@
 	}
 	e.reservedBytes += b.bytes
 	e.idleAt = now.Add(time.Duration(float64(expected) * e.slowdown))
-	sent := Call{ID: c.id, Endpoint: e.Endpoint, Timeout: callTimeout(expected, e.slowdown)}
+	sent := Call{ID: c.id, Endpoint: e.Endpoint, Timeout: allowed + lateAnswerTime}
 	for _, ref := range b.tasks {
+		ref.group.tasks[ref.index].call = c.id
 		sent.Tasks = append(sent.Tasks, ref.stageTask(now))
 	}
 	return sent
 }
 
-// callTimeout returns the time-out of a call. An endpoint that is known to be slow gets
-// more time; the time-out is short otherwise, because the tasks of a call to a dead
+// callTimeout returns the time after which a call is overdue. An endpoint that is known to
+// be slow gets more time; it is short otherwise, because the tasks of a call to a dead
 // endpoint wait until it has passed.
 func callTimeout(expected time.Duration, slowdown float64) time.Duration {
 	return time.Duration(timeoutFactor*max(slowdown, 1)*float64(expected)) + timeoutSlack
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -43,7 +43,8 @@
 const largeResultBytes = 1_000_000
 
 const (
-	// maxTries is the number of failed calls after which a task fails its job.
+	// maxTries is the number of failed or overdue calls after which a task is not tried again. It fails its job
+	// then, as soon as its last call has failed.
 	maxTries = 4
 	// admissionMargin is the time before the deadline that admission keeps free for
 	// delays that the forecast cannot predict.
@@ -153,7 +154,7 @@
 	ID       uint64
 	Endpoint catalog.Endpoint
 	Tasks    []stage.Task
-	// Timeout is the time after which the response counts as lost.
+	// Timeout is the time after which the response counts as lost. The tasks are tried elsewhere before.
 	Timeout time.Duration
 }
 
@@ -210,9 +211,10 @@
 	lastCallID  uint64
 	// readDelay is the time after which a stage call is taken to have fetched its inputs.
 	readDelay *ReadDelay
-	// jobResults, freeRequests by endpoint and stageResults by job accumulate until
-	// the caller takes them.
+	// jobResults, endedCalls, freeRequests by endpoint and stageResults by job accumulate
+	// until the caller takes them.
 	jobResults   []JobResult
+	endedCalls   []uint64
 	freeRequests map[string]*FreeRequest
 	stageResults map[string][]StageResults
 }
@@ -242,6 +244,9 @@
 	started time.Time
 	// expected is the declared duration of the call.
 	expected time.Duration
+	// overdueAt is the time from which the tasks are tried elsewhere. overdue is set once they are.
+	overdueAt time.Time
+	overdue   bool
 	// inputsRead is set once the endpoint has fetched the inputs of the tasks.
 	inputsRead bool
 }
@@ -403,6 +408,7 @@
 		}
 	}
 	d.freeReadInputs(now)
+	d.retryOverdueCalls(now)
 	for _, p := range d.enginePools {
 		p.pruneParts(now)
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -67,6 +67,11 @@
 		if rapid.Bool().Draw(rt, "dead") {
 			sim.unresponsive["portal-2"] = true
 		}
+		for _, id := range []string{"portal-1", "desk-0", "notify-2"} {
+			if period := time.Duration(rapid.IntRange(0, 3000).Draw(rt, id+" is silent every ms")) * time.Millisecond; period > 0 {
+				sim.silences[id] = silence{length: min(1200*time.Millisecond, period*9/10), period: period}
+			}
+		}
 		rng := rand.New(rand.NewPCG(seed, 3))
 		for i := range 40 {
 			id := fmt.Sprintf("m%d", rng.IntN(60))
--- a/dispatch/inputs.go
+++ b/dispatch/inputs.go
@@ -14,7 +14,7 @@
 func (d *Dispatcher) freeReadInputs(now time.Time) {
 	delay := d.readDelay.Get(now)
 	for _, c := range d.calls {
-		if c.inputsRead || now.Sub(c.started) < delay || !c.endpoint.startsAtOnce() {
+		if c.inputsRead || c.overdue || now.Sub(c.started) < delay || !c.endpoint.startsAtOnce() {
 			continue
 		}
 		c.inputsRead = true
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -16,8 +16,11 @@
 	state taskState
 	// inputsRead is set while the task is running and its endpoint has fetched the inputs.
 	inputsRead bool
-	// tries counts the failed calls of the task.
+	// tries counts the failed and overdue calls of the task.
 	tries int
+	// call is the id of the call that the task is part of; 0 if there is none. An overdue call is that of its tasks
+	// only while they are not tried elsewhere.
+	call uint64
 	// handle identifies the result; empty if there is none or it was freed.
 	handle string
 	// endpoint is the id of the endpoint that stores the result.
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -293,6 +293,7 @@
 	g.tasks[index].state = taskWaiting
 	g.tasks[index].handle = ""
 	g.tasks[index].inputsRead = false
+	g.tasks[index].call = 0
 	if g.job.handingOver {
 		return
 	}
@@ -312,6 +313,21 @@
 	p.backlog[g.job.dataCentre]--
 }
 
+// markDone records that a task needs no further call. A waiting task is taken off the queue.
+func (p *pool) markDone(g *group, index int) {
+	t := &g.tasks[index]
+	waiting := t.state == taskWaiting && !g.job.handingOver
+	t.state, t.call = taskDone, 0
+	if !waiting {
+		return
+	}
+	g.waiting--
+	p.backlog[g.job.dataCentre]--
+	if g.waiting == 0 && g.queued {
+		p.removeFromQueue(g)
+	}
+}
+
 // unmarkRunning reverts markRunning.
 func (p *pool) unmarkRunning(g *group, index int) {
 	g.tasks[index].state = taskWaiting
@@ -338,7 +354,11 @@
 	e.activeCalls--
 	e.failures = 0
 	e.retryAt = time.Time{}
-	if c.expected > 0 {
+	switch {
+	case c.overdue:
+		// The time may be that of a silence, which does not make the next calls slow.
+		e.slowdown = min(max(e.slowdown, 1)*lostCallSlowdown, maxSlowdown)
+	case c.expected > 0:
 		measured := float64(now.Sub(c.started)) / float64(c.expected)
 		e.slowdown += slowdownWeight * (min(measured, maxSlowdown) - e.slowdown)
 	}
--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -31,7 +31,7 @@
 }
 
 // Fail records that a call returned no results. Its tasks are queued again, or fail
-// their jobs after too many tries.
+// their jobs after too many tries, unless they are tried elsewhere already.
 func (d *Dispatcher) Fail(now time.Time, id uint64, f Failure) {
 	c := d.calls[id]
 	if c == nil {
@@ -40,7 +40,7 @@
 	delete(d.calls, id)
 	c.endpoint.callFailed(now, c, f)
 	for _, ref := range c.tasks {
-		d.retryTask(now, ref, f != Refused)
+		d.retryTask(now, c, ref, f != Refused)
 	}
 	for _, ref := range c.tasks {
 		d.finishHandOver(now, ref.group.job)
@@ -54,19 +54,20 @@
 	switch result.Problem {
 	case stage.NoProblem:
 		c.endpoint.storeResult(result.Handle, g.resultBytes, now.Add(c.pool.limits.ResultTTL))
-		if g.job.ended {
+		t := &g.tasks[ref.index]
+		if g.job.ended || t.state == taskDone {
 			d.freeResult(c.endpoint, result.Handle)
 			return
 		}
-		t := &g.tasks[ref.index]
-		t.state, t.handle, t.endpoint = taskDone, result.Handle, c.endpoint.ID
+		c.pool.markDone(g, ref.index)
+		t.handle, t.endpoint = result.Handle, c.endpoint.ID
 	case stage.InputMissing:
-		d.recomputeInputs(now, ref)
+		d.recomputeInputs(now, c, ref)
 	case stage.MemoryFull:
 		c.endpoint.markFull(now)
-		d.retryTask(now, ref, false)
+		d.retryTask(now, c, ref, false)
 	default:
-		d.retryTask(now, ref, true)
+		d.retryTask(now, c, ref, true)
 	}
 }
 
@@ -90,13 +91,13 @@
 	}
 }
 
-// retryTask queues a task again, or fails its job after too many tries. countTry is
-// unset for failures that are not the task's, such as a refused call.
-func (d *Dispatcher) retryTask(now time.Time, ref taskRef, countTry bool) {
-	g := ref.group
-	if g.job.ended {
+// retryTask queues a task of a failed call again, or fails its job after too many tries.
+// countTry is unset for failures that are not the task's, such as a refused call.
+func (d *Dispatcher) retryTask(now time.Time, c *call, ref taskRef, countTry bool) {
+	if !c.decides(ref) {
 		return
 	}
+	g := ref.group
 	t := &g.tasks[ref.index]
 	if countTry {
 		t.tries++
@@ -105,6 +106,12 @@
 		d.fail(now, g.job, "a task failed too often")
 		return
 	}
+	d.requeueWithInputs(ref)
+}
+
+// requeueWithInputs queues a task again, and recomputes its inputs if they were freed.
+func (d *Dispatcher) requeueWithInputs(ref taskRef) {
+	g := ref.group
 	d.pools[g.service].requeue(g, ref.index)
 	if !g.job.handingOver && g.job.inputsFreed(g) {
 		d.recomputeDependencies(g)
@@ -113,12 +120,12 @@
 
 // recomputeInputs queues a task again whose inputs an endpoint has lost. The inputs are
 // recomputed, with all results that they depend on.
-func (d *Dispatcher) recomputeInputs(now time.Time, ref taskRef) {
-	g := ref.group
-	j := g.job
-	if j.ended {
+func (d *Dispatcher) recomputeInputs(now time.Time, c *call, ref taskRef) {
+	if !c.decides(ref) {
 		return
 	}
+	g := ref.group
+	j := g.job
 	d.pools[g.service].requeue(g, ref.index)
 	if !d.recomputeDependencies(g) {
 		return // the inputs are being recomputed already
@@ -160,6 +167,7 @@
 		return
 	}
 	d.freeConsumedInputs(g)
+	d.dropRecomputes(g)
 	if !j.done() {
 		return
 	}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -29,6 +29,8 @@
 	// that it stores.
 	activeCalls map[string]int
 	results     map[string]map[string]bool
+	// openCalls are the endpoints of the calls in progress, by call.
+	openCalls map[uint64]string
 	// callsSent and tasksSent count the calls that were sent and their tasks.
 	callsSent, tasksSent int
 	// tasksAt counts the tasks that were sent to each endpoint, callsAt the calls.
@@ -43,10 +45,12 @@
 	slowdown map[string]float64
 	// unresponsive marks endpoints that do not answer.
 	unresponsive map[string]bool
-	ended        map[string]JobResult
-	endedAt      map[string]time.Time
-	submittedAt  map[string]time.Time
-	handleOf     map[string]string
+	// silences are the regular silences of endpoints.
+	silences    map[string]silence
+	ended       map[string]JobResult
+	endedAt     map[string]time.Time
+	submittedAt map[string]time.Time
+	handleOf    map[string]string
 	// engineService is the service of engines that the requests of a burst use. The
 	// first two parts of their prompts are shared with other requests.
 	engineService string
@@ -83,8 +87,8 @@
 
 func newSimulation(t testing.TB) *simulation {
 	return &simulation{
-		t: t, d: New(Options{}), now: epoch, activeCalls: map[string]int{}, results: map[string]map[string]bool{},
-		limits: map[string]catalog.StageLimits{}, slowdown: map[string]float64{}, unresponsive: map[string]bool{},
+		t: t, d: New(Options{}), now: epoch, activeCalls: map[string]int{}, openCalls: map[uint64]string{}, results: map[string]map[string]bool{},
+		limits: map[string]catalog.StageLimits{}, slowdown: map[string]float64{}, unresponsive: map[string]bool{}, silences: map[string]silence{},
 		ended: map[string]JobResult{}, endedAt: map[string]time.Time{}, submittedAt: map[string]time.Time{}, tasksAt: map[string]int{}, callsAt: map[string]int{}, callTimes: map[string][]time.Time{}, freeCalls: map[string]int{}, handleOf: map[string]string{}, reported: map[string][]StageResults{},
 	}
 }
@@ -144,6 +148,10 @@
 	for _, c := range sim.d.Schedule(sim.now) {
 		sim.startCall(c)
 	}
+	for _, id := range sim.d.TakeEndedCalls() {
+		sim.activeCalls[sim.openCalls[id]]--
+		delete(sim.openCalls, id)
+	}
 	for id, stageResults := range sim.d.TakeStageResults() {
 		sim.reported[id] = append(sim.reported[id], stageResults...)
 	}
@@ -180,10 +188,12 @@
 	if len(c.Tasks) > declared.Batch {
 		sim.t.Fatalf("%d tasks in one call", len(c.Tasks))
 	}
+	sim.openCalls[c.ID] = e.ID
 	if sim.unresponsive[e.ID] {
 		sim.schedule(c.Timeout, func() {
-			sim.activeCalls[e.ID]--
-			sim.d.Fail(sim.now, c.ID, ResponseLost)
+			if sim.closeCall(c) {
+				sim.d.Fail(sim.now, c.ID, ResponseLost)
+			}
 		})
 		return
 	}
@@ -191,10 +201,32 @@
 	if factor := sim.slowdown[e.ID]; factor > 0 {
 		duration = time.Duration(float64(duration) * factor)
 	}
+	duration = sim.silences[e.ID].delay(sim.now.Add(duration).Sub(epoch)) + duration
 	missing := sim.missingInputs(c)
 	sim.schedule(duration, func() { sim.completeCall(c, missing) })
 }
 
+// silence makes an endpoint withhold its answers for a length of time at the beginning of each period.
+type silence struct{ length, period time.Duration }
+
+// delay returns for how long an answer that is due at a time after epoch is withheld.
+func (s silence) delay(due time.Duration) time.Duration {
+	if s.period == 0 {
+		return 0
+	}
+	return max(s.length-due%s.period, 0)
+}
+
+// closeCall records that a call ends at its endpoint, and reports whether the dispatcher still waits for it.
+func (sim *simulation) closeCall(c Call) bool {
+	if _, open := sim.openCalls[c.ID]; !open {
+		return false
+	}
+	delete(sim.openCalls, c.ID)
+	sim.activeCalls[c.Endpoint.ID]--
+	return true
+}
+
 // missingInputs returns the indices of the tasks of a call whose inputs are not stored at its start.
 func (sim *simulation) missingInputs(c Call) map[int]bool {
 	missing := map[int]bool{}
@@ -220,8 +252,10 @@
 // completeCall stores a result for each task of a call whose inputs were not missing, and reports them
 // to the dispatcher.
 func (sim *simulation) completeCall(c Call, missing map[int]bool) {
+	if !sim.closeCall(c) {
+		return
+	}
 	e := c.Endpoint
-	sim.activeCalls[e.ID]--
 	if sim.results[e.ID] == nil {
 		sim.results[e.ID] = map[string]bool{}
 	}
