--- a/gateway/response.go
+++ b/gateway/response.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/azurelead/azurelead/platform/fleet"
@@ -57,6 +58,8 @@
 		return unknownOutcomeResponse(stoppingReason)
 	case errors.Is(cause, errFirstEventLate):
 		return deadlineResponse(cause.Error())
+	case errors.Is(ctx.Err(), context.Canceled):
+		return unknownOutcomeResponse(clientLeftReason)
 	}
 	return deadlineResponse("deadline")
 }
@@ -66,18 +69,33 @@
 	Reason string `json:"reason"`
 }
 
-// abandon ends a request whose client has left. A client that has only closed its side of the connection can still
-// read: returning from the handler would send it a success, or the regular end of its stream.
+// abandon ends a request whose client has closed its side of the connection, and may still read: returning from the
+// handler would send it a success, or the regular end of its stream. It is told whether the request may have run.
 func (q *request) abandon() {
-	q.record.outcome = "client left"
+	if !q.headerSent {
+		resp := notRunResponse(clientLeftReason, busyRetryAfter)
+		if q.progress.reached(phaseSent) {
+			resp = unknownOutcomeResponse(clientLeftReason)
+		}
+		q.respond(*resp)
+		// A failure to flush says that the client has left entirely.
+		_ = http.NewResponseController(q.w).Flush()
+	}
+	q.record.outcome = clientLeftOutcome
 	panic(http.ErrAbortHandler)
 }
 
+const (
+	// clientLeftOutcome is the outcome in the log of requests whose clients closed their side of the connection.
+	clientLeftOutcome = "client left"
+	clientLeftReason  = "the client has closed its side of the connection"
+)
+
 // respond writes a complete response to the client.
 func (q *request) respond(resp response) {
 	q.record.status, q.record.local, q.record.reason = resp.status, resp.local, resp.reason
 	if q.clientGone() {
-		q.abandon()
+		q.record.outcome = clientLeftOutcome // it may still read
 	}
 	q.headerSent = true
 	h := q.w.Header()
@@ -93,6 +111,27 @@
 		q.record.retryAfter = resp.retryAfter
 		fleet.SetRetryAfter(h, resp.retryAfter)
 	}
+	body, err := json.Marshal(errorBody{Reason: resp.reason})
+	if err != nil {
+		q.gw.opts.Logger.Error("failed to encode a response", "request", q.headers.AttemptID, "error", err)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	q.w.WriteHeader(resp.status)
-	_ = json.NewEncoder(q.w).Encode(errorBody{Reason: resp.reason})
+	_, _ = q.w.Write(body)
+}
+
+// respondAfterBody writes the response to a request that goes no further, once its body has been read: a client may send all of
+// its request before it reads. If the body is not read to its end, the connection is closed after the response.
+func (q *request) respondAfterBody(resp response) {
+	err := q.discardBody()
+	if err == nil {
+		q.respond(resp)
+		return
+	}
+	q.w.Header().Set("Connection", "close")
+	q.respond(resp)
+	// Otherwise net/http waits for the rest of a short body, without a bound.
+	if err := q.setReadDeadline(time.Now()); err != nil {
+		q.gw.opts.Logger.Warn("failed to bound the reading of a body", "request", q.headers.AttemptID, "error", err)
+	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,7 +14,6 @@
 	"github.com/azurelead/azurelead/placement"
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/roster"
-	"github.com/azurelead/azurelead/upstream"
 )
 
 const (
@@ -139,16 +138,21 @@
 // writeMargin is the time after the deadline that is allowed for writing the last bytes.
 const writeMargin = 200 * time.Millisecond
 
-// answerMargin is the time that an answer may take to reach a client before it abandons the request. The client counts
-// from when it opened its connection, and a small instance may be without processor time for a tenth of a second.
-const answerMargin = 200 * time.Millisecond
+const (
+	// answerMargin is the time that an answer may take to reach a client before it abandons the request. The client counts
+	// from when it opened its connection, and a small instance may be without processor time for a tenth of a second.
+	answerMargin = 200 * time.Millisecond
+	// maxMarginShare bounds answerMargin, as a share of the time that the client waits.
+	maxMarginShare = 0.1
+)
 
 // boundFirstEvent returns a context that ends shortly before the client abandons the stream, unless its response has
 // begun.
 func (s *stream) boundFirstEvent(ctx context.Context) context.Context {
 	ctx, cancel := context.WithCancelCause(ctx)
-	abandoned := s.started.Add(s.clientPatience())
-	s.patience = time.AfterFunc(time.Until(abandoned.Add(-answerMargin)), func() { cancel(errFirstEventLate) })
+	waits := min(s.clientPatience(), s.deadline.Sub(s.started)+deadlineMargin)
+	margin := min(answerMargin, time.Duration(maxMarginShare*float64(waits)))
+	s.patience = time.AfterFunc(time.Until(s.started.Add(waits-margin)), func() { cancel(errFirstEventLate) })
 	return ctx
 }
 
@@ -161,7 +165,7 @@
 // runStages runs the request's stages. It returns a response if the request ends here, and nil
 // otherwise.
 func (s *stream) runStages(ctx context.Context) *response {
-	job, needed := s.stageJob()
+	job, needed := s.stageJob(s.tried)
 	if !needed {
 		return nil
 	}
@@ -362,9 +366,8 @@
 func (s *stream) begin(c roster.Candidate) bool {
 	if c.TurnBooked {
 		s.output.turnBooked = false
-		return s.gw.opts.Roster.BeginBooked(time.Now(), c.ID)
 	}
-	return s.gw.opts.Roster.Begin(time.Now(), c.ID)
+	return s.gw.opts.Roster.BeginCandidate(time.Now(), c)
 }
 
 // versionGoneReason is the reason of responses to streams whose software version serves no more.
@@ -441,7 +444,7 @@
 // handleErrorResponse handles a response that is not a stream of events. None can be the rest of a stream that has
 // begun, whatever its status.
 func (s *stream) handleErrorResponse(ctx context.Context, a *attempt) (bool, *response) {
-	body, err := upstream.ReadBody(a.resp, maxResponseBytes)
+	body, err := s.readWhole(ctx, a)
 	s.runs++
 	if err != nil {
 		a.err = err
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -7,10 +7,12 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -59,6 +61,8 @@
 	Served   int
 	Refused  int
 	Failed   int
+	// Statuses counts the responses by kind and status; status 0 is no response.
+	Statuses map[string]int
 	// Resumptions counts the further attempts by which clients resumed broken streams, Continued those of
 	// them that yielded events.
 	Resumptions, Continued int
@@ -87,6 +91,9 @@
 	addedRoutes atomic.Int64
 	// timeoutMS is the time-out of routes, in milliseconds.
 	timeoutMS atomic.Int64
+	// configMu is held while a configuration is stored, so that versions are stored in their order. It guards planned.
+	configMu sync.Mutex
+	planned  planned
 	// disruptions counts the faults that stop or pause an entry.
 	disruptions atomic.Int64
 	// limitMu is held while an endpoint states a rate limit, so that no other fault ends it.
@@ -108,12 +115,14 @@
 	// same time.
 	faultMu sync.Mutex
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// killed is the process that was last sent SIGKILL.
+	killed  *exec.Cmd
 	done    chan struct{}
 	endTime time.Time
-	// termAt is when the process was last sent SIGTERM.
-	termAt    time.Time
+	// terms are the times at which processes were sent SIGTERM.
+	terms     []time.Time
 	disrupted bool
 	// disturbed is set during a fault on the process, calmSince is when the last one ended.
 	disturbed bool
@@ -127,7 +136,7 @@
 		return Report{}, Error.Wrap(err)
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	r := &run{o: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), dir: dir, store: fleettest.NewStore(), report: Report{Seed: o.Seed}}
+	r := &run{o: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), dir: dir, store: fleettest.NewStore(), report: Report{Seed: o.Seed, Statuses: make(map[string]int)}}
 	r.setRouteTimeout(routeTimeoutFactor)
 	defer r.close()
 	if err := r.start(ctx); err != nil {
@@ -155,11 +164,14 @@
 	r.store.Close()
 }
 
-// endpointServices lists the services and the number of endpoints of each.
-var endpointServices = []struct {
+// serviceSize is a service and the number of its endpoints.
+type serviceSize struct {
 	name  string
 	count int
-}{{"api", 3}, {"llm", 4}, {"portal", 2}}
+}
+
+// endpointServices lists the services that have endpoints from the start.
+var endpointServices = []serviceSize{{"api", 3}, {"llm", 4}, {"portal", 2}}
 
 // lateService is a service whose endpoint is registered after the last fault.
 const lateService = "late"
@@ -174,7 +186,11 @@
 	}
 	r.storeProxy = p
 	r.proxies = append(r.proxies, p)
-	for _, s := range endpointServices {
+	services := endpointServices
+	if r.o.PlannedOnly {
+		services = append(slices.Clone(services), plannedServices...)
+	}
+	for _, s := range services {
 		for range s.count {
 			if err := r.addEndpoint(s.name); err != nil {
 				return err
@@ -216,6 +232,8 @@
 }
 
 func (r *run) putConfiguration() {
+	r.configMu.Lock()
+	defer r.configMu.Unlock()
 	r.mu.Lock()
 	r.configVersion++
 	version := r.configVersion
@@ -237,12 +255,21 @@
 	for _, route := range routes {
 		route["timeoutMs"] = r.timeoutMS.Load()
 		if r.o.PlannedOnly {
-			// Clients wait for two seconds for an event.
-			route["targetLatencyMs"], route["targetGapMs"] = 400, 100
+			route["targetLatencyMs"], route["targetGapMs"] = plannedLatencyTarget.Milliseconds(), plannedGapTarget.Milliseconds()
 		}
 	}
-	r.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(version, routes, []map[string]any{fleettest.Service("api"), fleettest.Service(lateService), fleettest.Service("victims"), fleettest.EngineService("llm"), fleettest.StageService("portal")},
-		map[string][]string{"org": {apiKey, fmt.Sprintf("key-of-%d", version)}}))
+	services := []map[string]any{fleettest.Service("api"), fleettest.Service(lateService), fleettest.Service("victims"), fleettest.EngineService("llm"), fleettest.StageService("portal")}
+	keys := []string{apiKey, fmt.Sprintf("key-of-%d", version)}
+	limits := map[string]any{}
+	if r.o.PlannedOnly {
+		changed := r.planned
+		routes, services = append(routes, r.changingRoutes(changed)...), append(services, changed.services()...)
+		keys = append(keys, changed.keys()...)
+		limits["idleTimeoutMs"] = changed.idleLimit().Milliseconds()
+	}
+	spec := fleettest.Configuration(version, routes, services, map[string][]string{"org": keys})
+	maps.Copy(spec["limits"].(map[string]any), limits)
+	r.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, spec)
 }
 
 func (r *run) addEntry(i int) error {
@@ -283,7 +310,10 @@
 	e.disturbed, e.calmSince = false, time.Now()
 	e.mu.Unlock()
 	go func() {
-		_ = cmd.Wait() // an abnormal exit shows in the clients' responses
+		err := cmd.Wait()
+		if err != nil && r.o.PlannedOnly && !e.wasKilled(cmd) {
+			r.recordViolation("a process of %s ended by itself: %v", e.name, err)
+		}
 		close(done)
 	}()
 	return nil
@@ -293,15 +323,25 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.cmd != nil && e.cmd.Process != nil {
+		if s == syscall.SIGKILL {
+			e.killed = e.cmd
+		}
 		_ = e.cmd.Process.Signal(s) // the process may have exited
 	}
 }
 
+// wasKilled reports whether a process has been sent SIGKILL.
+func (e *entry) wasKilled(cmd *exec.Cmd) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.killed == cmd
+}
+
 // recordTerm records that the process is sent SIGTERM.
 func (e *entry) recordTerm(at time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.termAt = at
+	e.terms = append(e.terms, at)
 }
 
 // exited returns a channel that is closed when the entry's process has exited, or nil if no process
