Reset connections of HTTP/1.0 clients whose streams break off

What callers would see: a client of HTTP/1.0 took a stream that broke off for a whole one.

Cause: such a response has no length and no chunks; the end of the connection is its end. A handler that is aborted closes the connection in the regular way, as it did before the connections lingered.

Change: a response that has begun and is cut resets the connection if its client is of HTTP/1.0. Those of HTTP/1.1 miss the last chunk as before.

Evidence: TestBrokenStreamIsNoWholeResponseOfOldHTTP failed in 5 of 5 runs on the code before and passes in 5 of 5 with -race.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -210,7 +210,7 @@
 	q.logPanic(p)
 	if q.headerSent {
 		q.record.outcome = "broken off"
-		panic(http.ErrAbortHandler)
+		q.cutResponse()
 	}
 	q.respondAfterBody(*unknownOutcomeResponse("internal error"))
 }
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -80,11 +80,35 @@
 		q.respond(*resp)
 		// A failure to flush says that the client has left entirely.
 		_ = http.NewResponseController(q.w).Flush()
+		q.record.outcome = clientLeftOutcome
+		panic(http.ErrAbortHandler)
 	}
 	q.record.outcome = clientLeftOutcome
+	q.cutResponse()
+}
+
+// cutResponse ends a response that has begun, and the handler, so that the client does not take what it has for all of
+// the response. The regular end of a connection is that of a response in HTTP/1.0.
+func (q *request) cutResponse() {
+	if !q.r.ProtoAtLeast(1, 1) {
+		if err := q.resetConnection(); err != nil {
+			q.gw.opts.Logger.Warn("failed to reset a connection", "request", q.headers.AttemptID, "error", err)
+		}
+	}
 	panic(http.ErrAbortHandler)
 }
 
+func (q *request) resetConnection() error {
+	conn, _, err := http.NewResponseController(q.w).Hijack()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if r, ok := conn.(interface{ Reset() error }); ok {
+		return r.Reset()
+	}
+	return conn.Close()
+}
+
 const (
 	// clientLeftOutcome is the outcome in the log of requests whose clients closed their side of the connection.
 	clientLeftOutcome = "client left"
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -631,7 +631,7 @@
 // the client does not take the events it has for a complete stream.
 func (s *stream) abortConnection(reason string) {
 	s.record.outcome, s.record.reason = "broken off", reason
-	panic(http.ErrAbortHandler)
+	s.cutResponse()
 }
 
 // firstEventTimeout returns how long an endpoint may take to send the first event before another
--- a/gatewaydaemon/brokenstream_test.go
+++ b/gatewaydaemon/brokenstream_test.go
@@ -244,3 +244,15 @@
 		}
 	}
 }
+
+// A stream that broke off must not look complete to a client of HTTP/1.0, for which the end of the connection is the end
+// of the response.
+func TestBrokenStreamIsNoWholeResponseOfOldHTTP(t *testing.T) {
+	d := newDeployment(t, 1)
+	behaveInTurn(d.startEngines(2, 1), fleettest.CloseMidEvent)
+	conn := d.open()
+	_, _ = io.WriteString(conn, "POST /stream/plain/x HTTP/1.0\r\nHost: shop.example\r\nAzurelead-Attempt-Id: old\r\nAzurelead-Timeout-Ms: 6000\r\nContent-Length: 0\r\n\r\n")
+	if r := readResult(conn); r.err == nil && r.status == http.StatusOK {
+		t.Errorf("a whole response: %+v", r)
+	}
+}
--- a/gatewaydaemon/clientconn.go
+++ b/gatewaydaemon/clientconn.go
@@ -117,3 +117,11 @@
 	}
 	return nil
 }
+
+// Reset closes the connection so that the client does not take what it has read for a whole response.
+func (c *clientConn) Reset() error {
+	if r, ok := c.Conn.(interface{ Reset() error }); ok {
+		return r.Reset()
+	}
+	return c.Close()
+}
--- a/linger/linger.go
+++ b/linger/linger.go
@@ -135,6 +135,18 @@
 	return nil
 }
 
+// Reset closes the connection at once and resets it, so that the client does not take what it has read for a whole
+// response. It returns net.ErrClosed after Close.
+func (c *conn) Reset() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed = true
+	return errors.Join(c.SetLinger(0), c.TCPConn.Close())
+}
+
 // linger discards what the client sends until it ends its side of the connection, and closes the socket.
 func (c *conn) linger() {
 	c.reading.Lock()
