Count a client's patience from when its request has arrived

What callers saw: a stream whose body took longer to arrive than its client would wait for an event was refused the moment it was complete, and so was its repetition.

Cause: the time for which a client waits was counted from the arrival of the head, as the deadline is.

Change: it counts from the end of the body, until the first event.

Evidence: TestStreamOfSlowUploadIsServed, 503 before after an upload of 2.5 s with a deadline of 9 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -182,6 +182,8 @@
 	// incoming is the body as it arrives, body what was read of an admitted request.
 	incoming *upload.Body
 	body     []byte
+	// arrivedAt is when the end of the body was read.
+	arrivedAt time.Time
 	// lastEventAfter is the time from started to the last event of the stream, in nanoseconds; 0 before the first.
 	lastEventAfter atomic.Int64
 	// stageRuns counts how often the stages have been submitted.
@@ -251,6 +253,7 @@
 	if resp := q.readBody(); resp != nil {
 		return resp
 	}
+	q.arrivedAt = time.Now()
 	if !q.progress.advance(phaseWaiting) {
 		return stoppedResponse()
 	}
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -49,8 +49,11 @@
 }
 
 // waitingSince returns when the client began to wait for the next event: when the last one was sent, or when the
-// request arrived.
+// request's body had arrived.
 func (q *request) waitingSince() time.Time {
+	if !q.hasBegun() && !q.arrivedAt.IsZero() {
+		return q.arrivedAt
+	}
 	return q.started.Add(time.Duration(q.lastEventAfter.Load()))
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -151,10 +151,11 @@
 // begun.
 func (s *stream) boundFirstEvent(ctx context.Context) context.Context {
 	ctx, cancel := context.WithCancelCause(ctx)
-	waits := min(s.clientPatience(), s.deadline.Sub(s.started)+deadlineMargin)
+	since := s.waitingSince()
+	waits := min(s.clientPatience(), s.deadline.Sub(since)+deadlineMargin)
 	margin := min(answerMargin, time.Duration(maxMarginShare*float64(waits)))
 	s.endWait = func() { cancel(errFirstEventLate) }
-	s.patience = time.AfterFunc(time.Until(s.started.Add(waits-margin)), s.endWait)
+	s.patience = time.AfterFunc(time.Until(since.Add(waits-margin)), s.endWait)
 	return ctx
 }
 
--- a/gatewaydaemon/patience_test.go
+++ b/gatewaydaemon/patience_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"testing"
@@ -50,3 +51,20 @@
 		})
 	}
 }
+
+// A body that takes longer to arrive than its client would wait for an event must not leave its stream without time: the
+// client begins to wait when it has sent the request.
+func TestStreamOfSlowUploadIsServed(t *testing.T) {
+	const parts = 10
+	d, _, _ := silentDeployment(t)
+	conn := d.open()
+	_, _ = fmt.Fprintf(conn, "POST /stream/long/x HTTP/1.1\r\nHost: shop.example\r\nAzurelead-Attempt-Id: slow\r\nAzurelead-Chunks: 1\r\n"+
+		"Azurelead-Chunk-Key: k\r\nAzurelead-Timeout-Ms: 9000\r\nContent-Length: %d\r\n\r\n", parts)
+	for range parts {
+		time.Sleep(250 * time.Millisecond)
+		_, _ = io.WriteString(conn, "x")
+	}
+	if r := readResult(conn); r.err != nil || r.status != http.StatusOK {
+		t.Errorf("%+v", r)
+	}
+}
