Let overdue stage calls leave their slot

An endpoint that hangs never answers the calls of that time but serves later ones, so that a stage whose endpoints all hung for 1.2 s worked again only 2 s later than before.

Change: an overdue call releases its slot and the memory that is reserved for its results, and its endpoint gets a probe of one task after a backoff, as when such calls were ended. The call itself still continues, its answer still counts if it is the first, and shows that the endpoint is sound.

Tests: the simulation counts the calls that are not overdue against the slots of an endpoint, which are those that it counted before. dispatch and coordinate pass, with -race too; TestAccountingUnderAnyLoad passes 1000 checks.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -154,7 +154,7 @@
 	ID       uint64
 	Endpoint catalog.Endpoint
 	Tasks    []stage.Task
-	// Timeout is the time after which the response counts as lost. The tasks are tried elsewhere before.
+	// Timeout is the time after which the response counts as lost. The tasks are tried again before.
 	Timeout time.Duration
 }
 
@@ -244,7 +244,7 @@
 	started time.Time
 	// expected is the declared duration of the call.
 	expected time.Duration
-	// overdueAt is the time from which the tasks are tried elsewhere. overdue is set once they are.
+	// overdueAt is the time from which the tasks are tried again. overdue is set once they are.
 	overdueAt time.Time
 	overdue   bool
 	// inputsRead is set once the endpoint has fetched the inputs of the tasks.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -19,7 +19,7 @@
 	// tries counts the failed and overdue calls of the task.
 	tries int
 	// call is the id of the call that the task is part of; 0 if there is none. An overdue call is that of its tasks
-	// only while they are not tried elsewhere.
+	// only while they are not to be tried again.
 	call uint64
 	// handle identifies the result; empty if there is none or it was freed.
 	handle string
--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -10,8 +10,8 @@
 // a second, and its answer still counts if it is the first.
 const lateAnswerTime = 2 * time.Second
 
-// retryOverdueCalls queues the tasks of overdue calls again, for any other endpoint that is idle. The calls continue:
-// the endpoint may be sound, and there may be no other. A call whose jobs have all ended is ended instead.
+// retryOverdueCalls queues the tasks of overdue calls again, and lets their endpoints take further calls after a
+// backoff. The calls continue, as the endpoints may be sound. A call whose jobs have all ended is ended instead.
 func (d *Dispatcher) retryOverdueCalls(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(d.calls)) {
 		c := d.calls[id]
@@ -31,8 +31,8 @@
 
 // markOverdue queues the tasks of a call again, except for those that were tried too often.
 func (d *Dispatcher) markOverdue(now time.Time, c *call) {
+	c.endpoint.callFailed(now, c, ResponseLost)
 	c.overdue = true
-	c.endpoint.idleAt = now.Add(lateAnswerTime)
 	for _, ref := range c.tasks {
 		if !c.decides(ref) {
 			continue
@@ -54,7 +54,7 @@
 }
 
 // decides reports whether a task depends on the outcome of a call: its job has not ended, and it is not tried
-// elsewhere since the call is overdue.
+// again since the call is overdue.
 func (c *call) decides(ref taskRef) bool {
 	return !ref.group.job.ended && ref.group.tasks[ref.index].call == c.id
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -351,14 +351,13 @@
 
 // callFinished records that a call has returned results.
 func (e *endpoint) callFinished(now time.Time, c *call) {
-	e.activeCalls--
 	e.failures = 0
 	e.retryAt = time.Time{}
-	switch {
-	case c.overdue:
-		// The time may be that of a silence, which does not make the next calls slow.
-		e.slowdown = min(max(e.slowdown, 1)*lostCallSlowdown, maxSlowdown)
-	case c.expected > 0:
+	if c.overdue {
+		return // the endpoint takes further calls already
+	}
+	e.activeCalls--
+	if c.expected > 0 {
 		measured := float64(now.Sub(c.started)) / float64(c.expected)
 		e.slowdown += slowdownWeight * (min(measured, maxSlowdown) - e.slowdown)
 	}
@@ -368,8 +367,11 @@
 // maxSlowdown bounds the effect of one slow call on an endpoint's slowdown.
 const maxSlowdown = 10
 
-// callFailed records that a call has returned no results.
+// callFailed records that a call has returned no results, or none in time.
 func (e *endpoint) callFailed(now time.Time, c *call, f Failure) {
+	if c.overdue {
+		return // recorded already
+	}
 	e.activeCalls--
 	e.reservedBytes -= c.bytes
 	e.idleAt = now
--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -31,7 +31,7 @@
 }
 
 // Fail records that a call returned no results. Its tasks are queued again, or fail
-// their jobs after too many tries, unless they are tried elsewhere already.
+// their jobs after too many tries, unless they are tried again already.
 func (d *Dispatcher) Fail(now time.Time, id uint64, f Failure) {
 	c := d.calls[id]
 	if c == nil {
@@ -50,7 +50,9 @@
 // handleTaskResult records the result of one task of a call.
 func (d *Dispatcher) handleTaskResult(now time.Time, c *call, ref taskRef, result stage.Result) {
 	g := ref.group
-	c.endpoint.reservedBytes -= g.resultBytes
+	if !c.overdue {
+		c.endpoint.reservedBytes -= g.resultBytes
+	}
 	switch result.Problem {
 	case stage.NoProblem:
 		c.endpoint.storeResult(result.Handle, g.resultBytes, now.Add(c.pool.limits.ResultTTL))
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -29,7 +29,8 @@
 	// that it stores.
 	activeCalls map[string]int
 	results     map[string]map[string]bool
-	// openCalls are the endpoints of the calls in progress, by call.
+	// openCalls are the endpoints of the calls in progress, by call; empty for overdue calls, which do not count as
+	// active.
 	openCalls map[uint64]string
 	// callsSent and tasksSent count the calls that were sent and their tasks.
 	callsSent, tasksSent int
@@ -149,7 +150,9 @@
 		sim.startCall(c)
 	}
 	for _, id := range sim.d.TakeEndedCalls() {
-		sim.activeCalls[sim.openCalls[id]]--
+		if e := sim.openCalls[id]; e != "" {
+			sim.activeCalls[e]--
+		}
 		delete(sim.openCalls, id)
 	}
 	for id, stageResults := range sim.d.TakeStageResults() {
@@ -189,6 +192,12 @@
 		sim.t.Fatalf("%d tasks in one call", len(c.Tasks))
 	}
 	sim.openCalls[c.ID] = e.ID
+	sim.schedule(c.Timeout-lateAnswerTime, func() {
+		if sim.openCalls[c.ID] == e.ID {
+			sim.openCalls[c.ID] = ""
+			sim.activeCalls[e.ID]--
+		}
+	})
 	if sim.unresponsive[e.ID] {
 		sim.schedule(c.Timeout, func() {
 			if sim.closeCall(c) {
@@ -219,12 +228,12 @@
 
 // closeCall records that a call ends at its endpoint, and reports whether the dispatcher still waits for it.
 func (sim *simulation) closeCall(c Call) bool {
-	if _, open := sim.openCalls[c.ID]; !open {
-		return false
+	e, open := sim.openCalls[c.ID]
+	if e != "" {
+		sim.activeCalls[e]--
 	}
 	delete(sim.openCalls, c.ID)
-	sim.activeCalls[c.Endpoint.ID]--
-	return true
+	return open
 }
 
 // missingInputs returns the indices of the tasks of a call whose inputs are not stored at its start.
