--- a/linger/linger.go
+++ b/linger/linger.go
@@ -13,11 +13,15 @@
 )
 
 const (
+	// settleTime is how long a closed connection counts as receiving while its client has sent nothing.
+	settleTime = 100 * time.Millisecond
 	// idleTime is how long a closed connection is kept open while its client sends nothing.
 	idleTime = 2 * time.Second
 	// maxTime and maxBytes bound what is read from a connection after it was closed.
 	maxTime  = 5 * time.Second
 	maxBytes = 64 << 20
+	// pollInterval is the interval at which uploads are counted while they are awaited.
+	pollInterval = 5 * time.Millisecond
 )
 
 // Listener accepts TCP connections that linger when they are closed.
@@ -25,7 +29,7 @@
 	net.Listener
 
 	mu sync.Mutex
-	// receiving are the closed connections whose clients have sent more since.
+	// receiving are the closed connections whose clients have sent more since, or may still do so.
 	receiving map[*conn]bool
 }
 
@@ -48,6 +52,13 @@
 	return &conn{TCPConn: tcp, listener: l}, nil
 }
 
+// AwaitUploads waits until the clients of closed connections have ended what they were sending, or until a deadline.
+func (l *Listener) AwaitUploads(deadline time.Time) {
+	for l.CountReceiving() > 0 && time.Now().Before(deadline) {
+		time.Sleep(pollInterval)
+	}
+}
+
 // CountReceiving returns the number of closed connections whose clients are still sending.
 func (l *Listener) CountReceiving() int {
 	l.mu.Lock()
@@ -128,10 +139,23 @@
 	if err := c.TCPConn.SetReadDeadline(time.Now()); err != nil {
 		return errors.Join(err, c.TCPConn.Close())
 	}
+	c.listener.setReceiving(c, true)
 	go c.linger()
 	return nil
 }
 
+// Reset closes the connection at once and resets it, so that the client does not take what it has read for a whole
+// response. It returns net.ErrClosed after Close.
+func (c *conn) Reset() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed = true
+	return errors.Join(c.SetLinger(0), c.TCPConn.Close())
+}
+
 // linger discards what the client sends until it ends its side of the connection, and closes the socket.
 func (c *conn) linger() {
 	c.reading.Lock()
@@ -146,11 +170,26 @@
 type remainder struct {
 	conn  *conn
 	until time.Time
+	// begun is set once the client had settleTime to send more.
+	begun bool
 }
 
 // Read implements io.Reader. It fails if the client sends nothing for idleTime.
 func (r *remainder) Read(p []byte) (int, error) {
-	deadline := time.Now().Add(idleTime)
+	if !r.begun {
+		r.begun = true
+		n, err := r.readWithin(p, settleTime)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		r.conn.listener.setReceiving(r.conn, false)
+	}
+	return r.readWithin(p, idleTime)
+}
+
+// readWithin reads what a client sends within a time.
+func (r *remainder) readWithin(p []byte, timeout time.Duration) (int, error) {
+	deadline := time.Now().Add(timeout)
 	if deadline.After(r.until) {
 		deadline = r.until
 	}
