--- /dev/null
+++ b/peers/starvation_test.go
@@ -0,0 +1,75 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// A process that is short of processor time does not take its own delay for the silence of a peer.
+func TestStarvedProcessKeepsItsLinks(t *testing.T) {
+	const (
+		calls   = 3
+		timeout = 90 * time.Millisecond
+		// Each of the busy goroutines runs for 10 ms at a time, so that the others wait for longer than timeout.
+		busyGoroutines = 20
+	)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	m := New(Options{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		jsonrpc2.NewConn(t.Context(), jsonrpc2.NewPlainObjectStream(c), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(
+			func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return Ping{}, nil })))
+	}()
+	raw, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := jsonrpc2.NewConn(t.Context(), jsonrpc2.NewPlainObjectStream(raw), notificationHandler{m})
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	var stopped atomic.Bool
+	defer stopped.Store(true)
+	for range busyGoroutines {
+		go func() {
+			for !stopped.Load() {
+			}
+		}()
+	}
+	for i := range calls {
+		if err := call(t.Context(), conn, timeout, methodPing, Ping{}, nil); err != nil {
+			t.Fatalf("call %d of a live peer failed: %v", i, err)
+		}
+	}
+}
+
+// A peer that is silent is found out after the timeout, in a process that has processor time.
+func TestSilentPeerTimesOut(t *testing.T) {
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	go func() { // reads the call, but does not answer it
+		buffer := make([]byte, 1024)
+		for {
+			if _, err := far.Read(buffer); err != nil {
+				return
+			}
+		}
+	}()
+	conn := jsonrpc2.NewConn(t.Context(), jsonrpc2.NewPlainObjectStream(near), notificationHandler{New(Options{})})
+	start := time.Now()
+	err := call(t.Context(), conn, 90*time.Millisecond, methodPing, Ping{}, nil)
+	if took := time.Since(start); err == nil || took < 90*time.Millisecond {
+		t.Errorf("the call ended after %v with %v, want a timeout after 90 ms", took, err)
+	}
+}
