Ping peers that reply slowly less often

Cause: an entry pinged at a fixed rate, one that has not synced yet each of its peers every 200 ms.

Change: the time between pings of a peer is at least four times what its last reply took. Intervals of peers that reply within 50 ms are the same as before. The dispatcher is pinged as often as before, so that its failure is detected as early.

Tests: five further cases of TestPingSchedule; without the rule those of the overloaded peers fail (1.2 s and 200 ms, want 3.2 s).

--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -167,6 +167,8 @@
 	// it has answered a ping. Both are reset for a new connection.
 	lastJobAnswer time.Time
 	pingAnswered  bool
+	// lastReplyTime is how long the peer took to reply to the last ping of the connection.
+	lastReplyTime time.Duration
 	// noticesSent and noticesReceived are the numbers of the last notices that were sent on the
 	// connection and received on it.
 	noticesSent, noticesReceived uint64
@@ -547,7 +549,7 @@
 	m.mu.Lock()
 	l.reconnecting = false
 	l.conn, l.identity, l.leaving, l.lastJobAnswer, l.pingAnswered = conn, h.Identity, false, time.Time{}, false
-	l.noticesSent, l.noticesReceived = 0, 0
+	l.noticesSent, l.noticesReceived, l.lastReplyTime = 0, 0, 0
 	l.started = startEstimate{}
 	l.started.observe(sentAt, time.Now(), time.Duration(h.UptimeMS)*time.Millisecond)
 	m.mu.Unlock()
@@ -606,7 +608,7 @@
 		m.mergeSuspects(p.SuspectParts, p.SuspectRequests)
 		m.mergeNotices(p.Notices)
 		m.mu.Lock()
-		l.noticesSent, l.noticesReceived = lastNotice, p.LastNotice
+		l.noticesSent, l.noticesReceived, l.lastReplyTime = lastNotice, p.LastNotice, time.Since(lastPing)
 		if p.UptimeMS > 0 {
 			l.started.observe(lastPing, time.Now(), time.Duration(p.UptimeMS)*time.Millisecond)
 		}
--- a/peers/ping_schedule.go
+++ b/peers/ping_schedule.go
@@ -22,6 +22,9 @@
 	// serves no requests until a peer sends it the states, and its peers may have
 	// started at the same time.
 	startPingInterval = 200 * time.Millisecond
+	// minIntervalPerReplyTime is the least ratio of the time between pings of a peer to the time that it took to
+	// reply. Replies within 50 ms leave all intervals as they are.
+	minIntervalPerReplyTime = 4
 )
 
 // pingSchedule holds what the time of the next ping of a peer depends on.
@@ -42,11 +45,23 @@
 	// lastPing is when the last ping was sent, and lastJobAnswer when the peer last
 	// answered a job.
 	lastPing, lastJobAnswer time.Time
+	// lastReplyTime is how long the peer took to reply to the last ping.
+	lastReplyTime time.Duration
 }
 
-// next returns when the peer is to be pinged. An answered job shows as well as a ping
-// that the dispatcher is alive, but only pings announce changed states.
+// next returns when the peer is to be pinged. A peer that replies slowly is pinged less often, unless it is the
+// dispatcher: pings at a fixed rate would keep an overloaded process overloaded.
 func (s pingSchedule) next() time.Time {
+	next := s.unloaded()
+	if earliest := s.lastPing.Add(minIntervalPerReplyTime * s.lastReplyTime); !s.isDispatcher && earliest.After(next) {
+		return earliest
+	}
+	return next
+}
+
+// unloaded returns when a peer that replies at once is to be pinged. An answered job shows as well as a ping
+// that the dispatcher is alive, but only pings announce changed states.
+func (s pingSchedule) unloaded() time.Time {
 	if s.starting {
 		return s.lastPing.Add(startPingInterval)
 	}
@@ -74,7 +89,7 @@
 	defer m.mu.Unlock()
 	return pingSchedule{
 		links: len(m.links), starting: !m.o.Follower.HasSynced(), lowPriority: l.pingAnswered && m.isLowPriority(l),
-		isDispatcher: l.isDispatcher, lastPing: lastPing, lastJobAnswer: l.lastJobAnswer,
+		isDispatcher: l.isDispatcher, lastPing: lastPing, lastJobAnswer: l.lastJobAnswer, lastReplyTime: l.lastReplyTime,
 	}.next()
 }
 
--- a/peers/ping_schedule_test.go
+++ b/peers/ping_schedule_test.go
@@ -35,6 +35,11 @@
 		{"low-priority hub of many data centres", pingSchedule{links: 36, lowPriority: true, lastPing: at(0)}, 6000},
 		{"starting entry", pingSchedule{links: 24, starting: true, lastPing: at(0)}, 200},
 		{"low-priority hub that dispatches", pingSchedule{links: 24, lowPriority: true, isDispatcher: true, lastPing: at(0)}, 400},
+		{"hub that replies at once", pingSchedule{links: 24, lastPing: at(0), lastReplyTime: 50 * time.Millisecond}, 1200},
+		{"starting entry, peer that replies at once", pingSchedule{links: 24, starting: true, lastPing: at(0), lastReplyTime: 50 * time.Millisecond}, 200},
+		{"overloaded hub", pingSchedule{links: 24, lastPing: at(0), lastReplyTime: 800 * time.Millisecond}, 3200},
+		{"starting entry, overloaded peer", pingSchedule{links: 24, starting: true, lastPing: at(0), lastReplyTime: 800 * time.Millisecond}, 3200},
+		{"overloaded hub that dispatches", pingSchedule{links: 24, isDispatcher: true, lastPing: at(0), lastReplyTime: 800 * time.Millisecond}, 400},
 	}
 	for _, c := range cases {
 		if got := c.schedule.next(); !got.Equal(at(c.want)) {
