Bound the Hellos that an entry waits for at once

Cause: when a deployment starts, each entry sends its Hello to all hubs at once. A hub that cannot answer all of them within 0.9 s answers many in vain, and has to answer them again on new connections.

Change: an entry waits for at most four Hellos at a time. A Hello counts for at most 0.3 s, so that peers that hang delay the links to others by little.

Tests: TestFewHellosAtATime (12 at once without the bound, want 4) and TestHangingPeersDoNotDelayHellos (0.9 s without helloSlot, want 0.3 s at most).

--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -51,6 +51,11 @@
 	// maxConcurrentFetches bounds the concurrent fetches of states: all peers announce
 	// a change at once, and one of them may hang.
 	maxConcurrentFetches = 2
+	// maxConcurrentHellos bounds the concurrent Hellos that an entry waits for. When a deployment starts, all
+	// entries send theirs at once; what the hubs cannot answer in time they would have to answer again.
+	// A Hello counts for at most helloSlot, so that peers that hang delay the links to the others by little.
+	maxConcurrentHellos = 4
+	helloSlot           = 300 * time.Millisecond
 	// maxLearnedLinks bounds the links to entries that are known only from other
 	// entries. In a large deployment the hubs are chosen from the store's list.
 	maxLearnedLinks = 2 * maxFullMesh
@@ -121,6 +126,8 @@
 	o Options
 	// redialDelay is the delay before the first redial of a peer.
 	redialDelay time.Duration
+	// hellos holds a value for each Hello that counts towards maxConcurrentHellos.
+	hellos chan struct{}
 
 	mu      sync.Mutex
 	leaving bool
@@ -197,7 +204,7 @@
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
-	return &Mesh{o: o, redialDelay: minRedialDelay, links: make(map[string]*peerLink), transfers: make(map[string]*transfer), served: newTransferQueue(), resultHandlers: make(map[string]func([]dispatch.StageResults))}
+	return &Mesh{o: o, redialDelay: minRedialDelay, hellos: make(chan struct{}, maxConcurrentHellos), links: make(map[string]*peerLink), transfers: make(map[string]*transfer), served: newTransferQueue(), resultHandlers: make(map[string]func([]dispatch.StageResults))}
 }
 
 // dialTCP dials the entry at an address.
@@ -540,9 +547,8 @@
 	}
 	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(raw), notificationHandler{m}, jsonrpc2.SetLogger(telemetry.RPCLogger{Logger: m.o.Logger}))
 	defer func() { _ = conn.Close() }()
-	var h Hello
-	sentAt := time.Now()
-	if err := call(ctx, conn, pingTimeout, methodHello, m.hello(), &h); err != nil {
+	h, sentAt, err := m.exchangeHellos(ctx, conn)
+	if err != nil {
 		m.endReconnect(l)
 		return false
 	}
@@ -572,6 +578,21 @@
 	return true
 }
 
+// exchangeHellos returns the peer's reply to the Hello, and when that was sent.
+func (m *Mesh) exchangeHellos(ctx context.Context, conn *jsonrpc2.Conn) (reply Hello, sentAt time.Time, err error) {
+	select {
+	case <-ctx.Done():
+		return Hello{}, time.Time{}, Error.Wrap(ctx.Err())
+	case m.hellos <- struct{}{}:
+	}
+	release := sync.OnceFunc(func() { <-m.hellos })
+	defer release()
+	defer time.AfterFunc(helloSlot, release).Stop()
+	sentAt = time.Now()
+	err = call(ctx, conn, pingTimeout, methodHello, m.hello(), &reply)
+	return reply, sentAt, err
+}
+
 // pingUntilLost pings the peer until a ping fails, the connection is closed or ctx
 // ends, and returns the cause.
 func (m *Mesh) pingUntilLost(ctx context.Context, l *peerLink, conn *jsonrpc2.Conn) error {
--- a/peers/starvation_test.go
+++ b/peers/starvation_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"runtime"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/azurelead/azurelead/follow"
 )
 
 // A process that is short of processor time does not take its own delay for the silence of a peer.
@@ -73,3 +77,70 @@
 		t.Errorf("the call ended after %v with %v, want a timeout after 90 ms", took, err)
 	}
 }
+
+// An entry does not have all its peers answer its Hello at once: an overloaded peer would have to answer again what
+// it has not answered in time.
+func TestFewHellosAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const peers = 3 * maxConcurrentHellos
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		m := New(Options{Follower: follow.New(follow.Options{Logger: slog.New(slog.DiscardHandler)})})
+		var arrived, replied atomic.Int32
+		release := make(chan struct{})
+		for range peers {
+			near, far := net.Pipe()
+			jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(far), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(
+				func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+					arrived.Add(1)
+					<-release
+					return Hello{}, nil
+				})))
+			conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(near), notificationHandler{m})
+			go func() {
+				if _, _, err := m.exchangeHellos(ctx, conn); err != nil {
+					t.Error(err)
+				}
+				replied.Add(1)
+			}()
+		}
+		synctest.Wait()
+		if n := arrived.Load(); n != maxConcurrentHellos {
+			t.Errorf("%d Hellos wait for their replies, want %d", n, maxConcurrentHellos)
+		}
+		close(release)
+		synctest.Wait()
+		if n := replied.Load(); n != peers {
+			t.Errorf("%d Hellos have been answered, want %d", n, peers)
+		}
+	})
+}
+
+// Peers that hang do not keep an entry from linking to the others until their Hellos time out.
+func TestHangingPeersDoNotDelayHellos(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		m := New(Options{Follower: follow.New(follow.Options{Logger: slog.New(slog.DiscardHandler)})})
+		dial := func(reply func()) *jsonrpc2.Conn {
+			near, far := net.Pipe()
+			jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(far), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(
+				func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+					reply()
+					return Hello{}, nil
+				})))
+			return jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(near), notificationHandler{m})
+		}
+		for range maxConcurrentHellos {
+			go func() { _, _, _ = m.exchangeHellos(ctx, dial(func() { <-ctx.Done() })) }()
+		}
+		synctest.Wait()
+		start := time.Now()
+		if _, _, err := m.exchangeHellos(ctx, dial(func() {})); err != nil {
+			t.Error(err)
+		}
+		if waited := time.Since(start); waited > helloSlot {
+			t.Errorf("the Hello of a live peer took %v, want at most %v", waited, helloSlot)
+		}
+	})
+}
