Await uploads that pause between two writes before a stopping gateway exits

Cause: a stop ends when no closed connection is receiving. A connection counted only once its client had sent more after the close, so that a client between two writes of its upload did not count. An entry that refused such an upload and had no other request in flight exited at once, and the client's next write was answered by a reset, which may take the 503 with it.

Change: a closed connection counts from its close on, until its client closes, or has sent nothing for 0.5 s since the close. One that has sent more counts as before. The end of the grace period bounds the wait as before; a stop with idle connections whose clients do not close theirs takes 0.5 s longer.

--- a/linger/linger.go
+++ b/linger/linger.go
@@ -15,6 +15,8 @@
 const (
 	// idleTime is how long a closed connection is kept open while its client sends nothing.
 	idleTime = 2 * time.Second
+	// nextWriteTime is how long a closed connection counts as receiving before its client has sent more.
+	nextWriteTime = 500 * time.Millisecond
 	// maxTime and maxBytes bound what is read from a connection after it was closed.
 	maxTime  = 5 * time.Second
 	maxBytes = 64 << 20
@@ -25,7 +27,7 @@
 	net.Listener
 
 	mu sync.Mutex
-	// receiving are the closed connections whose clients have sent more since.
+	// receiving are the closed connections whose clients may be sending.
 	receiving map[*conn]bool
 }
 
@@ -48,7 +50,8 @@
 	return &conn{TCPConn: tcp, listener: l}, nil
 }
 
-// CountReceiving returns the number of closed connections whose clients are still sending.
+// CountReceiving returns the number of closed connections whose clients may still be sending: they have sent more since
+// the close, or the close is less than nextWriteTime ago. A connection whose client has closed does not count.
 func (l *Listener) CountReceiving() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -128,6 +131,7 @@
 	if err := c.TCPConn.SetReadDeadline(time.Now()); err != nil {
 		return errors.Join(err, c.TCPConn.Close())
 	}
+	c.listener.setReceiving(c, true)
 	go c.linger()
 	return nil
 }
@@ -137,15 +141,19 @@
 	c.reading.Lock()
 	defer c.reading.Unlock()
 	defer c.listener.setReceiving(c, false)
+	silence := time.AfterFunc(nextWriteTime, func() { c.listener.setReceiving(c, false) })
+	defer silence.Stop()
 	// The client has the response, or does not read it: there is no one to report an error to.
 	defer func() { _ = c.TCPConn.Close() }()
-	_, _ = io.CopyN(io.Discard, &remainder{conn: c, until: time.Now().Add(maxTime)}, maxBytes)
+	_, _ = io.CopyN(io.Discard, &remainder{conn: c, until: time.Now().Add(maxTime), silence: silence}, maxBytes)
 }
 
 // remainder reads what a client sends on a closed connection.
 type remainder struct {
 	conn  *conn
 	until time.Time
+	// silence ends the time in which the connection counts as receiving without having received anything.
+	silence *time.Timer
 }
 
 // Read implements io.Reader. It fails if the client sends nothing for idleTime.
@@ -159,6 +167,7 @@
 	}
 	n, err := r.conn.TCPConn.Read(p)
 	if n > 0 {
+		r.silence.Stop()
 		r.conn.listener.setReceiving(r.conn, true)
 	}
 	return n, err
--- a/linger/linger_test.go
+++ b/linger/linger_test.go
@@ -46,6 +46,23 @@
 	}
 }
 
+// A process that exits right after a refusal must not reset an upload whose client is between two writes.
+func TestPausedUploadCountsAsReceiving(t *testing.T) {
+	client, server, l := dial(t)
+	_, _ = io.WriteString(client, "x")
+	if _, err := server.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	_ = server.Close()
+	if n := l.CountReceiving(); n != 1 {
+		t.Errorf("%d connections count as receiving right after the close, want 1", n)
+	}
+	_ = client.Close()
+	for l.CountReceiving() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // A client that neither sends more nor closes must not keep a closed connection for ever.
 func TestIdleClientIsClosed(t *testing.T) {
 	client, server, l := dial(t)
