--- a/linger/linger.go
+++ b/linger/linger.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// settleTime is how long a closed connection counts as receiving while its client has sent nothing.
-	settleTime = 100 * time.Millisecond
+	// settleTime is how long a closed connection counts as receiving before its client has sent more. An upload may pause
+	// between two writes.
+	settleTime = 500 * time.Millisecond
 	// idleTime is how long a closed connection is kept open while its client sends nothing.
 	idleTime = 2 * time.Second
 	// maxTime and maxBytes bound what is read from a connection after it was closed.
