Keep one way to count a request that is about to be sent

The candidate's method is Begin now, and the tests name the endpoint as it is listed. No behaviour changes.

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -104,7 +104,7 @@
 			b.record.reason = "retry budget spent"
 			return false
 		}
-		if b.gw.opts.Roster.BeginCandidate(time.Now(), c) {
+		if b.gw.opts.Roster.Begin(time.Now(), c) {
 			b.tried[c.ID] = true
 			b.sends++
 			b.launch(c)
--- a/gateway/endpointwait_test.go
+++ b/gateway/endpointwait_test.go
@@ -25,7 +25,7 @@
 		r := roster.New(nil)
 		r.SetServices(map[string]*catalog.Service{"llm": {Engine: true, ColdRate: 100, ColdPeriod: coldTime}})
 		r.SetEndpoints(time.Now(), c.endpoints, roster.Continuous)
-		if c.endpoints[0].ColdRemaining > 0 && !r.Begin(time.Now(), "cold") {
+		if c.endpoints[0].ColdRemaining > 0 && !r.Begin(time.Now(), roster.Candidate{Endpoint: c.endpoints[0]}) {
 			t.Fatal("the cold endpoint takes no request")
 		}
 		q := &request{gw: New(Options{Roster: r}), started: time.Now(), service: "llm", route: &catalog.Route{}}
--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -13,11 +13,10 @@
 func TestStreamGoesToTheEngineThatWasSecured(t *testing.T) {
 	r := roster.New(nil)
 	r.SetServices(map[string]*catalog.Service{"llm": {Engine: true}})
-	r.SetEndpoints(time.Now(), []catalog.Endpoint{
-		{ID: "busy", Service: "llm", State: catalog.Ready}, {ID: "idle", Service: "llm", State: catalog.Ready},
-	}, roster.Continuous)
+	busy := catalog.Endpoint{ID: "busy", Service: "llm", State: catalog.Ready}
+	r.SetEndpoints(time.Now(), []catalog.Endpoint{busy, {ID: "idle", Service: "llm", State: catalog.Ready}}, roster.Continuous)
 	for range 10 {
-		r.Begin(time.Now(), "busy")
+		r.Begin(time.Now(), roster.Candidate{Endpoint: busy})
 	}
 	for secured, want := range map[string]string{"": "idle", "busy": "busy", "gone": "idle"} {
 		q := &request{gw: New(Options{Roster: r}), started: time.Now(), service: "llm", route: &catalog.Route{}}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -370,7 +370,7 @@
 	if c.TurnBooked {
 		s.output.turnBooked = false
 	}
-	return s.gw.opts.Roster.BeginCandidate(time.Now(), c)
+	return s.gw.opts.Roster.Begin(time.Now(), c)
 }
 
 // versionGoneReason is the reason of responses to streams whose software version serves no more.
--- a/roster/incarnation_test.go
+++ b/roster/incarnation_test.go
@@ -44,9 +44,9 @@
 	for _, c := range cases {
 		for _, latter := range [][]catalog.Endpoint{restarted, moved} {
 			r := newRoster(former)
-			r.Begin(epoch, "e0")
+			begin(r, epoch, "e0")
 			r.SetEndpoints(now, latter, Continuous)
-			r.Begin(now, "e0")
+			begin(r, now, "e0")
 			before := *r.members["e0"]
 			if changed := c.report(r); changed || *r.members["e0"] != before {
 				t.Errorf("%s: changed the new incarnation from %+v to %+v, or made a notice", c.name, before, *r.members["e0"])
@@ -65,11 +65,11 @@
 	r.SetEndpoints(epoch, endpoints, Continuous)
 	for _, booked := range []bool{false, true} {
 		chosen.TurnBooked = booked
-		if r.BeginCandidate(epoch, chosen) || r.members["e0"].inFlight != 0 {
+		if r.Begin(epoch, chosen) || r.members["e0"].inFlight != 0 {
 			t.Errorf("turn booked %v: the request was begun, %d in flight", booked, r.members["e0"].inFlight)
 		}
 	}
-	if again := r.Candidates(epoch, Filter{Service: "llm"})[0]; !r.BeginCandidate(epoch, again) {
+	if again := r.Candidates(epoch, Filter{Service: "llm"})[0]; !r.Begin(epoch, again) {
 		t.Error("a request to the new incarnation was not begun")
 	}
 }
--- a/roster/limit_test.go
+++ b/roster/limit_test.go
@@ -46,7 +46,7 @@
 		for ms := 0; ms < 10_000; ms += rapid.IntRange(1, 20).Draw(rt, "pause") {
 			at := epoch.Add(time.Duration(ms) * time.Millisecond)
 			for range rapid.IntRange(1, 5).Draw(rt, "requests") {
-				if entries[rapid.IntRange(0, n-1).Draw(rt, "entry")].Begin(at, "e0") {
+				if begin(entries[rapid.IntRange(0, n-1).Draw(rt, "entry")], at, "e0") {
 					sent = append(sent, at)
 				}
 			}
@@ -76,12 +76,12 @@
 			for i := range phases {
 				if elapsed := at.Sub(epoch); elapsed >= phases[i] {
 					phases[i] = elapsed + interval
-					if entries[rapid.IntRange(0, n-1).Draw(rt, "booking entry")].BeginBooked(at, "e0") {
+					if beginBooked(entries[rapid.IntRange(0, n-1).Draw(rt, "booking entry")], at, "e0") {
 						sent = append(sent, at)
 					}
 				}
 			}
-			if entries[rapid.IntRange(0, n-1).Draw(rt, "entry")].Begin(at, "e0") {
+			if begin(entries[rapid.IntRange(0, n-1).Draw(rt, "entry")], at, "e0") {
 				sent = append(sent, at)
 			}
 		}
@@ -102,7 +102,7 @@
 		const seconds = 60
 		for ms := 0; ms < seconds*1000; ms += 5 {
 			for _, r := range entries {
-				if r.Begin(epoch.Add(time.Duration(ms)*time.Millisecond), "e0") {
+				if begin(r, epoch.Add(time.Duration(ms)*time.Millisecond), "e0") {
 					sent++
 				}
 			}
@@ -156,7 +156,7 @@
 // A service whose endpoints all have a limit tells when the first of them takes a request again.
 func TestDelayOfLimitedService(t *testing.T) {
 	r := limitedRosters(1, 2)[0]
-	if !r.Begin(epoch, "e0") {
+	if !begin(r, epoch, "e0") {
 		t.Fatal("the first request is not allowed")
 	}
 	want := 555 * time.Millisecond // a request every 1 / (0.9 * 2) s
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -566,9 +566,9 @@
 	return m.failureRate * math.Exp(-now.Sub(m.failureRateAt).Seconds()/failureDecayTime.Seconds())
 }
 
-// BeginCandidate counts a request that is about to be sent and reports whether the endpoint may still receive it. If
+// Begin counts a request that is about to be sent and reports whether the endpoint may still receive it. If
 // not, as when it has started again since it was chosen, the request is not counted.
-func (r *Roster) BeginCandidate(now time.Time, c Candidate) bool {
+func (r *Roster) Begin(now time.Time, c Candidate) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delay := r.sendDelay
@@ -578,21 +578,6 @@
 	return r.begin(now, r.incarnation(c.Endpoint), delay)
 }
 
-// Begin is like BeginCandidate for the incarnation of an endpoint that is listed now.
-func (r *Roster) Begin(now time.Time, id string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.begin(now, r.members[id], r.sendDelay)
-}
-
-// BeginBooked is like Begin for a request for which the dispatcher has booked a turn within the endpoint's
-// limit.
-func (r *Roster) BeginBooked(now time.Time, id string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.begin(now, r.members[id], r.coldDelay)
-}
-
 // begin counts a request to a member, or returns false if m is nil or must not receive it. The caller holds mu.
 func (r *Roster) begin(now time.Time, m *member, delay func(time.Time, *member) time.Duration) bool {
 	if m == nil || !r.usable(now, m) || delay(now, m) > 0 {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -30,6 +30,15 @@
 	return r
 }
 
+// begin counts a request to an endpoint as it is listed now. beginBooked does so for a booked turn.
+func begin(r *Roster, now time.Time, id string) bool {
+	return r.Begin(now, Candidate{Endpoint: listed(r, id)})
+}
+
+func beginBooked(r *Roster, now time.Time, id string) bool {
+	return r.Begin(now, Candidate{Endpoint: listed(r, id), TurnBooked: true})
+}
+
 // listed returns an endpoint as it is listed now.
 func listed(r *Roster, id string) catalog.Endpoint { return r.members[id].Endpoint }
 
@@ -50,12 +59,12 @@
 			r.SetEvacuated(epoch, nil, Continuous)
 		}, 2},
 		{"one endpoint is unreachable", func(r *Roster) {
-			r.Begin(epoch, "e0")
+			begin(r, epoch, "e0")
 			r.Report(epoch, listed(r, "e0"), Unreachable, 0)
 			r.End(listed(r, "e0"))
 		}, 1},
 		{"one connection was lost", func(r *Roster) {
-			r.Begin(epoch, "e0")
+			begin(r, epoch, "e0")
 			r.Report(epoch, listed(r, "e0"), ConnectionLost, 0)
 			r.End(listed(r, "e0"))
 		}, 2},
@@ -104,7 +113,7 @@
 	r := newRoster(makeEndpoints(2, "a"))
 	r.Report(epoch, listed(r, "e0"), Unreachable, 0)
 	now := epoch.Add(minBackoff + time.Millisecond)
-	if len(r.Candidates(now, Filter{Service: "llm"})) != 2 || !r.Begin(now, "e0") {
+	if len(r.Candidates(now, Filter{Service: "llm"})) != 2 || !begin(r, now, "e0") {
 		t.Fatal("the failed endpoint is not probed")
 	}
 	if len(r.Candidates(now, Filter{Service: "llm"})) != 1 {
@@ -138,7 +147,7 @@
 			if len(sent) > 0 && at.Before(sent[len(sent)-1]) {
 				at = sent[len(sent)-1]
 			}
-			if r.Begin(at, "e0") {
+			if begin(r, at, "e0") {
 				sent = append(sent, at)
 			}
 		}
@@ -243,7 +252,7 @@
 		r := newRoster(ready)
 		c.change(r)
 		for _, now := range []time.Time{epoch, epoch.Add(time.Minute)} {
-			if r.Usable(now, "e0") != c.usable || r.Begin(now, "e0") != c.usable {
+			if r.Usable(now, "e0") != c.usable || begin(r, now, "e0") != c.usable {
 				t.Errorf("%s, after %v: usable %t, want %t", c.name, now.Sub(epoch), !c.usable, c.usable)
 			}
 		}
