Count a closed connection as receiving only while its client sends

Cause: once its client had sent anything after the close, a connection counted as receiving until it was closed, after two seconds of silence.

Change: it counts for 0.5 s after each read. It still discards what comes for two seconds of silence.

A test of its own would need a bound on wall-clock time; there is none.

--- a/linger/linger.go
+++ b/linger/linger.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// settleTime is how long a closed connection counts as receiving before its client has sent more. An upload may pause
+	// settleTime is how long a closed connection counts as receiving while its client sends nothing. An upload may pause
 	// between two writes.
 	settleTime = 500 * time.Millisecond
 	// idleTime is how long a closed connection is kept open while its client sends nothing.
@@ -171,21 +171,16 @@
 type remainder struct {
 	conn  *conn
 	until time.Time
-	// begun is set once the client had settleTime to send more.
-	begun bool
 }
 
 // Read implements io.Reader. It fails if the client sends nothing for idleTime.
 func (r *remainder) Read(p []byte) (int, error) {
-	if !r.begun {
-		r.begun = true
-		n, err := r.readWithin(p, settleTime)
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return n, err
-		}
-		r.conn.listener.setReceiving(r.conn, false)
+	n, err := r.readWithin(p, settleTime)
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
 	}
-	return r.readWithin(p, idleTime)
+	r.conn.listener.setReceiving(r.conn, false)
+	return r.readWithin(p, idleTime-settleTime)
 }
 
 // readWithin reads what a client sends within a time.
