Keep the connections of TestResponsesAreMatchedByID

Cause: nothing referred to the connection at the endpoint's side once it had answered, and the garbage collector closed it. The check is unchanged, and so is the product.

--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -249,6 +249,7 @@
 			if err != nil {
 				return
 			}
+			t.Cleanup(func() { _ = conn.Close() }) // the garbage collector closes connections that are not referred to
 			_, _ = conn.Read(make([]byte, 4096))
 			for _, id := range c.responses {
 				named := ""
