--- a/gateway/response.go
+++ b/gateway/response.go
@@ -144,8 +144,9 @@
 	_, _ = q.w.Write(body)
 }
 
-// respondAfterBody writes the response to a request that goes no further, once its body has been read: a client may send all of
-// its request before it reads. If the body is not read to its end, the connection is closed after the response.
+// respondAfterBody writes the response to a request that goes no further, once its body has been read: a client may
+// send all of its request before it reads. If the body is not read to its end, the connection is closed after the
+// response.
 func (q *request) respondAfterBody(resp response) {
 	err := q.discardBody()
 	if err == nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -140,8 +140,8 @@
 const writeMargin = 200 * time.Millisecond
 
 const (
-	// answerMargin is the time that an answer may take to reach a client before it abandons the request. The client counts
-	// from when it opened its connection, and a small instance may be without processor time for a tenth of a second.
+	// answerMargin is the time that an answer may take to reach a client before it abandons the request. The request may
+	// have been sent long before it was read: a small instance may be without processor time for a tenth of a second.
 	answerMargin = 200 * time.Millisecond
 	// maxMarginShare bounds answerMargin, as a share of the time that the client waits.
 	maxMarginShare = 0.1
