Do not read idle client connections after their close

Callers: a request that crossed the close of an idle connection, at the end of a stop or of the idle limit, was read and discarded, and its connection ended without an answer. A client that may repeat what was not read (a request that is not idempotent, above all) could not tell that from a request that had begun.

Cause: all closed connections linger, so that the last response outlives an upload. An idle connection has no response that its client has yet to read: the client sends the next request only after it.

Connections that have carried part of a request or a response since linger as they did.

--- a/gatewaydaemon/clientconn.go
+++ b/gatewaydaemon/clientconn.go
@@ -113,6 +113,18 @@
 	return deadline.After(time.Now()) && c.Conn.SetReadDeadline(deadline) == nil
 }
 
+// Close implements net.Conn. Nothing is read on an idle connection after it was closed: a client may repeat a request
+// that was not read.
+func (c *clientConn) Close() error {
+	c.mu.Lock()
+	idle := c.current == awaitsRequest
+	c.mu.Unlock()
+	if d, ok := c.Conn.(interface{ CloseNow() error }); ok && idle {
+		return d.CloseNow()
+	}
+	return c.Conn.Close()
+}
+
 // CloseWrite sends the end of the stream; net/http calls it before it closes.
 func (c *clientConn) CloseWrite() error {
 	if cw, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- /dev/null
+++ b/gatewaydaemon/idleclose_test.go
@@ -0,0 +1,62 @@
+package gatewaydaemon
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// idleServer serves one client, whose connection has carried a request and is idle. stall is called when the wait for
+// the next request begins, before the connection is read.
+func idleServer(t *testing.T, idle time.Duration, stall func()) (c *clientServer, conn net.Conn, reader *bufio.Reader) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var calls atomic.Int64 // for the first header, then for the wait
+	c = newClientServer(listener, &http.Server{IdleTimeout: time.Hour, ReadHeaderTimeout: time.Hour, Handler: http.NotFoundHandler()}, func() clientLimits {
+		if calls.Add(1) == 2 {
+			stall()
+		}
+		return clientLimits{header: time.Hour, idle: idle}
+	})
+	go func() { _ = c.server.Serve(c.acceptor()) }()
+	t.Cleanup(func() { _ = c.server.Close() })
+	if conn, err = net.Dial("tcp", listener.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	reader = bufio.NewReader(conn)
+	_, _ = io.WriteString(conn, requestHead("/x", "first", 0))
+	if r := readNext(reader); r.err != nil || r.closes {
+		t.Fatalf("%+v", r)
+	}
+	return c, conn, reader
+}
+
+// A request that crosses the close of an idle connection gets no answer. It must not be read: a client may repeat a
+// request on its own only if it was not read.
+func TestRequestAfterIdleCloseIsNotRead(t *testing.T) {
+	c, conn, reader := idleServer(t, time.Hour, func() {})
+	_ = c.close(time.Now().Add(time.Second))
+	if _, err := reader.ReadByte(); err != io.EOF {
+		t.Fatalf("the connection is open: %v", err)
+	}
+	if n := c.listener.CountReceiving(); n != 0 {
+		t.Errorf("%d closed connections are read", n)
+	}
+	writes := 0
+	for ; writes < 100; writes++ {
+		if _, err := io.WriteString(conn, requestHead("/x", "late", 0)); err != nil {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if writes == 100 {
+		t.Error("the server reads requests after it has closed the connection")
+	}
+}
--- a/linger/linger.go
+++ b/linger/linger.go
@@ -145,6 +145,17 @@
 	return nil
 }
 
+// CloseNow closes the connection without reading what the client still sends. It returns net.ErrClosed after Close.
+func (c *conn) CloseNow() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed = true
+	return c.TCPConn.Close()
+}
+
 // Reset closes the connection at once and resets it, so that the client does not take what it has read for a whole
 // response. It returns net.ErrClosed after Close.
 func (c *conn) Reset() error {
