Answer requests that have arrived when an idle connection is closed

Callers: a request that was in the socket of an entry when the wait for it ended was dropped, and its connection closed without an answer: at the idle limit or the time for a header if the process had stalled meanwhile, and at the end of a stop, which closed idle connections whether or not a request lay unread on them.

Cause: a read fails once its deadline has passed, whatever has arrived, and the close of the server took a connection for idle until its goroutine had run. Both decide by the process's own progress, not by what the client has sent.

Fix: after its deadline a connection is read once more, without waiting. A closing server ends the wait of idle connections in the same way, and closes once they have ended or 0.1 s have passed, within the margin that a stop leaves for the exit.

--- a/gatewaydaemon/clientconn.go
+++ b/gatewaydaemon/clientconn.go
@@ -6,7 +6,10 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // clientLimits are the times that the configuration in force allows clients.
@@ -86,31 +89,76 @@
 // deadline returns the time until which the connection waits. It is called with the lock held.
 func (c *clientConn) deadline() time.Time {
 	limits := c.server.limits()
-	if c.current == awaitsRequest {
-		return c.since.Add(limits.idle)
+	switch {
+	case c.current == awaitsHeader:
+		return c.since.Add(limits.header)
+	case c.server.closingIdle.Load():
+		return c.since
 	}
-	return c.since.Add(limits.header)
+	return c.since.Add(limits.idle)
 }
 
-// Read implements net.Conn. It goes on after a deadline if the limit has been raised since the deadline was set.
+// Read implements net.Conn. It goes on after a deadline if the limit has been raised since the deadline was set, and
+// returns what has arrived otherwise: the process may have stalled.
 func (c *clientConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.extend() {
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
+		n, extended := c.endWait(p)
+		if n > 0 {
+			return n, nil
+		}
+		if !extended {
+			return 0, err
+		}
 	}
 }
 
-// extend sets the deadline of the configuration in force. It reports whether that is still to come.
-func (c *clientConn) extend() bool {
+// endWait is called at a deadline. It sets that of the configuration in force if it is still to come, and else reads
+// what has arrived.
+func (c *clientConn) endWait(p []byte) (n int, extended bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.current == awaitsNothing {
-		return false
+		return 0, false
+	}
+	if deadline := c.deadline(); deadline.After(time.Now()) {
+		return 0, c.Conn.SetReadDeadline(deadline) == nil
+	}
+	return c.readArrived(p), false
+}
+
+// readArrived reads without waiting, whether or not the deadline has passed. It returns 0 if nothing has arrived. It is
+// called with the lock held.
+func (c *clientConn) readArrived(p []byte) (n int) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil || c.Conn.SetReadDeadline(time.Time{}) != nil {
+		return 0 // the connection is closed
+	}
+	err = raw.Read(func(fd uintptr) bool {
+		n, _ = unix.Read(int(fd), p) // an error says that nothing has arrived
+		return true
+	})
+	// What arrives later is read in the same way.
+	if err != nil || c.Conn.SetReadDeadline(time.Now()) != nil {
+		return 0
+	}
+	return max(n, 0)
+}
+
+// expire ends the wait for the next request, unless it has arrived.
+func (c *clientConn) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == awaitsRequest {
+		_ = c.Conn.SetReadDeadline(time.Now()) // fails only if the connection is closed
 	}
-	deadline := c.deadline()
-	return deadline.After(time.Now()) && c.Conn.SetReadDeadline(deadline) == nil
 }
 
 // Close implements net.Conn. Nothing is read on an idle connection after it was closed: a client may repeat a request
--- a/gatewaydaemon/clients.go
+++ b/gatewaydaemon/clients.go
@@ -10,8 +10,12 @@
 	"github.com/azurelead/azurelead/linger"
 )
 
-// connectionPollInterval is the interval at which a closing server counts its connections.
-const connectionPollInterval = 5 * time.Millisecond
+const (
+	// connectionPollInterval is the interval at which a closing server counts its connections.
+	connectionPollInterval = 5 * time.Millisecond
+	// idleCloseTime is the least time for idle connections to end, and to answer what has arrived on them.
+	idleCloseTime = 100 * time.Millisecond
+)
 
 // clientServer is the clients' HTTP server. Its close differs from http.Server.Shutdown, which closes connections
 // without an answer to requests that it has read or is reading. Its connections linger when they are closed.
@@ -21,16 +25,19 @@
 	limits   func() clientLimits
 	// closing is set once each response closes its connection.
 	closing atomic.Bool
+	// closingIdle is set once connections are closed that are idle.
+	closingIdle atomic.Bool
 
 	mu sync.Mutex
-	// busy are the connections that are not idle: a request is arriving or in progress, or none has been read yet.
-	busy map[net.Conn]bool
+	// open are the open connections. The value is whether a connection is busy: a request is arriving or in progress, or
+	// none has been read yet.
+	open map[net.Conn]bool
 }
 
 // newClientServer returns a server whose connections are tracked. limits replaces the server's
 // time-outs, which must be set.
 func newClientServer(listener net.Listener, server *http.Server, limits func() clientLimits) *clientServer {
-	c := &clientServer{server: server, listener: linger.NewListener(listener), limits: limits, busy: make(map[net.Conn]bool)}
+	c := &clientServer{server: server, listener: linger.NewListener(listener), limits: limits, open: make(map[net.Conn]bool)}
 	server.ConnState = c.track
 	server.Handler = c.closeWhenClosing(server.Handler)
 	return c
@@ -57,35 +64,82 @@
 	if cc, ok := conn.(*clientConn); ok {
 		cc.setState(state)
 	}
+	if state == http.StateClosed || state == http.StateHijacked {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.open, conn)
+		return
+	}
 	c.setBusy(conn, state == http.StateNew || state == http.StateActive)
 }
 
-// setBusy records whether a connection is busy.
+// setBusy records whether an open connection is busy.
 func (c *clientServer) setBusy(conn net.Conn, busy bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if busy {
-		c.busy[conn] = true
-		return
-	}
-	delete(c.busy, conn)
+	c.open[conn] = busy
 }
 
 // countBusy returns the number of connections that are not idle.
-func (c *clientServer) countBusy() int {
+func (c *clientServer) countBusy() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, busy := range c.open {
+		if busy {
+			n++
+		}
+	}
+	return n
+}
+
+// countOpen returns the number of open connections.
+func (c *clientServer) countOpen() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
+// idle returns the connections that are idle.
+func (c *clientServer) idle() []net.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.busy)
+	var list []net.Conn
+	for conn, busy := range c.open {
+		if !busy {
+			list = append(list, conn)
+		}
+	}
+	return list
+}
+
+// closeIdle makes idle connections end, unless a request has arrived on them. It is called with closing set.
+func (c *clientServer) closeIdle() {
+	c.closingIdle.Store(true)
+	for _, conn := range c.idle() {
+		if cc, ok := conn.(*clientConn); ok {
+			cc.expire()
+		}
+	}
+}
+
+// await waits until a condition holds, or until a deadline.
+func (c *clientServer) await(deadline time.Time, holds func() bool) {
+	for !holds() && time.Now().Before(deadline) {
+		time.Sleep(connectionPollInterval)
+	}
 }
 
 // close stops listening, and closes all connections once no request is arriving or in progress, or at the deadline.
-// It returns the number of connections that were cut then.
+// Requests that have arrived by then on idle connections are answered. It returns the number of connections that were cut.
 func (c *clientServer) close(deadline time.Time) (cut int) {
 	_ = c.listener.Close()
 	c.closing.Store(true)
-	for c.countBusy() > 0 && time.Now().Before(deadline) {
-		time.Sleep(connectionPollInterval)
+	c.await(deadline, func() bool { return c.countBusy() == 0 })
+	c.closeIdle()
+	if end := time.Now().Add(idleCloseTime); end.After(deadline) {
+		deadline = end
 	}
+	c.await(deadline, func() bool { return c.countOpen() == 0 })
 	cut = c.countBusy()
 	_ = c.server.Close()
 	return cut
--- a/gatewaydaemon/idleclose_test.go
+++ b/gatewaydaemon/idleclose_test.go
@@ -38,6 +38,40 @@
 	return c, conn, reader
 }
 
+// A process that stalls reads a request only after the idle limit, within which it arrived. The request must be answered.
+func TestRequestWithinIdleLimitIsAnsweredAfterStall(t *testing.T) {
+	const limit = 50 * time.Millisecond
+	stalls, goOn := make(chan bool), make(chan bool)
+	_, conn, reader := idleServer(t, limit, func() { stalls <- true; <-goOn })
+	<-stalls
+	_, _ = io.WriteString(conn, requestHead("/x", "next", 0))
+	time.Sleep(2 * limit)
+	close(goOn)
+	if r := readNext(reader); r.err != nil || r.status != http.StatusNotFound {
+		t.Errorf("%+v", r)
+	}
+}
+
+// A request that has arrived on an idle connection and was not read yet when the server closes must be answered.
+func TestClosingServerAnswersUnreadRequest(t *testing.T) {
+	stalls, goOn := make(chan bool), make(chan bool)
+	c, conn, reader := idleServer(t, time.Hour, func() { stalls <- true; <-goOn })
+	<-stalls
+	_, _ = io.WriteString(conn, requestHead("/x", "unread", 0))
+	cut := make(chan int)
+	go func() { cut <- c.close(time.Now().Add(time.Hour)) }()
+	for !c.closing.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	time.AfterFunc(50*time.Millisecond, func() { close(goOn) })
+	if r := readNext(reader); r.err != nil || r.status != http.StatusNotFound || !r.closes {
+		t.Errorf("%+v", r)
+	}
+	if n := <-cut; n != 0 {
+		t.Errorf("%d connections were cut", n)
+	}
+}
+
 // A request that crosses the close of an idle connection gets no answer. It must not be read: a client may repeat a
 // request on its own only if it was not read.
 func TestRequestAfterIdleCloseIsNotRead(t *testing.T) {
