Book engines again that have failed and not restarted

What callers saw: an engine that lost two answers in a row, or one connection attempt, got no streams from the dispatcher any more although it was sound again, until it restarted; the others carried its share.

Cause: Engines left out all endpoints that count as failed, whatever their backoff. Only a request that is sent there can end that state, and the dispatcher booked none.

Change: Engines leaves out endpoints in backoff or with a probe in flight, as Candidates does. The engine comes back as cold.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -386,8 +386,8 @@
 	return list
 }
 
-// Engines returns the model engines of a service that may receive work and have not failed. If all
-// of them have failed, it returns the failed ones.
+// Engines returns the model engines of a service that may receive work and are not in backoff. If all
+// of them are, it returns these.
 func (r *Roster) Engines(now time.Time, service string) []dispatch.Engine {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -400,7 +400,7 @@
 		if l := m.limit(now); l.Active {
 			e.RequestInterval = l.interval(bookingLimitShare)
 		}
-		if m.down {
+		if m.inBackoff(now) {
 			failed = append(failed, e)
 			continue
 		}
@@ -524,7 +524,7 @@
 			continue
 		}
 		c := r.candidate(now, m)
-		if m.down && (m.probing || now.Before(m.retryAt)) {
+		if m.inBackoff(now) {
 			failed = append(failed, c)
 			continue
 		}
@@ -566,6 +566,11 @@
 	return m.failureRate * math.Exp(-now.Sub(m.failureRateAt).Seconds()/failureDecayTime.Seconds())
 }
 
+// inBackoff reports whether the endpoint has failed and is not due for a request that tries whether it has recovered.
+func (m *member) inBackoff(now time.Time) bool {
+	return m.down && (m.probing || now.Before(m.retryAt))
+}
+
 // Begin counts a request that is about to be sent and reports whether the endpoint may still receive it. If
 // not, as when it has started again since it was chosen, the request is not counted.
 func (r *Roster) Begin(now time.Time, c Candidate) bool {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -355,3 +355,27 @@
 		}
 	}
 }
+
+// The dispatcher never booked an engine again that had failed once and had not restarted.
+func TestFailedEngineIsBookedAgain(t *testing.T) {
+	r := newRoster(makeEndpoints(2, "a"))
+	r.Report(epoch, listed(r, "e0"), Unreachable, 0)
+	due := epoch.Add(minBackoff)
+	for _, step := range []struct {
+		name string
+		at   time.Time
+		do   func()
+		want int
+	}{
+		{"in its backoff", due.Add(-time.Millisecond), func() {}, 1},
+		{"after its backoff", due, func() {}, 2},
+		{"during the probe", due, func() { begin(r, due, "e0") }, 1},
+		{"after the probe ended without an outcome", due, func() { r.End(listed(r, "e0")) }, 2},
+	} {
+		step.do()
+		engines := r.Engines(step.at, "llm")
+		if len(engines) != step.want || step.want == 2 && !engines[0].Cold {
+			t.Errorf("%s: engines %+v, want %d, one of them cold", step.name, engines, step.want)
+		}
+	}
+}
