Judge an endpoint's health by whole responses

What callers saw: streams were booked at an engine whose streams all broke off after sound heads. On routes that may not be resumed they broke off at the callers; on the others they spent the retry budget, and broke off when it was spent. A buffered request was lost now and then.

Cause: an attempt reported Answered at the head of its response and ConnectionLost when the body failed. The first set the count of consecutive failures to 0, the second to 1, and an endpoint counts as failed from 2 on.

Change: the outcome is reported once, when the body was read and checked or the stream has ended. The head gives what the endpoint states of itself; the time to the first byte counts if the response turns out whole. The fifth event of a stream ends the failed state and its probe, and leaves the count of failures. The state is a small type, roster.health.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -15,7 +15,7 @@
 type attemptResult int
 
 const (
-	// resultAnswered means that the response header was read.
+	// resultAnswered means that the response header was read, and the body is to be read.
 	resultAnswered attemptResult = iota
 	// resultNotSent means that the endpoint never received the request.
 	resultNotSent
@@ -34,6 +34,8 @@
 	result attemptResult
 	err    error
 	sentAt time.Time
+	// firstByte is the time from sentAt to the head of the response.
+	firstByte time.Duration
 	// patience is the time without an answer after which the endpoint counts as hung if another one has answered, or
 	// the client would leave.
 	patience time.Duration
@@ -127,6 +129,7 @@
 		a.result = resultLost
 		q.reportOutcome(ctx, now, a, roster.ConnectionLost)
 	default:
+		a.firstByte = now.Sub(a.sentAt)
 		a.info = fleet.DecodeResponse(a.resp.StatusCode, a.resp.Header)
 		q.recordResponse(now, a)
 	}
@@ -185,8 +188,8 @@
 // minHangTime is the shortest time without an answer after which an endpoint counts as hung.
 const minHangTime = 250 * time.Millisecond
 
-// recordResponse passes what the endpoint reported of itself to the roster, and classifies the
-// response.
+// recordResponse passes what the head of a response says of the endpoint to the roster, and classifies the response.
+// How the request ended is reported once its body was read.
 func (q *request) recordResponse(now time.Time, a *attempt) {
 	load := -1
 	if a.info.LoadKnown {
@@ -199,17 +202,22 @@
 	if changed {
 		q.gw.opts.OnNotice()
 	}
-	outcome := roster.Answered
 	switch {
 	case a.info.NotRun:
 		a.result = resultRejected
-		outcome = roster.Refused
+		q.gw.opts.Roster.Report(now, a.endpoint.Endpoint, roster.Refused, a.firstByte)
 	case a.resp.StatusCode/100 == 2 && !a.info.Signed:
 		// Endpoints sign their responses, so an unsigned success came from somewhere else.
 		a.result = resultLost
-		outcome = roster.Failed
-	case a.resp.StatusCode >= http.StatusInternalServerError:
+		q.gw.opts.Roster.Report(now, a.endpoint.Endpoint, roster.Failed, a.firstByte)
+	}
+}
+
+// reportWhole records in the roster that the endpoint has sent its whole response.
+func (q *request) reportWhole(a *attempt) {
+	outcome := roster.Answered
+	if a.resp.StatusCode >= http.StatusInternalServerError {
 		outcome = roster.Failed
 	}
-	q.gw.opts.Roster.Report(now, a.endpoint.Endpoint, outcome, now.Sub(a.sentAt))
+	q.gw.opts.Roster.Report(time.Now(), a.endpoint.Endpoint, outcome, a.firstByte)
 }
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -232,6 +232,7 @@
 		b.reportOutcome(b.ctx, time.Now(), a, roster.ConnectionLost)
 		return bufferedAttempt{attempt: a}
 	}
+	b.reportWhole(a)
 	return bufferedAttempt{attempt: a, resp: &response{status: a.resp.StatusCode, header: a.resp.Header, body: body}}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -454,6 +454,7 @@
 		s.reportOutcome(ctx, time.Now(), a, roster.ConnectionLost)
 		return s.clientGone(), s.retryOrFail(ctx, "the answer broke off")
 	}
+	s.reportWhole(a)
 	if s.headerSent {
 		a.err = Error.New("status %d in place of the rest of the stream", a.resp.StatusCode)
 		s.record.addStreamEnd(a)
@@ -502,6 +503,7 @@
 			s.lastEventAfter.Store(int64(time.Since(s.started)))
 			if a.events++; a.events == beginningEvents {
 				s.gw.opts.SuspectParts.Sound(s.sharedParts())
+				s.gw.opts.Roster.ReportProgress(a.endpoint.Endpoint)
 			}
 			s.allowGap(silence)
 		default:
@@ -578,6 +580,7 @@
 		err = errFirstEventLate
 	}
 	if errors.Is(err, io.EOF) {
+		s.reportWhole(a)
 		if a.events > 0 {
 			s.gw.opts.SuspectParts.Sound(s.sharedParts())
 			s.endedWell()
--- /dev/null
+++ b/roster/health_test.go
@@ -0,0 +1,50 @@
+package roster
+
+import (
+	"testing"
+	"time"
+)
+
+// step is what is recorded of a request: its outcome, or that its stream has begun soundly.
+type step struct {
+	outcome  Outcome
+	progress bool
+}
+
+func TestHealthFollowsWholeResponses(t *testing.T) {
+	answered, failed, refused := step{outcome: Answered}, step{outcome: Failed}, step{outcome: Refused}
+	lost, unreachable, progress := step{outcome: ConnectionLost}, step{outcome: Unreachable}, step{progress: true}
+	for _, c := range []struct {
+		name  string
+		steps []step
+		down  bool
+	}{
+		{"one lost response", []step{lost}, false},
+		{"two lost responses", []step{lost, lost}, true},
+		{"a whole response between them", []step{lost, answered, lost}, false},
+		{"an error of its own between them", []step{lost, failed, lost}, false},
+		{"a refusal between them", []step{lost, refused, lost}, true},
+		{"streams that break off after their beginning", []step{progress, lost, progress, lost}, true},
+		{"the beginning of a stream at a failed endpoint", []step{lost, lost, progress}, false},
+		{"the stream breaks off", []step{lost, lost, progress, lost}, true},
+		{"the stream ends, another breaks off", []step{lost, lost, progress, answered, lost}, false},
+		{"a refusal by a failed endpoint", []step{unreachable, refused}, true},
+		{"a whole response of a failed endpoint", []step{unreachable, answered}, false},
+	} {
+		h := &health{}
+		for i, s := range c.steps {
+			h.probing = h.down
+			if s.progress {
+				h.recordProgress()
+			} else {
+				h.record(epoch.Add(time.Duration(i)*time.Second), s.outcome, time.Millisecond)
+			}
+			if h.probing {
+				t.Errorf("%s: the probe has not ended after step %d", c.name, i)
+			}
+		}
+		if h.down != c.down {
+			t.Errorf("%s: down %t, want %t", c.name, h.down, c.down)
+		}
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -4,7 +4,6 @@
 package roster
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -19,14 +18,6 @@
 	// missingGracePeriod is how long an endpoint stays in use that disappeared from the list while
 	// the store did not answer. If it is alive, the store lists it again within two seconds.
 	missingGracePeriod = 1800 * time.Millisecond
-	// minBackoff is the time before a failed endpoint is tried again. It doubles with each
-	// consecutive failure, up to maxBackoff.
-	minBackoff = 300 * time.Millisecond
-	maxBackoff = 5 * time.Second
-	// failureDecayTime is the time constant of the exponential decay of failure rates.
-	failureDecayTime = 4 * time.Second
-	// outcomeWeight is the weight of the latest outcome in the moving averages.
-	outcomeWeight = 0.3
 	// maxColdSenders bounds the entries that send to one cold endpoint. Each of them may send one
 	// request at once, and these together must stay below what the endpoint can handle.
 	maxColdSenders = 6
@@ -44,23 +35,6 @@
 	idleConnectionShare = 0.5
 )
 
-// Outcome is how a request to an endpoint ended, as an indication of the endpoint's health.
-type Outcome int
-
-// The outcomes of requests.
-const (
-	// Answered: the endpoint processed the request.
-	Answered Outcome = iota
-	// Failed: the endpoint answered with an error of its own.
-	Failed
-	// Refused: the endpoint did not run the request.
-	Refused
-	// Unreachable: no connection could be opened, or no byte was sent.
-	Unreachable
-	// ConnectionLost: the request was sent, but the connection failed or no answer came.
-	ConnectionLost
-)
-
 // Continuity says how a list of endpoints or evacuations follows the one before it.
 type Continuity int
 
@@ -104,6 +78,7 @@
 type member struct {
 	catalog.Endpoint
 	demands
+	health
 	listed       bool
 	missingSince time.Time
 	// unconfirmedUntil is the time before which a restored record of a removed endpoint is not
@@ -114,17 +89,6 @@
 	// reportedLoad is the number of requests that the endpoint reported at reportedLoadAt.
 	reportedLoad   int
 	reportedLoadAt time.Time
-	// failureRate is the moving average of failures, 0 to 1, as of failureRateAt. latency is the
-	// moving average of the time to the first byte, in seconds; 0 if not known.
-	failureRate         float64
-	failureRateAt       time.Time
-	latency             float64
-	consecutiveFailures int
-	retryAt             time.Time
-	// down is set while the endpoint counts as failed, probing while a single request tries whether
-	// it has recovered.
-	down    bool
-	probing bool
 	// lastSend is when this entry last sent a request to the endpoint.
 	lastSend time.Time
 	// rank is this entry's rank for the endpoint, computed when entriesVersion was
@@ -562,15 +526,6 @@
 // reportedLoadTTL is how long a reported load is used.
 const reportedLoadTTL = time.Second
 
-func (m *member) currentFailureRate(now time.Time) float64 {
-	return m.failureRate * math.Exp(-now.Sub(m.failureRateAt).Seconds()/failureDecayTime.Seconds())
-}
-
-// inBackoff reports whether the endpoint has failed and is not due for a request that tries whether it has recovered.
-func (m *member) inBackoff(now time.Time) bool {
-	return m.down && (m.probing || now.Before(m.retryAt))
-}
-
 // Begin counts a request that is about to be sent and reports whether the endpoint may still receive it. If
 // not, as when it has started again since it was chosen, the request is not counted.
 func (r *Roster) Begin(now time.Time, c Candidate) bool {
@@ -596,7 +551,7 @@
 	return true
 }
 
-// Report records the outcome of a request that was counted, as soon as it is known. firstByte is the time from
+// Report records the outcome of a request that was counted, once it is known. firstByte is the time from
 // sending to the first byte of the response. Like all reports of requests, it is ignored if the endpoint has started
 // again since the request was sent.
 func (r *Roster) Report(now time.Time, e catalog.Endpoint, o Outcome, firstByte time.Duration) {
@@ -606,33 +561,19 @@
 	if m == nil {
 		return
 	}
-	m.probing = false
-	m.failureRate = m.currentFailureRate(now)
-	m.failureRateAt = now
-	failure := 0.0
-	switch o {
-	case Answered:
-		m.consecutiveFailures, m.down = 0, false
-		if m.latency == 0 {
-			m.latency = firstByte.Seconds()
-		}
-		m.latency += outcomeWeight * (firstByte.Seconds() - m.latency)
-	case Failed:
-		m.consecutiveFailures, m.down = 0, false
-		failure = 1
-	case Refused:
-		failure = 0.5
-	case Unreachable, ConnectionLost:
-		failure = 1
-		m.consecutiveFailures++
-		// A single lost connection does not mark an endpoint as down.
-		if o == Unreachable || m.consecutiveFailures > 1 {
-			m.down = true
-			m.retryAt = now.Add(min(minBackoff<<min(m.consecutiveFailures-1, 5), maxBackoff))
-			m.coldUntil = laterOf(m.coldUntil, now.Add(r.coldPeriod(m.Service)))
-		}
+	if m.record(now, o, firstByte) {
+		m.coldUntil = laterOf(m.coldUntil, now.Add(r.coldPeriod(m.Service)))
+	}
+}
+
+// ReportProgress records that the response to a request that was counted is a stream that has begun soundly. The
+// outcome of the request is reported later.
+func (r *Roster) ReportProgress(e catalog.Endpoint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.incarnation(e); m != nil {
+		m.recordProgress()
 	}
-	m.failureRate += outcomeWeight * (failure - m.failureRate)
 }
 
 // End removes a request that was counted.
