Bound the memory of endpoints' responses for the whole process

Seen: a faulty endpoint sends bytes without end to many calls at once; each call is bounded (256 KB of head, 8 MB of body, 1 MB of event), their sum was not, and the process ended with the requests of all other clients.

Cause: no sum was kept. io.ReadAll and append grow by copying, short header lines take a multiple of their bytes as a map, a stated length above the limit was read up to it, and bodies of answers to other calls were collected to be dropped.

Change: memorybudget.Budget, an eighth of the instance's memory. An owner, here an endpoint, may hold as much as is left free; the call that asks for more is lost. The first 16 KB of each response are exempt. Heads (64 KB, 256 lines), bodies until the client has its answer, and incomplete events count. Stated lengths above the limit are refused at the head. The Go runtime keeps to 0.8 of the instance's memory. Counter: azurelead_upstream_budget_refusals_total.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -59,11 +59,15 @@
 var errNoBody = Error.New("a response without a length ended after its head")
 
 // readWhole reads the body of a response that is forwarded only as a whole. It fails if the body may not be whole.
+// The response counts towards the budget until the end of the request.
 func (q *request) readWhole(ctx context.Context, a *attempt) ([]byte, error) {
 	body, err := upstream.ReadBody(a.resp, maxResponseBytes)
 	if err == nil {
 		err = q.checkEnd(ctx, a, body)
 	}
+	if err == nil {
+		q.kept.add(upstream.Detach(a.resp))
+	}
 	return body, err
 }
 
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"github.com/azurelead/azurelead/upstream"
 )
 
 // maxEventBytes bounds the size of one event of a stream.
@@ -30,7 +32,10 @@
 // eventReader reads complete server-sent events. It never returns an event that the endpoint left
 // unfinished.
 type eventReader struct {
-	br *bufio.Reader
+	body io.Reader
+	br   *bufio.Reader
+	// held is what the last event takes beside the read buffer, in bytes; 0 for most events.
+	held int
 }
 
 // event is one event, including the empty line that terminates it.
@@ -40,15 +45,28 @@
 	id int64
 }
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{br: bufio.NewReaderSize(r, 2048)} }
+func newEventReader(body io.Reader) *eventReader {
+	return &eventReader{body: body, br: bufio.NewReaderSize(body, eventBufferSize)}
+}
+
+// eventBufferSize is the size of the read buffer, in bytes. It is enough for a few events.
+const eventBufferSize = 2 << 10
 
 // next returns the next complete event. It returns io.EOF if the stream ended between two events,
-// io.ErrUnexpectedEOF if it ended within one, and errNotAnEvent for bytes that are not an event.
+// io.ErrUnexpectedEOF if it ended within one, and errNotAnEvent for bytes that are not an event. An event counts
+// towards the budget of the response until next is called again.
 func (e *eventReader) next() (event, error) {
 	var ev event
+	if err := e.hold(0); err != nil {
+		return event{}, err
+	}
 	for {
 		line, err := e.br.ReadSlice('\n')
-		ev.raw = append(ev.raw, line...)
+		raw, holdErr := e.add(ev.raw, line)
+		if holdErr != nil {
+			return event{}, holdErr
+		}
+		ev.raw = raw
 		if errors.Is(err, bufio.ErrBufferFull) {
 			if len(ev.raw) > maxEventBytes {
 				return event{}, errEventTooLarge
@@ -71,6 +89,27 @@
 	}
 }
 
+// add appends a part of an event to what was read of it.
+func (e *eventReader) add(raw, part []byte) ([]byte, error) {
+	if size := len(raw) + len(part); size > cap(raw) && size > eventBufferSize {
+		size = max(size, min(2*cap(raw), maxEventBytes+eventBufferSize))
+		if err := e.hold(size); err != nil {
+			return nil, err
+		}
+		raw = append(make([]byte, 0, size), raw...)
+	}
+	return append(raw, part...), nil
+}
+
+// hold states how many bytes an event takes; 0 after its end.
+func (e *eventReader) hold(n int) error {
+	if n == e.held {
+		return nil
+	}
+	e.held = n
+	return upstream.Hold(e.body, n)
+}
+
 // endsEvent reports whether raw ends with an empty line, as opposed to the last fragment of a line
 // that was longer than the read buffer.
 func endsEvent(raw []byte) bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -136,6 +136,7 @@
 	q := &request{gw: g, w: w, r: r.WithContext(ctx), started: time.Now()}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer q.kept.release()
 	q.progress = &progress{cancel: cancel, unblockBody: unblockBody(w)}
 	q.incoming = upload.NewBody(r)
 	g.inFlight.add(q.progress)
@@ -182,6 +183,8 @@
 	// incoming is the body as it arrives, body what was read of an admitted request.
 	incoming *upload.Body
 	body     []byte
+	// kept are the responses that were read completely.
+	kept keptResponses
 	// arrivedAt is when the end of the body was read.
 	arrivedAt time.Time
 	// lastEventAfter is the time from started to the last event of the stream, in nanoseconds; 0 before the first.
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/azurelead/azurelead/platform/fleet"
@@ -25,6 +26,27 @@
 	retryAfter time.Duration
 }
 
+// keptResponses are the endpoints' responses that a request holds in memory. It is safe for concurrent use.
+type keptResponses struct {
+	mu       sync.Mutex
+	releases []func()
+}
+
+// add adds a response, which release gives back to the budget.
+func (k *keptResponses) add(release func()) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.releases = append(k.releases, release)
+}
+
+func (k *keptResponses) release() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, release := range k.releases {
+		release()
+	}
+}
+
 // clientError returns the final response to a request that cannot be served in its present form.
 func clientError(status int, reason string) *response {
 	return &response{status: status, local: true, reason: reason}
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/azurelead/azurelead/coordinate"
 	"github.com/azurelead/azurelead/follow"
 	"github.com/azurelead/azurelead/gateway"
+	"github.com/azurelead/azurelead/memorybudget"
 	"github.com/azurelead/azurelead/origin"
 	"github.com/azurelead/azurelead/peers"
 	"github.com/azurelead/azurelead/platform/fleet"
@@ -124,6 +125,7 @@
 	if err != nil {
 		return err
 	}
+	planMemory(settings.MemoryBytes).apply()
 	d := newDaemon(settings, logger, reg)
 	logger.Info("start", "instance", settings.Name, "data_centre", settings.DataCentre, "front", settings.ClientAddress,
 		"store", settings.StoreAddress, "seeds", settings.Seeds)
@@ -138,6 +140,7 @@
 	d.roster = roster.New(settings.Regions)
 	d.upstream = upstream.New(upstream.Options{
 		Metrics: upstream.NewMetrics(reg), MaxIdle: d.roster.MaxIdleConnections, ResponseID: fleet.ResponseID,
+		Budget: memorybudget.New(planMemory(settings.MemoryBytes).responses),
 	})
 	d.retryBudgets = &retrybudget.Set{}
 	d.coordinator = coordinate.New(coordinate.Options{
--- /dev/null
+++ b/gatewaydaemon/memory.go
@@ -0,0 +1,37 @@
+package gatewaydaemon
+
+import (
+	"os"
+	"runtime/debug"
+)
+
+const (
+	// defaultMemory is the memory limit of an instance whose settings name none, in bytes.
+	defaultMemory = 256 << 20
+	// heapShare is the share of the memory limit that the Go runtime may use. The rest is for the program itself and
+	// for the C library.
+	heapShare = 0.8
+	// responseShare is the share of the memory limit that endpoints' responses may hold together. As much again
+	// may wait for the garbage collector.
+	responseShare = 0.125
+)
+
+// memoryPlan is how a process divides the memory limit of its instance, in bytes.
+type memoryPlan struct {
+	heap, responses int64
+}
+
+// planMemory returns the plan for a memory limit in bytes; 0 means that none is known.
+func planMemory(limit int64) memoryPlan {
+	if limit <= 0 {
+		limit = defaultMemory
+	}
+	return memoryPlan{heap: int64(heapShare * float64(limit)), responses: int64(responseShare * float64(limit))}
+}
+
+// apply makes the garbage collector keep to the plan, unless the environment sets another limit.
+func (p memoryPlan) apply() {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(p.heap)
+	}
+}
--- /dev/null
+++ b/itest/endless_test.go
@@ -0,0 +1,179 @@
+package itest
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	platformfleet "github.com/azurelead/azurelead/platform/fleet"
+	"github.com/azurelead/azurelead/platform/fleettest"
+)
+
+const (
+	// gatewayMemoryMB is the memory limit of the smallest instance, in megabytes.
+	gatewayMemoryMB = 184
+	// endlessCalls is the number of requests whose responses have no end at the same time.
+	endlessCalls = 160
+)
+
+// startGateway starts a gateway that serves two routes of endpoints in trouble and two of sound ones. It returns the
+// process and the address for clients.
+func startGateway(t *testing.T, faulty *fleettest.Server) (gateway *exec.Cmd, front string) {
+	t.Helper()
+	store := fleettest.NewStore()
+	t.Cleanup(store.Close)
+	sound := fleettest.NewServer("sound")
+	t.Cleanup(sound.Close)
+	for _, e := range []struct {
+		s       *fleettest.Server
+		service string
+	}{{faulty, "faulty"}, {sound, "sound"}} {
+		store.Put(platformfleet.KindEndpoints, e.s.ID, e.s.EndpointSpec(e.service, "north"))
+	}
+	patient := map[string]any{"timeoutMs": 20000}
+	store.Put(platformfleet.KindConfiguration, platformfleet.ConfigurationName, fleettest.Configuration(1, []map[string]any{
+		fleettest.Route("look", "/look/", "idempotent", "faulty", nil),
+		fleettest.Route("stream", "/stream/", "streaming", "faulty", nil),
+		fleettest.Route("sound", "/sound/", "idempotent", "sound", patient),
+		fleettest.Route("soundstream", "/stream/sound/", "streaming", "sound", patient),
+	}, []map[string]any{fleettest.Service("faulty"), fleettest.Service("sound")}, nil))
+	front, ready := fleettest.FreeAddress(), fleettest.FreeAddress()
+	path := filepath.Join(t.TempDir(), "settings")
+	if err := os.WriteFile(path, fmt.Appendf(nil, "node=e\nzone=north\nregion=r\nzones.north=r\nlisten.front=%s\nlisten.readyAddr=%s\n"+
+		"limits.cpuShare=0.3\nlimits.memoryMb=%d\nprovider.address=%s\nbounds.graceS=8\nbounds.retryBudgetRatio=0.2\nbounds.budgetSlack=54\n",
+		front, ready, gatewayMemoryMB, store.Address()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	gateway = exec.Command(filepath.Join(binDir, "azurelead-gateway"), "--settings", path, "--log-level", "error")
+	gateway.Env = append(os.Environ(), "GOMAXPROCS=1")
+	if err := gateway.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = gateway.Process.Kill()
+		_ = gateway.Wait()
+	})
+	for !fleettest.Ready(t.Context(), ready) || call(t, front, "GET", "/sound/ready") != http.StatusOK {
+		if t.Context().Err() != nil {
+			t.Fatal("the gateway is not ready")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return gateway, front
+}
+
+var lastCall atomic.Int64
+
+// call sends a request and returns the status of its response; 0 if it broke off.
+func call(t *testing.T, front, method, path string) int {
+	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+front+path, nil)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	req.Host = "shop.example"
+	req.Header.Set("Azurelead-Attempt-Id", fmt.Sprintf("call-%d", lastCall.Add(1)))
+	req.Header.Set("Azurelead-Timeout-Ms", "20000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// peakMB returns the largest resident memory of a process so far, in megabytes.
+func peakMB(t *testing.T, pid int) int {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var kB int
+	_, after, found := bytes.Cut(status, []byte("VmHWM:"))
+	if _, err := fmt.Fscan(bytes.NewReader(after), &kB); !found || err != nil {
+		t.Fatalf("no peak in the status of the process: %v", err)
+	}
+	return kB >> 10
+}
+
+// Responses without end that came at the same time were bounded one by one, and took the process together.
+func TestEndlessResponsesStayWithinMemory(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		behaviour  fleettest.Behaviour
+		// slowAfter is the number of bytes after which they come slowly; 0 if they never do.
+		slowAfter int64
+	}{
+		{"body", "/look/x", fleettest.EndlessBody, 0},
+		{"slow body", "/look/x", fleettest.EndlessBody, 3 << 20},
+		{"stated length", "/look/x", fleettest.EndlessSized, 0},
+		{"stated length, slow", "/look/x", fleettest.EndlessSized, 3 << 20},
+		{"head", "/look/x", fleettest.EndlessHeader, 0},
+		{"slow head", "/look/x", fleettest.EndlessLines, 200 << 10},
+		{"interim heads", "/look/x", fleettest.EndlessInterim, 0},
+		{"event", "/stream/x", fleettest.EndlessEvent, 0},
+		{"slow event", "/stream/x", fleettest.EndlessEvent, 900 << 10},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			faulty := fleettest.NewServer("faulty")
+			t.Cleanup(faulty.Close)
+			var arrived atomic.Int64
+			all := make(chan struct{})
+			faulty.SetEndlessFast(c.slowAfter)
+			faulty.SetBehaviour(func(int, *http.Request) fleettest.Behaviour {
+				if arrived.Add(1) == endlessCalls {
+					close(all)
+				}
+				select {
+				case <-all:
+				case <-time.After(2 * time.Second): // the gateway may have refused some
+				}
+				return c.behaviour
+			})
+			gateway, front := startGateway(t, faulty)
+			var calls sync.WaitGroup
+			for range endlessCalls {
+				calls.Go(func() {
+					if status := call(t, front, "POST", c.path); status == http.StatusOK {
+						t.Error("a response without end was served")
+					}
+				})
+			}
+			done := make(chan struct{})
+			go func() {
+				calls.Wait()
+				close(done)
+			}()
+			soundCalls := 0
+			for ended := false; !ended; soundCalls++ {
+				select {
+				case <-done:
+					ended = true
+				default:
+				}
+				path := [2]string{"/sound/x", "/stream/sound/x"}[soundCalls%2]
+				if status := call(t, front, "POST", path); status != http.StatusOK {
+					t.Errorf("%s: status %d beside endless responses", strings.Trim(path, "/"), status)
+				}
+			}
+			peak := peakMB(t, gateway.Process.Pid)
+			t.Logf("peak %d MB; %d endless requests reached the endpoint; %d sound requests", peak, arrived.Load(), soundCalls)
+			if peak > gatewayMemoryMB {
+				t.Errorf("peak %d MB, limit %d MB", peak, gatewayMemoryMB)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/memorybudget/read.go
@@ -0,0 +1,60 @@
+package memorybudget
+
+import (
+	"errors"
+	"io"
+)
+
+const (
+	// minBuffer is the size of the first buffer for bytes of unknown length, in bytes.
+	minBuffer = 1 << 10
+	// maxFirstBuffer bounds the first buffer for a stated length, in bytes: a sender in trouble may state more than it
+	// sends.
+	maxFirstBuffer = Exempt
+)
+
+// ReadOptions says how much Read may read.
+type ReadOptions struct {
+	// Length is the number of bytes that the sender states; -1 if it states none.
+	Length int64
+	// Limit is the largest number of bytes that are read.
+	Limit int64
+	// Hold is called with the size of a buffer before it is allocated.
+	Hold func(n int64) error
+}
+
+// Read reads r to its end. It returns an error if that is after more than o.Limit bytes, before it reads any if the
+// stated length says so.
+func Read(r io.Reader, o ReadOptions) ([]byte, error) {
+	if o.Length > o.Limit {
+		return nil, Error.New("%d bytes are stated, more than %d", o.Length, o.Limit)
+	}
+	size := int64(minBuffer)
+	if o.Length >= 0 {
+		size = min(o.Length+1, maxFirstBuffer)
+	}
+	read, err := grow(nil, size, o.Hold)
+	for err == nil {
+		var n int
+		n, err = r.Read(read[len(read):cap(read)])
+		read = read[:len(read)+n]
+		switch {
+		case int64(len(read)) > o.Limit:
+			return nil, Error.New("more than %d bytes", o.Limit)
+		case err == nil && len(read) == cap(read):
+			read, err = grow(read, min(2*int64(cap(read)), o.Limit+1), o.Hold)
+		}
+	}
+	if !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	return read, nil
+}
+
+// grow returns a copy of what was read in a buffer of size bytes.
+func grow(read []byte, size int64, hold func(n int64) error) ([]byte, error) {
+	if err := hold(size); err != nil {
+		return nil, err
+	}
+	return append(make([]byte, 0, size), read...), nil
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +12,10 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/azurelead/azurelead/memorybudget"
 )
 
 const (
@@ -18,7 +24,11 @@
 	readBufferSize = 4 << 10
 	// maxHeadBytes bounds what is read of a connection, in bytes, until the header of the response
 	// has been read, without the bodies of mismatched responses.
-	maxHeadBytes = 256 << 10
+	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds the lines of what maxHeadBytes bounds, and headLineCost is the memory that a line takes beside
+	// its bytes once it has been parsed, in bytes.
+	maxHeadLines = 256
+	headLineCost = 256
 	// maxStatus is the largest status code of HTTP.
 	maxStatus = 599
 	// maxMismatched bounds the mismatched responses that are skipped before that of a request.
@@ -68,10 +78,29 @@
 	bodyDone chan bool
 	// written is closed when the request has been written or its writing has failed.
 	written chan struct{}
+	// held is what the response holds of the client's budget, head the part of its head.
+	held     *memorybudget.Reservation
+	head     int64
+	refusals prometheus.Counter
 	// released is closed when the connection is idle again or given up.
 	released chan struct{}
 }
 
+// holdHead states the memory that the head of the response takes.
+func (x *exchange) holdHead(n int64) error {
+	x.head = n
+	return x.hold(n)
+}
+
+// hold states the memory that the response takes.
+func (x *exchange) hold(n int64) error {
+	if err := x.held.Resize(n); err != nil {
+		x.refusals.Inc()
+		return Lost.Wrap(err)
+	}
+	return nil
+}
+
 type result struct {
 	resp *http.Response
 	err  error
@@ -106,6 +135,8 @@
 		bodyDone:   make(chan bool, 1),
 		written:    make(chan struct{}),
 		released:   make(chan struct{}),
+		held:       cn.client.o.Budget.Reserve("endpoint " + cn.id),
+		refusals:   cn.client.o.Metrics.BudgetRefusals,
 	}
 	cn.mu.Lock()
 	if cn.closed {
@@ -140,6 +171,7 @@
 		if sent.err != nil && sent.n == 0 {
 			stop()
 			cn.close()
+			x.held.Release()
 			return nil, NotSent.Wrap(sent.err)
 		}
 		// An endpoint may answer and close before it has read the whole request.
@@ -148,6 +180,7 @@
 	if res.err != nil {
 		stop()
 		cn.close()
+		x.held.Release()
 		if ctx.Err() != nil {
 			return nil, Lost.Wrap(ctx.Err())
 		}
@@ -214,7 +247,7 @@
 
 // readResponse reads the response of x and reports whether the connection can be used again.
 func (cn *conn) readResponse(br *bufio.Reader, x *exchange) bool {
-	cn.input.limit(maxHeadBytes)
+	cn.input.limit(x.holdHead)
 	resp, err := cn.readCorrelated(br, x)
 	if err != nil {
 		x.response <- result{err: err}
@@ -272,19 +305,25 @@
 		if resp.Close {
 			break
 		}
-		if err := cn.discard(resp); err != nil {
+		if err := cn.discard(resp, x); err != nil {
 			return nil, err
 		}
 	}
 	return nil, errMismatched
 }
 
-// discard reads the body of a mismatched response.
-func (cn *conn) discard(resp *http.Response) error {
+// discard reads the body of a mismatched response before that of x.
+func (cn *conn) discard(resp *http.Response, x *exchange) error {
 	cn.input.unlimit()
-	defer cn.input.limit(maxHeadBytes)
-	_, err := ReadBody(resp, maxMismatchedBody)
-	return err
+	defer cn.input.limit(x.holdHead)
+	_, err := io.CopyN(io.Discard, resp.Body, maxMismatchedBody+1)
+	switch {
+	case err == nil:
+		return Lost.New("answer to another request, of more than %d bytes", maxMismatchedBody)
+	case errors.Is(err, io.EOF):
+		return nil
+	}
+	return Lost.Wrap(err)
 }
 
 var (
@@ -292,44 +331,45 @@
 	errUncorrelated = Lost.New("answer that names no request, on a connection that carried others")
 )
 
-// ReadBody reads the body of a response. A body of more than limit bytes is an error.
-func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
-		return nil, Lost.Wrap(err)
-	}
-	if int64(len(body)) > limit {
-		return nil, Lost.New("body of more than %d bytes", limit)
-	}
-	return body, nil
-}
-
-// limitedInput reads from r and fails after a number of bytes while a limit is set. An endpoint in
-// trouble may send header lines without end.
+// limitedInput reads from r and bounds what is read while a head is expected. An endpoint in trouble may send header
+// lines without end.
 type limitedInput struct {
-	r       io.Reader
-	limited bool
-	left    int
+	r io.Reader
+	// hold is called with the memory that the head takes so far; nil if no head is expected.
+	hold func(n int64) error
+	// read and lines count what was read of the head, with what may have come with it.
+	read, lines int
 }
 
-func (l *limitedInput) limit(n int) { l.limited, l.left = true, n }
+func (l *limitedInput) limit(hold func(n int64) error) { l.hold, l.read, l.lines = hold, 0, 0 }
 
-func (l *limitedInput) unlimit() { l.limited = false }
+func (l *limitedInput) unlimit() { l.hold = nil }
 
 // Read implements io.Reader.
 func (l *limitedInput) Read(p []byte) (int, error) {
-	if !l.limited {
+	if l.hold == nil {
 		return l.r.Read(p)
 	}
-	if l.left <= 0 {
+	switch {
+	case l.read >= maxHeadBytes:
 		return 0, errHeadTooLarge
+	case l.lines > maxHeadLines:
+		return 0, errTooManyLines
 	}
-	n, err := l.r.Read(p[:min(len(p), l.left)])
-	l.left -= n
+	// What was read before was not the end of the head.
+	if err := l.hold(int64(l.read + l.lines*headLineCost)); err != nil {
+		return 0, err
+	}
+	n, err := l.r.Read(p[:min(len(p), maxHeadBytes-l.read)])
+	l.read += n
+	l.lines += bytes.Count(p[:n], []byte{'\n'})
 	return n, err
 }
 
-var errHeadTooLarge = Lost.New("head of more than %d bytes", maxHeadBytes)
+var (
+	errHeadTooLarge = Lost.New("head of more than %d bytes", maxHeadBytes)
+	errTooManyLines = Lost.New("head of more than %d lines", maxHeadLines)
+)
 
 // setIdleUntil sets idleUntil from the idle time-out that the endpoint announces in Keep-Alive.
 func (cn *conn) setIdleUntil(h http.Header) {
@@ -351,6 +391,8 @@
 	x    *exchange
 	stop func() bool
 	once sync.Once
+	// detached is set if what the response holds of the budget is not given back by Close.
+	detached bool
 }
 
 func (b *body) Read(p []byte) (int, error) {
@@ -364,9 +406,21 @@
 // Close closes the connection if the body has not been read to its end.
 func (b *body) Close() error {
 	b.finish(false)
+	if !b.detached {
+		b.x.held.Release()
+	}
 	return nil
 }
 
+// hold implements holder.
+func (b *body) hold(n int64) error { return b.x.hold(b.x.head + n) }
+
+// detach implements holder.
+func (b *body) detach() (release func()) {
+	b.detached = true
+	return b.x.held.Release
+}
+
 // finish tells the reader whether the body was read to its end, and closes the connection if not.
 func (b *body) finish(complete bool) {
 	b.once.Do(func() {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -14,6 +14,8 @@
 
 	"github.com/zeebo/errs"
 	"golang.org/x/sys/unix"
+
+	"github.com/azurelead/azurelead/memorybudget"
 )
 
 // The classes of a call's errors say what the endpoint can have received.
@@ -63,7 +65,9 @@
 	// that names none, its connection is kept for calls that take any answer only. If ResponseID is nil, no
 	// response names its call.
 	ResponseID func(h http.Header) string
-	Metrics    *Metrics
+	// Budget bounds the memory that responses hold. It may be shared by clients.
+	Budget  *memorybudget.Budget
+	Metrics *Metrics
 }
 
 // Defaults of Options.
@@ -77,6 +81,8 @@
 	DefaultIdleTimeout = 20 * time.Second
 	// DefaultMaxIdle keeps the connections of a burst for the next one.
 	DefaultMaxIdle = 16
+	// DefaultBudget is the size of the budget for responses, in bytes.
+	DefaultBudget = 32 << 20
 )
 
 // keepAlive detects connections that have failed silently while they were idle.
@@ -117,6 +123,9 @@
 	if o.ResponseID == nil {
 		o.ResponseID = func(http.Header) string { return "" }
 	}
+	if o.Budget == nil {
+		o.Budget = memorybudget.New(DefaultBudget)
+	}
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics(nil)
 	}
