Bound answers to stage calls by their tasks

Seen: stage endpoints that answer without end, slowly, took the process of the entry that dispatches, which makes the stage calls of all entries.

Cause: each call may keep 1 MB, whatever it asked for, and decodes it to a multiple.

The gateway's question for the start time of an endpoint uses the same bound in place of its own.

--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -28,8 +28,6 @@
 	refreshInterval = 100 * time.Millisecond
 	// controlTimeout bounds a call that frees results or reads an endpoint's free memory.
 	controlTimeout = time.Second
-	// maxResponseBytes bounds the body of a response.
-	maxResponseBytes = 1 << 20
 	// orphanTTL is how long a job is kept after its link is lost; redialling takes a fraction of it.
 	orphanTTL = 700 * time.Millisecond
 	// forgetAfter is the time without jobs after which another entry may have dispatched, so that the
@@ -531,6 +529,6 @@
 	if resp.StatusCode != http.StatusOK {
 		return resp, nil, nil
 	}
-	body, err := upstream.ReadBody(resp, maxResponseBytes)
+	body, err := upstream.ReadBody(resp, out.MaxResponse)
 	return resp, body, err
 }
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -9,13 +9,9 @@
 	"github.com/azurelead/azurelead/upstream"
 )
 
-const (
-	// reportTimeout bounds the question to an endpoint for its start time. It allows several round trips between data
-	// centres.
-	reportTimeout = 150 * time.Millisecond
-	// maxReportBytes bounds an endpoint's report.
-	maxReportBytes = 64 << 10
-)
+// reportTimeout bounds the question to an endpoint for its start time. It allows several round trips between data
+// centres.
+const reportTimeout = 150 * time.Millisecond
 
 // mayGoOnAt reports whether the stream may go on at an endpoint. One that is bound to a software version may not at an
 // endpoint that states another start time than the list: it has started again, and its version is not known. One
@@ -47,7 +43,7 @@
 	if err != nil {
 		return 0, err
 	}
-	body, err := upstream.ReadBody(resp, maxReportBytes)
+	body, err := upstream.ReadBody(resp, call.MaxResponse)
 	_ = resp.Body.Close()
 	if err != nil {
 		return 0, err
--- a/itest/endless_test.go
+++ b/itest/endless_test.go
@@ -25,19 +25,17 @@
 	endlessCalls = 160
 )
 
-// startGateway starts a gateway that serves two routes of endpoints in trouble and two of sound ones. It returns the
-// process and the address for clients.
-func startGateway(t *testing.T, faulty *fleettest.Server) (gateway *exec.Cmd, front string) {
+// startGateway starts a gateway that serves routes of endpoints in trouble, of sound ones, and of a sound one after
+// stages in trouble. It returns the process and the address for clients.
+func startGateway(t *testing.T, service string, faulty ...*fleettest.Server) (gateway *exec.Cmd, front string) {
 	t.Helper()
 	store := fleettest.NewStore()
 	t.Cleanup(store.Close)
 	sound := fleettest.NewServer("sound")
 	t.Cleanup(sound.Close)
-	for _, e := range []struct {
-		s       *fleettest.Server
-		service string
-	}{{faulty, "faulty"}, {sound, "sound"}} {
-		store.Put(platformfleet.KindEndpoints, e.s.ID, e.s.EndpointSpec(e.service, "north"))
+	store.Put(platformfleet.KindEndpoints, sound.ID, sound.EndpointSpec("sound", "north"))
+	for _, s := range faulty {
+		store.Put(platformfleet.KindEndpoints, s.ID, s.EndpointSpec(service, "north"))
 	}
 	patient := map[string]any{"timeoutMs": 20000}
 	store.Put(platformfleet.KindConfiguration, platformfleet.ConfigurationName, fleettest.Configuration(1, []map[string]any{
@@ -45,7 +43,10 @@
 		fleettest.Route("stream", "/stream/", "streaming", "faulty", nil),
 		fleettest.Route("sound", "/sound/", "idempotent", "sound", patient),
 		fleettest.Route("soundstream", "/stream/sound/", "streaming", "sound", patient),
-	}, []map[string]any{fleettest.Service("faulty"), fleettest.Service("sound")}, nil))
+		fleettest.Route("staged", "/stream/staged/", "streaming", "sound", map[string]any{
+			"stages": []map[string]any{{"service": "stages", "after": []int{}, "bytes": 8000}},
+		}),
+	}, []map[string]any{fleettest.Service("faulty"), fleettest.Service("sound"), fleettest.StageService("stages")}, nil))
 	front, ready := fleettest.FreeAddress(), fleettest.FreeAddress()
 	path := filepath.Join(t.TempDir(), "settings")
 	if err := os.WriteFile(path, fmt.Appendf(nil, "node=e\nzone=north\nregion=r\nzones.north=r\nlisten.front=%s\nlisten.readyAddr=%s\n"+
@@ -83,6 +84,8 @@
 	req.Host = "shop.example"
 	req.Header.Set("Azurelead-Attempt-Id", fmt.Sprintf("call-%d", lastCall.Add(1)))
 	req.Header.Set("Azurelead-Timeout-Ms", "20000")
+	req.Header.Set("Azurelead-Chunks", "8") // fills a stage call
+	req.Header.Set("Azurelead-Chunk-Key", req.Header.Get("Azurelead-Attempt-Id"))
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0
@@ -143,37 +146,63 @@
 				}
 				return c.behaviour
 			})
-			gateway, front := startGateway(t, faulty)
-			var calls sync.WaitGroup
-			for range endlessCalls {
-				calls.Go(func() {
-					if status := call(t, front, "POST", c.path); status == http.StatusOK {
-						t.Error("a response without end was served")
-					}
-				})
-			}
-			done := make(chan struct{})
-			go func() {
-				calls.Wait()
-				close(done)
-			}()
-			soundCalls := 0
-			for ended := false; !ended; soundCalls++ {
-				select {
-				case <-done:
-					ended = true
-				default:
-				}
-				path := [2]string{"/sound/x", "/stream/sound/x"}[soundCalls%2]
-				if status := call(t, front, "POST", path); status != http.StatusOK {
-					t.Errorf("%s: status %d beside endless responses", strings.Trim(path, "/"), status)
-				}
-			}
-			peak := peakMB(t, gateway.Process.Pid)
-			t.Logf("peak %d MB; %d endless requests reached the endpoint; %d sound requests", peak, arrived.Load(), soundCalls)
-			if peak > gatewayMemoryMB {
-				t.Errorf("peak %d MB, limit %d MB", peak, gatewayMemoryMB)
+			gateway, front := startGateway(t, "faulty", faulty)
+			callBesideSound(t, gateway, front, c.path)
+			t.Logf("%d endless requests reached the endpoint", arrived.Load())
+		})
+	}
+}
+
+// Stage calls without end that came from many endpoints were bounded one by one at the entry that dispatches.
+func TestEndlessStageAnswersStayWithinMemory(t *testing.T) {
+	faulty := make([]*fleettest.Server, endlessCalls)
+	for i := range faulty {
+		faulty[i] = fleettest.NewServer(fmt.Sprint("stage-", i))
+		t.Cleanup(faulty[i].Close)
+		faulty[i].SetEndlessFast(900 << 10)
+		faulty[i].SetBehaviour(func(int, *http.Request) fleettest.Behaviour { return fleettest.EndlessBody })
+	}
+	gateway, front := startGateway(t, "stages", faulty...)
+	callBesideSound(t, gateway, front, "/stream/staged/x")
+	called := 0
+	for _, s := range faulty {
+		called += min(s.Requests(), 1)
+	}
+	t.Logf("%d of %d endpoints were called", called, len(faulty))
+}
+
+// callBesideSound sends requests that get no answer, with sound ones beside them, and checks the memory that the
+// gateway took.
+func callBesideSound(t *testing.T, gateway *exec.Cmd, front, endless string) {
+	t.Helper()
+	var calls sync.WaitGroup
+	for range endlessCalls {
+		calls.Go(func() {
+			if status := call(t, front, "POST", endless); status == http.StatusOK {
+				t.Error("a response without end was served")
 			}
 		})
 	}
+	done := make(chan struct{})
+	go func() {
+		calls.Wait()
+		close(done)
+	}()
+	soundCalls := 0
+	for ended := false; !ended; soundCalls++ {
+		select {
+		case <-done:
+			ended = true
+		default:
+		}
+		path := [2]string{"/sound/x", "/stream/sound/x"}[soundCalls%2]
+		if status := call(t, front, "POST", path); status != http.StatusOK {
+			t.Errorf("%s: status %d beside endless responses", strings.Trim(path, "/"), status)
+		}
+	}
+	peak := peakMB(t, gateway.Process.Pid)
+	t.Logf("peak %d MB; %d sound requests", peak, soundCalls)
+	if peak > gatewayMemoryMB {
+		t.Errorf("peak %d MB, limit %d MB", peak, gatewayMemoryMB)
+	}
 }
