Bound the memory of an agent's calls

Seen: an endpoint that sends answers without end takes the memory of its agent.

Cause: each call may keep 16 MB of body, doubled while it grows, and 10 MB of head (the default of net/http); no sum is kept.

Change: answers that are no stream count towards a budget of the driver, of which they may hold half (32 MB); heads are bounded by 64 KB, an engine's report of what it serves by 64 KB. A call that asks for more ends as failed at the endpoint, may have run.

Streams are as before: events of up to 1 MB, as many as the agent's limit on calls.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/azurelead/azurelead/contract"
+	"github.com/azurelead/azurelead/memorybudget"
 )
 
 // Error is the class of errors of invalid options, failed probes and watches, and malformed events.
@@ -35,6 +36,11 @@
 	maxIdleConnections = 64
 	// maxResponseBytes limits the size of a response that is not a stream.
 	maxResponseBytes = 16 << 20
+	// maxHeaderBytes limits the head of a response.
+	maxHeaderBytes = 64 << 10
+	// responseBudget bounds the memory that the responses of all calls take together, in bytes. One driver is its only
+	// owner, which may hold half of it.
+	responseBudget = 4 * maxResponseBytes
 	// maxErrorBytes limits the size of the body of a health or error response.
 	maxErrorBytes = 4 << 10
 )
@@ -50,7 +56,9 @@
 type client struct {
 	base string
 	http *http.Client
-	boot atomic.Pointer[contract.BootID] // the last boot id received; nil if there is none
+	// memory bounds the responses that are not streams.
+	memory *memorybudget.Budget
+	boot   atomic.Pointer[contract.BootID] // the last boot id received; nil if there is none
 }
 
 func newClient(o Options) (*client, error) {
@@ -62,8 +70,12 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		DisableCompression:  true,
+		// The default is sized for browsers.
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	return &client{base: strings.TrimSuffix(o.URL, "/"), http: &http.Client{Transport: transport}}, nil
+	return &client{
+		base: strings.TrimSuffix(o.URL, "/"), http: &http.Client{Transport: transport}, memory: memorybudget.New(responseBudget),
+	}, nil
 }
 
 // Close closes idle connections.
@@ -126,7 +138,12 @@
 		return failure
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	held := c.memory.Reserve("endpoint " + c.base)
+	defer held.Release()
+	raw, err := memorybudget.Read(resp.Body, memorybudget.ReadOptions{Length: resp.ContentLength, Limit: maxResponseBytes, Hold: held.Resize})
+	if memorybudget.Error.Has(err) {
+		return failed(contract.CodeEndpointFailed, contract.MayHaveRun, "answer: %v", err)
+	}
 	if err != nil {
 		return c.connectionFailed(ctx, err, contract.MayHaveRun, responseBoot(resp))
 	}
--- a/endpoint/orders.go
+++ b/endpoint/orders.go
@@ -14,6 +14,9 @@
 // OrderError is the class of errors of Engine.Serving.
 var OrderError = errs.Class("engine orders")
 
+// maxStateBytes limits the size of the state that an engine reports.
+const maxStateBytes = 64 << 10
+
 // Order is a change of what an engine serves, as encoded in the engine protocol.
 type Order struct {
 	Kind  string `json:"kind"`
@@ -57,6 +60,6 @@
 		return ServingState{}, OrderError.New("the engine answered %s", resp.Status)
 	}
 	var s ServingState
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&s)
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(&s)
 	return s, OrderError.Wrap(err)
 }
