Bound the memory of clients' uploads

Seen: clients that upload to an entry and stall take its process; each body is bounded by the configuration, their sum was not.

Cause: io.ReadAll for each, which grows by copying; no sum is kept.

What does not fit is refused at once as not run, with a time to come back.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -1,16 +1,20 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
+
+	"github.com/azurelead/azurelead/memorybudget"
 )
 
 const (
 	// defaultBodyLimit bounds a request body, in bytes, if the configuration sets no limit.
 	defaultBodyLimit = 4 << 20
+	// defaultUploadBudget is the size of the budget for request bodies if the options name none, in bytes.
+	defaultUploadBudget = 64 << 20
 	// maxDiscardTime bounds the reading of a refused request's body.
 	maxDiscardTime = 30 * time.Second
 )
@@ -25,8 +29,12 @@
 	if q.r.ContentLength > limit {
 		return bodyTooLarge()
 	}
-	body, err := q.readUntil(q.deadline, limit+1)
+	body, err := q.readUntil(q.deadline, limit)
 	switch {
+	case memorybudget.TooLarge.Has(err):
+		return bodyTooLarge()
+	case memorybudget.Error.Has(err):
+		return notRunResponse(err.Error(), busyRetryAfter)
 	case err != nil && !q.progress.advance(phaseReading):
 		return stoppedResponse()
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -34,8 +42,6 @@
 	case err != nil:
 		q.record.outcome = "body not read"
 		return clientError(http.StatusBadRequest, "body not read")
-	case int64(len(body)) > limit:
-		return bodyTooLarge()
 	}
 	q.body = body
 	return nil
@@ -45,12 +51,15 @@
 	return clientError(http.StatusRequestEntityTooLarge, "body too large")
 }
 
-// readUntil reads the body to its end, or its first limit bytes, until a deadline.
+// readUntil reads the body to its end, up to limit bytes, until a deadline. It counts towards the budget until the end of
+// the request.
 func (q *request) readUntil(deadline time.Time, limit int64) ([]byte, error) {
 	if err := q.boundReading(deadline); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(q.incoming, limit))
+	held := q.gw.opts.Uploads.Reserve("uploads of " + cmp.Or(q.organisationName(), "all clients"))
+	q.kept.add(held.Release)
+	body, err := memorybudget.Read(q.incoming, memorybudget.ReadOptions{Length: q.r.ContentLength, Limit: limit, Hold: held.Resize})
 	q.noteExpiry(err)
 	return body, err
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/azurelead/azurelead/catalog"
 	"github.com/azurelead/azurelead/dispatch"
+	"github.com/azurelead/azurelead/memorybudget"
 	"github.com/azurelead/azurelead/peers"
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/retrybudget"
@@ -69,6 +70,8 @@
 	Table    func() *catalog.Table
 	Roster   *roster.Roster
 	Upstream *upstream.Client
+	// Uploads bounds the memory that the bodies of requests hold, by organisation.
+	Uploads *memorybudget.Budget
 	// Stages runs the stages that precede a request.
 	Stages StageRunner
 	// RetryBudgets holds the retry budget of each service.
@@ -104,6 +107,9 @@
 	if opts.Metrics == nil {
 		opts.Metrics = NewMetrics(nil)
 	}
+	if opts.Uploads == nil {
+		opts.Uploads = memorybudget.New(defaultUploadBudget)
+	}
 	if opts.SuspectParts == nil {
 		opts.SuspectParts = suspect.NewParts(nil)
 	}
@@ -183,8 +189,8 @@
 	// incoming is the body as it arrives, body what was read of an admitted request.
 	incoming *upload.Body
 	body     []byte
-	// kept are the responses that were read completely.
-	kept keptResponses
+	// kept is what the request holds of the budgets for bodies.
+	kept heldMemory
 	// arrivedAt is when the end of the body was read.
 	arrivedAt time.Time
 	// lastEventAfter is the time from started to the last event of the stream, in nanoseconds; 0 before the first.
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -26,23 +26,25 @@
 	retryAfter time.Duration
 }
 
-// keptResponses are the endpoints' responses that a request holds in memory. It is safe for concurrent use.
-type keptResponses struct {
+// heldMemory is what a request holds of budgets: its body, and responses that were read completely. It is safe for
+// concurrent use.
+type heldMemory struct {
 	mu       sync.Mutex
 	releases []func()
 }
 
-// add adds a response, which release gives back to the budget.
-func (k *keptResponses) add(release func()) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.releases = append(k.releases, release)
+// add adds something that release gives back.
+func (m *heldMemory) add(release func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.releases = append(m.releases, release)
 }
 
-func (k *keptResponses) release() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for _, release := range k.releases {
+// release gives all back.
+func (m *heldMemory) release() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, release := range m.releases {
 		release()
 	}
 }
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -171,7 +171,8 @@
 	d.origins.mesh = d.mesh
 	d.gateway = gateway.New(gateway.Options{
 		DataCentre: settings.DataCentre, Table: d.table.Load, Roster: d.roster, Upstream: d.upstream,
-		Stages: &stageRunner{self: self, mesh: d.mesh, local: d.coordinator}, RetryBudgets: d.retryBudgets,
+		Uploads: memorybudget.New(planMemory(settings.MemoryBytes).uploads),
+		Stages:  &stageRunner{self: self, mesh: d.mesh, local: d.coordinator}, RetryBudgets: d.retryBudgets,
 		RetryPercent: func() int { return int(100 * d.current.Load().RetryRatio * retryRatioShare) },
 		SuspectParts: suspectParts, SuspectRequests: suspectRequests, Origins: d.origins, OnCrash: d.mesh.PingAll, OnNotice: d.endpointNoticed, Logger: logger, Metrics: gateway.NewMetrics(reg),
 	})
--- a/gatewaydaemon/memory.go
+++ b/gatewaydaemon/memory.go
@@ -14,11 +14,13 @@
 	// responseShare is the share of the memory limit that endpoints' responses may hold together. As much again
 	// may wait for the garbage collector.
 	responseShare = 0.125
+	// uploadShare is the share that clients' request bodies may hold together, those of one organisation half of it.
+	uploadShare = 0.25
 )
 
 // memoryPlan is how a process divides the memory limit of its instance, in bytes.
 type memoryPlan struct {
-	heap, responses int64
+	heap, responses, uploads int64
 }
 
 // planMemory returns the plan for a memory limit in bytes; 0 means that none is known.
@@ -26,7 +28,8 @@
 	if limit <= 0 {
 		limit = defaultMemory
 	}
-	return memoryPlan{heap: int64(heapShare * float64(limit)), responses: int64(responseShare * float64(limit))}
+	share := func(s float64) int64 { return int64(s * float64(limit)) }
+	return memoryPlan{heap: share(heapShare), responses: share(responseShare), uploads: share(uploadShare)}
 }
 
 // apply makes the garbage collector keep to the plan, unless the environment sets another limit.
--- a/itest/endless_test.go
+++ b/itest/endless_test.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -189,20 +189,65 @@
 		close(done)
 	}()
 	soundCalls := 0
-	for ended := false; !ended; soundCalls++ {
+	for ended := false; !ended; soundCalls += 2 {
 		select {
 		case <-done:
 			ended = true
 		default:
 		}
-		path := [2]string{"/sound/x", "/stream/sound/x"}[soundCalls%2]
+		checkSound(t, front)
+	}
+	t.Logf("%d sound requests", soundCalls)
+	checkPeak(t, gateway)
+}
+
+// checkSound checks that a sound request and a sound stream are answered.
+func checkSound(t *testing.T, front string) {
+	t.Helper()
+	for _, path := range []string{"/sound/x", "/stream/sound/x"} {
 		if status := call(t, front, "POST", path); status != http.StatusOK {
-			t.Errorf("%s: status %d beside endless responses", strings.Trim(path, "/"), status)
+			t.Errorf("%s: status %d", path, status)
 		}
 	}
+}
+
+// checkPeak checks the memory that the gateway has taken.
+func checkPeak(t *testing.T, gateway *exec.Cmd) {
+	t.Helper()
 	peak := peakMB(t, gateway.Process.Pid)
-	t.Logf("peak %d MB; %d sound requests", peak, soundCalls)
+	t.Logf("peak %d MB", peak)
 	if peak > gatewayMemoryMB {
 		t.Errorf("peak %d MB, limit %d MB", peak, gatewayMemoryMB)
 	}
 }
+
+// Uploads that stalled before their end were bounded one by one, and took the process together.
+func TestStalledUploadsStayWithinMemory(t *testing.T) {
+	const size, sent = 4 << 20, 3900 << 10
+	faulty := fleettest.NewServer("faulty")
+	t.Cleanup(faulty.Close)
+	gateway, front := startGateway(t, "faulty", faulty)
+	var uploads sync.WaitGroup
+	body := make([]byte, sent)
+	for i := range endlessCalls {
+		uploads.Go(func() {
+			client, err := net.Dial("tcp", front)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			t.Cleanup(func() { _ = client.Close() })
+			_, err = fmt.Fprintf(client, "POST /sound/x HTTP/1.1\r\nHost: shop.example\r\nAzurelead-Attempt-Id: upload-%d\r\n"+
+				"Azurelead-Timeout-Ms: 20000\r\nContent-Length: %d\r\n\r\n", i, size)
+			if err == nil {
+				_, err = client.Write(body)
+			}
+			if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	uploads.Wait()
+	checkSound(t, front)
+	checkPeak(t, gateway)
+}
--- a/memorybudget/budget_test.go
+++ b/memorybudget/budget_test.go
@@ -75,7 +75,7 @@
 		read, err := Read(strings.NewReader(strings.Repeat("x", int(c.sent))), ReadOptions{
 			Length: c.length, Limit: c.limit, Hold: func(n int64) error { held = n; return nil },
 		})
-		if (err == nil) != c.ok || held != c.held || c.ok && int64(len(read)) != c.sent || !c.ok && !Error.Has(err) {
+		if (err == nil) != c.ok || held != c.held || c.ok && int64(len(read)) != c.sent || !c.ok && !(TooLarge.Has(err) && Error.Has(err)) {
 			t.Errorf("%+v: %d bytes read, %d held, error %v", c, len(read), held, err)
 		}
 	}
--- a/memorybudget/read.go
+++ b/memorybudget/read.go
@@ -3,8 +3,13 @@
 import (
 	"errors"
 	"io"
+
+	"github.com/zeebo/errs"
 )
 
+// TooLarge is the class of errors of what is larger than the limit of Read, which are of class Error as well.
+var TooLarge = errs.Class("too large")
+
 const (
 	// minBuffer is the size of the first buffer for bytes of unknown length, in bytes.
 	minBuffer = 1 << 10
@@ -23,11 +28,11 @@
 	Hold func(n int64) error
 }
 
-// Read reads r to its end. It returns an error if that is after more than o.Limit bytes, before it reads any if the
+// Read reads r to its end. It returns an error of class TooLarge if that is after more than o.Limit bytes, before it reads any if the
 // stated length says so.
 func Read(r io.Reader, o ReadOptions) ([]byte, error) {
 	if o.Length > o.Limit {
-		return nil, Error.New("%d bytes are stated, more than %d", o.Length, o.Limit)
+		return nil, tooLarge("%d bytes are stated, more than %d", o.Length, o.Limit)
 	}
 	size := int64(minBuffer)
 	if o.Length >= 0 {
@@ -40,7 +45,7 @@
 		read = read[:len(read)+n]
 		switch {
 		case int64(len(read)) > o.Limit:
-			return nil, Error.New("more than %d bytes", o.Limit)
+			return nil, tooLarge("more than %d bytes", o.Limit)
 		case err == nil && len(read) == cap(read):
 			read, err = grow(read, min(2*int64(cap(read)), o.Limit+1), o.Hold)
 		}
@@ -51,6 +56,9 @@
 	return read, nil
 }
 
+// tooLarge returns an error of the classes TooLarge and Error.
+func tooLarge(format string, args ...any) error { return TooLarge.Wrap(Error.New(format, args...)) }
+
 // grow returns a copy of what was read in a buffer of size bytes.
 func grow(read []byte, size int64, hold func(n int64) error) ([]byte, error) {
 	if err := hold(size); err != nil {
