--- a/gateway/response.go
+++ b/gateway/response.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/azurelead/azurelead/platform/fleet"
@@ -25,6 +26,29 @@
 	retryAfter time.Duration
 }
 
+// heldMemory is what a request holds of budgets: its body, and responses that were read completely. It is safe for
+// concurrent use.
+type heldMemory struct {
+	mu       sync.Mutex
+	releases []func()
+}
+
+// add adds something that release gives back.
+func (m *heldMemory) add(release func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.releases = append(m.releases, release)
+}
+
+// release gives all back.
+func (m *heldMemory) release() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, release := range m.releases {
+		release()
+	}
+}
+
 // clientError returns the final response to a request that cannot be served in its present form.
 func clientError(status int, reason string) *response {
 	return &response{status: status, local: true, reason: reason}
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/azurelead/azurelead/coordinate"
 	"github.com/azurelead/azurelead/follow"
 	"github.com/azurelead/azurelead/gateway"
+	"github.com/azurelead/azurelead/memorybudget"
 	"github.com/azurelead/azurelead/origin"
 	"github.com/azurelead/azurelead/peers"
 	"github.com/azurelead/azurelead/platform/fleet"
@@ -124,6 +125,7 @@
 	if err != nil {
 		return err
 	}
+	planMemory(settings.MemoryBytes).apply()
 	d := newDaemon(settings, logger, reg)
 	logger.Info("start", "instance", settings.Name, "data_centre", settings.DataCentre, "front", settings.ClientAddress,
 		"store", settings.StoreAddress, "seeds", settings.Seeds)
@@ -138,6 +140,7 @@
 	d.roster = roster.New(settings.Regions)
 	d.upstream = upstream.New(upstream.Options{
 		Metrics: upstream.NewMetrics(reg), MaxIdle: d.roster.MaxIdleConnections, ResponseID: fleet.ResponseID,
+		Budget: memorybudget.New(planMemory(settings.MemoryBytes).responses),
 	})
 	d.retryBudgets = &retrybudget.Set{}
 	d.coordinator = coordinate.New(coordinate.Options{
@@ -168,7 +171,8 @@
 	d.origins.mesh = d.mesh
 	d.gateway = gateway.New(gateway.Options{
 		DataCentre: settings.DataCentre, Table: d.table.Load, Roster: d.roster, Upstream: d.upstream,
-		Stages: &stageRunner{self: self, mesh: d.mesh, local: d.coordinator}, RetryBudgets: d.retryBudgets,
+		Uploads: memorybudget.New(planMemory(settings.MemoryBytes).uploads),
+		Stages:  &stageRunner{self: self, mesh: d.mesh, local: d.coordinator}, RetryBudgets: d.retryBudgets,
 		RetryPercent: func() int { return int(100 * d.current.Load().RetryRatio * retryRatioShare) },
 		SuspectParts: suspectParts, SuspectRequests: suspectRequests, Origins: d.origins, OnCrash: d.mesh.PingAll, OnNotice: d.endpointNoticed, Logger: logger, Metrics: gateway.NewMetrics(reg),
 	})
--- /dev/null
+++ b/itest/endless_test.go
@@ -0,0 +1,253 @@
+package itest
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	platformfleet "github.com/azurelead/azurelead/platform/fleet"
+	"github.com/azurelead/azurelead/platform/fleettest"
+)
+
+const (
+	// gatewayMemoryMB is the memory limit of the smallest instance, in megabytes.
+	gatewayMemoryMB = 184
+	// endlessCalls is the number of requests whose responses have no end at the same time.
+	endlessCalls = 160
+)
+
+// startGateway starts a gateway that serves routes of endpoints in trouble, of sound ones, and of a sound one after
+// stages in trouble. It returns the process and the address for clients.
+func startGateway(t *testing.T, service string, faulty ...*fleettest.Server) (gateway *exec.Cmd, front string) {
+	t.Helper()
+	store := fleettest.NewStore()
+	t.Cleanup(store.Close)
+	sound := fleettest.NewServer("sound")
+	t.Cleanup(sound.Close)
+	store.Put(platformfleet.KindEndpoints, sound.ID, sound.EndpointSpec("sound", "north"))
+	for _, s := range faulty {
+		store.Put(platformfleet.KindEndpoints, s.ID, s.EndpointSpec(service, "north"))
+	}
+	patient := map[string]any{"timeoutMs": 20000}
+	store.Put(platformfleet.KindConfiguration, platformfleet.ConfigurationName, fleettest.Configuration(1, []map[string]any{
+		fleettest.Route("look", "/look/", "idempotent", "faulty", nil),
+		fleettest.Route("stream", "/stream/", "streaming", "faulty", nil),
+		fleettest.Route("sound", "/sound/", "idempotent", "sound", patient),
+		fleettest.Route("soundstream", "/stream/sound/", "streaming", "sound", patient),
+		fleettest.Route("staged", "/stream/staged/", "streaming", "sound", map[string]any{
+			"stages": []map[string]any{{"service": "stages", "after": []int{}, "bytes": 8000}},
+		}),
+	}, []map[string]any{fleettest.Service("faulty"), fleettest.Service("sound"), fleettest.StageService("stages")}, nil))
+	front, ready := fleettest.FreeAddress(), fleettest.FreeAddress()
+	path := filepath.Join(t.TempDir(), "settings")
+	if err := os.WriteFile(path, fmt.Appendf(nil, "node=e\nzone=north\nregion=r\nzones.north=r\nlisten.front=%s\nlisten.readyAddr=%s\n"+
+		"limits.cpuShare=0.3\nlimits.memoryMb=%d\nprovider.address=%s\nbounds.graceS=8\nbounds.retryBudgetRatio=0.2\nbounds.budgetSlack=54\n",
+		front, ready, gatewayMemoryMB, store.Address()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	gateway = exec.Command(filepath.Join(binDir, "azurelead-gateway"), "--settings", path, "--log-level", "error")
+	gateway.Env = append(os.Environ(), "GOMAXPROCS=1")
+	if err := gateway.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = gateway.Process.Kill()
+		_ = gateway.Wait()
+	})
+	for !fleettest.Ready(t.Context(), ready) || call(t, front, "GET", "/sound/ready") != http.StatusOK {
+		if t.Context().Err() != nil {
+			t.Fatal("the gateway is not ready")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return gateway, front
+}
+
+var lastCall atomic.Int64
+
+// call sends a request and returns the status of its response; 0 if it broke off.
+func call(t *testing.T, front, method, path string) int {
+	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+front+path, nil)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	req.Host = "shop.example"
+	req.Header.Set("Azurelead-Attempt-Id", fmt.Sprintf("call-%d", lastCall.Add(1)))
+	req.Header.Set("Azurelead-Timeout-Ms", "20000")
+	req.Header.Set("Azurelead-Chunks", "8") // fills a stage call
+	req.Header.Set("Azurelead-Chunk-Key", req.Header.Get("Azurelead-Attempt-Id"))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// peakMB returns the largest resident memory of a process so far, in megabytes.
+func peakMB(t *testing.T, pid int) int {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var kB int
+	_, after, found := bytes.Cut(status, []byte("VmHWM:"))
+	if _, err := fmt.Fscan(bytes.NewReader(after), &kB); !found || err != nil {
+		t.Fatalf("no peak in the status of the process: %v", err)
+	}
+	return kB >> 10
+}
+
+// Responses without end that came at the same time were bounded one by one, and took the process together.
+func TestEndlessResponsesStayWithinMemory(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		behaviour  fleettest.Behaviour
+		// slowAfter is the number of bytes after which they come slowly; 0 if they never do.
+		slowAfter int64
+	}{
+		{"body", "/look/x", fleettest.EndlessBody, 0},
+		{"slow body", "/look/x", fleettest.EndlessBody, 3 << 20},
+		{"stated length", "/look/x", fleettest.EndlessSized, 0},
+		{"stated length, slow", "/look/x", fleettest.EndlessSized, 3 << 20},
+		{"head", "/look/x", fleettest.EndlessHeader, 0},
+		{"slow head", "/look/x", fleettest.EndlessLines, 200 << 10},
+		{"interim heads", "/look/x", fleettest.EndlessInterim, 0},
+		{"event", "/stream/x", fleettest.EndlessEvent, 0},
+		{"slow event", "/stream/x", fleettest.EndlessEvent, 900 << 10},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			faulty := fleettest.NewServer("faulty")
+			t.Cleanup(faulty.Close)
+			var arrived atomic.Int64
+			all := make(chan struct{})
+			faulty.SetEndlessFast(c.slowAfter)
+			faulty.SetBehaviour(func(int, *http.Request) fleettest.Behaviour {
+				if arrived.Add(1) == endlessCalls {
+					close(all)
+				}
+				select {
+				case <-all:
+				case <-time.After(2 * time.Second): // the gateway may have refused some
+				}
+				return c.behaviour
+			})
+			gateway, front := startGateway(t, "faulty", faulty)
+			callBesideSound(t, gateway, front, c.path)
+			t.Logf("%d endless requests reached the endpoint", arrived.Load())
+		})
+	}
+}
+
+// Stage calls without end that came from many endpoints were bounded one by one at the entry that dispatches.
+func TestEndlessStageAnswersStayWithinMemory(t *testing.T) {
+	faulty := make([]*fleettest.Server, endlessCalls)
+	for i := range faulty {
+		faulty[i] = fleettest.NewServer(fmt.Sprint("stage-", i))
+		t.Cleanup(faulty[i].Close)
+		faulty[i].SetEndlessFast(900 << 10)
+		faulty[i].SetBehaviour(func(int, *http.Request) fleettest.Behaviour { return fleettest.EndlessBody })
+	}
+	gateway, front := startGateway(t, "stages", faulty...)
+	callBesideSound(t, gateway, front, "/stream/staged/x")
+	called := 0
+	for _, s := range faulty {
+		called += min(s.Requests(), 1)
+	}
+	t.Logf("%d of %d endpoints were called", called, len(faulty))
+}
+
+// callBesideSound sends requests that get no answer, with sound ones beside them, and checks the memory that the
+// gateway took.
+func callBesideSound(t *testing.T, gateway *exec.Cmd, front, endless string) {
+	t.Helper()
+	var calls sync.WaitGroup
+	for range endlessCalls {
+		calls.Go(func() {
+			if status := call(t, front, "POST", endless); status == http.StatusOK {
+				t.Error("a response without end was served")
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		calls.Wait()
+		close(done)
+	}()
+	soundCalls := 0
+	for ended := false; !ended; soundCalls += 2 {
+		select {
+		case <-done:
+			ended = true
+		default:
+		}
+		checkSound(t, front)
+	}
+	t.Logf("%d sound requests", soundCalls)
+	checkPeak(t, gateway)
+}
+
+// checkSound checks that a sound request and a sound stream are answered.
+func checkSound(t *testing.T, front string) {
+	t.Helper()
+	for _, path := range []string{"/sound/x", "/stream/sound/x"} {
+		if status := call(t, front, "POST", path); status != http.StatusOK {
+			t.Errorf("%s: status %d", path, status)
+		}
+	}
+}
+
+// checkPeak checks the memory that the gateway has taken.
+func checkPeak(t *testing.T, gateway *exec.Cmd) {
+	t.Helper()
+	peak := peakMB(t, gateway.Process.Pid)
+	t.Logf("peak %d MB", peak)
+	if peak > gatewayMemoryMB {
+		t.Errorf("peak %d MB, limit %d MB", peak, gatewayMemoryMB)
+	}
+}
+
+// Uploads that stalled before their end were bounded one by one, and took the process together.
+func TestStalledUploadsStayWithinMemory(t *testing.T) {
+	const size, sent = 4 << 20, 3900 << 10
+	faulty := fleettest.NewServer("faulty")
+	t.Cleanup(faulty.Close)
+	gateway, front := startGateway(t, "faulty", faulty)
+	var uploads sync.WaitGroup
+	body := make([]byte, sent)
+	for i := range endlessCalls {
+		uploads.Go(func() {
+			client, err := net.Dial("tcp", front)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			t.Cleanup(func() { _ = client.Close() })
+			_, err = fmt.Fprintf(client, "POST /sound/x HTTP/1.1\r\nHost: shop.example\r\nAzurelead-Attempt-Id: upload-%d\r\n"+
+				"Azurelead-Timeout-Ms: 20000\r\nContent-Length: %d\r\n\r\n", i, size)
+			if err == nil {
+				_, err = client.Write(body)
+			}
+			if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	uploads.Wait()
+	checkSound(t, front)
+	checkPeak(t, gateway)
+}
