Let the first event wait until a holder knows the stream's origin

Callers saw: a stream that a client takes up right after its first event, while two software versions serve and its entry has lost it, is refused with 503 ("the software version that began the stream is not known").

Cause: origins were announced by notifications, and the first event went out when these had been written to the links. A holder that is busy reads them later than the search of the client's next attempt.

Change: origins are announced by calls, and the first event waits until one holder of the two has acknowledged, still for announceTimeout at most. That grows with the process's own delay now like the timeouts of calls; waitFor is the common part. Peers of the former version answer such calls too.

Weighed: waiting for both holders, which would hold each first event up while one of them hangs. Repeating an announcement whose link breaks: the store has the origin within 0.4 s, so it isn't done.

--- a/peers/link.go
+++ b/peers/link.go
@@ -81,30 +81,36 @@
 	return l.conn.Notify(ctx, method, params) == nil
 }
 
-// timeoutSteps is the number of steps in which call waits for a result. A result passes through the run queue of
-// this process about three times, fewer than a call that times out.
+// timeoutSteps is the number of steps in which waitFor waits. A result passes through the run queue of this process
+// about three times, fewer than a wait that times out.
 const timeoutSteps = 9
 
-// call calls a method and waits for the result for at most timeout, which is extended by as long as this process
-// is late to run. Otherwise a process that is short of processor time would blame the link for its own delay,
-// and the new connections would leave it even less.
-func call(ctx context.Context, conn *jsonrpc2.Conn, timeout time.Duration, method string, params, result any) error {
-	waiter, err := conn.DispatchCall(ctx, method, params)
-	if err != nil {
-		return Error.Wrap(err)
-	}
+// waitFor calls wait again until it returns another error than that of its context, for at most timeout, which is
+// extended by as long as this process is late to run. Otherwise a process that is short of processor time would
+// blame the link for its own delay, and the new connections would leave it even less.
+func waitFor(ctx context.Context, timeout time.Duration, wait func(context.Context) error) error {
+	var err error
 	for range timeoutSteps {
 		// An expired timer goes ahead of the run queue. The end of the queue is behind the goroutines
 		// that have data to read.
 		runtime.Gosched()
 		stepCtx, cancel := context.WithTimeout(ctx, timeout/timeoutSteps)
-		err = waiter.Wait(stepCtx, result)
+		err = wait(stepCtx)
 		cancel()
 		if ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded) {
 			break
 		}
 	}
-	return Error.Wrap(err)
+	return err
+}
+
+// call calls a method and waits for the result, see waitFor.
+func call(ctx context.Context, conn *jsonrpc2.Conn, timeout time.Duration, method string, params, result any) error {
+	waiter, err := conn.DispatchCall(ctx, method, params)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(waitFor(ctx, timeout, func(ctx context.Context) error { return waiter.Wait(ctx, result) }))
 }
 
 // setResultHandler sets the function that receives a job's results; nil removes it.
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -127,6 +127,8 @@
 	o Options
 	// redialDelay is the delay before the first redial of a peer.
 	redialDelay time.Duration
+	// announceTimeout bounds the time for which AnnounceOrigins waits.
+	announceTimeout time.Duration
 	// hellos holds a value for each Hello that counts towards maxConcurrentHellos.
 	hellos chan struct{}
 
@@ -205,7 +207,7 @@
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
-	return &Mesh{o: o, redialDelay: minRedialDelay, hellos: make(chan struct{}, maxConcurrentHellos), links: make(map[string]*peerLink), transfers: make(map[string]*transfer), served: newTransferQueue(), resultHandlers: make(map[string]func([]dispatch.StageResults))}
+	return &Mesh{o: o, redialDelay: minRedialDelay, announceTimeout: announceTimeout, hellos: make(chan struct{}, maxConcurrentHellos), links: make(map[string]*peerLink), transfers: make(map[string]*transfer), served: newTransferQueue(), resultHandlers: make(map[string]func([]dispatch.StageResults))}
 }
 
 // dialTCP dials the entry at an address.
--- a/peers/origins.go
+++ b/peers/origins.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,8 +17,8 @@
 	// originHolders is the number of peers to which the origin of a stream is announced, in different data
 	// centres if possible. With the entry that serves the stream, three know it.
 	originHolders = 2
-	// announceTimeout bounds the time for which the first event of a stream waits until its origin is written
-	// to the links: only a link that does not take any bytes needs longer.
+	// announceTimeout bounds the time for which the first event of a stream waits until a holder knows its
+	// origin.
 	announceTimeout = 25 * time.Millisecond
 	// findTimeout bounds the search for an origin, as a peer may be down without having been noticed.
 	findTimeout = 150 * time.Millisecond
@@ -111,7 +110,8 @@
 }
 
 // AnnounceOrigins announces the origins of streams to peers, so that they are known when this entry is down.
-// It returns when they have been written to the links, or after announceTimeout.
+// It returns when a peer has acknowledged each of them, or after announceTimeout. Origins that are only written to
+// a link may reach the peer later than the search of a client that resumes the stream elsewhere.
 func (m *Mesh) AnnounceOrigins(records []origin.Record) {
 	list := m.originPeers()
 	byHolder := make(map[originPeer][]origin.Record)
@@ -120,27 +120,40 @@
 			byHolder[p] = append(byHolder[p], r)
 		}
 	}
-	var wg sync.WaitGroup
+	acknowledged := make(chan []origin.Record, len(byHolder))
 	for p, records := range byHolder {
-		wg.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
-			defer cancel()
-			if err := p.conn.Notify(ctx, methodOrigins, OriginRecords{Records: records}); err != nil {
-				m.o.Logger.Warn("announcing the origins of streams to a peer failed", "peer", p.Name, "streams", len(records), "error", err)
+		go func() { acknowledged <- m.announceTo(p, records) }()
+	}
+	unknown := make(map[string]bool, len(records))
+	for _, r := range records {
+		unknown[r.Key] = true
+	}
+	pending := len(byHolder)
+	err := waitFor(context.Background(), m.announceTimeout, func(ctx context.Context) error {
+		for ; pending > 0 && len(unknown) > 0; pending-- {
+			select {
+			case known := <-acknowledged:
+				for _, r := range known {
+					delete(unknown, r.Key)
+				}
+			case <-ctx.Done():
+				return ctx.Err()
 			}
-		})
+		}
+		return nil
+	})
+	if err != nil {
+		m.o.Logger.Info("no peer has acknowledged the origins of streams yet", "streams", len(unknown), "error", err)
 	}
-	written := make(chan struct{})
-	go func() {
-		wg.Wait()
-		close(written)
-	}()
-	t := time.NewTimer(announceTimeout)
-	defer t.Stop()
-	select {
-	case <-written:
-	case <-t.C:
+}
+
+// announceTo announces origins to a peer, and returns those that it has acknowledged.
+func (m *Mesh) announceTo(p originPeer, records []origin.Record) []origin.Record {
+	if err := call(context.Background(), p.conn, pingTimeout, methodOrigins, OriginRecords{Records: records}, nil); err != nil {
+		m.o.Logger.Warn("announcing the origins of streams to a peer failed", "peer", p.Name, "streams", len(records), "error", err)
+		return nil
 	}
+	return records
 }
 
 // FindOrigin asks the peers for the origin of a stream that a client resumes at a service. The
--- a/peers/origins_test.go
+++ b/peers/origins_test.go
@@ -1,10 +1,18 @@
 package peers
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/sourcegraph/jsonrpc2"
+
 	"github.com/azurelead/azurelead/catalog"
 	"github.com/azurelead/azurelead/origin"
 	"github.com/azurelead/azurelead/roster"
@@ -62,6 +70,53 @@
 	}
 }
 
+// A client may take its stream up elsewhere as soon as it has the first event. The origin was announced before that, but
+// the holders had not read it yet.
+func TestAnnouncedOriginIsKnown(t *testing.T) {
+	meshes := linkedMeshes(t, 3)
+	meshes[0].announceTimeout = time.Hour
+	for i := range 100 {
+		r := origin.Record{Key: origin.Key(fmt.Sprint("stream ", i)), Service: "llm", Version: "v1"}
+		meshes[0].AnnounceOrigins([]origin.Record{r})
+		if !slices.ContainsFunc(meshes, func(m *Mesh) bool {
+			_, found := m.o.Origins.Find(time.Now(), r.Key)
+			return found
+		}) {
+			t.Fatalf("no peer knows stream %d", i)
+		}
+	}
+}
+
+// The first event of a stream does not wait for holders that hang.
+func TestAnnouncementEndsWhileHoldersHang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		m := New(Options{Logger: slog.New(slog.DiscardHandler)})
+		var told atomic.Int32
+		for i := range originHolders {
+			near, far := net.Pipe()
+			jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(far), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(
+				func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+					told.Add(1)
+					<-ctx.Done()
+					return nil, nil
+				})))
+			name := fmt.Sprint("e", i)
+			m.links[name] = &peerLink{
+				address: name, identity: Identity{Name: name},
+				conn: jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(near), notificationHandler{m}),
+			}
+		}
+		start := time.Now()
+		m.AnnounceOrigins([]origin.Record{{Key: "a", Service: "llm", Version: "v1"}})
+		if took := time.Since(start); took > announceTimeout || told.Load() != originHolders {
+			t.Errorf("took %v and told %d peers, want at most %v and %d", took, told.Load(), announceTimeout, originHolders)
+		}
+		time.Sleep(pingTimeout)
+	})
+}
+
 // A reset breaks all links at the moment at which a client resumes its stream. The search waits for the
 // links to be redialled.
 func TestOriginIsFoundWhileLinksAreRedialled(t *testing.T) {
