Extend the search for a stream's origin by the process's own delay

Callers saw: under load, a stream that a client takes up is refused with 503 ("the software version that began the stream is not known") although a peer knows its origin.

Cause: findTimeout was 150 ms of wall-clock time. TestOriginOutlivesItsEntry failed for the same reason.

Change: FindOrigin waits with waitFor, as pings and announcements do. What peers have replied until then counts, as before.

--- a/peers/origins.go
+++ b/peers/origins.go
@@ -20,7 +20,8 @@
 	// announceTimeout bounds the time for which the first event of a stream waits until a holder knows its
 	// origin.
 	announceTimeout = 25 * time.Millisecond
-	// findTimeout bounds the search for an origin, as a peer may be down without having been noticed.
+	// findTimeout bounds the search for an origin, as a peer may be down without having been noticed. It is
+	// extended by as long as this process is late to run.
 	findTimeout = 150 * time.Millisecond
 )
 
@@ -51,6 +52,16 @@
 	return f.VersionsKnownForMS >= window.Milliseconds()
 }
 
+// add adds the reply of one more peer. One with a record replaces the others.
+func (f *FindOriginResult) add(reply FindOriginResult) {
+	if reply.Record != nil {
+		*f = reply
+		return
+	}
+	f.Mixed = f.Mixed || reply.Mixed
+	f.VersionsKnownForMS = max(f.VersionsKnownForMS, reply.VersionsKnownForMS)
+}
+
 // originPeer is a linked peer that may hold origins.
 type originPeer struct {
 	Identity
@@ -160,7 +171,7 @@
 // result has no record if none of them knows it within findTimeout. Otherwise it has the longest time for which
 // any peer that answered knows the versions.
 func (m *Mesh) FindOrigin(ctx context.Context, p FindOriginParams) FindOriginResult {
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	links := m.originLinks()
 	replies := make(chan FindOriginResult, len(links))
@@ -168,13 +179,20 @@
 		go func() { replies <- m.askOrigin(ctx, l, p) }()
 	}
 	var result FindOriginResult
-	for range links {
-		reply := <-replies
-		if reply.Record != nil {
-			return reply
+	pending := len(links)
+	err := waitFor(ctx, findTimeout, func(ctx context.Context) error {
+		for ; pending > 0 && result.Record == nil; pending-- {
+			select {
+			case reply := <-replies:
+				result.add(reply)
+			case <-ctx.Done():
+				return ctx.Err()
+			}
 		}
-		result.Mixed = result.Mixed || reply.Mixed
-		result.VersionsKnownForMS = max(result.VersionsKnownForMS, reply.VersionsKnownForMS)
+		return nil
+	})
+	if err != nil {
+		m.o.Logger.Info("peers have not said whether they know the origin of a stream", "peers", pending, "error", err)
 	}
 	return result
 }
--- a/peers/starvation_test.go
+++ b/peers/starvation_test.go
@@ -13,15 +13,32 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/azurelead/azurelead/follow"
+	"github.com/azurelead/azurelead/origin"
 )
 
+// starve keeps the only processor busy until the test ends. Each of the busy goroutines runs for 10 ms at a time, so
+// that the others wait for 200 ms.
+func starve(t *testing.T) {
+	t.Helper()
+	processors := runtime.GOMAXPROCS(1)
+	var stopped atomic.Bool
+	t.Cleanup(func() {
+		stopped.Store(true)
+		runtime.GOMAXPROCS(processors)
+	})
+	for range 20 {
+		go func() {
+			for !stopped.Load() {
+			}
+		}()
+	}
+}
+
 // A process that is short of processor time does not take its own delay for the silence of a peer.
 func TestStarvedProcessKeepsItsLinks(t *testing.T) {
 	const (
 		calls   = 3
 		timeout = 90 * time.Millisecond
-		// Each of the busy goroutines runs for 10 ms at a time, so that the others wait for longer than timeout.
-		busyGoroutines = 20
 	)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -42,15 +59,7 @@
 		t.Fatal(err)
 	}
 	conn := jsonrpc2.NewConn(t.Context(), jsonrpc2.NewPlainObjectStream(raw), notificationHandler{m})
-	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
-	var stopped atomic.Bool
-	defer stopped.Store(true)
-	for range busyGoroutines {
-		go func() {
-			for !stopped.Load() {
-			}
-		}()
-	}
+	starve(t)
 	for i := range calls {
 		if err := call(t.Context(), conn, timeout, methodPing, Ping{}, nil); err != nil {
 			t.Fatalf("call %d of a live peer failed: %v", i, err)
@@ -58,6 +67,20 @@
 	}
 }
 
+// A process that is short of processor time does not take its own delay for its peers' ignorance of a stream.
+func TestStarvedProcessFindsOrigin(t *testing.T) {
+	const searches = 3
+	meshes := linkedMeshes(t, 2)
+	r := origin.Record{Key: origin.Key("stream"), Service: "llm", Version: "v1"}
+	meshes[1].o.Origins.Begin(time.Now(), r)
+	starve(t)
+	for i := range searches {
+		if got := meshes[0].FindOrigin(t.Context(), FindOriginParams{Key: r.Key, Service: "llm"}); got.Record == nil {
+			t.Fatalf("search %d: the origin is not found", i)
+		}
+	}
+}
+
 // A peer that is silent is found out after the timeout, in a process that has processor time.
 func TestSilentPeerTimesOut(t *testing.T) {
 	near, far := net.Pipe()
