Search again for a stream's origin while it may still arrive

Callers saw: a stream that a client takes up right after its first event, while two software versions serve and its entry has lost it, is refused with 503 although its holders know the origin some milliseconds later.

Cause: the search was one question to the peers and one read of the store, and ended when these were answered, often within a millisecond; the client would have waited. The first event waits for its holders for 25 ms at most, so that busy ones can be later.

Change: while the origin is ambiguous the search is begun again after 25 ms, then after twice as long, until 0.4 s have passed or the client leaves. The store is read once a second at most, as before. A stream whose origin is lost is refused after about 0.4 s instead of at once; that it is known in the store by then is what the 0.4 s are for.

--- a/gatewaydaemon/origins.go
+++ b/gatewaydaemon/origins.go
@@ -10,6 +10,14 @@
 	"github.com/azurelead/azurelead/roster"
 )
 
+const (
+	// searchTime bounds the time within which a search for the origin of a stream is begun again. An origin reaches
+	// its holders a moment after the first event if they are busy, and the store with the next write.
+	searchTime = 400 * time.Millisecond
+	// minSearchDelay is the delay before the second search. It doubles with each further one.
+	minSearchDelay = 25 * time.Millisecond
+)
+
 // streamOrigins implements gateway.Origins. The origins of a service's streams stay in this process, except
 // while it tracks the service.
 type streamOrigins struct {
@@ -61,10 +69,26 @@
 	if !o.coversTTL(time.Now()) {
 		o.versions.awaitRead(ctx)
 	}
-	now := time.Now()
-	if !o.tracks(now, service) && now.Sub(o.started) > origin.TTL {
+	if now := time.Now(); !o.tracks(now, service) && now.Sub(o.started) > origin.TTL {
 		return gateway.Origin{}
 	}
+	return searchAgain(ctx, func() gateway.Origin { return o.search(ctx, key, service) })
+}
+
+// searchAgain searches until the origin is not ambiguous any more, for about searchTime or until ctx is done.
+func searchAgain(ctx context.Context, search func() gateway.Origin) gateway.Origin {
+	end := time.Now().Add(searchTime)
+	for delay := minSearchDelay; ; delay *= 2 {
+		found := search()
+		if !found.Ambiguous || time.Now().Add(delay).After(end) || !sleep(ctx, delay) {
+			return found
+		}
+	}
+}
+
+// search looks for an origin at the peers, and then in the store.
+func (o *streamOrigins) search(ctx context.Context, key, service string) gateway.Origin {
+	now := time.Now()
 	answer := o.mesh.FindOrigin(ctx, peers.FindOriginParams{Key: key, Service: service})
 	if answer.Record != nil {
 		o.table.Merge(now, []origin.Record{*answer.Record})
--- a/gatewaydaemon/origins_test.go
+++ b/gatewaydaemon/origins_test.go
@@ -1,13 +1,16 @@
 package gatewaydaemon
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/azurelead/azurelead/catalog"
+	"github.com/azurelead/azurelead/gateway"
 	"github.com/azurelead/azurelead/origin"
 	"github.com/azurelead/azurelead/peers"
 	"github.com/azurelead/azurelead/platform/fleet"
@@ -195,6 +198,42 @@
 	}
 }
 
+// A client takes its stream up before the holders know its origin. They know it a moment later, but were asked once.
+func TestSearchOutlastsAnnouncement(t *testing.T) {
+	known := gateway.Origin{Record: origin.Record{Key: "a", Service: "llm", Version: "v1"}, Known: true}
+	ambiguous := gateway.Origin{Ambiguous: true}
+	cases := []struct {
+		name string
+		// settled is when the origin is not ambiguous any more, patience when the client leaves.
+		settled, patience time.Duration
+		result, want      gateway.Origin
+		took              time.Duration
+	}{
+		{"known at once", 0, time.Second, known, known, 0},
+		{"of the only version", 0, time.Second, gateway.Origin{}, gateway.Origin{}, 0},
+		{"known a moment later", 20 * time.Millisecond, time.Second, known, known, 25 * time.Millisecond},
+		{"known after the next write", 300 * time.Millisecond, time.Second, known, known, 375 * time.Millisecond},
+		{"lost", time.Hour, time.Second, known, ambiguous, 375 * time.Millisecond},
+		{"lost, and the client leaves", time.Hour, 100 * time.Millisecond, known, ambiguous, 100 * time.Millisecond},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), c.patience)
+			defer cancel()
+			got := searchAgain(ctx, func() gateway.Origin {
+				if time.Since(start) < c.settled {
+					return ambiguous
+				}
+				return c.result
+			})
+			if took := time.Since(start); got != c.want || took != c.took {
+				t.Errorf("%s: %+v after %v, want %+v after %v", c.name, got, took, c.want, c.took)
+			}
+		})
+	}
+}
+
 // A stream begins shortly after a release has ended, and its entry dies. Origins were searched for during the minute
 // after a release, but not announced in it.
 func TestStreamThatBeganAfterReleaseIsTakenUp(t *testing.T) {
