Let the soak's endpoints send bytes without end and bad bodies

No test had many such calls at once, and nothing outside the processes looked at their memory.

Each run of all faults now has, from a source of random numbers of its own: - one of four endpoints of a service, in the data centre of one entry, and one of two endpoints of its stages, send good heads and bodies that are cut, reset or spoilt, for 4 s, while the sound ones work 0.6 s on a request. An entry that is undisturbed meanwhile may send it an eighth of the requests of the last 3 s, and five more; - then all endpoints of both services send bytes without end, in heads (long lines, short lines, interim responses), bodies without a length or with a very large one, comments or an event, fast or slow, to 40 clients at once. Checked: the peak of each process's memory (VmHWM) against limits.memoryMb=184, which the settings now give; that requests to sound endpoints beside it are served by undisturbed entries; that no process ends by itself, now in runs of all faults and with status 0 too, if it was not asked to stop. The bodies of strained streams are compared without their comments.

--- a/cmd/azurelead-soak/main.go
+++ b/cmd/azurelead-soak/main.go
@@ -61,9 +61,9 @@
 			report, err := soak.Run(ctx, seedOpts)
 			mu.Lock()
 			defer mu.Unlock()
-			fmt.Printf("seed %d: %d requests, %d served, %d refused, %d failed, %d of %d resumptions continued, %d of %d refused beside %d crashes, %d faults, %d guarantees broken\n",
+			fmt.Printf("seed %d: %d requests, %d served, %d refused, %d failed, %d of %d resumptions continued, %d of %d refused beside %d crashes, %d MB at the peak, %d faults, %d guarantees broken\n",
 				report.Seed, report.Requests, report.Served, report.Refused, report.Failed, report.Continued, report.Resumptions,
-				report.SoundRefused, report.SoundAsked, report.Crashes, len(report.Faults), len(report.Violations))
+				report.SoundRefused, report.SoundAsked, report.Crashes, report.PeakMB, len(report.Faults), len(report.Violations))
 			fmt.Println("  responses:", report.Statuses)
 			if err != nil || len(report.Violations) > 0 {
 				failedSeeds++
--- a/soak/check.go
+++ b/soak/check.go
@@ -236,7 +236,7 @@
 // endpoints ran.
 func (r *run) checkInvariants() {
 	runs := make(map[string][]fleettest.Run)
-	for _, s := range r.servers {
+	for _, s := range slices.Concat(r.servers, r.strained) {
 		for _, endpointRun := range s.Runs() {
 			runs[endpointRun.AttemptID] = append(runs[endpointRun.AttemptID], endpointRun)
 		}
--- a/soak/crashes.go
+++ b/soak/crashes.go
@@ -126,11 +126,11 @@
 
 // askQuestion sends one of the sound requests.
 func (c *crashes) askQuestion(ctx context.Context, e *entry, k int, id string) {
-	counts := c.settled() && e.isCalm()
+	counts := c.settled() && e.isCalm(contactTime)
 	_, reason := c.send(ctx, e, id, fmt.Sprintf("/stream/ask/%d", k), fmt.Sprintf("shared%d:200,own%d:50", k%2, k))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if counts && e.isCalm() {
+	if counts && e.isCalm(contactTime) {
 		c.asked++
 		if strings.Contains(reason, refusalReason) {
 			c.refused++
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -335,6 +335,7 @@
 		r.scheduleRepeats(&injections)
 		r.scheduleMalformed(&injections)
 		r.scheduleCrashes(ctx, &injections)
+		r.scheduleStrain(ctx, &injections)
 		release := rand.New(rand.NewPCG(r.o.Seed, 3))
 		injections.Go(func() { r.killDuringRelease(release) })
 	}
--- a/soak/series.go
+++ b/soak/series.go
@@ -59,9 +59,7 @@
 	split := map[string]any{"backends": []map[string]any{{"service": "api", "weight": weights[0]}, {"service": "api2", "weight": weights[1]}}}
 	routes := []map[string]any{
 		fleettest.Route(uploadKind.name, "/upload/", "non_idempotent", "api", split),
-		fleettest.Route(shiftingKind.name, "/stream/shifting/", "streaming", "llm", map[string]any{"resumable": true, "stages": []map[string]any{
-			{"service": stageService, "after": []int{}, "bytes": 8000}, {"service": stageService, "after": []int{0}, "bytes": 6000},
-		}}),
+		fleettest.Route(shiftingKind.name, "/stream/shifting/", "streaming", "llm", twoStages(stageService)),
 	}
 	if !p.noTransientRoute {
 		routes = append(routes, fleettest.Route(transientKind.name, "/transient/", "non_idempotent", "api", nil))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -34,6 +35,10 @@
 	recoveryTimeout = 6 * time.Second
 	// startTimeout is the time within which the entries must become ready.
 	startTimeout = 20 * time.Second
+	// memoryLimitMB is the limit of a process's memory that the settings give, in MiB.
+	memoryLimitMB = 184
+	// memoryInterval is the interval at which the memory of processes is read.
+	memoryInterval = 50 * time.Millisecond
 	// clientsPerEntry is the number of clients of each entry, each with its own connections.
 	clientsPerEntry = 4
 )
@@ -69,6 +74,8 @@
 	// Crashes counts the engines that crashed beside repeated sound requests, SoundRefused those of the
 	// SoundAsked ones that were refused as their cause.
 	Crashes, SoundRefused, SoundAsked int
+	// PeakMB is the largest peak of a gateway process's memory, in MiB.
+	PeakMB int
 	// Faults lists the scheduled faults with their start times and durations.
 	Faults []string
 	// Violations describes the invariant violations that were found.
@@ -87,6 +94,8 @@
 	// endpointSpecs are the specs of the servers in the store, in the order of servers.
 	endpointSpecs []map[string]any
 	entries       []*entry
+	// strained are the endpoints of the services of the strain.
+	strained []*fleettest.Server
 	// addedRoutes is the number of routes beside those that clients use.
 	addedRoutes atomic.Int64
 	// timeoutMS is the time-out of routes, in milliseconds.
@@ -101,8 +110,10 @@
 	// silenceMu is held while endpoints are silent, and some time longer.
 	silenceMu sync.Mutex
 
-	mu            sync.Mutex
-	report        Report
+	mu     sync.Mutex
+	report Report
+	// peaks are the largest peaks of the memory of entries' processes, in MiB.
+	peaks         map[*entry]int
 	responses     []response
 	configVersion int
 }
@@ -117,8 +128,8 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
-	// killed is the process that was last sent SIGKILL.
-	killed  *exec.Cmd
+	// sent holds the process to which a signal was last sent.
+	sent    map[syscall.Signal]*exec.Cmd
 	done    chan struct{}
 	endTime time.Time
 	// terms are the times at which processes were sent SIGTERM.
@@ -136,13 +147,14 @@
 		return Report{}, Error.Wrap(err)
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	r := &run{o: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), dir: dir, store: fleettest.NewStore(), report: Report{Seed: o.Seed, Statuses: make(map[string]int)}}
+	r := &run{o: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), dir: dir, store: fleettest.NewStore(), peaks: make(map[*entry]int), report: Report{Seed: o.Seed, Statuses: make(map[string]int)}}
 	r.setRouteTimeout(routeTimeoutFactor)
 	defer r.close()
 	if err := r.start(ctx); err != nil {
 		return r.report, err
 	}
 	r.injectFaults(ctx)
+	r.checkMemory()
 	r.checkInvariants()
 	return r.report, nil
 }
@@ -158,7 +170,7 @@
 	for _, p := range r.proxies {
 		p.close()
 	}
-	for _, s := range r.servers {
+	for _, s := range slices.Concat(r.servers, r.strained) {
 		s.Close()
 	}
 	r.store.Close()
@@ -197,6 +209,7 @@
 			}
 		}
 	}
+	r.addStrained()
 	r.putConfiguration()
 	for i := range r.o.Entries {
 		if err := r.addEntry(i); err != nil {
@@ -231,6 +244,13 @@
 	return nil
 }
 
+// twoStages returns the fields of a resumable route with two stages at a service.
+func twoStages(service string) map[string]any {
+	return map[string]any{"resumable": true, "stages": []map[string]any{
+		{"service": service, "after": []int{}, "bytes": 8000}, {"service": service, "after": []int{0}, "bytes": 6000},
+	}}
+}
+
 func (r *run) putConfiguration() {
 	r.configMu.Lock()
 	defer r.configMu.Unlock()
@@ -238,16 +258,18 @@
 	r.configVersion++
 	version := r.configVersion
 	r.mu.Unlock()
-	stages := map[string]any{"resumable": true, "stages": []map[string]any{
-		{"service": "portal", "after": []int{}, "bytes": 8000}, {"service": "portal", "after": []int{0}, "bytes": 6000},
-	}}
 	routes := []map[string]any{
 		fleettest.Route("look", "/look/", "idempotent", "api", nil),
 		fleettest.Route("book", "/book/", "non_idempotent", "api", nil),
 		fleettest.Route("plain", "/stream/plain/", "streaming", "llm", nil),
-		fleettest.Route("staged", "/stream/staged/", "streaming", "llm", stages),
+		fleettest.Route("staged", "/stream/staged/", "streaming", "llm", twoStages("portal")),
 		fleettest.Route(lateKind.name, "/late/", "idempotent", lateService, nil),
 		fleettest.Route("ask", "/stream/ask/", "streaming", "victims", map[string]any{"resumable": true, "sticky": true}),
+		fleettest.Route("strained-look", "/strained/look/", "idempotent", strained, nil),
+		fleettest.Route("strained-book", "/strained/book/", "non_idempotent", strained, nil),
+		fleettest.Route("strained-plain", "/stream/strained/plain/", "streaming", strained, nil),
+		fleettest.Route("strained-staged", "/stream/strained/staged/", "streaming", strained, twoStages(strainedStages)),
+		fleettest.Route(beside, "/beside/", "idempotent", beside, nil),
 	}
 	for i := range r.addedRoutes.Load() {
 		routes = append(routes, fleettest.Route(fmt.Sprint("added-", i), fmt.Sprintf("/added/%d/", i), "idempotent", "api", nil))
@@ -258,7 +280,8 @@
 			route["targetLatencyMs"], route["targetGapMs"] = plannedLatencyTarget.Milliseconds(), plannedGapTarget.Milliseconds()
 		}
 	}
-	services := []map[string]any{fleettest.Service("api"), fleettest.Service(lateService), fleettest.Service("victims"), fleettest.EngineService("llm"), fleettest.StageService("portal")}
+	services := []map[string]any{fleettest.Service("api"), fleettest.Service(lateService), fleettest.Service("victims"), fleettest.EngineService("llm"), fleettest.StageService("portal"),
+		fleettest.Service(strained), fleettest.StageService(strainedStages), fleettest.Service(beside)}
 	keys := []string{apiKey, fmt.Sprintf("key-of-%d", version)}
 	limits := map[string]any{}
 	if r.o.PlannedOnly {
@@ -273,12 +296,12 @@
 }
 
 func (r *run) addEntry(i int) error {
-	e := &entry{name: fmt.Sprintf("entry-%d", i), clientAddress: fleettest.FreeAddress(), readyAddress: fleettest.FreeAddress()}
+	e := &entry{name: fmt.Sprintf("entry-%d", i), sent: make(map[syscall.Signal]*exec.Cmd), clientAddress: fleettest.FreeAddress(), readyAddress: fleettest.FreeAddress()}
 	e.settingsFile = filepath.Join(r.dir, e.name+".conf")
 	peerAddress := fleettest.FreeAddress()
 	text := fmt.Sprintf("node=%s\nzone=dc-%d\nregion=r\nzones.dc-0=r\nzones.dc-1=r\nlisten.front=%s\nlisten.readyAddr=%s\nlisten.control=%s\n"+
-		"limits.cpuShare=0.3\nprovider.address=%s\nbounds.graceS=%d\nbounds.retryBudgetRatio=0.2\nbounds.budgetSlack=54\nheartbeatMs=1200\n",
-		e.name, i%dataCentres, e.clientAddress, e.readyAddress, peerAddress, r.storeProxy.address(), int(gracePeriod/time.Second))
+		"limits.cpuShare=0.3\nlimits.memoryMb=%d\nprovider.address=%s\nbounds.graceS=%d\nbounds.retryBudgetRatio=0.2\nbounds.budgetSlack=54\nheartbeatMs=1200\n",
+		e.name, i%dataCentres, e.clientAddress, e.readyAddress, peerAddress, memoryLimitMB, r.storeProxy.address(), int(gracePeriod/time.Second))
 	if err := os.WriteFile(e.settingsFile, []byte(text), 0o600); err != nil {
 		return Error.Wrap(err)
 	}
@@ -309,9 +332,9 @@
 	e.cmd, e.done, e.endTime = cmd, done, time.Time{}
 	e.disturbed, e.calmSince = false, time.Now()
 	e.mu.Unlock()
+	go r.watchMemory(e, cmd, done)
 	go func() {
-		err := cmd.Wait()
-		if err != nil && r.o.PlannedOnly && !e.wasKilled(cmd) {
+		if err := cmd.Wait(); e.endedByItself(cmd, err) {
 			r.recordViolation("a process of %s ended by itself: %v", e.name, err)
 		}
 		close(done)
@@ -323,18 +346,17 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.cmd != nil && e.cmd.Process != nil {
-		if s == syscall.SIGKILL {
-			e.killed = e.cmd
-		}
+		e.sent[s] = e.cmd
 		_ = e.cmd.Process.Signal(s) // the process may have exited
 	}
 }
 
-// wasKilled reports whether a process has been sent SIGKILL.
-func (e *entry) wasKilled(cmd *exec.Cmd) bool {
+// endedByItself reports whether a process that ended with err was neither killed nor ended without a failure after it
+// was asked to stop.
+func (e *entry) endedByItself(cmd *exec.Cmd, err error) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.killed == cmd
+	return e.sent[syscall.SIGKILL] != cmd && (err != nil || e.sent[syscall.SIGTERM] != cmd)
 }
 
 // recordTerm records that the process is sent SIGTERM.
@@ -367,11 +389,11 @@
 	e.disturbed, e.calmSince = false, time.Now()
 }
 
-// isCalm reports whether the process has been undisturbed for contactTime.
-func (e *entry) isCalm() bool {
+// isCalm reports whether the process has been undisturbed for d.
+func (e *entry) isCalm(d time.Duration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.disturbed && time.Since(e.calmSince) > contactTime
+	return !e.disturbed && time.Since(e.calmSince) > d
 }
 
 func (e *entry) isDisrupted() bool {
@@ -385,3 +407,40 @@
 	defer r.mu.Unlock()
 	r.report.Violations = append(r.report.Violations, fmt.Sprintf(format, args...))
 }
+
+// watchMemory records the peak of the memory of an entry's process until done is closed.
+func (r *run) watchMemory(e *entry, cmd *exec.Cmd, done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(memoryInterval):
+			peak := peakMemoryMB(cmd.Process.Pid)
+			r.mu.Lock()
+			r.peaks[e] = max(r.peaks[e], peak)
+			r.mu.Unlock()
+		}
+	}
+}
+
+// checkMemory checks that no entry exceeded its memory.
+func (r *run) checkMemory() {
+	for _, e := range r.entries {
+		r.mu.Lock()
+		peak := r.peaks[e]
+		r.report.PeakMB = max(r.report.PeakMB, peak)
+		r.mu.Unlock()
+		if peak > memoryLimitMB {
+			r.recordViolation("a process of %s took %d MB of memory, allowed %d", e.name, peak, memoryLimitMB)
+		}
+	}
+}
+
+// peakMemoryMB returns the peak of a process's resident memory in MiB, or 0 if the process has exited.
+func peakMemoryMB(pid int) (mb int) {
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid)) // fails after the exit
+	if _, peak, found := strings.Cut(string(status), "VmHWM:"); found {
+		_, _ = fmt.Sscan(peak, &mb) // the kernel writes a number of kB
+	}
+	return mb >> 10
+}
