--- a/itest/endless_test.go
+++ b/itest/endless_test.go
@@ -23,6 +23,8 @@
 	gatewayMemoryMB = 184
 	// endlessCalls is the number of requests whose responses have no end at the same time.
 	endlessCalls = 160
+	// endlessPause is the pause between two blocks of a response without end that is slow.
+	endlessPause = 50 * time.Millisecond
 )
 
 // startGateway starts a gateway that serves routes of endpoints in trouble, of sound ones, and of a sound one after
@@ -135,7 +137,9 @@
 			t.Cleanup(faulty.Close)
 			var arrived atomic.Int64
 			all := make(chan struct{})
-			faulty.SetEndlessFast(c.slowAfter)
+			if c.slowAfter > 0 {
+				faulty.SetEndlessPace(c.slowAfter, endlessPause)
+			}
 			faulty.SetBehaviour(func(int, *http.Request) fleettest.Behaviour {
 				if arrived.Add(1) == endlessCalls {
 					close(all)
@@ -159,7 +163,7 @@
 	for i := range faulty {
 		faulty[i] = fleettest.NewServer(fmt.Sprint("stage-", i))
 		t.Cleanup(faulty[i].Close)
-		faulty[i].SetEndlessFast(900 << 10)
+		faulty[i].SetEndlessPace(900<<10, endlessPause)
 		faulty[i].SetBehaviour(func(int, *http.Request) fleettest.Behaviour { return fleettest.EndlessBody })
 	}
 	gateway, front := startGateway(t, "stages", faulty...)
