Pass on whole responses without a length of endpoints that are silent

Callers: the end of a response without a length counted as that of its endpoint if no connection could be opened within 0.1 s. A sound endpoint that stood still for a second right after its last byte, or a lost packet, cost its clients the answer: 502 for a request that had been answered, a stream that was cut after its last event, or a second run.

Cause: a time-out was taken for a refusal. A process that has ended is shown by its kernel, which refuses connections at once; an attempt that is neither accepted nor refused shows nothing.

Fix: while connections are neither accepted nor refused the check goes on, for 1.5 s or until the request's time ends. A refusal decides at once, as before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -85,9 +85,9 @@
 
 // endedWithEndpoint reports whether a response that has been read may be cut off without a sign: its end is that of
 // its connection, and the endpoint is gone. The kernel closes the connections of a process that crashes as regularly
-// as the process itself does.
+// as the process itself does, and refuses new ones.
 func (q *request) endedWithEndpoint(ctx context.Context, a *attempt) bool {
-	return isCloseDelimited(a.resp) && !q.reachable(ctx, a.endpoint)
+	return isCloseDelimited(a.resp) && !q.isUp(ctx, a.endpoint)
 }
 
 // finish closes the response, discarding any unread body, and records the end of the attempt in the
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"time"
 
 	"github.com/azurelead/azurelead/retrybudget"
@@ -108,11 +110,33 @@
 
 // reachable tries to open a new connection to an endpoint, which is kept for the next request.
 func (q *request) reachable(ctx context.Context, c roster.Candidate) bool {
+	return q.connect(ctx, c) == nil
+}
+
+func (q *request) connect(ctx context.Context, c roster.Candidate) error {
 	ctx, cancel := context.WithTimeout(ctx, reachableTimeout)
 	defer cancel()
-	return q.gw.opts.Upstream.Reachable(ctx, upstream.Target{ID: c.ID, Address: c.Address})
+	return q.gw.opts.Upstream.Connect(ctx, upstream.Target{ID: c.ID, Address: c.Address})
 }
 
-// reachableTimeout bounds the attempt to open a connection that checks whether an endpoint is up. It allows
-// several round trips between data centres.
-const reachableTimeout = 100 * time.Millisecond
+// isUp is like reachable, and goes on trying while connections are neither accepted nor refused: a sound endpoint may be
+// silent, and packets may be lost.
+func (q *request) isUp(ctx context.Context, c roster.Candidate) bool {
+	ctx, cancel := context.WithTimeout(ctx, maxSilence)
+	defer cancel()
+	for {
+		err := q.connect(ctx, c)
+		var timeout net.Error
+		if err == nil || ctx.Err() != nil || !errors.As(err, &timeout) || !timeout.Timeout() {
+			return err == nil
+		}
+	}
+}
+
+const (
+	// reachableTimeout bounds the attempt to open a connection that checks whether an endpoint is up. It allows
+	// several round trips between data centres.
+	reachableTimeout = 100 * time.Millisecond
+	// maxSilence is how long a sound endpoint may be silent.
+	maxSilence = 1500 * time.Millisecond
+)
--- a/gatewaydaemon/silentendpoint_test.go
+++ b/gatewaydaemon/silentendpoint_test.go
@@ -217,3 +217,40 @@
 		}
 	}
 }
+
+// A sound endpoint stands still right after a response without a length, and accepts no connection for a second. The
+// response must be passed on as whole: the endpoint has not refused the connection that shows whether it is up.
+func TestUnframedResponseOfSilentEndpointIsWhole(t *testing.T) {
+	prepare := map[string]func(d *deployment) []*fleettest.Server{
+		"/stream/plain/x": func(d *deployment) []*fleettest.Server { return d.startEngines(2, 2) },
+		"/stream/again/x": func(d *deployment) []*fleettest.Server { return d.startEngines(2, 2) },
+		"/book/x": func(d *deployment) []*fleettest.Server {
+			api1, api2, _, _, _ := d.startEndpoints(nil)
+			d.waitReady()
+			return []*fleettest.Server{api1, api2}
+		},
+	}
+	for path, start := range prepare {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t, 1)
+			servers := start(d)
+			for _, s := range servers {
+				s.SetBehaviour(func(_ int, r *http.Request) fleettest.Behaviour {
+					if r.RequestURI != path {
+						return fleettest.Serve
+					}
+					if err := s.HoldConnections(time.Second); err != nil {
+						t.Error(err)
+					}
+					return fleettest.CloseDelimited
+				})
+			}
+			r := d.send(d.entries[0], "POST", path, nil)
+			whole := r.body == events(12) || strings.HasSuffix(r.body, " to "+r.id)
+			if r.err != nil || r.status != http.StatusOK || !whole || runsOf(servers, r.id) != 1 {
+				t.Errorf("%d runs, %+v", runsOf(servers, r.id), r)
+			}
+		})
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -160,19 +160,18 @@
 	}
 }
 
-// Reachable reports whether the endpoint accepts a new connection. The connection is kept for the
-// next request.
-func (c *Client) Reachable(ctx context.Context, t Target) bool {
+// Connect opens a new connection to the endpoint, which is kept for the next request.
+func (c *Client) Connect(ctx context.Context, t Target) error {
 	raw, err := c.dialer.DialContext(ctx, "tcp", t.Address)
 	if err != nil {
 		c.o.Metrics.DialFailures.Inc()
-		return false
+		return NotSent.Wrap(err)
 	}
 	c.o.Metrics.Dials.Inc()
 	cn := newConn(c, t.ID, raw)
 	cn.idleUntil = time.Now().Add(c.o.IdleTimeout)
 	c.putIdle(cn)
-	return true
+	return nil
 }
 
 func (c *Client) conn(ctx context.Context, t Target, anyAnswer bool) (*conn, error) {
