Write the origins of streams each 0.1 s

Cause: the origin of a stream was in the store up to 0.4 s after its first event and a call, 0.15 s in the median. Clients that wait through a power cut take up many streams that had just begun.

Fix: entries pass origins each 0.03 s, and the dispatcher writes them each 0.1 s. The stages of streams that are taken up are refused as before.

--- a/gatewaydaemon/originrecords.go
+++ b/gatewaydaemon/originrecords.go
@@ -17,11 +17,11 @@
 const (
 	// originPassInterval is the interval at which an entry passes the origins of its new streams to the dispatcher,
 	// largeOriginPassInterval the one in a deployment with hubs: hundreds of entries pass theirs to one.
-	originPassInterval      = 100 * time.Millisecond
+	originPassInterval      = 30 * time.Millisecond
 	largeOriginPassInterval = time.Second
 	// originWriteInterval is the shortest time between two writes of origins. A stream whose entry and holders end
 	// before its origin is written is ambiguous, so it is a fraction of the time for which the shortest streams run.
-	originWriteInterval = 300 * time.Millisecond
+	originWriteInterval = 100 * time.Millisecond
 	// maxPendingOrigins bounds the origins that wait to be passed or written.
 	maxPendingOrigins = 8192
 	// recallInterval is the shortest time between two reads of the origins in the store. recallWait bounds the time
