Count requests that fail together as one failure

What callers saw: after a reset of all its connections a sound endpoint got nothing for up to five seconds, as if it had been tried again and again.

Cause: each request that was in flight counted as a consecutive failure, and each doubles the backoff. Five of them reach its greatest value. Since an endpoint's health follows whole responses, no head ends the count either.

Evidence, on the commit before: 40 requests that fail at once give a backoff of 5 s instead of 0.6 s (TestRequestsThatFailTogetherCountAsOneFailure fails).

Change: a failure that is reported during the backoff does not extend it; one of a request sent after it does, as before.

Race detector: roster, gateway and the tests of silence and streams of gatewaydaemon pass.

--- a/roster/health.go
+++ b/roster/health.go
@@ -69,6 +69,9 @@
 		failure = 0.5
 	case Unreachable, ConnectionLost:
 		failure = 1
+		if h.down && now.Before(h.retryAt) {
+			break // the request was in flight when the endpoint failed
+		}
 		h.consecutiveFailures++
 		// A single lost connection does not mark an endpoint as down.
 		if failed = o == Unreachable || h.consecutiveFailures > 1; failed {
--- a/roster/health_test.go
+++ b/roster/health_test.go
@@ -48,3 +48,30 @@
 		}
 	}
 }
+
+// Requests in flight that all failed at once put the endpoint into the longest backoff, as if each had tried it anew.
+func TestRequestsThatFailTogetherCountAsOneFailure(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		together int
+		probes   int
+		want     time.Duration
+	}{
+		{"two", 2, 0, 2 * minBackoff},
+		{"many", 40, 0, 2 * minBackoff},
+		{"many, and a probe that fails", 40, 1, 4 * minBackoff},
+		{"many, and probes that fail", 40, 9, maxBackoff},
+	} {
+		h, now := &health{}, epoch
+		for range c.together {
+			h.record(now, ConnectionLost, 0)
+		}
+		for range c.probes {
+			now = h.retryAt
+			h.record(now, ConnectionLost, 0)
+		}
+		if got := h.retryAt.Sub(now); got != c.want {
+			t.Errorf("%s: backoff %v, want %v", c.name, got, c.want)
+		}
+	}
+}
