Count stage calls without results as failures of the endpoint

What callers saw: requests refused with 503, "a task failed too often", while a sound endpoint of the stage's service was idle.

Cause: a call that was answered counted as a success, whatever the answer held. An endpoint that answers at once with the reason "error" for all tasks counted as the fastest, got all calls, and the tries of a task were used up there.

Change: the second call in a row all of whose tasks have failed puts the endpoint into backoff, as a lost answer does; the first does not, as it may be due to its tasks. The duration of such calls does not count for the endpoint's speed.

Race detector: dispatch, coordinate, and the tests of stages, dispatchers and silence of gatewaydaemon pass.

--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/azurelead/azurelead/catalog"
+	"github.com/azurelead/azurelead/stage"
 )
 
 // pool holds the endpoints of one stage service and the groups that are queued for
@@ -349,19 +350,39 @@
 	}
 }
 
-// callFinished records that a call has returned results.
-func (e *endpoint) callFinished(now time.Time, c *call) {
-	e.failures = 0
-	e.retryAt = time.Time{}
+// callFinished records that a call has returned results. Calls all of whose tasks have failed are failures of the
+// endpoint from the second in a row; the first may be due to the tasks.
+func (e *endpoint) callFinished(now time.Time, c *call, results []stage.Result) {
+	failed := allFailed(results)
+	if !failed {
+		e.failures = 0
+		e.retryAt = time.Time{}
+	}
 	if c.overdue {
 		return // the endpoint takes further calls already
 	}
 	e.activeCalls--
+	e.idleAt = now
+	if failed {
+		if e.failures++; e.failures > 1 {
+			e.backOff(now)
+		}
+		return // the call's duration says nothing about the next one's
+	}
 	if c.expected > 0 {
 		measured := float64(now.Sub(c.started)) / float64(c.expected)
 		e.slowdown += slowdownWeight * (min(measured, maxSlowdown) - e.slowdown)
 	}
-	e.idleAt = now
+}
+
+// allFailed reports whether a call returned no result because all of its tasks have failed.
+func allFailed(results []stage.Result) bool {
+	return len(results) > 0 && !slices.ContainsFunc(results, func(r stage.Result) bool { return r.Problem != stage.Failed })
+}
+
+// backOff keeps calls from an endpoint for a time that doubles with each consecutive failure.
+func (e *endpoint) backOff(now time.Time) {
+	e.retryAt = now.Add(min(failureBackoff<<min(e.failures-1, 4), maxBackoff))
 }
 
 // maxSlowdown bounds the effect of one slow call on an endpoint's slowdown.
@@ -385,7 +406,7 @@
 		// longer time-out.
 		e.slowdown = min(max(e.slowdown, 1)*lostCallSlowdown, maxSlowdown)
 	}
-	e.retryAt = now.Add(min(failureBackoff<<min(e.failures-1, 4), maxBackoff))
+	e.backOff(now)
 }
 
 // lostCallSlowdown is the factor by which an endpoint's slowdown grows when it does
--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -14,7 +14,7 @@
 		return
 	}
 	delete(d.calls, id)
-	c.endpoint.callFinished(now, c)
+	c.endpoint.callFinished(now, c, results)
 	if c.inputsRead && slices.ContainsFunc(results, func(r stage.Result) bool { return r.Problem == stage.InputMissing }) {
 		d.readDelay.Missed(now)
 	}
