Pause between lists while watches can't be read

What the store saw: while it answered lists soundly and watches with bodies that can't be read, each entry that reads the store listed the kind again every 150 ms.

Cause: a list that was answered took the pause back to its least value, and the watch that failed after it began anew.

Change: only a watch that was answered takes the pause back, or one that was silent for as long as the longest pause, for which all stays as it was.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -247,11 +247,15 @@
 		}
 		listing := mustList || !synced
 		f.setOverdueRead(name, f.isOverdue(name))
+		began := time.Now()
 		err := f.listOrWatch(ctx, name, listing)
 		f.setOverdueRead(name, false)
 		switch {
 		case err == nil:
-			mustList, justListed, backoff = false, listing, minBackoff
+			mustList, justListed = false, listing
+			if !listing {
+				backoff = minBackoff // a list does not show that watches are answered
+			}
 			continue
 		case ctx.Err() != nil:
 			return
@@ -263,6 +267,9 @@
 			}
 			// The list did not help, so the next one is made after a pause.
 			justListed = false
+			if time.Since(began) >= maxBackoff {
+				backoff = minBackoff // the watch has taken as long as the pause would
+			}
 		case backoff == minBackoff:
 			f.o.Logger.Warn("store does not answer", "kind", name, "error", err)
 		}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -168,6 +168,27 @@
 	})
 }
 
+// A list that was answered took back the pause after a watch whose response could not be read, so that the store was
+// listed again and again.
+func TestUnreadableWatchesBackOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &fakeStore{list: fleet.Changes{Revision: 1}}
+		s.watch = func(context.Context, int64) (fleet.Changes, error) {
+			return fleet.Changes{}, fleet.HistoryGone.New("unreadable response")
+		}
+		f := newFollower(s, func(map[string]fleet.Object, bool) {})
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		cancel()
+		<-done
+		if n := s.listCount(); n > 15 {
+			t.Errorf("%d lists in ten seconds of unreadable watches, want at most 15", n)
+		}
+	})
+}
+
 // Whatever states arrive in whatever order, from the store or from peers, a follower must never go
 // back to an older revision, and two followers that received the same newest state must agree.
 func TestStatesNeverGoBack(t *testing.T) {
