Leave out booked engines that refuse or fail

What callers saw: with one engine that refused every request, or answered every request with a whole error of its own, beside a sound one, most streams were refused or failed.

Cause: an entry sent a stream to the engine that the dispatcher booked whatever its own requests had shown. Refusals and errors do not put an engine into backoff, and the dispatcher does not learn of them, so that it booked the idlest engine, which was that one. The retry budget was spent on the way to the other.

Evidence, on the commit before: two engines, 240 streams one after another. One refuses: all 240 reach it first, 218 are refused. One answers with status 500: all 240, of which 218 end with 502 on the resumable route and 240 with 500 on the other. TestEngineThatRefusesOrFailsIsAvoided fails with 40 of 40 streams in both cases.

Change: an entry chooses among the engines whose failure rate is below 0.3, if there are any. That rate decays within seconds, so that the engine is tried again.

Measured: in the same runs 3 of 240 streams reach the engine that refuses and 1 is refused; 2 reach the one that fails, which end well on the resumable route and with 500 on the other.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -660,15 +660,16 @@
 	return s.chooseEngine(f, s.output)
 }
 
-// chooseEngine returns the best endpoint to try: the engine that the dispatcher booked, else the
-// one that hashing assigns to the shared part of the prompt, else the one expected to answer first.
+// chooseEngine returns the best endpoint to try among those that fail rarely: the engine that the dispatcher booked,
+// else the one that hashing assigns to the shared part of the prompt, else the one expected to answer first. The
+// dispatcher books on engines that refuse or fail as well, because it does not learn of that.
 func (s *stream) chooseEngine(f roster.Filter, out stageOutput) (roster.Candidate, bool) {
 	if out.turnBooked {
 		if c, found := s.gw.opts.Roster.BookedCandidate(time.Now(), f, out.engine); found {
 			return c, true
 		}
 	}
-	candidates := s.gw.opts.Roster.Candidates(time.Now(), f)
+	candidates := placement.Sound(s.gw.opts.Roster.Candidates(time.Now(), f))
 	for _, c := range candidates {
 		if c.ID == out.engine {
 			return c, true
--- a/gatewaydaemon/badbody_test.go
+++ b/gatewaydaemon/badbody_test.go
@@ -87,3 +87,23 @@
 
 // beginningOfStream is the number of events that count as the beginning of a stream.
 const beginningOfStream = 5
+
+// An engine that refuses, or fails with an error of its own, got every stream that the dispatcher booked there.
+func TestEngineThatRefusesOrFailsIsAvoided(t *testing.T) {
+	const requests = 40
+	for name, b := range map[string]fleettest.Behaviour{"refuses": fleettest.Shed, "fails": fleettest.FailAfterRun} {
+		d := newDeployment(t, 1)
+		_, _, engine1, _, _ := d.startEndpoints(nil)
+		engine1.SetBehaviour(alwaysBehave(b))
+		d.waitReady()
+		start := time.Now()
+		for range requests {
+			d.send(d.entries[0], http.MethodPost, "/stream/again/x", nil)
+		}
+		// The failure rate decays, so that the engine is tried again now and then.
+		allowed := 4 + int(time.Since(start)/(50*time.Millisecond))
+		if n := engine1.Requests(); n > allowed || n == 0 {
+			t.Errorf("an engine that %s: %d of %d streams reached it, want 1 to %d", name, n, requests, allowed)
+		}
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -32,8 +32,25 @@
 	// failureRateThreshold is the failure rate from which an endpoint is ranked
 	// after those that fail less often.
 	failureRateThreshold = 0.5
+	// unsoundFailureRate is the failure rate from which an endpoint is left out where others fail
+	// less often. A single failure raises the rate to it for an instant.
+	unsoundFailureRate = 0.3
 )
 
+// Sound returns the candidates that fail rarely, or all if there are none.
+func Sound(candidates []roster.Candidate) []roster.Candidate {
+	var sound []roster.Candidate
+	for _, c := range candidates {
+		if c.FailureRate < unsoundFailureRate {
+			sound = append(sound, c)
+		}
+	}
+	if len(sound) == 0 {
+		return candidates
+	}
+	return sound
+}
+
 // ByPrefix returns the candidates in order of preference for a prompt whose
 // shared prefix is identified by key. The order is that of rendezvous hashing,
 // with overloaded and failing endpoints last.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -65,3 +66,28 @@
 		t.Errorf("requests reached only %v of 3 equal endpoints", used)
 	}
 }
+
+func TestSoundLeavesOutFailingCandidates(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		rates []float64
+		want  []string
+	}{
+		{"none fails", []float64{0, 0.1}, []string{"e0", "e1"}},
+		{"one fails often", []float64{0.5, 0.1}, []string{"e1"}},
+		{"all fail often", []float64{0.5, unsoundFailureRate}, []string{"e0", "e1"}},
+		{"no candidates", nil, nil},
+	} {
+		list := candidates(len(c.rates))
+		for i := range list {
+			list[i].FailureRate = c.rates[i]
+		}
+		var got []string
+		for _, s := range Sound(list) {
+			got = append(got, s.ID)
+		}
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
