Admit stages that run again nearer to their deadline

Callers saw: under load, a stream whose endpoint falls silent for good ends with its deadline ("unexpected EOF" after one event) although another endpoint is up.

Cause: its stages were refused ("the stages are expected to end after the deadline"). A stream is given to another endpoint after 1.5 s of silence, and its client waits for 2 s. Of the 0.48 s left, admission kept 0.4 s free, as for a new request, so that 0.08 s were left for the stages and the first event: 0.057 s too late a timer, or one stage call of 0.15 s, and the stream got no replacement at all. In the logs of failing runs of TestAbandonedStreamIsNotSuspected (trials) all 80 verdicts without replacement were "stages failed", with a forecast of 23 ms. reachableTimeout, suspected before, had no part: each check of an endpoint that was made succeeded.

Change: for stages that run again the margin is half, as for clients that come back. The request was admitted before, and a refusal may break a stream off.

Measured: TestStagesThatRunAgainAreAdmittedInTime fails on the code before.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -21,10 +21,7 @@
 	limited := scorer.nextTurn()
 	turnDelay := limited.delayUntilTurn(now, forecast)
 	end := now.Add(forecast + turnDelay + pending.firstEventDelay)
-	latest := j.Deadline.Add(-admissionMargin)
-	if j.Retry {
-		latest = j.Deadline.Add(-admissionMargin / 2)
-	}
+	latest := j.Deadline.Add(-marginOf(j))
 	if end.After(latest) {
 		a.Reason = "the stages are expected to end after the deadline"
 		a.RetryAfter = max(end.Sub(latest), minRetryAfter)
@@ -50,6 +47,15 @@
 	return a
 }
 
+// marginOf returns the time before its deadline that is kept free for a job. It is shorter for clients that have come
+// back, and for stages that run again: a refusal then ends a stream that may have begun.
+func marginOf(j Job) time.Duration {
+	if j.Retry || j.Run > 0 {
+		return admissionMargin / 2
+	}
+	return admissionMargin
+}
+
 // adoptPriorResults marks the tasks as done whose results an earlier dispatcher
 // obtained. Unknown stages, tasks and endpoints are ignored.
 func (d *Dispatcher) adoptPriorResults(j *job) {
