Let TestAbandonedStreamIsNotSuspected see marks, and wait longer

And it passes with the fault put back that it was written for (reportOutcome asking only the context of the request).

Of the second, that a run which ends well clears the mark of a crash now, and each of the test's streams ends well before the next one.

Change: the route of this test has clients that wait until the deadline, 9 s; the silence after which a stream is taken away stays 1.5 s, and the other tests of silent endpoints keep the 2 s. Added: no mark may have been cleared, which also shows a single one.

--- a/gatewaydaemon/silentendpoint_test.go
+++ b/gatewaydaemon/silentendpoint_test.go
@@ -168,6 +168,8 @@
 		e.SetStream(3, 10*time.Millisecond)
 	}
 	e := d.entries[0].daemon
+	d.putSilentRoutes(3, map[string]any{"targetLatencyMs": 2000}) // clients wait until the deadline
+	d.eventually("the route is in force", func() bool { return e.table.Load().Version == 3 })
 	for range 3 {
 		e.retryBudgets.For("llm").Deposit(1000)
 		var taken atomic.Bool
@@ -189,6 +191,10 @@
 	if r := d.sendLong(); r.status != http.StatusOK {
 		t.Errorf("%+v", r)
 	}
+	// A run that ends well clears the mark of a crash.
+	if n, found := d.entries[0].metric(t, "azurelead_suspect_requests_cleared_total", map[string]string{}); !found || n > 0 {
+		t.Errorf("%v marks of the request were cleared, want none", n)
+	}
 }
 
 // A request is sent to another endpoint beside a silent one only within the attempts of its route and the retry budget.
