Read requests at once after a start, and count their time from then

A starting entry left new connections in its listen queue for up to 0.5 s, until it knew the platform's state. A request that waited there was taken to have arrived when it was read: its deadline, and the time for which the client of a stream waits, began up to 0.5 s late, and its answer could come after the client had left.

Requests are now read at once and wait for the state in the handler, for the same time. The wait for the first event does so too: when a body arrived that was read after the wait is not known, so that the time of the wait is taken off.

What waits in the listen queue because the process has no processor time still counts from when it is read.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,9 +66,12 @@
 	// DataCentre is the data centre of this entry.
 	DataCentre string
 	// Table returns the configuration in force, or nil if there is none yet.
-	Table    func() *catalog.Table
-	Roster   *roster.Roster
-	Upstream *upstream.Client
+	Table func() *catalog.Table
+	// AwaitState blocks while the state that requests need is being learnt after a start, for a bounded time. nil never
+	// blocks.
+	AwaitState func(ctx context.Context)
+	Roster     *roster.Roster
+	Upstream   *upstream.Client
 	// Stages runs the stages that precede a request.
 	Stages StageRunner
 	// RetryBudgets holds the retry budget of each service.
@@ -119,6 +122,9 @@
 	if opts.OnNotice == nil {
 		opts.OnNotice = func() {}
 	}
+	if opts.AwaitState == nil {
+		opts.AwaitState = func(context.Context) {}
+	}
 	return &Gateway{
 		opts: opts, crashes: newCrashTracker(opts), readDelay: dispatch.NewReadDelay(engineReadDelay),
 		inFlight: inFlight{requests: make(map[*progress]bool)},
@@ -148,6 +154,8 @@
 	defer q.log()
 	defer q.discardSecured()
 	defer q.answerAfterPanic()
+	g.opts.AwaitState(ctx)
+	q.admissible = time.Now()
 	if resp := q.admit(); resp != nil {
 		q.respondAfterBody(*resp)
 		return
@@ -167,6 +175,8 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	started time.Time
+	// admissible is when the state that the request needs was known.
+	admissible time.Time
 	// progress is the phase of the request.
 	progress *progress
 
@@ -253,7 +263,8 @@
 	if resp := q.readBody(); resp != nil {
 		return resp
 	}
-	q.arrivedAt = time.Now()
+	// The body may have arrived while the state was awaited.
+	q.arrivedAt = time.Now().Add(-q.admissible.Sub(q.started))
 	if !q.progress.advance(phaseWaiting) {
 		return stoppedResponse()
 	}
--- a/gateway/patience_test.go
+++ b/gateway/patience_test.go
@@ -31,11 +31,14 @@
 	for _, c := range []struct {
 		name   string
 		target time.Duration
-		want   time.Duration
+		// start is how long the entry does not know the platform's state.
+		start time.Duration
+		want  time.Duration
 	}{
-		{"client leaves before the deadline", time.Second, 4*time.Second - answerMargin},
-		{"client waits until the deadline", deadline, deadline - answerMargin},
-		{"the deadline is near", 0, time.Second - 100*time.Millisecond},
+		{"client leaves before the deadline", time.Second, 0, 4*time.Second - answerMargin},
+		{"client waits until the deadline", deadline, 0, deadline - answerMargin},
+		{"the deadline is near", 0, 0, time.Second - 100*time.Millisecond},
+		{"the entry has just started", time.Second, 400 * time.Millisecond, 4*time.Second - answerMargin},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			table := catalog.Compile(&catalog.Configuration{
@@ -48,6 +51,7 @@
 			g := New(Options{
 				Table: func() *catalog.Table { return table }, Roster: roster.New(nil), Stages: endlessStages{},
 				RetryBudgets: &retrybudget.Set{}, RetryPercent: func() int { return 0 }, Logger: slog.New(slog.DiscardHandler),
+				AwaitState: func(context.Context) { time.Sleep(c.start) },
 			})
 			r := httptest.NewRequest(http.MethodPost, "/x", nil)
 			fleet.SetAttemptID(r.Header, "id")
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -45,11 +45,11 @@
 	idleTimeout   = 75 * time.Second
 	// maxHeaderBytes bounds the size of a request header, and of a response header of the store.
 	maxHeaderBytes = 128 << 10
-	// maxAcceptDelay is how long new connections wait for a starting process to learn the
-	// platform's state. It is well below the second after which clients give up. acceptPollInterval
+	// maxStateDelay is how long requests wait for a starting process to learn the
+	// platform's state. It is well below the second after which clients give up. statePollInterval
 	// is a fraction of the usual start-up time.
-	maxAcceptDelay     = 500 * time.Millisecond
-	acceptPollInterval = 5 * time.Millisecond
+	maxStateDelay     = 500 * time.Millisecond
+	statePollInterval = 5 * time.Millisecond
 	// readyListTimeout is the time after the start at which an entry becomes ready even if it has
 	// not yet read the list of other entries.
 	readyListTimeout = 1500 * time.Millisecond
@@ -98,6 +98,8 @@
 	table             atomic.Pointer[catalog.Table]
 	entriesListed     chan struct{}
 	entriesListedOnce sync.Once
+	// initialised is closed at the end of awaitInitialState.
+	initialised chan struct{}
 	// entrySyncRequests holds a value while the entries are to be listed at once.
 	entrySyncRequests chan struct{}
 	// notices holds a value while there are notices to send to the peers.
@@ -132,7 +134,7 @@
 
 // newDaemon creates and connects the parts of a gateway without starting them.
 func newDaemon(settings fleet.Settings, logger *slog.Logger, reg prometheus.Registerer) *daemon {
-	d := &daemon{settings: settings, logger: logger, entriesListed: make(chan struct{}), entrySyncRequests: make(chan struct{}, 1), notices: make(chan struct{}, 1), started: time.Now(), listInterval: entryListInterval}
+	d := &daemon{settings: settings, logger: logger, entriesListed: make(chan struct{}), initialised: make(chan struct{}), entrySyncRequests: make(chan struct{}, 1), notices: make(chan struct{}, 1), started: time.Now(), listInterval: entryListInterval}
 	d.current.Store(&settings)
 	d.store = fleet.NewStore(settings.StoreAddress, newStoreTransport())
 	d.roster = roster.New(settings.Regions)
@@ -167,7 +169,7 @@
 	})
 	d.origins.mesh = d.mesh
 	d.gateway = gateway.New(gateway.Options{
-		DataCentre: settings.DataCentre, Table: d.table.Load, Roster: d.roster, Upstream: d.upstream,
+		DataCentre: settings.DataCentre, Table: d.table.Load, AwaitState: d.awaitState, Roster: d.roster, Upstream: d.upstream,
 		Stages: &stageRunner{self: self, mesh: d.mesh, local: d.coordinator}, RetryBudgets: d.retryBudgets,
 		RetryPercent: func() int { return int(100 * d.current.Load().RetryRatio * retryRatioShare) },
 		SuspectParts: suspectParts, SuspectRequests: suspectRequests, Origins: d.origins, OnCrash: d.mesh.PingAll, OnNotice: d.endpointNoticed, Logger: logger, Metrics: gateway.NewMetrics(reg),
@@ -226,9 +228,10 @@
 		Handler: d.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelWarn),
 	}, d.clientLimits)
+	d.serve("front", clients.server, clients.acceptor())
 	go func() {
+		defer close(d.initialised)
 		d.awaitInitialState(ctx)
-		d.serve("front", clients.server, clients.acceptor())
 	}()
 	d.serve("health", &http.Server{Handler: fleet.ReadyHandler(d.ready), ReadHeaderTimeout: headerTimeout}, healthListener)
 	if d.settings.PeerAddress != "" {
@@ -261,17 +264,25 @@
 }
 
 // awaitInitialState waits until the configuration and all followed objects are known, for at most
-// maxAcceptDelay. Until then new connections wait in the listen queue: otherwise a process that has
-// just started would refuse requests because of state that it learns within milliseconds.
+// maxStateDelay. Until then requests wait: otherwise a process that has just started would refuse requests because of
+// state that it learns within milliseconds. They are read meanwhile, as their clients' time counts from then.
 func (d *daemon) awaitInitialState(ctx context.Context) {
-	deadline := time.Now().Add(maxAcceptDelay)
+	deadline := time.Now().Add(maxStateDelay)
 	for !(d.follower.HasSynced() && d.table.Load() != nil) && time.Now().Before(deadline) {
-		if !sleep(ctx, acceptPollInterval) {
+		if !sleep(ctx, statePollInterval) {
 			return
 		}
 	}
 }
 
+// awaitState waits for the end of awaitInitialState, or of ctx.
+func (d *daemon) awaitState(ctx context.Context) {
+	select {
+	case <-d.initialised:
+	case <-ctx.Done():
+	}
+}
+
 // serve runs a server in the background and logs its failure under the listener's name.
 func (d *daemon) serve(name string, s *http.Server, l net.Listener) {
 	go func() {
--- a/gatewaydaemon/versions.go
+++ b/gatewaydaemon/versions.go
@@ -65,7 +65,7 @@
 // run reads the record, and then writes it when the versions have changed while this entry is the dispatcher,
 // until ctx is done.
 func (h *versionHistory) run(ctx context.Context) {
-	for h.awaitsEntries() && sleep(ctx, acceptPollInterval) {
+	for h.awaitsEntries() && sleep(ctx, statePollInterval) {
 	}
 	for !h.restore(ctx) {
 		if !sleep(ctx, versionSyncInterval) {
