Read what has reached a stopping entry before it closes

A request that was in the listen queue, or unread in the socket of a connection, when a stopping entry closed its listener and its idle connections was reset or discarded. After a pause of the process expired timers go ahead of the network, so that an entry could end its stop and close without a look at what had come in meanwhile.

The server now goes on for 50 ms before it stops listening.

--- a/gatewaydaemon/clients.go
+++ b/gatewaydaemon/clients.go
@@ -10,8 +10,13 @@
 	"github.com/azurelead/azurelead/linger"
 )
 
-// connectionPollInterval is the interval at which a closing server counts its connections.
-const connectionPollInterval = 5 * time.Millisecond
+const (
+	// connectionPollInterval is the interval at which a closing server counts its connections.
+	connectionPollInterval = 5 * time.Millisecond
+	// unreadTime is the time to read what had reached the process when the server is closed. After a pause of the process
+	// expired timers go ahead of the network.
+	unreadTime = 50 * time.Millisecond
+)
 
 // clientServer is the clients' HTTP server. Its close differs from http.Server.Shutdown, which closes connections
 // without an answer to requests that it has read or is reading. Its connections linger when they are closed.
@@ -19,6 +24,8 @@
 	server   *http.Server
 	listener *linger.Listener
 	limits   func() clientLimits
+	// unreadTime is the time before the server stops listening when it is closed.
+	unreadTime time.Duration
 	// closing is set once each response closes its connection.
 	closing atomic.Bool
 
@@ -30,7 +37,7 @@
 // newClientServer returns a server whose connections are tracked. limits replaces the server's
 // time-outs, which must be set.
 func newClientServer(listener net.Listener, server *http.Server, limits func() clientLimits) *clientServer {
-	c := &clientServer{server: server, listener: linger.NewListener(listener), limits: limits, busy: make(map[net.Conn]bool)}
+	c := &clientServer{server: server, listener: linger.NewListener(listener), limits: limits, unreadTime: unreadTime, busy: make(map[net.Conn]bool)}
 	server.ConnState = c.track
 	server.Handler = c.closeWhenClosing(server.Handler)
 	return c
@@ -78,9 +85,10 @@
 	return len(c.busy)
 }
 
-// close stops listening, and closes all connections once no request is arriving or in progress, or at the deadline.
-// It returns the number of connections that were cut then.
+// close reads what has reached the process, stops listening, and closes all connections once no request is arriving or
+// in progress, or at the deadline. It returns the number of connections that were cut then.
 func (c *clientServer) close(deadline time.Time) (cut int) {
+	time.Sleep(c.unreadTime)
 	_ = c.listener.Close()
 	c.closing.Store(true)
 	for c.countBusy() > 0 && time.Now().Before(deadline) {
--- a/gatewaydaemon/clients_test.go
+++ b/gatewaydaemon/clients_test.go
@@ -50,6 +50,34 @@
 	}
 }
 
+// A request that reached the process before the server closes, and is not read until then, is answered.
+func TestClosingServerAnswersUnreadRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newClientServer(listener, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})}, func() clientLimits { return clientLimits{} })
+	c.unreadTime = time.Second
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, requestHead("/book/x", "unread", 0))
+	cut := make(chan int)
+	go func() { cut <- c.close(time.Now().Add(time.Hour)) }()
+	time.Sleep(c.unreadTime / 20)
+	go func() { _ = c.server.Serve(c.acceptor()) }()
+	if r := readResult(conn); r.err != nil || r.status != http.StatusServiceUnavailable {
+		t.Errorf("%+v", r)
+	}
+	if n := <-cut; n != 0 {
+		t.Errorf("%d connections were cut", n)
+	}
+}
+
 // A request that net/http answers itself must get that answer, though its client reads only after a long body.
 func TestMalformedUploadIsAnswered(t *testing.T) {
 	t.Parallel()
