--- a/gatewaydaemon/clients.go
+++ b/gatewaydaemon/clients.go
@@ -15,6 +15,9 @@
 	connectionPollInterval = 5 * time.Millisecond
 	// idleCloseTime is the least time for idle connections to end, and to answer what has arrived on them.
 	idleCloseTime = 100 * time.Millisecond
+	// unreadTime is the time to read what had reached the process when the server is closed. After a pause of the process
+	// expired timers go ahead of the network.
+	unreadTime = 50 * time.Millisecond
 )
 
 // clientServer is the clients' HTTP server. Its close differs from http.Server.Shutdown, which closes connections
@@ -23,6 +26,8 @@
 	server   *http.Server
 	listener *linger.Listener
 	limits   func() clientLimits
+	// unreadTime is the time before the server stops listening when it is closed.
+	unreadTime time.Duration
 	// closing is set once each response closes its connection.
 	closing atomic.Bool
 	// closingIdle is set once connections are closed that are idle.
@@ -37,7 +42,7 @@
 // newClientServer returns a server whose connections are tracked. limits replaces the server's
 // time-outs, which must be set.
 func newClientServer(listener net.Listener, server *http.Server, limits func() clientLimits) *clientServer {
-	c := &clientServer{server: server, listener: linger.NewListener(listener), limits: limits, open: make(map[net.Conn]bool)}
+	c := &clientServer{server: server, listener: linger.NewListener(listener), limits: limits, unreadTime: unreadTime, open: make(map[net.Conn]bool)}
 	server.ConnState = c.track
 	server.Handler = c.closeWhenClosing(server.Handler)
 	return c
@@ -129,9 +134,11 @@
 	}
 }
 
-// close stops listening, and closes all connections once no request is arriving or in progress, or at the deadline.
-// Requests that have arrived by then on idle connections are answered. It returns the number of connections that were cut.
+// close reads what has reached the process, stops listening, and closes all connections once no request is arriving or
+// in progress, or at the deadline. Requests that have arrived by then on idle connections are answered. It returns the
+// number of connections that were cut.
 func (c *clientServer) close(deadline time.Time) (cut int) {
+	time.Sleep(c.unreadTime)
 	_ = c.listener.Close()
 	c.closing.Store(true)
 	c.await(deadline, func() bool { return c.countBusy() == 0 })
