Do not read unused client connections after their close

Callers: a client that opened a connection and sent its first request as the time for the header ended, or at the end of a stop, had that request read and discarded for up to two seconds, and got no answer. It could not tell that from a request that had begun.

Cause: the same as for idle connections. All closed connections but idle ones linger, also those on which nothing was read, so that no response can have been sent.

Fix: a connection on which nothing has been read is closed at once. The check of TestRequestAfterIdleCloseIsNotRead is shared and unchanged.

--- a/gatewaydaemon/clientconn.go
+++ b/gatewaydaemon/clientconn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,6 +51,8 @@
 type clientConn struct {
 	net.Conn
 	server *clientServer
+	// received is set once anything has been read.
+	received atomic.Bool
 
 	mu sync.Mutex
 	// next is what the next deadline of net/http is for, current what the last one is for, since when it was set.
@@ -98,9 +101,18 @@
 	return c.since.Add(limits.idle)
 }
 
-// Read implements net.Conn. It goes on after a deadline if the limit has been raised since the deadline was set, and
-// returns what has arrived otherwise: the process may have stalled.
+// Read implements net.Conn.
 func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.readWithinLimits(p)
+	if n > 0 && !c.received.Load() {
+		c.received.Store(true)
+	}
+	return n, err
+}
+
+// readWithinLimits reads what the client sends. It goes on after a deadline if the limit has been raised since the deadline was set, and
+// returns what has arrived otherwise: the process may have stalled.
+func (c *clientConn) readWithinLimits(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -161,11 +173,11 @@
 	}
 }
 
-// Close implements net.Conn. Nothing is read on an idle connection after it was closed: a client may repeat a request
-// that was not read.
+// Close implements net.Conn. Nothing is read after the close of a connection that is idle or has not been used: a client
+// may repeat a request that was not read.
 func (c *clientConn) Close() error {
 	c.mu.Lock()
-	idle := c.current == awaitsRequest
+	idle := c.current == awaitsRequest || !c.received.Load()
 	c.mu.Unlock()
 	if d, ok := c.Conn.(interface{ CloseNow() error }); ok && idle {
 		return d.CloseNow()
--- a/gatewaydaemon/idleclose_test.go
+++ b/gatewaydaemon/idleclose_test.go
@@ -83,14 +83,48 @@
 	if n := c.listener.CountReceiving(); n != 0 {
 		t.Errorf("%d closed connections are read", n)
 	}
-	writes := 0
-	for ; writes < 100; writes++ {
+	checkNotRead(t, conn)
+}
+
+// checkNotRead checks that the server does not read what is sent on a connection that it has closed.
+func checkNotRead(t *testing.T, conn net.Conn) {
+	t.Helper()
+	for range 100 {
 		if _, err := io.WriteString(conn, requestHead("/x", "late", 0)); err != nil {
-			break
+			return
 		}
 		time.Sleep(time.Millisecond)
 	}
-	if writes == 100 {
-		t.Error("the server reads requests after it has closed the connection")
+	t.Error("the server reads requests after it has closed the connection")
+}
+
+// A client opens a connection and sends its first request only as the time for the header ends, or as a stop does. The
+// request gets no answer, and must not be read.
+func TestFirstRequestAfterCloseIsNotRead(t *testing.T) {
+	for name, header := range map[string]time.Duration{"time for the header": 50 * time.Millisecond, "stop": time.Hour} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := newClientServer(listener, &http.Server{IdleTimeout: time.Hour, ReadHeaderTimeout: time.Hour, Handler: http.NotFoundHandler()}, func() clientLimits {
+			return clientLimits{header: header, idle: time.Hour}
+		})
+		go func() { _ = c.server.Serve(c.acceptor()) }()
+		t.Cleanup(func() { _ = c.server.Close() })
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		if name == "stop" {
+			for c.countOpen() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			_ = c.close(time.Now())
+		}
+		if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
+			t.Fatalf("%s: the connection is open: %v", name, err)
+		}
+		checkNotRead(t, conn)
 	}
 }
