Do not read idle connections of the entry's callers after their close

Callers: a request that crossed the close of an idle or unused connection at the product's entry, at the idle limit, the time for the header or a stop, was read and discarded, and its connection ended without an answer.

Each closed connection lingers, whether or not it has a response to protect.

No test runs the daemon itself.

Fix: the listener follows the states of the server's connections, and closes those at once of which no request has been read.

--- a/entrydaemon/daemon.go
+++ b/entrydaemon/daemon.go
@@ -204,14 +204,15 @@
 		}
 		callers = tls.NewListener(callers, id.ServerConfig())
 	}
-	d.serve(callers, d.entry.Handler())
-	d.serve(d.operatorsListener, d.entry.OperatorsHandler(telemetry.OperatorsHandler(d.registry, &d.ready, d.config.Pprof)))
+	d.serve(callers, d.entry.Handler(), d.callersListener.Track)
+	d.serve(d.operatorsListener, d.entry.OperatorsHandler(telemetry.OperatorsHandler(d.registry, &d.ready, d.config.Pprof)), nil)
 	return nil
 }
 
-func (d *Daemon) serve(l net.Listener, h http.Handler) {
+func (d *Daemon) serve(l net.Listener, h http.Handler, connState func(net.Conn, http.ConnState)) {
 	s := &http.Server{
 		Handler:           h,
+		ConnState:         connState,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		WriteTimeout:      writeTimeout,
--- a/linger/linger.go
+++ b/linger/linger.go
@@ -4,9 +4,11 @@
 package linger
 
 import (
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -53,6 +55,17 @@
 	return &conn{TCPConn: tcp, listener: l}, nil
 }
 
+// Track is the ConnState hook of an HTTP server that serves the listener. Nothing is read after the close of a connection
+// that is idle or has not been used: a client may repeat a request that was not read.
+func (l *Listener) Track(nc net.Conn, state http.ConnState) {
+	if t, ok := nc.(*tls.Conn); ok {
+		nc = t.NetConn()
+	}
+	if c, ok := nc.(*conn); ok && state != http.StateClosed {
+		c.setIdle(state == http.StateNew || state == http.StateIdle)
+	}
+}
+
 // AwaitUploads waits until the clients of closed connections have ended what they were sending, or until a deadline.
 func (l *Listener) AwaitUploads(deadline time.Time) {
 	for l.CountReceiving() > 0 && time.Now().Before(deadline) {
@@ -85,9 +98,17 @@
 
 	// reading is held during each read, so that no read from before the close overlaps those of linger.
 	reading sync.Mutex
-	// mu guards closed, and orders the setting of deadlines against Close.
+	// mu guards closed and idle, and orders the setting of deadlines against Close.
 	mu     sync.Mutex
 	closed bool
+	// idle is set while an HTTP server awaits a request of which nothing has been read.
+	idle bool
+}
+
+func (c *conn) setIdle(idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = idle
 }
 
 func (c *conn) isClosed() bool {
@@ -133,6 +154,9 @@
 		return net.ErrClosed
 	}
 	c.closed = true
+	if c.idle {
+		return c.TCPConn.Close()
+	}
 	if err := c.CloseWrite(); err != nil {
 		return c.TCPConn.Close() // the client has reset the connection
 	}
--- a/linger/linger_test.go
+++ b/linger/linger_test.go
@@ -1,8 +1,10 @@
 package linger
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 )
@@ -116,3 +118,47 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// A request that crosses the close of an idle or unused connection gets no answer. It must not be read: a client may repeat
+// a request on its own only if it was not read.
+func TestRequestAfterIdleCloseIsNotRead(t *testing.T) {
+	for name, used := range map[string]bool{"idle": true, "unused": false} {
+		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		l := NewListener(tcp)
+		const limit = 50 * time.Millisecond
+		server := &http.Server{Handler: http.NotFoundHandler(), IdleTimeout: limit, ReadHeaderTimeout: limit, ConnState: l.Track}
+		go func() { _ = server.Serve(l) }()
+		t.Cleanup(func() { _ = server.Close() })
+		client, err := net.Dial("tcp", tcp.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = client.Close() })
+		reader := bufio.NewReader(client)
+		const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+		if used {
+			_, _ = io.WriteString(client, request)
+			resp, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+		}
+		if _, err := reader.ReadByte(); err != io.EOF {
+			t.Fatalf("%s: the connection is open: %v", name, err)
+		}
+		writes := 0
+		for ; writes < 100; writes++ {
+			if _, err := io.WriteString(client, request); err != nil {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if writes == 100 {
+			t.Errorf("%s: the server reads requests after it has closed the connection", name)
+		}
+	}
+}
