Forget lost responses after half a minute

Callers: requests kept away from a sound engine, for 0.6 s and longer each time (up to 5 s), and the engine counted as cold, after each single lost connection, once there had been another one at any time before.

Cause: since health is judged by whole responses, only a whole response ends a row of failures. A stream that its client leaves shows nothing, so an engine whose clients leave early never ended the row.

Evidence: TestRareLossesDoNotAddUp failed before (losses 2 to 5, an hour apart).

Fix: a failure more than 30 s after the one before it begins a new row. Engines whose streams break off in turn are still found (TestEngineWithBrokenStreamsIsAvoided, TestBadBodiesMarkEndpointAsFailed).

--- a/roster/health.go
+++ b/roster/health.go
@@ -12,6 +12,9 @@
 	maxBackoff = 5 * time.Second
 	// failureDecayTime is the time constant of the exponential decay of failure rates.
 	failureDecayTime = 4 * time.Second
+	// failureMemory is how long a failure counts as one of consecutive ones. A client may leave a stream before its end,
+	// which shows nothing, so that failures may have no whole response between them for any time.
+	failureMemory = 30 * time.Second
 	// outcomeWeight is the weight of the latest outcome in the moving averages.
 	outcomeWeight = 0.3
 )
@@ -41,6 +44,7 @@
 	failureRateAt       time.Time
 	latency             float64
 	consecutiveFailures int
+	failedAt            time.Time
 	retryAt             time.Time
 	// down is set while the endpoint counts as failed, probing while a single request tries whether
 	// it has recovered.
@@ -69,6 +73,10 @@
 		failure = 0.5
 	case Unreachable, ConnectionLost:
 		failure = 1
+		if now.Sub(h.failedAt) > failureMemory {
+			h.consecutiveFailures = 0
+		}
+		h.failedAt = now
 		h.consecutiveFailures++
 		// A single lost connection does not mark an endpoint as down.
 		if failed = o == Unreachable || h.consecutiveFailures > 1; failed {
--- a/roster/health_test.go
+++ b/roster/health_test.go
@@ -48,3 +48,15 @@
 		}
 	}
 }
+
+// An engine whose clients leave their streams early was marked as failed by its second lost connection, however long after
+// the first, and for longer by each further one.
+func TestRareLossesDoNotAddUp(t *testing.T) {
+	h := &health{}
+	for i := range 5 {
+		h.recordProgress()
+		if h.record(epoch.Add(time.Duration(i)*time.Hour), ConnectionLost, 0); h.down {
+			t.Errorf("the endpoint counts as failed after loss %d", i+1)
+		}
+	}
+}
