Do not count a stream's last gap as silence at its deadline

Callers: streams that were cut at their own deadlines more than 250 ms after an event counted as lost connections. Two in a row marked a sound engine as failed and cold, so that other requests were kept away from it.

Cause: the time after which an endpoint that has not answered counts as hung was applied to the gap after an event as well.

Evidence: TestStreamsCutAtDeadlineKeepEngine, events 400 ms apart, deadline 1.5 s: the engine counted as failed from the second stream on; on it did not.

Fix: a stream that has begun counts as silent after the gap after which it is taken up elsewhere.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -168,17 +168,21 @@
 	if isStopping(ctx) {
 		return false
 	}
-	hangTime := minHangTime
+	since, hangTime := a.sentAt, minHangTime
 	if cause := context.Cause(ctx); errors.Is(cause, errAnsweredElsewhere) || errors.Is(cause, errFirstEventLate) {
 		hangTime = a.patience
 	}
-	since := a.sentAt
 	if a.progressAt.After(since) {
-		since = a.progressAt
+		since, hangTime = a.progressAt, q.gapTimeout()
 	}
 	return !q.clientGone() && now.Sub(since) > hangTime
 }
 
+// gapTimeout returns the time without an event after which a stream counts as stalled.
+func (q *request) gapTimeout() time.Duration {
+	return max(time.Duration(silenceGapFactor*float64(q.route.EventGapTarget)), minSilenceTimeout)
+}
+
 // abandonFor returns a function that ends an attempt by cancel, because its endpoint is silent and a replacement
 // is secured.
 func (q *request) abandonFor(cancel context.CancelFunc) func(*replacement) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -528,7 +528,7 @@
 // allowGap sets the time allowed until the next event.
 func (s *stream) allowGap(silence *silenceTimer) {
 	if s.mayRunAgain() && s.sends < maxSends {
-		silence.reset(max(time.Duration(silenceGapFactor*float64(s.route.EventGapTarget)), minSilenceTimeout))
+		silence.reset(s.gapTimeout())
 	} else {
 		silence.disable()
 	}
--- a/gatewaydaemon/badbody_test.go
+++ b/gatewaydaemon/badbody_test.go
@@ -87,3 +87,23 @@
 
 // beginningOfStream is the number of events that count as the beginning of a stream.
 const beginningOfStream = 5
+
+// Streams that were cut at their own deadlines, a moment after an event, marked a sound engine as failed.
+func TestStreamsCutAtDeadlineKeepEngine(t *testing.T) {
+	const gap = 400 * time.Millisecond
+	d := newDeployment(t, 1)
+	_, _, engine1, engine2, _ := d.startEndpoints(nil)
+	d.store.Delete(fleet.KindEndpoints, engine2.ID)
+	engine1.SetStream(1000, gap)
+	d.waitReady()
+	healthy := func() int {
+		return len(d.entries[0].daemon.roster.Candidates(time.Now(), roster.Filter{Service: "llm", Healthy: true}))
+	}
+	d.eventually("only one endpoint is left", func() bool { return healthy() == 1 })
+	for i := range 3 {
+		r := d.send(d.entries[0], http.MethodPost, "/stream/plain/x", http.Header{"Azurelead-Timeout-Ms": {"1500"}})
+		if r.body == "" || r.err == nil || healthy() != 1 {
+			t.Errorf("stream %d: %q, error %v, %d endpoints are healthy", i, r.body, r.err, healthy())
+		}
+	}
+}
