Do not hold more memory for a body than its stated length

Callers: bodies of a stated length took up to twice that of the budget, so that sound ones were ended or refused sooner than need be.

Cause: the buffer doubles, whatever length is stated.

Fix: the last buffer has the stated length. What a sender sends above that is still read up to the limit.

--- a/memorybudget/read.go
+++ b/memorybudget/read.go
@@ -47,7 +47,7 @@
 		case int64(len(read)) > o.Limit:
 			return nil, tooLarge("more than %d bytes", o.Limit)
 		case err == nil && len(read) == cap(read):
-			read, err = grow(read, min(2*int64(cap(read)), o.Limit+1), o.Hold)
+			read, err = grow(read, o.nextSize(int64(cap(read))), o.Hold)
 		}
 	}
 	if !errors.Is(err, io.EOF) {
@@ -56,6 +56,16 @@
 	return read, nil
 }
 
+// nextSize returns the size of the buffer after one of size bytes. It is not above the stated length, but for the byte after
+// which a reader reports its end.
+func (o ReadOptions) nextSize(size int64) int64 {
+	next := min(2*size, o.Limit+1)
+	if o.Length >= size {
+		next = min(next, o.Length+1)
+	}
+	return next
+}
+
 // tooLarge returns an error of the classes TooLarge and Error.
 func tooLarge(format string, args ...any) error { return TooLarge.Wrap(Error.New(format, args...)) }
 
