--- a/peers/messages.go
+++ b/peers/messages.go
@@ -23,7 +23,7 @@
 	methodResults  = "made"    // notification, sent to the side that submitted the job
 	methodCancel   = "cancel"  // notification
 	methodRelease  = "release" // notification
-	methodOrigins  = "origins" // notification
+	methodOrigins  = "origins"
 	// methodFindOrigin asks for the origin of a stream.
 	methodFindOrigin = "find_origin"
 	// methodStoreOrigins passes origins of streams to the dispatcher, which writes them to the store.
