Avoid agents whose calls fail

What callers saw, on the product's first interface: with one of two agents whose endpoint answered no call wholly, nearly half of the requests failed.

Cause: the choice of an agent took links, limits and load into account and no results. A failed call was repeated at another agent, but the next request began at the failing one as often as before, and the retry budget was spent.

Change: an agent whose last two calls or more have failed comes in only when no other is left, for half a second after the second failure, doubling to five. The result counts once it is verified; calls that were cancelled, refused or late, and failures during the avoidance, count for nothing.

Tests: entry passes with the race detector; itest, load, entrydaemon and agent pass without.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -53,6 +53,7 @@
 	a := &attempt{s: s, p: p, createdAt: s.started, tokens: tokens, tracker: &usageTracker{}, cancel: cancel, params: s.params(ctx, l, id, traceParent(tctx))}
 	s.f.setPartialUsage(a.tracker)
 	res := a.verify(a.run(ctx, l))
+	p.recordResult(res.Code)
 	s.e.o.Suspects.Merge(res.Suspects)
 	s.e.m.recordUsage(s.req.Organisation, s.req.PipelineName, s.stage.Name, res.Usage, res.Code == "")
 	if res.Code != "" {
--- a/entry/eligible.go
+++ b/entry/eligible.go
@@ -42,7 +42,7 @@
 }
 
 // eligible returns the endpoints of a pool that may get new work now. Agents whose
-// link was lost recently are included only if there are no others.
+// link was lost or whose calls failed recently are included only if there are no others.
 func (e *Entry) eligible(pool, model string, tried map[string]bool) eligibleSet {
 	now := time.Now()
 	snap := e.o.Settings.Current()
@@ -57,7 +57,7 @@
 		c, ok := p.candidate(e.o.DataCentre)
 		switch {
 		case !ok || !serves(c, model):
-		case e.fleet.table.Suspected(p.instance.Name, now):
+		case e.fleet.table.Suspected(p.instance.Name, now) || p.isFailing(now):
 			suspected.add(p, c)
 		default:
 			preferred.add(p, c)
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/azurelead/azurelead/contract"
 	"github.com/azurelead/azurelead/link"
 	"github.com/azurelead/azurelead/platform"
 )
@@ -25,6 +26,7 @@
 	inFlight      int
 	sentSinceLoad int
 	load          link.Load
+	health        callHealth
 }
 
 func newPeer(in platform.Instance, stop context.CancelFunc) *peer {
@@ -128,6 +130,20 @@
 	return p.link
 }
 
+// recordResult updates the peer's health by the code of a call's result.
+func (p *peer) recordResult(code contract.Code) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.health.record(time.Now(), code)
+}
+
+// isFailing reports whether the last calls have failed, so that the peer is avoided for a while.
+func (p *peer) isFailing(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.health.avoidUntil)
+}
+
 // endCall removes a call from the count.
 func (p *peer) endCall() {
 	p.mu.Lock()
