Let comments not begin the response of a stream

An endpoint in trouble may send lines of comments without end. The first of them began the response of a stream: status 200 went out, the bound of the wait for the first event ended, and the client got up to 1 MB of comments of each endpoint and no event. Its clients leave after their patience, so that they got neither an answer nor a refusal.

Comments before the first event are read and not passed on.

Tests of streams of gatewaydaemon pass.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -469,7 +469,8 @@
 }
 
 // relay forwards complete events as they arrive. Only events that continue the stream count as
-// progress: comments and repeated events may come without end from an endpoint that has stalled.
+// progress: comments and repeated events may come without end from an endpoint that has stalled. Comments do not begin
+// the response.
 func (s *stream) relay(ctx context.Context, a *attempt, silence *silenceTimer) (bool, *response) {
 	err := s.relayEvents(a, silence)
 	silence.disable()
@@ -510,8 +511,8 @@
 			if bytesWithoutProgress += len(ev.raw); bytesWithoutProgress > maxEventBytes {
 				return errNoProgress
 			}
-			if ev.id > 0 {
-				continue // the client already has this event
+			if ev.id > 0 || !s.headerSent {
+				continue // the client already has this event, or its response has not begun
 			}
 		}
 		if !s.startResponse(a) {
--- a/gatewaydaemon/patience_test.go
+++ b/gatewaydaemon/patience_test.go
@@ -19,15 +19,21 @@
 	cases := []struct {
 		name    string
 		change  map[string]any
-		prepare func(d *deployment)
+		prepare func(d *deployment, engines []*fleettest.Server)
 	}{
-		{"one attempt", map[string]any{"attempts": 1}, func(*deployment) {}},
-		{"retry budget spent", nil, func(d *deployment) {
+		{"one attempt", map[string]any{"attempts": 1}, func(*deployment, []*fleettest.Server) {}},
+		{"retry budget spent", nil, func(d *deployment, _ []*fleettest.Server) {
 			for budget := d.entries[0].daemon.retryBudgets.For("llm"); budget.TryWithdraw(); {
 			}
 		}},
-		{"not to be repeated", map[string]any{"resumable": false}, func(*deployment) {}},
-		{"replacement hangs as well", nil, func(*deployment) {}},
+		{"not to be repeated", map[string]any{"resumable": false}, func(*deployment, []*fleettest.Server) {}},
+		{"replacement hangs as well", nil, func(*deployment, []*fleettest.Server) {}},
+		{"comments before the first event", nil, func(_ *deployment, engines []*fleettest.Server) {
+			for _, e := range engines {
+				e.SetEndlessPace(0, 200*time.Millisecond)
+				e.SetBehaviour(alwaysBehave(fleettest.EndlessStream))
+			}
+		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -40,7 +46,7 @@
 			maps.Copy(changes, c.change)
 			d.putSilentRoutes(3, changes)
 			d.eventually("the route is in force", func() bool { return d.entries[0].daemon.table.Load().Version == 3 })
-			c.prepare(d)
+			c.prepare(d, engines)
 			start := time.Now()
 			r := d.send(d.entries[0], "POST", "/stream/long/x", http.Header{
 				"Azurelead-Chunks": {"1"}, "Azurelead-Chunk-Key": {"k"}, "Azurelead-Timeout-Ms": {fmt.Sprint(deadline.Milliseconds())},
--- a/soak/check.go
+++ b/soak/check.go
@@ -317,7 +317,7 @@
 		return
 	}
 	if !isStreamOfOneVersion(resp.body, resp.err == nil) {
-		r.recordViolation("%s, resumed by %v, got the unexpected stream %q, which ended with error %v", resp.id, resp.resumptions, resp.body, resp.err)
+		r.recordViolation("%s, resumed by %v, got the unexpected stream %.2000q, which ended with error %v", resp.id, resp.resumptions, resp.body, resp.err)
 	}
 }
 
--- a/soak/strain.go
+++ b/soak/strain.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"regexp"
 	"slices"
 	"sync"
 	"time"
@@ -48,8 +47,6 @@
 		fleettest.EndlessStream, fleettest.EndlessEvent,
 	}
 	badBodies = []fleettest.Behaviour{fleettest.CutBody, fleettest.ResetBody, fleettest.SpoiltBody}
-	// comments matches the comments of a stream, which are no part of the answer; the last one may be cut off.
-	comments = regexp.MustCompile(`(?m)^: x*(\n\n?|\z)`)
 )
 
 // addStrained starts the endpoints of the services of the strain and registers them.
@@ -107,7 +104,6 @@
 	for ctx.Err() == nil {
 		id := fmt.Sprintf("%s-%016x", k.name, rng.Uint64())
 		resp := r.sendTo(ctx, client, e, response{id: id, kind: k.name}, k.method, k.path, r.requestBody(id), nil)
-		resp.body = comments.ReplaceAllString(resp.body, "")
 		if served := resp.status == http.StatusOK && resp.err == nil; k == besideKind && !served && e.isCalm(contactTime+resp.latency) {
 			r.recordViolation("%s, beside strained endpoints, got status %d after %v at %s: %.100q, %v", id, resp.status, resp.latency, e.name, resp.body, resp.err)
 		}
