Listen for stand-ins on an address of the test's process

Endpoints and proxies of tests and of the soak listened on free ports of 127.0.0.1.

They listen on the loopback address that FreeAddress derives from the process's id.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/azurelead/azurelead/platform/fleettest"
 )
 
 // proxyMode is how a proxy treats the bytes that it receives.
@@ -35,7 +37,7 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := fleettest.Listen()
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
