--- a/gatewaydaemon/clients_test.go
+++ b/gatewaydaemon/clients_test.go
@@ -56,9 +56,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newClientServer(listener, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	c := newClientServer(listener, &http.Server{IdleTimeout: time.Hour, ReadHeaderTimeout: time.Hour, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusServiceUnavailable)
-	})}, func() clientLimits { return clientLimits{} })
+	})}, func() clientLimits { return clientLimits{header: time.Hour, idle: time.Hour} })
 	c.unreadTime = time.Second
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
