Measure the writing of origins in a test's own time

It runs in a synctest bubble now, with a store that is called without a network. The bound is the same.

--- a/gatewaydaemon/origins_test.go
+++ b/gatewaydaemon/origins_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/azurelead/azurelead/catalog"
@@ -216,35 +217,37 @@
 // Streams begin at a steady rate while two versions serve. Their origins must be in the store soon: all entries may be
 // killed, and a stream that is not in the store then is refused when its client takes it up.
 func TestOriginsAreInTheStoreSoon(t *testing.T) {
-	const streams, interval, target = 60, 20 * time.Millisecond, 100 * time.Millisecond
 	store := fleettest.NewStore()
-	t.Cleanup(store.Close)
-	newRecords := func() *originRecords {
-		return &originRecords{
-			store: fleet.NewStore(store.Address(), newStoreTransport()), table: origin.New(), logger: slog.New(slog.DiscardHandler), prefix: "writer",
-			expiries: make(map[string]time.Time), usesHubs: func() bool { return false }, dispatcher: func(context.Context) *peers.Link { return nil },
-		}
-	}
-	writer, reader := newRecords(), newRecords()
-	go writer.run(t.Context())
-	begun := make(map[string]time.Time)
-	var ages []time.Duration
-	for start := time.Now(); len(ages) < streams; {
-		if len(begun)+len(ages) < streams && time.Since(start) > time.Duration(len(begun)+len(ages))*interval {
-			key := strconv.Itoa(len(begun) + len(ages))
-			begun[key] = time.Now()
-			writer.add([]origin.Record{{Key: key, Service: "models", Version: "v1"}})
+	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(store.Close)
+		const streams, target = 60, 100 * time.Millisecond
+		newRecords := func() *originRecords {
+			return &originRecords{
+				store: fleet.NewStore(store.Address(), store.Transport()), table: origin.New(), logger: slog.New(slog.DiscardHandler), prefix: "writer",
+				expiries: make(map[string]time.Time), usesHubs: func() bool { return false }, dispatcher: func(context.Context) *peers.Link { return nil },
+			}
 		}
-		reader.read(make(chan struct{}))
-		for key, at := range begun {
-			if _, found := reader.table.Find(time.Now(), key); found {
-				ages = append(ages, time.Since(at))
-				delete(begun, key)
+		writer, reader := newRecords(), newRecords()
+		go writer.run(t.Context())
+		begun := make(map[string]time.Time)
+		var ages []time.Duration
+		for tick := 0; len(ages) < streams; tick++ {
+			if key := strconv.Itoa(tick); tick%20 == 0 && tick/20 < streams {
+				begun[key] = time.Now()
+				writer.add([]origin.Record{{Key: key, Service: "models", Version: "v1"}})
+			}
+			time.Sleep(time.Millisecond)
+			reader.read(make(chan struct{}))
+			for key, at := range begun {
+				if _, found := reader.table.Find(time.Now(), key); found {
+					ages = append(ages, time.Since(at))
+					delete(begun, key)
+				}
 			}
 		}
-	}
-	slices.Sort(ages)
-	if median := ages[streams/2]; median > target {
-		t.Errorf("half of the origins are in the store after %v, want %v", median, target)
-	}
+		slices.Sort(ages)
+		if median := ages[streams/2]; median > target {
+			t.Errorf("half of the origins are in the store after %v, want %v", median, target)
+		}
+	})
 }
