--- a/gateway/events.go
+++ b/gateway/events.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// add appends a part of an event to what was read of it.
+// add appends part to raw, the bytes of an event so far, after it has stated a larger buffer to the budget.
 func (e *eventReader) add(raw, part []byte) ([]byte, error) {
 	if size := len(raw) + len(part); size > cap(raw) && size > eventBufferSize {
 		size = max(size, min(2*cap(raw), maxEventBytes+eventBufferSize))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,7 +68,7 @@
 	DataCentre string
 	// Table returns the configuration in force, or nil if there is none yet.
 	Table func() *catalog.Table
-	// AwaitState blocks while the state that requests need is being learnt after a start, for a bounded time. nil never
+	// AwaitState blocks after a start until the state that requests need is known, for a bounded time. nil never
 	// blocks.
 	AwaitState func(ctx context.Context)
 	Roster     *roster.Roster
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -663,7 +663,7 @@
 
 // chooseEngine returns the best endpoint to try among those that fail rarely: the engine that the dispatcher booked,
 // else the one that hashing assigns to the shared part of the prompt, else the one expected to answer first. The
-// dispatcher books on engines that refuse or fail as well, because it does not learn of that.
+// dispatcher may book engines that refuse or fail, because such outcomes are not reported to it.
 func (s *stream) chooseEngine(f roster.Filter, out stageOutput) (roster.Candidate, bool) {
 	if out.turnBooked {
 		if c, found := s.gw.opts.Roster.BookedCandidate(time.Now(), f, out.engine); found {
--- a/memorybudget/read.go
+++ b/memorybudget/read.go
@@ -75,7 +75,7 @@
 // tooLarge returns an error of the classes TooLarge and Error.
 func tooLarge(format string, args ...any) error { return TooLarge.Wrap(Error.New(format, args...)) }
 
-// grow returns a copy of what was read in a buffer of size bytes.
+// grow returns a copy of read with a capacity of size bytes.
 func grow(read []byte, size int64, hold func(n int64) error) ([]byte, error) {
 	if err := hold(size); err != nil {
 		return nil, err
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -337,7 +337,7 @@
 	r io.Reader
 	// hold is called with the memory that the head takes so far; nil if no head is expected.
 	hold func(n int64) error
-	// read and lines count what was read of the head, with what may have come with it.
+	// read and lines count the bytes and lines of the input since a head is expected.
 	read, lines int
 }
 
@@ -356,7 +356,7 @@
 	case l.lines > maxHeadLines:
 		return 0, errTooManyLines
 	}
-	// What was read before was not the end of the head.
+	// The bytes read so far do not complete the head.
 	if err := l.hold(int64(l.read + l.lines*headLineCost)); err != nil {
 		return 0, err
 	}
