Keep the soak's sound service beside bad endpoints in service

Cause: the scenario.

Change: its endpoints are in a data centre of their own. The check is unchanged.

--- a/soak/strain.go
+++ b/soak/strain.go
@@ -56,7 +56,11 @@
 			s := fleettest.NewServer(fmt.Sprintf("%s-%d-%d", service.name, r.o.Seed, i))
 			s.SetStream(streamEvents, r.eventGap())
 			s.SetVersion(engineVersions[0])
-			spec := s.EndpointSpec(service.name, fmt.Sprintf("dc-%d", i%dataCentres))
+			dataCentre := fmt.Sprintf("dc-%d", i%dataCentres)
+			if service.name == beside {
+				dataCentre = "dc-beside" // no fault takes it out of service
+			}
+			spec := s.EndpointSpec(service.name, dataCentre)
 			spec["slots"] = endlessCallers
 			r.strained = append(r.strained, s)
 			r.store.Put(fleet.KindEndpoints, s.ID, spec)
