--- a/gateway/response.go
+++ b/gateway/response.go
@@ -33,7 +33,7 @@
 	releases []func()
 }
 
-// add adds something that release gives back.
+// add adds a function that gives back a part of what is held.
 func (m *heldMemory) add(release func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/gatewaydaemon/clientconn.go
+++ b/gatewaydaemon/clientconn.go
@@ -110,8 +110,8 @@
 	return n, err
 }
 
-// readWithinLimits reads what the client sends. It goes on after a deadline if the limit has been raised since the deadline was set, and
-// returns what has arrived otherwise: the process may have stalled.
+// readWithinLimits reads what the client sends. It goes on after a deadline if the limit has been raised since the
+// deadline was set, and returns what has arrived otherwise: the process may have stalled.
 func (c *clientConn) readWithinLimits(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
--- a/gatewaydaemon/memory.go
+++ b/gatewaydaemon/memory.go
@@ -11,8 +11,7 @@
 	// heapShare is the share of the memory limit that the Go runtime may use. The rest is for the program itself and
 	// for the C library.
 	heapShare = 0.8
-	// responseShare is the share of the memory limit that endpoints' responses may hold together. As much again
-	// may wait for the garbage collector.
+	// responseShare is the share of the memory limit that endpoints' responses may hold together.
 	responseShare = 0.375
 	// uploadShare is the share that clients' request bodies may hold together, those of one organisation half of it.
 	uploadShare = 0.25
--- a/gatewaydaemon/pause.go
+++ b/gatewaydaemon/pause.go
@@ -32,8 +32,8 @@
 	p.due, p.at = p.at.Add(p.interval), now
 }
 
-// since returns since when the process had no processor time until now, or until just now. It returns now if it had,
-// and no time that is more than maxPause ago.
+// since returns the start of a pause of the process that lasts until now or has just ended, at most maxPause before now.
+// It returns now if there is none.
 func (p *pauseDetector) since(now time.Time) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/memorybudget/read.go
+++ b/memorybudget/read.go
@@ -16,8 +16,8 @@
 	// maxFirstBuffer bounds the first buffer for a stated length, in bytes: a sender in trouble may state more than it
 	// sends.
 	maxFirstBuffer = Exempt
-	// maxDoubledBuffer is the size up to which buffers double, in bytes. Larger ones grow by a quarter, as what they have
-	// free counts.
+	// maxDoubledBuffer is the size up to which buffers double, in bytes. Larger ones grow by a quarter, as their free part
+	// counts towards the budget too.
 	maxDoubledBuffer = 256 << 10
 )
 
@@ -31,8 +31,8 @@
 	Hold func(n int64) error
 }
 
-// Read reads r to its end. It returns an error of class TooLarge if that is after more than o.Limit bytes, before it reads any if the
-// stated length says so.
+// Read reads r to its end. It returns an error of class TooLarge if that is after more than o.Limit bytes, before it
+// reads any if the stated length says so.
 func Read(r io.Reader, o ReadOptions) ([]byte, error) {
 	if o.Length > o.Limit {
 		return nil, tooLarge("%d bytes are stated, more than %d", o.Length, o.Limit)
--- a/roster/health.go
+++ b/roster/health.go
@@ -44,8 +44,9 @@
 	failureRateAt       time.Time
 	latency             float64
 	consecutiveFailures int
-	failedAt            time.Time
-	retryAt             time.Time
+	// failedAt is when the last of the consecutive failures was reported.
+	failedAt time.Time
+	retryAt  time.Time
 	// down is set while the endpoint counts as failed, probing while a single request tries whether
 	// it has recovered.
 	down    bool
