Give the requests of TestLargeAnswersAtOnceAreServed a minute

Its route had 3 s; 504 says that they ended, and not the budget (502). With the race detector and a busy machine 40 answers of 1 MB take longer than that.

Change: a route and a deadline of a minute.

--- a/gatewaydaemon/largeanswers_test.go
+++ b/gatewaydaemon/largeanswers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -11,12 +12,13 @@
 	"time"
 
 	"github.com/azurelead/azurelead/platform/fleet"
+	"github.com/azurelead/azurelead/platform/fleettest"
 	"github.com/azurelead/azurelead/roster"
 )
 
 // Answers of a sound endpoint were lost because they were large and came at once, and the endpoint counted as failed.
 func TestLargeAnswersAtOnceAreServed(t *testing.T) {
-	const requests, size = 40, 1 << 20 // of an instance with 256 MB
+	const requests, size, patience = 40, 1 << 20, time.Minute // of an instance with 256 MB
 	for name, length := range map[string]string{"stated length": strconv.Itoa(size), "chunks": ""} {
 		d := newDeployment(t, 1)
 		api, other, _, _, _ := d.startEndpoints(nil)
@@ -42,7 +44,11 @@
 		spec := api.EndpointSpec("api", "north")
 		spec["address"] = sound.Listener.Addr().String()
 		d.store.Put(fleet.KindEndpoints, api.ID, spec)
+		d.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(2,
+			[]map[string]any{fleettest.Route("book", "/book/", "non_idempotent", "api", map[string]any{"timeoutMs": patience.Milliseconds()})},
+			[]map[string]any{fleettest.Service("api")}, nil))
 		d.waitReady()
+		d.eventually("the route is in force", func() bool { return d.entries[0].daemon.table.Load().Version == 2 })
 		healthy := func() bool {
 			return len(d.entries[0].daemon.roster.Candidates(time.Now(), roster.Filter{Service: "api", Healthy: true})) == 1
 		}
@@ -54,7 +60,7 @@
 		var group sync.WaitGroup
 		for range requests {
 			group.Go(func() {
-				r := d.send(d.entries[0], http.MethodPost, "/book/large", nil)
+				r := d.send(d.entries[0], http.MethodPost, "/book/large", http.Header{"Azurelead-Timeout-Ms": {fmt.Sprint(patience.Milliseconds())}})
 				mu.Lock()
 				defer mu.Unlock()
 				if r.status != http.StatusOK || r.err != nil || len(r.body) != size {
