Ask the process that sent a response without a length whether it still serves

Callers of streams without a length got a prefix of their events with a regular end (ORDER) when the engine's process had ended and connections to its address were accepted all the same: by the process that was started in its place, also while a gateway was paused, or by a relay in front of it.

Cause: since the end of such a response counts as regular if a connection to the endpoint can be opened. That shows that something listens at the address, not that the process lives that sent the response. The class is that of: a fact about an address, or about one incarnation, is applied to another.

Now an engine is asked for its report, with its ID and for its start time.

The verdict is in the request's log line and in azurelead_gateway_unframed_ends_total.

--- a/gateway/accesslog.go
+++ b/gateway/accesslog.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -73,10 +74,10 @@
 	return text
 }
 
-// silenceVerdict returns the last verdict on a silent endpoint, or "" if none was silent.
-func (q *request) silenceVerdict() string {
-	if v := q.silence.Load(); v != nil {
-		return *v
+// lastVerdict returns a verdict, or "" if there is none.
+func lastVerdict(v *atomic.Pointer[string]) string {
+	if text := v.Load(); text != nil {
+		return *text
 	}
 	return ""
 }
@@ -104,7 +105,7 @@
 	q.gw.opts.Logger.Info("request", "request", q.headers.AttemptID, "route", routeName, "organisation", q.organisationName(),
 		"service", q.service, "shared", q.sharedPrefixName(), "configuration", version, "outcome", outcome, "status", rec.status, "own", rec.local,
 		"reason", rec.reason, "took_ms", duration.Milliseconds(), "left_ms", q.remaining().Milliseconds(),
-		"sends", strings.Join(rec.sends, "; "), "silence", q.silenceVerdict(), "dispatcher", rec.dispatcher, "stages_ms", rec.stageDuration.Milliseconds(),
+		"sends", strings.Join(rec.sends, "; "), "silence", lastVerdict(&q.silence), "unframed_end", lastVerdict(&q.unframedEnd), "dispatcher", rec.dispatcher, "stages_ms", rec.stageDuration.Milliseconds(),
 		"forecast_ms", rec.stageForecast.Milliseconds(), "tail_ms", rec.firstEventForecast.Milliseconds(), "prompt", q.headers.PromptTokens, "first_event_ms", rec.timeToFirstEvent.Milliseconds(), "events", rec.events,
 		"last_event_ms", time.Duration(q.lastEventAfter.Load()).Milliseconds(), "patience_ms", q.clientPatience().Milliseconds(),
 		"resumes", q.headers.Resumes, "after_event", q.headers.LastEventID, "resumed", rec.resumptions, "retry_after_ms", rec.retryAfter.Milliseconds())
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -48,8 +48,7 @@
 // mayHaveCrashed reports whether the prompt may have crashed the endpoint: it was beginning the answer, and
 // the connection was closed. A connection that timed out shows a partition instead.
 func (a *attempt) mayHaveCrashed() bool {
-	var timeout interface{ Timeout() bool }
-	return a.events < beginningEvents && !(errors.As(a.err, &timeout) && timeout.Timeout())
+	return a.events < beginningEvents && !isTimeout(a.err)
 }
 
 // isCloseDelimited reports whether the end of a response's body is shown only by the end of its connection.
@@ -77,23 +76,26 @@
 // fails after it has sent a head without a length closes the connection like one whose body is empty.
 func (q *request) checkEnd(ctx context.Context, a *attempt, body []byte) error {
 	success := a.resp.StatusCode/100 == 2
-	switch {
-	case success && len(body) == 0 && q.r.Method != http.MethodHead && isCloseDelimited(a.resp):
+	if success && len(body) == 0 && q.r.Method != http.MethodHead && isCloseDelimited(a.resp) {
 		return errNoBody
-	case q.endedWithEndpoint(ctx, a):
-		return errEndpointGone
 	}
-	return nil
+	return q.checkProcessAtEnd(ctx, a)
 }
 
-// errEndpointGone ends an attempt whose close-delimited response ended with its endpoint.
-var errEndpointGone = Error.New("the endpoint was gone at the end of a response without a length")
-
-// endedWithEndpoint reports whether a response that has been read may be cut off without a sign: its end is that of
-// its connection, and the endpoint is gone. The kernel closes the connections of a process that crashes as regularly
-// as the process itself does, and refuses new ones.
-func (q *request) endedWithEndpoint(ctx context.Context, a *attempt) bool {
-	return isCloseDelimited(a.resp) && !q.isUp(ctx, a.endpoint)
+// checkProcessAtEnd returns why a response that has been read may be cut off without a sign, or nil: its end is that of
+// its connection, and the process that sent it is gone. The kernel closes the connections of a process that crashes as
+// regularly as the process itself does.
+func (q *request) checkProcessAtEnd(ctx context.Context, a *attempt) error {
+	if !isCloseDelimited(a.resp) {
+		return nil
+	}
+	verdict := q.processAtEnd(ctx, a.endpoint)
+	q.unframedEnd.Store(&verdict)
+	q.gw.opts.Metrics.UnframedEnds.WithLabelValues(q.service, verdict).Inc()
+	if verdict != processServes {
+		return Error.New("the endpoint's process was %s at the end of a response without a length", verdict)
+	}
+	return nil
 }
 
 // finish closes the response, discarding any unread body, and records the end of the attempt in the
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -215,6 +215,8 @@
 	headerSent bool
 	// silence is the last verdict on a silent endpoint; nil if none was silent.
 	silence atomic.Pointer[string]
+	// unframedEnd is the last verdict on the process that sent a response without a length; nil if none did.
+	unframedEnd atomic.Pointer[string]
 	// secured is the replacement for which the last attempt was abandoned, until it is used.
 	secured atomic.Pointer[replacement]
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -25,6 +25,8 @@
 	Panics            prometheus.Counter
 	// SilentAttempts counts the verdicts on silent endpoints.
 	SilentAttempts *prometheus.CounterVec
+	// UnframedEnds counts the verdicts on endpoints at the end of responses without a length.
+	UnframedEnds *prometheus.CounterVec
 
 	routeLabels, organisationLabels telemetry.LabelLimiter
 }
@@ -55,12 +57,13 @@
 			Namespace: "azurelead", Subsystem: "gateway", Name: "panics_total", Help: "Requests whose handler panicked.",
 		}),
 		SilentAttempts: counter("silent_attempts_total", "Attempts whose endpoint was silent, by whether another one took over, or why not.", "service", "verdict"),
+		UnframedEnds:   counter("unframed_ends_total", "Ends of responses without a length, by whether the process that sent the response serves, was replaced or is gone.", "service", "verdict"),
 		InFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "azurelead", Subsystem: "gateway", Name: "in_flight", Help: "Requests in progress.",
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.Requests, m.OrganisationRequests, m.Duration, m.TimeToFirstEvent, m.StageDuration, m.Retries, m.RetryBudget, m.ClientResumptions, m.InFlight, m.Panics, m.SilentAttempts)
+		r.MustRegister(m.Requests, m.OrganisationRequests, m.Duration, m.TimeToFirstEvent, m.StageDuration, m.Retries, m.RetryBudget, m.ClientResumptions, m.InFlight, m.Panics, m.SilentAttempts, m.UnframedEnds)
 	}
 	return m
 }
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"time"
 
 	"github.com/azurelead/azurelead/retrybudget"
@@ -125,9 +123,7 @@
 	ctx, cancel := context.WithTimeout(ctx, maxSilence)
 	defer cancel()
 	for {
-		err := q.connect(ctx, c)
-		var timeout net.Error
-		if err == nil || ctx.Err() != nil || !errors.As(err, &timeout) || !timeout.Timeout() {
+		if err := q.connect(ctx, c); err == nil || ctx.Err() != nil || !isTimeout(err) {
 			return err == nil
 		}
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -574,8 +575,8 @@
 			err = errNothingFollows
 		}
 	}
-	if errors.Is(err, io.EOF) && s.endedWithEndpoint(ctx, a) {
-		err = errEndpointGone
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(s.checkProcessAtEnd(ctx, a), err)
 	}
 	if errors.Is(err, io.EOF) && !s.startResponse(a) {
 		err = errFirstEventLate
--- a/gatewaydaemon/unframed_test.go
+++ b/gatewaydaemon/unframed_test.go
@@ -1,12 +1,16 @@
 package gatewaydaemon
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/azurelead/azurelead/catalog"
+	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/platform/fleettest"
 )
 
@@ -42,6 +46,93 @@
 	}
 }
 
+// An engine ends between two events of a stream without a length, and connections to its address are accepted all the
+// same, by its next process or by a relay in front of it.
+func TestStreamOfReplacedProcessIsNotComplete(t *testing.T) {
+	const eventCount, eventGap = 12, 30 * time.Millisecond
+	ends := map[string]func(t *testing.T, e *fleettest.Server){
+		"started again": func(t *testing.T, e *fleettest.Server) {
+			if err := e.ExitAndRestart(); err != nil {
+				t.Error(err)
+			}
+		},
+		"behind a relay": func(_ *testing.T, e *fleettest.Server) { e.Exit() },
+	}
+	for name, end := range ends {
+		for _, path := range []string{"/stream/again/x", "/stream/plain/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				d := newDeployment(t, 1)
+				engines := d.startEngines(2, 2)
+				for _, e := range engines {
+					e.SetStream(eventCount, eventGap)
+					e.SetBehaviour(alwaysBehave(fleettest.CloseDelimited))
+					d.relist(e, startRelay(t, e.Address()))
+				}
+				answered := make(chan result, 1)
+				go func() { answered <- d.send(d.entries[0], "POST", path, nil) }()
+				d.eventually("an engine has the request", func() bool { return len(engines[0].Runs())+len(engines[1].Runs()) > 0 })
+				time.Sleep(4 * eventGap)
+				end(t, engines[slices.IndexFunc(engines, func(e *fleettest.Server) bool { return len(e.Runs()) > 0 })])
+				r := <-answered
+				resumable := path == "/stream/again/x"
+				switch {
+				case resumable && (r.err != nil || r.body != events(eventCount)):
+					t.Errorf("status %d, error %v, stream %q", r.status, r.err, r.body)
+				case !resumable && r.err == nil:
+					t.Errorf("%d of %d events look complete", strings.Count(r.body, "\n\n"), eventCount)
+				}
+			})
+		}
+	}
+}
+
+// startRelay starts a relay that accepts connections whether or not anything listens at target. It returns its address.
+func startRelay(t *testing.T, target string) string {
+	l, err := fleettest.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			downstream, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go relay(downstream, target)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// relay passes bytes on between a connection and a target until one side closes.
+func relay(downstream net.Conn, target string) {
+	defer func() { _ = downstream.Close() }()
+	upstream, err := net.Dial("tcp", target)
+	if err != nil {
+		return
+	}
+	defer func() { _ = upstream.Close() }()
+	done := make(chan struct{}, 2)
+	for _, pair := range [][2]net.Conn{{upstream, downstream}, {downstream, upstream}} {
+		go func() {
+			_, _ = io.Copy(pair[0], pair[1])
+			done <- struct{}{}
+		}()
+	}
+	<-done
+}
+
+// relist lists an engine of the service llm at another address.
+func (d *deployment) relist(e *fleettest.Server, address string) {
+	d.t.Helper()
+	e.SetListedAddress(address)
+	d.store.Put(fleet.KindEndpoints, e.ID, e.EndpointSpec("llm", "north"))
+	d.eventually("the engine is known at its new address", func() bool {
+		return slices.ContainsFunc(d.entries[0].daemon.roster.Endpoints(time.Now(), "llm"), func(c catalog.Endpoint) bool { return c.ID == e.ID && c.Address == address })
+	})
+}
+
 // The process of an endpoint ends in the middle of a body without a length.
 func TestBodyOfExitedEndpointIsNotComplete(t *testing.T) {
 	for _, c := range []struct {
--- a/soak/crashes.go
+++ b/soak/crashes.go
@@ -43,6 +43,28 @@
 	crashCauses
 )
 
+// victimEnd is the way in which an engine ends.
+type victimEnd int
+
+const (
+	// lostMachine resets connections. The processes of the other engines end, of which only the end of the connection
+	// shows the end of a stream.
+	lostMachine victimEnd = iota
+	exitedProcess
+	// exitedBehindProxy is the end of a process to which connections are still accepted.
+	exitedBehindProxy
+	// restartedProcess is started again at once.
+	restartedProcess
+)
+
+// endOf returns the way in which the engine of a boot ends.
+func endOf(boot int) victimEnd {
+	if boot%2 != 0 {
+		return lostMachine
+	}
+	return exitedProcess + victimEnd(boot/2%3)
+}
+
 // crashes is a load of repeated sound requests beside crashes of the engines that run them. It has engines of its
 // own, so that the other faults reach it only through the entries and the store.
 type crashes struct {
@@ -51,9 +73,11 @@
 
 	mu      sync.Mutex
 	victims []*fleettest.Server
-	// boots counts the engines that were started. Every other one is a process that exits, of which only the end of
-	// the connection shows the end of a stream; the others are machines that are lost.
+	proxies []*proxy
+	// boots counts the engines that were started.
 	boots int
+	// ends are the ways in which the victims end, in their order.
+	ends  []victimEnd
 	ended bool
 	// times are the times of the crashes.
 	times []time.Time
@@ -72,8 +96,8 @@
 		return
 	}
 	c.boots++
-	answer := fleettest.Serve
-	if c.exits(c.boots) {
+	answer, end := fleettest.Serve, endOf(c.boots)
+	if end != lostMachine {
 		answer = fleettest.CloseDelimited
 	}
 	s := fleettest.NewServer(fmt.Sprintf("victim-%d-%d", c.r.o.Seed, c.boots))
@@ -86,12 +110,23 @@
 		c.crash(s, true)
 		return fleettest.Hang
 	})
-	c.victims = append(c.victims, s)
-	c.r.store.Put(fleet.KindEndpoints, s.ID, s.EndpointSpec("victims", fmt.Sprintf("dc-%d", c.boots%dataCentres)))
+	if end == exitedBehindProxy {
+		p, err := newProxy(s.Address())
+		if err != nil {
+			c.r.recordViolation("no proxy was started: %v", err)
+			return
+		}
+		c.proxies = append(c.proxies, p)
+		s.SetListedAddress(p.address())
+	}
+	c.victims, c.ends = append(c.victims, s), append(c.ends, end)
+	c.list(s, c.boots)
 }
 
-// exits reports whether the engine of a boot ends by the exit of its process.
-func (c *crashes) exits(boot int) bool { return boot%2 == 0 }
+// list lists an engine.
+func (c *crashes) list(s *fleettest.Server, boot int) {
+	c.r.store.Put(fleet.KindEndpoints, s.ID, s.EndpointSpec("victims", fmt.Sprintf("dc-%d", boot%dataCentres)))
+}
 
 // crash crashes an engine, which is replaced after a while. A request has caused it unless nothing that was sent did.
 func (c *crashes) crash(s *fleettest.Server, byRequest bool) {
@@ -105,16 +140,33 @@
 		c.late++
 	}
 	c.times = append(c.times, time.Now())
-	end := s.Close
-	if c.exits(slices.Index(c.victims, s) + 1) {
-		end = s.Exit
+	boot := slices.Index(c.victims, s) + 1
+	go c.endVictim(s, boot, c.ends[boot-1])
+}
+
+// endVictim ends an engine, and replaces or lists it again after a while.
+func (c *crashes) endVictim(s *fleettest.Server, boot int, end victimEnd) {
+	switch end {
+	case lostMachine:
+		s.Close()
+	case restartedProcess:
+		if err := s.ExitAndRestart(); err != nil {
+			c.r.recordViolation("%s was not started again: %v", s.ID, err)
+		}
+	default:
+		s.Exit()
 	}
-	go func() {
-		end()
-		time.Sleep(victimDownTime)
+	time.Sleep(victimDownTime)
+	if end != restartedProcess {
 		c.r.store.Delete(fleet.KindEndpoints, s.ID)
 		c.startVictim()
-	}()
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ended {
+		c.list(s, boot)
+	}
 }
 
 // settled reports whether twice contactTime has passed since the fifth crash, or the last of fewer.
@@ -221,4 +273,7 @@
 		c.r.store.Delete(fleet.KindEndpoints, s.ID)
 		s.Close()
 	}
+	for _, p := range c.proxies {
+		p.close()
+	}
 }
