Ask only engines and stage endpoints for reports

An endpoint of an application service runs the question for its report as a request that no client has sent (UNASKED).

The declaration of the service decides now.

--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/azurelead/azurelead/catalog"
 	"github.com/azurelead/azurelead/platform/fleet"
 	"github.com/azurelead/azurelead/roster"
 	"github.com/azurelead/azurelead/upstream"
@@ -18,9 +17,9 @@
 
 // mayGoOnAt reports whether the stream may go on at an endpoint. One that is bound to a software version may not at an
 // endpoint that states another start time than the list: it has started again, and its version is not known. One
-// that states none is taken by the list, and so is one with a rate limit, for which the question would count.
+// that states none, or may not be asked, is taken by the list.
 func (s *stream) mayGoOnAt(ctx context.Context, c roster.Candidate) bool {
-	if s.filter().Version == "" || c.Incarnation == 0 || s.gw.opts.Roster.HasRateLimit(time.Now(), c.ID) {
+	if s.filter().Version == "" || c.Incarnation == 0 || !s.mayAsk(c) {
 		return true
 	}
 	p, err := s.askProcess(ctx, c)
@@ -35,6 +34,13 @@
 	return false
 }
 
+// mayAsk reports whether an endpoint may be asked for its report. Other endpoints than engines and those of stages take
+// the question for a request, and it counts towards a rate limit.
+func (q *request) mayAsk(c roster.Candidate) bool {
+	service := q.table.Services[q.service]
+	return service != nil && (service.Engine || service.Stages != nil) && !q.gw.opts.Roster.HasRateLimit(time.Now(), c.ID)
+}
+
 // process is what the process that answers at an endpoint's address states of itself.
 type process struct {
 	// foreign is set if it states that it is not the endpoint.
@@ -88,8 +94,7 @@
 // connection has just ended. That a connection is accepted afterwards does not show that the process lives: another one
 // may have been started in its place, or the address may be that of a relay.
 func (q *request) processAtEnd(ctx context.Context, c roster.Candidate) string {
-	if q.route.Kind != catalog.Streaming || q.gw.opts.Roster.HasRateLimit(time.Now(), c.ID) {
-		// Other endpoints than engines give no reports, and the question would count towards a limit.
+	if !q.mayAsk(c) {
 		if q.isUp(ctx, c) {
 			return processServes
 		}
--- a/gatewaydaemon/unframed_test.go
+++ b/gatewaydaemon/unframed_test.go
@@ -86,6 +86,32 @@
 	}
 }
 
+// An endpoint of an application service takes the question for its report for a request that no client has sent.
+func TestApplicationEndpointIsNotAskedForReport(t *testing.T) {
+	for name, behaviours := range map[string][]fleettest.Behaviour{
+		"end of a response without a length": {fleettest.CloseDelimited},
+		"stream that goes on elsewhere":      {fleettest.CloseMidEvent, fleettest.Serve},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 1)
+			api1, api2, _, _, _ := d.startEndpoints(nil)
+			d.store.Put(fleet.KindConfiguration, fleet.ConfigurationName, fleettest.Configuration(2,
+				[]map[string]any{fleettest.Route("again", "/stream/again/", "streaming", "api", map[string]any{"resumable": true, "attempts": 2})},
+				[]map[string]any{fleettest.Service("api")}, nil))
+			d.waitReady()
+			d.eventually("the configuration is known", func() bool { return d.send(d.entries[0], "GET", "/look/x", nil).status == http.StatusNotFound })
+			servers := []*fleettest.Server{api1, api2}
+			before := api1.Requests() + api2.Requests()
+			behaveInTurn(servers, behaviours...)
+			r := d.send(d.entries[0], "POST", "/stream/again/x", nil)
+			got := api1.Requests() + api2.Requests() - before
+			if r.err != nil || r.body != events(3) || got != len(behaviours) {
+				t.Errorf("%d requests, want %d; error %v, stream %q", got, len(behaviours), r.err, r.body)
+			}
+		})
+	}
+}
+
 // startRelay starts a relay that accepts connections whether or not anything listens at target. It returns its address.
 func startRelay(t *testing.T, target string) string {
 	l, err := fleettest.Listen()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -251,6 +251,13 @@
 	}}
 }
 
+// warmEngineService returns the declaration of a service of engines that are not cold after their start.
+func warmEngineService(name string) map[string]any {
+	service := fleettest.EngineService(name)
+	service["coldStartS"], service["coldPerS"] = 0, 0
+	return service
+}
+
 func (r *run) putConfiguration() {
 	r.configMu.Lock()
 	defer r.configMu.Unlock()
@@ -280,7 +287,7 @@
 			route["targetLatencyMs"], route["targetGapMs"] = plannedLatencyTarget.Milliseconds(), plannedGapTarget.Milliseconds()
 		}
 	}
-	services := []map[string]any{fleettest.Service("api"), fleettest.Service(lateService), fleettest.Service("victims"), fleettest.EngineService("llm"), fleettest.StageService("portal"),
+	services := []map[string]any{fleettest.Service("api"), fleettest.Service(lateService), warmEngineService("victims"), fleettest.EngineService("llm"), fleettest.StageService("portal"),
 		fleettest.Service(strained), fleettest.StageService(strainedStages), fleettest.Service(beside)}
 	keys := []string{apiKey, fmt.Sprintf("key-of-%d", version)}
 	limits := map[string]any{}
