Ask for the origin of a stream also where one version is known

Callers that took a stream up could get events of two software versions (ORDER): an entry that had run for more than a minute and knew one version of a service let the stream go on at that version without asking anybody. An entry that was paused or cut off when a second version was listed, or was told of it later than the entry that began the stream, does not know better; a search by an entry that is cut off ended in the same way, as its own knowledge counted for the whole minute up to now.

Class: knowledge that is old is taken for knowledge of now; silence is taken for evidence.

Now peers are always asked, and that nobody knows of a second version counts only if the store has answered this entry or a linked one within 2 s, or all peers but one have answered: of an origin's two holders one has acknowledged it, and the entry that began the stream may be the silent one. Else the client is refused as not run, as it is when a release is known.

Cost: one message to each linked peer (the hubs in a large deployment) for each stream that a client takes up.

--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -156,7 +156,7 @@
 		PeersContact: func() time.Time { return d.mesh.PeersStoreResponse() },
 	})
 	d.versions = newVersionHistory(d)
-	d.origins = &streamOrigins{table: origin.New(), roster: d.roster, versions: d.versions, started: d.started}
+	d.origins = &streamOrigins{table: origin.New(), roster: d.roster, versions: d.versions, lastStoreResponse: func() time.Time { return d.mesh.LastStoreResponse() }}
 	d.origins.records = newOriginRecords(d)
 	suspectParts := suspect.NewParts(reg)
 	suspectRequests := suspect.NewRequests(suspectParts, reg)
--- a/gatewaydaemon/origins.go
+++ b/gatewaydaemon/origins.go
@@ -28,7 +28,8 @@
 	versions *versionHistory
 	// records keeps the origins that are announced in the store too.
 	records *originRecords
-	started time.Time
+	// lastStoreResponse returns when the store last answered this entry or, as far as reported, a linked one.
+	lastStoreResponse func() time.Time
 }
 
 // Begin implements gateway.Origins.
@@ -55,12 +56,12 @@
 // End implements gateway.Origins.
 func (o *streamOrigins) End(attemptID string) { o.table.End(origin.Key(attemptID)) }
 
-// Find implements gateway.Origins. The peers are asked if the service may have had several versions since
-// the stream began, and by an entry that has started since then: its record of the versions may be
-// some seconds old.
+// Find implements gateway.Origins. The peers are always asked: a version that this entry does not know yet may have
+// begun the stream.
 //
 // An unknown origin is ambiguous unless this entry or a peer that answers knows that the service had one version
-// for as long as the stream can have run. Silence, and the ignorance of peers that have just started, say nothing.
+// for as long as the stream can have run. Silence, and the ignorance of entries that have just started or whose
+// knowledge is old, say nothing.
 func (o *streamOrigins) Find(ctx context.Context, attemptID, service string) gateway.Origin {
 	key := origin.Key(attemptID)
 	if r, found := o.table.Find(time.Now(), key); found {
@@ -69,9 +70,6 @@
 	if !o.coversTTL(time.Now()) {
 		o.versions.awaitRead(ctx)
 	}
-	if now := time.Now(); !o.tracks(now, service) && now.Sub(o.started) > origin.TTL {
-		return gateway.Origin{}
-	}
 	return searchAgain(ctx, func() gateway.Origin { return o.search(ctx, key, service) })
 }
 
@@ -95,7 +93,7 @@
 		return gateway.Origin{Record: *answer.Record, Known: true}
 	}
 	mixed := answer.Mixed || o.roster.HasMixedVersions(now, service, origin.TTL)
-	if !mixed && (o.coversTTL(now) || answer.Covers(origin.TTL)) {
+	if !mixed && (o.coversTTL(now) || answer.Covers(origin.TTL)) && o.isCurrent(now, answer) {
 		return gateway.Origin{}
 	}
 	o.records.recall(ctx)
@@ -105,6 +103,22 @@
 	return gateway.Origin{Ambiguous: true}
 }
 
+const (
+	// maxSilentPeers is the number of peers without whose answers a search still reaches a holder of the origin: of two,
+	// one has acknowledged it. The entry that began the stream is likely to be silent itself.
+	maxSilentPeers = 1
+	// maxStoreSilence is the time within which the store answers an entry that follows it, or a peer that tells it of
+	// changes.
+	maxStoreSilence = 2 * time.Second
+)
+
+// isCurrent reports whether this entry or the peers that have answered know of all versions at which a stream that a
+// client resumes now can have begun. An entry that is cut off does not learn of a new version, and may have been told
+// of none when it was paused.
+func (o *streamOrigins) isCurrent(now time.Time, answer peers.OriginSearch) bool {
+	return answer.Answered > 0 && answer.Silent <= maxSilentPeers || now.Sub(o.lastStoreResponse()) <= maxStoreSilence
+}
+
 // announce announces the origins of a service's streams that are not announced yet.
 func (o *streamOrigins) announce(service string) {
 	if records := o.table.TakeUnannounced(time.Now(), service); len(records) > 0 {
--- a/gatewaydaemon/origins_test.go
+++ b/gatewaydaemon/origins_test.go
@@ -190,7 +190,7 @@
 		}
 		o := &streamOrigins{
 			table: origin.New(), roster: r, mesh: peers.New(peers.Options{Logger: slog.New(slog.DiscardHandler)}),
-			versions: &versionHistory{read: make(chan struct{})}, started: now,
+			versions: &versionHistory{read: make(chan struct{})}, lastStoreResponse: time.Now,
 		}
 		o.records = &originRecords{store: fleet.NewStore("127.0.0.1:1", http.DefaultTransport), table: o.table, logger: slog.New(slog.DiscardHandler)}
 		if got := o.Find(t.Context(), "unknown", "models"); got.Known || got.Ambiguous != c.ambiguous {
@@ -199,6 +199,60 @@
 	}
 }
 
+// A stream began at a version that the entry at which its client takes it up has not been told of yet. The entry has run
+// for long enough to know the versions of the last minute, and must not take the stream for one of the version it knows.
+func TestStreamOfVersionThatEntryLacksIsNotOfTheOnlyOne(t *testing.T) {
+	d := newDeployment(t, 3)
+	engines := d.versionedEngines("v1", "v2")
+	first := d.startStream(d.entries[0], 3)
+	began, known := "v1", "v2"
+	if !slices.Contains(versionsOf(engines, first), began) {
+		began, known = known, began
+	}
+	entry := *d.entries[2].daemon.origins
+	entry.table, entry.roster = origin.New(), roster.New(nil)
+	entry.roster.SetEndpoints(time.Now().Add(-2*origin.TTL), []catalog.Endpoint{{ID: "a", Service: "models", Version: known}}, roster.Continuous)
+	if got := entry.Find(t.Context(), first, "models"); !got.Known || got.Version != began {
+		t.Errorf("the origin is %+v, want %s", got, began)
+	}
+}
+
+// An entry that has been cut off does not learn of a new version: what it does not know is no evidence.
+func TestIgnoranceOfCutOffEntryIsNoEvidence(t *testing.T) {
+	cases := []struct {
+		name             string
+		answered, silent int
+		storeSilence     time.Duration
+		current          bool
+	}{
+		{"follows the store", 0, 0, time.Second, true},
+		{"follows the store, peers are down", 0, 3, time.Second, true},
+		{"alone, store away", 0, 0, 3 * time.Second, false},
+		{"cut off from all", 0, 3, 3 * time.Second, false},
+		{"store away", 3, 0, 3 * time.Second, true},
+		{"store away, one peer down", 2, 1, 3 * time.Second, true},
+		{"store away, two peers down", 1, 2, 3 * time.Second, false},
+	}
+	now := time.Now()
+	for _, c := range cases {
+		o := &streamOrigins{lastStoreResponse: func() time.Time { return now.Add(-c.storeSilence) }}
+		if got := o.isCurrent(now, peers.OriginSearch{Answered: c.answered, Silent: c.silent}); got != c.current {
+			t.Errorf("%s: current %t, want %t", c.name, got, c.current)
+		}
+	}
+
+	r := roster.New(nil)
+	r.SetEndpoints(now.Add(-2*origin.TTL), []catalog.Endpoint{{ID: "a", Service: "models", Version: "v1"}}, roster.Continuous)
+	cutOff := &streamOrigins{
+		table: origin.New(), roster: r, mesh: peers.New(peers.Options{Logger: slog.New(slog.DiscardHandler)}),
+		lastStoreResponse: func() time.Time { return now.Add(-3 * time.Second) },
+	}
+	cutOff.records = &originRecords{store: fleet.NewStore("127.0.0.1:1", http.DefaultTransport), table: cutOff.table, logger: slog.New(slog.DiscardHandler)}
+	if got := cutOff.Find(t.Context(), "unknown", "models"); !got.Ambiguous {
+		t.Errorf("at an entry that is cut off an unknown stream is %+v, want it ambiguous", got)
+	}
+}
+
 // A client takes its stream up before the holders know its origin. They know it a moment later, but were asked once.
 func TestSearchOutlastsAnnouncement(t *testing.T) {
 	known := gateway.Origin{Record: origin.Record{Key: "a", Service: "llm", Version: "v1"}, Known: true}
--- a/peers/origins.go
+++ b/peers/origins.go
@@ -52,14 +52,25 @@
 	return f.VersionsKnownForMS >= window.Milliseconds()
 }
 
-// add adds the reply of one more peer. One with a record replaces the others.
-func (f *FindOriginResult) add(reply FindOriginResult) {
+// OriginSearch is what the peers know of the origin of a stream.
+type OriginSearch struct {
+	// FindOriginResult has no record if no peer that answered knows the origin, and the longest time for which any of
+	// them knows the versions.
+	FindOriginResult
+	// Answered counts the peers that answered, Silent those that did not, among them peers that are down. Once a record
+	// was found, the others are not waited for.
+	Answered, Silent int
+}
+
+// add adds the reply of one more peer.
+func (s *OriginSearch) add(reply FindOriginResult) {
+	s.Answered++
+	s.Silent--
+	s.Mixed = s.Mixed || reply.Mixed
+	s.VersionsKnownForMS = max(s.VersionsKnownForMS, reply.VersionsKnownForMS)
 	if reply.Record != nil {
-		*f = reply
-		return
+		s.Record = reply.Record
 	}
-	f.Mixed = f.Mixed || reply.Mixed
-	f.VersionsKnownForMS = max(f.VersionsKnownForMS, reply.VersionsKnownForMS)
 }
 
 // originPeer is a linked peer that may hold origins.
@@ -69,22 +80,25 @@
 }
 
 // originLinks returns the links to peers that every entry is linked to, also those that are being
-// redialled.
-func (m *Mesh) originLinks() []*peerLink {
+// redialled, and the number of such peers that are down.
+func (m *Mesh) originLinks() (list []*peerLink, down int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var list []*peerLink
 	for _, l := range m.links {
-		if (l.conn != nil || l.reconnecting) && m.isHub(l.address) && l.identity.Name != m.o.Self.Name {
+		switch {
+		case !m.isHub(l.address) || l.identity.Name == m.o.Self.Name:
+		case l.conn != nil || l.reconnecting:
 			list = append(list, l)
+		case l.identity.Name != "":
+			down++
 		}
 	}
-	return list
+	return list, down
 }
 
 // originPeers returns the peers to which origins can be announced now.
 func (m *Mesh) originPeers() []originPeer {
-	links := m.originLinks()
+	links, _ := m.originLinks()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []originPeer
@@ -167,24 +181,25 @@
 	return records
 }
 
-// FindOrigin asks the peers for the origin of a stream that a client resumes at a service. The
-// result has no record if none of them knows it within findTimeout. Otherwise it has the longest time for which
-// any peer that answered knows the versions.
-func (m *Mesh) FindOrigin(ctx context.Context, p FindOriginParams) FindOriginResult {
+// FindOrigin asks the peers for the origin of a stream that a client resumes at a service. It returns when one of them
+// knows it, all have answered, or findTimeout has passed.
+func (m *Mesh) FindOrigin(ctx context.Context, p FindOriginParams) OriginSearch {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	links := m.originLinks()
-	replies := make(chan FindOriginResult, len(links))
+	links, down := m.originLinks()
+	replies := make(chan *FindOriginResult, len(links))
 	for _, l := range links {
 		go func() { replies <- m.askOrigin(ctx, l, p) }()
 	}
-	var result FindOriginResult
+	result := OriginSearch{Silent: len(links) + down}
 	pending := len(links)
 	err := waitFor(ctx, findTimeout, func(ctx context.Context) error {
 		for ; pending > 0 && result.Record == nil; pending-- {
 			select {
 			case reply := <-replies:
-				result.add(reply)
+				if reply != nil {
+					result.add(*reply)
+				}
 			case <-ctx.Done():
 				return ctx.Err()
 			}
@@ -197,9 +212,9 @@
 	return result
 }
 
-// askOrigin asks one peer for an origin. While the link is redialled it waits: the reset that broke the
-// client's stream may have broken the link too.
-func (m *Mesh) askOrigin(ctx context.Context, l *peerLink, p FindOriginParams) FindOriginResult {
+// askOrigin asks one peer for an origin, and returns nil if the peer does not answer. While the link is redialled it
+// waits: the reset that broke the client's stream may have broken the link too.
+func (m *Mesh) askOrigin(ctx context.Context, l *peerLink, p FindOriginParams) *FindOriginResult {
 	for {
 		m.mu.Lock()
 		conn, reconnecting := l.conn, l.reconnecting
@@ -208,22 +223,22 @@
 			var reply FindOriginResult
 			err := conn.Call(ctx, methodFindOrigin, p, &reply)
 			if err == nil {
-				return reply
+				return &reply
 			}
 			m.o.Logger.Info("asking a peer for the origin of a stream failed", "address", l.address, "error", err)
 			var refusal *jsonrpc2.Error
 			if errors.As(err, &refusal) || ctx.Err() != nil {
-				return FindOriginResult{}
+				return nil
 			}
 			m.markBroken(l, conn)
 		} else if !reconnecting {
-			return FindOriginResult{}
+			return nil
 		}
 		t := time.NewTimer(reconnectPollInterval)
 		select {
 		case <-ctx.Done():
 			t.Stop()
-			return FindOriginResult{}
+			return nil
 		case <-t.C:
 		}
 	}
--- a/peers/origins_test.go
+++ b/peers/origins_test.go
@@ -153,6 +153,25 @@
 	}
 }
 
+// A search says how many peers have not answered, so that their silence is not taken for ignorance.
+func TestSearchCountsSilentPeers(t *testing.T) {
+	meshes := linkedMeshes(t, 4)
+	p := FindOriginParams{Key: origin.Key("unknown"), Service: "llm"}
+	if got := meshes[0].FindOrigin(t.Context(), p); got.Answered != 3 || got.Silent != 0 {
+		t.Errorf("%+v, want 3 answers", got)
+	}
+	meshes[0].mu.Lock()
+	for _, l := range meshes[0].links {
+		if l.identity.Name != meshes[1].o.Self.Name {
+			l.conn = nil // down
+		}
+	}
+	meshes[0].mu.Unlock()
+	if got := meshes[0].FindOrigin(t.Context(), p); got.Answered != 1 || got.Silent != 2 {
+		t.Errorf("%+v, want 1 answer and 2 silent peers", got)
+	}
+}
+
 func TestOriginHoldersAreInDifferentDataCentres(t *testing.T) {
 	peersIn := func(dataCentres ...string) (list []originPeer) {
 		for i, dc := range dataCentres {
