Keep a resumed stream at the only version that its service had

Callers that took a stream up could get events of two software versions (ORDER): a stream of unknown origin was free to go on at any version where its service had had one. Whether it had was decided first, and the engine chosen later, after the stream's stages had run and its turn had come: an engine of a second version that was listed meanwhile could get it.

Now the stream is bound to the one version by which it was decided.

--- a/cmd/azurelead-soak/main.go
+++ b/cmd/azurelead-soak/main.go
@@ -35,6 +35,7 @@
 			&cli.IntFlag{Name: "parallel", Usage: "number of seeds that run at the same time", Value: 2, Destination: &parallel},
 			&cli.IntFlag{Name: "entries", Usage: "number of gateway processes per seed", Value: 3, Destination: &opts.Entries},
 			&cli.BoolFlag{Name: "planned", Usage: "inject planned work and silence of sound endpoints only, and check that every request is answered", Destination: &opts.PlannedOnly},
+			&cli.DurationFlag{Name: "settle", Usage: "time for which the entries run before a second version is listed beside a paused entry; 0 leaves that out", Destination: &opts.Settle},
 			&cli.DurationFlag{Name: "length", Usage: "duration of fault injection", Value: 8 * time.Second, Destination: &opts.Duration},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -20,6 +20,9 @@
 type Origin struct {
 	origin.Record
 	Known bool
+	// OnlyVersion is the one version that the service has had since the stream can have begun, if the origin is not known.
+	// It is empty if there is none.
+	OnlyVersion string
 	// Ambiguous is set if the origin is not known and may be another version than a new stream would get.
 	Ambiguous bool
 }
@@ -52,6 +55,10 @@
 	case began.Ambiguous:
 		return "ambiguous", notRunResponse("the software version that began the stream is not known", busyRetryAfter)
 	case !began.Known:
+		if began.OnlyVersion != "" {
+			// Another version may be listed before an endpoint is chosen.
+			s.version.Store(&began.OnlyVersion)
+		}
 		return "unknown", nil
 	}
 	if began.Service != s.service {
--- a/gatewaydaemon/origins.go
+++ b/gatewaydaemon/origins.go
@@ -86,15 +86,15 @@
 
 // search looks for an origin at the peers, and then in the store.
 func (o *streamOrigins) search(ctx context.Context, key, service string) gateway.Origin {
-	now := time.Now()
 	answer := o.mesh.FindOrigin(ctx, peers.FindOriginParams{Key: key, Service: service})
+	now := time.Now()
 	if answer.Record != nil {
 		o.table.Merge(now, []origin.Record{*answer.Record})
 		return gateway.Origin{Record: *answer.Record, Known: true}
 	}
-	mixed := answer.Mixed || o.roster.HasMixedVersions(now, service, origin.TTL)
-	if !mixed && (o.coversTTL(now) || answer.Covers(origin.TTL)) && o.isCurrent(now, answer) {
-		return gateway.Origin{}
+	only, mixed := o.roster.OnlyVersion(now, service, origin.TTL)
+	if !mixed && !answer.Mixed && (o.coversTTL(now) || answer.Covers(origin.TTL)) && o.isCurrent(now, answer) {
+		return gateway.Origin{OnlyVersion: only}
 	}
 	o.records.recall(ctx)
 	if r, found := o.table.Find(time.Now(), key); found {
--- a/gatewaydaemon/origins_test.go
+++ b/gatewaydaemon/origins_test.go
@@ -193,9 +193,13 @@
 			versions: &versionHistory{read: make(chan struct{})}, lastStoreResponse: time.Now,
 		}
 		o.records = &originRecords{store: fleet.NewStore("127.0.0.1:1", http.DefaultTransport), table: o.table, logger: slog.New(slog.DiscardHandler)}
-		if got := o.Find(t.Context(), "unknown", "models"); got.Known || got.Ambiguous != c.ambiguous {
+		got := o.Find(t.Context(), "unknown", "models")
+		if got.Known || got.Ambiguous != c.ambiguous {
 			t.Errorf("%s: an unknown stream is %+v, want ambiguous %t", c.name, got, c.ambiguous)
 		}
+		if !c.ambiguous && got.OnlyVersion != "v1" {
+			t.Errorf("%s: an unknown stream is of the only version %q, want v1", c.name, got.OnlyVersion)
+		}
 	}
 }
 
--- a/roster/versions.go
+++ b/roster/versions.go
@@ -79,6 +79,21 @@
 	return len(r.recentVersions(now, service, window)) > 1
 }
 
+// OnlyVersion returns the version that a service has, or had within the time window before now, if there is one. It
+// reports mixed if there are several.
+func (r *Roster) OnlyVersion(now time.Time, service string, window time.Duration) (only string, mixed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	recent := r.recentVersions(now, service, window)
+	if len(recent) > 1 {
+		return "", true
+	}
+	for version := range recent {
+		only = version
+	}
+	return only, false
+}
+
 // recentVersions returns the versions that a service has, or had within the time window before now. The caller
 // holds mu.
 func (r *Roster) recentVersions(now time.Time, service string, window time.Duration) map[string]bool {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -52,6 +52,9 @@
 	Entries int
 	// Duration is the period within which faults are started. A fault may end after it.
 	Duration time.Duration
+	// Settle is the time for which the entries run before a second version of a service is listed beside a paused entry,
+	// which precedes the other faults; 0 leaves that out. After origin.TTL entries rely on what they know of versions.
+	Settle time.Duration
 	// PlannedOnly limits the faults to planned work and silence of sound endpoints. Every request must then get a
 	// complete answer.
 	PlannedOnly bool
@@ -96,6 +99,8 @@
 	entries       []*entry
 	// strained are the endpoints of the services of the strain.
 	strained []*fleettest.Server
+	// upgraded are the engines of the service that gets a second version.
+	upgraded []*fleettest.Server
 	// addedRoutes is the number of routes beside those that clients use.
 	addedRoutes atomic.Int64
 	// timeoutMS is the time-out of routes, in milliseconds.
@@ -153,6 +158,10 @@
 	if err := r.start(ctx); err != nil {
 		return r.report, err
 	}
+	if r.o.Settle > 0 {
+		time.Sleep(r.o.Settle)
+		r.releaseBesidePausedEntry(ctx)
+	}
 	r.injectFaults(ctx)
 	r.checkMemory()
 	r.checkInvariants()
@@ -170,7 +179,7 @@
 	for _, p := range r.proxies {
 		p.close()
 	}
-	for _, s := range slices.Concat(r.servers, r.strained) {
+	for _, s := range slices.Concat(r.servers, r.strained, r.upgraded) {
 		s.Close()
 	}
 	r.store.Close()
@@ -210,6 +219,9 @@
 		}
 	}
 	r.addStrained()
+	if r.o.Settle > 0 {
+		r.addUpgraded(engineVersions[0])
+	}
 	r.putConfiguration()
 	for i := range r.o.Entries {
 		if err := r.addEntry(i); err != nil {
@@ -277,6 +289,7 @@
 		fleettest.Route("strained-plain", "/stream/strained/plain/", "streaming", strained, nil),
 		fleettest.Route("strained-staged", "/stream/strained/staged/", "streaming", strained, twoStages(strainedStages)),
 		fleettest.Route(beside, "/beside/", "idempotent", beside, nil),
+		fleettest.Route(upgraded, "/stream/"+upgraded+"/", "streaming", upgraded, map[string]any{"resumable": true}),
 	}
 	for i := range r.addedRoutes.Load() {
 		routes = append(routes, fleettest.Route(fmt.Sprint("added-", i), fmt.Sprintf("/added/%d/", i), "idempotent", "api", nil))
@@ -288,7 +301,7 @@
 		}
 	}
 	services := []map[string]any{fleettest.Service("api"), fleettest.Service(lateService), warmEngineService("victims"), fleettest.EngineService("llm"), fleettest.StageService("portal"),
-		fleettest.Service(strained), fleettest.StageService(strainedStages), fleettest.Service(beside)}
+		fleettest.Service(strained), fleettest.StageService(strainedStages), fleettest.Service(beside), warmEngineService(upgraded)}
 	keys := []string{apiKey, fmt.Sprintf("key-of-%d", version)}
 	limits := map[string]any{}
 	if r.o.PlannedOnly {
