--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -19,24 +19,24 @@
 // endpoint that states another start time than the list: it has started again, and its version is not known. One
 // that states none, or may not be asked, is taken by the list.
 func (s *stream) mayGoOnAt(ctx context.Context, c roster.Candidate) bool {
-	if s.filter().Version == "" || c.Incarnation == 0 || !s.mayAsk(c) {
+	if s.filter().Version == "" || c.Incarnation == 0 || !s.mayQuery(c) {
 		return true
 	}
-	p, err := s.askProcess(ctx, c)
+	p, err := s.queryProcess(ctx, c)
 	if err != nil {
 		s.gw.opts.Logger.Info("could not read the start time of an endpoint", "request", s.headers.AttemptID, "endpoint", c.ID, "error", err)
 		return true
 	}
-	if p.is(c) {
+	if p.mayBe(c) {
 		return true
 	}
 	s.gw.opts.Logger.Info("endpoint has started again", "request", s.headers.AttemptID, "endpoint", c.ID, "listed", c.Incarnation, "stated", p.startedAt)
 	return false
 }
 
-// mayAsk reports whether an endpoint may be asked for its report. Other endpoints than engines and those of stages take
+// mayQuery reports whether an endpoint may be asked for its report. Other endpoints than engines and those of stages take
 // the question for a request, and it counts towards a rate limit.
-func (q *request) mayAsk(c roster.Candidate) bool {
+func (q *request) mayQuery(c roster.Candidate) bool {
 	service := q.table.Services[q.service]
 	return service != nil && (service.Engine || service.Stages != nil) && !q.gw.opts.Roster.HasRateLimit(time.Now(), c.ID)
 }
@@ -49,13 +49,13 @@
 	startedAt int64
 }
 
-// is reports whether the process may be the one that was listed: it states nothing else.
-func (p process) is(c roster.Candidate) bool {
+// mayBe reports whether the process may be the one that was listed: it states nothing else.
+func (p process) mayBe(c roster.Candidate) bool {
 	return !p.foreign && (p.startedAt == 0 || c.Incarnation == 0 || p.startedAt == c.Incarnation)
 }
 
-// askProcess asks the process that answers at an endpoint's address for its report.
-func (q *request) askProcess(ctx context.Context, c roster.Candidate) (process, error) {
+// queryProcess requests the report of the process that answers at an endpoint's address.
+func (q *request) queryProcess(ctx context.Context, c roster.Candidate) (process, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	call := fleet.ReportCall(c.ID)
@@ -94,7 +94,7 @@
 // connection has just ended. That a connection is accepted afterwards does not show that the process lives: another one
 // may have been started in its place, or the address may be that of a relay.
 func (q *request) processAtEnd(ctx context.Context, c roster.Candidate) string {
-	if !q.mayAsk(c) {
+	if !q.mayQuery(c) {
 		if q.isUp(ctx, c) {
 			return processServes
 		}
@@ -103,9 +103,9 @@
 	ctx, cancel := context.WithTimeout(ctx, maxSilence)
 	defer cancel()
 	for {
-		p, err := q.askProcess(ctx, c)
+		p, err := q.queryProcess(ctx, c)
 		switch {
-		case err == nil && p.is(c):
+		case err == nil && p.mayBe(c):
 			return processServes
 		case err == nil:
 			return processReplaced
--- a/gatewaydaemon/origins.go
+++ b/gatewaydaemon/origins.go
@@ -107,8 +107,8 @@
 	// maxSilentPeers is the number of peers without whose answers a search still reaches a holder of the origin: of two,
 	// one has acknowledged it. The entry that began the stream is likely to be silent itself.
 	maxSilentPeers = 1
-	// maxStoreSilence is the time within which the store answers an entry that follows it, or a peer that tells it of
-	// changes.
+	// maxStoreSilence is the time within which the store answers an entry that follows it, or a peer that passes changes
+	// on to the entry.
 	maxStoreSilence = 2 * time.Second
 )
 
--- a/gatewaydaemon/origins_test.go
+++ b/gatewaydaemon/origins_test.go
@@ -203,8 +203,8 @@
 	}
 }
 
-// A stream began at a version that the entry at which its client takes it up has not been told of yet. The entry has run
-// for long enough to know the versions of the last minute, and must not take the stream for one of the version it knows.
+// A stream began at a version that is not known yet at the entry at which its client resumes it. The entry has run for long
+// enough to know the versions of the last minute, and must not take the stream for one of the version it knows.
 func TestStreamOfVersionThatEntryLacksIsNotOfTheOnlyOne(t *testing.T) {
 	d := newDeployment(t, 3)
 	engines := d.versionedEngines("v1", "v2")
