--- a/review/second/client.go
+++ b/review/second/client.go
@@ -47,6 +47,11 @@
 	firstAfter, after time.Duration
 	status            int
 	complete          bool
+	// retryAfter is when a refusal tells the client to come back.
+	retryAfter time.Duration
+	// events is the number of events, ended whether the answer ended regularly.
+	events int
+	ended  bool
 	// versions are the versions of software that wrote the events, in their order.
 	versions []string
 	err      error
@@ -59,6 +64,11 @@
 
 // askAs is like ask, for an attempt with an id.
 func (c *client) askAs(attempt string, g *gateway, path, prefix string, tokens int, timeout, wait time.Duration) answer {
+	return c.askWith(nil, attempt, g, path, prefix, tokens, timeout, wait)
+}
+
+// askWith is like askAs, with further header fields.
+func (c *client) askWith(header map[string]string, attempt string, g *gateway, path, prefix string, tokens int, timeout, wait time.Duration) answer {
 	a := answer{attempt: attempt, sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
@@ -77,6 +87,9 @@
 	for name, value := range c.header {
 		r.Header.Set(name, value)
 	}
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
 	resp, err := c.http.Do(r)
 	a.firstAfter = time.Since(a.sentAt)
 	if err != nil {
@@ -85,15 +98,20 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	a.status = resp.StatusCode
+	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		a.retryAfter = time.Duration(seconds * float64(time.Second))
+	}
 	body, err := io.ReadAll(resp.Body)
 	a.after, a.err = time.Since(a.sentAt), err
 	for line := range strings.SplitSeq(string(body), "\n") {
 		if data, found := strings.CutPrefix(line, "data: "); found {
 			version, _, _ := strings.Cut(data, " ")
 			a.versions = append(a.versions, version)
+			a.events++
 		}
 	}
 	a.versions = slices.Compact(a.versions)
+	a.ended = err == nil
 	a.complete = err == nil && (a.status != http.StatusOK || strings.Contains(string(body), "id: 8\n"))
 	return a
 }
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -26,6 +26,7 @@
 	"long-prompts":    playLongPrompts,
 	"unseen-cold":     playUnseenCold,
 	"mislabelled":     playMislabelled,
+	"late-stages":     playLateStages,
 }
 
 func main() {
--- a/review/second/server.go
+++ b/review/second/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -30,7 +31,12 @@
 	// coldStart is how long the server is cold after it has started again.
 	coldStart time.Duration
 
-	mu       sync.Mutex
+	// turn is held by the call of a stage that runs.
+	turn sync.Mutex
+
+	mu sync.Mutex
+	// calls counts the calls of a stage that run or wait.
+	calls    int
 	listener net.Listener
 	// cold is until when the server is cold.
 	cold  time.Time
@@ -118,6 +124,13 @@
 	return s.listen()
 }
 
+// isUp reports whether the server listens.
+func (s *server) isUp() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listener != nil
+}
+
 // crash ends the server unless it has ended already.
 func (s *server) crash() {
 	s.mu.Lock()
@@ -141,9 +154,11 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
 			return
 		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		if !s.answer(c, r) {
 			return
 		}
@@ -162,8 +177,13 @@
 	case r.Header.Get("Azurelead-Expect-Instance") != "" && r.Header.Get("Azurelead-Expect-Instance") != s.id:
 		_, err := io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\n"+head+"Azurelead-Instance-Id: "+s.id+"\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
+	case r.URL.Path == "/stage-run":
+		return s.runStage(c, r, head)
+	case r.URL.Path == "/stage-free":
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"Content-Length: 0\r\n\r\n")
+		return err == nil
 	case r.URL.Path == "/report":
-		body := fmt.Sprintf(`{"stage":"mixed","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":1,"queued":0,"active":0,"kvUsed":0,"kvTotal":500000,"handles":0,"born":%d}`, born)
+		body := fmt.Sprintf(`{"freeMb":36,"stage":"mixed","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":1,"queued":0,"active":0,"kvUsed":0,"kvTotal":500000,"handles":0,"born":%d}`, born)
 		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
 		return err == nil
 	}
