dispatch: bound the parts of prompts that are tracked

What callers saw: while one client sent prompts of some 2,000 parts, no ordinary request for a stream was answered by its route's timeoutMs or half a second later, at any entry, and the dispatching entry took more memory than its machine has.

Cause: the dispatcher kept every part that a client named, by its ID, for each engine, in an index of holders and in a table of recent reads. The only bound was the sum of the tokens that the client states, 0 too, so that the tables grew to hundreds of megabytes. Each part beyond the sum evicted another by a scan of all parts of the engine, under the lock for which all submissions wait. A part that came back with another number of tokens also left the sum wrong.

Change: of a prompt 32 parts are tracked, and no more tokens than the prompt states; those after them belong to the last part, so that the prompt is served as before. Parts are known by a hash, as IDs have any length. What an engine has cached is an LRU of 1,024 parts, fewer where a service has more than 32 engines, with the sum of tokens kept on each removal; recent reads are an LRU that is pruned from its oldest end.

Why this works: what one prompt costs under the lock is bounded by 32 parts, each of constant cost, and the tables by entries of fixed size, whatever clients send.

--- a/coordinate/metrics.go
+++ b/coordinate/metrics.go
@@ -46,6 +46,9 @@
 	{newGaugeDesc("room_total_bytes", "Total memory for results, in bytes."), func(s dispatch.ServiceStats) float64 { return float64(s.TotalMemory) }},
 }
 
+// trackedPartsDesc describes the number of parts of prompts that engines are assumed to have cached.
+var trackedPartsDesc = newGaugeDesc("tracked_parts", "Parts of prompts that the engines are assumed to have cached.")
+
 func newGaugeDesc(name, help string) *prometheus.Desc {
 	return prometheus.NewDesc("azurelead_stages_"+name, help+" Reported by the entry that dispatches.", []string{"service"}, nil)
 }
@@ -55,13 +58,18 @@
 	for _, g := range gauges {
 		ch <- g.desc
 	}
+	ch <- trackedPartsDesc
 }
 
 // Collect implements prometheus.Collector.
 func (c *Coordinator) Collect(ch chan<- prometheus.Metric) {
 	c.mu.Lock()
 	services := c.dispatcher.Stats(time.Now())
+	trackedParts := c.dispatcher.TrackedParts()
 	c.mu.Unlock()
+	for service, n := range trackedParts {
+		ch <- prometheus.MustNewConstMetric(trackedPartsDesc, prometheus.GaugeValue, float64(n), service)
+	}
 	for _, stats := range services {
 		for _, g := range gauges {
 			ch <- prometheus.MustNewConstMetric(g.desc, prometheus.GaugeValue, g.value(stats), stats.Service)
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -34,6 +34,8 @@
 	now         time.Time
 	prompt      Prompt
 	sharedParts []Part
+	// sharedKeys are the keys of the shared parts.
+	sharedKeys []partKey
 	// Both slices are indexed by the number of leading parts that an engine has cached.
 	// prefixTokens are the tokens of these parts, duplicateTokens those of the other
 	// parts that some engine has read recently.
@@ -60,23 +62,24 @@
 	}
 	shared := prompt.sharedParts()
 	s := &engineScorer{
-		pool: p, now: now, prompt: prompt, sharedParts: shared,
+		pool: p, now: now, prompt: prompt, sharedParts: shared, sharedKeys: make([]partKey, len(shared)),
 		prefixTokens: make([]int, len(shared)+1), duplicateTokens: make([]int, len(shared)+1),
 	}
 	if len(shared) == 0 {
 		return s
 	}
 	for i, part := range shared {
+		s.sharedKeys[i] = part.key()
 		s.prefixTokens[i+1] = s.prefixTokens[i] + part.Tokens
 	}
 	for i := len(shared) - 1; i >= 0; i-- {
 		s.duplicateTokens[i] = s.duplicateTokens[i+1]
-		if now.Sub(p.lastPrefill[shared[i].ID]) < recentPrefillWindow {
+		if p.recent.has(now, s.sharedKeys[i]) {
 			s.duplicateTokens[i] += shared[i].Tokens
 		}
 	}
-	s.holders = p.holders[shared[0].ID]
-	s.preferred = p.preferredEngine(shared[len(shared)-1].ID)
+	s.holders = p.holders[s.sharedKeys[0]]
+	s.preferred = p.preferredEngine(shared[len(shared)-1])
 	s.findFetchSources()
 	return s
 }
@@ -88,10 +91,7 @@
 		return 0
 	}
 	n := 1
-	for n < len(s.sharedParts) {
-		if _, found := e.parts[s.sharedParts[n].ID]; !found {
-			break
-		}
+	for n < len(s.sharedKeys) && e.cached.has(s.sharedKeys[n]) {
 		n++
 	}
 	return n
@@ -211,14 +211,15 @@
 
 // preferredEngine returns the engine that rendezvous hashing selects for a part, or nil
 // without engines.
-func (p *enginePool) preferredEngine(part string) *engine {
-	if e, found := p.preferredEngines[part]; found {
+func (p *enginePool) preferredEngine(part Part) *engine {
+	key := part.key()
+	if e, found := p.preferredEngines[key]; found {
 		return e
 	}
 	var best *engine
 	weight := uint64(0)
 	for _, e := range p.sortedEngines {
-		if w := xxhash.Sum64String(part + "/" + e.ID); w >= weight {
+		if w := xxhash.Sum64String(part.ID + "/" + e.ID); w >= weight {
 			best, weight = e, w
 		}
 	}
@@ -228,7 +229,7 @@
 	if len(p.preferredEngines) >= maxPreferredEngines {
 		clear(p.preferredEngines)
 	}
-	p.preferredEngines[part] = best
+	p.preferredEngines[key] = best
 	return best
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -420,7 +420,7 @@
 	d.freeReadInputs(now)
 	d.retryOverdueCalls(now)
 	for _, p := range d.enginePools {
-		p.pruneParts(now)
+		p.recent.prune(now)
 	}
 }
 
--- a/dispatch/engines.go
+++ b/dispatch/engines.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/azurelead/azurelead/catalog"
@@ -44,6 +45,8 @@
 	// cacheShare is the share of an engine's KV cache that is assumed to hold parts of
 	// prompts.
 	cacheShare = 0.7
+	// maxPrefillTime bounds the expected time to read a prompt, of which clients state the length.
+	maxPrefillTime = time.Hour
 	// activeRequestCost is what each request with a pending first event adds to the time to
 	// the first event of a new request at the same engine.
 	activeRequestCost = time.Millisecond
@@ -94,9 +97,7 @@
 	pendingPrefills map[string]pendingPrefill
 	// prefillsUntil is when all prompts sent so far are expected to be read.
 	prefillsUntil time.Time
-	// parts are the cached parts by id, cachedTokens the sum of their tokens.
-	parts        map[string]cachedPart
-	cachedTokens int
+	cached        *cachedParts
 	// speed is how fast the engine works.
 	speed speed.Estimate
 	// suspectUntil is until when the engine is avoided after a failure.
@@ -116,12 +117,6 @@
 	alone bool
 }
 
-// cachedPart is a part that an engine is assumed to have cached.
-type cachedPart struct {
-	tokens   int
-	lastUsed time.Time
-}
-
 // enginePool holds the engines of one service.
 type enginePool struct {
 	engines map[string]*engine
@@ -130,9 +125,9 @@
 	sortedEngines []*engine
 	dataCentres   []string
 	// holders are the engines that have cached a part, by part.
-	holders map[string]map[*engine]bool
+	holders map[partKey]map[*engine]bool
 	// preferredEngines caches the engines that rendezvous hashing selected, by part.
-	preferredEngines map[string]*engine
+	preferredEngines map[partKey]*engine
 	// kvCacheTokens is the capacity of an engine's KV cache, coldRate the rate limit of a
 	// cold engine in requests per second; 0 is no limit for both.
 	kvCacheTokens int
@@ -143,10 +138,7 @@
 	// slowdown is the smoothed ratio of the actual to the expected time that an idle
 	// engine takes to the first event.
 	slowdown float64
-	// lastPrefill is when any engine last read a part, by part.
-	lastPrefill map[string]time.Time
-	// prunedAt is when lastPrefill was last pruned.
-	prunedAt time.Time
+	recent   recentParts
 }
 
 // SetEngines replaces the engines of a service. An engine with another incarnation has
@@ -165,7 +157,7 @@
 		e := p.engines[c.ID]
 		if e == nil || e.Incarnation != c.Incarnation {
 			p.remove(e)
-			e = &engine{pendingPrefills: make(map[string]pendingPrefill), parts: make(map[string]cachedPart)}
+			e = p.newEngine()
 			p.engines[c.ID] = e
 			clear(p.preferredEngines)
 		}
@@ -181,42 +173,39 @@
 
 func newEnginePool() *enginePool {
 	return &enginePool{
-		engines: make(map[string]*engine), slowdown: 1, lastPrefill: make(map[string]time.Time),
-		holders: make(map[string]map[*engine]bool), preferredEngines: make(map[string]*engine),
+		engines: make(map[string]*engine), slowdown: 1, recent: newRecentParts(),
+		holders: make(map[partKey]map[*engine]bool), preferredEngines: make(map[partKey]*engine),
 	}
 }
 
+// newEngine returns an engine without cached parts.
+func (p *enginePool) newEngine() *engine {
+	e := &engine{pendingPrefills: make(map[string]pendingPrefill)}
+	e.cached = newCachedParts(func(key partKey) {
+		if delete(p.holders[key], e); len(p.holders[key]) == 0 {
+			delete(p.holders, key)
+		}
+	})
+	return e
+}
+
 // remove removes an engine that has left or restarted.
 func (p *enginePool) remove(e *engine) {
 	if e == nil {
 		return
 	}
-	p.evictAllParts(e)
+	e.cached.clear()
 	delete(p.engines, e.ID)
 	clear(p.preferredEngines)
 }
 
-// evictAllParts records that an engine has no cached parts any more.
-func (p *enginePool) evictAllParts(e *engine) {
-	for id := range e.parts {
-		p.evictPart(e, id)
-	}
-}
-
-// evictPart records that an engine does not have a part cached any more.
-func (p *enginePool) evictPart(e *engine, part string) {
-	e.cachedTokens -= e.parts[part].tokens
-	delete(e.parts, part)
-	if delete(p.holders[part], e); len(p.holders[part]) == 0 {
-		delete(p.holders, part)
-	}
-}
-
 // rebuildIndex rebuilds the lists of engines and their data centres.
 func (p *enginePool) rebuildIndex() {
 	p.sortedEngines = p.sortedEngines[:0]
+	most := min(max(maxPoolParts/max(len(p.engines), 1), minEngineParts), maxEngineParts)
 	for _, e := range p.engines {
 		p.sortedEngines = append(p.sortedEngines, e)
+		e.cached.bound(most)
 	}
 	p.dataCentres = sortAndIndex(p.sortedEngines, func(e *engine) (*catalog.Endpoint, *int) { return &e.Endpoint, &e.dcIndex })
 }
@@ -234,7 +223,7 @@
 func (p *enginePool) expectedPrefillTime(cached, uncached int) time.Duration {
 	pairs := float64(uncached) * (float64(cached) + float64(uncached)/2)
 	expected := float64(engineOverhead) + float64(uncached)*float64(tokenPrefillTime) + pairs*float64(tokenPairTime)
-	return time.Duration(expected * p.slowdown)
+	return time.Duration(min(expected*p.slowdown, float64(maxPrefillTime)))
 }
 
 // scale returns a duration multiplied by a factor.
@@ -262,7 +251,8 @@
 	if e.Cold && p.coldRate > 0 {
 		e.nextColdRequest = now.Add(time.Duration(float64(time.Second) / (p.coldRate * coldRateShare)))
 	}
-	for _, part := range prompt.Parts {
+	// A part is of use only with all parts before it, so that the first ones are to be evicted last.
+	for _, part := range slices.Backward(prompt.Parts) {
 		p.cachePart(now, e, part)
 	}
 }
@@ -278,27 +268,15 @@
 	return turn
 }
 
-// cachePart records that an engine has cached a part. The least recently used parts are
-// evicted if the cache would overflow.
+// cachePart records that an engine has cached a part.
 func (p *enginePool) cachePart(now time.Time, e *engine, part Part) {
-	p.lastPrefill[part.ID] = now
-	if _, found := e.parts[part.ID]; !found {
-		e.cachedTokens += part.Tokens
-		if p.holders[part.ID] == nil {
-			p.holders[part.ID] = make(map[*engine]bool)
-		}
-		p.holders[part.ID][e] = true
-	}
-	e.parts[part.ID] = cachedPart{tokens: part.Tokens, lastUsed: now}
-	for limit := int(cacheShare * float64(p.kvCacheTokens)); limit > 0 && e.cachedTokens > limit && len(e.parts) > 1; {
-		oldest, oldestUse := "", time.Time{}
-		for id, c := range e.parts {
-			if oldest == "" || c.lastUsed.Before(oldestUse) {
-				oldest, oldestUse = id, c.lastUsed
-			}
-		}
-		p.evictPart(e, oldest)
+	key := part.key()
+	p.recent.add(now, key)
+	if p.holders[key] == nil {
+		p.holders[key] = make(map[*engine]bool)
 	}
+	p.holders[key][e] = true
+	e.cached.add(key, part.Tokens, int(cacheShare*float64(p.kvCacheTokens)))
 }
 
 // finishPrefill records the first event of a request, or its end without one, for which r is nil or says that the engine
@@ -315,7 +293,7 @@
 	if r != nil && r.Failed {
 		e.suspectUntil = now.Add(suspectDuration)
 		// The engine may have lost its cache.
-		p.evictAllParts(e)
+		e.cached.clear()
 	} else if pending.alone && pending.expected > 0 {
 		ratio := float64(now.Sub(pending.startedAt)) / float64(pending.expected) * p.slowdown
 		p.slowdown += engineSlowdownWeight * (min(max(ratio, minEngineSlowdown), maxEngineSlowdown) - p.slowdown)
@@ -340,26 +318,3 @@
 	minEngineSlowdown = 0.3
 	maxEngineSlowdown = 5
 )
-
-// pruneParts removes parts that were not read for partRetention. It runs at most once
-// every pruneInterval: at thousands of requests per second there are hundreds of
-// thousands of parts to check.
-func (p *enginePool) pruneParts(now time.Time) {
-	if now.Sub(p.prunedAt) < pruneInterval {
-		return
-	}
-	p.prunedAt = now
-	for id, at := range p.lastPrefill {
-		if now.Sub(at) > partRetention {
-			delete(p.lastPrefill, id)
-		}
-	}
-}
-
-const (
-	// partRetention is how long a part is tracked after it was last read.
-	partRetention = time.Minute
-	// pruneInterval is a small fraction of partRetention, so that parts are tracked little
-	// longer than that.
-	pruneInterval = time.Second
-)
--- a/dispatch/engines_test.go
+++ b/dispatch/engines_test.go
@@ -64,21 +64,22 @@
 			t.Fatalf("the list entry of %s is another engine or has another data centre", e.ID)
 		}
 		tokens := 0
-		for id, part := range e.parts {
-			tokens += part.tokens
+		for _, key := range e.cached.parts.Keys() {
+			n, _ := e.cached.parts.Peek(key)
+			tokens += n
 			cachedParts++
-			if !p.holders[id][e] {
-				t.Fatalf("%s has cached %s, which is not in the index", e.ID, id)
+			if !p.holders[key][e] {
+				t.Fatalf("%s has cached %x, which is not in the index", e.ID, key)
 			}
 		}
-		if tokens != e.cachedTokens {
-			t.Fatalf("the parts of %s have %d tokens, but %d are counted", e.ID, tokens, e.cachedTokens)
+		if tokens != e.cached.tokens {
+			t.Fatalf("the parts of %s have %d tokens, but %d are counted", e.ID, tokens, e.cached.tokens)
 		}
 	}
-	for id, holders := range p.holders {
+	for key, holders := range p.holders {
 		cachedParts -= len(holders)
 		if len(holders) == 0 {
-			t.Fatalf("the index contains %s without holders", id)
+			t.Fatalf("the index contains %x without holders", key)
 		}
 	}
 	if cachedParts != 0 {
@@ -86,7 +87,7 @@
 	}
 	for part, preferred := range p.preferredEngines {
 		if p.engines[preferred.ID] != preferred {
-			t.Fatalf("the preferred engine of %s is not in the pool", part)
+			t.Fatalf("the preferred engine of %x is not in the pool", part)
 		}
 	}
 }
--- a/dispatch/stats.go
+++ b/dispatch/stats.go
@@ -48,3 +48,14 @@
 	}
 	return s
 }
+
+// TrackedParts returns the number of parts of prompts that the engines of each service are assumed to have cached.
+func (d *Dispatcher) TrackedParts() map[string]int {
+	parts := make(map[string]int, len(d.enginePools))
+	for name, p := range d.enginePools {
+		for _, e := range p.sortedEngines {
+			parts[name] += e.cached.parts.Len()
+		}
+	}
+	return parts
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,6 +108,7 @@
 	readDelay          *dispatch.ReadDelay
 	keepAlivesDisabled atomic.Bool
 	inFlight           inFlight
+	promptLimits       *promptLimits
 }
 
 // New returns a Gateway. Without metrics or suspect tables in the options it creates its own.
@@ -141,7 +142,7 @@
 	}
 	return &Gateway{
 		opts: opts, crashes: newCrashTracker(opts), readDelay: dispatch.NewReadDelay(engineReadDelay),
-		inFlight: inFlight{requests: make(map[*progress]bool)},
+		inFlight: inFlight{requests: make(map[*progress]bool)}, promptLimits: newPromptLimits(opts),
 	}
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -27,6 +27,8 @@
 	SilentAttempts *prometheus.CounterVec
 	// UnframedEnds counts the verdicts on endpoints at the end of responses without a length.
 	UnframedEnds *prometheus.CounterVec
+	// LimitedPrompts counts the prompts that exceed a limit.
+	LimitedPrompts *prometheus.CounterVec
 
 	routeLabels, organisationLabels telemetry.LabelLimiter
 }
@@ -58,12 +60,13 @@
 		}),
 		SilentAttempts: counter("silent_attempts_total", "Attempts whose endpoint was silent, by whether another one took over, or why not.", "service", "verdict"),
 		UnframedEnds:   counter("unframed_ends_total", "Ends of responses without a length, by whether the process that sent the response serves, was replaced or is gone.", "service", "verdict"),
+		LimitedPrompts: counter("limited_prompts_total", "Prompts with more parts than are tracked, by limit.", "limit"),
 		InFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "azurelead", Subsystem: "gateway", Name: "in_flight", Help: "Requests in progress.",
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.Requests, m.OrganisationRequests, m.Duration, m.TimeToFirstEvent, m.StageDuration, m.Retries, m.RetryBudget, m.ClientResumptions, m.InFlight, m.Panics, m.SilentAttempts, m.UnframedEnds)
+		r.MustRegister(m.Requests, m.OrganisationRequests, m.Duration, m.TimeToFirstEvent, m.StageDuration, m.Retries, m.RetryBudget, m.ClientResumptions, m.InFlight, m.Panics, m.SilentAttempts, m.UnframedEnds, m.LimitedPrompts)
 	}
 	return m
 }
--- a/gateway/stages.go
+++ b/gateway/stages.go
@@ -36,6 +36,10 @@
 	for _, p := range q.headers.PromptPrefix {
 		j.Prompt.Parts = append(j.Prompt.Parts, dispatch.Part{ID: p.ID, Tokens: p.Tokens})
 	}
+	if len(j.Prompt.Parts) > dispatch.MaxParts {
+		q.gw.promptLimits.exceeded(q, trackedParts)
+	}
+	j.Prompt = j.Prompt.Bounded()
 	tasks := 0
 	for i, s := range q.route.Stages {
 		n := 0
--- a/itest/endless_test.go
+++ b/itest/endless_test.go
@@ -41,6 +41,8 @@
 	maxFiles int
 	// headerBytes is the configured limit of a request's head, 0 configures no limits.
 	headerBytes int
+	// cacheTokens is the capacity of the KV cache of the engines that serve /stream/ask/; 0 declares no engines.
+	cacheTokens int
 }
 
 // startGatewayOf is startGateway with a size.
@@ -55,7 +57,7 @@
 		store.Put(platformfleet.KindEndpoints, s.ID, s.EndpointSpec(service, "north"))
 	}
 	patient := map[string]any{"timeoutMs": 20000}
-	config := fleettest.Configuration(1, []map[string]any{
+	routes := []map[string]any{
 		fleettest.Route("look", "/look/", "idempotent", "faulty", nil),
 		fleettest.Route("stream", "/stream/", "streaming", "faulty", nil),
 		fleettest.Route("sound", "/sound/", "idempotent", "sound", patient),
@@ -63,7 +65,15 @@
 		fleettest.Route("staged", "/stream/staged/", "streaming", "sound", map[string]any{
 			"stages": []map[string]any{{"service": "stages", "after": []int{}, "bytes": 8000}},
 		}),
-	}, []map[string]any{fleettest.Service("faulty"), fleettest.Service("sound"), fleettest.StageService("stages")}, nil)
+	}
+	services := []map[string]any{fleettest.Service("faulty"), fleettest.Service("sound"), fleettest.StageService("stages")}
+	if size.cacheTokens > 0 {
+		engine := fleettest.EngineService("engines")
+		engine["coldStartS"], engine["coldPerS"] = 0, 0
+		engine["engine"].(map[string]any)["kvCapacityTokens"] = size.cacheTokens
+		routes, services = append(routes, fleettest.Route("ask", "/stream/ask/", "streaming", "engines", patient)), append(services, engine)
+	}
+	config := fleettest.Configuration(1, routes, services, nil)
 	if size.headerBytes > 0 {
 		config["limits"] = map[string]any{"maxHeaderBytes": size.headerBytes, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 20000, "idleTimeoutMs": 15000}
 	}
--- /dev/null
+++ b/itest/promptcrowd_test.go
@@ -0,0 +1,105 @@
+package itest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/azurelead/azurelead/platform/fleettest"
+)
+
+// promptGateway is what limits the gateway that clients with unusual prompts meet.
+var promptGateway = gatewaySize{memoryMB: 96, maxFiles: 700, headerBytes: crowdHeaderBytes, cacheTokens: 100_000}
+
+const (
+	// promptClients is the number of requests at a time, promptPatience the time that their clients wait.
+	promptClients  = 16
+	promptPatience = 2 * time.Second
+	// promptBytes is the length of the header fields that fill a head.
+	promptBytes = 56 << 10
+)
+
+// partsOf returns a list of parts of a prompt, each of so many tokens, that fills a head. No two lists have a part in common.
+func partsOf(i, tokens int) (list string, parts int) {
+	var b strings.Builder
+	for ; b.Len() < promptBytes; parts++ {
+		_, _ = fmt.Fprintf(&b, "%x:%d,", i<<16|parts, tokens) // a strings.Builder returns no error
+	}
+	return strings.TrimSuffix(b.String(), ","), parts
+}
+
+// promptCrowds are unusual prompts. header returns the header fields of the i-th request.
+var promptCrowds = []struct {
+	name     string
+	requests int
+	header   func(i int) map[string]string
+}{
+	{"parts of no tokens", 200, func(i int) map[string]string {
+		list, parts := partsOf(i, 0)
+		return map[string]string{"Azurelead-Prompt-Prefix": list, "Azurelead-Token-Usage": fmt.Sprintf("%d,20", parts)}
+	}},
+	{"parts of one token", 100, func(i int) map[string]string {
+		list, parts := partsOf(i, 1)
+		return map[string]string{"Azurelead-Prompt-Prefix": list, "Azurelead-Token-Usage": fmt.Sprintf("%d,20", parts)}
+	}},
+}
+
+// ask sends a request for a stream of an engine, and returns the status of its response; 0 if it broke off.
+func ask(ctx context.Context, front string, header map[string]string) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+"/stream/ask/x", nil)
+	if err != nil {
+		return 0
+	}
+	req.Host = "shop.example"
+	fleettest.SetClientHeaders(req.Header, fmt.Sprintf("ask-%d", lastCall.Add(1)), "", 20*time.Second)
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// Prompts that clients made of very many parts stopped the dispatcher and took its memory.
+func TestPromptCrowdsStayWithinLimits(t *testing.T) {
+	for _, crowd := range promptCrowds {
+		t.Run(crowd.name, func(t *testing.T) {
+			engine := fleettest.NewServer("engine")
+			t.Cleanup(engine.Close)
+			gateway, front := startGatewayOf(t, promptGateway, "engines", engine)
+			var clients sync.WaitGroup
+			for c := range promptClients {
+				clients.Go(func() {
+					for i := c; i < crowd.requests; i += promptClients {
+						ctx, cancel := context.WithTimeout(t.Context(), promptPatience)
+						ask(ctx, front, crowd.header(i))
+						cancel()
+					}
+				})
+			}
+			clients.Wait()
+			if status := ask(t.Context(), front, nil); status != http.StatusOK {
+				t.Errorf("an ordinary request is answered with status %d", status)
+			}
+			peak, files := peakMB(t, gateway.Process.Pid), openFiles(t, gateway.Process.Pid)
+			t.Logf("peak %d MB, %d open files", peak, files)
+			if files > promptGateway.maxFiles {
+				t.Errorf("%d open files, limit %d", files, promptGateway.maxFiles)
+			}
+			if peak > promptGateway.memoryMB {
+				t.Errorf("peak %d MB, limit %d MB", peak, promptGateway.memoryMB)
+			}
+		})
+	}
+}
--- a/peers/messages.go
+++ b/peers/messages.go
@@ -147,7 +147,7 @@
 // Dispatch returns the dispatcher's form of a job that was received at the time now.
 func (j Job) Dispatch(now time.Time) dispatch.Job {
 	return dispatch.Job{
-		ID: j.ID, Run: j.Run, Key: j.Key, Stages: j.Stages, Rank: j.Rank, Prompt: j.Prompt, PriorResults: j.PriorResults,
+		ID: j.ID, Run: j.Run, Key: j.Key, Stages: j.Stages, Rank: j.Rank, Prompt: j.Prompt.Bounded(), PriorResults: j.PriorResults,
 		Target:   now.Add(time.Duration(j.TargetMS) * time.Millisecond),
 		Deadline: now.Add(time.Duration(j.DeadlineMS) * time.Millisecond),
 	}
