coordinate: forget refused clients, and refuse what no engine can hold for good

What callers saw: requests for prompts that no engine can hold were refused, as they should be, with a time to come back that was minutes to years away; the dispatching entry kept the subject of each refusal, of any length, until then, and took more memory than its machine has.

Cause: retryUntil was a map from the subject, which holds the client's last part and task key, to the time until which a retry is recognised. Nothing bounded its entries, their length or their stay, and old ones were found by a scan under the dispatcher's lock. The forecast for a long prompt grows with the square of a length that the client states.

A time to come back is 30 s away at most, which is longer than any client waits. A prompt longer than the declared cache of its service is known on arrival: the gateway answers it with 413, which clients do not repeat, and the dispatcher refuses it too, for entries that do not know this.

Why this works: the table's size does not depend on what clients send, and what cannot be served takes no place in it.

TestSingleUnusualPrompt plays a single prompt of thousands of parts, which is served, and one too long.

--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -66,9 +66,7 @@
 	waiters    map[string]*waiter
 	// endCall ends each call in progress, by the id of the call.
 	endCall map[uint64]context.CancelFunc
-	// retryUntil maps the subject of each refused client to the time until which a new job of it
-	// counts as a retry.
-	retryUntil map[string]time.Time
+	refused refusedSubjects
 	// services are the services that are or were declared, by name.
 	services    map[string]*catalog.Service
 	lastRefresh time.Time
@@ -131,7 +129,7 @@
 	}
 	return &Coordinator{
 		o: o, wake: make(chan struct{}, 1), dispatcher: dispatch.New(dispatch.Options{}),
-		waiters: make(map[string]*waiter), endCall: make(map[uint64]context.CancelFunc), retryUntil: make(map[string]time.Time), services: make(map[string]*catalog.Service),
+		waiters: make(map[string]*waiter), endCall: make(map[uint64]context.CancelFunc), refused: newRefusedSubjects(), services: make(map[string]*catalog.Service),
 	}
 }
 
@@ -210,15 +208,13 @@
 	}
 	c.lastSubmit = now
 	job := j.Dispatch(now)
-	job.Retry = j.Subject != "" && now.Before(c.retryUntil[j.Subject])
+	job.Retry = c.refused.has(now, j.Subject)
 	a := c.dispatcher.Submit(now, job)
 	if a.Unavailable != "" {
 		a.RetryAfter = cmp.Or(c.o.Roster.Delay(now, roster.Filter{Service: a.Unavailable}), a.RetryAfter)
 	}
 	if !a.Admitted {
-		if j.Subject != "" {
-			c.retryUntil[j.Subject] = now.Add(a.RetryAfter + retryWindow)
-		}
+		c.refused.add(j.Subject, now.Add(a.RetryAfter+retryWindow))
 		c.mu.Unlock()
 		c.o.Metrics.Jobs.WithLabelValues("refused").Inc()
 		c.o.Logger.Info("stages refused", "request", j.ID, "reason", a.Reason, "forecast_ms", a.Forecast.Milliseconds(),
@@ -226,7 +222,7 @@
 		refusal := peers.Outcome{Refused: true, Problem: a.Reason, RetryAfterMS: a.RetryAfter.Milliseconds(), ForecastMS: a.Forecast.Milliseconds()}
 		return func(context.Context, func([]dispatch.StageResults)) peers.Outcome { return refusal }
 	}
-	delete(c.retryUntil, j.Subject)
+	c.refused.remove(j.Subject)
 	w := newWaiter(a, j)
 	c.waiters[j.JobID()] = w
 	result := w.result
@@ -392,8 +388,7 @@
 	}
 }
 
-// expire ends jobs whose deadline has passed, drops orphaned jobs and old records of refused
-// clients, and reports whether jobs or calls are in progress.
+// expire ends jobs whose deadline has passed, drops orphaned jobs, and reports whether jobs or calls are in progress.
 func (c *Coordinator) expire() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -414,11 +409,6 @@
 			c.o.Logger.Info("job abandoned, its link was not dialled anew", "request", id, "entry", w.name, "entry_gone", gone)
 		}
 	}
-	for subject, until := range c.retryUntil {
-		if now.After(until) {
-			delete(c.retryUntil, subject)
-		}
-	}
 	return c.dispatcher.Busy()
 }
 
--- a/coordinate/metrics.go
+++ b/coordinate/metrics.go
@@ -49,6 +49,9 @@
 // trackedPartsDesc describes the number of parts of prompts that engines are assumed to have cached.
 var trackedPartsDesc = newGaugeDesc("tracked_parts", "Parts of prompts that the engines are assumed to have cached.")
 
+// refusedSubjectsDesc describes the number of refused clients that are remembered.
+var refusedSubjectsDesc = prometheus.NewDesc("azurelead_stages_refused_subjects", "Refused clients that are recognised when they come back. Reported by the entry that dispatches.", nil, nil)
+
 func newGaugeDesc(name, help string) *prometheus.Desc {
 	return prometheus.NewDesc("azurelead_stages_"+name, help+" Reported by the entry that dispatches.", []string{"service"}, nil)
 }
@@ -59,14 +62,16 @@
 		ch <- g.desc
 	}
 	ch <- trackedPartsDesc
+	ch <- refusedSubjectsDesc
 }
 
 // Collect implements prometheus.Collector.
 func (c *Coordinator) Collect(ch chan<- prometheus.Metric) {
 	c.mu.Lock()
 	services := c.dispatcher.Stats(time.Now())
-	trackedParts := c.dispatcher.TrackedParts()
+	trackedParts, refused := c.dispatcher.TrackedParts(), c.refused.until.Len()
 	c.mu.Unlock()
+	ch <- prometheus.MustNewConstMetric(refusedSubjectsDesc, prometheus.GaugeValue, float64(refused))
 	for service, n := range trackedParts {
 		ch <- prometheus.MustNewConstMetric(trackedPartsDesc, prometheus.GaugeValue, float64(n), service)
 	}
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -12,6 +12,9 @@
 	if unavailable := d.unavailableService(pending); unavailable != "" {
 		return Admission{Reason: "no endpoint of " + unavailable, Unavailable: unavailable, RetryAfter: noEndpointRetryAfter}
 	}
+	if p := d.enginePools[pending.Prompt.Service]; p != nil && p.kvCacheTokens > 0 && pending.Prompt.Tokens > p.kvCacheTokens {
+		return Admission{Reason: "the prompt is longer than the cache of any engine", RetryAfter: maxRetryAfter}
+	}
 	d.adoptPriorResults(pending)
 	scorer := d.enginePools[pending.Prompt.Service].newScorer(now, pending.Prompt)
 	pending.dataCentre = d.bestDataCentre(now, pending, scorer)
@@ -24,12 +27,12 @@
 	latest := j.Deadline.Add(-marginOf(j))
 	if end.After(latest) {
 		a.Reason = "the stages are expected to end after the deadline"
-		a.RetryAfter = max(end.Sub(latest), minRetryAfter)
+		a.RetryAfter = min(max(end.Sub(latest), minRetryAfter), maxRetryAfter)
 		return a
 	}
 	if excess := turnDelay - maxTurnDelay(j); excess > 0 {
 		a.Reason = "the limits of the engines leave no turn"
-		a.RetryAfter = max(excess, minRetryAfter)
+		a.RetryAfter = min(max(excess, minRetryAfter), maxRetryAfter)
 		return a
 	}
 	a.Admitted = true
@@ -105,6 +108,9 @@
 	noEndpointRetryAfter = time.Second
 	// minRetryAfter keeps a refused client from retrying before the load has changed.
 	minRetryAfter = 200 * time.Millisecond
+	// maxRetryAfter is longer than any client waits. The forecast for a job that cannot be done in its time says nothing
+	// beyond that.
+	maxRetryAfter = 30 * time.Second
 )
 
 // unavailableService returns the name of a service that the job needs and that has no
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -283,6 +283,10 @@
 	}
 	q.deadline = q.started.Add(timeout - deadlineMargin)
 	q.service = q.route.Service(headers.AttemptID)
+	if s := q.table.Services[q.service]; s != nil && s.KVCacheTokens > 0 && headers.PromptTokens > s.KVCacheTokens {
+		q.gw.promptLimits.exceeded(q, cachedTokens)
+		return clientError(http.StatusRequestEntityTooLarge, "the prompt is longer than the cache of any engine")
+	}
 	if resp := q.readBody(); resp != nil {
 		return resp
 	}
--- a/gateway/promptlimit.go
+++ b/gateway/promptlimit.go
@@ -9,8 +9,12 @@
 // promptLimit is a limit of prompts that clients may exceed.
 type promptLimit string
 
-// trackedParts is the number of parts of a prompt that are tracked. A prompt of more is served.
-const trackedParts promptLimit = "parts"
+const (
+	// trackedParts is the number of parts of a prompt that are tracked. A prompt of more is served.
+	trackedParts promptLimit = "parts"
+	// cachedTokens is the length of a prompt that an engine can hold. No engine serves a longer one.
+	cachedTokens promptLimit = "length"
+)
 
 // promptLogInterval is the least time between two log lines about prompts that exceed a limit.
 const promptLogInterval = 10 * time.Second
--- a/itest/promptcrowd_test.go
+++ b/itest/promptcrowd_test.go
@@ -47,6 +47,17 @@
 		list, parts := partsOf(i, 1)
 		return map[string]string{"Azurelead-Prompt-Prefix": list, "Azurelead-Token-Usage": fmt.Sprintf("%d,20", parts)}
 	}},
+	{"prompts longer than any cache", 2000, func(i int) map[string]string {
+		return map[string]string{
+			"Azurelead-Prompt-Prefix": fmt.Sprintf("a1:6300,%s%x:4000000", strings.Repeat("e", promptBytes), i), "Azurelead-Token-Usage": "4000000,20",
+		}
+	}},
+	{"prompts that take long to read", 2000, func(i int) map[string]string {
+		return map[string]string{
+			"Azurelead-Prompt-Prefix": fmt.Sprintf("a1:6300,%s%x:93000", strings.Repeat("e", promptBytes), i), "Azurelead-Token-Usage": "99999,20",
+			"Azurelead-Timeout-Ms": "500",
+		}
+	}},
 }
 
 // ask sends a request for a stream of an engine, and returns the status of its response; 0 if it broke off.
@@ -71,7 +82,7 @@
 	return resp.StatusCode
 }
 
-// Prompts that clients made of very many parts stopped the dispatcher and took its memory.
+// Prompts that clients made of very many parts, or longer than any engine can hold, stopped the dispatcher and took its memory.
 func TestPromptCrowdsStayWithinLimits(t *testing.T) {
 	for _, crowd := range promptCrowds {
 		t.Run(crowd.name, func(t *testing.T) {
@@ -103,3 +114,20 @@
 		})
 	}
 }
+
+// A single prompt of very many parts is legal, and one that no engine can hold is answered for good.
+func TestSingleUnusualPrompt(t *testing.T) {
+	engine := fleettest.NewServer("engine")
+	t.Cleanup(engine.Close)
+	_, front := startGatewayOf(t, promptGateway, "engines", engine)
+	for _, tokens := range []int{0, 1} {
+		list, parts := partsOf(1, tokens)
+		header := map[string]string{"Azurelead-Prompt-Prefix": list, "Azurelead-Token-Usage": fmt.Sprintf("%d,20", parts)}
+		if status := ask(t.Context(), front, header); status != http.StatusOK {
+			t.Errorf("%d parts of %d tokens: status %d", parts, tokens, status)
+		}
+	}
+	if status := ask(t.Context(), front, map[string]string{"Azurelead-Token-Usage": "100001,20"}); status != http.StatusRequestEntityTooLarge {
+		t.Errorf("a prompt longer than the cache: status %d", status)
+	}
+}
