coordinate: wait for the dispatcher for a limited time

Cause: Coordinator.Admit took the mutex whatever the job's deadline, and SetServices and InvalidateEndpoints, which objectsChanged calls, took the same one.

Change: the lock may be awaited with a time-out. A submission waits until its job's deadline and is refused then, as not run. Declared services are kept beside the dispatcher under a lock of their own and passed to it with the next refresh; a refresh is requested by an atomic flag.

Why this works: nobody waits for the dispatcher without an end who serves a request or follows the store.

--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/azurelead/azurelead/canary"
@@ -39,6 +40,8 @@
 	// retryWindow is how long a refused client is recognised as a returning one after the time at
 	// which it was told to retry.
 	retryWindow = 2 * time.Second
+	// busyRetryAfter is the retry delay of a job that could not be submitted within its time.
+	busyRetryAfter = 500 * time.Millisecond
 )
 
 // Options configures a Coordinator.
@@ -61,13 +64,20 @@
 	o    Options
 	wake chan struct{}
 
-	mu         sync.Mutex
+	// stale is set if the next refresh is to read the endpoints from the roster even if the last read is recent.
+	stale atomic.Bool
+	// declared are the services that are or were declared, by name, guarded by declaredMu.
+	declaredMu sync.Mutex
+	declared   map[string]*catalog.Service
+
+	// mu guards the dispatcher and the fields below. What is done under it does not grow with what clients send.
+	mu         lock
 	dispatcher *dispatch.Dispatcher
 	waiters    map[string]*waiter
 	// endCall ends each call in progress, by the id of the call.
 	endCall map[uint64]context.CancelFunc
 	refused refusedSubjects
-	// services are the services that are or were declared, by name.
+	// services are the declared services that the dispatcher knows, by name.
 	services    map[string]*catalog.Service
 	lastRefresh time.Time
 	// lastSubmit is when the last job was submitted; zero if another entry has dispatched since.
@@ -128,40 +138,45 @@
 		o.OnNotice = func() {}
 	}
 	return &Coordinator{
-		o: o, wake: make(chan struct{}, 1), dispatcher: dispatch.New(dispatch.Options{}),
-		waiters: make(map[string]*waiter), endCall: make(map[uint64]context.CancelFunc), refused: newRefusedSubjects(), services: make(map[string]*catalog.Service),
+		o: o, wake: make(chan struct{}, 1), mu: newLock(), dispatcher: dispatch.New(dispatch.Options{}),
+		waiters: make(map[string]*waiter), endCall: make(map[uint64]context.CancelFunc), refused: newRefusedSubjects(),
+		declared: make(map[string]*catalog.Service), services: make(map[string]*catalog.Service),
 	}
 }
 
 // SetServices sets the declared services. One that is no longer declared keeps its last declaration, as entries that
-// have not read the configuration yet submit jobs for it.
+// have not read the configuration yet submit jobs for it. It does not wait for jobs.
 func (c *Coordinator) SetServices(services map[string]*catalog.Service) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	maps.Copy(c.services, services)
-	for name, s := range services {
-		if s.Stages != nil {
-			c.dispatcher.SetService(name, *s.Stages)
-		}
-	}
-	c.lastRefresh = time.Time{}
+	c.declaredMu.Lock()
+	maps.Copy(c.declared, services)
+	c.declaredMu.Unlock()
+	c.InvalidateEndpoints()
 }
 
 // InvalidateEndpoints makes the next refresh read the endpoints from the roster even if the last
-// read is recent.
-func (c *Coordinator) InvalidateEndpoints() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lastRefresh = time.Time{}
+// read is recent. It does not wait for jobs.
+func (c *Coordinator) InvalidateEndpoints() { c.stale.Store(true) }
+
+// declareServices passes the declared services to the dispatcher. The caller holds mu.
+func (c *Coordinator) declareServices() {
+	c.declaredMu.Lock()
+	defer c.declaredMu.Unlock()
+	for name, s := range c.declared {
+		if c.services[name] != s && s.Stages != nil {
+			c.dispatcher.SetService(name, *s.Stages)
+		}
+		c.services[name] = s
+	}
 }
 
 // refreshEndpoints reads the endpoints from the roster if the last read is older than
 // refreshInterval. The caller holds mu.
 func (c *Coordinator) refreshEndpoints(now time.Time) {
-	if now.Sub(c.lastRefresh) < refreshInterval {
+	if !c.stale.Swap(false) && now.Sub(c.lastRefresh) < refreshInterval {
 		return
 	}
 	c.lastRefresh = now
+	c.declareServices()
 	for name, s := range c.services {
 		switch {
 		case s.Stages != nil:
@@ -197,8 +212,10 @@
 
 // Admit implements peers.JobHandler.
 func (c *Coordinator) Admit(j peers.Job) awaiting {
+	if !c.mu.LockWithin(time.Duration(j.DeadlineMS) * time.Millisecond) {
+		return c.refuse(j, dispatch.Admission{Reason: "the dispatcher is busy", RetryAfter: busyRetryAfter})
+	}
 	now := time.Now()
-	c.mu.Lock()
 	if w := c.waiters[j.JobID()]; w != nil {
 		return c.resume(j, w)
 	}
@@ -216,11 +233,7 @@
 	if !a.Admitted {
 		c.refused.add(j.Subject, now.Add(a.RetryAfter+retryWindow))
 		c.mu.Unlock()
-		c.o.Metrics.Jobs.WithLabelValues("refused").Inc()
-		c.o.Logger.Info("stages refused", "request", j.ID, "reason", a.Reason, "forecast_ms", a.Forecast.Milliseconds(),
-			"deadline_ms", j.DeadlineMS, "tail_ms", a.FirstEventDelay.Milliseconds(), "rank", j.Rank, "retry_after_ms", a.RetryAfter.Milliseconds())
-		refusal := peers.Outcome{Refused: true, Problem: a.Reason, RetryAfterMS: a.RetryAfter.Milliseconds(), ForecastMS: a.Forecast.Milliseconds()}
-		return func(context.Context, func([]dispatch.StageResults)) peers.Outcome { return refusal }
+		return c.refuse(j, a)
 	}
 	c.refused.remove(j.Subject)
 	w := newWaiter(a, j)
@@ -235,6 +248,15 @@
 	return c.outcomeOf(j, w, result)
 }
 
+// refuse records the refusal of a job and returns a function that returns it.
+func (c *Coordinator) refuse(j peers.Job, a dispatch.Admission) awaiting {
+	c.o.Metrics.Jobs.WithLabelValues("refused").Inc()
+	c.o.Logger.Info("stages refused", "request", j.ID, "reason", a.Reason, "forecast_ms", a.Forecast.Milliseconds(),
+		"deadline_ms", j.DeadlineMS, "tail_ms", a.FirstEventDelay.Milliseconds(), "rank", j.Rank, "retry_after_ms", a.RetryAfter.Milliseconds())
+	refusal := peers.Outcome{Refused: true, Problem: a.Reason, RetryAfterMS: a.RetryAfter.Milliseconds(), ForecastMS: a.Forecast.Milliseconds()}
+	return func(context.Context, func([]dispatch.StageResults)) peers.Outcome { return refusal }
+}
+
 // resume attaches a submitter to a job that was submitted before, on a link that was lost. If that has not been
 // noticed yet, the former submission is answered, as its submitter may be the one that still waits. The caller holds
 // mu; resume unlocks it.
