clientlimit: measure progress by a least rate, and leave connections to others

Cause: a connection counted as making progress if anything was read of it within a second, so that none could be closed for another. All clients shared one number of connections, requests that had been read were never closed for others, and whether a client reads its response did not count. The search for the connection to close looked at all of them under the guard's lock, for each connection that a crowd opened.

Change: a client that has to send or to read falls behind at less than 16 KB/s, and the connection that has been behind for longest, for a second at least as before, is closed. A response that is not read counts, and its connection is reset, as what the client has must not look whole. One address may hold three quarters of the connections; the rest is for addresses that hold fewer than are left free, and an owner of a quarter gives up its own first. Stalled connections are found in a heap whose times are brought up to date only as far as a search meets them. A connection that is closed in a body is owed no response and does not linger, and at most a quarter as many as may be open linger after their close; they no longer count as open.

Why this works: rates tell slow clients from ordinary ones whatever their addresses, for everything that a client has to do itself; requests that wait for the gateway are bounded by the share of their address.

--- a/clientlimit/clientlimit.go
+++ b/clientlimit/clientlimit.go
@@ -3,8 +3,8 @@
 // close the connections that it names.
 //
 // The load that it answers are clients that stay inside no limit. A header line of a few bytes takes some hundred once it has
-// been parsed, so that heads of legal size take many times that size, and a connection that never sends a request takes a
-// descriptor.
+// been parsed, so that heads of legal size take many times that size. A connection that never sends a request takes a
+// descriptor, and so does one that sends or reads a byte now and then: progress is therefore measured by a least rate.
 package clientlimit
 
 import (
@@ -34,16 +34,21 @@
 	// byteCost is the number of copies of its bytes.
 	lineCost = 256
 	byteCost = 2
-	// minStall is the time without progress after which a connection may be closed in favour of another one.
+	// minStall is how long a client may be behind before its connection may be closed in favour of another one.
 	minStall = time.Second
+	// minRate is the rate at which a client does not fall behind, in bytes per second.
+	minRate = 16 << 10
+	// reservedShare is the share of the connections that is for owners that hold fewer than are left free.
+	reservedShare = 0.25
+	// promptWrite is the time within which a client counts as reading at once.
+	promptWrite = 100 * time.Millisecond
 )
 
 // Options configures a Guard.
 type Options struct {
-	// MaxConnections bounds the open connections; 0 does not.
+	// MaxConnections bounds the open connections; 0 does not. The last quarter of them is for owners that hold fewer than
+	// are left free.
 	MaxConnections int
-	// Closing returns the number of closed connections whose sockets are still open; nil stands for none.
-	Closing func() int
 	// HeadMemory bounds the memory of all heads together, in bytes. One client address may hold half of it.
 	HeadMemory int64
 	// MaxHead returns the largest number of bytes of a head.
@@ -54,11 +59,21 @@
 
 // Guard holds the connections of one server. It is safe for concurrent use.
 type Guard struct {
-	o     Options
-	heads *memorybudget.Budget
+	o      Options
+	memory *memorybudget.Budget
 
-	mu    sync.Mutex
-	conns map[*Conn]bool
+	mu     sync.Mutex
+	conns  map[*Conn]bool
+	owners map[string]*owner
+	// all holds all connections, heads those that hold a part of a head beyond what every connection may hold.
+	all, heads *stallQueue
+}
+
+// owner is the owner of connections, such as a client's address.
+type owner struct {
+	name string
+	// conns holds its connections.
+	conns *stallQueue
 }
 
 // New returns a guard without connections.
@@ -66,16 +81,18 @@
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics(nil)
 	}
-	if o.Closing == nil {
-		o.Closing = func() int { return 0 }
+	return &Guard{
+		o: o, memory: memorybudget.New(o.HeadMemory), conns: make(map[*Conn]bool), owners: make(map[string]*owner),
+		all: newStallQueue(isOpen), heads: newStallQueue((*Conn).holdsHead),
 	}
-	return &Guard{o: o, heads: memorybudget.New(o.HeadMemory), conns: make(map[*Conn]bool)}
 }
 
+func isOpen(*Conn) bool { return true }
+
 // Conn is one connection.
 type Conn struct {
 	guard *Guard
-	owner string
+	owner *owner
 	// evict closes the connection. inHead is set if a part of a request's head has been read.
 	evict func(inHead bool)
 
@@ -87,8 +104,14 @@
 	head         bool
 	bytes, lines int
 	held         *memorybudget.Reservation
-	// progressAt is when the wait began or anything was last read.
+	// progressAt is the time from which on the client has been behind, if it has to send or to read something. What it sends
+	// or reads moves the time on as by minRate, up to the present.
 	progressAt time.Time
+	// writing is set while the client has to read the response, since writeSince. arrears is how far it was behind when
+	// it had last done so.
+	writing    bool
+	writeSince time.Time
+	arrears    time.Duration
 }
 
 // phase is what a connection is used for.
@@ -104,50 +127,83 @@
 )
 
 // Open adds a connection of an owner, such as a client's address. If there are too many, evict of another one is called,
-// whose client has sent nothing for longest although a request or the rest of one is awaited. It returns an error of class TooManyConnections if there is none.
-func (g *Guard) Open(now time.Time, owner string, evict func(inHead bool)) (*Conn, error) {
-	c := &Conn{guard: g, owner: owner, evict: evict, progressAt: now}
-	closing := g.o.Closing()
+// whose client has been behind for longest with a request, the rest of one, or the reading of a response. An owner that holds
+// many connections gives up one of its own. It returns an error of class TooManyConnections if there is none to be closed.
+func (g *Guard) Open(now time.Time, ownerName string, evict func(inHead bool)) (*Conn, error) {
+	c := &Conn{guard: g, evict: evict, progressAt: now}
 	g.mu.Lock()
-	full := g.o.MaxConnections > 0 && len(g.conns)+closing >= g.o.MaxConnections
-	g.mu.Unlock()
-	if full && !g.evictStalest(now, nil, func(*Conn) bool { return true }) {
+	defer g.mu.Unlock()
+	if among := g.toEvictFrom(ownerName); among != nil && !g.evictStalled(now, nil, among) {
 		g.o.Metrics.Refusals.WithLabelValues("connections").Inc()
-		return nil, TooManyConnections.New("%d are open", g.o.MaxConnections)
+		return nil, TooManyConnections.New("%d are open", len(g.conns))
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.conns[c] = true
+	g.add(c, ownerName)
 	return c, nil
 }
 
-// evictStalest closes the connection, of those whose clients have to send and that eligible selects, that has made no progress
-// for longest, and reports whether there was one. Requests that have been read are never ended.
-func (g *Guard) evictStalest(now time.Time, except *Conn, eligible func(*Conn) bool) bool {
-	g.mu.Lock()
-	var stalest *Conn
-	var since time.Time
-	for c := range g.conns {
-		at, waits := c.waitsSince()
-		if c != except && waits && now.Sub(at) >= minStall && eligible(c) && (stalest == nil || at.Before(since)) {
-			stalest, since = c, at
+// toEvictFrom returns the connections one of which has to be closed before an owner may open another one; nil if there is
+// room. The caller holds mu.
+func (g *Guard) toEvictFrom(ownerName string) *stallQueue {
+	limit := g.o.MaxConnections
+	if limit <= 0 {
+		return nil
+	}
+	reserved, free := int(reservedShare*float64(limit)), limit-len(g.conns)
+	held := 0
+	o := g.owners[ownerName]
+	if o != nil {
+		held = o.conns.Len()
+	}
+	switch {
+	case free > reserved || held < free:
+		return nil
+	case o != nil && held >= reserved:
+		return o.conns
+	}
+	return g.all
+}
+
+// add adds a connection. The caller holds mu.
+func (g *Guard) add(c *Conn, ownerName string) {
+	c.owner = g.owners[ownerName]
+	if c.owner == nil {
+		c.owner = &owner{name: ownerName, conns: newStallQueue(isOpen)}
+		g.owners[ownerName] = c.owner
+	}
+	g.conns[c] = true
+	g.all.add(c, c.progressAt)
+	c.owner.conns.add(c, c.progressAt)
+}
+
+// remove removes a connection, also if that has been done before. The caller holds mu.
+func (g *Guard) remove(c *Conn) {
+	delete(g.conns, c)
+	g.all.remove(c)
+	g.heads.remove(c)
+	c.owner.conns.remove(c)
+	if o := c.owner; o.conns.Len() == 0 && g.owners[o.name] == o {
+		delete(g.owners, o.name)
+	}
+}
+
+// evictStalled closes the connection among some, other than except, whose client has been behind for longest, and reports whether
+// there was one. The caller holds mu, which is given back meanwhile.
+func (g *Guard) evictStalled(now time.Time, except *Conn, among *stallQueue) bool {
+	c, inHead := among.stalled(now, except), false
+	for evicted := false; c != nil && !evicted; {
+		if inHead, evicted = c.markEvicted(now); !evicted {
+			c = among.stalled(now, except) // it has made progress meanwhile
 		}
 	}
-	if stalest == nil {
-		g.mu.Unlock()
+	if c == nil {
 		return false
 	}
-	inHead, evicted := stalest.markEvicted(now)
-	if evicted {
-		delete(g.conns, stalest)
-	}
+	g.remove(c)
 	g.mu.Unlock()
-	if !evicted {
-		return true // it has made progress meanwhile: the caller looks again
-	}
+	defer g.mu.Lock()
 	g.o.Metrics.Refusals.WithLabelValues("stalled").Inc()
-	stalest.release()
-	stalest.evict(inHead)
+	c.release()
+	c.evict(inHead)
 	return true
 }
 
@@ -155,18 +211,53 @@
 func (c *Conn) markEvicted(now time.Time) (inHead, evicted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == serving || now.Sub(c.progressAt) < minStall {
+	if !c.isAwaited() || now.Sub(c.progressAt) < minStall {
 		return false, false
 	}
 	c.evicted = true
 	return c.phase == awaiting && c.head, true
 }
 
-// waitsSince returns when the connection last made progress, and whether it waits for a request or the rest of one.
-func (c *Conn) waitsSince() (time.Time, bool) {
+// isAwaited reports whether the client has to send a request or the rest of one, or to read a response. The caller holds mu.
+func (c *Conn) isAwaited() bool { return c.phase != serving || c.writing }
+
+// behindSince returns since when the client has been behind, and whether it has to send or to read something.
+func (c *Conn) behindSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.progressAt, c.isAwaited()
+}
+
+// progress records that the client has sent or read n bytes. The caller holds mu.
+func (c *Conn) progress(now time.Time, n int) {
+	c.progressAt = c.progressAt.Add(time.Duration(n) * (time.Second / minRate))
+	if c.progressAt.After(now) {
+		c.progressAt = now
+	}
+}
+
+// BeginWrite records that the client has to read a part of a response.
+func (c *Conn) BeginWrite(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.progressAt, c.phase != serving
+	c.writing, c.writeSince = true, now
+	if c.phase == serving {
+		c.progressAt = now.Add(-c.arrears)
+	}
+}
+
+// EndWrite records that n bytes of the response were taken. A client that takes them at once is not behind any more.
+func (c *Conn) EndWrite(now time.Time, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	if c.phase != serving {
+		return
+	}
+	c.progress(now, n)
+	if c.arrears = now.Sub(c.progressAt); now.Sub(c.writeSince) < promptWrite {
+		c.arrears = 0
+	}
 }
 
 // Await records that the connection waits for a request: what the last one held is given back.
@@ -174,7 +265,7 @@
 	c.release()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.head, c.bytes, c.lines, c.progressAt = awaiting, false, 0, 0, now
+	c.phase, c.head, c.bytes, c.lines, c.progressAt, c.arrears = awaiting, false, 0, 0, now, 0
 }
 
 // Handle records that a complete head has been read. Its memory stays reserved until the next call of Await or Close.
@@ -197,8 +288,11 @@
 		c.mu.Unlock()
 		return Evicted.New("the connection was closed to make room for another")
 	}
-	if len(p) > 0 {
-		c.progressAt = now
+	if c.phase == awaiting && !c.head && len(p) > 0 {
+		c.progressAt = now // the wait for a request has ended
+	}
+	if c.phase != serving {
+		c.progress(now, len(p))
 	}
 	if c.phase != awaiting {
 		c.mu.Unlock()
@@ -209,7 +303,7 @@
 	c.lines += bytes.Count(p, []byte{'\n'})
 	size, cost := c.bytes, int64(c.bytes)*byteCost+int64(c.lines)*lineCost
 	if c.held == nil {
-		c.held = c.guard.heads.Reserve(c.owner)
+		c.held = c.guard.memory.Reserve(c.owner.name)
 	}
 	held := c.held
 	c.mu.Unlock()
@@ -218,9 +312,12 @@
 		return HeadTooLarge.New("more than %d bytes", limit)
 	}
 	err := held.Resize(cost)
-	for err != nil && c.guard.evictStalest(now, c, (*Conn).holdsHead) {
+	for err != nil && c.guard.evictHead(now, c) {
 		err = held.Resize(cost)
 	}
+	if err == nil && cost > memorybudget.Exempt {
+		c.guard.noteHead(c)
+	}
 	if err != nil {
 		c.guard.o.Metrics.Refusals.WithLabelValues("head memory").Inc()
 		return NoMemory.Wrap(err)
@@ -228,6 +325,24 @@
 	return nil
 }
 
+// noteHead records that a connection holds a head beyond what every connection may hold.
+func (g *Guard) noteHead(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conns[c] {
+		since, _ := c.behindSince()
+		g.heads.add(c, since)
+	}
+}
+
+// evictHead closes the connection, other than except, that holds a part of a head and whose client has been behind for longest.
+// It reports whether there was one.
+func (g *Guard) evictHead(now time.Time, except *Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evictStalled(now, except, g.heads)
+}
+
 // holdsHead reports whether the connection holds a part of a head beyond what every connection may hold.
 func (c *Conn) holdsHead() bool {
 	c.mu.Lock()
@@ -240,7 +355,7 @@
 	c.release()
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
-	delete(c.guard.conns, c)
+	c.guard.remove(c)
 }
 
 // release gives back the memory of the head.
--- a/clientlimit/clientlimit_test.go
+++ b/clientlimit/clientlimit_test.go
@@ -78,7 +78,7 @@
 		}
 		_ = c.Read(start, []byte(strings.Repeat("a:b\r\n", 1000))) // some are refused
 	}
-	if g.heads.Held() == 0 {
+	if g.memory.Held() == 0 {
 		t.Fatal("the crowd holds nothing")
 	}
 	ordinary, _ := open(t, g, start)
@@ -106,7 +106,7 @@
 		c.Await(start)
 	}
 	c.Close()
-	if held := g.heads.Held(); held != 0 || len(g.conns) != 0 {
+	if held := g.memory.Held(); held != 0 || len(g.conns) != 0 {
 		t.Errorf("%d bytes and %d connections are left", held, len(g.conns))
 	}
 }
@@ -130,3 +130,132 @@
 		t.Errorf("evictions %v, want a single one, while a head was read", told)
 	}
 }
+
+// openFor opens a connection of an owner, and reports whether that was allowed.
+func openFor(g *Guard, now time.Time, owner string) (*Conn, bool) {
+	c, err := g.Open(now, owner, func(bool) {})
+	return c, err == nil
+}
+
+// One address took all connections with requests that were read, which are never closed for others.
+func TestOwnerLeavesConnections(t *testing.T) {
+	g := newGuard(100, 1<<20)
+	served := 0
+	for range 200 {
+		if c, ok := openFor(g, start, "crowd"); ok {
+			c.Handle()
+			c.Serve()
+			served++
+		}
+	}
+	if served != 75 {
+		t.Errorf("one owner holds %d of 100 connections, want 75", served)
+	}
+	for _, owner := range []string{"second", "third", "fourth"} {
+		for range 200 {
+			if c, ok := openFor(g, start, owner); ok {
+				c.Serve()
+			}
+		}
+	}
+	if _, ok := openFor(g, start, "ordinary"); !ok {
+		t.Errorf("no connection is left, %d are open", len(g.conns))
+	}
+}
+
+// An owner of many connections had those of others closed for its own.
+func TestLargeOwnerReplacesItsOwn(t *testing.T) {
+	g := newGuard(8, 1<<20)
+	_, firstEvicted := open(t, g, start)
+	for range 6 {
+		openFor(g, start.Add(time.Second), "crowd")
+	}
+	if _, ok := openFor(g, start.Add(10*time.Second), "crowd"); !ok || *firstEvicted != 0 {
+		t.Errorf("opened %v, the connection of another owner was closed %d times", ok, *firstEvicted)
+	}
+	if n := g.owners["crowd"].conns.Len(); n != 5 {
+		t.Errorf("the crowd holds %d connections, want 5", n)
+	}
+}
+
+// A client that sent a byte now and then kept its connection, while one at an ordinary rate is not closed for others.
+func TestSlowClientsFallBehind(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		handled bool
+		bytes   int
+		evicted int
+	}{
+		{"a byte of a head", false, 1, 1}, {"bytes of a body", true, 1 << 10, 1}, {"a body at an ordinary rate", true, 16 << 10, 0},
+	} {
+		g := newGuard(1, 1<<20)
+		slow, evicted := open(t, g, start)
+		now := start
+		for range 20 {
+			if c.handled {
+				slow.Handle()
+			}
+			if err := slow.Read(now, make([]byte, c.bytes)); err != nil {
+				t.Fatal(c.name, err)
+			}
+			now = now.Add(500 * time.Millisecond)
+		}
+		if _, err := g.Open(now, "client", func(bool) {}); *evicted != c.evicted || TooManyConnections.Has(err) != (c.evicted == 0) {
+			t.Errorf("%s: closed %d times, want %d, and %v", c.name, *evicted, c.evicted, err)
+		}
+	}
+}
+
+// A client that did not read its response kept its connection for as long as there was more of it.
+func TestUnreadResponsesGiveWay(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// took is how long the client took for each of the earlier writes, and waits for how long the last one has waited.
+		took, waits time.Duration
+		evicted     int
+	}{
+		{"not read", 0, 2 * time.Second, 1}, {"just begun", 0, 500 * time.Millisecond, 0},
+		{"read slowly", 400 * time.Millisecond, 200 * time.Millisecond, 1}, {"between writes", 0, 0, 0},
+	} {
+		g := newGuard(1, 1<<20)
+		conn, evicted := open(t, g, start)
+		conn.Handle()
+		conn.Serve()
+		now := start
+		for range 10 {
+			now = now.Add(5 * time.Second) // the endpoint is silent
+			conn.BeginWrite(now)
+			now = now.Add(c.took)
+			conn.EndWrite(now, 100)
+		}
+		now = now.Add(5 * time.Second)
+		if c.waits > 0 {
+			conn.BeginWrite(now)
+		}
+		now = now.Add(c.waits)
+		if _, ok := openFor(g, now, "client"); ok != (c.evicted == 1) || *evicted != c.evicted {
+			t.Errorf("%s: closed %d times, want %d", c.name, *evicted, c.evicted)
+		}
+	}
+}
+
+// The search for a stalled connection looked at all of them each time.
+func TestSearchForStalledConnectionsIsShort(t *testing.T) {
+	const n = 1000
+	q, looks := (*stallQueue)(nil), 0
+	q = newStallQueue(func(*Conn) bool { looks++; return true })
+	for i := range n {
+		at := start.Add(time.Duration(i) * time.Millisecond)
+		q.add(&Conn{progressAt: at}, at)
+	}
+	for range n {
+		c := q.stalled(start.Add(time.Minute), nil)
+		if c == nil {
+			t.Fatal("no connection has stalled")
+		}
+		q.remove(c)
+	}
+	if looks > 2*n {
+		t.Errorf("%d looks at connections for %d that were closed", looks, n)
+	}
+}
--- a/gatewaydaemon/clientconn.go
+++ b/gatewaydaemon/clientconn.go
@@ -53,12 +53,25 @@
 		owner = c.RemoteAddr().String()
 	}
 	if c.limit, err = c.server.guard.Open(time.Now(), "client "+owner, c.evict); err != nil {
+		c.server.noteLimit("client connection refused", owner, err)
 		_ = c.Close() // nothing has been read of it
 		return false
 	}
 	return true
 }
 
+// limitLogInterval is the least time between two log lines about connections that were refused or closed for a limit.
+const limitLogInterval = 10 * time.Second
+
+// noteLimit logs that a connection was refused or closed for a limit.
+func (s *clientServer) noteLimit(message, client string, err error) {
+	s.limitLog.Do(func() {
+		if s.logger != nil {
+			s.logger.Warn(message, "client", client, "error", err)
+		}
+	})
+}
+
 const (
 	// refusalTime bounds the writing of a refusal to a client that may not read.
 	refusalTime = 100 * time.Millisecond
@@ -68,12 +81,45 @@
 	refusalRetryAfter = "0.5"
 )
 
-// evict closes the connection to make room for another. Input that arrives afterwards is discarded.
+// evict closes the connection to make room for another. Input that arrives afterwards is discarded. A client that does not
+// read its response must not take what it has for all of it.
 func (c *clientConn) evict(inHead bool) {
+	c.server.noteLimit("client connection closed for another", c.RemoteAddr().String(), nil)
 	if inHead {
 		c.refuse("408 Request Timeout", "")
+		_ = c.Close() // fails only if it is closed already
+		return
 	}
-	_ = c.Close() // fails only if it is closed already
+	if c.writing.Load() {
+		_ = c.Reset()
+		return
+	}
+	c.closeNow()
+}
+
+// closeNow closes the connection without reading what the client still sends.
+func (c *clientConn) closeNow() {
+	if c.limit != nil {
+		c.limit.Close()
+	}
+	if d, ok := c.Conn.(interface{ CloseNow() error }); ok {
+		_ = d.CloseNow() // fails only if it is closed already
+		return
+	}
+	_ = c.Conn.Close()
+}
+
+// Write implements net.Conn. The time that the client takes to read counts towards the limits.
+func (c *clientConn) Write(p []byte) (int, error) {
+	if c.limit == nil {
+		return c.Conn.Write(p)
+	}
+	c.writing.Store(true)
+	c.limit.BeginWrite(time.Now())
+	n, err := c.Conn.Write(p)
+	c.limit.EndWrite(time.Now(), n)
+	c.writing.Store(false)
+	return n, err
 }
 
 // refuse writes a whole response while the head of a request is read: it has not run.
@@ -142,6 +188,8 @@
 	limit *clientlimit.Conn
 	// received is set once anything has been read.
 	received atomic.Bool
+	// writing is set while a part of a response is written.
+	writing atomic.Bool
 
 	mu sync.Mutex
 	// next is what the next deadline of net/http is for, current what the last one is for, since when it was set.
--- a/gatewaydaemon/clients.go
+++ b/gatewaydaemon/clients.go
@@ -1,12 +1,15 @@
 package gatewaydaemon
 
 import (
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/azurelead/azurelead/clientlimit"
 	"github.com/azurelead/azurelead/linger"
 )
@@ -29,6 +32,9 @@
 	limits   func() clientLimits
 	// guard bounds the connections and the heads that are read; nil does not.
 	guard *clientlimit.Guard
+	// logger gets at most one line in limitLogInterval about connections that were refused or closed for a limit; it may be nil.
+	logger   *slog.Logger
+	limitLog rate.Sometimes
 	// unreadTime is the time before the server stops listening when it is closed.
 	unreadTime time.Duration
 	// closing is set once each response closes its connection.
@@ -45,7 +51,7 @@
 // newClientServer returns a server whose connections are tracked. limits replaces the server's
 // time-outs, which must be set.
 func newClientServer(listener net.Listener, server *http.Server, limits func() clientLimits) *clientServer {
-	c := &clientServer{server: server, listener: linger.NewListener(listener), limits: limits, unreadTime: unreadTime, open: make(map[net.Conn]bool)}
+	c := &clientServer{server: server, listener: linger.NewListener(listener), limits: limits, unreadTime: unreadTime, open: make(map[net.Conn]bool), limitLog: rate.Sometimes{Interval: limitLogInterval}}
 	server.ConnState = c.track
 	server.Handler = c.closeWhenClosing(server.Handler)
 	return c
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -247,7 +247,7 @@
 		Handler: d.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ConnContext: withClientConn, ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelWarn),
 	}, d.clientLimits)
-	clients.guard = d.newClientGuard(clients, reg)
+	clients.guard, clients.logger = d.newClientGuard(clients, reg), d.logger
 	d.serve("front", clients.server, clients.acceptor())
 	go func() {
 		defer close(d.initialised)
@@ -275,8 +275,9 @@
 // newClientGuard returns the guard of the clients' connections.
 func (d *daemon) newClientGuard(clients *clientServer, reg prometheus.Registerer) *clientlimit.Guard {
 	plan := planMemory(d.settings.MemoryBytes, d.settings.MaxFiles)
+	clients.listener.MaxLingering = max(int(lingeringShare*float64(plan.connections)), 1)
 	return clientlimit.New(clientlimit.Options{
-		MaxConnections: plan.connections, HeadMemory: plan.heads, MaxHead: d.maxHeader, Closing: clients.listener.CountReceiving,
+		MaxConnections: plan.connections, HeadMemory: plan.heads, MaxHead: d.maxHeader,
 		Metrics: clientlimit.NewMetrics(reg),
 	})
 }
--- a/gatewaydaemon/memory.go
+++ b/gatewaydaemon/memory.go
@@ -25,6 +25,8 @@
 	// clients' connections may take. The rest is for endpoints, other entries and the store.
 	reservedFiles    = 200
 	clientFilesShare = 0.5
+	// lingeringShare is how many connections may linger after they were closed, as a share of those that may be open.
+	lingeringShare = 0.25
 )
 
 // memoryPlan is how a process divides the memory limit of its instance, in bytes.
--- a/itest/endless_test.go
+++ b/itest/endless_test.go
@@ -61,6 +61,7 @@
 		fleettest.Route("look", "/look/", "idempotent", "faulty", nil),
 		fleettest.Route("stream", "/stream/", "streaming", "faulty", nil),
 		fleettest.Route("sound", "/sound/", "idempotent", "sound", patient),
+		fleettest.Route("longstream", "/stream/long/", "streaming", "faulty", patient),
 		fleettest.Route("soundstream", "/stream/sound/", "streaming", "sound", patient),
 		fleettest.Route("staged", "/stream/staged/", "streaming", "sound", map[string]any{
 			"stages": []map[string]any{{"service": "stages", "after": []int{}, "bytes": 8000}},
--- a/linger/linger.go
+++ b/linger/linger.go
@@ -30,8 +30,14 @@
 // Listener accepts TCP connections that linger when they are closed.
 type Listener struct {
 	net.Listener
+	// MaxLingering bounds the closed connections that go on discarding what their clients send; 0 does not. Others are closed
+	// at once: clients that provoke responses and do not end their side would keep descriptors for seconds each. It must not
+	// be changed once the listener accepts.
+	MaxLingering int
 
 	mu sync.Mutex
+	// lingering is the number of closed connections whose sockets are open.
+	lingering int
 	// receiving are the closed connections whose clients have sent more since, or may still do so.
 	receiving map[*conn]bool
 }
@@ -91,6 +97,26 @@
 	delete(l.receiving, c)
 }
 
+// beginLinger counts a closed connection that lingers. It reports false if there are too many.
+func (l *Listener) beginLinger(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.MaxLingering > 0 && l.lingering >= l.MaxLingering {
+		return false
+	}
+	l.lingering++
+	l.receiving[c] = true
+	return true
+}
+
+// endLinger counts a connection whose socket has been closed.
+func (l *Listener) endLinger(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lingering--
+	delete(l.receiving, c)
+}
+
 // conn is a TCP connection that lingers when it is closed.
 type conn struct {
 	*net.TCPConn
@@ -164,7 +190,9 @@
 	if err := c.TCPConn.SetReadDeadline(time.Now()); err != nil {
 		return errors.Join(err, c.TCPConn.Close())
 	}
-	c.listener.setReceiving(c, true)
+	if !c.listener.beginLinger(c) {
+		return c.TCPConn.Close()
+	}
 	go c.linger()
 	return nil
 }
@@ -196,7 +224,7 @@
 func (c *conn) linger() {
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	defer c.listener.setReceiving(c, false)
+	defer c.listener.endLinger(c)
 	// The client has the response, or does not read it: there is no one to report an error to.
 	defer func() { _ = c.TCPConn.Close() }()
 	_, _ = io.CopyN(io.Discard, &remainder{conn: c, until: time.Now().Add(maxTime)}, maxBytes)
