telemetry: bound what waits for a reader of the log in bytes

What callers saw: nothing, while the log is read. With a reader that has stalled, a client whose requests carry long attempt IDs made the process take more memory than its machine has.

Cause: 1,024 lines were queued whatever their length, and a line holds what the client sent: its attempt ID, the shared parts of its prompt, the attempt that it resumes. A byte that is no text takes six in a line.

Change: texts in a line are cut after 1 KB, with their length, and lists after 64 texts, but for the stacks of panics; the queue holds 4 MB. What does not fit is dropped and told afterwards, as before, and counted by azurelead_log_lines_dropped_total.

--- a/cmd/azurelead-gateway/main.go
+++ b/cmd/azurelead-gateway/main.go
@@ -72,7 +72,9 @@
 					logger.Warn("failed to flush traces", "error", err)
 				}
 			}()
-			return gatewaydaemon.Run(ctx, c, logger, prometheus.NewRegistry())
+			registry := prometheus.NewRegistry()
+			registry.MustRegister(telemetry.DroppedLines)
+			return gatewaydaemon.Run(ctx, c, logger, registry)
 		},
 	}
 }
--- a/itest/endless_test.go
+++ b/itest/endless_test.go
@@ -43,6 +43,8 @@
 	headerBytes int
 	// cacheTokens is the capacity of the KV cache of the engines that serve /stream/ask/; 0 declares no engines.
 	cacheTokens int
+	// log gets the log, of all levels; nil discards it.
+	log *os.File
 }
 
 // startGatewayOf is startGateway with a size.
@@ -87,6 +89,10 @@
 		t.Fatal(err)
 	}
 	gateway = exec.Command(filepath.Join(binDir, "azurelead-gateway"), "--settings", path, "--log-level", "error")
+	if size.log != nil {
+		gateway = exec.Command(filepath.Join(binDir, "azurelead-gateway"), "--settings", path, "--log-level", "info")
+		gateway.Stdout = size.log
+	}
 	gateway.Env = append(os.Environ(), "GOMAXPROCS=1")
 	if err := gateway.Start(); err != nil {
 		t.Fatal(err)
--- a/telemetry/bounded_test.go
+++ b/telemetry/bounded_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -52,3 +54,22 @@
 	cancel()
 	flushStalled(ctx)
 }
+
+// Clients choose the length of what is logged of them, which a queue for a stalled reader held as a whole.
+func TestLinesAreShort(t *testing.T) {
+	long := strings.Repeat("x", 1<<20)
+	var written bytes.Buffer
+	logger, flush := NewBoundedLogger(&written, slog.LevelInfo)
+	logger.Info("line", "text", long, "error", errors.New(long), "list", slices.Repeat([]string{long}, 100), "after", "end")
+	flush(t.Context())
+	if n, limit := written.Len(), (maxValues+4)*(maxValueBytes+100); n > limit || !strings.Contains(written.String(), `"after":"end"`) {
+		t.Errorf("a line of %d bytes, limit %d: %.100s", n, limit, written.String())
+	}
+	b := &boundedWriter{lines: make(chan queuedLine, maxQueuedLines)}
+	for range maxQueuedLines {
+		_, _ = b.Write(make([]byte, 100<<10))
+	}
+	if n := b.queued.Load(); n > maxQueuedBytes || b.dropped.Load() == 0 {
+		t.Errorf("%d bytes are queued, limit %d", n, maxQueuedBytes)
+	}
+}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -28,13 +28,13 @@
 
 // NewLogger returns a logger that writes JSON lines to standard error.
 func NewLogger(level slog.Level) *slog.Logger {
-	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	return slog.New(newHandler(os.Stderr, level))
 }
 
 // NewRegistry returns a metrics registry with the Go and process collectors.
 func NewRegistry() *prometheus.Registry {
 	r := prometheus.NewRegistry()
-	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), DroppedLines)
 	return r
 }
 
