gatewaydaemon: bound the connections to the addresses for health and metrics

What callers saw: a crowd that connects to a gateway's health or metrics address and sends half a line takes a descriptor each, until there are none for clients, endpoints and the store.

Cause: these two servers accepted any number of connections, for 5 s each; only the clients' server counted them.

Change: both are served like clients, with 64 connections each, of which a new one replaces the one that has been behind for longest.

The port for other entries is as before: a connection there may send any message between entries.

--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -247,13 +247,14 @@
 		Handler: d.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ConnContext: withClientConn, ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelWarn),
 	}, d.clientLimits)
-	clients.guard, clients.logger = d.newClientGuard(clients, reg), d.logger
+	refusals := clientlimit.NewMetrics(reg)
+	clients.guard, clients.logger = d.newClientGuard(clients, refusals), d.logger
 	d.serve("front", clients.server, clients.acceptor())
 	go func() {
 		defer close(d.initialised)
 		d.awaitInitialState(ctx)
 	}()
-	d.serve("health", &http.Server{Handler: fleet.ReadyHandler(d.ready), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: minHeaderBytes}, healthListener)
+	d.serveOperators("health", fleet.ReadyHandler(d.ready), healthListener, refusals)
 	if d.settings.PeerAddress != "" {
 		l, err := listenTCP(ctx, d.settings.PeerAddress)
 		if err != nil {
@@ -267,21 +268,41 @@
 		if err != nil {
 			return nil, err
 		}
-		d.serve("metrics", &http.Server{Handler: metricsHandler(reg), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: minHeaderBytes}, l)
+		d.serveOperators("metrics", metricsHandler(reg), l, refusals)
 	}
 	return clients, nil
 }
 
 // newClientGuard returns the guard of the clients' connections.
-func (d *daemon) newClientGuard(clients *clientServer, reg prometheus.Registerer) *clientlimit.Guard {
+func (d *daemon) newClientGuard(clients *clientServer, refusals *clientlimit.Metrics) *clientlimit.Guard {
 	plan := planMemory(d.settings.MemoryBytes, d.settings.MaxFiles)
 	clients.listener.MaxLingering = max(int(lingeringShare*float64(plan.connections)), 1)
 	return clientlimit.New(clientlimit.Options{
 		MaxConnections: plan.connections, HeadMemory: plan.heads, MaxHead: d.maxHeader,
-		Metrics: clientlimit.NewMetrics(reg),
+		Metrics: refusals,
 	})
 }
 
+const (
+	// operatorConnections bounds the connections to the address for health, and to that for metrics.
+	operatorConnections = 64
+	// operatorHeadMemory bounds the memory of the heads of their requests, in bytes.
+	operatorHeadMemory = 1 << 20
+)
+
+// serveOperators serves the load balancer or the operators in the background. Their connections are limited like those of
+// clients, who may reach the address as well.
+func (d *daemon) serveOperators(name string, h http.Handler, l net.Listener, refusals *clientlimit.Metrics) {
+	s := newClientServer(l, &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: minHeaderBytes},
+		func() clientLimits { return clientLimits{header: headerTimeout, idle: idleTimeout} })
+	s.logger = d.logger
+	s.listener.MaxLingering = operatorConnections
+	s.guard = clientlimit.New(clientlimit.Options{
+		MaxConnections: operatorConnections, HeadMemory: operatorHeadMemory, MaxHead: func() int { return minHeaderBytes }, Metrics: refusals,
+	})
+	d.serve(name, s.server, s.acceptor())
+}
+
 // maxHeader returns the number of bytes that may be read of a request's header.
 func (d *daemon) maxHeader() int {
 	limit := maxHeaderBytes
--- a/itest/endless_test.go
+++ b/itest/endless_test.go
@@ -45,13 +45,55 @@
 	cacheTokens int
 	// log gets the log, of all levels; nil discards it.
 	log *os.File
+	// deployment is what several gateways share; nil for a gateway alone.
+	deployment *deployment
+	// operators are the addresses for operators; nil for a free one and no metrics.
+	operators *operatorAddresses
+}
+
+// operatorAddresses are the addresses of a gateway that its operators use.
+type operatorAddresses struct{ health, metrics string }
+
+// deployment is a store with gateways, the first of which dispatches.
+type deployment struct {
+	store *fleettest.Store
+	// seed is the address for entries of the first gateway.
+	seed     string
+	gateways int
+}
+
+// store returns the store of the gateway.
+func (s gatewaySize) store(t *testing.T) *fleettest.Store {
+	if s.deployment == nil {
+		return newDeployment(t).store
+	}
+	return s.deployment.store
+}
+
+// newDeployment returns a deployment without gateways.
+func newDeployment(t *testing.T) *deployment {
+	store := fleettest.NewStore()
+	t.Cleanup(store.Close)
+	return &deployment{store: store}
+}
+
+// join returns the settings of one more gateway.
+func (d *deployment) join() string {
+	d.gateways++
+	if d.seed == "" {
+		d.seed = fleettest.FreeAddress()
+		return fmt.Sprintf("node=e\nlisten.control=%s\nlimits.cpuShare=0.9\n", d.seed)
+	}
+	return fmt.Sprintf("node=e-%d\nlisten.control=%s\nseeds=%s\nlimits.cpuShare=0.1\n", d.gateways, fleettest.FreeAddress(), d.seed)
 }
 
 // startGatewayOf is startGateway with a size.
 func startGatewayOf(t *testing.T, size gatewaySize, service string, faulty ...*fleettest.Server) (gateway *exec.Cmd, front string) {
 	t.Helper()
-	store := fleettest.NewStore()
-	t.Cleanup(store.Close)
+	identity, store := "node=e\nlimits.cpuShare=0.3\n", size.store(t)
+	if size.deployment != nil {
+		identity = size.deployment.join()
+	}
 	sound := fleettest.NewServer("sound")
 	t.Cleanup(sound.Close)
 	store.Put(platformfleet.KindEndpoints, sound.ID, sound.EndpointSpec("sound", "north"))
@@ -81,11 +123,15 @@
 		config["limits"] = map[string]any{"maxHeaderBytes": size.headerBytes, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 20000, "idleTimeoutMs": 15000}
 	}
 	store.Put(platformfleet.KindConfiguration, platformfleet.ConfigurationName, config)
-	front, ready := fleettest.FreeAddress(), fleettest.FreeAddress()
+	operators := size.operators
+	if operators == nil {
+		operators = &operatorAddresses{health: fleettest.FreeAddress()}
+	}
+	front, ready := fleettest.FreeAddress(), operators.health
 	path := filepath.Join(t.TempDir(), "settings")
-	if err := os.WriteFile(path, fmt.Appendf(nil, "node=e\nzone=north\nregion=r\nzones.north=r\nlisten.front=%s\nlisten.readyAddr=%s\n"+
-		"limits.cpuShare=0.3\nlimits.memoryMb=%d\nlimits.maxFds=%d\nprovider.address=%s\nbounds.graceS=8\nbounds.retryBudgetRatio=0.2\nbounds.budgetSlack=54\n",
-		front, ready, size.memoryMB, size.maxFiles, store.Address()), 0o600); err != nil {
+	if err := os.WriteFile(path, fmt.Appendf(nil, "%szone=north\nregion=r\nzones.north=r\nlisten.front=%s\nlisten.readyAddr=%s\n"+
+		"limits.memoryMb=%d\nlimits.maxFds=%d\nprovider.address=%s\nbounds.graceS=8\nbounds.retryBudgetRatio=0.2\nbounds.budgetSlack=54\n",
+		identity, front, ready, size.memoryMB, size.maxFiles, store.Address()), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	gateway = exec.Command(filepath.Join(binDir, "azurelead-gateway"), "--settings", path, "--log-level", "error")
@@ -93,6 +139,9 @@
 		gateway = exec.Command(filepath.Join(binDir, "azurelead-gateway"), "--settings", path, "--log-level", "info")
 		gateway.Stdout = size.log
 	}
+	if operators.metrics != "" {
+		gateway.Args = append(gateway.Args, "--metrics", operators.metrics)
+	}
 	gateway.Env = append(os.Environ(), "GOMAXPROCS=1")
 	if err := gateway.Start(); err != nil {
 		t.Fatal(err)
--- a/itest/promptcrowd_test.go
+++ b/itest/promptcrowd_test.go
@@ -60,6 +60,9 @@
 	}},
 }
 
+// newAttemptID returns the id of an attempt.
+func newAttemptID() string { return fmt.Sprintf("attempt-%d", lastCall.Add(1)) }
+
 // ask sends a request for a stream of an engine, and returns the status of its response; 0 if it broke off.
 func ask(ctx context.Context, front string, header map[string]string) int {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+"/stream/ask/x", nil)
@@ -67,7 +70,7 @@
 		return 0
 	}
 	req.Host = "shop.example"
-	fleettest.SetClientHeaders(req.Header, fmt.Sprintf("ask-%d", lastCall.Add(1)), "", 20*time.Second)
+	fleettest.SetClientHeaders(req.Header, newAttemptID(), "", 20*time.Second)
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
