clientlimit: close stalled uploads when bodies leave no memory

What callers saw: while some clients stopped just short of the end of a large body and stayed, ordinary requests with a large body of the same organisation, or of all where there are none, were refused with 503 until the time of the stalled ones was over.

Cause: a body counts towards the upload budget until its request ends, and nothing ended a stalled one before its client's time, unless connections ran out too.

Change: a reservation that the budget does not allow makes the client that has been behind with a body for longest give up its connection, and is tried again for a quarter of a second. The queues of the guard hold all connections now, and differ in what they await of a client, so that none is filled or emptied as requests come and go.

--- a/clientlimit/clientlimit.go
+++ b/clientlimit/clientlimit.go
@@ -65,8 +65,9 @@
 	mu     sync.Mutex
 	conns  map[*Conn]bool
 	owners map[string]*owner
-	// all holds all connections, heads those that hold a part of a head beyond what every connection may hold.
-	all, heads *stallQueue
+	// all, heads and uploads hold all connections: to find those whose clients are behind with anything, with a head that
+	// holds memory, and with a body.
+	all, heads, uploads *stallQueue
 }
 
 // owner is the owner of connections, such as a client's address.
@@ -83,12 +84,10 @@
 	}
 	return &Guard{
 		o: o, memory: memorybudget.New(o.HeadMemory), conns: make(map[*Conn]bool), owners: make(map[string]*owner),
-		all: newStallQueue(isOpen), heads: newStallQueue((*Conn).holdsHead),
+		all: newStallQueue((*Conn).isAwaited), heads: newStallQueue((*Conn).holdsHead), uploads: newStallQueue((*Conn).isUploading),
 	}
 }
 
-func isOpen(*Conn) bool { return true }
-
 // Conn is one connection.
 type Conn struct {
 	guard *Guard
@@ -163,24 +162,30 @@
 	return g.all
 }
 
+// queuesOf returns the queues of a connection.
+func (g *Guard) queuesOf(c *Conn) []*stallQueue {
+	return []*stallQueue{g.all, g.heads, g.uploads, c.owner.conns}
+}
+
 // add adds a connection. The caller holds mu.
 func (g *Guard) add(c *Conn, ownerName string) {
 	c.owner = g.owners[ownerName]
 	if c.owner == nil {
-		c.owner = &owner{name: ownerName, conns: newStallQueue(isOpen)}
+		c.owner = &owner{name: ownerName, conns: newStallQueue((*Conn).isAwaited)}
 		g.owners[ownerName] = c.owner
 	}
 	g.conns[c] = true
-	g.all.add(c, c.progressAt)
-	c.owner.conns.add(c, c.progressAt)
+	for _, q := range g.queuesOf(c) {
+		q.add(c, c.progressAt)
+	}
 }
 
 // remove removes a connection, also if that has been done before. The caller holds mu.
 func (g *Guard) remove(c *Conn) {
 	delete(g.conns, c)
-	g.all.remove(c)
-	g.heads.remove(c)
-	c.owner.conns.remove(c)
+	for _, q := range g.queuesOf(c) {
+		q.remove(c)
+	}
 	if o := c.owner; o.conns.Len() == 0 && g.owners[o.name] == o {
 		delete(g.owners, o.name)
 	}
@@ -191,7 +196,7 @@
 func (g *Guard) evictStalled(now time.Time, except *Conn, among *stallQueue) bool {
 	c, inHead := among.stalled(now, except), false
 	for evicted := false; c != nil && !evicted; {
-		if inHead, evicted = c.markEvicted(now); !evicted {
+		if inHead, evicted = c.markEvicted(now, among.awaits); !evicted {
 			c = among.stalled(now, except) // it has made progress meanwhile
 		}
 	}
@@ -207,11 +212,11 @@
 	return true
 }
 
-// markEvicted takes the connection out of use, unless it has made progress.
-func (c *Conn) markEvicted(now time.Time) (inHead, evicted bool) {
+// markEvicted takes the connection out of use, unless its client has made progress with what is awaited.
+func (c *Conn) markEvicted(now time.Time, awaits func(*Conn) bool) (inHead, evicted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.isAwaited() || now.Sub(c.progressAt) < minStall {
+	if !awaits(c) || now.Sub(c.progressAt) < minStall {
 		return false, false
 	}
 	c.evicted = true
@@ -221,11 +226,19 @@
 // isAwaited reports whether the client has to send a request or the rest of one, or to read a response. The caller holds mu.
 func (c *Conn) isAwaited() bool { return c.phase != serving || c.writing }
 
-// behindSince returns since when the client has been behind, and whether it has to send or to read something.
-func (c *Conn) behindSince() (time.Time, bool) {
+// isUploading reports whether the client has to send the rest of a body. The caller holds mu.
+func (c *Conn) isUploading() bool { return c.phase == uploading && !c.writing }
+
+// holdsHead reports whether the connection holds a part of a head beyond what every connection may hold. The caller holds mu.
+func (c *Conn) holdsHead() bool {
+	return c.phase == awaiting && c.head && int64(c.bytes)*byteCost+int64(c.lines)*lineCost > memorybudget.Exempt
+}
+
+// behindSince returns since when the client has been behind, and whether it has to do what is awaited.
+func (c *Conn) behindSince(awaits func(*Conn) bool) (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.progressAt, c.isAwaited()
+	return c.progressAt, awaits(c)
 }
 
 // progress records that the client has sent or read n bytes. The caller holds mu.
@@ -315,9 +328,6 @@
 	for err != nil && c.guard.evictHead(now, c) {
 		err = held.Resize(cost)
 	}
-	if err == nil && cost > memorybudget.Exempt {
-		c.guard.noteHead(c)
-	}
 	if err != nil {
 		c.guard.o.Metrics.Refusals.WithLabelValues("head memory").Inc()
 		return NoMemory.Wrap(err)
@@ -325,16 +335,6 @@
 	return nil
 }
 
-// noteHead records that a connection holds a head beyond what every connection may hold.
-func (g *Guard) noteHead(c *Conn) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.conns[c] {
-		since, _ := c.behindSince()
-		g.heads.add(c, since)
-	}
-}
-
 // evictHead closes the connection, other than except, that holds a part of a head and whose client has been behind for longest.
 // It reports whether there was one.
 func (g *Guard) evictHead(now time.Time, except *Conn) bool {
@@ -343,11 +343,11 @@
 	return g.evictStalled(now, except, g.heads)
 }
 
-// holdsHead reports whether the connection holds a part of a head beyond what every connection may hold.
-func (c *Conn) holdsHead() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.phase == awaiting && c.head && int64(c.bytes)*byteCost+int64(c.lines)*lineCost > memorybudget.Exempt
+// EvictUpload closes the connection whose client has been behind for longest with a body, and reports whether there was one.
+func (g *Guard) EvictUpload(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evictStalled(now, nil, g.uploads)
 }
 
 // Close removes the connection.
--- a/clientlimit/clientlimit_test.go
+++ b/clientlimit/clientlimit_test.go
@@ -242,8 +242,8 @@
 // The search for a stalled connection looked at all of them each time.
 func TestSearchForStalledConnectionsIsShort(t *testing.T) {
 	const n = 1000
-	q, looks := (*stallQueue)(nil), 0
-	q = newStallQueue(func(*Conn) bool { looks++; return true })
+	looks := 0
+	q := newStallQueue(func(*Conn) bool { looks++; return true })
 	for i := range n {
 		at := start.Add(time.Duration(i) * time.Millisecond)
 		q.add(&Conn{progressAt: at}, at)
--- a/clientlimit/stalled.go
+++ b/clientlimit/stalled.go
@@ -12,8 +12,8 @@
 	list []queued
 	// index is where each connection is in the list.
 	index map[*Conn]int
-	// holds reports whether a connection belongs to the queue; others are removed when they are met.
-	holds func(*Conn) bool
+	// awaits reports whether a connection's client has to do what the queue is about. The connection's lock is held.
+	awaits func(*Conn) bool
 }
 
 // queued is a connection in a stallQueue. Its client has not been behind since a time before since.
@@ -22,8 +22,8 @@
 	since time.Time
 }
 
-func newStallQueue(holds func(*Conn) bool) *stallQueue {
-	return &stallQueue{index: make(map[*Conn]int), holds: holds}
+func newStallQueue(awaits func(*Conn) bool) *stallQueue {
+	return &stallQueue{index: make(map[*Conn]int), awaits: awaits}
 }
 
 // Len implements heap.Interface.
@@ -54,12 +54,8 @@
 	return last
 }
 
-// add adds a connection unless it is in the queue.
-func (q *stallQueue) add(c *Conn, since time.Time) {
-	if _, found := q.index[c]; !found {
-		heap.Push(q, queued{conn: c, since: since})
-	}
-}
+// add adds a connection that is not in the queue.
+func (q *stallQueue) add(c *Conn, since time.Time) { heap.Push(q, queued{conn: c, since: since}) }
 
 // remove removes a connection if it is in the queue.
 func (q *stallQueue) remove(c *Conn) {
@@ -76,11 +72,7 @@
 		if now.Sub(first.since) < minStall {
 			return nil
 		}
-		if !q.holds(first.conn) {
-			heap.Remove(q, 0)
-			continue
-		}
-		since, behind := first.conn.behindSince()
+		since, behind := first.conn.behindSince(q.awaits)
 		if !behind || first.conn == except {
 			since = now
 		}
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -89,15 +89,17 @@
 // daemon is one running gateway process.
 type daemon struct {
 	// settings are those that the process started with, current the ones read last.
-	settings     fleet.Settings
-	current      atomic.Pointer[fleet.Settings]
-	logger       *slog.Logger
-	store        *fleet.Store
-	roster       *roster.Roster
-	follower     *follow.Follower
-	mesh         *peers.Mesh
-	coordinator  *coordinate.Coordinator
-	upstream     *upstream.Client
+	settings    fleet.Settings
+	current     atomic.Pointer[fleet.Settings]
+	logger      *slog.Logger
+	store       *fleet.Store
+	roster      *roster.Roster
+	follower    *follow.Follower
+	mesh        *peers.Mesh
+	coordinator *coordinate.Coordinator
+	upstream    *upstream.Client
+	// uploads is the budget for the bodies of clients' requests.
+	uploads      *memorybudget.Budget
 	gateway      *gateway.Gateway
 	retryBudgets *retrybudget.Set
 	origins      *streamOrigins
@@ -182,10 +184,11 @@
 		OnStoreOrigins: d.origins.records.take, OnRolloutReports: d.decideRollouts,
 	})
 	d.origins.mesh = d.mesh
+	d.uploads = memorybudget.New(planMemory(settings.MemoryBytes, settings.MaxFiles).uploads)
 	d.gateway = gateway.New(gateway.Options{
 		DataCentre: settings.DataCentre, Table: d.table.Load, AwaitState: d.awaitState, Roster: d.roster, Upstream: d.upstream,
 		OnRead:  requestRead,
-		Uploads: memorybudget.New(planMemory(settings.MemoryBytes, settings.MaxFiles).uploads),
+		Uploads: d.uploads,
 		Stages:  &stageRunner{self: self, mesh: d.mesh, local: d.coordinator}, RetryBudgets: d.retryBudgets,
 		RetryPercent: func() int { return int(100 * d.current.Load().RetryRatio * retryRatioShare) },
 		SuspectParts: suspectParts, SuspectRequests: suspectRequests, Origins: d.origins, Rollouts: d.rollouts, OnCrash: d.mesh.PingAll, OnNotice: d.endpointNoticed, Logger: logger, Metrics: gateway.NewMetrics(reg),
@@ -249,6 +252,7 @@
 	}, d.clientLimits)
 	refusals := clientlimit.NewMetrics(reg)
 	clients.guard, clients.logger = d.newClientGuard(clients, refusals), d.logger
+	d.uploads.OnShortage(func() bool { return clients.guard.EvictUpload(time.Now()) })
 	d.serve("front", clients.server, clients.acceptor())
 	go func() {
 		defer close(d.initialised)
--- a/itest/endless_test.go
+++ b/itest/endless_test.go
@@ -105,6 +105,7 @@
 		fleettest.Route("look", "/look/", "idempotent", "faulty", nil),
 		fleettest.Route("stream", "/stream/", "streaming", "faulty", nil),
 		fleettest.Route("sound", "/sound/", "idempotent", "sound", patient),
+		fleettest.Route("long", "/long/", "idempotent", "faulty", patient),
 		fleettest.Route("longstream", "/stream/long/", "streaming", "faulty", patient),
 		fleettest.Route("soundstream", "/stream/sound/", "streaming", "sound", patient),
 		fleettest.Route("staged", "/stream/staged/", "streaming", "sound", map[string]any{
--- a/memorybudget/budget.go
+++ b/memorybudget/budget.go
@@ -3,6 +3,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -19,6 +20,8 @@
 // for the other owners. It is safe for concurrent use.
 type Budget struct {
 	total int64
+	// reclaim makes an owner give back some of what it holds; nil does not.
+	reclaim func() bool
 
 	mu      sync.Mutex
 	held    int64
@@ -28,6 +31,26 @@
 // New returns a budget of a number of bytes.
 func New(total int64) *Budget { return &Budget{total: total, byOwner: make(map[string]int64)} }
 
+const (
+	// reclaimWait is the time after which memory that is being given back is asked for again, at most reclaimTries times.
+	reclaimWait  = 10 * time.Millisecond
+	reclaimTries = 25
+)
+
+// OnShortage sets a function that is called when the budget does not allow a reservation. It reports whether it has made someone
+// give back memory soon; the reservation is tried again then. It must be called before the budget is used.
+func (b *Budget) OnShortage(reclaim func() bool) { b.reclaim = reclaim }
+
+// takeReclaimed is like take. It makes others give back memory as long as the budget does not allow as much.
+func (b *Budget) takeReclaimed(owner string, n int64) error {
+	err := b.take(owner, n)
+	for try := 0; err != nil && try < reclaimTries && b.reclaim != nil && b.reclaim(); try++ {
+		time.Sleep(reclaimWait)
+		err = b.take(owner, n)
+	}
+	return err
+}
+
 // Held returns the number of bytes that all reservations hold.
 func (b *Budget) Held() int64 {
 	b.mu.Lock()
@@ -72,7 +95,7 @@
 // Reserve returns a reservation of nothing yet. The owner is also named in errors.
 func (b *Budget) Reserve(owner string) *Reservation { return &Reservation{budget: b, owner: owner} }
 
-// Resize sets the number of bytes that are held. It returns an error, and changes nothing, if the budget does not allow
+// Resize sets the number of bytes that are held. It may wait for memory that others give back for it. It returns an error, and changes nothing, if the budget does not allow
 // that many or the reservation has been released.
 func (r *Reservation) Resize(n int64) error {
 	r.mu.Lock()
@@ -83,7 +106,7 @@
 	n = max(0, n-Exempt)
 	switch {
 	case n > r.taken:
-		if err := r.budget.take(r.owner, n-r.taken); err != nil {
+		if err := r.budget.takeReclaimed(r.owner, n-r.taken); err != nil {
 			return err
 		}
 	case n < r.taken:
--- a/memorybudget/budget_test.go
+++ b/memorybudget/budget_test.go
@@ -82,3 +82,30 @@
 		}
 	}
 }
+
+// Those that held memory and did nothing with it kept it from all others.
+func TestMemoryIsReclaimed(t *testing.T) {
+	b := New(10 << 20)
+	var idle []*Reservation
+	b.OnShortage(func() bool {
+		if len(idle) == 0 {
+			return false
+		}
+		idle[0].Release()
+		idle = idle[1:]
+		return true
+	})
+	for range 3 {
+		r := b.Reserve("a")
+		if err := r.Resize(1<<20 + Exempt); err != nil {
+			t.Fatal(err)
+		}
+		idle = append(idle, r)
+	}
+	if err := b.Reserve("a").Resize(4<<20 + Exempt); err != nil || len(idle) != 1 {
+		t.Errorf("%v, %d of 3 are left", err, len(idle))
+	}
+	if err := b.Reserve("a").Resize(11<<20 + Exempt); !Error.Has(err) || len(idle) != 0 {
+		t.Errorf("%v for more than there is, %d are left", err, len(idle))
+	}
+}
