coordinate: do not change the map of services beside its use

Cause: FreeHandles took the map of services under the lock and went through it afterwards, while SetServices changed it in place.

Change: both maps of services are replaced, not changed.

--- a/coordinate/busy_test.go
+++ b/coordinate/busy_test.go
@@ -1,14 +1,17 @@
 package coordinate
 
 import (
+	"fmt"
 	"log/slog"
+	"sync"
 	"testing"
 
+	"github.com/azurelead/azurelead/catalog"
 	"github.com/azurelead/azurelead/peers"
+	"github.com/azurelead/azurelead/roster"
 )
 
-// While the dispatcher was at work for long, submissions had no answer, and changes of the configuration and the endpoints were
-// not applied.
+// While the dispatcher was busy, submissions had no answer, and changes of the configuration and the endpoints were not applied.
 func TestBusyDispatcherIsNotAwaitedForever(t *testing.T) {
 	c := New(Options{Logger: slog.New(slog.DiscardHandler)})
 	c.mu.Lock()
@@ -20,3 +23,22 @@
 	c.SetServices(nil)
 	c.InvalidateEndpoints()
 }
+
+// Handles of results were freed while the services changed.
+func TestServicesChangeBesideTheirUse(t *testing.T) {
+	c := New(Options{Logger: slog.New(slog.DiscardHandler), Roster: roster.New(nil)})
+	var users sync.WaitGroup
+	for i := range 2 {
+		users.Go(func() {
+			for n := range 1000 {
+				if i == 0 {
+					c.SetServices(map[string]*catalog.Service{fmt.Sprint("s", n%10): {Name: "s"}})
+					c.expire()
+				} else {
+					c.FreeHandles([]string{"a"})
+				}
+			}
+		})
+	}
+	users.Wait()
+}
--- a/coordinate/coordinate.go
+++ b/coordinate/coordinate.go
@@ -66,7 +66,7 @@
 
 	// stale is set if the next refresh is to read the endpoints from the roster even if the last read is recent.
 	stale atomic.Bool
-	// declared are the services that are or were declared, by name, guarded by declaredMu.
+	// declared are the services that are or were declared, by name, guarded by declaredMu. The map is replaced, not changed.
 	declaredMu sync.Mutex
 	declared   map[string]*catalog.Service
 
@@ -77,7 +77,7 @@
 	// endCall ends each call in progress, by the id of the call.
 	endCall map[uint64]context.CancelFunc
 	refused refusedSubjects
-	// services are the declared services that the dispatcher knows, by name.
+	// services are the declared services that the dispatcher knows, by name. The map is replaced, not changed.
 	services    map[string]*catalog.Service
 	lastRefresh time.Time
 	// lastSubmit is when the last job was submitted; zero if another entry has dispatched since.
@@ -148,7 +148,9 @@
 // have not read the configuration yet submit jobs for it. It does not wait for jobs.
 func (c *Coordinator) SetServices(services map[string]*catalog.Service) {
 	c.declaredMu.Lock()
-	maps.Copy(c.declared, services)
+	declared := maps.Clone(c.declared)
+	maps.Copy(declared, services)
+	c.declared = declared
 	c.declaredMu.Unlock()
 	c.InvalidateEndpoints()
 }
@@ -160,13 +162,14 @@
 // declareServices passes the declared services to the dispatcher. The caller holds mu.
 func (c *Coordinator) declareServices() {
 	c.declaredMu.Lock()
-	defer c.declaredMu.Unlock()
-	for name, s := range c.declared {
+	declared := c.declared
+	c.declaredMu.Unlock()
+	for name, s := range declared {
 		if c.services[name] != s && s.Stages != nil {
 			c.dispatcher.SetService(name, *s.Stages)
 		}
-		c.services[name] = s
 	}
+	c.services = declared
 }
 
 // refreshEndpoints reads the endpoints from the roster if the last read is older than
--- a/coordinate/refused.go
+++ b/coordinate/refused.go
@@ -11,7 +11,7 @@
 const maxRefusedSubjects = 16384
 
 // refusedSubjects remembers until when a new job of a refused subject counts as a retry. The subjects are hashed, as clients
-// choose them and their length, and the ones refused longest ago are forgotten for others.
+// choose them and their length, and the ones refused longest ago yield.
 //
 // The load that it answers is a client whose requests are all refused, no two of one subject.
 type refusedSubjects struct {
@@ -26,7 +26,7 @@
 	return refusedSubjects{until: until}
 }
 
-// add remembers a subject until a time. An empty subject is nobody's.
+// add remembers a subject until a time. Jobs without a subject have no retries.
 func (r refusedSubjects) add(subject string, until time.Time) {
 	if subject != "" {
 		r.until.Add(xxhash.Sum64String(subject), until)
