--- a/clientlimit/clientlimit.go
+++ b/clientlimit/clientlimit.go
@@ -4,7 +4,7 @@
 //
 // The load that it answers are clients that stay inside no limit. A header line of a few bytes takes some hundred once it has
 // been parsed, so that heads of legal size take many times that size. A connection that never sends a request takes a
-// descriptor, and so does one that sends or reads a byte now and then: progress is therefore measured by a least rate.
+// descriptor, and so does one that sends or reads a byte a second: progress is therefore measured by a least rate.
 package clientlimit
 
 import (
@@ -127,7 +127,7 @@
 
 // Open adds a connection of an owner, such as a client's address. If there are too many, evict of another one is called,
 // whose client has been behind for longest with a request, the rest of one, or the reading of a response. An owner that holds
-// many connections gives up one of its own. It returns an error of class TooManyConnections if there is none to be closed.
+// many connections loses one of its own. It returns an error of class TooManyConnections if none can be closed.
 func (g *Guard) Open(now time.Time, ownerName string, evict func(inHead bool)) (*Conn, error) {
 	c := &Conn{guard: g, evict: evict, progressAt: now}
 	g.mu.Lock()
@@ -259,7 +259,7 @@
 	}
 }
 
-// EndWrite records that n bytes of the response were taken. A client that takes them at once is not behind any more.
+// EndWrite records that the client has taken n bytes of the response. One that takes them at once has caught up.
 func (c *Conn) EndWrite(now time.Time, n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/clientlimit/clientlimit_test.go
+++ b/clientlimit/clientlimit_test.go
@@ -239,7 +239,7 @@
 	}
 }
 
-// The search for a stalled connection looked at all of them each time.
+// The search for a stalled connection visited all of them each time.
 func TestSearchForStalledConnectionsIsShort(t *testing.T) {
 	const n = 1000
 	looks := 0
--- a/clientlimit/stalled.go
+++ b/clientlimit/stalled.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// stallQueue finds the connection whose client has been behind for longest, without a look at all others: the load that
+// stallQueue finds the connection whose client has been behind for longest without visiting all others: the load that
 // it answers is a crowd that has taken all connections and opens more, each of which asks for one to be closed. The
 // caller holds the guard's lock.
 type stallQueue struct {
@@ -65,7 +65,7 @@
 }
 
 // stalled returns the connection, other than except, whose client has been behind for longest, for minStall at least, or
-// nil if there is none. Times in the queue are brought up to date only as far as the search meets them.
+// nil if there is none. The search updates only those times in the queue that it reaches.
 func (q *stallQueue) stalled(now time.Time, except *Conn) *Conn {
 	for len(q.list) > 0 {
 		first := &q.list[0]
--- a/dispatch/cachedparts.go
+++ b/dispatch/cachedparts.go
@@ -116,7 +116,7 @@
 }
 
 // prune removes the parts that were not read within recentPrefillWindow. They are the oldest ones, so that no others are
-// looked at.
+// visited.
 func (r recentParts) prune(now time.Time) {
 	for {
 		_, at, found := r.lastRead.GetOldest()
--- a/gatewaydaemon/clientconn.go
+++ b/gatewaydaemon/clientconn.go
@@ -81,8 +81,8 @@
 	refusalRetryAfter = "0.5"
 )
 
-// evict closes the connection to make room for another. Input that arrives afterwards is discarded. A client that does not
-// read its response must not take what it has for all of it.
+// evict closes the connection to make room for another. Input that arrives afterwards is discarded. A response that is being
+// written is reset, so that its client does not take a part of it for the whole.
 func (c *clientConn) evict(inHead bool) {
 	c.server.noteLimit("client connection closed for another", c.RemoteAddr().String(), nil)
 	if inHead {
--- a/itest/budgetcrowd_test.go
+++ b/itest/budgetcrowd_test.go
@@ -115,11 +115,7 @@
 			if !answered {
 				t.Errorf("none of %d ordinary requests is answered beside the crowd", largeAttempts)
 			}
-			peak := peakMB(t, gateway.Process.Pid)
-			t.Logf("peak %d MB", peak)
-			if peak > crowdGateway.memoryMB {
-				t.Errorf("peak %d MB, limit %d MB", peak, crowdGateway.memoryMB)
-			}
+			checkLimits(t, gateway, crowdGateway)
 		})
 	}
 }
--- a/itest/entrycrowd_test.go
+++ b/itest/entrycrowd_test.go
@@ -1,7 +1,6 @@
 package itest
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"sync"
@@ -36,17 +35,7 @@
 		for range entryClients {
 			clients.Go(func() {
 				for range entryRequests {
-					ctx, cancel := context.WithTimeout(t.Context(), promptPatience)
-					if req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/stream/staged/x", nil); err == nil {
-						req.Host = "shop.example"
-						fleettest.SetClientHeaders(req.Header, newAttemptID(), "", promptPatience)
-						req.Header.Set("Azurelead-Chunks", "1")
-						req.Header.Set("Azurelead-Chunk-Key", key)
-						if resp, err := http.DefaultClient.Do(req); err == nil {
-							_ = resp.Body.Close()
-						}
-					}
-					cancel()
+					sendBriefly(t.Context(), entry, "/stream/staged/x", map[string]string{"Azurelead-Chunks": "1", "Azurelead-Chunk-Key": key})
 				}
 			})
 		}
@@ -55,9 +44,5 @@
 	if !ordinaryAnswered(front) {
 		t.Error("an ordinary request is not answered")
 	}
-	peak := peakMB(t, dispatching.Process.Pid)
-	t.Logf("peak %d MB", peak)
-	if peak > crowdGateway.memoryMB {
-		t.Errorf("peak %d MB, limit %d MB", peak, crowdGateway.memoryMB)
-	}
+	checkLimits(t, dispatching, crowdGateway)
 }
--- a/itest/logcrowd_test.go
+++ b/itest/logcrowd_test.go
@@ -1,8 +1,6 @@
 package itest
 
 import (
-	"context"
-	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -11,7 +9,7 @@
 	"github.com/azurelead/azurelead/platform/fleettest"
 )
 
-// logRequests is the number of requests whose log lines nobody reads.
+// logRequests is the number of requests while the reader of the log has stalled.
 const logRequests = 1200
 
 // Log lines held what clients had sent, and as many as fit the queue for a reader that had stalled took the process's memory.
@@ -29,15 +27,7 @@
 	for range promptClients {
 		clients.Go(func() {
 			for range logRequests / promptClients {
-				ctx, cancel := context.WithTimeout(t.Context(), promptPatience)
-				if req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+"/sound/x", nil); err == nil {
-					req.Host = "shop.example"
-					req.Header.Set("Azurelead-Attempt-Id", id)
-					if resp, err := http.DefaultClient.Do(req); err == nil {
-						_ = resp.Body.Close()
-					}
-				}
-				cancel()
+				sendBriefly(t.Context(), front, "/sound/x", map[string]string{"Azurelead-Attempt-Id": id})
 			}
 		})
 	}
@@ -45,9 +35,5 @@
 	if !ordinaryAnswered(front) {
 		t.Error("an ordinary request is not answered")
 	}
-	peak := peakMB(t, gateway.Process.Pid)
-	t.Logf("peak %d MB", peak)
-	if peak > crowdGateway.memoryMB {
-		t.Errorf("peak %d MB, limit %d MB", peak, crowdGateway.memoryMB)
-	}
+	checkLimits(t, gateway, size)
 }
--- a/itest/promptcrowd_test.go
+++ b/itest/promptcrowd_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os/exec"
 	"strings"
 	"sync"
 	"testing"
@@ -63,6 +64,37 @@
 // newAttemptID returns the id of an attempt.
 func newAttemptID() string { return fmt.Sprintf("attempt-%d", lastCall.Add(1)) }
 
+// checkLimits checks that a gateway lives, and what it has taken of its memory and descriptors.
+func checkLimits(t *testing.T, gateway *exec.Cmd, size gatewaySize) {
+	t.Helper()
+	peak, files := peakMB(t, gateway.Process.Pid), openFiles(t, gateway.Process.Pid)
+	t.Logf("peak %d MB, %d open files", peak, files)
+	if files > size.maxFiles {
+		t.Errorf("%d open files, limit %d", files, size.maxFiles)
+	}
+	if peak > size.memoryMB {
+		t.Errorf("peak %d MB, limit %d MB", peak, size.memoryMB)
+	}
+}
+
+// sendBriefly sends a request whose client waits for promptPatience and does not read the response.
+func sendBriefly(ctx context.Context, front, path string, header map[string]string) {
+	ctx, cancel := context.WithTimeout(ctx, promptPatience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+path, nil)
+	if err != nil {
+		return
+	}
+	req.Host = "shop.example"
+	fleettest.SetClientHeaders(req.Header, newAttemptID(), "", promptPatience)
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
 // ask sends a request for a stream of an engine, and returns the status of its response; 0 if it broke off.
 func ask(ctx context.Context, front string, header map[string]string) int {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+"/stream/ask/x", nil)
@@ -106,14 +138,7 @@
 			if status := ask(t.Context(), front, nil); status != http.StatusOK {
 				t.Errorf("an ordinary request is answered with status %d", status)
 			}
-			peak, files := peakMB(t, gateway.Process.Pid), openFiles(t, gateway.Process.Pid)
-			t.Logf("peak %d MB, %d open files", peak, files)
-			if files > promptGateway.maxFiles {
-				t.Errorf("%d open files, limit %d", files, promptGateway.maxFiles)
-			}
-			if peak > promptGateway.memoryMB {
-				t.Errorf("peak %d MB, limit %d MB", peak, promptGateway.memoryMB)
-			}
+			checkLimits(t, gateway, promptGateway)
 		})
 	}
 }
--- a/itest/slowclient_test.go
+++ b/itest/slowclient_test.go
@@ -148,7 +148,7 @@
 				})
 			}
 			reached.Wait()
-			time.Sleep(4 * slowInterval) // the crowd has reopened what was closed
+			time.Sleep(4 * slowInterval) // the crowd opens again what was closed
 			answered := false
 			for range attempts {
 				if answered = ordinaryAnswered(front); answered {
@@ -159,14 +159,7 @@
 			if !answered {
 				t.Errorf("none of %d ordinary requests is answered beside the crowd", attempts)
 			}
-			peak, files := peakMB(t, gateway.Process.Pid), openFiles(t, gateway.Process.Pid)
-			t.Logf("peak %d MB, %d open files", peak, files)
-			if files > crowdGateway.maxFiles {
-				t.Errorf("%d open files, limit %d", files, crowdGateway.maxFiles)
-			}
-			if peak > crowdGateway.memoryMB {
-				t.Errorf("peak %d MB, limit %d MB", peak, crowdGateway.memoryMB)
-			}
+			checkLimits(t, gateway, crowdGateway)
 		})
 	}
 }
--- a/memorybudget/budget.go
+++ b/memorybudget/budget.go
@@ -20,7 +20,7 @@
 // for the other owners. It is safe for concurrent use.
 type Budget struct {
 	total int64
-	// reclaim makes an owner give back some of what it holds; nil does not.
+	// reclaim makes an owner release some of what it holds; nil does not.
 	reclaim func() bool
 
 	mu      sync.Mutex
@@ -32,16 +32,16 @@
 func New(total int64) *Budget { return &Budget{total: total, byOwner: make(map[string]int64)} }
 
 const (
-	// reclaimWait is the time after which memory that is being given back is asked for again, at most reclaimTries times.
+	// reclaimWait is the time after which a reservation is tried again while memory is released, at most reclaimTries times.
 	reclaimWait  = 10 * time.Millisecond
 	reclaimTries = 25
 )
 
-// OnShortage sets a function that is called when the budget does not allow a reservation. It reports whether it has made someone
-// give back memory soon; the reservation is tried again then. It must be called before the budget is used.
+// OnShortage sets a function that is called when the budget does not allow a reservation. It reports whether an owner is about
+// to release memory; the reservation is tried again then. It must be called before the budget is used.
 func (b *Budget) OnShortage(reclaim func() bool) { b.reclaim = reclaim }
 
-// takeReclaimed is like take. It makes others give back memory as long as the budget does not allow as much.
+// takeReclaimed is like take, but makes owners release memory as long as the budget does not allow as much.
 func (b *Budget) takeReclaimed(owner string, n int64) error {
 	err := b.take(owner, n)
 	for try := 0; err != nil && try < reclaimTries && b.reclaim != nil && b.reclaim(); try++ {
@@ -95,7 +95,7 @@
 // Reserve returns a reservation of nothing yet. The owner is also named in errors.
 func (b *Budget) Reserve(owner string) *Reservation { return &Reservation{budget: b, owner: owner} }
 
-// Resize sets the number of bytes that are held. It may wait for memory that others give back for it. It returns an error, and changes nothing, if the budget does not allow
+// Resize sets the number of bytes that are held. It may wait for others to release memory. It returns an error, and changes nothing, if the budget does not allow
 // that many or the reservation has been released.
 func (r *Reservation) Resize(n int64) error {
 	r.mu.Lock()
