--- a/clientlimit/clientlimit.go
+++ b/clientlimit/clientlimit.go
@@ -103,11 +103,11 @@
 	head         bool
 	bytes, lines int
 	held         *memorybudget.Reservation
-	// progressAt is the time from which on the client has been behind, if it has to send or to read something. What it sends
-	// or reads moves the time on as by minRate, up to the present.
+	// progressAt is since when the client has been behind, if it has to send or to read something. Each byte that it sends or
+	// reads moves it on by the time that the byte takes at minRate, up to the present.
 	progressAt time.Time
-	// writing is set while the client has to read the response, since writeSince. arrears is how far it was behind when
-	// it had last done so.
+	// writing is set while the client has to read a part of the response, since writeSince. arrears is how far it was behind
+	// at the end of the last part.
 	writing    bool
 	writeSince time.Time
 	arrears    time.Duration
@@ -191,18 +191,17 @@
 	}
 }
 
-// evictStalled closes the connection among some, other than except, whose client has been behind for longest, and reports whether
-// there was one. The caller holds mu, which is given back meanwhile.
+// evictStalled closes the connection in a queue, other than except, whose client has been behind for longest, and reports whether
+// there was one. The caller holds mu, which is released while evict is called.
 func (g *Guard) evictStalled(now time.Time, except *Conn, among *stallQueue) bool {
-	c, inHead := among.stalled(now, except), false
-	for evicted := false; c != nil && !evicted; {
-		if inHead, evicted = c.markEvicted(now, among.awaits); !evicted {
-			c = among.stalled(now, except) // it has made progress meanwhile
-		}
-	}
+	c := among.stalled(now, except)
 	if c == nil {
 		return false
 	}
+	inHead, evicted := c.markEvicted(now, among.awaits)
+	if !evicted { // it has made progress since
+		return g.evictStalled(now, except, among)
+	}
 	g.remove(c)
 	g.mu.Unlock()
 	defer g.mu.Lock()
--- a/clientlimit/stalled.go
+++ b/clientlimit/stalled.go
@@ -16,7 +16,7 @@
 	awaits func(*Conn) bool
 }
 
-// queued is a connection in a stallQueue. Its client has not been behind since a time before since.
+// queued is a connection in a stallQueue. Its client has been behind since then or since a later time.
 type queued struct {
 	conn  *Conn
 	since time.Time
--- a/telemetry/bounded.go
+++ b/telemetry/bounded.go
@@ -63,7 +63,7 @@
 	case string:
 		a.Value = slog.StringValue(shortenText(v))
 	case error:
-		a.Value = slog.StringValue(shortenText(v.Error()))
+		a.Value = slog.StringValue(shortenText(fmt.Sprint(v))) // unlike Error, Sprint takes a nil pointer
 	case []string:
 		short := make([]string, min(len(v), maxValues))
 		for i := range short {
