--- a/dispatch/engines.go
+++ b/dispatch/engines.go
@@ -97,7 +97,8 @@
 	pendingPrefills map[string]pendingPrefill
 	// prefillsUntil is when all prompts sent so far are expected to be read.
 	prefillsUntil time.Time
-	cached        *cachedParts
+	// cached are the parts that the engine is assumed to have cached.
+	cached *cachedParts
 	// speed is how fast the engine works.
 	speed speed.Estimate
 	// suspectUntil is until when the engine is avoided after a failure.
@@ -138,7 +139,8 @@
 	// slowdown is the smoothed ratio of the actual to the expected time that an idle
 	// engine takes to the first event.
 	slowdown float64
-	recent   recentParts
+	// recent are the parts that any engine has read recently.
+	recent recentParts
 }
 
 // SetEngines replaces the engines of a service. An engine with another incarnation has
@@ -202,10 +204,10 @@
 // rebuildIndex rebuilds the lists of engines and their data centres.
 func (p *enginePool) rebuildIndex() {
 	p.sortedEngines = p.sortedEngines[:0]
-	most := min(max(maxPoolParts/max(len(p.engines), 1), minEngineParts), maxEngineParts)
+	partsPerEngine := min(max(maxPoolParts/max(len(p.engines), 1), minEngineParts), maxEngineParts)
 	for _, e := range p.engines {
 		p.sortedEngines = append(p.sortedEngines, e)
-		e.cached.bound(most)
+		e.cached.bound(partsPerEngine)
 	}
 	p.dataCentres = sortAndIndex(p.sortedEngines, func(e *engine) (*catalog.Endpoint, *int) { return &e.Endpoint, &e.dcIndex })
 }
@@ -251,7 +253,7 @@
 	if e.Cold && p.coldRate > 0 {
 		e.nextColdRequest = now.Add(time.Duration(float64(time.Second) / (p.coldRate * coldRateShare)))
 	}
-	// A part is of use only with all parts before it, so that the first ones are to be evicted last.
+	// A cached part is of use only with all parts before it: the first ones are to be evicted last.
 	for _, part := range slices.Backward(prompt.Parts) {
 		p.cachePart(now, e, part)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -60,7 +60,7 @@
 		}),
 		SilentAttempts: counter("silent_attempts_total", "Attempts whose endpoint was silent, by whether another one took over, or why not.", "service", "verdict"),
 		UnframedEnds:   counter("unframed_ends_total", "Ends of responses without a length, by whether the process that sent the response serves, was replaced or is gone.", "service", "verdict"),
-		LimitedPrompts: counter("limited_prompts_total", "Prompts with more parts than are tracked, by limit.", "limit"),
+		LimitedPrompts: counter("limited_prompts_total", "Prompts that exceed a limit, by limit: parts beyond those that are tracked, or a length that no engine can hold.", "limit"),
 		InFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "azurelead", Subsystem: "gateway", Name: "in_flight", Help: "Requests in progress.",
 		}),
