clientlimit: close stalled uploads only for their own organisation

What callers saw: nothing yet. Since a client whose bodies exceed the share of its organisation made the gateway close stalled uploads of all others, one each 10 ms, which held nothing of that share. Found by reading.

Cause: the queue of uploads was one for all.

Change: a connection on which a body is read is queued by who is charged for it, the owner in the budget for uploads, and a reservation makes its own owner give way.

Evidence: clientlimit TestStalledUploadsGiveWayToTheirOwn; itest TestHoldersOfMemoryGiveWay passes as before.

--- a/clientlimit/clientlimit.go
+++ b/clientlimit/clientlimit.go
@@ -65,9 +65,11 @@
 	mu     sync.Mutex
 	conns  map[*Conn]bool
 	owners map[string]*owner
-	// all, heads and uploads hold all connections: to find those whose clients are behind with anything, with a head that
-	// holds memory, and with a body.
-	all, heads, uploads *stallQueue
+	// all and heads hold all connections: to find those whose clients are behind with anything, and with a head that holds
+	// memory.
+	all, heads *stallQueue
+	// uploads holds the connections on which a body is read, by who is charged for it.
+	uploads map[string]*stallQueue
 }
 
 // owner is the owner of connections, such as a client's address.
@@ -84,7 +86,7 @@
 	}
 	return &Guard{
 		o: o, memory: memorybudget.New(o.HeadMemory), conns: make(map[*Conn]bool), owners: make(map[string]*owner),
-		all: newStallQueue((*Conn).isAwaited), heads: newStallQueue((*Conn).holdsHead), uploads: newStallQueue((*Conn).isUploading),
+		all: newStallQueue((*Conn).isAwaited), heads: newStallQueue((*Conn).holdsHead), uploads: make(map[string]*stallQueue),
 	}
 }
 
@@ -92,6 +94,8 @@
 type Conn struct {
 	guard *Guard
 	owner *owner
+	// charged is who is charged for the body that is read; empty if there is none. It is guarded by the guard's lock.
+	charged string
 	// evict closes the connection. inHead is set if a part of a request's head has been read.
 	evict func(inHead bool)
 
@@ -164,7 +168,7 @@
 
 // queuesOf returns the queues of a connection.
 func (g *Guard) queuesOf(c *Conn) []*stallQueue {
-	return []*stallQueue{g.all, g.heads, g.uploads, c.owner.conns}
+	return []*stallQueue{g.all, g.heads, c.owner.conns}
 }
 
 // add adds a connection. The caller holds mu.
@@ -183,6 +187,7 @@
 // remove removes a connection, also if that has been done before. The caller holds mu.
 func (g *Guard) remove(c *Conn) {
 	delete(g.conns, c)
+	g.endUpload(c)
 	for _, q := range g.queuesOf(c) {
 		q.remove(c)
 	}
@@ -283,8 +288,44 @@
 // Handle records that a complete head has been read. Its memory stays reserved until the next call of Await or Close.
 func (c *Conn) Handle() { c.setPhase(uploading) }
 
+// Upload records that a body is read, and who is charged for it.
+func (c *Conn) Upload(charged string) {
+	g := c.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.endUpload(c)
+	if !g.conns[c] {
+		return // it has been closed
+	}
+	q := g.uploads[charged]
+	if q == nil {
+		q = newStallQueue((*Conn).isUploading)
+		g.uploads[charged] = q
+	}
+	since, _ := c.behindSince((*Conn).isUploading)
+	q.add(c, since)
+	c.charged = charged
+}
+
+// endUpload records that no body is read any more. The caller holds mu.
+func (g *Guard) endUpload(c *Conn) {
+	q := g.uploads[c.charged]
+	if q == nil {
+		return
+	}
+	if q.remove(c); q.Len() == 0 {
+		delete(g.uploads, c.charged)
+	}
+	c.charged = ""
+}
+
 // Serve records that a whole request has been read.
-func (c *Conn) Serve() { c.setPhase(serving) }
+func (c *Conn) Serve() {
+	c.setPhase(serving)
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.guard.endUpload(c)
+}
 
 func (c *Conn) setPhase(p phase) {
 	c.mu.Lock()
@@ -342,11 +383,13 @@
 	return g.evictStalled(now, except, g.heads)
 }
 
-// EvictUpload closes the connection whose client has been behind for longest with a body, and reports whether there was one.
-func (g *Guard) EvictUpload(now time.Time) bool {
+// EvictUpload closes the connection whose client has been behind for longest with a body, of those for which somebody is charged.
+// It reports whether there was one.
+func (g *Guard) EvictUpload(now time.Time, charged string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.evictStalled(now, nil, g.uploads)
+	q := g.uploads[charged]
+	return q != nil && g.evictStalled(now, nil, q)
 }
 
 // Close removes the connection.
--- a/clientlimit/clientlimit_test.go
+++ b/clientlimit/clientlimit_test.go
@@ -239,6 +239,25 @@
 	}
 }
 
+// Stalled bodies of one organisation gave way to those of another.
+func TestStalledUploadsGiveWayToTheirOwn(t *testing.T) {
+	g := newGuard(0, 1<<20)
+	own, ownEvicted := open(t, g, start)
+	other, otherEvicted := open(t, g, start)
+	for i, c := range []*Conn{own, other} {
+		c.Handle()
+		c.Upload([]string{"a", "b"}[i])
+	}
+	now := start.Add(time.Minute)
+	if !g.EvictUpload(now, "a") || g.EvictUpload(now, "a") || g.EvictUpload(now, "c") || *ownEvicted != 1 || *otherEvicted != 0 {
+		t.Errorf("closed: own %d, of another organisation %d", *ownEvicted, *otherEvicted)
+	}
+	other.Serve()
+	if g.EvictUpload(now, "b") || len(g.uploads) != 0 {
+		t.Errorf("%d organisations upload after all bodies have been read", len(g.uploads))
+	}
+}
+
 // The search for a stalled connection visited all of them each time.
 func TestSearchForStalledConnectionsIsShort(t *testing.T) {
 	const n = 1000
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -58,8 +58,12 @@
 	if err := q.boundReading(deadline); err != nil {
 		return nil, err
 	}
-	held := q.gw.opts.Uploads.Reserve("uploads of " + cmp.Or(q.organisationName(), "all clients"))
+	owner := "uploads of " + cmp.Or(q.organisationName(), "all clients")
+	held := q.gw.opts.Uploads.Reserve(owner)
 	q.kept.add(held.Release)
+	if !q.incoming.Ended() {
+		q.gw.opts.OnUpload(q.r.Context(), owner)
+	}
 	body, err := memorybudget.Read(q.incoming, memorybudget.ReadOptions{Length: q.r.ContentLength, Limit: limit, Hold: held.Resize})
 	q.noteExpiry(err)
 	return body, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,6 +76,9 @@
 	Upstream   *upstream.Client
 	// Uploads bounds the memory that the bodies of requests hold, by organisation.
 	Uploads *memorybudget.Budget
+	// OnUpload is called with the context of a request before its body is read, and with the owner in the budget for uploads;
+	// it may be nil.
+	OnUpload func(ctx context.Context, owner string)
 	// OnRead is called with the context of a request once its body has been read; it may be nil.
 	OnRead func(ctx context.Context)
 	// Stages runs the stages that precede a request.
@@ -134,6 +137,9 @@
 	if opts.OnNotice == nil {
 		opts.OnNotice = func() {}
 	}
+	if opts.OnUpload == nil {
+		opts.OnUpload = func(context.Context, string) {}
+	}
 	if opts.OnRead == nil {
 		opts.OnRead = func(context.Context) {}
 	}
--- a/gatewaydaemon/clientconn.go
+++ b/gatewaydaemon/clientconn.go
@@ -160,6 +160,13 @@
 	return context.WithValue(ctx, clientConnKey{}, c)
 }
 
+// uploadBegins records that the body of the request of a context is read, and who is charged for it.
+func uploadBegins(ctx context.Context, charged string) {
+	if c, ok := ctx.Value(clientConnKey{}).(*clientConn); ok && c.limit != nil {
+		c.limit.Upload(charged)
+	}
+}
+
 // requestRead records that the whole request of a context has been read: its connection is not closed in favour of others.
 func requestRead(ctx context.Context) {
 	if c, ok := ctx.Value(clientConnKey{}).(*clientConn); ok && c.limit != nil {
--- a/gatewaydaemon/daemon.go
+++ b/gatewaydaemon/daemon.go
@@ -187,7 +187,7 @@
 	d.uploads = memorybudget.New(planMemory(settings.MemoryBytes, settings.MaxFiles).uploads)
 	d.gateway = gateway.New(gateway.Options{
 		DataCentre: settings.DataCentre, Table: d.table.Load, AwaitState: d.awaitState, Roster: d.roster, Upstream: d.upstream,
-		OnRead:  requestRead,
+		OnUpload: uploadBegins, OnRead: requestRead,
 		Uploads: d.uploads,
 		Stages:  &stageRunner{self: self, mesh: d.mesh, local: d.coordinator}, RetryBudgets: d.retryBudgets,
 		RetryPercent: func() int { return int(100 * d.current.Load().RetryRatio * retryRatioShare) },
@@ -252,7 +252,7 @@
 	}, d.clientLimits)
 	refusals := clientlimit.NewMetrics(reg)
 	clients.guard, clients.logger = d.newClientGuard(clients, refusals), d.logger
-	d.uploads.OnShortage(func() bool { return clients.guard.EvictUpload(time.Now()) })
+	d.uploads.OnShortage(func(owner string) bool { return clients.guard.EvictUpload(time.Now(), owner) })
 	d.serve("front", clients.server, clients.acceptor())
 	go func() {
 		defer close(d.initialised)
--- a/memorybudget/budget.go
+++ b/memorybudget/budget.go
@@ -21,7 +21,7 @@
 type Budget struct {
 	total int64
 	// reclaim makes an owner release some of what it holds; nil does not.
-	reclaim func() bool
+	reclaim func(owner string) bool
 
 	mu      sync.Mutex
 	held    int64
@@ -37,14 +37,14 @@
 	reclaimTries = 25
 )
 
-// OnShortage sets a function that is called when the budget does not allow a reservation. It reports whether an owner is about
-// to release memory; the reservation is tried again then. It must be called before the budget is used.
-func (b *Budget) OnShortage(reclaim func() bool) { b.reclaim = reclaim }
+// OnShortage sets a function that is called with the owner of a reservation that the budget does not allow. It reports whether
+// the owner is about to release memory; the reservation is tried again then. It must be called before the budget is used.
+func (b *Budget) OnShortage(reclaim func(owner string) bool) { b.reclaim = reclaim }
 
-// takeReclaimed is like take, but makes owners release memory as long as the budget does not allow as much.
+// takeReclaimed is like take, but makes the owner release memory as long as the budget does not allow as much.
 func (b *Budget) takeReclaimed(owner string, n int64) error {
 	err := b.take(owner, n)
-	for try := 0; err != nil && try < reclaimTries && b.reclaim != nil && b.reclaim(); try++ {
+	for try := 0; err != nil && try < reclaimTries && b.reclaim != nil && b.reclaim(owner); try++ {
 		time.Sleep(reclaimWait)
 		err = b.take(owner, n)
 	}
--- a/memorybudget/budget_test.go
+++ b/memorybudget/budget_test.go
@@ -87,8 +87,8 @@
 func TestMemoryIsReclaimed(t *testing.T) {
 	b := New(10 << 20)
 	var idle []*Reservation
-	b.OnShortage(func() bool {
-		if len(idle) == 0 {
+	b.OnShortage(func(owner string) bool {
+		if owner != "a" || len(idle) == 0 {
 			return false
 		}
 		idle[0].Release()
